Serve generations and bookings end to end through two entry VMs

Cause: nothing existed. Change: design and glossary, common types and seams, thin decision code for streams, placement, bookings and configuration, HTTP and tRPC adapters, the entry daemon, cowslipctl, three stand-ins, the demo and the core of the soak. Conclusion: the whole path runs as separate processes; policies follow.

--- /dev/null
+++ b/scripts/ensure-ready.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs dependencies and builds when either is missing or older than its inputs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ ! -f node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+	npm ci --prefer-offline --no-progress >&2
+	touch node_modules/.package-lock.json
+fi
+if [ ! -f dist/.tsbuildinfo ] || [ -n "$(find src tsconfig.json -newer dist/.built -print -quit 2>/dev/null || echo missing)" ]; then
+	node node_modules/typescript/bin/tsc -p tsconfig.json >&2
+	touch dist/.built
+fi
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Build, linter, formatter check, all tests and a short randomised run with fixed seeds.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+rm -rf dist
+bash scripts/ensure-ready.sh
+node_modules/.bin/xo >&2 &
+lint=$!
+node_modules/.bin/prettier --check . >&2
+if [ -f dist/experiments/soak/main.js ]; then
+	node dist/experiments/soak/main.js --seed 1 --runs 10
+fi
+wait "$lint"
+find dist -name '*.test.js' -print0 | sort -z | xargs -0 node --test
--- /dev/null
+++ b/src/adapters/callers/completion-request.ts
@@ -0,0 +1,34 @@
+import {z} from 'zod';
+import {ProblemError} from '../../common/index.js';
+
+const completionSchema = z.object({
+	model: z.string().min(1),
+	prompt: z.string(),
+	max_tokens: z.number().int().min(1).optional(),
+	stream: z.boolean().default(false),
+	delivery: z.enum(['whole', 'restartable', 'live']).optional(),
+	class: z
+		.string()
+		.regex(/^[\w-]{1,64}$/)
+		.default('default'),
+});
+
+/** Body of an OpenAI-style completions call, with `delivery` and `class` added. */
+export type CompletionRequest = z.infer<typeof completionSchema>;
+
+/**
+ * Checks the body of a completions call.
+ * @throws ProblemError `invalid-request` naming the field
+ */
+export function parseCompletionRequest(body: unknown): CompletionRequest {
+	const result = completionSchema.safeParse(body);
+	if (result.success) {
+		return result.data;
+	}
+
+	const [issue] = result.error.issues;
+	const field = issue.path.join('.') || 'body';
+	throw new ProblemError('invalid-request', `${field}: ${issue.message}`, {
+		field,
+	});
+}
--- /dev/null
+++ b/src/adapters/callers/event-stream-sink.ts
@@ -0,0 +1,69 @@
+import type {ServerResponse} from 'node:http';
+import type {
+	CallerSink,
+	GenerationPlace,
+} from '../../decisions/streams/index.js';
+import {problemBody, sendProblem} from './problem-response.js';
+
+/** Options of a sink that writes server-sent events. */
+export type EventStreamSinkOptions = {
+	readonly response: ServerResponse;
+	readonly model: string;
+	/** Signs the stream token of a place. */
+	readonly tokenOf: (place: GenerationPlace) => string;
+	/** Number of tokens that the caller has when the stream opens. */
+	readonly firstPosition: number;
+};
+
+/** Creates a sink that passes tokens on as server-sent events. */
+export function createEventStreamSink(
+	options: EventStreamSinkOptions,
+): CallerSink {
+	const {response} = options;
+	const tail = `","object":"text_completion","model":${JSON.stringify(options.model)},"choices":[{"index":0,"text":`;
+	let prefix = '';
+	let head = '';
+
+	const begin = (place: GenerationPlace, event: string, position: number) => {
+		const token = options.tokenOf(place);
+		prefix = `id: ${token}.`;
+		head = `\ndata: {"id":"${place.generationId}${tail}`;
+		response.write(`${prefix}${position}\nevent: ${event}\ndata: {}\n\n`);
+	};
+
+	return {
+		accepted(place) {
+			if (!response.headersSent) {
+				response.writeHead(200, {
+					'content-type': 'text/event-stream',
+					'cache-control': 'no-store',
+				});
+			}
+
+			begin(place, 'accepted', options.firstPosition);
+		},
+		token(position, text) {
+			return response.write(
+				`${prefix}${position}${head}${JSON.stringify(text)}}]}\n\n`,
+			);
+		},
+		restarted(place) {
+			begin(place, 'restart', 0);
+		},
+		finished(reason, tokenCount) {
+			response.end(
+				`${prefix}${tokenCount}${head}"","finish_reason":"${reason}"}],` +
+					`"usage":{"completion_tokens":${tokenCount}}}\n\ndata: [DONE]\n\n`,
+			);
+		},
+		failed(error) {
+			if (response.headersSent) {
+				response.end(
+					`event: error\ndata: ${JSON.stringify(problemBody(error))}\n\n`,
+				);
+			} else {
+				sendProblem(response, error);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/callers/services-handler.ts
@@ -0,0 +1,78 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {
+	type PlainService,
+	ProblemError,
+	type ServiceAnswer,
+} from '../../common/index.js';
+import {
+	type BookingCoordinator,
+	checkBookingKey,
+} from '../../decisions/bookings/index.js';
+import type {CallerHandler} from './caller-server.js';
+import {readRequestBody} from './request-body.js';
+
+/** What the handler of calls to plain services needs. */
+export type ServicesHandlerOptions = {
+	readonly maxBodyBytes: number;
+	/** How long records of bookings are kept, in milliseconds. */
+	readonly retentionMs: number;
+	/** Time until a call to a target fails, in milliseconds. */
+	readonly callTimeoutMs: number;
+	readonly wallMs: () => number;
+	readonly bookings: BookingCoordinator;
+	/** Chooses a target; throws `not-run` or `unknown-service`. */
+	readonly place: (service: string) => PlainService;
+};
+
+const servicePattern = /^\/v1\/services\/([\w-]+)(\/.*)?$/;
+
+/** Creates the handler of `/v1/services/<service>/<path>`. */
+export function createServicesHandler(
+	options: ServicesHandlerOptions,
+): CallerHandler {
+	return async ({account, request, response, url}) => {
+		const match = servicePattern.exec(url.pathname);
+		if (!match) {
+			throw new ProblemError('unknown-service', 'path names no service');
+		}
+
+		const [, service, path = '/'] = match;
+		const method = request.method ?? 'GET';
+		const body = await readRequestBody(request, options.maxBodyBytes);
+		const call = {
+			method,
+			path: path + url.search,
+			body,
+			contentType: String(
+				request.headers['content-type'] ?? 'application/octet-stream',
+			),
+			timeoutMs: options.callTimeoutMs,
+		};
+		const target = options.place(service);
+		let answer: ServiceAnswer;
+		if (method === 'GET' || method === 'HEAD') {
+			answer = await target.call({...call, idempotencyKey: undefined});
+		} else {
+			const header = request.headers['idempotency-key'];
+			const key = checkBookingKey(
+				typeof header === 'string' ? header : undefined,
+				options.wallMs(),
+				options.retentionMs,
+			);
+			const bodyHash = createHash('sha256')
+				.update(`${method}\n${service}\n${call.path}\n${body}`)
+				.digest('base64url');
+			answer = await options.bookings.run(
+				{account, key, bodyHash, service},
+				async () => target.call({...call, idempotencyKey: key}),
+			);
+		}
+
+		response.writeHead(answer.status, {
+			'content-type': answer.contentType,
+			'content-length': Buffer.byteLength(answer.body),
+		});
+		response.end(answer.body);
+	};
+}
--- /dev/null
+++ b/src/adapters/peers/index.ts
@@ -0,0 +1,3 @@
+export * from './peer-client.js';
+export type * from './peer-router.js';
+export * from './peer-server.js';
--- /dev/null
+++ b/src/adapters/peers/peer-router.ts
@@ -0,0 +1,59 @@
+import {initTRPC, TRPCError} from '@trpc/server';
+import {z} from 'zod';
+import type {ConfigurationChange} from '../../decisions/configuration/index.js';
+
+/** What an entry VM tells peers and operators about itself. */
+export type EntryStatus = {
+	readonly name: string;
+	readonly instanceId: string;
+	readonly availabilityZone: string;
+	readonly configurationVersion: number;
+	readonly ready: boolean;
+	readonly stopping: boolean;
+	readonly openStreams: number;
+};
+
+/** What the procedures call. */
+export type PeerRouterOptions = {
+	readonly status: () => EntryStatus;
+	readonly configurationAfter: (
+		version: number,
+	) => readonly ConfigurationChange[];
+	readonly markTargetLeaving: (targetId: string) => void;
+	readonly metricsText: () => string;
+};
+
+/** Role that the caller's token grants. */
+export type PeerContext = {readonly role: 'peer' | 'operator' | undefined};
+
+const trpc = initTRPC.context<PeerContext>().create();
+
+const authorized = trpc.procedure.use(async ({ctx, next}) => {
+	if (ctx.role === undefined) {
+		throw new TRPCError({
+			code: 'UNAUTHORIZED',
+			message: 'a valid peer or operator token is required',
+		});
+	}
+
+	return next();
+});
+
+/** Creates the procedures that entry VMs offer to each other and to operators. */
+export function createPeerRouter(options: PeerRouterOptions) {
+	return trpc.router({
+		status: authorized.query(() => options.status()),
+		configurationAfter: authorized
+			.input(z.object({version: z.number().int().min(0)}))
+			.query(({input}) => options.configurationAfter(input.version)),
+		targetLeaving: authorized
+			.input(z.object({targetId: z.string()}))
+			.mutation(({input}) => {
+				options.markTargetLeaving(input.targetId);
+			}),
+		metrics: authorized.query(() => options.metricsText()),
+	});
+}
+
+/** Type of the procedures, for clients. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/src/adapters/system/index.ts
@@ -0,0 +1,3 @@
+export * from './logger.js';
+export * from './metrics.js';
+export * from './system-clock.js';
--- /dev/null
+++ b/src/adapters/system/system-clock.ts
@@ -0,0 +1,12 @@
+import {Clock} from '../../common/index.js';
+
+/** Clock of the machine. */
+export class SystemClock extends Clock {
+	override nowMs(): number {
+		return performance.now();
+	}
+
+	override wallMs(): number {
+		return Date.now();
+	}
+}
--- /dev/null
+++ b/src/adapters/targets/http-plain-service.ts
@@ -0,0 +1,88 @@
+import {request} from 'undici';
+import {
+	PlainService,
+	ProblemError,
+	type ServiceAnswer,
+	type ServiceCall,
+	type TargetDescription,
+	toProblem,
+} from '../../common/index.js';
+
+const outcomeTimeoutMs = 2000;
+
+// Errors of the connection attempt itself: the request was never sent.
+const notSentCodes = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Plain service behind HTTP. */
+export class HttpPlainService extends PlainService {
+	constructor(override readonly description: TargetDescription) {
+		super();
+	}
+
+	override async call(call: ServiceCall): Promise<ServiceAnswer> {
+		try {
+			return await this.send(call);
+		} catch (error) {
+			const code = (error as {code?: string} | undefined)?.code ?? '';
+			const type = notSentCodes.has(code)
+				? 'target-unavailable'
+				: 'outcome-unknown';
+			throw new ProblemError(
+				type,
+				`call to target "${this.description.id}" failed`,
+				{
+					cause: toProblem(error),
+				},
+			);
+		}
+	}
+
+	override async outcome(
+		idempotencyKey: string,
+	): Promise<ServiceAnswer | undefined> {
+		try {
+			const answer = await this.send({
+				method: 'GET',
+				path: `/outcomes/${encodeURIComponent(idempotencyKey)}`,
+				body: '',
+				contentType: '',
+				idempotencyKey: undefined,
+				timeoutMs: outcomeTimeoutMs,
+			});
+			return answer.status === 404 ? undefined : answer;
+		} catch (error) {
+			throw new ProblemError(
+				'target-unavailable',
+				`target "${this.description.id}" could not be asked for an outcome`,
+				{cause: toProblem(error)},
+			);
+		}
+	}
+
+	private async send(call: ServiceCall): Promise<ServiceAnswer> {
+		const hasBody = call.method !== 'GET' && call.method !== 'HEAD';
+		const response = await request(this.description.url + call.path, {
+			method: call.method as 'GET' | 'POST',
+			headers: {
+				...(hasBody ? {'content-type': call.contentType} : {}),
+				...(call.idempotencyKey === undefined
+					? {}
+					: {'idempotency-key': call.idempotencyKey}),
+			},
+			body: hasBody ? call.body : undefined,
+			signal: AbortSignal.timeout(call.timeoutMs),
+		});
+		return {
+			status: response.statusCode,
+			contentType: String(
+				response.headers['content-type'] ?? 'application/octet-stream',
+			),
+			body: await response.body.text(),
+		};
+	}
+}
--- /dev/null
+++ b/src/adapters/targets/index.ts
@@ -0,0 +1,2 @@
+export * from './http-engine.js';
+export * from './http-plain-service.js';
--- /dev/null
+++ b/src/common/errors/index.ts
@@ -0,0 +1,2 @@
+export * from './problem-error.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/common/invariants/index.ts
@@ -0,0 +1,2 @@
+export * from './invariant-monitor.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/common/targets/index.ts
@@ -0,0 +1,3 @@
+export * from './engine.js';
+export * from './plain-service.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/decisions/bookings/booking-key.ts
@@ -0,0 +1,50 @@
+import {ProblemError} from '../../common/index.js';
+
+const uuidV7Pattern =
+	/^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/;
+const maxSkewMs = 300_000;
+
+/**
+ * Checks an idempotency key. Its embedded time lets old records be removed without reopening a key.
+ * @param key - value of the `Idempotency-Key` header
+ * @param wallMs - wall-clock time in milliseconds
+ * @param retentionMs - how long records are kept, in milliseconds
+ * @returns the key in lower case
+ * @throws ProblemError `idempotency-key-invalid` or `idempotency-key-expired`
+ */
+export function checkBookingKey(
+	key: string | undefined,
+	wallMs: number,
+	retentionMs: number,
+): string {
+	const normalized = key?.toLowerCase();
+	if (normalized === undefined || !uuidV7Pattern.test(normalized)) {
+		throw new ProblemError(
+			'idempotency-key-invalid',
+			'Idempotency-Key must be a UUID version 7 (RFC 9562)',
+			{field: 'Idempotency-Key'},
+		);
+	}
+
+	const createdWallMs = Number.parseInt(
+		normalized.replaceAll('-', '').slice(0, 12),
+		16,
+	);
+	if (createdWallMs > wallMs + maxSkewMs) {
+		throw new ProblemError(
+			'idempotency-key-invalid',
+			'time in Idempotency-Key is more than 5 minutes ahead',
+			{field: 'Idempotency-Key'},
+		);
+	}
+
+	if (createdWallMs < wallMs - retentionMs) {
+		throw new ProblemError(
+			'idempotency-key-expired',
+			`time in Idempotency-Key is more than ${retentionMs} ms ago`,
+			{field: 'Idempotency-Key'},
+		);
+	}
+
+	return normalized;
+}
--- /dev/null
+++ b/src/decisions/bookings/index.ts
@@ -0,0 +1,3 @@
+export * from './booking-coordinator.js';
+export * from './booking-key.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/decisions/configuration/setting-schemas.ts
@@ -0,0 +1,116 @@
+import {z} from 'zod';
+import {ProblemError} from '../../common/index.js';
+import type {SettingValue} from './types.js';
+
+const positiveNumber = z.number().positive();
+const tokensPerMinute = z.number().nonnegative();
+const durationMs = z.number().int().min(0).max(86_400_000);
+
+/** Description of one scalar setting. */
+export type SettingSchema = {
+	readonly schema: z.ZodType<SettingValue>;
+	readonly defaultValue: SettingValue;
+	/** What is allowed, with the unit. */
+	readonly allowed: string;
+};
+
+/** Every scalar setting of the configuration by key. */
+export const settingSchemas: Readonly<Record<string, SettingSchema>> = {
+	'contract.floorTokensPerMinute': {
+		schema: tokensPerMinute,
+		defaultValue: 0,
+		allowed: 'tokens a minute, 0 or more',
+	},
+	'contract.ceilingTokensPerMinute': {
+		schema: tokensPerMinute,
+		defaultValue: 1_000_000_000,
+		allowed: 'tokens a minute, 0 or more',
+	},
+	'contract.shareWeight': {
+		schema: positiveNumber,
+		defaultValue: 1,
+		allowed: 'number above 0',
+	},
+	'class.defaultDelivery': {
+		schema: z.enum(['whole', 'restartable', 'live']),
+		defaultValue: 'whole',
+		allowed: 'whole, restartable or live',
+	},
+	'class.resumeWindowMs': {
+		schema: durationMs,
+		defaultValue: 10_000,
+		allowed: 'milliseconds, 0 to 86400000',
+	},
+	'class.maxTokens': {
+		schema: z.number().int().min(1).max(1_000_000),
+		defaultValue: 50_000,
+		allowed: 'tokens, 1 to 1000000',
+	},
+	'class.queueTimeoutMs': {
+		schema: durationMs,
+		defaultValue: 30_000,
+		allowed: 'milliseconds, 0 to 86400000',
+	},
+	'weights.stallPerSecond': {
+		schema: z.number().nonnegative(),
+		defaultValue: 1,
+		allowed: 'cost for each second, 0 or more',
+	},
+	'weights.preemption': {
+		schema: z.number().nonnegative(),
+		defaultValue: 1,
+		allowed: 'cost for each preemption, 0 or more',
+	},
+	'weights.tailPerSecond': {
+		schema: z.number().nonnegative(),
+		defaultValue: 1,
+		allowed: 'cost for each second, 0 or more',
+	},
+};
+
+const targetSchema = z.object({
+	kind: z.enum(['engine', 'service']),
+	url: z.url(),
+	availabilityZone: z.string().min(1),
+	models: z.array(z.string()).default([]),
+	service: z.string().default(''),
+	fencing: z.enum(['refuses-old', 'ignores']).default('ignores'),
+	answersOutcomes: z.boolean().default(false),
+});
+
+const targetKeyPattern = /^target\.[\w-]+$/;
+
+/**
+ * Checks a key and value.
+ * @returns the value with the defaults of its parts filled in
+ * @throws ProblemError `invalid-configuration` naming the key and what is allowed
+ */
+export function checkSetting(key: string, value: unknown): SettingValue {
+	const schema = targetKeyPattern.test(key)
+		? targetSchema
+		: settingSchemas[key]?.schema;
+	if (!schema) {
+		throw new ProblemError(
+			'invalid-configuration',
+			`setting "${key}" does not exist`,
+			{
+				field: key,
+			},
+		);
+	}
+
+	const result = schema.safeParse(value);
+	if (!result.success) {
+		const allowed =
+			settingSchemas[key]?.allowed ?? result.error.issues[0].message;
+		throw new ProblemError(
+			'invalid-configuration',
+			`setting "${key}" allows: ${allowed}`,
+			{
+				field: key,
+			},
+		);
+	}
+
+	return result.data;
+}
--- /dev/null
+++ b/src/decisions/configuration/types.ts
@@ -0,0 +1,71 @@
+import type {
+	Contract,
+	ClassSettings,
+	CostWeights,
+	TargetDescription,
+} from '../../common/index.js';
+
+/** A value of the configuration as it is stored. */
+export type SettingValue =
+	number | string | boolean | Readonly<Record<string, unknown>>;
+
+/** What an exception applies to. */
+export type ExceptionScope =
+	| `account:${string}`
+	| `class:${string}`
+	| `zone:${string}`
+	| `target:${string}`;
+
+/** One edit of the configuration. */
+export type ConfigurationEdit =
+	| {readonly op: 'set'; readonly key: string; readonly value: SettingValue}
+	| {readonly op: 'unset'; readonly key: string}
+	| {
+			readonly op: 'except';
+			readonly scope: ExceptionScope;
+			readonly key: string;
+			readonly value: SettingValue;
+			/** Written reason; an exception without one is refused. */
+			readonly reason: string;
+	  }
+	| {
+			readonly op: 'unexcept';
+			readonly scope: ExceptionScope;
+			readonly key: string;
+	  };
+
+/** An accepted change: one version of the configuration. */
+export type ConfigurationChange = {
+	readonly version: number;
+	/** Chosen by the writer, so that it recognises its own change after a lost answer. */
+	readonly changeId: string;
+	readonly author: string;
+	readonly atWallMs: number;
+	readonly edits: readonly ConfigurationEdit[];
+};
+
+/** An exception that is in force. */
+export type ConfigurationException = {
+	readonly scope: ExceptionScope;
+	readonly key: string;
+	readonly value: SettingValue;
+	readonly reason: string;
+	readonly sinceVersion: number;
+};
+
+/** The configuration at one version. */
+export type FleetConfiguration = {
+	readonly version: number;
+	readonly values: ReadonlyMap<string, SettingValue>;
+	readonly exceptions: ReadonlyMap<string, ConfigurationException>;
+};
+
+/** Effective settings of one client account and class. */
+export type EffectiveSettings = {
+	readonly contract: Contract;
+	readonly classSettings: ClassSettings;
+	readonly weights: CostWeights;
+};
+
+/** Targets by id. */
+export type TargetDirectory = ReadonlyMap<string, TargetDescription>;
--- /dev/null
+++ b/src/decisions/routing/index.ts
@@ -0,0 +1,2 @@
+export * from './target-table.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/decisions/routing/target-table.ts
@@ -0,0 +1,119 @@
+import type {RandomSource, TargetDescription} from '../../common/index.js';
+
+/** Targets as one entry VM sees them. */
+export type TargetTable = {
+	/** Replaces the descriptions, keeping what is known of targets that stay. */
+	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
+	/** Marks a target that takes no new work. */
+	markLeaving(targetId: string): void;
+	/**
+	 * Keeps a failed target out until a time.
+	 * @param untilMs - monotonic time in milliseconds
+	 */
+	eject(targetId: string, untilMs: number): void;
+	/**
+	 * Chooses an engine for a model and counts the generation there.
+	 * @param nowMs - monotonic time in milliseconds
+	 * @returns the engine's id, or undefined if there is none
+	 */
+	placeGeneration(model: string, nowMs: number): string | undefined;
+	/** Chooses a target of a plain service. */
+	placeCall(service: string, nowMs: number): string | undefined;
+	/** Takes back the count of a generation that ended. */
+	release(targetId: string): void;
+	/** True if some target offers the model or service. */
+	knows(kind: 'model' | 'service', name: string): boolean;
+};
+
+type TargetState = {
+	description: TargetDescription;
+	outstanding: number;
+	leaving: boolean;
+	ejectedUntilMs: number;
+};
+
+/** Creates an empty table. */
+export function createTargetTable(random: RandomSource): TargetTable {
+	const targets = new Map<string, TargetState>();
+
+	const matches = (
+		state: TargetState,
+		kind: 'model' | 'service',
+		name: string,
+	) =>
+		kind === 'model'
+			? state.description.kind === 'engine' &&
+				state.description.models.includes(name)
+			: state.description.kind === 'service' &&
+				state.description.service === name;
+
+	const place = (kind: 'model' | 'service', name: string, nowMs: number) => {
+		const usable = [...targets.values()].filter(
+			(state) =>
+				!state.leaving &&
+				state.ejectedUntilMs <= nowMs &&
+				matches(state, kind, name),
+		);
+		const least = Math.min(...usable.map((state) => state.outstanding));
+		const candidates = usable.filter((state) => state.outstanding === least);
+		return candidates.length === 0
+			? undefined
+			: candidates[random.nextInt(candidates.length)];
+	};
+
+	return {
+		update(descriptions) {
+			for (const id of targets.keys()) {
+				if (!descriptions.has(id)) {
+					targets.delete(id);
+				}
+			}
+
+			for (const [id, description] of descriptions) {
+				const state = targets.get(id);
+				if (state) {
+					state.description = description;
+				} else {
+					targets.set(id, {
+						description,
+						outstanding: 0,
+						leaving: false,
+						ejectedUntilMs: 0,
+					});
+				}
+			}
+		},
+		markLeaving(targetId) {
+			const state = targets.get(targetId);
+			if (state) {
+				state.leaving = true;
+			}
+		},
+		eject(targetId, untilMs) {
+			const state = targets.get(targetId);
+			if (state) {
+				state.ejectedUntilMs = untilMs;
+			}
+		},
+		placeGeneration(model, nowMs) {
+			const state = place('model', model, nowMs);
+			if (state) {
+				state.outstanding++;
+			}
+
+			return state?.description.id;
+		},
+		placeCall(service, nowMs) {
+			return place('service', service, nowMs)?.description.id;
+		},
+		release(targetId) {
+			const state = targets.get(targetId);
+			if (state) {
+				state.outstanding--;
+			}
+		},
+		knows(kind, name) {
+			return [...targets.values()].some((state) => matches(state, kind, name));
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/streams/relay-session.ts
@@ -0,0 +1,256 @@
+import {
+	type Engine,
+	type EngineStream,
+	type EngineStreamListener,
+	type FinishReason,
+	ProblemError,
+} from '../../common/index.js';
+import {
+	createStreamSequencer,
+	type StreamSequencer,
+} from './stream-sequencer.js';
+import type {CallerSink, GenerationPlace, GenerationRequest} from './types.js';
+
+/** What a session needs from its surroundings. */
+export type RelaySessionOptions = {
+	readonly request: GenerationRequest;
+	readonly sink: CallerSink;
+	/** Chooses an engine and counts the generation there; throws `not-run` if there is none. */
+	readonly place: () => {
+		readonly engine: Engine;
+		readonly generationId: string;
+	};
+	/** Finds an engine by id, for streams that are resumed. */
+	readonly findEngine: (targetId: string) => Engine | undefined;
+	/** Called when the generation at a target ended or was lost. */
+	readonly onReleased: (
+		targetId: string,
+		outcome: 'finished' | 'failed' | 'left',
+	) => void;
+};
+
+/** Relays one request's answer from engines to its caller. */
+export type RelaySession = {
+	/** Places the request and starts a generation. */
+	start(): void;
+	/**
+	 * Continues a stream that another entry VM may have served.
+	 * @param position - number of tokens that the caller has
+	 */
+	resume(place: GenerationPlace, position: number): void;
+	/** The caller takes tokens again after `token` returned false. */
+	drained(): void;
+	/** The caller is gone. */
+	leave(): void;
+};
+
+const maxReopens = 3;
+const maxAttempts = 4;
+
+/** Creates a session that has not started. */
+export function createRelaySession(options: RelaySessionOptions): RelaySession {
+	const {request, sink} = options;
+	const buffered: string[] = [];
+	let sequencer: StreamSequencer = createStreamSequencer();
+	let place: GenerationPlace | undefined;
+	let engine: Engine | undefined;
+	let stream: EngineStream | undefined;
+	let reopens = 0;
+	let delivered = 0;
+	let ended = false;
+
+	const end = (outcome: 'finished' | 'failed' | 'left') => {
+		ended = true;
+		stream?.close();
+		if (place) {
+			options.onReleased(place.targetId, outcome);
+		}
+	};
+
+	const fail = (error: ProblemError) => {
+		end('failed');
+		sink.failed(error);
+	};
+
+	const deliver = (position: number, text: string) => {
+		delivered = position;
+		if (!sink.token(position, text)) {
+			stream?.pause();
+		}
+	};
+
+	const listenerFor = (own: GenerationPlace): EngineStreamListener => {
+		const current = () => !ended && place === own;
+		return {
+			onToken(position, text) {
+				if (!current()) {
+					return;
+				}
+
+				const verdict = sequencer.accept(position);
+				if (verdict === 'gap') {
+					reopen();
+				} else if (verdict === 'deliver') {
+					reopens = 0;
+					if (request.delivery === 'whole') {
+						buffered.push(text);
+					} else {
+						deliver(position + 1, text);
+					}
+				}
+			},
+			onFinish(reason, tokenCount) {
+				if (current()) {
+					finish(reason, tokenCount);
+				}
+			},
+			onFailure(error) {
+				if (current()) {
+					recover(error);
+				}
+			},
+		};
+	};
+
+	const finish = (reason: FinishReason, tokenCount: number) => {
+		try {
+			if (sequencer.finish(tokenCount) === 'gap') {
+				reopen();
+				return;
+			}
+		} catch (error) {
+			fail(error as ProblemError);
+			return;
+		}
+
+		const first = sequencer.nextPosition - buffered.length;
+		for (const [index, text] of buffered.entries()) {
+			deliver(first + index + 1, text);
+		}
+
+		end('finished');
+		sink.finished(reason, tokenCount);
+	};
+
+	const reopen = () => {
+		stream?.close();
+		if (++reopens > maxReopens) {
+			restart(
+				new ProblemError(
+					'generation-lost',
+					'the engine no longer delivers the generation',
+				),
+			);
+			return;
+		}
+
+		stream = engine!.reopen(
+			place!.generationId,
+			sequencer.nextPosition,
+			listenerFor(place!),
+		);
+	};
+
+	const recover = (error: ProblemError) => {
+		if (error.type === 'target-unavailable' && sequencer.nextPosition > 0) {
+			reopen();
+		} else {
+			restart(error);
+		}
+	};
+
+	const restart = (cause: ProblemError) => {
+		const attempt = place!.attempt + 1;
+		if (delivered > 0 && request.delivery !== 'restartable') {
+			fail(
+				new ProblemError(
+					'generation-lost',
+					'the engine lost the generation; ask again',
+					{
+						cause,
+						retryAfterMs: 0,
+					},
+				),
+			);
+			return;
+		}
+
+		options.onReleased(place!.targetId, 'failed');
+		place = undefined;
+		if (attempt >= maxAttempts) {
+			fail(
+				new ProblemError('not-run', 'no engine could finish the generation', {
+					cause,
+				}),
+			);
+			return;
+		}
+
+		begin(attempt);
+	};
+
+	const begin = (attempt: number) => {
+		buffered.length = 0;
+		reopens = 0;
+		sequencer = createStreamSequencer();
+		let chosen;
+		try {
+			chosen = options.place();
+		} catch (error) {
+			fail(error as ProblemError);
+			return;
+		}
+
+		engine = chosen.engine;
+		place = {
+			targetId: engine.description.id,
+			generationId: chosen.generationId,
+			attempt,
+		};
+		if (delivered > 0) {
+			delivered = 0;
+			sink.restarted(place);
+		} else {
+			sink.accepted(place);
+		}
+
+		const {model, prompt, maxTokens} = request;
+		const {generationId} = chosen;
+		stream = engine.start(
+			{generationId, model, prompt, maxTokens, priority: 0},
+			listenerFor(place),
+		);
+	};
+
+	return {
+		start() {
+			begin(0);
+		},
+		resume(from, position) {
+			engine = options.findEngine(from.targetId);
+			place = from;
+			delivered = position;
+			if (!engine) {
+				restart(
+					new ProblemError(
+						'stream-unknown',
+						'the target of the stream is gone',
+					),
+				);
+				return;
+			}
+
+			sequencer = createStreamSequencer(position);
+			sink.accepted(from);
+			stream = engine.reopen(from.generationId, position, listenerFor(from));
+		},
+		drained() {
+			stream?.resume();
+		},
+		leave() {
+			if (!ended) {
+				end('left');
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/experiments/demo/booking-caller.ts
@@ -0,0 +1,60 @@
+import {randomBytes} from 'node:crypto';
+import {request} from 'undici';
+
+/** Outcome of one booking as its caller saw it. */
+export type BookingOutcome = {
+	readonly key: string;
+	readonly booked: boolean;
+	readonly problem: string | undefined;
+};
+
+const maxTries = 10;
+const retryDelayMs = 200;
+
+/** Creates a UUID version 7 (RFC 9562). */
+export function createUuidV7(wallMs: number): string {
+	const time = wallMs.toString(16).padStart(12, '0');
+	const random = randomBytes(10).toString('hex');
+	return `${time.slice(0, 8)}-${time.slice(8)}-7${random.slice(0, 3)}-8${random.slice(3, 6)}-${random.slice(6, 18)}`;
+}
+
+/** Books once, repeating the call with the same key through all entry VMs, also after success. */
+export async function callBooking(
+	entryUrls: readonly string[],
+	token: string,
+	service: string,
+	repeats: number,
+): Promise<BookingOutcome> {
+	const key = createUuidV7(Date.now());
+	let problem: string | undefined;
+	let booked = false;
+	let successes = 0;
+	for (let attempt = 0; attempt < maxTries && successes <= repeats; attempt++) {
+		const url = entryUrls[attempt % entryUrls.length];
+		try {
+			const response = await request(`${url}/v1/services/${service}/bookings`, {
+				method: 'POST',
+				headers: {
+					authorization: `Bearer ${token}`,
+					'content-type': 'application/json',
+					'idempotency-key': key,
+				},
+				body: JSON.stringify({slot: key}),
+			});
+			const body = (await response.body.json()) as {type?: string};
+			booked ||= response.statusCode === 201;
+			successes += response.statusCode === 201 ? 1 : 0;
+			problem = body.type;
+		} catch {
+			problem = 'connection';
+		}
+
+		if (problem !== undefined) {
+			await new Promise((resolve) => {
+				setTimeout(resolve, retryDelayMs);
+			});
+		}
+	}
+
+	return {key, booked, problem};
+}
--- /dev/null
+++ b/src/experiments/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from './virtual-time.js';
--- /dev/null
+++ b/src/programs/entry.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {runProgram} from './command-line.js';
+import {createEntry} from './entry/create-entry.js';
+import {readEntrySettings} from './entry/settings.js';
+
+await runProgram(async () => {
+	const daemon = await createEntry(await readEntrySettings());
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void daemon.stop();
+		});
+	}
+});
--- /dev/null
+++ b/src/programs/entry/settings.ts
@@ -0,0 +1,179 @@
+import type {LogLevel} from '../../adapters/system/index.js';
+import {checkNumber, commandLine, parsePairs} from '../command-line.js';
+
+/** Settings of the entry daemon. */
+export type EntrySettings = {
+	readonly name: string;
+	readonly listenAddress: string;
+	readonly listenPort: number;
+	readonly peerPort: number;
+	readonly availabilityZone: string;
+	readonly region: string;
+	readonly platformUrl: string;
+	readonly accountTokens: ReadonlyMap<string, string>;
+	readonly peerToken: string;
+	readonly operatorToken: string;
+	readonly streamKey: string;
+	readonly maxBodyBytes: number;
+	readonly maxHeaderBytes: number;
+	readonly tableTimeoutMs: number;
+	readonly pollIntervalMs: number;
+	readonly callTimeoutMs: number;
+	readonly bookingRetentionMs: number;
+	readonly logLevel: LogLevel;
+};
+
+const maxPort = 65_535;
+const dayMs = 86_400_000;
+
+/**
+ * Reads flags and environment variables.
+ * @throws ProblemError `invalid-setting`
+ */
+export async function readEntrySettings(): Promise<EntrySettings> {
+	const flags = await commandLine('cowslip-entry')
+		.usage('$0: serves callers on one entry VM')
+		.options({
+			name: {
+				type: 'string',
+				demandOption: true,
+				describe: 'name of this entry VM',
+			},
+			'listen-address': {
+				type: 'string',
+				default: '127.0.0.1',
+				describe: 'address to listen on',
+			},
+			'listen-port': {
+				type: 'number',
+				demandOption: true,
+				describe: 'port for callers',
+			},
+			'peer-port': {
+				type: 'number',
+				demandOption: true,
+				describe: 'port for peers and operators',
+			},
+			'availability-zone': {
+				type: 'string',
+				demandOption: true,
+				describe: 'availability zone of this VM',
+			},
+			region: {
+				type: 'string',
+				demandOption: true,
+				describe: 'region of this VM',
+			},
+			'platform-url': {
+				type: 'string',
+				demandOption: true,
+				describe: 'base URL of the platform',
+			},
+			'account-tokens': {
+				type: 'string',
+				demandOption: true,
+				describe: 'ACCOUNT=TOKEN,... of the client accounts',
+			},
+			'peer-token': {
+				type: 'string',
+				demandOption: true,
+				describe: 'token that peers present',
+			},
+			'operator-token': {
+				type: 'string',
+				demandOption: true,
+				describe: 'token that operators present',
+			},
+			'stream-key': {
+				type: 'string',
+				demandOption: true,
+				describe: 'secret under which all entry VMs sign stream tokens',
+			},
+			'max-body-bytes': {
+				type: 'number',
+				default: 1_048_576,
+				describe: 'largest request body, in bytes',
+			},
+			'max-header-bytes': {
+				type: 'number',
+				default: 16_384,
+				describe: 'largest request header, in bytes',
+			},
+			'table-timeout-ms': {
+				type: 'number',
+				default: 2000,
+				describe: 'time until a table call fails, in ms',
+			},
+			'poll-interval-ms': {
+				type: 'number',
+				default: 2000,
+				describe: 'time between reads of the configuration, in ms',
+			},
+			'call-timeout-ms': {
+				type: 'number',
+				default: 10_000,
+				describe: 'time until a service call fails, in ms',
+			},
+			'booking-retention-ms': {
+				type: 'number',
+				default: 7 * dayMs,
+				describe: 'how long booking records are kept, in ms',
+			},
+			'log-level': {
+				choices: ['error', 'warn', 'info', 'debug'] as const,
+				default: 'info' as const,
+				describe: 'lowest level that is logged',
+			},
+		})
+		.parseAsync();
+	return {
+		name: flags.name,
+		listenAddress: flags['listen-address'],
+		listenPort: checkNumber('listen-port', flags['listen-port'], 0, maxPort),
+		peerPort: checkNumber('peer-port', flags['peer-port'], 0, maxPort),
+		availabilityZone: flags['availability-zone'],
+		region: flags.region,
+		platformUrl: flags['platform-url'],
+		accountTokens: parsePairs('account-tokens', flags['account-tokens']),
+		peerToken: flags['peer-token'],
+		operatorToken: flags['operator-token'],
+		streamKey: flags['stream-key'],
+		maxBodyBytes: checkNumber(
+			'max-body-bytes',
+			flags['max-body-bytes'],
+			1024,
+			67_108_864,
+		),
+		maxHeaderBytes: checkNumber(
+			'max-header-bytes',
+			flags['max-header-bytes'],
+			1024,
+			1_048_576,
+		),
+		tableTimeoutMs: checkNumber(
+			'table-timeout-ms',
+			flags['table-timeout-ms'],
+			10,
+			60_000,
+		),
+		pollIntervalMs: checkNumber(
+			'poll-interval-ms',
+			flags['poll-interval-ms'],
+			50,
+			60_000,
+		),
+		callTimeoutMs: checkNumber(
+			'call-timeout-ms',
+			flags['call-timeout-ms'],
+			10,
+			600_000,
+		),
+		bookingRetentionMs: checkNumber(
+			'booking-retention-ms',
+			flags['booking-retention-ms'],
+			60_000,
+			365 * dayMs,
+		),
+		logLevel: flags['log-level'],
+	};
+}
--- /dev/null
+++ b/src/programs/entry/targets-registry.ts
@@ -0,0 +1,99 @@
+import {randomUUID} from 'node:crypto';
+import {HttpEngine, HttpPlainService} from '../../adapters/targets/index.js';
+import {
+	type Clock,
+	type Engine,
+	type PlainService,
+	ProblemError,
+	type RandomSource,
+	type TargetDescription,
+} from '../../common/index.js';
+import {
+	createTargetTable,
+	type TargetTable,
+} from '../../decisions/routing/index.js';
+import type {GenerationRequest} from '../../decisions/streams/index.js';
+
+const ejectionMs = 2000;
+
+/** Clients of all targets, with the table that places work on them. */
+export type TargetsRegistry = {
+	readonly table: TargetTable;
+	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
+	placeGeneration(request: GenerationRequest): {
+		readonly engine: Engine;
+		readonly generationId: string;
+	};
+	placeCall(service: string): PlainService;
+	findEngine(targetId: string): Engine | undefined;
+	released(targetId: string, outcome: 'finished' | 'failed' | 'left'): void;
+};
+
+/** Creates a registry without targets. */
+export function createTargetsRegistry(
+	clock: Clock,
+	random: RandomSource,
+): TargetsRegistry {
+	const table = createTargetTable(random);
+	const engines = new Map<string, Engine>();
+	const services = new Map<string, PlainService>();
+
+	const refuse = (kind: 'model' | 'service', name: string): ProblemError =>
+		table.knows(kind, name)
+			? new ProblemError(
+					'not-run',
+					`no target for ${kind} "${name}" takes work now`,
+					{
+						retryAfterMs: ejectionMs,
+					},
+				)
+			: new ProblemError(
+					kind === 'model' ? 'unknown-model' : 'unknown-service',
+					`${kind} "${name}" does not exist`,
+					{field: kind},
+				);
+
+	return {
+		table,
+		update(descriptions) {
+			table.update(descriptions);
+			for (const [id, description] of descriptions) {
+				if (
+					description.kind === 'engine' &&
+					engines.get(id)?.description.url !== description.url
+				) {
+					engines.set(id, new HttpEngine(description));
+				} else if (description.kind === 'service') {
+					services.set(id, new HttpPlainService(description));
+				}
+			}
+		},
+		placeGeneration(request) {
+			const targetId = table.placeGeneration(request.model, clock.nowMs());
+			const engine = targetId === undefined ? undefined : engines.get(targetId);
+			if (!engine) {
+				throw refuse('model', request.model);
+			}
+
+			return {engine, generationId: randomUUID()};
+		},
+		placeCall(service) {
+			const targetId = table.placeCall(service, clock.nowMs());
+			const found = targetId === undefined ? undefined : services.get(targetId);
+			if (!found) {
+				throw refuse('service', service);
+			}
+
+			return found;
+		},
+		findEngine(targetId) {
+			return engines.get(targetId);
+		},
+		released(targetId, outcome) {
+			table.release(targetId);
+			if (outcome === 'failed') {
+				table.eject(targetId, clock.nowMs() + ejectionMs);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/program-version.ts
@@ -0,0 +1,2 @@
+/** Version that `--version` prints. */
+export const programVersion = '0.1.0';
--- /dev/null
+++ b/src/programs/standin-engine.ts
@@ -0,0 +1,78 @@
+#!/usr/bin/env node
+import {createEngineServer} from '../standins/index.js';
+import {checkNumber, commandLine, runProgram} from './command-line.js';
+
+await runProgram(async () => {
+	const flags = await commandLine('cowslip-standin-engine')
+		.usage('$0: stand-in for a model engine, for demonstrations and tests')
+		.options({
+			'listen-address': {
+				type: 'string',
+				default: '127.0.0.1',
+				describe: 'address to listen on',
+			},
+			'listen-port': {
+				type: 'number',
+				demandOption: true,
+				describe: 'port to listen on',
+			},
+			models: {
+				type: 'string',
+				demandOption: true,
+				describe: 'NAME,NAME of the loaded models',
+			},
+			'capacity-tokens': {
+				type: 'number',
+				default: 100_000,
+				describe: 'memory, in tokens',
+			},
+			'max-running': {
+				type: 'number',
+				default: 64,
+				describe: 'generations that decode together',
+			},
+			'step-base-ms': {
+				type: 'number',
+				default: 10,
+				describe: 'time of one decoding step, in ms',
+			},
+			'refuses-old-orders': {
+				type: 'boolean',
+				default: false,
+				describe: 'refuse old fencing numbers',
+			},
+			'report-lag-ms': {
+				type: 'number',
+				default: 500,
+				describe: 'age of load reports, in ms',
+			},
+			'retain-ms': {
+				type: 'number',
+				default: 60_000,
+				describe: 'how long ended generations can be resumed, in ms',
+			},
+		})
+		.parseAsync();
+	const server = createEngineServer({
+		models: flags.models.split(','),
+		capacityTokens: checkNumber(
+			'capacity-tokens',
+			flags['capacity-tokens'],
+			1,
+			100_000_000,
+		),
+		maxRunning: checkNumber('max-running', flags['max-running'], 1, 10_000),
+		stepBaseMs: checkNumber('step-base-ms', flags['step-base-ms'], 0, 10_000),
+		stepPerRunningMs: 0.05,
+		prefillPerTokenMs: 0.02,
+		refusesOldOrders: flags['refuses-old-orders'],
+		reportLagMs: checkNumber(
+			'report-lag-ms',
+			flags['report-lag-ms'],
+			0,
+			60_000,
+		),
+		retainMs: checkNumber('retain-ms', flags['retain-ms'], 0, 3_600_000),
+	});
+	server.listen(flags['listen-port'], flags['listen-address']);
+});
--- /dev/null
+++ b/src/programs/standin-service.ts
@@ -0,0 +1,30 @@
+#!/usr/bin/env node
+import {createServiceServer} from '../standins/index.js';
+import {checkNumber, commandLine, runProgram} from './command-line.js';
+
+await runProgram(async () => {
+	const flags = await commandLine('cowslip-standin-service')
+		.usage('$0: stand-in for a plain service, for demonstrations and tests')
+		.options({
+			'listen-address': {
+				type: 'string',
+				default: '127.0.0.1',
+				describe: 'address to listen on',
+			},
+			'listen-port': {
+				type: 'number',
+				demandOption: true,
+				describe: 'port to listen on',
+			},
+			'delay-ms': {
+				type: 'number',
+				default: 20,
+				describe: 'time that a call takes, in ms',
+			},
+		})
+		.parseAsync();
+	const server = createServiceServer({
+		delayMs: checkNumber('delay-ms', flags['delay-ms'], 0, 60_000),
+	});
+	server.listen(flags['listen-port'], flags['listen-address']);
+});
--- /dev/null
+++ b/src/standins/engine/engine-server.ts
@@ -0,0 +1,357 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {
+	CacheEvent,
+	FinishReason,
+	TargetOrder,
+} from '../../common/index.js';
+import {readBody, sendJson} from '../http-helpers.js';
+import {createEngineModel, type EngineModelOptions} from './engine-model.js';
+import {outputTokensFor, tokenText} from './token-text.js';
+
+/** Options of a stand-in engine. */
+export type EngineServerOptions = EngineModelOptions & {
+	readonly models: readonly string[];
+	/** Refuse orders that carry an old fencing number. */
+	readonly refusesOldOrders: boolean;
+	/** Age of the figures in a load report, in milliseconds. */
+	readonly reportLagMs: number;
+	/** How long a finished generation can still be resumed, in milliseconds. */
+	readonly retainMs: number;
+};
+
+type Generation = {
+	readonly id: string;
+	readonly outputTokens: number;
+	readonly finishReason: FinishReason;
+	producedTokens: number;
+	finishedAtMs: number | undefined;
+	linkCount: number;
+	readonly links: Set<Link>;
+};
+
+type Link = {
+	readonly response: ServerResponse;
+	nextPosition: number;
+	blocked: boolean;
+};
+
+type Load = {
+	sequence: number;
+	atMs: number;
+	runningCount: number;
+	waitingCount: number;
+	usedTokens: number;
+	preemptionsTotal: number;
+};
+
+/** Creates the HTTP server of a stand-in engine; the caller makes it listen. */
+export function createEngineServer(options: EngineServerOptions): Server {
+	const model = createEngineModel(options);
+	const generations = new Map<string, Generation>();
+	const models = new Set(options.models);
+	const loads: Load[] = [];
+	const cacheEvents: CacheEvent[] = [];
+	let highestFencingNumber = 0;
+	let leaving = false;
+	let sequence = 0;
+	let stepTimer: NodeJS.Timeout | undefined;
+
+	const writeLink = (generation: Generation, link: Link) => {
+		let text = '';
+		while (link.nextPosition < generation.producedTokens && !link.blocked) {
+			const position = link.nextPosition++;
+			const choice = {text: tokenText(generation.id, position), index: 0};
+			text += `id: ${position}\ndata: ${JSON.stringify({id: generation.id, choices: [choice]})}\n\n`;
+			if (text.length > 16_384) {
+				link.blocked = !link.response.write(text);
+				text = '';
+			}
+		}
+
+		if (
+			generation.finishedAtMs !== undefined &&
+			link.nextPosition >= generation.outputTokens
+		) {
+			const choice = {
+				text: '',
+				index: 0,
+				finish_reason: generation.finishReason,
+			};
+			const usage = {completion_tokens: generation.outputTokens};
+			text += `data: ${JSON.stringify({id: generation.id, choices: [choice], usage})}\n\ndata: [DONE]\n\n`;
+			link.response.end(text);
+			generation.links.delete(link);
+			return;
+		}
+
+		if (text !== '') {
+			link.blocked = !link.response.write(text);
+		}
+	};
+
+	const recordLoad = () => {
+		loads.push({
+			sequence: ++sequence,
+			atMs: performance.now(),
+			runningCount: model.runningCount,
+			waitingCount: model.waitingCount,
+			usedTokens: model.usedTokens,
+			preemptionsTotal: model.preemptionsTotal,
+		});
+		if (loads.length > 1000) {
+			loads.shift();
+		}
+	};
+
+	const step = () => {
+		stepTimer = undefined;
+		if (model.runningCount + model.waitingCount === 0) {
+			return;
+		}
+
+		const result = model.step();
+		stepTimer = setTimeout(() => {
+			const nowMs = performance.now();
+			for (const id of result.produced) {
+				generations.get(id)!.producedTokens++;
+			}
+
+			for (const id of result.finished) {
+				generations.get(id)!.finishedAtMs = nowMs;
+			}
+
+			for (const id of result.produced) {
+				const generation = generations.get(id)!;
+				for (const link of generation.links) {
+					writeLink(generation, link);
+				}
+			}
+
+			recordLoad();
+			step();
+		}, result.durationMs);
+	};
+
+	const attach = (
+		generation: Generation,
+		response: ServerResponse,
+		fromPosition: number,
+	) => {
+		const link: Link = {response, nextPosition: fromPosition, blocked: false};
+		generation.linkCount++;
+		generation.links.add(link);
+		response.on('close', () => {
+			generation.links.delete(link);
+		});
+		response.on('drain', () => {
+			link.blocked = false;
+			writeLink(generation, link);
+		});
+		response.writeHead(200, {
+			'content-type': 'text/event-stream',
+			etag: `"${generation.linkCount}"`,
+		});
+		response.flushHeaders();
+		writeLink(generation, link);
+	};
+
+	const start = async (request: IncomingMessage, response: ServerResponse) => {
+		const body = JSON.parse(await readBody(request)) as {
+			model: string;
+			prompt: string;
+			max_tokens: number;
+			priority?: number;
+		};
+		if (leaving) {
+			sendJson(response, 503, {error: 'leaving'});
+			return;
+		}
+
+		if (!models.has(body.model)) {
+			sendJson(response, 404, {error: 'model is not loaded'});
+			return;
+		}
+
+		const id = String(request.headers['x-request-id']);
+		const outputTokens = outputTokensFor(body.prompt, body.max_tokens);
+		const generation: Generation = {
+			id,
+			outputTokens,
+			finishReason: outputTokens === body.max_tokens ? 'length' : 'stop',
+			producedTokens: 0,
+			finishedAtMs: undefined,
+			linkCount: 0,
+			links: new Set(),
+		};
+		generations.set(id, generation);
+		model.submit({
+			id,
+			promptTokens: Math.ceil(body.prompt.length / 4),
+			outputTokens,
+			priority: body.priority ?? 0,
+			finishReason: generation.finishReason,
+		});
+		attach(generation, response, 0);
+		if (stepTimer === undefined) {
+			step();
+		}
+	};
+
+	const cancel = (
+		request: IncomingMessage,
+		response: ServerResponse,
+		id: string,
+	) => {
+		const generation = generations.get(id);
+		const expected = request.headers['if-match'];
+		if (
+			generation &&
+			expected !== undefined &&
+			expected !== `"${generation.linkCount}"`
+		) {
+			sendJson(response, 412, {error: 'another link was opened'});
+			return;
+		}
+
+		if (generation) {
+			model.cancel(id);
+			generations.delete(id);
+			for (const link of generation.links) {
+				link.response.destroy();
+			}
+		}
+
+		sendJson(response, 200, {});
+	};
+
+	const load = (response: ServerResponse) => {
+		const nowMs = performance.now();
+		const report = loads.findLast(
+			(one) => one.atMs <= nowMs - options.reportLagMs,
+		);
+		sendJson(response, 200, {
+			sequence: report?.sequence ?? 0,
+			ageMs: report ? nowMs - report.atMs : 0,
+			runningCount: report?.runningCount ?? 0,
+			waitingCount: report?.waitingCount ?? 0,
+			usedTokens: report?.usedTokens ?? 0,
+			capacityTokens: options.capacityTokens,
+			preemptionsTotal: report?.preemptionsTotal ?? 0,
+			models: [...models],
+			leaving,
+		});
+	};
+
+	const order = async (request: IncomingMessage, response: ServerResponse) => {
+		const body = JSON.parse(await readBody(request)) as TargetOrder;
+		if (options.refusesOldOrders && body.fencingNumber < highestFencingNumber) {
+			sendJson(response, 409, {
+				error: 'old fencing number',
+				highestFencingNumber,
+			});
+			return;
+		}
+
+		highestFencingNumber = Math.max(highestFencingNumber, body.fencingNumber);
+		if (body.kind === 'load-model') {
+			models.add(body.name);
+		} else if (body.kind === 'unload-model') {
+			models.delete(body.name);
+		}
+
+		sendJson(response, 200, {});
+	};
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		const url = new URL(request.url!, 'http://engine');
+		const generationPath = /^\/v1\/completions\/([^/]+)$/.exec(url.pathname);
+		if (generationPath) {
+			const id = decodeURIComponent(generationPath[1]);
+			if (request.method === 'DELETE') {
+				cancel(request, response, id);
+				return;
+			}
+
+			const generation = generations.get(id);
+			if (generation) {
+				attach(
+					generation,
+					response,
+					Number(request.headers['last-event-id'] ?? -1) + 1,
+				);
+			} else {
+				sendJson(response, 404, {error: 'no such generation'});
+			}
+
+			return;
+		}
+
+		switch (`${request.method} ${url.pathname}`) {
+			case 'POST /v1/completions': {
+				await start(request, response);
+				break;
+			}
+
+			case 'GET /load': {
+				load(response);
+				break;
+			}
+
+			case 'GET /cache-events': {
+				const after = Number(url.searchParams.get('after') ?? 0);
+				sendJson(
+					response,
+					200,
+					cacheEvents.filter((event) => event.sequence > after),
+				);
+				break;
+			}
+
+			case 'POST /orders': {
+				await order(request, response);
+				break;
+			}
+
+			case 'POST /leave': {
+				leaving = true;
+				sendJson(response, 200, {});
+				break;
+			}
+
+			default: {
+				sendJson(response, 404, {error: 'no such path'});
+			}
+		}
+	};
+
+	const sweep = setInterval(() => {
+		const oldestMs = performance.now() - options.retainMs;
+		for (const [id, generation] of generations) {
+			if (
+				generation.finishedAtMs !== undefined &&
+				generation.finishedAtMs < oldestMs
+			) {
+				generations.delete(id);
+			}
+		}
+	}, 1000);
+	sweep.unref();
+
+	const server = createServer((request, response) => {
+		handle(request, response).catch((error: unknown) => {
+			if (!response.headersSent) {
+				sendJson(response, 400, {error: String(error)});
+			}
+		});
+	});
+	server.on('close', () => {
+		clearInterval(sweep);
+		clearTimeout(stepTimer);
+	});
+	return server;
+}
--- /dev/null
+++ b/src/standins/engine/index.ts
@@ -0,0 +1,2 @@
+export * from './engine-model.js';
+export * from './engine-server.js';
--- /dev/null
+++ b/src/standins/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './platform-server.js';
+export * from './table-store.js';
--- /dev/null
+++ b/src/standins/service/index.ts
@@ -0,0 +1,1 @@
+export * from './service-server.js';
