Define the interfaces between admission, contracts and relay

Cause: these parts are written at the same time. Change: ContractLedger, GenerationPlacer and TargetActivity as types.

--- a/src/common/targets/types.ts
+++ b/src/common/targets/types.ts
@@ -69,3 +69,14 @@
 	readonly name: string;
 	readonly version: string;
 };
+
+/** What one entry VM has running at a target, as it tells its peers. */
+export type TargetActivity = {
+	readonly targetId: string;
+	/** Generations that the VM has open there. */
+	readonly openCount: number;
+	/** Prompt and output tokens that those hold now, by the VM's own count. */
+	readonly openTokens: number;
+	/** Tokens by which the VM expects its generations there to grow in the next 30 s. */
+	readonly expectedGrowthTokens: number;
+};
--- /dev/null
+++ b/src/decisions/contracts/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.js';
--- /dev/null
+++ b/src/decisions/contracts/types.ts
@@ -0,0 +1,37 @@
+/** How a client account stands against its contract in the current minute. */
+export type AccountStanding = {
+	/** True while the account has been given less than its floor. */
+	readonly belowFloor: boolean;
+	/** Tokens that the floor still guarantees in this minute. */
+	readonly floorTokensLeft: number;
+	/** Tokens until the ceiling, over all VMs as far as known. */
+	readonly ceilingTokensLeft: number;
+	/** Weight of the account's share of what is left above the floors. */
+	readonly shareWeight: number;
+};
+
+/** Tokens set aside for one generation until its true length is known. */
+export type TokenReservation = {
+	readonly account: string;
+	/** Estimate that is still set aside, in tokens. */
+	readonly estimatedTokens: number;
+};
+
+/** Counts what client accounts use against their contracts. */
+export type ContractLedger = {
+	/** @param wallMs - wall-clock time in milliseconds; contracts count calendar minutes */
+	standing(account: string, wallMs: number): AccountStanding;
+	/**
+	 * Sets tokens aside for a generation.
+	 * @throws ProblemError `rate-limited` with the time until the next minute if the ceiling is reached
+	 */
+	reserve(
+		account: string,
+		estimatedTokens: number,
+		wallMs: number,
+	): TokenReservation;
+	/** Charges tokens as they are produced and takes them off the reservation. */
+	charge(reservation: TokenReservation, tokens: number, wallMs: number): void;
+	/** Gives back what is left of a reservation. */
+	release(reservation: TokenReservation): void;
+};
--- a/src/decisions/streams/types.ts
+++ b/src/decisions/streams/types.ts
@@ -1,4 +1,10 @@
-import type {Delivery, FinishReason, ProblemError} from '../../common/index.js';
+import type {
+	Delivery,
+	Disposable,
+	Engine,
+	FinishReason,
+	ProblemError,
+} from '../../common/index.js';
 
 /** A generation as a caller asked for it. */
 export type GenerationRequest = {
@@ -32,3 +38,54 @@
 	finished(reason: FinishReason, tokenCount: number): void;
 	failed(error: ProblemError): void;
 };
+
+/** An engine that was chosen for a generation. */
+export type PlacedGeneration = {
+	readonly engine: Engine;
+	readonly generationId: string;
+	/** Smaller is more important. */
+	readonly priority: number;
+};
+
+/** How a generation ended at its engine. */
+export type GenerationOutcome = 'finished' | 'lost' | 'cancelled';
+
+/**
+ * Admits generations and chooses engines for them. A generation that finds no room waits; it is
+ * refused at once when its wait would exceed its queue timeout.
+ */
+export type GenerationPlacer = {
+	/**
+	 * Asks for a place. Exactly one of the callbacks is called, possibly before `place` returns.
+	 * @param avoidTargetId - target that just lost this generation
+	 * @returns disposing it takes a waiting request out of the queue
+	 */
+	place(
+		request: GenerationRequest,
+		callbacks: {
+			onPlaced(placed: PlacedGeneration): void;
+			/** Called with `not-run`, `rate-limited` or `unknown-model`. */
+			onRefused(problem: ProblemError): void;
+		},
+		avoidTargetId?: string,
+	): Disposable;
+	/**
+	 * Tells how far a generation is; called every few tokens.
+	 * @param producedTokens - tokens of the answer so far
+	 */
+	progressed(generationId: string, producedTokens: number): void;
+	ended(
+		generationId: string,
+		outcome: GenerationOutcome,
+		producedTokens: number,
+	): void;
+	/**
+	 * Takes over a generation that another entry VM placed.
+	 * @returns the engine, or undefined if the target is not known
+	 */
+	adopt(
+		request: GenerationRequest,
+		place: GenerationPlace,
+		position: number,
+	): Engine | undefined;
+};
