--- a/src/experiments/demo/generation-caller.ts
+++ b/src/experiments/callers/generation-caller.ts
@@ -1,4 +1,4 @@
-import {createParser} from 'eventsource-parser';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {request} from 'undici';
 
 /** Outcome of one generation as its caller saw it. */
@@ -8,7 +8,10 @@
 	readonly tokens: number;
 	readonly restarts: number;
 	readonly resumes: number;
+	/** Type of the last problem that the caller was shown. */
 	readonly problem: string | undefined;
+	/** True once an entry VM accepted the request. */
+	readonly accepted: boolean;
 };
 
 /** Options of a caller. */
@@ -19,8 +22,12 @@
 	readonly model: string;
 	readonly prompt: string;
 	readonly delivery: 'whole' | 'restartable' | 'live';
+	/** Class of the request; the default class if absent. */
+	readonly requestClass?: string;
 	/** Number of connections that the caller tries. */
 	readonly maxConnections: number;
+	/** Called with the time since the last token, or since the request for the first one. */
+	readonly onGap?: (gapMs: number, isFirst: boolean) => void;
 };
 
 type Answer = {
@@ -30,15 +37,15 @@
 	restarts: number;
 	problem: string | undefined;
 	expectedTokens: number;
+	lastTokenAtMs: number;
 };
 
 const retryDelayMs = 200;
 
 function takeEvent(
 	answer: Answer,
-	event: string | undefined,
-	id: string | undefined,
-	data: string,
+	{event, id, data}: EventSourceMessage,
+	onGap: GenerationCallerOptions['onGap'],
 ): void {
 	if (event === 'error') {
 		answer.problem = (JSON.parse(data) as {type: string}).type;
@@ -64,6 +71,9 @@
 		if (chunk.usage) {
 			answer.expectedTokens = chunk.usage.completion_tokens;
 		} else {
+			const nowMs = performance.now();
+			onGap?.(nowMs - answer.lastTokenAtMs, answer.texts.length === 0);
+			answer.lastTokenAtMs = nowMs;
 			answer.texts.push(chunk.choices[0].text);
 		}
 	}
@@ -75,8 +85,8 @@
 	answer: Answer,
 ): Promise<void> {
 	const parser = createParser({
-		onEvent({event, id, data}) {
-			takeEvent(answer, event, id, data);
+		onEvent(message) {
+			takeEvent(answer, message, options.onGap);
 		},
 	});
 	const response = await request(`${url}/v1/completions`, {
@@ -91,6 +101,7 @@
 		body: JSON.stringify({
 			model: options.model,
 			prompt: options.prompt,
+			class: options.requestClass,
 			delivery: options.delivery,
 			stream: true,
 		}),
@@ -129,6 +140,7 @@
 		restarts: 0,
 		problem: undefined,
 		expectedTokens: -1,
+		lastTokenAtMs: performance.now(),
 	};
 	let connections = 0;
 	while (!answer.complete && connections < options.maxConnections) {
@@ -154,5 +166,6 @@
 		restarts: answer.restarts,
 		resumes: connections - 1,
 		problem: answer.problem,
+		accepted: answer.lastEventId !== undefined,
 	};
 }
--- /dev/null
+++ b/src/experiments/callers/index.ts
@@ -0,0 +1,2 @@
+export * from './booking-caller.js';
+export * from './generation-caller.js';
--- a/src/experiments/demo/main.ts
+++ b/src/experiments/demo/main.ts
@@ -1,8 +1,7 @@
 import process from 'node:process';
 import {request} from 'undici';
 import {createPeerClient} from '../../adapters/peers/index.js';
-import {callBooking} from './booking-caller.js';
-import {callGeneration} from './generation-caller.js';
+import {callBooking, callGeneration} from '../callers/index.js';
 
 const generations = 24;
 const bookings = 20;
@@ -71,7 +70,13 @@
 	});
 	const booked = Array.from({length: bookings}, async (_, index) => {
 		await wait(index * 100);
-		return callBooking(plan.entryUrls, 'orders-token', 'kiln', bookingRepeats);
+		return callBooking({
+			entryUrls: plan.entryUrls,
+			token: 'orders-token',
+			service: 'kiln',
+			repeats: bookingRepeats,
+			maxTries: 20,
+		});
 	});
 	await wait(faultDelayMs);
 	process.kill(plan.enginePid, 'SIGKILL');
--- /dev/null
+++ b/src/experiments/load/index.ts
@@ -0,0 +1,1 @@
+export * from './load-run.js';
