Add shared fakes for the table, plain services, objects and processes

Cause: each scenario would write its own faulty table, and none of them could model a write that takes effect late, a crashed VM or a paused one.

Change: src/experiments/fakes holds FakeTableService (latency, outages, slow periods, lost answers, late effects, duplicates, counts), FakePlainService (effects per key, lost answers, refusals, slow and hanging calls, outcomes), FakeObjectStore and FakeProcess, which crashes or pauses at a step boundary. The abstract class Timers in src/common/base lets decisions act later without starting timers; VirtualTime, FakeProcess and SystemTimers provide it. The configuration scenario uses the shared table.

Conclusion: the shared fakes are in place for the other parts.

--- a/src/adapters/system/index.ts
+++ b/src/adapters/system/index.ts
@@ -1,3 +1,4 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './system-clock.js';
+export * from './system-timers.js';
--- /dev/null
+++ b/src/adapters/system/system-timers.ts
@@ -0,0 +1,13 @@
+import {type Disposable, Timers} from '../../common/index.js';
+
+/** Timers of the event loop. */
+export class SystemTimers extends Timers {
+	override after(delayMs: number, run: () => void): Disposable {
+		const timer = setTimeout(run, Math.max(0, delayMs));
+		return {
+			dispose() {
+				clearTimeout(timer);
+			},
+		};
+	}
+}
--- a/src/common/base/index.ts
+++ b/src/common/base/index.ts
@@ -5,3 +5,4 @@
 export {createEmitter} from './emitter.js';
 export * from './random-source.js';
 export * from './seeded-random-source.js';
+export * from './timers.js';
--- a/src/experiments/soak/scenarios/configuration-scenario.ts
+++ b/src/experiments/soak/scenarios/configuration-scenario.ts
@@ -1,18 +1,10 @@
 import fc from 'fast-check';
-import {
-	type ConditionalResult,
-	type ConditionalWrite,
-	type ListOptions,
-	type Row,
-	ProblemError,
-	TableService,
-	toProblem,
-} from '../../../common/index.js';
+import {toProblem} from '../../../common/index.js';
 import {
 	createConfigurationFollower,
 	createConfigurationStore,
 } from '../../../decisions/configuration/index.js';
-import {createTableStore} from '../../../standins/platform/table-store.js';
+import {FakeTableService} from '../../fakes/index.js';
 import {type SoakContext, SoakScenario} from '../soak-scenario.js';
 
 type Step =
@@ -20,52 +12,13 @@
 	| {readonly kind: 'poll'; readonly vm: number}
 	| {readonly kind: 'peer'; readonly from: number; readonly to: number}
 	| {readonly kind: 'restart'; readonly vm: number}
-	| {readonly kind: 'outage'; readonly calls: number}
+	| {readonly kind: 'outage'; readonly lengthMs: number}
 	| {readonly kind: 'lost-answer'};
 
 const vmCount = 3;
+const runLimitMs = 60_000;
 const settingKey = 'contract.floorTokensPerMinute';
 
-/** Table service that fails a number of calls and loses answers. */
-class FaultyTable extends TableService {
-	failingCalls = 0;
-	lostAnswers = 0;
-	private readonly store = createTableStore();
-
-	override async get(key: string): Promise<Row | undefined> {
-		this.mayFail();
-		return this.store.get(key);
-	}
-
-	override async list(
-		prefix: string,
-		options: ListOptions,
-	): Promise<readonly Row[]> {
-		this.mayFail();
-		return this.store.list(prefix, options);
-	}
-
-	override async commit(
-		batch: readonly ConditionalWrite[],
-	): Promise<readonly ConditionalResult[]> {
-		this.mayFail();
-		const results = this.store.commit(batch);
-		if (this.lostAnswers > 0) {
-			this.lostAnswers--;
-			throw new ProblemError('table-outcome-unknown', 'answer was lost');
-		}
-
-		return results;
-	}
-
-	private mayFail(): void {
-		if (this.failingCalls > 0) {
-			this.failingCalls--;
-			throw new ProblemError('table-unavailable', 'table service is down');
-		}
-	}
-}
-
 /** Operators race, VMs poll, gossip and restart; no VM goes back to an older version. */
 export class ConfigurationScenario extends SoakScenario<readonly Step[]> {
 	override readonly name = 'configuration';
@@ -88,7 +41,7 @@
 			}),
 			fc.record({
 				kind: fc.constant('outage' as const),
-				calls: fc.integer({min: 1, max: 6}),
+				lengthMs: fc.integer({min: 1, max: 60}),
 			}),
 			fc.record({kind: fc.constant('lost-answer' as const)}),
 		),
@@ -99,124 +52,140 @@
 		plan: readonly Step[],
 		context: SoakContext,
 	): Promise<void> {
-		const {invariants} = context;
-		const table = new FaultyTable();
-		const store = createConfigurationStore(table);
-		const followers = Array.from({length: vmCount}, () =>
-			createConfigurationFollower(),
-		);
-		const highest = Array.from({length: vmCount}, () => 0);
-		const bases = [0, 0];
-		let accepted = 0;
-		let changeCount = 0;
-
-		const observe = (vm: number) => {
-			const follower = followers[vm];
-			if (follower.confirmed) {
-				const {version} = follower.current;
+		const done = runPlan(plan, context);
+		await context.time.runUntil(runLimitMs);
+		await done;
+	}
+}
+
+async function runPlan(
+	plan: readonly Step[],
+	context: SoakContext,
+): Promise<void> {
+	const {invariants} = context;
+	const table = new FakeTableService(context.time, {
+		latencyMs: 4,
+		timeoutMs: 100,
+	});
+	const store = createConfigurationStore(table);
+	const followers = Array.from({length: vmCount}, () =>
+		createConfigurationFollower(),
+	);
+	const highest = Array.from({length: vmCount}, () => 0);
+	const bases = [0, 0];
+	let accepted = 0;
+	let changeCount = 0;
+
+	const observe = (vm: number) => {
+		const follower = followers[vm];
+		if (follower.confirmed) {
+			const {version} = follower.current;
+			invariants.check(
+				'configuration',
+				version >= highest[vm],
+				() => `VM ${vm} went from version ${highest[vm]} to ${version}`,
+			);
+			highest[vm] = Math.max(highest[vm], version);
+		}
+	};
+
+	const change = async (operator: number, value: number) => {
+		context.countRequests();
+		try {
+			const result = await store.commit({
+				baseVersion: bases[operator],
+				changeId: `change-${changeCount++}`,
+				author: `operator-${operator}`,
+				atWallMs: context.time.wallMs(),
+				edits: [{op: 'set', key: settingKey, value}],
+			});
+			accepted = Math.max(accepted, result.version);
+			bases[operator] = result.version;
+		} catch (error) {
+			const problem = toProblem(error);
+			context.trace(`change by operator ${operator}: ${problem.type}`);
+			if (problem.type === 'configuration-conflict') {
+				context.fault('operators-race');
 				invariants.check(
 					'configuration',
-					version >= highest[vm],
-					() => `VM ${vm} went from version ${highest[vm]} to ${version}`,
+					problem.details?.otherChange !== undefined,
+					() => 'a conflict does not show the other change',
 				);
-				highest[vm] = Math.max(highest[vm], version);
+				bases[operator]++;
 			}
-		};
-
-		const change = async (operator: number, value: number) => {
-			context.countRequests();
-			try {
-				const result = await store.commit({
-					baseVersion: bases[operator],
-					changeId: `change-${changeCount++}`,
-					author: `operator-${operator}`,
-					atWallMs: context.time.wallMs(),
-					edits: [{op: 'set', key: settingKey, value}],
-				});
-				accepted = Math.max(accepted, result.version);
-				bases[operator] = result.version;
-			} catch (error) {
-				const problem = toProblem(error);
-				context.trace(`change by operator ${operator}: ${problem.type}`);
-				if (problem.type === 'configuration-conflict') {
-					context.fault('operators-race');
-					invariants.check(
-						'configuration',
-						problem.details?.otherChange !== undefined,
-						() => 'a conflict does not show the other change',
-					);
-					bases[operator]++;
-				}
+		}
+	};
+
+	const poll = async (vm: number) => {
+		const follower = followers[vm];
+		try {
+			follower.offer(
+				await store.changesAfter(follower.current.version),
+				'table',
+			);
+		} catch (error) {
+			context.trace(`poll by VM ${vm}: ${toProblem(error).type}`);
+		}
+	};
+
+	for (const step of plan) {
+		switch (step.kind) {
+			case 'change': {
+				await change(step.operator, step.value);
+				break;
 			}
-		};
-
-		const poll = async (vm: number) => {
-			const follower = followers[vm];
-			try {
-				follower.offer(
-					await store.changesAfter(follower.current.version),
-					'table',
+
+			case 'poll': {
+				await poll(step.vm);
+				break;
+			}
+
+			case 'peer': {
+				const {version} = followers[step.to].current;
+				followers[step.to].offer(
+					followers[step.from].changesAfter(version),
+					'peer',
 				);
-			} catch (error) {
-				context.trace(`poll by VM ${vm}: ${toProblem(error).type}`);
+				break;
 			}
-		};
-
-		for (const step of plan) {
-			switch (step.kind) {
-				case 'change': {
-					await change(step.operator, step.value);
-					break;
-				}
-
-				case 'poll': {
-					await poll(step.vm);
-					break;
-				}
-
-				case 'peer': {
-					const {version} = followers[step.to].current;
-					followers[step.to].offer(
-						followers[step.from].changesAfter(version),
-						'peer',
-					);
-					break;
-				}
-
-				case 'restart': {
-					context.fault('entry-killed');
-					followers[step.vm] = createConfigurationFollower();
-					break;
-				}
-
-				case 'outage': {
-					context.fault('table-down');
-					table.failingCalls = step.calls;
-					break;
-				}
-
-				case 'lost-answer': {
-					context.fault('answer-lost');
-					table.lostAnswers++;
-					break;
-				}
+
+			case 'restart': {
+				context.fault('entry-killed');
+				followers[step.vm] = createConfigurationFollower();
+				break;
 			}
 
-			for (let vm = 0; vm < vmCount; vm++) {
-				observe(vm);
+			case 'outage': {
+				context.fault('table-down');
+				table.planPeriod({
+					kind: 'refuse',
+					fromMs: context.time.nowMs(),
+					untilMs: context.time.nowMs() + step.lengthMs,
+				});
+				break;
+			}
+
+			case 'lost-answer': {
+				context.fault('answer-lost');
+				table.planCommitFault({kind: 'answer-lost'});
+				break;
 			}
 		}
 
-		table.failingCalls = 0;
-		const lastAccepted = accepted;
 		for (let vm = 0; vm < vmCount; vm++) {
-			await poll(vm);
 			observe(vm);
-			invariants.check(
-				'configuration',
-				followers[vm].current.version >= lastAccepted,
-				() => `VM ${vm} lacks accepted version ${lastAccepted}`,
-			);
 		}
 	}
+
+	table.heal();
+	const lastAccepted = accepted;
+	for (let vm = 0; vm < vmCount; vm++) {
+		await poll(vm);
+		observe(vm);
+		invariants.check(
+			'configuration',
+			followers[vm].current.version >= lastAccepted,
+			() => `VM ${vm} lacks accepted version ${lastAccepted}`,
+		);
+	}
 }
