Place generations through GenerationPlacer

Cause: placement will admit, queue and refuse asynchronously, but the relay session called a synchronous function. Change: the relay session takes a GenerationPlacer; createRegistryPlacer adapts the present placement by open generations. A resumed generation is no longer subtracted from a count that it was never added to. Conclusion: another placer can be passed to the completions handler.

--- a/src/adapters/callers/completions-handler.ts
+++ b/src/adapters/callers/completions-handler.ts
@@ -1,8 +1,8 @@
-import type {Engine} from '../../common/index.js';
 import type {EffectiveSettings} from '../../decisions/configuration/index.js';
 import {
 	createRelaySession,
 	type GenerationPlace,
+	type GenerationPlacer,
 	type GenerationRequest,
 	type RelaySession,
 } from '../../decisions/streams/index.js';
@@ -21,16 +21,8 @@
 		account: string,
 		requestClass: string,
 	) => EffectiveSettings;
-	/** Chooses an engine; throws `not-run` or `unknown-model`. */
-	readonly place: (request: GenerationRequest) => {
-		readonly engine: Engine;
-		readonly generationId: string;
-	};
-	readonly findEngine: (targetId: string) => Engine | undefined;
-	readonly onReleased: (
-		targetId: string,
-		outcome: 'finished' | 'failed' | 'left',
-	) => void;
+	/** Admits generations and chooses engines. */
+	readonly placer: GenerationPlacer;
 	/** Called with every session, so that a planned stop can wait for it. */
 	readonly onSession: (session: RelaySession) => {dispose(): void};
 };
@@ -72,9 +64,7 @@
 		const session = createRelaySession({
 			request: generation,
 			sink,
-			place: () => options.place(generation),
-			findEngine: options.findEngine,
-			onReleased: options.onReleased,
+			placer: options.placer,
 		});
 		const registration = options.onSession(session);
 		response.on('drain', () => {
--- a/src/decisions/streams/relay-session.ts
+++ b/src/decisions/streams/relay-session.ts
@@ -1,4 +1,5 @@
 import {
+	type Disposable,
 	type Engine,
 	type EngineStream,
 	type EngineStreamListener,
@@ -9,24 +10,21 @@
 	createStreamSequencer,
 	type StreamSequencer,
 } from './stream-sequencer.js';
-import type {CallerSink, GenerationPlace, GenerationRequest} from './types.js';
+import type {
+	CallerSink,
+	GenerationOutcome,
+	GenerationPlace,
+	GenerationPlacer,
+	GenerationRequest,
+	PlacedGeneration,
+} from './types.js';
 
 /** What a session needs from its surroundings. */
 export type RelaySessionOptions = {
 	readonly request: GenerationRequest;
 	readonly sink: CallerSink;
-	/** Chooses an engine and counts the generation there; throws `not-run` if there is none. */
-	readonly place: () => {
-		readonly engine: Engine;
-		readonly generationId: string;
-	};
-	/** Finds an engine by id, for streams that are resumed. */
-	readonly findEngine: (targetId: string) => Engine | undefined;
-	/** Called when the generation at a target ended or was lost. */
-	readonly onReleased: (
-		targetId: string,
-		outcome: 'finished' | 'failed' | 'left',
-	) => void;
+	/** Admits the generation and chooses engines. */
+	readonly placer: GenerationPlacer;
 };
 
 /** Relays one request's answer from engines to its caller. */
@@ -53,22 +51,28 @@
 	const buffered: string[] = [];
 	let sequencer: StreamSequencer = createStreamSequencer();
 	let place: GenerationPlace | undefined;
+	let waiting: Disposable | undefined;
 	let engine: Engine | undefined;
 	let stream: EngineStream | undefined;
 	let reopens = 0;
 	let delivered = 0;
 	let ended = false;
 
-	const end = (outcome: 'finished' | 'failed' | 'left') => {
-		ended = true;
-		stream?.close();
+	const release = (outcome: GenerationOutcome) => {
 		if (place) {
-			options.onReleased(place.targetId, outcome);
+			options.placer.ended(place.generationId, outcome, sequencer.nextPosition);
 		}
 	};
 
+	const end = (outcome: GenerationOutcome) => {
+		ended = true;
+		waiting?.dispose();
+		stream?.close();
+		release(outcome);
+	};
+
 	const fail = (error: ProblemError) => {
-		end('failed');
+		end('lost');
 		sink.failed(error);
 	};
 
@@ -175,7 +179,8 @@
 			return;
 		}
 
-		options.onReleased(place!.targetId, 'failed');
+		release('lost');
+		const lostTargetId = place!.targetId;
 		place = undefined;
 		if (attempt >= maxAttempts) {
 			fail(
@@ -186,27 +191,35 @@
 			return;
 		}
 
-		begin(attempt);
+		begin(attempt, lostTargetId);
+	};
+
+	const begin = (attempt: number, avoidTargetId?: string) => {
+		waiting = options.placer.place(
+			request,
+			{
+				onPlaced(placed) {
+					if (!ended) {
+						open(placed, attempt);
+					}
+				},
+				onRefused(problem) {
+					if (!ended) {
+						fail(problem);
+					}
+				},
+			},
+			avoidTargetId,
+		);
 	};
 
-	const begin = (attempt: number) => {
+	const open = (placed: PlacedGeneration, attempt: number) => {
 		buffered.length = 0;
 		reopens = 0;
 		sequencer = createStreamSequencer();
-		let chosen;
-		try {
-			chosen = options.place();
-		} catch (error) {
-			fail(error as ProblemError);
-			return;
-		}
-
-		engine = chosen.engine;
-		place = {
-			targetId: engine.description.id,
-			generationId: chosen.generationId,
-			attempt,
-		};
+		engine = placed.engine;
+		const {generationId, priority} = placed;
+		place = {targetId: engine.description.id, generationId, attempt};
 		if (delivered > 0) {
 			delivered = 0;
 			sink.restarted(place);
@@ -215,9 +228,8 @@
 		}
 
 		const {model, prompt, maxTokens} = request;
-		const {generationId} = chosen;
 		stream = engine.start(
-			{generationId, model, prompt, maxTokens, priority: 0},
+			{generationId, model, prompt, maxTokens, priority},
 			listenerFor(place),
 		);
 	};
@@ -227,7 +239,7 @@
 			begin(0);
 		},
 		resume(from, position) {
-			engine = options.findEngine(from.targetId);
+			engine = options.placer.adopt(request, from, position);
 			place = from;
 			delivered = position;
 			if (!engine) {
@@ -249,7 +261,7 @@
 		},
 		leave() {
 			if (!ended) {
-				end('left');
+				end('cancelled');
 			}
 		},
 	};
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -28,6 +28,7 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createRegistryPlacer} from './registry-placer.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -74,6 +75,7 @@
 	const store = createConfigurationStore(table);
 	const follower = createConfigurationFollower();
 	const registry = createTargetsRegistry(clock, random);
+	const placer = createRegistryPlacer(registry, metrics);
 	const sessions = new Set<object>();
 	let stopping = false;
 	let tableReachable = true;
@@ -171,12 +173,7 @@
 			maxBodyBytes: settings.maxBodyBytes,
 			streamTokens: createStreamTokens(settings.streamKey),
 			settingsFor,
-			place: (request) => registry.placeGeneration(request),
-			findEngine: (targetId) => registry.findEngine(targetId),
-			onReleased(targetId, outcome) {
-				metrics.count('generations', {outcome});
-				registry.released(targetId, outcome);
-			},
+			placer,
 			onSession(session) {
 				sessions.add(session);
 				return {
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -12,7 +12,10 @@
 	createTargetTable,
 	type TargetTable,
 } from '../../decisions/routing/index.js';
-import type {GenerationRequest} from '../../decisions/streams/index.js';
+import type {
+	GenerationOutcome,
+	GenerationRequest,
+} from '../../decisions/streams/index.js';
 
 const ejectionMs = 2000;
 
@@ -26,7 +29,7 @@
 	};
 	placeCall(service: string): PlainService;
 	findEngine(targetId: string): Engine | undefined;
-	released(targetId: string, outcome: 'finished' | 'failed' | 'left'): void;
+	released(targetId: string, outcome: GenerationOutcome): void;
 };
 
 /** Creates a registry without targets. */
@@ -91,7 +94,7 @@
 		},
 		released(targetId, outcome) {
 			table.release(targetId);
-			if (outcome === 'failed') {
+			if (outcome === 'lost') {
 				table.eject(targetId, clock.nowMs() + ejectionMs);
 			}
 		},
