--- a/src/decisions/contracts/types.ts
+++ b/src/decisions/contracts/types.ts
@@ -35,3 +35,26 @@
 	/** Gives back what is left of a reservation. */
 	release(reservation: TokenReservation): void;
 };
+
+/** What one source (an entry VM, or a group of them) says of an account's use in a minute. */
+export type UsageReport = {
+	/** Calendar minute, `floor(wallMs / 60000)`. */
+	readonly minute: number;
+	/** Tokens produced in that minute. */
+	readonly chargedTokens: number;
+	/** Tokens that open generations are expected to add in that minute. */
+	readonly reservedTokens: number;
+	/** Recent production, in tokens per second. */
+	readonly tokensPerSecond: number;
+	/** Recent demand including what was refused, in tokens per second. */
+	readonly demandPerSecond: number;
+};
+
+/** Use by all other VMs, as counted against the two limits of a contract. */
+export type OthersUsage = {
+	/** Reported in this minute; silence adds nothing. */
+	readonly floorTokens: number;
+	/** Reported, plus the last rate of every source since its report. */
+	readonly ceilingTokens: number;
+	readonly demandPerSecond: number;
+};
