Add leases, commands and model placement as plain decisions

Cause: the daemon gave no commands to targets and held no leases. Change: lease state machine, row keeper, weight budget, unload ledger, model plan, coordinator over the table, engine and peer interfaces, and a bounded log for the explain command.

--- /dev/null
+++ b/src/common/peers/index.ts
@@ -0,0 +1,1 @@
+export * from './lease-peer.js';
--- /dev/null
+++ b/src/decisions/explain/index.ts
@@ -0,0 +1,1 @@
+export * from './explain-log.js';
--- /dev/null
+++ b/src/decisions/leases/command-planner.ts
@@ -0,0 +1,207 @@
+import type {
+	Clock,
+	LoadReport,
+	TableService,
+	TargetDescription,
+} from '../../common/index.js';
+import type {LeaseWrite} from './lease-keeper.js';
+import {withIntent} from './lease-record.js';
+import {
+	type EngineView,
+	isInUse,
+	isLive,
+	type ModelDemand,
+	type ModelMemory,
+	type ModelSettings,
+	type PlacementSettings,
+	type PlannedOrder,
+	planModels,
+} from './placement/index.js';
+import type {LeaseRecord} from './types.js';
+import {
+	keepsCopy,
+	parseUnloadLedger,
+	unloadKey,
+	unloadValue,
+} from './unload-ledger.js';
+import {
+	debitWeights,
+	parseWeightBudget,
+	weightBudgetKey,
+	type WeightBudgetSettings,
+} from './weight-budget.js';
+
+/** What a planner needs from its surroundings. */
+export type CommandPlannerOptions = {
+	readonly table: TableService;
+	readonly clock: Clock;
+	readonly placement: () => PlacementSettings;
+	readonly weights: () => WeightBudgetSettings;
+	readonly models: () => ReadonlyMap<string, ModelSettings>;
+	readonly demand: () => ReadonlyMap<string, ModelDemand>;
+	readonly engines: () => readonly EngineView[];
+	/** Reads an engine's load report now. */
+	readonly readReport: (target: TargetDescription) => Promise<LoadReport>;
+	readonly sizeBytes: (model: string, version: string) => Promise<number>;
+	readonly createCommandId: () => string;
+	/** Called when a planned command is put off. */
+	readonly onHeldBack: (
+		order: PlannedOrder,
+		reason: 'weight-budget' | 'last-copy',
+	) => void;
+};
+
+/** Chooses commands and prepares the transactions that announce them. */
+export type CommandPlanner = {
+	/** Commands wanted now for the targets that are free. */
+	plan(isFree: (targetId: string) => boolean): readonly PlannedOrder[];
+	/**
+	 * Prepares the write of a command's intent, with the debit of a load's weights or the copy check
+	 * of an unload in the same transaction.
+	 * @returns undefined if the command has to wait
+	 */
+	announce(
+		order: PlannedOrder,
+		record: LeaseRecord,
+	): Promise<LeaseWrite | undefined>;
+	/** Adds the end of an unload to the write that clears its intent. */
+	amendClear(
+		write: LeaseWrite,
+		before: LeaseRecord | undefined,
+	): Promise<LeaseWrite>;
+};
+
+/** Creates a planner. */
+export function createCommandPlanner(
+	options: CommandPlannerOptions,
+): CommandPlanner {
+	const {table, clock} = options;
+	let memory: ReadonlyMap<string, ModelMemory> = new Map();
+
+	const intentWrite = (
+		order: PlannedOrder,
+		record: LeaseRecord,
+	): LeaseWrite => ({
+		targetId: order.targetId,
+		purpose: 'intent',
+		record: withIntent(record, {
+			commandId: options.createCommandId(),
+			order: {kind: order.kind, name: order.model, version: order.version},
+			cause: order.cause,
+		}),
+	});
+
+	const announceLoad = async (order: PlannedOrder, record: LeaseRecord) => {
+		const sizeBytes = await options.sizeBytes(order.model, order.version);
+		const row = await table.get(weightBudgetKey);
+		const wallMs = clock.wallMs();
+		const weights = options.weights();
+		const budget = debitWeights(
+			parseWeightBudget(row, wallMs, weights),
+			sizeBytes,
+			wallMs,
+			weights,
+		);
+		if (!budget) {
+			options.onHeldBack(order, 'weight-budget');
+			return undefined;
+		}
+
+		return {
+			...intentWrite(order, record),
+			checks: [{key: weightBudgetKey, version: row?.version ?? 0}],
+			writes: [{key: weightBudgetKey, value: JSON.stringify(budget)}],
+		};
+	};
+
+	// Views may be old, and several VMs may unload at once: the copies that stay are asked directly,
+	// after the row was read whose version the transaction checks.
+	const readLiveCopies = async (order: PlannedOrder): Promise<string[]> => {
+		const views = options
+			.engines()
+			.filter(
+				(view) =>
+					view.target.id !== order.targetId &&
+					view.models.includes(order.model) &&
+					isLive(view, clock.nowMs(), options.placement()),
+			);
+		const reports = await Promise.allSettled(
+			views.map(async (view) => options.readReport(view.target)),
+		);
+		return views
+			.filter((_, index) => {
+				const report = reports[index];
+				return (
+					report.status === 'fulfilled' &&
+					!report.value.leaving &&
+					report.value.models.includes(order.model)
+				);
+			})
+			.map((view) => view.target.id);
+	};
+
+	const announceUnload = async (order: PlannedOrder, record: LeaseRecord) => {
+		const key = unloadKey(order.model);
+		const row = await table.get(key);
+		const ledger = parseUnloadLedger(row);
+		const model = options.models().get(order.model)!;
+		const demand = options.demand().get(order.model) ?? {
+			tokensPerSecond: 0,
+			queueLength: 0,
+		};
+		const keptCount = isInUse(demand, model) ? Math.max(1, model.minCopies) : 0;
+		const live = await readLiveCopies(order);
+		if (!keepsCopy(ledger, order.targetId, live, keptCount)) {
+			options.onHeldBack(order, 'last-copy');
+			return undefined;
+		}
+
+		return {
+			...intentWrite(order, record),
+			checks: [{key, version: row?.version ?? 0}],
+			writes: [{key, value: unloadValue(ledger, {add: order.targetId})}],
+		};
+	};
+
+	return {
+		plan(isFree) {
+			const plan = planModels({
+				models: options.models(),
+				demand: options.demand(),
+				engines: options.engines(),
+				memory,
+				settings: options.placement(),
+				isFree,
+				nowMs: clock.nowMs(),
+			});
+			memory = plan.memory;
+			return plan.orders;
+		},
+		async announce(order, record) {
+			return order.kind === 'load-model'
+				? announceLoad(order, record)
+				: announceUnload(order, record);
+		},
+		async amendClear(write, before) {
+			const order = before?.intent?.order;
+			if (order?.kind !== 'unload-model') {
+				return write;
+			}
+
+			const key = unloadKey(order.name);
+			const row = await table.get(key);
+			if (!row) {
+				return write;
+			}
+
+			const value = unloadValue(parseUnloadLedger(row), {
+				remove: write.targetId,
+			});
+			return {
+				...write,
+				checks: [{key, version: row.version}],
+				writes: [{key, value}],
+			};
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/leases/lease-events.ts
@@ -0,0 +1,196 @@
+import {isSameHolder, showsWanted} from './lease-record.js';
+import type {
+	LeaseEvent,
+	LeaseRecord,
+	LeaseSettings,
+	LeaseState,
+	SentCopy,
+} from './types.js';
+
+/** True if a copy without an answer can no longer arrive. */
+export function isLost(
+	copy: SentCopy,
+	nowMs: number,
+	settings: LeaseSettings,
+): boolean {
+	return (
+		copy.outcome === 'unanswered' &&
+		nowMs - copy.endedMs! >= settings.lateCopyMs
+	);
+}
+
+/** True if a copy may still change the target's state. */
+export function mayArrive(
+	copy: SentCopy,
+	nowMs: number,
+	settings: LeaseSettings,
+): boolean {
+	return (
+		copy.outcome === 'open' ||
+		(copy.outcome === 'unanswered' && !isLost(copy, nowMs, settings))
+	);
+}
+
+function isSameRecord(a: LeaseRecord | undefined, b: LeaseRecord): boolean {
+	return a !== undefined && JSON.stringify(a) === JSON.stringify(b);
+}
+
+function adopt(
+	state: LeaseState,
+	record: LeaseRecord | undefined,
+	version: number,
+	nowMs: number,
+): LeaseState {
+	const held = isSameHolder(state.record?.holder, state.self);
+	const holds = isSameHolder(record?.holder, state.self);
+	const activated =
+		state.record?.waitingFor !== undefined && record?.waitingFor === undefined;
+	const sameCommand =
+		record?.intent?.commandId === state.record?.intent?.commandId;
+	return {
+		...state,
+		record,
+		version,
+		unchangedSinceMs: nowMs,
+		heldSinceMs: holds && (!held || activated) ? nowMs : state.heldSinceMs,
+		predecessor: holds && held ? state.predecessor : 'unknown',
+		validUntilMs: holds ? state.validUntilMs : 0,
+		shownMs: sameCommand ? state.shownMs : undefined,
+	};
+}
+
+function onRowSeen(
+	state: LeaseState,
+	event: Extract<LeaseEvent, {type: 'row-seen'}>,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseState {
+	const {writing} = state;
+	const known = {...state, writing: undefined, mustRead: false};
+	if (event.version === state.version) {
+		return known;
+	}
+
+	const adopted = adopt(known, event.record, event.version, nowMs);
+	return writing && isSameRecord(event.record, writing.record)
+		? extend(adopted, writing.startedMs, settings)
+		: adopted;
+}
+
+// Validity counts from the start of the write: a challenger cannot have seen the row earlier.
+function extend(
+	state: LeaseState,
+	startedMs: number,
+	settings: LeaseSettings,
+): LeaseState {
+	return {
+		...state,
+		renewedMs: startedMs,
+		validUntilMs: startedMs + settings.durationMs,
+	};
+}
+
+function onCopySent(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseState {
+	const record = state.record!;
+	const {commandId} = record.intent!;
+	const own = state.copies.filter((copy) => copy.commandId === commandId);
+	const kept = state.copies.filter((copy) => mayArrive(copy, nowMs, settings));
+	return {
+		...state,
+		copies: [
+			...kept,
+			{
+				commandId,
+				copyNumber: (own.at(-1)?.copyNumber ?? 0) + 1,
+				fencingNumber: record.fencingNumber,
+				sentMs: nowMs,
+				outcome: 'open',
+				endedMs: undefined,
+			},
+		],
+	};
+}
+
+/** State of a lease after an event; see {@link LeaseState}. */
+export function advanceLease(
+	state: LeaseState,
+	event: LeaseEvent,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseState {
+	switch (event.type) {
+		case 'row-seen': {
+			return onRowSeen(state, event, nowMs, settings);
+		}
+
+		case 'write-started': {
+			return {...state, writing: {record: event.record, startedMs: nowMs}};
+		}
+
+		case 'write-done': {
+			if (!state.writing) {
+				return {...state, mustRead: true};
+			}
+
+			const {record, startedMs} = state.writing;
+			const adopted = adopt(state, record, event.version, nowMs);
+			return extend({...adopted, writing: undefined}, startedMs, settings);
+		}
+
+		case 'write-failed': {
+			return {...state, writing: undefined};
+		}
+
+		case 'write-unknown': {
+			return {...state, mustRead: true};
+		}
+
+		case 'copy-sent': {
+			return onCopySent(state, nowMs, settings);
+		}
+
+		case 'copy-ended': {
+			const copies = state.copies.map((copy): SentCopy =>
+				copy.commandId === event.commandId &&
+				copy.copyNumber === event.copyNumber
+					? {...copy, outcome: event.outcome, endedMs: nowMs}
+					: copy,
+			);
+			const mustRead = state.mustRead || event.outcome === 'refused';
+			return {...state, copies, mustRead};
+		}
+
+		case 'report': {
+			const intent = state.record?.intent;
+			const newer = event.atMs >= (state.shownMs ?? 0);
+			if (!intent || !newer) {
+				return state;
+			}
+
+			const shown = showsWanted(intent.order, event.models);
+			return {...state, shownMs: shown ? event.atMs : undefined};
+		}
+
+		case 'predecessor': {
+			return isSameHolder(event.holder, state.record?.waitingFor)
+				? {...state, predecessor: event.evidence}
+				: state;
+		}
+
+		case 'stop-asked': {
+			return {
+				...state,
+				stopBelow: Math.max(state.stopBelow, event.fencingNumber),
+				mustRead: true,
+			};
+		}
+
+		case 'candidate': {
+			return {...state, rank: event.rank};
+		}
+	}
+}
--- /dev/null
+++ b/src/decisions/leases/lease-machine.ts
@@ -0,0 +1,275 @@
+import type {FencingSupport, LeaseHolder} from '../../common/index.js';
+import {advanceLease, mayArrive} from './lease-events.js';
+import {isSameHolder} from './lease-record.js';
+import type {
+	LeaseAction,
+	LeaseDecisions,
+	LeaseRecord,
+	LeaseSettings,
+	LeaseState,
+	SentCopy,
+	WritePurpose,
+} from './types.js';
+
+// Part of a lease's duration that a holder leaves unused, against clocks that run at other rates.
+const marginShare = 0.1;
+
+// Copies of one command that may be without an answer at the same time.
+const maxOpenCopies = 3;
+
+const waiting: LeaseAction = {kind: 'wait'};
+const reading: LeaseAction = {kind: 'read'};
+
+/** State of a lease whose row has not been read. */
+export function initialLease(
+	self: LeaseHolder,
+	fencing: FencingSupport,
+	rank: number,
+): LeaseState {
+	return {
+		self,
+		fencing,
+		rank,
+		record: undefined,
+		version: -1,
+		unchangedSinceMs: 0,
+		validUntilMs: 0,
+		renewedMs: 0,
+		heldSinceMs: 0,
+		writing: undefined,
+		mustRead: true,
+		predecessor: 'unknown',
+		copies: [],
+		shownMs: undefined,
+		stopBelow: 0,
+	};
+}
+
+function write(purpose: WritePurpose, record: LeaseRecord): LeaseAction {
+	return {
+		kind: 'write',
+		purpose,
+		record: {...record, renewal: record.renewal + 1},
+	};
+}
+
+function ownCopies(state: LeaseState): readonly SentCopy[] {
+	const commandId = state.record?.intent?.commandId;
+	return state.copies.filter((copy) => copy.commandId === commandId);
+}
+
+function openCount(
+	copies: readonly SentCopy[],
+	nowMs: number,
+	settings: LeaseSettings,
+): number {
+	return copies.filter((copy) => mayArrive(copy, nowMs, settings)).length;
+}
+
+/** True if no copy of the command in flight can change the target's state any more. */
+function isSettled(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): boolean {
+	const record = state.record!;
+	const own = ownCopies(state);
+	const fencedOff =
+		state.fencing === 'refuses-old' &&
+		own.some(
+			(copy) =>
+				copy.outcome === 'accepted' &&
+				copy.fencingNumber === record.fencingNumber,
+		);
+	// The senders of inherited copies are known to be gone only where the target ignores numbers.
+	const inheritedDone =
+		record.intent!.inheritedCount === 0 ||
+		(state.fencing === 'ignores' &&
+			nowMs - state.heldSinceMs >= settings.lateCopyMs);
+	return fencedOff || (inheritedDone && openCount(own, nowMs, settings) === 0);
+}
+
+/** True if a report of a time after the last copy's answer shows the wanted state. */
+function isShown(state: LeaseState): boolean {
+	const latestMs = Math.max(
+		state.heldSinceMs,
+		...ownCopies(state).map((copy) => copy.endedMs ?? copy.sentMs),
+	);
+	return state.shownMs !== undefined && state.shownMs >= latestMs;
+}
+
+function mayAct(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): boolean {
+	return (
+		isSameHolder(state.record?.holder, state.self) &&
+		state.record!.waitingFor === undefined &&
+		state.record!.fencingNumber >= state.stopBelow &&
+		state.writing === undefined &&
+		!state.mustRead &&
+		nowMs < state.validUntilMs - settings.durationMs * marginShare
+	);
+}
+
+function decideChallenger(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseAction {
+	const {record, self} = state;
+	if (state.rank < 0) {
+		return waiting;
+	}
+
+	const unchangedMs = nowMs - state.unchangedSinceMs;
+	const neededMs =
+		(record?.holder === undefined ? 0 : settings.durationMs) +
+		state.rank * settings.renewalMs;
+	if (unchangedMs < neededMs) {
+		return waiting;
+	}
+
+	const intent = record?.intent;
+	return write('take', {
+		holder: self,
+		fencingNumber: (record?.fencingNumber ?? 0) + 1,
+		renewal: record?.renewal ?? 0,
+		intent: intent && {
+			...intent,
+			sentCount: 0,
+			answeredCount: 0,
+			inheritedCount:
+				intent.inheritedCount + intent.sentCount - intent.answeredCount,
+		},
+		waitingFor:
+			intent && state.fencing === 'ignores'
+				? (record.waitingFor ?? record.holder)
+				: undefined,
+	});
+}
+
+function decideIntent(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseAction {
+	const record = state.record!;
+	const intent = record.intent!;
+	const own = ownCopies(state);
+	const last = own.at(-1);
+	const sentCount = last?.copyNumber ?? 0;
+	if (sentCount < intent.sentCount) {
+		return mayAct(state, nowMs, settings)
+			? {
+					kind: 'send',
+					commandId: intent.commandId,
+					copyNumber: sentCount + 1,
+					order: {...intent.order, fencingNumber: record.fencingNumber},
+				}
+			: write('renew', record);
+	}
+
+	if (isSettled(state, nowMs, settings) && isShown(state)) {
+		return write('clear', {...record, intent: undefined});
+	}
+
+	const due = !last || nowMs - last.sentMs >= settings.resendMs;
+	if (due && openCount(own, nowMs, settings) < maxOpenCopies) {
+		return write('announce', {
+			...record,
+			fencingNumber: record.fencingNumber + 1,
+			intent: {
+				...intent,
+				sentCount: sentCount + 1,
+				answeredCount: answeredCount(state),
+			},
+		});
+	}
+
+	return waiting;
+}
+
+function answeredCount(state: LeaseState): number {
+	const intent = state.record!.intent!;
+	const open = ownCopies(state).filter(
+		(copy) => copy.outcome === 'open' || copy.outcome === 'unanswered',
+	);
+	const sentCount = ownCopies(state).at(-1)?.copyNumber ?? 0;
+	return Math.max(intent.answeredCount, sentCount - open.length);
+}
+
+function renewed(state: LeaseState): LeaseRecord {
+	const record = state.record!;
+	return record.intent
+		? {
+				...record,
+				intent: {...record.intent, answeredCount: answeredCount(state)},
+			}
+		: record;
+}
+
+function decideHolder(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseAction {
+	const record = state.record!;
+	if (record.fencingNumber < state.stopBelow) {
+		return reading;
+	}
+
+	if (state.rank < 0 && !record.intent && !record.waitingFor) {
+		return write('release', {...record, holder: undefined});
+	}
+
+	if (
+		nowMs >= state.validUntilMs ||
+		nowMs - state.renewedMs >= settings.renewalMs
+	) {
+		return write('renew', renewed(state));
+	}
+
+	if (record.waitingFor) {
+		if (state.predecessor === 'unknown') {
+			return {kind: 'ask', holder: record.waitingFor};
+		}
+
+		return write('activate', {
+			...record,
+			waitingFor: undefined,
+			intent: record.intent && {
+				...record.intent,
+				inheritedCount:
+					state.predecessor === 'stopped' ? 0 : record.intent.inheritedCount,
+			},
+		});
+	}
+
+	return record.intent ? decideIntent(state, nowMs, settings) : waiting;
+}
+
+/** The decisions that the binaries use. */
+export const leaseDecisions: LeaseDecisions = {
+	advance: advanceLease,
+	decide(state, nowMs, settings) {
+		if (state.mustRead) {
+			return reading;
+		}
+
+		if (state.writing) {
+			return waiting;
+		}
+
+		return isSameHolder(state.record?.holder, state.self)
+			? decideHolder(state, nowMs, settings)
+			: decideChallenger(state, nowMs, settings);
+	},
+	isFree(state, nowMs, settings) {
+		return mayAct(state, nowMs, settings) && state.record!.intent === undefined;
+	},
+	hasStopped(state, nowMs, settings) {
+		return openCount(state.copies, nowMs, settings) === 0;
+	},
+};
--- /dev/null
+++ b/src/decisions/leases/order-coordinator.ts
@@ -0,0 +1,336 @@
+import {
+	type Engine,
+	type LeaseHolder,
+	type LeasePeers,
+	ProblemError,
+	type StopAnswer,
+	type StopQuestion,
+	type TargetDescription,
+	toProblem,
+	type VmListSnapshot,
+} from '../../common/index.js';
+import {
+	type CommandPlannerOptions,
+	createCommandPlanner,
+} from './command-planner.js';
+import {
+	createLeaseKeeper,
+	type LeaseKeeperOptions,
+	type LeaseWrite,
+} from './lease-keeper.js';
+import {createLeaseSpread} from './lease-spread.js';
+import {leaseDecisions} from './lease-machine.js';
+import type {LeaseAction, LeaseDecisions, LeaseSettings} from './types.js';
+
+/** What a coordinator needs from its surroundings. */
+export type OrderCoordinatorOptions = Omit<
+	CommandPlannerOptions,
+	'onHeldBack' | 'readReport'
+> & {
+	/** Instance of this VM, as the VM list names it. */
+	readonly vmInstanceId: string;
+	/** Tells this run of the process from others. */
+	readonly incarnation: string;
+	readonly settings: () => LeaseSettings;
+	/** VMs that watch each target's lease. */
+	readonly candidateCount: () => number;
+	readonly targets: () => ReadonlyMap<string, TargetDescription>;
+	readonly engineFor: (
+		targetId: string,
+	) => Pick<Engine, 'order' | 'loadReport'> | undefined;
+	readonly peers: LeasePeers;
+	readonly decisions?: LeaseDecisions;
+	readonly onRecord: (record: OrderRecord) => void;
+	readonly onCount: (name: string, labels: Record<string, string>) => void;
+};
+
+/** What was done for one target, why, and with what result. */
+export type OrderRecord = {
+	readonly subject: string;
+	readonly cause: string;
+	readonly result: string;
+};
+
+/** Holds leases and gives commands on behalf of one entry VM. */
+export type OrderCoordinator = {
+	/** Does what is due. Calls while one runs return at once. */
+	tick(): Promise<void>;
+	/** Takes in a VM list; older ones are ignored. */
+	noteVmList(snapshot: VmListSnapshot): void;
+	/** Answers a later holder of a lease. */
+	confirmStop(question: StopQuestion): StopAnswer;
+	/** Takes no more leases and gives up those without a command in flight. */
+	retire(): void;
+	readonly heldCount: number;
+	/** Commands in flight on the leases that this VM holds. */
+	readonly inFlightCount: number;
+};
+
+/** Creates a coordinator that holds nothing until it has seen its own VM in the VM list. */
+export function createOrderCoordinator(
+	options: OrderCoordinatorOptions,
+): OrderCoordinator {
+	const {clock, peers} = options;
+	const decisions = options.decisions ?? leaseDecisions;
+	let list: VmListSnapshot = {sequence: -1, vms: []};
+	let running = false;
+	let retired = false;
+	let lastRoundMs = Number.NEGATIVE_INFINITY;
+
+	const keeperOptions: LeaseKeeperOptions = {
+		table: options.table,
+		clock,
+		decisions,
+		settings: options.settings,
+		onWrite(targetId, purpose, before, after) {
+			options.onCount('lease_writes', {purpose});
+			const intent = after.intent ?? before?.intent;
+			if (purpose !== 'renew') {
+				options.onRecord({
+					subject: targetId,
+					cause: intent?.cause ?? 'lease',
+					result: intent
+						? `${purpose} ${intent.order.kind} ${intent.order.name} under number ${after.fencingNumber}`
+						: `${purpose} under number ${after.fencingNumber}`,
+				});
+			}
+		},
+		onTableProblem(type) {
+			options.onCount('lease_table_errors', {type});
+		},
+	};
+	const keeper = createLeaseKeeper(keeperOptions);
+	const engineOf = (targetId: string) => {
+		const engine = options.engineFor(targetId);
+		if (!engine) {
+			throw new ProblemError(
+				'target-unavailable',
+				`target "${targetId}" has no client`,
+			);
+		}
+
+		return engine;
+	};
+
+	const planner = createCommandPlanner({
+		...options,
+		readReport: async (target) => engineOf(target.id).loadReport(),
+		onHeldBack(order, reason) {
+			options.onCount('orders_held_back', {reason});
+			options.onRecord({
+				subject: order.targetId,
+				cause: order.cause,
+				result: `${order.kind} ${order.model} put off: ${reason}`,
+			});
+		},
+	});
+
+	const watchTargets = () => {
+		const targets = options.targets();
+		const spread = createLeaseSpread(
+			list.vms,
+			options.vmInstanceId,
+			options.candidateCount(),
+		);
+		const self: LeaseHolder = {
+			vmInstanceId: options.vmInstanceId,
+			incarnation: options.incarnation,
+			listSequence: list.sequence,
+		};
+		for (const [id, target] of targets) {
+			const rank =
+				retired || target.kind !== 'engine'
+					? undefined
+					: spread.rankFor(target);
+			if (rank === undefined) {
+				keeper.unwatch(id);
+			} else {
+				keeper.watch(id, self, target.fencing, rank);
+			}
+		}
+
+		for (const id of keeper.states.keys()) {
+			if (!targets.has(id)) {
+				keeper.unwatch(id);
+			}
+		}
+	};
+
+	const amend = async (write: LeaseWrite): Promise<LeaseWrite | undefined> => {
+		if (write.purpose !== 'clear') {
+			return write;
+		}
+
+		try {
+			const {record} = keeper.states.get(write.targetId)!;
+			return await planner.amendClear(write, record);
+		} catch (error) {
+			options.onCount('lease_table_errors', {type: toProblem(error).type});
+			return undefined;
+		}
+	};
+
+	const announceNext = async () => {
+		const isFree = (targetId: string) => {
+			const state = keeper.states.get(targetId);
+			return (
+				state !== undefined &&
+				decisions.isFree(state, clock.nowMs(), options.settings())
+			);
+		};
+
+		// The budget's row can change once in a transaction, so one command is announced at a time.
+		for (const order of planner.plan(isFree)) {
+			try {
+				const {record} = keeper.states.get(order.targetId)!;
+				const write = await planner.announce(order, record!);
+				if (write && isFree(order.targetId)) {
+					await keeper.commit(write);
+				}
+			} catch (error) {
+				options.onCount('lease_table_errors', {type: toProblem(error).type});
+			}
+		}
+	};
+
+	const send = async (
+		targetId: string,
+		action: Extract<LeaseAction, {kind: 'send'}>,
+	) => {
+		const {commandId, copyNumber, order} = action;
+		let outcome: 'accepted' | 'refused' | 'unanswered' = 'accepted';
+		keeper.apply(targetId, {type: 'copy-sent'});
+		try {
+			await engineOf(targetId).order(order);
+		} catch (error) {
+			outcome =
+				toProblem(error).type === 'order-rejected' ? 'refused' : 'unanswered';
+		}
+
+		keeper.apply(targetId, {
+			type: 'copy-ended',
+			commandId,
+			copyNumber,
+			outcome,
+		});
+		options.onCount('order_copies', {kind: order.kind, outcome});
+		options.onRecord({
+			subject: targetId,
+			cause: `copy ${copyNumber} of ${order.kind} ${order.name} under number ${order.fencingNumber}`,
+			result: outcome,
+		});
+	};
+
+	const ask = async (targetId: string, holder: LeaseHolder) => {
+		const isOwnEarlierRun =
+			holder.vmInstanceId === options.vmInstanceId &&
+			holder.incarnation !== options.incarnation;
+		const isListedGone =
+			list.sequence > holder.listSequence &&
+			list.vms.every((vm) => vm.instanceId !== holder.vmInstanceId);
+		if (isOwnEarlierRun || isListedGone) {
+			keeper.apply(targetId, {type: 'predecessor', holder, evidence: 'gone'});
+			return;
+		}
+
+		const {fencingNumber} = keeper.states.get(targetId)!.record!;
+		try {
+			const answer = await peers.confirmStop({targetId, holder, fencingNumber});
+			options.onCount('lease_stop_answers', {answer});
+			if (answer !== 'busy') {
+				keeper.apply(targetId, {
+					type: 'predecessor',
+					holder,
+					evidence: answer,
+				});
+			}
+		} catch (error) {
+			options.onCount('lease_stop_answers', {answer: toProblem(error).type});
+		}
+	};
+
+	const readReport = async (targetId: string) => {
+		try {
+			const startedMs = clock.nowMs();
+			const report = await engineOf(targetId).loadReport();
+			keeper.apply(targetId, {
+				type: 'report',
+				atMs: startedMs - report.ageMs,
+				models: report.models,
+			});
+		} catch (error) {
+			options.onCount('order_report_errors', {type: toProblem(error).type});
+		}
+	};
+
+	const carryOut = async () => {
+		const waits: Array<Promise<void>> = [];
+		for (const targetId of keeper.held()) {
+			const action = keeper.decide(targetId);
+			if (action.kind === 'send') {
+				// Not awaited: a target that does not answer must not delay renewals.
+				void send(targetId, action);
+			} else if (action.kind === 'ask') {
+				waits.push(ask(targetId, action.holder));
+			}
+
+			if (keeper.states.get(targetId)?.record?.intent) {
+				waits.push(readReport(targetId));
+			}
+		}
+
+		await Promise.all(waits);
+	};
+
+	return {
+		async tick() {
+			if (running) {
+				return;
+			}
+
+			running = true;
+			try {
+				watchTargets();
+				const nowMs = clock.nowMs();
+				const withAll = nowMs - lastRoundMs >= options.settings().renewalMs;
+				lastRoundMs = withAll ? nowMs : lastRoundMs;
+				await keeper.round(withAll, amend);
+				await announceNext();
+				await carryOut();
+			} finally {
+				running = false;
+			}
+		},
+		noteVmList(snapshot) {
+			if (snapshot.sequence > list.sequence) {
+				list = snapshot;
+			}
+		},
+		confirmStop({targetId, holder, fencingNumber}) {
+			if (holder.vmInstanceId !== options.vmInstanceId) {
+				return 'busy';
+			}
+
+			if (holder.incarnation !== options.incarnation) {
+				return 'gone';
+			}
+
+			keeper.apply(targetId, {type: 'stop-asked', fencingNumber});
+			const state = keeper.states.get(targetId);
+			const settings = options.settings();
+			return !state || decisions.hasStopped(state, clock.nowMs(), settings)
+				? 'stopped'
+				: 'busy';
+		},
+		retire() {
+			retired = true;
+		},
+		get heldCount() {
+			return keeper.held().length;
+		},
+		get inFlightCount() {
+			return keeper.held().filter((id) => keeper.states.get(id)?.record?.intent)
+				.length;
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/leases/placement/index.ts
@@ -0,0 +1,2 @@
+export * from './model-plan.js';
+export type * from './types.js';
