--- /dev/null
+++ b/scripts/docs-check.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs the blocks marked "sh check" of docs/operations.md against a fleet of stand-ins.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/ensure-ready.sh
+source scripts/lib/fleet.sh
+read -r platform caller1 peer1 caller2 peer2 <<<"$(node dist/experiments/demo/free-ports.js 5)"
+platform_url="http://127.0.0.1:$platform"
+entry_flags=(--entry "http://127.0.0.1:$peer1" --entry "http://127.0.0.1:$peer2")
+launch standin-platform --listen-port "$platform"
+entry entry-1 "$caller1" "$peer1" zone-1
+entry entry-2 "$caller2" "$peer2" zone-2
+wait_ports "$platform" "$caller1" "$peer1" "$caller2" "$peer2"
+cowslipctl() {
+	node "$programs/cowslipctl.js" --platform-url "$platform_url" --operator-token operator-token \
+		"${entry_flags[@]}" "$@" >/dev/null
+}
+commands="$(awk '/^```sh check$/ {on = 1; next} /^```$/ {on = 0} on' docs/operations.md)"
+count=0
+while IFS= read -r command; do
+	if ! eval "$command"; then
+		echo "docs/operations.md: command failed: $command" >&2
+		exit 1
+	fi
+	count=$((count + 1))
+done <<<"$commands"
+[ "$count" -gt 0 ]
+echo "docs/operations.md: $count commands ran"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,5 +10,6 @@
 if [ -f dist/experiments/soak/main.js ]; then
 	node dist/experiments/soak/main.js --seed 1 --runs 10
 fi
+bash scripts/docs-check.sh
 wait "$lint"
 find dist -name '*.test.js' -print0 | sort -z | xargs -0 node --test
