Share usage, target activity and leaving marks among entry VMs

Cause: peers were polled one after the other and told each other nothing but the configuration. Change: a state machine for membership with versioned entries that travel by gossip in messages of bounded size; groups of a region share everything with each other and pass sums on; leaving targets go to several peers at once; messages are packed by position and checked on arrival.

--- a/src/common/errors/types.ts
+++ b/src/common/errors/types.ts
@@ -29,6 +29,7 @@
 	| 'vm-list-unavailable'
 	| 'weight-store-unavailable'
 	| 'peer-unavailable'
+	| 'peer-protocol'
 	| 'order-rejected'
 	| 'not-ready'
 	| 'promise-violated'
--- a/src/decisions/contracts/peer-usage.ts
+++ b/src/decisions/contracts/peer-usage.ts
@@ -15,20 +15,32 @@
 		report: UsageReport,
 		wallMs: number,
 	): void;
-	/** Drops a source that is gone for good. */
-	forget(source: string): void;
-	others(account: string, wallMs: number): OthersUsage;
-	/** Grows with every report on the account. */
-	revision(account: string): number;
+	/**
+	 * Drops a source that is gone for good. What it produced in this minute still counts; its rate does not.
+	 * @param wallMs - wall-clock time in milliseconds
+	 */
+	forget(source: string, wallMs: number): void;
+	/**
+	 * Sums up an account's use by other VMs.
+	 * @param includes - which sources to sum, all if absent
+	 */
+	others(
+		account: string,
+		wallMs: number,
+		includes?: (source: string) => boolean,
+	): OthersUsage;
+	/** Accounts with at least one report. */
+	accounts(): Iterable<string>;
 };
 
 type Held = {readonly report: UsageReport; readonly atWallMs: number};
 
-type AccountReports = {readonly sources: Map<string, Held>; revision: number};
-
 // A clock that is ahead by up to this much still counts for the current minute.
 const maxMinutesAhead = 1;
 
+// Marks what an ended process had produced. Names of VMs hold no space.
+const endedSuffix = ' ended';
+
 function ceilingTokens(held: Held, wallMs: number): number {
 	const {report, atWallMs} = held;
 	const minute = minuteOf(wallMs);
@@ -41,51 +53,87 @@
 	return (report.tokensPerSecond * (wallMs - minute * minuteMs)) / 1000;
 }
 
+function retire(sources: Map<string, Held>, source: string, wallMs: number) {
+	const held = sources.get(source);
+	sources.delete(source);
+	if (!held || held.report.minute < minuteOf(wallMs)) {
+		return;
+	}
+
+	const earlier = sources.get(source + endedSuffix)?.report.chargedTokens ?? 0;
+	const report = {
+		...held.report,
+		chargedTokens: held.report.chargedTokens + earlier,
+		reservedTokens: 0,
+		tokensPerSecond: 0,
+		demandPerSecond: 0,
+	};
+	sources.set(source + endedSuffix, {report, atWallMs: wallMs});
+}
+
+function dropPast(sources: Map<string, Held>, minute: number) {
+	for (const [source, {report}] of sources) {
+		if (source.endsWith(endedSuffix) && report.minute < minute) {
+			sources.delete(source);
+		}
+	}
+}
+
 /** Creates a store without reports. */
 export function createPeerUsage(): PeerUsage {
-	const accounts = new Map<string, AccountReports>();
+	const accounts = new Map<string, Map<string, Held>>();
 	return {
 		report(source, account, report, wallMs) {
 			if (report.minute > minuteOf(wallMs) + maxMinutesAhead) {
 				return;
 			}
 
-			let reports = accounts.get(account);
-			if (!reports) {
-				reports = {sources: new Map(), revision: 0};
-				accounts.set(account, reports);
+			let sources = accounts.get(account);
+			if (!sources) {
+				sources = new Map();
+				accounts.set(account, sources);
 			}
 
-			reports.revision++;
-			reports.sources.set(source, {report, atWallMs: wallMs});
+			sources.set(source, {report, atWallMs: wallMs});
 		},
-		forget(source) {
-			for (const [account, reports] of accounts) {
-				reports.sources.delete(source);
-				if (reports.sources.size === 0) {
+		forget(source, wallMs) {
+			for (const [account, sources] of accounts) {
+				dropPast(sources, minuteOf(wallMs));
+				retire(sources, source, wallMs);
+				if (sources.size === 0) {
 					accounts.delete(account);
 				}
 			}
 		},
-		others(account, wallMs) {
+		others(account, wallMs, includes) {
 			const minute = minuteOf(wallMs);
-			const sum = {floorTokens: 0, ceilingTokens: 0, demandPerSecond: 0};
-			for (const held of accounts.get(account)?.sources.values() ?? []) {
+			const sum = {
+				floorTokens: 0,
+				ceilingTokens: 0,
+				tokensPerSecond: 0,
+				demandPerSecond: 0,
+			};
+			for (const [source, held] of accounts.get(account) ?? []) {
+				if (includes && !includes(source)) {
+					continue;
+				}
+
 				const {report} = held;
 				sum.floorTokens += report.minute >= minute ? report.chargedTokens : 0;
 				sum.ceilingTokens += ceilingTokens(held, wallMs);
+				sum.tokensPerSecond += report.tokensPerSecond;
 				sum.demandPerSecond += report.demandPerSecond;
 			}
 
 			return sum;
 		},
-		revision(account) {
-			return accounts.get(account)?.revision ?? 0;
+		accounts() {
+			return accounts.keys();
 		},
 		get size() {
 			let size = 0;
-			for (const reports of accounts.values()) {
-				size += reports.sources.size;
+			for (const sources of accounts.values()) {
+				size += sources.size;
 			}
 
 			return size;
--- a/src/decisions/contracts/types.ts
+++ b/src/decisions/contracts/types.ts
@@ -56,5 +56,6 @@
 	readonly floorTokens: number;
 	/** Reported, plus the last rate of every source since its report. */
 	readonly ceilingTokens: number;
+	readonly tokensPerSecond: number;
 	readonly demandPerSecond: number;
 };
--- /dev/null
+++ b/src/decisions/membership/index.ts
@@ -0,0 +1,11 @@
+export * from './activity-exchange.js';
+export * from './entry-scope.js';
+export * from './entry-store.js';
+export * from './leaving-marks.js';
+export * from './member-directory.js';
+export type * from './membership-types.js';
+export * from './membership.js';
+export * from './message-codec.js';
+export * from './usage-exchange.js';
+export type * from './types.js';
+export * from './member-node.js';
--- /dev/null
+++ b/src/decisions/membership/membership-types.ts
@@ -0,0 +1,58 @@
+import type {Event, RandomSource, VmEntry} from '../../common/index.js';
+import type {EntryStore} from './entry-store.js';
+import type {MemberDirectory} from './member-directory.js';
+import type {PeerSelector} from './peer-selector.js';
+import type {
+	MemberAddress,
+	MembershipMessage,
+	OutgoingMessage,
+	SharedEntry,
+} from './types.js';
+
+/** What the state machine reads from its surroundings. */
+export type MembershipOptions = {
+	readonly self: MemberAddress;
+	/** Start of this process, higher than that of every earlier one on this VM. */
+	readonly incarnation: number;
+	readonly random: RandomSource;
+	readonly configurationVersion: () => number;
+	readonly stopping: () => boolean;
+};
+
+/** Live peers and shared state of one entry VM, as a state machine without I/O. */
+export type Membership = {
+	readonly directory: MemberDirectory;
+	readonly entries: EntryStore;
+	readonly selector: PeerSelector;
+	/** Fires for every entry of a peer that replaced an older one. */
+	readonly onEntry: Event<SharedEntry>;
+	/** Fires when a peer has a newer configuration. */
+	readonly onNewerConfiguration: Event<MemberAddress>;
+	/** Fires with the name of a VM that is gone for good, or whose earlier process is. */
+	readonly onForgotten: Event<string>;
+	observeList(vms: readonly VmEntry[], nowMs: number): void;
+	/** Shares a value under this VM's own name. */
+	share(
+		kind: SharedEntry['kind'],
+		key: string,
+		values: readonly number[],
+	): void;
+	/** Shares an entry that carries its own version: a sum or a mark. */
+	shareEntry(entry: SharedEntry): boolean;
+	/**
+	 * Gives the messages that are due; call every `tickMs`.
+	 * @param nowMs - monotonic time in milliseconds
+	 */
+	tick(nowMs: number): OutgoingMessage[];
+	/**
+	 * Takes a request of a peer.
+	 * @returns the reply
+	 * @throws ProblemError `peer-protocol` if it carries this VM's own name
+	 */
+	receive(message: MembershipMessage, nowMs: number): MembershipMessage;
+	/** Takes the reply to a request of this VM. */
+	replied(message: MembershipMessage, nowMs: number): void;
+	failed(peer: string, nowMs: number): void;
+	/** False while there are peers and none has answered for some seconds. */
+	connected(nowMs: number): boolean;
+};
--- /dev/null
+++ b/src/decisions/membership/membership.ts
@@ -0,0 +1,256 @@
+import {createEmitter, ProblemError} from '../../common/index.js';
+import {isSumScope} from './entry-scope.js';
+import {createEntryStore} from './entry-store.js';
+import {createMemberDirectory} from './member-directory.js';
+import {createUrgentBursts} from './urgent-bursts.js';
+import {createMessageComposer} from './message-composer.js';
+import {createPeerSelector} from './peer-selector.js';
+import type {Membership, MembershipOptions} from './membership-types.js';
+import type {
+	EntryReach,
+	Heartbeat,
+	MemberAddress,
+	MembershipMessage,
+	OutgoingMessage,
+	SharedEntry,
+} from './types.js';
+
+/** Time between calls of `tick`, in milliseconds. */
+export const tickMs = 250;
+
+const exchangeIntervalMs = 1000;
+const maxEntryBytes = 470;
+const maxHeldEntries = 30_000;
+const connectedMs = 6000;
+
+/** A new mark goes to several peers at once, so that it is everywhere long before 5 s have passed. */
+const urgentFanout: readonly EntryReach[] = [
+	'group',
+	'group',
+	'region',
+	'fleet',
+];
+const urgentBytes = 200;
+
+/** Creates a VM without peers. */
+export function createMembership(options: MembershipOptions): Membership {
+	const {self, random} = options;
+	const directory = createMemberDirectory(self.name);
+	const selector = createPeerSelector(self, directory, random);
+	const entries = createEntryStore();
+	const entryEmitter = createEmitter<SharedEntry>();
+	const configurationEmitter = createEmitter<MemberAddress>();
+	const forgottenEmitter = createEmitter<string>();
+	let {incarnation} = options;
+	let beat = 0;
+	let counter = 0;
+	let turn = 0;
+	let exchangeAtMs = Number.NEGATIVE_INFINITY;
+	const bursts = createUrgentBursts();
+
+	const sendCount = () =>
+		Math.ceil(Math.log2(selector.groupMembers.length + 2)) + 2;
+
+	const {compose} = createMessageComposer({
+		...options,
+		entries,
+		directory,
+		selector,
+		heartbeat: () => ({name: self.name, incarnation, beat}),
+	});
+
+	// Another process ran under this VM's name with a clock ahead of ours: without a higher incarnation its
+	// old values would win over ours.
+	const outbid = (seen: number) => {
+		if (seen < incarnation) {
+			return;
+		}
+
+		const own = [...entries.values()].filter(
+			(entry) => entry.scope === self.name,
+		);
+		incarnation = seen + 1;
+		for (const entry of own) {
+			entries.put({...entry, incarnation}, sendCount());
+		}
+	};
+
+	const forget = (name: string) => {
+		entries.removeScope(name);
+		forgottenEmitter.fire(name);
+	};
+
+	const observe = (heartbeat: Heartbeat, direct: boolean, nowMs: number) => {
+		if (heartbeat.name === self.name) {
+			if (heartbeat.incarnation > incarnation) {
+				outbid(heartbeat.incarnation);
+			}
+
+			return;
+		}
+
+		const known = directory.heartbeatOf(heartbeat.name)?.incarnation ?? 0;
+		directory.observe(heartbeat, direct, nowMs);
+		if (known > 0 && heartbeat.incarnation > known) {
+			forget(heartbeat.name);
+		}
+	};
+
+	const isAcceptable = (entry: SharedEntry): boolean => {
+		if (entry.kind === 'leaving' || isSumScope(entry.scope)) {
+			return true;
+		}
+
+		const known = directory.heartbeatOf(entry.scope);
+		return known !== undefined && entry.incarnation >= known.incarnation;
+	};
+
+	const accept = (entry: SharedEntry, nowMs: number) => {
+		if (entry.scope === self.name) {
+			if (entry.incarnation > incarnation) {
+				outbid(entry.incarnation);
+			}
+
+			return;
+		}
+
+		if (!isAcceptable(entry)) {
+			return;
+		}
+
+		// An entry may arrive before the first heartbeat of the same run.
+		observe(
+			{name: entry.scope, incarnation: entry.incarnation, beat: 0},
+			false,
+			nowMs,
+		);
+		const known = entries.get(entry.kind, entry.scope, entry.key);
+		if (
+			(!known && entries.size >= maxHeldEntries) ||
+			!entries.put(entry, sendCount())
+		) {
+			return;
+		}
+
+		if (entry.kind === 'leaving') {
+			bursts.request(1);
+		}
+
+		entryEmitter.fire(entry);
+	};
+
+	const take = (message: MembershipMessage, nowMs: number) => {
+		if (message.introduction && !directory.addressOf(message.from.name)) {
+			directory.introduce(message.introduction, nowMs);
+			selector.refresh();
+		}
+
+		observe(message.from, true, nowMs);
+		for (const heartbeat of message.heartbeats) {
+			observe(heartbeat, false, nowMs);
+		}
+
+		for (const entry of message.entries) {
+			accept(entry, nowMs);
+		}
+
+		const peer = directory.addressOf(message.from.name);
+		if (peer && message.configurationVersion > options.configurationVersion()) {
+			configurationEmitter.fire(peer);
+		}
+	};
+
+	const urgentMessages = (nowMs: number): OutgoingMessage[] => {
+		if (!bursts.take(nowMs)) {
+			return [];
+		}
+
+		const peers = new Map<string, MemberAddress>();
+		for (const closeness of urgentFanout) {
+			const peer = selector.choose(closeness, nowMs);
+			if (peer) {
+				peers.set(peer.name, peer);
+			}
+		}
+
+		return [...peers.values()].map((peer) => ({
+			peer,
+			message: compose(selector.closenessOf(peer.name), urgentBytes, nowMs),
+		}));
+	};
+
+	return {
+		directory,
+		entries,
+		selector,
+		onEntry: entryEmitter.event,
+		onNewerConfiguration: configurationEmitter.event,
+		onForgotten: forgottenEmitter.event,
+		observeList(vms, nowMs) {
+			const forgotten = directory.observeList(vms, nowMs);
+			selector.refresh();
+			for (const name of forgotten) {
+				forget(name);
+			}
+		},
+		share(kind, key, values) {
+			counter++;
+			const {name: scope} = self;
+			entries.put(
+				{scope, kind, key, incarnation, counter, values},
+				sendCount(),
+			);
+		},
+		shareEntry(entry) {
+			const isNew = entries.put(entry, sendCount());
+			if (isNew && entry.kind === 'leaving') {
+				bursts.request(2);
+			}
+
+			return isNew;
+		},
+		tick(nowMs) {
+			const messages = urgentMessages(nowMs);
+			if (nowMs - exchangeAtMs >= exchangeIntervalMs) {
+				exchangeAtMs = nowMs;
+				beat++;
+				const peer = selector.chooseForTurn(turn++, nowMs);
+				if (peer) {
+					const closeness = selector.closenessOf(peer.name);
+					const message = compose(closeness, maxEntryBytes, nowMs);
+					messages.push({peer, message});
+				}
+			}
+
+			return messages;
+		},
+		receive(message, nowMs) {
+			if (message.from.name === self.name) {
+				throw new ProblemError(
+					'peer-protocol',
+					`a peer presents itself as "${self.name}", which is this VM`,
+					{field: 'from'},
+				);
+			}
+
+			take(message, nowMs);
+			return compose(
+				selector.closenessOf(message.from.name),
+				maxEntryBytes,
+				nowMs,
+			);
+		},
+		replied(message, nowMs) {
+			directory.answered(message.from.name, nowMs);
+			take(message, nowMs);
+		},
+		failed(peer, nowMs) {
+			directory.failed(peer, nowMs);
+		},
+		connected(nowMs) {
+			return (
+				directory.size === 0 || nowMs - directory.contactAtMs <= connectedMs
+			);
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/membership/message-composer.ts
@@ -0,0 +1,82 @@
+import type {RandomSource} from '../../common/index.js';
+import type {EntryStore} from './entry-store.js';
+import type {MemberDirectory} from './member-directory.js';
+import {entryBytes} from './message-codec.js';
+import type {PeerSelector} from './peer-selector.js';
+import type {
+	EntryReach,
+	Heartbeat,
+	MemberAddress,
+	MembershipMessage,
+} from './types.js';
+
+/** What messages are made of. */
+export type MessageComposerOptions = {
+	readonly self: MemberAddress;
+	readonly random: RandomSource;
+	readonly entries: EntryStore;
+	readonly directory: MemberDirectory;
+	readonly selector: PeerSelector;
+	readonly configurationVersion: () => number;
+	readonly stopping: () => boolean;
+	/** This VM's own heartbeat. */
+	readonly heartbeat: () => Heartbeat;
+};
+
+/** Makes messages within the bounds on their size. */
+export type MessageComposer = {
+	compose(
+		closeness: EntryReach,
+		maxBytes: number,
+		nowMs: number,
+	): MembershipMessage;
+};
+
+const maxRepeatBytes = 160;
+const maxHeartbeats = 4;
+
+// By then every VM list shows this VM.
+const introductionMs = 60_000;
+
+/** Creates a composer; a VM introduces itself for a while after the first message. */
+export function createMessageComposer(
+	options: MessageComposerOptions,
+): MessageComposer {
+	const {self, random, entries, directory, selector} = options;
+	let startedAtMs: number | undefined;
+
+	const heartbeatSample = (): Heartbeat[] => {
+		const {groupMembers} = selector;
+		const sample: Heartbeat[] = [];
+		const count = Math.min(maxHeartbeats, groupMembers.length);
+		const first = random.nextInt(Math.max(1, groupMembers.length));
+		for (let index = 0; index < count; index++) {
+			const {name} = groupMembers[(first + index) % groupMembers.length];
+			const heartbeat = directory.heartbeatOf(name);
+			if (heartbeat && heartbeat.incarnation > 0) {
+				sample.push(heartbeat);
+			}
+		}
+
+		return sample;
+	};
+
+	return {
+		compose(closeness, maxBytes, nowMs) {
+			startedAtMs ??= nowMs;
+			return {
+				from: options.heartbeat(),
+				configurationVersion: options.configurationVersion(),
+				stopping: options.stopping(),
+				introduction: nowMs - startedAtMs < introductionMs ? self : undefined,
+				heartbeats: closeness === 'group' ? heartbeatSample() : [],
+				entries: entries.pick({
+					closeness,
+					maxBytes,
+					maxRepeatBytes,
+					sizeOf: entryBytes,
+				}),
+			};
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/membership/usage-exchange.ts
@@ -0,0 +1,243 @@
+import {
+	type PeerUsage,
+	type SharedContractLedger,
+	type UsageReport,
+} from '../contracts/index.js';
+import type {Contract} from '../../common/index.js';
+import {groupScope, isSumScope, regionScope} from './entry-scope.js';
+import type {Membership} from './membership-types.js';
+import {isSumPublisher} from './sum-publisher.js';
+import type {SharedEntry} from './types.js';
+
+/** What the exchange works with. */
+export type UsageExchangeOptions = {
+	readonly self: string;
+	readonly region: string;
+	readonly membership: Membership;
+	readonly ledger: SharedContractLedger;
+	readonly peerUsage: PeerUsage;
+	readonly contractOf: (account: string) => Contract;
+	readonly wallMs: () => number;
+};
+
+/** Tells peers what client accounts use here and hands what they tell to the ledger. */
+export type UsageExchange = {
+	/** Shares what has changed; call about once a second. */
+	publish(nowMs: number): void;
+};
+
+type Published = {readonly report: UsageReport; readonly atWallMs: number};
+
+/**
+ * Receivers extend a report by its rate. A new one is sent only when they would be off by this part of the
+ * account's ceiling per VM, or of its use, so that steady use costs few bytes.
+ */
+const ceilingPart = 0.05;
+const usePart = 0.05;
+const leastTokens = 20;
+
+// Floors count reported tokens only, so these are renewed while they grow.
+const renewMs = 10_000;
+
+// Sums move slowly and travel far.
+const sumIntervalMs = 5000;
+
+// Older reports say nothing about a rate any more.
+const maxAgeMinutes = 10;
+
+function predictedTokens(published: Published, wallMs: number): number {
+	const {report, atWallMs} = published;
+	const produced = (report.tokensPerSecond * (wallMs - atWallMs)) / 1000;
+	return report.chargedTokens + produced;
+}
+
+function valuesOf(report: UsageReport): number[] {
+	return [
+		report.minute,
+		Math.round(report.chargedTokens),
+		Math.round(report.reservedTokens),
+		Math.round(report.tokensPerSecond * 10) / 10,
+		Math.round(report.demandPerSecond * 10) / 10,
+	];
+}
+
+function reportOf(values: readonly number[]): UsageReport | undefined {
+	if (values.length < 5) {
+		return undefined;
+	}
+
+	const [
+		minute,
+		chargedTokens,
+		reservedTokens,
+		tokensPerSecond,
+		demandPerSecond,
+	] = values;
+	return {
+		minute,
+		chargedTokens,
+		reservedTokens,
+		tokensPerSecond,
+		demandPerSecond,
+	};
+}
+
+/** Creates the exchange and begins to listen to peers. */
+export function createUsageExchange(
+	options: UsageExchangeOptions,
+): UsageExchange {
+	const {membership, peerUsage, ledger} = options;
+	const {selector} = membership;
+	const published = new Map<string, Published>();
+	let sumsAtMs = Number.NEGATIVE_INFINITY;
+
+	const tolerance = (account: string, report: UsageReport) =>
+		Math.max(
+			leastTokens,
+			usePart * report.chargedTokens,
+			(ceilingPart * options.contractOf(account).ceilingTokensPerMinute) /
+				(membership.directory.size + 1),
+		);
+
+	const isDue = (account: string, report: UsageReport, wallMs: number) => {
+		const last = published.get(account);
+		if (!last) {
+			return true;
+		}
+
+		if (last.report.minute !== report.minute) {
+			return (
+				report.chargedTokens > 0 ||
+				last.report.tokensPerSecond > 0 ||
+				last.report.demandPerSecond > 0
+			);
+		}
+
+		const off = Math.abs(predictedTokens(last, wallMs) - report.chargedTokens);
+		return (
+			off > tolerance(account, report) ||
+			(wallMs - last.atWallMs > renewMs &&
+				(report.chargedTokens !== last.report.chargedTokens ||
+					last.report.tokensPerSecond >= 1))
+		);
+	};
+
+	const publishOwn = (wallMs: number) => {
+		const reports = ledger.ownReports(wallMs);
+		for (const [account, report] of reports) {
+			if (isDue(account, report, wallMs)) {
+				published.set(account, {report, atWallMs: wallMs});
+				membership.share('usage', account, valuesOf(report));
+			}
+		}
+
+		for (const account of published.keys()) {
+			if (!reports.has(account)) {
+				published.delete(account);
+			}
+		}
+
+		return reports;
+	};
+
+	const shareSum = (
+		scope: string,
+		account: string,
+		own: UsageReport | undefined,
+		includes: (source: string) => boolean,
+	) => {
+		const wallMs = options.wallMs();
+		const others = peerUsage.others(account, wallMs, includes);
+		const minute = Math.floor(wallMs / 60_000);
+		const current = own?.minute === minute ? own : undefined;
+		const report: UsageReport = {
+			minute,
+			chargedTokens: others.floorTokens + (current?.chargedTokens ?? 0),
+			reservedTokens:
+				Math.max(0, others.ceilingTokens - others.floorTokens) +
+				(current?.reservedTokens ?? 0),
+			tokensPerSecond: others.tokensPerSecond + (own?.tokensPerSecond ?? 0),
+			demandPerSecond: others.demandPerSecond + (own?.demandPerSecond ?? 0),
+		};
+		const values = valuesOf(report);
+		const known = membership.entries.get('usage', scope, account);
+		const isIdle = values.slice(1).every((value) => value === 0);
+		if (isIdle && (!known || known.values.slice(1).every((one) => one === 0))) {
+			return;
+		}
+
+		membership.shareEntry({
+			scope,
+			kind: 'usage',
+			key: account,
+			incarnation: Math.floor(wallMs / 1000),
+			counter: 0,
+			values,
+		});
+	};
+
+	const publishSums = (
+		own: ReadonlyMap<string, UsageReport>,
+		nowMs: number,
+	) => {
+		const {group} = selector;
+		const role = isSumPublisher(
+			options.self,
+			options.region,
+			membership,
+			nowMs,
+		);
+		if (!role.group) {
+			return;
+		}
+
+		const inGroup = (source: string) => !isSumScope(source);
+		const inRegion = (source: string) => !source.startsWith(regionScope(''));
+		for (const account of new Set([...own.keys(), ...peerUsage.accounts()])) {
+			const ownReport = own.get(account);
+			if (role.otherGroups) {
+				shareSum(groupScope(group), account, ownReport, inGroup);
+			}
+
+			if (role.region) {
+				const scope = regionScope(options.region);
+				shareSum(scope, account, ownReport, inRegion);
+			}
+		}
+	};
+
+	const isOwnSum = (scope: string) =>
+		scope === groupScope(selector.group) ||
+		scope === regionScope(options.region);
+
+	const take = (entry: SharedEntry) => {
+		const report = reportOf(entry.values);
+		const wallMs = options.wallMs();
+		const age = Math.floor(wallMs / 60_000) - (report?.minute ?? 0);
+		if (!report || age > maxAgeMinutes) {
+			membership.entries.remove(entry);
+		} else if (!isOwnSum(entry.scope)) {
+			peerUsage.report(entry.scope, entry.key, report, wallMs);
+		}
+	};
+
+	membership.onEntry((entry) => {
+		if (entry.kind === 'usage') {
+			take(entry);
+		}
+	});
+	membership.onForgotten((name) => {
+		peerUsage.forget(name, options.wallMs());
+	});
+
+	return {
+		publish(nowMs) {
+			const wallMs = options.wallMs();
+			const own = publishOwn(wallMs);
+			if (nowMs - sumsAtMs >= sumIntervalMs) {
+				sumsAtMs = nowMs;
+				publishSums(own, nowMs);
+			}
+		},
+	};
+}
