Make the relay survive stalled links, lost engines, slow callers and deadlines

Cause: a stalled link was never noticed, a caller that left did not end its generation, held-back answers had no memory limit, and failed calls to plain services were not retried. Change: GenerationReader reads one generation over several links (stall watch, gaps, conflicting duplicates, early ends); AnswerDelivery holds back, passes on and reads again what did not fit; RestartPolicy and RetryBudget bound restarts; PendingCancellations cancel with the link count after the resume window. Timers come through Scheduler. Idempotent calls go through ServiceCaller with budgets, backoff and outlier ejection. Oversized, malformed and late requests get a problem document. Metrics for each account and class.

--- a/src/adapters/callers/caller-server.ts
+++ b/src/adapters/callers/caller-server.ts
@@ -6,6 +6,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {ProblemError, toProblem} from '../../common/index.js';
+import {answerBrokenRequest} from './broken-request.js';
 import {sendProblem} from './problem-response.js';
 
 /** A request of an authenticated client account. */
@@ -25,6 +26,10 @@
 	readonly accountTokens: ReadonlyMap<string, string>;
 	/** Largest size of all request headers, in bytes. */
 	readonly maxHeaderBytes: number;
+	/** Time in which a request's header and body must have arrived, in milliseconds. */
+	readonly requestTimeoutMs: number;
+	/** True while a planned stop waits; connections are closed after their answers then. */
+	readonly isStopping: () => boolean;
 	readonly handleCompletions: CallerHandler;
 	readonly handleServices: CallerHandler;
 	/** Pages without credentials by path, such as `/healthz`. */
@@ -36,16 +41,24 @@
 	readonly onProblem: (problem: ProblemError) => void;
 };
 
+/** The server and what it has open. */
+export type CallerServer = {
+	readonly server: Server;
+	/** Requests without a whole answer. */
+	openExchanges(): number;
+};
+
 const digest = (text: string) => createHash('sha256').update(text).digest();
+const checksPerTimeout = 10;
 
-/** Creates the HTTP server towards callers; the caller makes it listen. */
-export function createCallerServer(options: CallerServerOptions): Server {
-	const accounts = [...options.accountTokens].map(([account, token]) => ({
+function createAuthenticator(
+	accountTokens: ReadonlyMap<string, string>,
+): (request: IncomingMessage) => string {
+	const accounts = [...accountTokens].map(([account, token]) => ({
 		account,
 		tokenDigest: digest(token),
 	}));
-
-	const authenticate = (request: IncomingMessage): string => {
+	return (request) => {
 		const match = /^Bearer (.+)$/.exec(request.headers.authorization ?? '');
 		const given = digest(match?.[1] ?? '');
 		const found = accounts.find((one) =>
@@ -55,20 +68,37 @@
 			throw new ProblemError(
 				'unauthorized',
 				'a valid bearer token is required',
-				{
-					field: 'Authorization',
-				},
+				{field: 'Authorization'},
 			);
 		}
 
 		return found.account;
 	};
+}
+
+function parseUrl(request: IncomingMessage): URL {
+	const url = URL.canParse(request.url ?? '', 'http://entry')
+		? new URL(request.url ?? '', 'http://entry')
+		: undefined;
+	if (url?.host !== 'entry') {
+		throw new ProblemError('invalid-request', 'request target is malformed', {
+			field: 'path',
+		});
+	}
+
+	return url;
+}
+
+/** Creates the HTTP server towards callers; its owner makes it listen. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+	const authenticate = createAuthenticator(options.accountTokens);
+	let openCount = 0;
 
 	const handle = async (
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> => {
-		const url = new URL(request.url ?? '/', 'http://entry');
+		const url = parseUrl(request);
 		const page = options.pages.get(url.pathname);
 		if (page) {
 			const {status, body} = page();
@@ -84,18 +114,42 @@
 		} else if (url.pathname.startsWith('/v1/services/')) {
 			await options.handleServices(exchange);
 		} else {
-			throw new ProblemError('not-found', `no such path: ${url.pathname}`);
+			throw new ProblemError('not-found', 'no such path', {field: 'path'});
 		}
 	};
 
-	return createServer(
-		{maxHeaderSize: options.maxHeaderBytes},
+	const server = createServer(
+		{
+			maxHeaderSize: options.maxHeaderBytes,
+			requestTimeout: options.requestTimeoutMs,
+			headersTimeout: options.requestTimeoutMs,
+			connectionsCheckingInterval: options.requestTimeoutMs / checksPerTimeout,
+		},
 		(request, response) => {
+			openCount++;
+			response.on('close', () => {
+				openCount--;
+			});
+			response.on('error', () => {
+				// The caller is gone; `close` follows.
+			});
+			if (options.isStopping()) {
+				response.setHeader('connection', 'close');
+			}
+
 			handle(request, response).catch((error: unknown) => {
 				const problem = toProblem(error);
 				options.onProblem(problem);
+				if (!request.complete) {
+					response.shouldKeepAlive = false;
+				}
+
 				sendProblem(response, problem);
 			});
 		},
 	);
+	server.on('clientError', (error, socket) => {
+		options.onProblem(answerBrokenRequest(error, socket));
+	});
+	return {server, openExchanges: () => openCount};
 }
--- a/src/adapters/callers/completions-handler.ts
+++ b/src/adapters/callers/completions-handler.ts
@@ -1,76 +1,134 @@
+import {type Disposable, ProblemError} from '../../common/index.js';
 import type {EffectiveSettings} from '../../decisions/configuration/index.js';
 import {
 	createRelaySession,
 	type GenerationPlace,
-	type GenerationPlacer,
 	type GenerationRequest,
+	type RelayMetrics,
 	type RelaySession,
+	type RelaySurroundings,
 } from '../../decisions/streams/index.js';
-import type {CallerHandler} from './caller-server.js';
-import {parseCompletionRequest} from './completion-request.js';
+import type {CallerExchange, CallerHandler} from './caller-server.js';
+import {
+	type CompletionRequest,
+	parseCompletionRequest,
+} from './completion-request.js';
 import {createEventStreamSink} from './event-stream-sink.js';
 import {createJsonSink} from './json-sink.js';
 import {parseJsonBody, readRequestBody} from './request-body.js';
-import type {StreamTokens} from './stream-token.js';
+import {readRequestTimeoutMs} from './request-deadline.js';
+import type {StreamPlace, StreamTokens} from './stream-token.js';
 
 /** What the handler of completions needs. */
 export type CompletionsHandlerOptions = {
 	readonly maxBodyBytes: number;
+	/** Largest number of open streams; more are refused. */
+	readonly maxOpenStreams: number;
 	readonly streamTokens: StreamTokens;
 	readonly settingsFor: (
 		account: string,
 		requestClass: string,
 	) => EffectiveSettings;
-	/** Admits generations and chooses engines. */
-	readonly placer: GenerationPlacer;
+	readonly relay: RelaySurroundings;
+	readonly metricsFor: (account: string, requestClass: string) => RelayMetrics;
 	/** Called with every session, so that a planned stop can wait for it. */
-	readonly onSession: (session: RelaySession) => {dispose(): void};
+	readonly onSession: (session: RelaySession) => Disposable;
 };
 
+const retryAfterFullMs = 1000;
+
 /** Creates the handler of `POST /v1/completions`. */
 export function createCompletionsHandler(
 	options: CompletionsHandlerOptions,
 ): CallerHandler {
-	return async ({account, request, response}) => {
-		const text = await readRequestBody(request, options.maxBodyBytes);
-		const body = parseCompletionRequest(parseJsonBody(text));
-		const {classSettings} = options.settingsFor(account, body.class);
+	const {relay} = options;
+	let openStreams = 0;
+
+	const placeIn = ({account, request}: CallerExchange, isStream: boolean) => {
 		const lastEventId = request.headers['last-event-id'];
-		const from =
-			typeof lastEventId === 'string'
-				? options.streamTokens.parse(lastEventId, account)
-				: undefined;
-		const generation: GenerationRequest = {
+		if (lastEventId === undefined) {
+			return undefined;
+		}
+
+		if (!isStream) {
+			throw new ProblemError(
+				'invalid-request',
+				'Last-Event-ID is allowed only with "stream": true',
+				{field: 'Last-Event-ID'},
+			);
+		}
+
+		return options.streamTokens.parse(String(lastEventId), account);
+	};
+
+	const generationOf = (
+		account: string,
+		body: CompletionRequest,
+		timeoutMs: number | undefined,
+	): GenerationRequest => {
+		const {classSettings} = options.settingsFor(account, body.class);
+		const {maxTokens, defaultDelivery} = classSettings;
+		return {
 			account,
 			requestClass: body.class,
 			model: body.model,
 			prompt: body.prompt,
-			maxTokens: Math.min(
-				body.max_tokens ?? classSettings.maxTokens,
-				classSettings.maxTokens,
-			),
-			delivery: body.delivery ?? classSettings.defaultDelivery,
+			maxTokens: Math.min(body.max_tokens ?? maxTokens, maxTokens),
+			// A JSON document cannot take back what was sent.
+			delivery: body.stream ? (body.delivery ?? defaultDelivery) : 'whole',
+			deadlineMs:
+				timeoutMs === undefined ? undefined : relay.clock.nowMs() + timeoutMs,
 		};
-		const tokenOf = (place: GenerationPlace) =>
-			options.streamTokens.sign({account, ...place});
-		const sink = body.stream
+	};
+
+	const sinkFor = (
+		{account, response}: CallerExchange,
+		body: CompletionRequest,
+		from: StreamPlace | undefined,
+	) => {
+		const {model} = body;
+		return body.stream
 			? createEventStreamSink({
 					response,
-					model: body.model,
-					tokenOf,
+					model,
+					tokenOf: (place: GenerationPlace) =>
+						options.streamTokens.sign({account, ...place}),
 					firstPosition: from?.position ?? 0,
 				})
-			: createJsonSink({response, model: body.model});
+			: createJsonSink({response, model});
+	};
+
+	return async (exchange) => {
+		const {account, request, response} = exchange;
+		const timeoutMs = readRequestTimeoutMs(request);
+		const text = await readRequestBody(request, options.maxBodyBytes);
+		const body = parseCompletionRequest(parseJsonBody(text));
+		const from = placeIn(exchange, body.stream);
+		if (response.destroyed) {
+			return;
+		}
+
+		if (openStreams >= options.maxOpenStreams) {
+			throw new ProblemError('not-run', 'this entry VM has no room', {
+				retryAfterMs: retryAfterFullMs,
+			});
+		}
+
 		const session = createRelaySession({
-			request: generation,
-			sink,
-			placer: options.placer,
+			...relay,
+			request: generationOf(account, body, timeoutMs),
+			resumeWindowMs: options.settingsFor(account, body.class).classSettings
+				.resumeWindowMs,
+			sink: sinkFor(exchange, body, from),
+			metrics: options.metricsFor(account, body.class),
 		});
 		const registration = options.onSession(session);
+		openStreams++;
 		response.on('drain', () => {
 			session.drained();
 		});
 		response.on('close', () => {
+			openStreams--;
 			registration.dispose();
 			session.leave();
 		});
--- a/src/adapters/callers/event-stream-sink.ts
+++ b/src/adapters/callers/event-stream-sink.ts
@@ -15,7 +15,12 @@
 	readonly firstPosition: number;
 };
 
-/** Creates a sink that passes tokens on as server-sent events. */
+const maxPendingCharacters = 65_536;
+
+/**
+ * Creates a sink that passes tokens on as server-sent events. The tokens of one chunk from the
+ * engine arrive in one turn and leave in one write.
+ */
 export function createEventStreamSink(
 	options: EventStreamSinkOptions,
 ): CallerSink {
@@ -23,15 +28,27 @@
 	const tail = `","object":"text_completion","model":${JSON.stringify(options.model)},"choices":[{"index":0,"text":`;
 	let prefix = '';
 	let head = '';
+	let pending = '';
+	let isScheduled = false;
+
+	const flush = () => {
+		isScheduled = false;
+		if (pending !== '') {
+			response.write(pending);
+			pending = '';
+		}
+	};
 
 	const begin = (place: GenerationPlace, event: string, position: number) => {
 		const token = options.tokenOf(place);
 		prefix = `id: ${token}.`;
 		head = `\ndata: {"id":"${place.generationId}${tail}`;
+		flush();
 		response.write(`${prefix}${position}\nevent: ${event}\ndata: {}\n\n`);
 	};
 
 	return {
+		resumable: true,
 		accepted(place) {
 			if (!response.headersSent) {
 				response.writeHead(200, {
@@ -43,20 +60,33 @@
 			begin(place, 'accepted', options.firstPosition);
 		},
 		token(position, text) {
-			return response.write(
-				`${prefix}${position}${head}${JSON.stringify(text)}}]}\n\n`,
-			);
+			pending += `${prefix}${position}${head}${JSON.stringify(text)}}]}\n\n`;
+			if (pending.length >= maxPendingCharacters) {
+				flush();
+			} else if (!isScheduled) {
+				isScheduled = true;
+				queueMicrotask(flush);
+			}
+
+			return !response.writableNeedDrain;
 		},
 		restarted(place) {
 			begin(place, 'restart', 0);
 		},
+		keepAlive() {
+			if (response.headersSent) {
+				response.write(': keep-alive\n\n');
+			}
+		},
 		finished(reason, tokenCount) {
+			flush();
 			response.end(
 				`${prefix}${tokenCount}${head}"","finish_reason":"${reason}"}],` +
 					`"usage":{"completion_tokens":${tokenCount}}}\n\ndata: [DONE]\n\n`,
 			);
 		},
 		failed(error) {
+			flush();
 			if (response.headersSent) {
 				response.end(
 					`event: error\ndata: ${JSON.stringify(problemBody(error))}\n\n`,
--- a/src/adapters/callers/problem-response.ts
+++ b/src/adapters/callers/problem-response.ts
@@ -36,7 +36,8 @@
 	return {
 		type: problem.type,
 		status: statusOf(problem),
-		detail: problem.detail,
+		// The message of an unforeseen failure may name internals.
+		detail: problem.type === 'internal' ? 'internal error' : problem.detail,
 		...(problem.field === undefined ? {} : {field: problem.field}),
 		...(problem.retryAfterMs === undefined
 			? {}
--- a/src/adapters/callers/request-body.ts
+++ b/src/adapters/callers/request-body.ts
@@ -2,33 +2,73 @@
 import type {IncomingMessage} from 'node:http';
 import {ProblemError} from '../../common/index.js';
 
+const decoder = new TextDecoder('utf8', {fatal: true, ignoreBOM: true});
+
 /**
  * Reads a request body as text.
  * @param maxBytes - largest size accepted, in bytes
- * @throws ProblemError `too-large`
+ * @throws ProblemError `too-large`, or `invalid-request` if it is not UTF-8 or the caller breaks off
  */
 export async function readRequestBody(
 	request: IncomingMessage,
 	maxBytes: number,
 ): Promise<string> {
-	const chunks: Buffer[] = [];
-	let sizeBytes = 0;
-	for await (const chunk of request as AsyncIterable<Buffer>) {
-		sizeBytes += chunk.length;
-		if (sizeBytes > maxBytes) {
-			throw new ProblemError(
-				'too-large',
-				`request body is over ${maxBytes} bytes`,
-				{
-					field: 'body',
-				},
+	const bytes = await readBytes(request, maxBytes);
+	try {
+		return decoder.decode(bytes);
+	} catch {
+		throw new ProblemError('invalid-request', 'request body is not UTF-8', {
+			field: 'body',
+		});
+	}
+}
+
+async function readBytes(
+	request: IncomingMessage,
+	maxBytes: number,
+): Promise<Buffer> {
+	return new Promise((resolve, reject) => {
+		const chunks: Buffer[] = [];
+		let sizeBytes = 0;
+
+		// Leaving an asynchronous iteration early would destroy the connection before the answer.
+		const refuse = () => {
+			request.removeAllListeners('data');
+			request.resume();
+			reject(
+				new ProblemError(
+					'too-large',
+					`request body is over ${maxBytes} bytes`,
+					{field: 'body'},
+				),
 			);
-		}
+		};
 
-		chunks.push(chunk);
-	}
+		if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+			refuse();
+			return;
+		}
 
-	return Buffer.concat(chunks).toString('utf8');
+		request.on('data', (chunk: Buffer) => {
+			sizeBytes += chunk.length;
+			if (sizeBytes > maxBytes) {
+				refuse();
+			} else {
+				chunks.push(chunk);
+			}
+		});
+		request.on('end', () => {
+			resolve(Buffer.concat(chunks));
+		});
+		request.on('error', (cause) => {
+			reject(
+				new ProblemError('invalid-request', 'request body was broken off', {
+					cause,
+					field: 'body',
+				}),
+			);
+		});
+	});
 }
 
 /**
--- a/src/adapters/callers/services-handler.ts
+++ b/src/adapters/callers/services-handler.ts
@@ -9,8 +9,10 @@
 	type BookingCoordinator,
 	checkBookingKey,
 } from '../../decisions/bookings/index.js';
+import type {ServiceCaller} from '../../decisions/retries/index.js';
 import type {CallerHandler} from './caller-server.js';
 import {readRequestBody} from './request-body.js';
+import {readRequestTimeoutMs} from './request-deadline.js';
 
 /** What the handler of calls to plain services needs. */
 export type ServicesHandlerOptions = {
@@ -21,6 +23,9 @@
 	readonly callTimeoutMs: number;
 	readonly wallMs: () => number;
 	readonly bookings: BookingCoordinator;
+	/** Sends calls that may be repeated. */
+	readonly caller: ServiceCaller;
+	readonly nowMs: () => number;
 	/** Chooses a target; throws `not-run` or `unknown-service`. */
 	readonly place: (service: string) => PlainService;
 };
@@ -39,6 +44,11 @@
 
 		const [, service, path = '/'] = match;
 		const method = request.method ?? 'GET';
+		const timeoutMs = Math.min(
+			options.callTimeoutMs,
+			readRequestTimeoutMs(request) ?? options.callTimeoutMs,
+		);
+		const deadlineMs = options.nowMs() + timeoutMs;
 		const body = await readRequestBody(request, options.maxBodyBytes);
 		const call = {
 			method,
@@ -47,13 +57,14 @@
 			contentType: String(
 				request.headers['content-type'] ?? 'application/octet-stream',
 			),
-			timeoutMs: options.callTimeoutMs,
+			timeoutMs,
+			idempotencyKey: undefined,
 		};
-		const target = options.place(service);
 		let answer: ServiceAnswer;
 		if (method === 'GET' || method === 'HEAD') {
-			answer = await target.call({...call, idempotencyKey: undefined});
+			answer = await options.caller.run({account, service, call, deadlineMs});
 		} else {
+			const target = options.place(service);
 			const header = request.headers['idempotency-key'];
 			const key = checkBookingKey(
 				typeof header === 'string' ? header : undefined,
--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -11,6 +11,10 @@
 	readonly ready: boolean;
 	readonly stopping: boolean;
 	readonly openStreams: number;
+	/** Requests of callers that have no whole answer yet; a planned stop waits for them. */
+	readonly openExchanges: number;
+	/** Callers that left and whose generations go on until their resume windows end. */
+	readonly awaitedCallers: number;
 };
 
 /** What the procedures call. */
--- a/src/adapters/system/index.ts
+++ b/src/adapters/system/index.ts
@@ -1,3 +1,5 @@
 export * from './logger.js';
 export * from './metrics.js';
+export * from './relay-metrics.js';
 export * from './system-clock.js';
+export * from './system-scheduler.js';
--- a/src/common/base/index.ts
+++ b/src/common/base/index.ts
@@ -4,4 +4,5 @@
 export type * from './emitter.js';
 export {createEmitter} from './emitter.js';
 export * from './random-source.js';
+export * from './scheduler.js';
 export * from './seeded-random-source.js';
--- a/src/common/invariants/invariant-monitor.ts
+++ b/src/common/invariants/invariant-monitor.ts
@@ -19,6 +19,8 @@
 	 * @param detail - describes the case; called only if it does not hold
 	 */
 	check(name: InvariantName, holds: boolean, detail: () => string): void;
+	/** Counts checks that held and were made outside, on paths too hot for a call each. */
+	countHeld(name: InvariantName, by: number): void;
 	/**
 	 * Like `check`, but stops the step that would break the promise.
 	 * @throws ProblemError `promise-violated`
@@ -51,6 +53,9 @@
 		violations,
 		onViolation: emitter.event,
 		check,
+		countHeld(name, by) {
+			checks.set(name, (checks.get(name) ?? 0) + by);
+		},
 		enforce(name, holds, detail) {
 			check(name, holds, detail);
 			if (!holds) {
--- a/src/common/targets/engine.ts
+++ b/src/common/targets/engine.ts
@@ -26,6 +26,11 @@
 
 /** A link over which an engine delivers one generation. */
 export type EngineStream = {
+	/**
+	 * Links that had been opened to the generation when this one was, this one included;
+	 * undefined until the engine has answered.
+	 */
+	readonly linkCount?: number;
 	/** Stops reading from the engine until `resume`. */
 	pause(): void;
 	resume(): void;
--- a/src/common/targets/types.ts
+++ b/src/common/targets/types.ts
@@ -35,6 +35,8 @@
 	readonly maxTokens: number;
 	/** Smaller is more important; the engine preempts the largest first. */
 	readonly priority: number;
+	/** Time that the caller still waits, in milliseconds; undefined without a deadline. */
+	readonly timeoutMs?: number;
 };
 
 /** Load report of an engine. It lags. */
--- a/src/decisions/routing/target-table.ts
+++ b/src/decisions/routing/target-table.ts
@@ -17,8 +17,17 @@
 	 * @returns the engine's id, or undefined if there is none
 	 */
 	placeGeneration(model: string, nowMs: number): string | undefined;
-	/** Chooses a target of a plain service. */
-	placeCall(service: string, nowMs: number): string | undefined;
+	/**
+	 * Chooses a target of a plain service.
+	 * @param avoid - ids of targets to choose only if there is no other
+	 */
+	placeCall(
+		service: string,
+		nowMs: number,
+		avoid?: ReadonlySet<string>,
+	): string | undefined;
+	/** Ids of the targets of each plain service. */
+	services(): ReadonlyMap<string, readonly string[]>;
 	/** Takes back the count of a generation that ended. */
 	release(targetId: string): void;
 	/** True if some target offers the model or service. */
@@ -47,13 +56,20 @@
 			: state.description.kind === 'service' &&
 				state.description.service === name;
 
-	const place = (kind: 'model' | 'service', name: string, nowMs: number) => {
-		const usable = [...targets.values()].filter(
+	const place = (
+		kind: 'model' | 'service',
+		name: string,
+		nowMs: number,
+		avoid?: ReadonlySet<string>,
+	) => {
+		const all = [...targets.values()].filter(
 			(state) =>
 				!state.leaving &&
 				state.ejectedUntilMs <= nowMs &&
 				matches(state, kind, name),
 		);
+		const preferred = all.filter((state) => !avoid?.has(state.description.id));
+		const usable = preferred.length > 0 ? preferred : all;
 		const least = Math.min(...usable.map((state) => state.outstanding));
 		const candidates = usable.filter((state) => state.outstanding === least);
 		return candidates.length === 0
@@ -103,8 +119,19 @@
 
 			return state?.description.id;
 		},
-		placeCall(service, nowMs) {
-			return place('service', service, nowMs)?.description.id;
+		placeCall(service, nowMs, avoid) {
+			return place('service', service, nowMs, avoid)?.description.id;
+		},
+		services() {
+			const found = new Map<string, string[]>();
+			for (const [id, {description}] of targets) {
+				if (description.kind === 'service') {
+					const ids = found.get(description.service) ?? [];
+					found.set(description.service, [...ids, id]);
+				}
+			}
+
+			return found;
 		},
 		release(targetId) {
 			const state = targets.get(targetId);
--- /dev/null
+++ b/src/decisions/streams/relay-session-types.ts
@@ -0,0 +1,58 @@
+import type {
+	Clock,
+	InvariantMonitor,
+	RandomSource,
+	Scheduler,
+} from '../../common/index.js';
+import type {ByteBudget} from './answer-buffer.js';
+import type {PendingCancellations} from './pending-cancellations.js';
+import type {RelayLimits} from './relay-limits.js';
+import type {
+	CallerSink,
+	GenerationPlace,
+	GenerationPlacer,
+	GenerationRequest,
+	RelayMetrics,
+	RestartBudget,
+} from './types.js';
+
+/** What the sessions of one daemon share. */
+export type RelaySurroundings = {
+	/** Admits generations and chooses engines. */
+	readonly placer: GenerationPlacer;
+	readonly clock: Clock;
+	readonly scheduler: Scheduler;
+	readonly random: RandomSource;
+	readonly invariants: InvariantMonitor;
+	readonly limits: RelayLimits;
+	/** Memory for held-back tokens. */
+	readonly bufferBudget: ByteBudget;
+	readonly restartBudget: RestartBudget;
+	readonly cancellations: PendingCancellations;
+	/** Called when a target refuses work because it is leaving. */
+	readonly onTargetLeaving: (targetId: string) => void;
+};
+
+/** What a session needs. */
+export type RelaySessionOptions = RelaySurroundings & {
+	readonly request: GenerationRequest;
+	/** Time in which a caller that left may come back, in milliseconds. */
+	readonly resumeWindowMs: number;
+	readonly sink: CallerSink;
+	readonly metrics: RelayMetrics;
+};
+
+/** Relays one request's answer from engines to its caller. */
+export type RelaySession = {
+	/** Places the request and starts a generation. */
+	start(): void;
+	/**
+	 * Continues a stream that another entry VM may have served.
+	 * @param position - number of tokens that the caller has
+	 */
+	resume(place: GenerationPlace, position: number): void;
+	/** The caller takes tokens again after `token` returned false. */
+	drained(): void;
+	/** The caller is gone. */
+	leave(): void;
+};
--- a/src/decisions/streams/relay-session.ts
+++ b/src/decisions/streams/relay-session.ts
@@ -1,268 +1,321 @@
 import {
 	type Disposable,
 	type Engine,
-	type EngineStream,
-	type EngineStreamListener,
-	type FinishReason,
 	ProblemError,
+	toProblem,
 } from '../../common/index.js';
+import {createAnswerDelivery} from './answer-delivery.js';
 import {
-	createStreamSequencer,
-	type StreamSequencer,
-} from './stream-sequencer.js';
+	createGenerationReader,
+	type GenerationListener,
+	type GenerationReader,
+} from './generation-reader.js';
+import type {RelaySession, RelaySessionOptions} from './relay-session-types.js';
+import {createRelayTimers} from './relay-timers.js';
+import {createRestartPolicy} from './restart-policy.js';
+import {createStreamMeasure} from './stream-measure.js';
 import type {
-	CallerSink,
 	GenerationOutcome,
 	GenerationPlace,
-	GenerationPlacer,
-	GenerationRequest,
 	PlacedGeneration,
 } from './types.js';
 
-/** What a session needs from its surroundings. */
-export type RelaySessionOptions = {
-	readonly request: GenerationRequest;
-	readonly sink: CallerSink;
-	/** Admits the generation and chooses engines. */
-	readonly placer: GenerationPlacer;
-};
-
-/** Relays one request's answer from engines to its caller. */
-export type RelaySession = {
-	/** Places the request and starts a generation. */
-	start(): void;
-	/**
-	 * Continues a stream that another entry VM may have served.
-	 * @param position - number of tokens that the caller has
-	 */
-	resume(place: GenerationPlace, position: number): void;
-	/** The caller takes tokens again after `token` returned false. */
-	drained(): void;
-	/** The caller is gone. */
-	leave(): void;
-};
-
-const maxReopens = 3;
-const maxAttempts = 4;
+/** `progressed` is called each time when so many tokens have come. */
+const progressTokens = 16;
 
 /** Creates a session that has not started. */
 export function createRelaySession(options: RelaySessionOptions): RelaySession {
-	const {request, sink} = options;
-	const buffered: string[] = [];
-	let sequencer: StreamSequencer = createStreamSequencer();
+	const {request, sink, limits, clock, placer, metrics} = options;
+	const measure = createStreamMeasure(
+		metrics,
+		clock.nowMs(),
+		limits.stallTimeThresholdMs,
+	);
 	let place: GenerationPlace | undefined;
-	let waiting: Disposable | undefined;
 	let engine: Engine | undefined;
-	let stream: EngineStream | undefined;
-	let reopens = 0;
-	let delivered = 0;
+	let reader: GenerationReader | undefined;
+	let waiting: Disposable | undefined;
 	let ended = false;
 
 	const release = (outcome: GenerationOutcome) => {
 		if (place) {
-			options.placer.ended(place.generationId, outcome, sequencer.nextPosition);
+			placer.ended(place.generationId, outcome, reader?.nextPosition ?? 0);
+			place = undefined;
 		}
 	};
 
-	const end = (outcome: GenerationOutcome) => {
+	const end = () => {
 		ended = true;
+		timers.dispose();
+		restarts.dispose();
 		waiting?.dispose();
-		stream?.close();
-		release(outcome);
+		reader?.close();
+		delivery.close();
 	};
 
-	const fail = (error: ProblemError) => {
-		end('lost');
-		sink.failed(error);
+	const cancelQuietly = async (own: GenerationReader) => {
+		try {
+			await own.cancel();
+		} catch {
+			// The engine is gone or drops the generation at its own limit.
+		}
 	};
 
-	const deliver = (position: number, text: string) => {
-		delivered = position;
-		if (!sink.token(position, text)) {
-			stream?.pause();
+	const fail = (problem: ProblemError, outcome: GenerationOutcome = 'lost') => {
+		if (ended) {
+			return;
 		}
-	};
 
-	const listenerFor = (own: GenerationPlace): EngineStreamListener => {
-		const current = () => !ended && place === own;
-		return {
-			onToken(position, text) {
-				if (!current()) {
-					return;
-				}
+		end();
+		if (place && reader) {
+			void cancelQuietly(reader);
+		}
 
-				const verdict = sequencer.accept(position);
-				if (verdict === 'gap') {
-					reopen();
-				} else if (verdict === 'deliver') {
-					reopens = 0;
-					if (request.delivery === 'whole') {
-						buffered.push(text);
-					} else {
-						deliver(position + 1, text);
-					}
-				}
-			},
-			onFinish(reason, tokenCount) {
-				if (current()) {
-					finish(reason, tokenCount);
-				}
-			},
-			onFailure(error) {
-				if (current()) {
-					recover(error);
-				}
-			},
-		};
+		release(outcome);
+		metrics.failed(problem.type);
+		sink.failed(problem);
 	};
 
-	const finish = (reason: FinishReason, tokenCount: number) => {
-		try {
-			if (sequencer.finish(tokenCount) === 'gap') {
-				reopen();
-				return;
+	const timers = createRelayTimers({
+		...options,
+		keepAliveMs: limits.keepAliveMs,
+		deadlineMs: request.deadlineMs,
+		onKeepAlive() {
+			if (!delivery.isBlocked) {
+				sink.keepAlive();
 			}
-		} catch (error) {
-			fail(error as ProblemError);
+		},
+		onDeadline() {
+			fail(
+				new ProblemError('deadline-exceeded', 'the deadline has passed', {
+					field: 'X-Request-Timeout-Ms',
+				}),
+				'cancelled',
+			);
+		},
+	});
+
+	const delivery = createAnswerDelivery({
+		...options,
+		delivery: request.delivery,
+		onPassed: timers.written,
+		onBlocked() {
+			reader?.pause();
+		},
+		onUnblocked() {
+			reader?.resume();
+		},
+		onReread(position) {
+			metrics.reopened('reread');
+			read(place!, position).reopen();
+		},
+		onWhole(reason, tokenCount) {
+			end();
+			release('finished');
+			measure.finished(clock.nowMs());
+			sink.finished(reason, tokenCount);
+		},
+	});
+
+	const lose = (cause: ProblemError) => {
+		if (ended) {
 			return;
 		}
 
-		const first = sequencer.nextPosition - buffered.length;
-		for (const [index, text] of buffered.entries()) {
-			deliver(first + index + 1, text);
+		const lost = place!;
+		if (cause.details?.leaving === true) {
+			options.onTargetLeaving(lost.targetId);
 		}
 
-		end('finished');
-		sink.finished(reason, tokenCount);
-	};
-
-	const reopen = () => {
-		stream?.close();
-		if (++reopens > maxReopens) {
-			restart(
-				new ProblemError(
-					'generation-lost',
-					'the engine no longer delivers the generation',
-				),
-			);
-			return;
+		if (mayRestart(lost)) {
+			void cancelQuietly(reader!);
+			release('lost');
+			restarts.lost(lost, delivery.delivered > 0);
+		} else {
+			failLost(cause);
 		}
+	};
 
-		stream = engine!.reopen(
-			place!.generationId,
-			sequencer.nextPosition,
-			listenerFor(place!),
+	const failLost = (cause?: ProblemError) => {
+		const type =
+			cause?.type === 'target-protocol' ? cause.type : 'generation-lost';
+		fail(
+			new ProblemError(type, 'the engine lost the generation; ask again', {
+				cause,
+				retryAfterMs: limits.backoffMaxMs,
+			}),
 		);
 	};
 
-	const recover = (error: ProblemError) => {
-		if (error.type === 'target-unavailable' && sequencer.nextPosition > 0) {
-			reopen();
-		} else {
-			restart(error);
+	const mayRestart = (lost: GenerationPlace) =>
+		lost.attempt + 1 < limits.maxAttempts &&
+		(delivery.delivered === 0 ||
+			(request.delivery !== 'live' && sink.resumable));
+
+	/** Runs a step; the engine or this daemon may be at fault if it fails. */
+	const attempt = (step: () => void) => {
+		try {
+			step();
+		} catch (error) {
+			const problem = toProblem(error);
+			if (problem.type === 'target-protocol') {
+				reader?.close();
+				lose(problem);
+			} else {
+				fail(problem);
+			}
 		}
 	};
 
-	const restart = (cause: ProblemError) => {
-		const attempt = place!.attempt + 1;
-		if (delivered > 0 && request.delivery !== 'restartable') {
-			fail(
-				new ProblemError(
-					'generation-lost',
-					'the engine lost the generation; ask again',
-					{
-						cause,
-						retryAfterMs: 0,
-					},
-				),
-			);
-			return;
-		}
+	const listenerFor = (own: GenerationPlace): GenerationListener => ({
+		onToken(position, text, silenceMs) {
+			measure.token(clock, silenceMs);
+			try {
+				delivery.token(own, position, text);
+			} catch (error) {
+				fail(toProblem(error));
+				return;
+			}
 
-		release('lost');
-		const lostTargetId = place!.targetId;
-		place = undefined;
-		if (attempt >= maxAttempts) {
-			fail(
-				new ProblemError('not-run', 'no engine could finish the generation', {
-					cause,
-				}),
-			);
-			return;
+			if ((position + 1) % progressTokens === 0 && !delivery.isComplete) {
+				placer.progressed(own.generationId, position + 1);
+			}
+		},
+		onFinish(reason, tokenCount) {
+			attempt(() => {
+				delivery.finish(reason, tokenCount);
+			});
+		},
+		onLost: lose,
+		onReopen: metrics.reopened,
+	});
+
+	const read = (own: GenerationPlace, firstPosition: number) => {
+		reader = createGenerationReader({
+			...options,
+			engine: engine!,
+			generationId: own.generationId,
+			firstPosition,
+			listener: listenerFor(own),
+		});
+		if (delivery.isBlocked) {
+			reader.pause();
 		}
 
-		begin(attempt, lostTargetId);
+		return reader;
 	};
 
-	const begin = (attempt: number, avoidTargetId?: string) => {
-		waiting = options.placer.place(
-			request,
-			{
-				onPlaced(placed) {
-					if (!ended) {
-						open(placed, attempt);
-					}
-				},
-				onRefused(problem) {
-					if (!ended) {
-						fail(problem);
-					}
-				},
+	const restarts = createRestartPolicy({
+		...options,
+		account: request.account,
+		onRestart(lost) {
+			begin(lost);
+		},
+		onGivenUp: fail,
+	});
+
+	/** @param lost - place of the generation that this one replaces */
+	const begin = (lost?: GenerationPlace) => {
+		const callbacks = {
+			onPlaced(placed: PlacedGeneration) {
+				if (!ended) {
+					open(placed, lost ? lost.attempt + 1 : 0);
+				}
 			},
-			avoidTargetId,
-		);
+			onRefused(problem: ProblemError) {
+				if (ended) {
+					return;
+				}
+
+				// An answer that was accepted is not given up at the first refusal.
+				if (lost) {
+					restarts.refused(lost, problem);
+				} else {
+					fail(problem);
+				}
+			},
+		};
+		waiting = placer.place(request, callbacks, lost?.targetId);
 	};
 
-	const open = (placed: PlacedGeneration, attempt: number) => {
-		buffered.length = 0;
-		reopens = 0;
-		sequencer = createStreamSequencer();
-		engine = placed.engine;
+	const open = (placed: PlacedGeneration, attemptNumber: number) => {
 		const {generationId, priority} = placed;
-		place = {targetId: engine.description.id, generationId, attempt};
-		if (delivered > 0) {
-			delivered = 0;
+		const {model, prompt, maxTokens, deadlineMs} = request;
+		engine = placed.engine;
+		const targetId = engine.description.id;
+		place = {targetId, generationId, attempt: attemptNumber};
+		const isRestart = delivery.delivered > 0;
+		if (attemptNumber > 0) {
+			metrics.restarted();
+		}
+
+		delivery.begin(place, 0);
+		if (isRestart) {
 			sink.restarted(place);
 		} else {
 			sink.accepted(place);
 		}
 
-		const {model, prompt, maxTokens} = request;
-		stream = engine.start(
-			{generationId, model, prompt, maxTokens, priority},
-			listenerFor(place),
-		);
+		const timeoutMs =
+			deadlineMs === undefined ? undefined : deadlineMs - clock.nowMs();
+		read(place, 0).start({
+			generationId,
+			model,
+			prompt,
+			maxTokens,
+			priority,
+			timeoutMs,
+		});
 	};
 
 	return {
 		start() {
-			begin(0);
+			timers.start();
+			begin();
 		},
 		resume(from, position) {
-			engine = options.placer.adopt(request, from, position);
-			place = from;
-			delivered = position;
-			if (!engine) {
-				restart(
-					new ProblemError(
-						'stream-unknown',
-						'the target of the stream is gone',
-					),
-				);
-				return;
-			}
-
-			sequencer = createStreamSequencer(position);
+			timers.start();
+			options.cancellations.returned(from.generationId);
+			engine = placer.adopt(request, from, position);
+			delivery.begin(from, position);
 			sink.accepted(from);
-			stream = engine.reopen(from.generationId, position, listenerFor(from));
+			if (engine) {
+				place = from;
+				read(from, position).reopen();
+			} else if (mayRestart(from)) {
+				restarts.lost(from, position > 0);
+			} else {
+				failLost();
+			}
 		},
 		drained() {
-			stream?.resume();
+			if (!ended) {
+				attempt(delivery.drained);
+			}
 		},
 		leave() {
-			if (!ended) {
-				end('cancelled');
+			if (ended) {
+				return;
 			}
+
+			end();
+			if (!place || delivery.isComplete) {
+				release('finished');
+				return;
+			}
+
+			const own = reader!;
+			options.cancellations.add(
+				place.generationId,
+				sink.resumable ? options.resumeWindowMs : 0,
+				() => {
+					release('cancelled');
+					void cancelQuietly(own);
+				},
+				() => {
+					release('cancelled');
+				},
+			);
 		},
 	};
 }
--- /dev/null
+++ b/src/decisions/streams/relay-timers.ts
@@ -0,0 +1,57 @@
+import type {Clock, Disposable, Scheduler} from '../../common/index.js';
+
+/** Timers of one session. Writing a token sets no timer. */
+export type RelayTimers = Disposable & {
+	start(): void;
+	/** Something was written to the caller. */
+	written(): void;
+};
+
+/** What the timers need. */
+export type RelayTimersOptions = {
+	readonly clock: Clock;
+	readonly scheduler: Scheduler;
+	readonly keepAliveMs: number;
+	/** Monotonic time of the deadline in milliseconds, if there is one. */
+	readonly deadlineMs: number | undefined;
+	readonly onKeepAlive: () => void;
+	readonly onDeadline: () => void;
+};
+
+/** Creates timers that are not running. */
+export function createRelayTimers(options: RelayTimersOptions): RelayTimers {
+	const {clock, scheduler, keepAliveMs, deadlineMs} = options;
+	let wroteSinceCheck = false;
+	let keepAlive: Disposable | undefined;
+	let deadline: Disposable | undefined;
+
+	const watch = () => {
+		keepAlive = scheduler.after(keepAliveMs, () => {
+			if (!wroteSinceCheck) {
+				options.onKeepAlive();
+			}
+
+			wroteSinceCheck = false;
+			watch();
+		});
+	};
+
+	return {
+		start() {
+			watch();
+			if (deadlineMs !== undefined) {
+				deadline = scheduler.after(
+					Math.max(0, deadlineMs - clock.nowMs()),
+					options.onDeadline,
+				);
+			}
+		},
+		written() {
+			wroteSinceCheck = true;
+		},
+		dispose() {
+			keepAlive?.dispose();
+			deadline?.dispose();
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/streams/stream-measure.ts
@@ -0,0 +1,39 @@
+import type {Clock} from '../../common/index.js';
+import type {RelayMetrics} from './types.js';
+
+/** Takes the measures of one stream. */
+export type StreamMeasure = {
+	/** @param silenceMs - time since the token before, undefined for the first and after a pause */
+	token(clock: Clock, silenceMs: number | undefined): void;
+	finished(nowMs: number): void;
+};
+
+/**
+ * Creates the measure of a stream.
+ * @param startedMs - monotonic time of the request in milliseconds
+ * @param stallThresholdMs - the part of a gap beyond this counts as stall time
+ */
+export function createStreamMeasure(
+	metrics: RelayMetrics,
+	startedMs: number,
+	stallThresholdMs: number,
+): StreamMeasure {
+	let hasFirst = false;
+	let stallMs = 0;
+	return {
+		token(clock, silenceMs) {
+			if (!hasFirst) {
+				hasFirst = true;
+				metrics.firstToken(clock.nowMs() - startedMs);
+			} else if (silenceMs !== undefined) {
+				metrics.tokenGap(silenceMs);
+				if (silenceMs > stallThresholdMs) {
+					stallMs += silenceMs - stallThresholdMs;
+				}
+			}
+		},
+		finished(nowMs) {
+			metrics.finished(nowMs - startedMs, stallMs);
+		},
+	};
+}
--- a/src/decisions/streams/types.ts
+++ b/src/decisions/streams/types.ts
@@ -4,6 +4,7 @@
 	Engine,
 	FinishReason,
 	ProblemError,
+	ProblemType,
 } from '../../common/index.js';
 
 /** A generation as a caller asked for it. */
@@ -14,6 +15,8 @@
 	readonly prompt: string;
 	readonly maxTokens: number;
 	readonly delivery: Delivery;
+	/** Monotonic time at which the caller stops waiting, in milliseconds. */
+	readonly deadlineMs?: number;
 };
 
 /** Where a generation runs. */
@@ -26,19 +29,45 @@
 
 /** Receives what the caller is to see. */
 export type CallerSink = {
-	/** The request was placed; the caller may resume it from now on. */
+	/** True if the caller is told its place in the stream: it can come back and take a restart. */
+	readonly resumable: boolean;
+	/** The request was placed; a resumable caller may come back to this place from now on. */
 	accepted(place: GenerationPlace): void;
 	/**
 	 * @param position - number of tokens that the caller has after this one
-	 * @returns false if the caller is slow and `onDrain` will follow
+	 * @returns false if the caller is slow and `drained` will follow
 	 */
 	token(position: number, text: string): boolean;
 	/** All tokens so far are void; a new generation begins at position 0. */
 	restarted(place: GenerationPlace): void;
+	/** Shows a waiting caller that the connection is alive. */
+	keepAlive(): void;
 	finished(reason: FinishReason, tokenCount: number): void;
 	failed(error: ProblemError): void;
 };
 
+/** Why a link to an engine was opened again. */
+export type ReopenCause = 'stalled' | 'gap' | 'failed' | 'reread';
+
+/** Takes the measures of one client account and class. */
+export type RelayMetrics = {
+	firstToken(durationMs: number): void;
+	/** Time between two tokens, in milliseconds. */
+	tokenGap(durationMs: number): void;
+	/** A whole answer. */
+	finished(durationMs: number, stallMs: number): void;
+	reopened(cause: ReopenCause): void;
+	restarted(): void;
+	/** The request ended with a problem. */
+	failed(type: ProblemType): void;
+};
+
+/** Allows the restarts that are not free. */
+export type RestartBudget = {
+	/** @returns false if the target or the account has used its share */
+	tryTake(account: string, targetId: string): boolean;
+};
+
 /** An engine that was chosen for a generation. */
 export type PlacedGeneration = {
 	readonly engine: Engine;
--- a/src/experiments/fakes/virtual-time.ts
+++ b/src/experiments/fakes/virtual-time.ts
@@ -1,4 +1,4 @@
-import {Clock, type Disposable} from '../../common/index.js';
+import {Clock, type Disposable, type Scheduler} from '../../common/index.js';
 
 type Task = {
 	readonly atMs: number;
@@ -10,7 +10,7 @@
 const wallOriginMs = 1_700_000_000_000;
 
 /** Virtual time: runs tasks in the order of their times and never waits. */
-export class VirtualTime extends Clock {
+export class VirtualTime extends Clock implements Scheduler {
 	private readonly tasks: Task[] = [];
 	private currentMs = 0;
 	private nextOrder = 0;
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -29,6 +29,7 @@
 	targetsOf,
 } from '../../decisions/configuration/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
+import {createRelayWiring} from './relay-wiring.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -76,6 +77,17 @@
 	const follower = createConfigurationFollower();
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
+	const wiring = createRelayWiring({
+		settings: settings.relay,
+		clock,
+		random,
+		metrics,
+		placer,
+		placeCall: (service, avoid) => registry.placeCall(service, avoid),
+		onTargetLeaving(targetId) {
+			registry.table.markLeaving(targetId);
+		},
+	});
 	const sessions = new Set<object>();
 	let stopping = false;
 	let tableReachable = true;
@@ -83,6 +95,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const [service, targetIds] of registry.table.services()) {
+				wiring.outliers.update(service, targetIds);
+			}
+
 			logger.info('configuration in force', {version: configuration.version});
 		}),
 	);
@@ -158,6 +174,8 @@
 	const callers = createCallerServer({
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
+		requestTimeoutMs: settings.relay.requestTimeoutMs,
+		isStopping: () => stopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -171,9 +189,11 @@
 		]),
 		handleCompletions: createCompletionsHandler({
 			maxBodyBytes: settings.maxBodyBytes,
+			maxOpenStreams: settings.relay.maxOpenStreams,
 			streamTokens: createStreamTokens(settings.streamKey),
 			settingsFor,
-			placer,
+			relay: wiring.relay,
+			metricsFor: wiring.metricsFor,
 			onSession(session) {
 				sessions.add(session);
 				return {
@@ -195,6 +215,8 @@
 				wallMs: () => clock.wallMs(),
 			}),
 			place: (service) => registry.placeCall(service),
+			caller: wiring.serviceCaller,
+			nowMs: () => clock.nowMs(),
 		}),
 		onProblem(problem) {
 			metrics.count('problems', {type: problem.type});
@@ -212,6 +234,8 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			openExchanges: callers.openExchanges(),
+			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
@@ -220,7 +244,7 @@
 		metricsText: () => metrics.text(),
 	});
 	const callerPort = await listen(
-		callers,
+		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
@@ -242,7 +266,8 @@
 
 			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			while (sessions.size > 0) {
+			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
+			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
 				await new Promise((resolve) => {
 					setTimeout(resolve, drainCheckMs);
 				});
@@ -250,9 +275,11 @@
 
 			owned.dispose();
 			await new Promise((resolve) => {
-				callers.close(resolve);
-				callers.closeIdleConnections();
+				callers.server.close(resolve);
+				callers.server.closeIdleConnections();
 			});
+			// Callers that left may come back through another entry VM.
+			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
--- /dev/null
+++ b/src/programs/entry/relay-wiring.ts
@@ -0,0 +1,120 @@
+import {
+	createRelayMetricsRegistry,
+	type Metrics,
+	SystemScheduler,
+} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	createInvariantMonitor,
+	type InvariantMonitor,
+	type PlainService,
+	type RandomSource,
+} from '../../common/index.js';
+import {
+	createOutlierDetector,
+	createRetryBudget,
+	createServiceCaller,
+	type OutlierDetector,
+	type ServiceCaller,
+} from '../../decisions/retries/index.js';
+import {
+	createByteBudget,
+	createPendingCancellations,
+	type GenerationPlacer,
+	type RelayMetrics,
+	type RelaySurroundings,
+} from '../../decisions/streams/index.js';
+import type {RelaySettings} from './relay-settings.js';
+
+/** The relay's and the service caller's parts of an entry daemon. */
+export type RelayWiring = {
+	readonly relay: RelaySurroundings;
+	readonly invariants: InvariantMonitor;
+	readonly metricsFor: (account: string, requestClass: string) => RelayMetrics;
+	readonly serviceCaller: ServiceCaller;
+	readonly outliers: OutlierDetector;
+};
+
+/** What the parts need. */
+export type RelayWiringOptions = {
+	readonly settings: RelaySettings;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly metrics: Metrics;
+	readonly placer: GenerationPlacer;
+	readonly placeCall: (
+		service: string,
+		avoid: ReadonlySet<string>,
+	) => PlainService;
+	readonly onTargetLeaving: (targetId: string) => void;
+};
+
+const maxClassesOfAccount = 32;
+
+// One retry for ten requests, and enough saved up for the loss of one target.
+const retriesPerRequest = 0.1;
+const retriesPerSecond = 1;
+const maxSavedRetries = 50;
+
+const outlierLimits = {
+	maxFailures: 3,
+	slowFactor: 5,
+	slowMinMs: 100,
+	ejectionMs: 2000,
+	maxEjectionMs: 30_000,
+	maxEjectedShare: 0.5,
+};
+const callBackoff = {backoffBaseMs: 25, backoffMaxMs: 1000};
+
+/** Wires the relay and the service caller together. */
+export function createRelayWiring(options: RelayWiringOptions): RelayWiring {
+	const {settings, clock, random, metrics, placer} = options;
+	const scheduler = new SystemScheduler();
+	const invariants = createInvariantMonitor();
+	const budget = createRetryBudget({
+		clock,
+		retriesPerRequest,
+		retriesPerSecond,
+		maxSaved: maxSavedRetries,
+	});
+	invariants.onViolation(({name}) => {
+		metrics.count('violations', {name});
+	});
+	const outliers = createOutlierDetector({
+		...outlierLimits,
+		clock,
+		onEjected(targetId) {
+			metrics.count('ejections', {target: targetId});
+		},
+	});
+	return {
+		invariants,
+		outliers,
+		metricsFor: createRelayMetricsRegistry(metrics, maxClassesOfAccount),
+		relay: {
+			placer,
+			clock,
+			scheduler,
+			random,
+			invariants,
+			limits: settings.limits,
+			bufferBudget: createByteBudget(settings.limits.maxDaemonBufferBytes),
+			restartBudget: budget,
+			cancellations: createPendingCancellations(scheduler),
+			onTargetLeaving: options.onTargetLeaving,
+		},
+		serviceCaller: createServiceCaller({
+			...callBackoff,
+			clock,
+			scheduler,
+			random,
+			budget,
+			outliers,
+			maxAttempts: settings.maxCallAttempts,
+			place: options.placeCall,
+			onRetry(service) {
+				metrics.count('call_retries', {service});
+			},
+		}),
+	};
+}
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,5 +1,10 @@
 import type {LogLevel} from '../../adapters/system/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
+import {
+	readRelaySettings,
+	relayFlags,
+	type RelaySettings,
+} from './relay-settings.js';
 
 /** Settings of the entry daemon. */
 export type EntrySettings = {
@@ -21,6 +26,7 @@
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
 	readonly logLevel: LogLevel;
+	readonly relay: RelaySettings;
 };
 
 const maxPort = 65_535;
@@ -124,6 +130,7 @@
 				default: 'info' as const,
 				describe: 'lowest level that is logged',
 			},
+			...relayFlags,
 		})
 		.parseAsync();
 	return {
@@ -175,5 +182,6 @@
 			365 * dayMs,
 		),
 		logLevel: flags['log-level'],
+		relay: readRelaySettings(flags),
 	};
 }
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -27,7 +27,8 @@
 		readonly engine: Engine;
 		readonly generationId: string;
 	};
-	placeCall(service: string): PlainService;
+	/** @param avoid - ids of targets to choose only if there is no other */
+	placeCall(service: string, avoid?: ReadonlySet<string>): PlainService;
 	findEngine(targetId: string): Engine | undefined;
 	released(targetId: string, outcome: GenerationOutcome): void;
 };
@@ -80,8 +81,8 @@
 
 			return {engine, generationId: randomUUID()};
 		},
-		placeCall(service) {
-			const targetId = table.placeCall(service, clock.nowMs());
+		placeCall(service, avoid) {
+			const targetId = table.placeCall(service, clock.nowMs(), avoid);
 			const found = targetId === undefined ? undefined : services.get(targetId);
 			if (!found) {
 				throw refuse('service', service);
