--- a/src/decisions/streams/relay-session.ts
+++ b/src/decisions/streams/relay-session.ts
@@ -46,7 +46,7 @@
 
 	const end = () => {
 		ended = true;
-		timers.dispose();
+		ownTimers.dispose();
 		restarts.dispose();
 		waiting?.dispose();
 		reader?.close();
@@ -76,7 +76,7 @@
 		sink.failed(problem);
 	};
 
-	const timers = createRelayTimers({
+	const ownTimers = createRelayTimers({
 		...options,
 		keepAliveMs: limits.keepAliveMs,
 		deadlineMs: request.deadlineMs,
@@ -98,7 +98,7 @@
 	const delivery = createAnswerDelivery({
 		...options,
 		delivery: request.delivery,
-		onPassed: timers.written,
+		onPassed: ownTimers.written,
 		onBlocked() {
 			reader?.pause();
 		},
@@ -270,11 +270,11 @@
 
 	return {
 		start() {
-			timers.start();
+			ownTimers.start();
 			begin();
 		},
 		resume(from, position) {
-			timers.start();
+			ownTimers.start();
 			options.cancellations.returned(from.generationId);
 			engine = placer.adopt(request, from, position);
 			delivery.begin(from, position);
