--- a/src/adapters/system/index.ts
+++ b/src/adapters/system/index.ts
@@ -3,4 +3,3 @@
 export * from './relay-metrics.js';
 export * from './system-clock.js';
 export * from './system-timers.js';
-export * from './system-scheduler.js';
--- a/src/decisions/retries/service-caller.ts
+++ b/src/decisions/retries/service-caller.ts
@@ -3,7 +3,7 @@
 	type PlainService,
 	ProblemError,
 	type RandomSource,
-	type Scheduler,
+	type Timers,
 	type ServiceAnswer,
 	type ServiceCall,
 	toProblem,
@@ -24,7 +24,7 @@
 /** What the caller needs. */
 export type ServiceCallerOptions = {
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly budget: RetryBudget;
 	readonly outliers: OutlierDetector;
@@ -90,7 +90,7 @@
 
 	const wait = async (delayMs: number) =>
 		new Promise<void>((resolve) => {
-			options.scheduler.after(delayMs, resolve);
+			options.timers.after(delayMs, resolve);
 		});
 
 	const finalProblem = (cause: ProblemError | undefined, late: boolean) =>
--- a/src/decisions/streams/generation-reader.ts
+++ b/src/decisions/streams/generation-reader.ts
@@ -8,7 +8,7 @@
 	type FinishReason,
 	ProblemError,
 	type RandomSource,
-	type Scheduler,
+	type Timers,
 } from '../../common/index.js';
 import {fullJitterMs} from '../retries/index.js';
 import {createLinkWatch} from './link-watch.js';
@@ -33,7 +33,7 @@
 	/** First position wanted. */
 	readonly firstPosition: number;
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly limits: RelayLimits;
 	readonly listener: GenerationListener;
@@ -61,7 +61,7 @@
 export function createGenerationReader(
 	options: GenerationReaderOptions,
 ): GenerationReader {
-	const {engine, generationId, clock, scheduler, random, limits, listener} =
+	const {engine, generationId, clock, timers, random, limits, listener} =
 		options;
 	const sequencer = createStreamSequencer(options.firstPosition);
 	let stream: EngineStream | undefined;
@@ -109,7 +109,7 @@
 
 	const watch = createLinkWatch({
 		clock,
-		scheduler,
+		timers,
 		limits,
 		onStalled() {
 			if (watch.silenceMs >= limits.silenceLostMs) {
@@ -146,7 +146,7 @@
 			limits.backoffBaseMs,
 			limits.backoffMaxMs,
 		);
-		retry = scheduler.after(delayMs, openLink);
+		retry = timers.after(delayMs, openLink);
 	};
 
 	const listenerFor = (serial: number): EngineStreamListener => ({
--- a/src/decisions/streams/relay-session-types.ts
+++ b/src/decisions/streams/relay-session-types.ts
@@ -2,7 +2,7 @@
 	Clock,
 	InvariantMonitor,
 	RandomSource,
-	Scheduler,
+	Timers,
 } from '../../common/index.js';
 import type {ByteBudget} from './answer-buffer.js';
 import type {PendingCancellations} from './pending-cancellations.js';
@@ -21,7 +21,7 @@
 	/** Admits generations and chooses engines. */
 	readonly placer: GenerationPlacer;
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly invariants: InvariantMonitor;
 	readonly limits: RelayLimits;
--- a/src/decisions/streams/relay-timers.ts
+++ b/src/decisions/streams/relay-timers.ts
@@ -1,4 +1,4 @@
-import type {Clock, Disposable, Scheduler} from '../../common/index.js';
+import type {Clock, Disposable, Timers} from '../../common/index.js';
 
 /** Timers of one session. Writing a token sets no timer. */
 export type RelayTimers = Disposable & {
@@ -10,7 +10,7 @@
 /** What the timers need. */
 export type RelayTimersOptions = {
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly keepAliveMs: number;
 	/** Monotonic time of the deadline in milliseconds, if there is one. */
 	readonly deadlineMs: number | undefined;
@@ -20,13 +20,13 @@
 
 /** Creates timers that are not running. */
 export function createRelayTimers(options: RelayTimersOptions): RelayTimers {
-	const {clock, scheduler, keepAliveMs, deadlineMs} = options;
+	const {clock, timers, keepAliveMs, deadlineMs} = options;
 	let wroteSinceCheck = false;
 	let keepAlive: Disposable | undefined;
 	let deadline: Disposable | undefined;
 
 	const watch = () => {
-		keepAlive = scheduler.after(keepAliveMs, () => {
+		keepAlive = timers.after(keepAliveMs, () => {
 			if (!wroteSinceCheck) {
 				options.onKeepAlive();
 			}
@@ -40,7 +40,7 @@
 		start() {
 			watch();
 			if (deadlineMs !== undefined) {
-				deadline = scheduler.after(
+				deadline = timers.after(
 					Math.max(0, deadlineMs - clock.nowMs()),
 					options.onDeadline,
 				);
--- a/src/decisions/streams/restart-policy.ts
+++ b/src/decisions/streams/restart-policy.ts
@@ -3,7 +3,7 @@
 	type Disposable,
 	ProblemError,
 	type RandomSource,
-	type Scheduler,
+	type Timers,
 } from '../../common/index.js';
 import {fullJitterMs} from '../retries/index.js';
 import type {RelayLimits} from './relay-limits.js';
@@ -24,7 +24,7 @@
 export type RestartPolicyOptions = {
 	readonly account: string;
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly limits: RelayLimits;
 	readonly restartBudget: RestartBudget;
@@ -66,7 +66,7 @@
 			limits.backoffBaseMs,
 			limits.backoffMaxMs,
 		);
-		timer = options.scheduler.after(delayMs, run);
+		timer = options.timers.after(delayMs, run);
 	};
 
 	const charge = (place: GenerationPlace) => {
