Make bookings correct under lost answers, outages and dead owners

Cause: the first coordinator wrote each record in a transaction of its own, gave up on a lost answer, and answered outcome-unknown for every record of another VM.

Change: group commit with bounded batches and no key twice in one; claims that read back and try again; records with owner address and target; outcome writes that go on in the background; joining of repeats; questions to the owner over tRPC (bookingStatus); settling with the target's answer, never with its absence; large answers in the object store; removal of old records behind a horizon row that every claim checks. Limits are settings, events are counted. A query for an outcome that the target answers with status 500 or more counts as no answer.

--- a/src/adapters/callers/services-handler.ts
+++ b/src/adapters/callers/services-handler.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
 import {
 	type PlainService,
 	ProblemError,
@@ -27,6 +28,28 @@
 
 const servicePattern = /^\/v1\/services\/([\w-]+)(\/.*)?$/;
 
+/**
+ * Time that the caller waits, from its header and the limit of this entry VM.
+ * @throws ProblemError `invalid-request`
+ */
+function readTimeoutMs(headers: IncomingHttpHeaders, limitMs: number): number {
+	const text = headers['x-request-timeout-ms'];
+	if (text === undefined) {
+		return limitMs;
+	}
+
+	const timeoutMs = Number(text);
+	if (!Number.isInteger(timeoutMs) || timeoutMs < 1) {
+		throw new ProblemError(
+			'invalid-request',
+			'X-Request-Timeout-Ms must be a whole number of milliseconds above 0',
+			{field: 'X-Request-Timeout-Ms'},
+		);
+	}
+
+	return Math.min(timeoutMs, limitMs);
+}
+
 /** Creates the handler of `/v1/services/<service>/<path>`. */
 export function createServicesHandler(
 	options: ServicesHandlerOptions,
@@ -47,12 +70,13 @@
 			contentType: String(
 				request.headers['content-type'] ?? 'application/octet-stream',
 			),
-			timeoutMs: options.callTimeoutMs,
 		};
-		const target = options.place(service);
+		const timeoutMs = readTimeoutMs(request.headers, options.callTimeoutMs);
 		let answer: ServiceAnswer;
 		if (method === 'GET' || method === 'HEAD') {
-			answer = await target.call({...call, idempotencyKey: undefined});
+			answer = await options
+				.place(service)
+				.call({...call, idempotencyKey: undefined, timeoutMs});
 		} else {
 			const header = request.headers['idempotency-key'];
 			const key = checkBookingKey(
@@ -63,10 +87,14 @@
 			const bodyHash = createHash('sha256')
 				.update(`${method}\n${service}\n${call.path}\n${body}`)
 				.digest('base64url');
-			answer = await options.bookings.run(
-				{account, key, bodyHash, service},
-				async () => target.call({...call, idempotencyKey: key}),
-			);
+			answer = await options.bookings.run({
+				account,
+				key,
+				bodyHash,
+				service,
+				request: call,
+				timeoutMs,
+			});
 		}
 
 		response.writeHead(answer.status, {
--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -1,5 +1,9 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
+import type {
+	BookingQuestion,
+	BookingStatus,
+} from '../../decisions/bookings/index.js';
 import type {ConfigurationChange} from '../../decisions/configuration/index.js';
 
 /** What an entry VM tells peers and operators about itself. */
@@ -21,11 +25,15 @@
 	) => readonly ConfigurationChange[];
 	readonly markTargetLeaving: (targetId: string) => void;
 	readonly metricsText: () => string;
+	readonly bookingStatus: (question: BookingQuestion) => Promise<BookingStatus>;
 };
 
 /** Role that the caller's token grants. */
 export type PeerContext = {readonly role: 'peer' | 'operator' | undefined};
 
+/** Longest time for which an owner lets a peer wait, in milliseconds. */
+export const maxBookingWaitMs = 30_000;
+
 const trpc = initTRPC.context<PeerContext>().create();
 
 const authorized = trpc.procedure.use(async ({ctx, next}) => {
@@ -51,6 +59,17 @@
 			.mutation(({input}) => {
 				options.markTargetLeaving(input.targetId);
 			}),
+		bookingStatus: authorized
+			.input(
+				z.object({
+					account: z.string(),
+					key: z.string(),
+					owner: z.string(),
+					attemptId: z.string(),
+					waitMs: z.number().min(0).max(maxBookingWaitMs),
+				}),
+			)
+			.query(async ({input}) => options.bookingStatus(input)),
 		metrics: authorized.query(() => options.metricsText()),
 	});
 }
--- /dev/null
+++ b/src/adapters/peers/trpc-booking-owners.ts
@@ -0,0 +1,63 @@
+import {LRUCache} from 'lru-cache';
+import {ProblemError, toProblem} from '../../common/index.js';
+import {
+	BookingOwners,
+	type BookingQuestion,
+	type BookingStatus,
+} from '../../decisions/bookings/index.js';
+import {createPeerClient, type PeerClient} from './peer-client.js';
+import {maxBookingWaitMs} from './peer-router.js';
+
+/** Options of the questions to owners of booking records. */
+export type TrpcBookingOwnersOptions = {
+	readonly token: string;
+	/** Time for the network beyond the time that the owner waits, in milliseconds. */
+	readonly networkMs: number;
+};
+
+const maxClients = 400;
+
+/** Owners of booking records, asked over tRPC. */
+export class TrpcBookingOwners extends BookingOwners {
+	private readonly clients = new LRUCache<string, PeerClient>({
+		max: maxClients,
+	});
+
+	constructor(private readonly options: TrpcBookingOwnersOptions) {
+		super();
+	}
+
+	override async ask(
+		address: string,
+		question: BookingQuestion,
+	): Promise<BookingStatus> {
+		const waitMs = Math.min(question.waitMs, maxBookingWaitMs);
+		try {
+			return await this.clientOf(address).bookingStatus.query(
+				{...question, waitMs},
+				{signal: AbortSignal.timeout(waitMs + this.options.networkMs)},
+			);
+		} catch (error) {
+			throw new ProblemError(
+				'peer-unavailable',
+				'the owner of a booking record could not be asked',
+				{cause: toProblem(error)},
+			);
+		}
+	}
+
+	private clientOf(address: string): PeerClient {
+		const known = this.clients.get(address);
+		if (known) {
+			return known;
+		}
+
+		const client = createPeerClient({
+			url: `http://${address}`,
+			token: this.options.token,
+			timeoutMs: maxBookingWaitMs + this.options.networkMs,
+		});
+		this.clients.set(address, client);
+		return client;
+	}
+}
--- a/src/adapters/targets/http-plain-service.ts
+++ b/src/adapters/targets/http-plain-service.ts
@@ -54,6 +54,13 @@
 				idempotencyKey: undefined,
 				timeoutMs: outcomeTimeoutMs,
 			});
+			if (answer.status >= 500) {
+				throw new ProblemError(
+					'target-unavailable',
+					`target answered status ${answer.status}`,
+				);
+			}
+
 			return answer.status === 404 ? undefined : answer;
 		} catch (error) {
 			throw new ProblemError(
--- a/src/decisions/bookings/booking-coordinator.ts
+++ b/src/decisions/bookings/booking-coordinator.ts
@@ -1,161 +1,256 @@
+import {LRUCache} from 'lru-cache';
 import {
-	ProblemError,
-	type Row,
 	type ServiceAnswer,
-	type TableService,
+	type Timers,
+	toProblem,
 } from '../../common/index.js';
-import type {BookingCall, BookingRecord} from './types.js';
-
-/** What a coordinator needs from its surroundings. */
-export type BookingCoordinatorOptions = {
-	readonly table: TableService;
-	/** Instance of this entry VM's process. */
-	readonly owner: string;
-	/** Returns a new unique id. */
-	readonly createAttemptId: () => string;
-	/** Wall-clock time in milliseconds. */
-	readonly wallMs: () => number;
-};
+import {createBookingContext} from './booking-context.js';
+import {
+	type BookingEntry,
+	type BookingOutcome,
+	createBookingEntry,
+	problemOutcome,
+} from './booking-entry.js';
+import {createBookingFollower} from './booking-follower.js';
+import {createBookingOwner} from './booking-owner.js';
+import type {BookingQuestion, BookingStatus} from './booking-owners.js';
+import {bookingRowKey, parseBookingRecord} from './booking-record.js';
+import {createBookingRunner} from './booking-runner.js';
+import {createBookingSettler} from './booking-settler.js';
+import type {BookingCall, BookingOptions} from './types.js';
 
 /** Carries out calls that may not be repeated, each at most once. */
 export type BookingCoordinator = {
+	/** Bookings that need this VM's memory. */
+	readonly openCount: number;
 	/**
-	 * Runs a call or returns the recorded answer of an earlier one.
-	 * @param call - identity of the call
-	 * @param send - calls the target; invoked at most once
-	 * @throws ProblemError `not-run`, `outcome-unknown` or `idempotency-key-reused`
+	 * Runs a call, joins one that is running, or returns the recorded answer of an earlier one.
+	 * @throws ProblemError `not-run`, `outcome-unknown`, `idempotency-key-reused`,
+	 * `idempotency-key-expired` or a problem of the target's placement
 	 */
-	run(
-		call: BookingCall,
-		send: () => Promise<ServiceAnswer>,
-	): Promise<ServiceAnswer>;
+	run(call: BookingCall): Promise<ServiceAnswer>;
+	/**
+	 * Answers another entry VM that found a record of this one.
+	 * @throws ProblemError `table-unavailable`, `table-outcome-unknown` or `table-corrupt-row`
+	 */
+	status(question: BookingQuestion): Promise<BookingStatus>;
+	/** Resolves when no booking is open. */
+	drain(): Promise<void>;
 };
 
-function rowKey(call: BookingCall): string {
-	return `booking/${encodeURIComponent(call.account)}/${call.key}`;
-}
+type Remembered = {
+	readonly bodyHash: string;
+	readonly outcome: BookingOutcome;
+};
 
-function parseRecord(row: Row): BookingRecord {
-	try {
-		return JSON.parse(row.value) as BookingRecord;
-	} catch {
-		throw new ProblemError(
-			'table-corrupt-row',
-			`row "${row.key}" holds no valid record`,
-			{
-				field: row.key,
-			},
-		);
+function unwrap(outcome: BookingOutcome): ServiceAnswer {
+	if (outcome.kind === 'problem') {
+		throw outcome.problem;
 	}
+
+	return outcome.answer;
+}
+
+const reused = () =>
+	problemOutcome(
+		'idempotency-key-reused',
+		'Idempotency-Key was used before with another request',
+	);
+
+async function settlesWithin(
+	timers: Timers,
+	promise: Promise<void>,
+	waitMs: number,
+): Promise<boolean> {
+	return new Promise((resolve) => {
+		const timer = timers.after(waitMs, () => {
+			resolve(false);
+		});
+		void promise.then(() => {
+			timer.dispose();
+			resolve(true);
+		});
+	});
 }
 
 /** Creates a coordinator. */
 export function createBookingCoordinator(
-	options: BookingCoordinatorOptions,
+	options: BookingOptions,
 ): BookingCoordinator {
-	const {table} = options;
+	const context = createBookingContext(options);
+	const {records, clock, timers, limits} = context;
+	const settler = createBookingSettler(context);
+	const owner = createBookingOwner(context, settler);
+	const follower = createBookingFollower(context, owner, settler);
+	const openEntries = new Map<string, BookingEntry>();
+	const remembered = new LRUCache<string, Remembered>({
+		max: limits.maxRemembered,
+	});
 
-	const answerFrom = (
-		call: BookingCall,
-		record: BookingRecord,
-	): ServiceAnswer => {
-		if (record.bodyHash !== call.bodyHash) {
-			throw new ProblemError(
-				'idempotency-key-reused',
-				'Idempotency-Key was used before with another request body',
-				{field: 'Idempotency-Key'},
+	const remember = (call: BookingCall, outcome: BookingOutcome) => {
+		remembered.set(bookingRowKey(call.account, call.key), {
+			bodyHash: call.bodyHash,
+			outcome,
+		});
+	};
+
+	const runner = createBookingRunner(
+		context,
+		owner,
+		follower,
+		(entry, outcome) => {
+			remember(entry.call, outcome);
+		},
+	);
+
+	const drive = async (id: string, entry: BookingEntry): Promise<void> => {
+		try {
+			await runner.run(entry);
+		} catch (error) {
+			entry.finish(
+				problemOutcome(
+					'outcome-unknown',
+					'unexpected failure',
+					toProblem(error),
+				),
 			);
+		} finally {
+			openEntries.delete(id);
+			entry.close();
 		}
+	};
 
-		if (record.state === 'done' && record.answer) {
-			return record.answer;
+	const outcomeAtDeadline = (entry: BookingEntry): BookingOutcome => {
+		// Nobody waits for the claim any more, so the target is never called.
+		if (entry.phase === 'claiming' && entry.waiterCount === 0) {
+			entry.phase = 'given-up';
 		}
 
-		if (record.state === 'not-run') {
-			throw new ProblemError(
-				'not-run',
-				'this call was refused before and did not run',
-			);
-		}
+		return entry.phase === 'given-up'
+			? problemOutcome('not-run', 'the deadline passed before the call ran')
+			: problemOutcome(
+					'outcome-unknown',
+					'the call is running; ask again later',
+				);
+	};
 
-		throw new ProblemError(
-			'outcome-unknown',
-			'this call may have run; ask again later',
-		);
+	const waitFor = async (
+		entry: BookingEntry,
+		deadlineMs: number,
+	): Promise<BookingOutcome> => {
+		entry.waiterCount++;
+		entry.deadlineMs = Math.max(entry.deadlineMs, deadlineMs);
+		return new Promise((resolve) => {
+			const timer = timers.after(deadlineMs - clock.nowMs(), () => {
+				entry.waiterCount--;
+				resolve(outcomeAtDeadline(entry));
+			});
+			void entry.outcome.then((outcome) => {
+				timer.dispose();
+				resolve(outcome);
+			});
+		});
 	};
 
-	const claim = async (key: string, record: BookingRecord): Promise<Row> => {
-		const value = JSON.stringify(record);
-		try {
-			const [result] = await table.commit([
-				{checks: [{key, version: 0}], writes: [{key, value}]},
-			]);
-			return result.committed
-				? {key, value, version: result.version}
-				: result.current[0];
-		} catch (error) {
-			if (
-				!(error instanceof ProblemError) ||
-				error.type !== 'table-outcome-unknown'
-			) {
-				throw error;
+	const openEntry = (id: string, call: BookingCall): BookingEntry => {
+		const entry = createBookingEntry(call, options.createAttemptId());
+		openEntries.set(id, entry);
+		context.count('opened');
+		return entry;
+	};
+
+	const runUntil = async (
+		call: BookingCall,
+		deadlineMs: number,
+	): Promise<BookingOutcome> => {
+		const id = bookingRowKey(call.account, call.key);
+		for (;;) {
+			const known = remembered.get(id);
+			if (known) {
+				context.count('remembered');
+				return known.bodyHash === call.bodyHash ? known.outcome : reused();
+			}
+
+			const running = openEntries.get(id);
+			if (!running) {
+				break;
 			}
 
-			const row = await table.get(key);
-			if (!row) {
-				throw error;
+			if (running.call.bodyHash === call.bodyHash) {
+				context.count('joined');
+				return waitFor(running, deadlineMs);
 			}
 
-			return row;
+			// Until the record is known, either request may be the one with the wrong body.
+			const waitMs = deadlineMs - clock.nowMs();
+			if (
+				running.phase === 'sent' ||
+				!(await settlesWithin(timers, running.closed, waitMs))
+			) {
+				return reused();
+			}
+		}
+
+		if (openEntries.size >= limits.maxOpen) {
+			context.count('overloaded');
+			return problemOutcome('not-run', 'too many bookings are open on this VM');
 		}
-	};
 
-	const record = async (row: Row, next: BookingRecord): Promise<void> => {
-		await table.commit([
-			{
-				checks: [{key: row.key, version: row.version}],
-				writes: [{key: row.key, value: JSON.stringify(next)}],
-			},
-		]);
+		const entry = openEntry(id, call);
+		const outcome = waitFor(entry, deadlineMs);
+		void drive(id, entry);
+		return outcome;
 	};
 
 	return {
-		async run(call, send) {
-			const started: BookingRecord = {
-				state: 'started',
-				owner: options.owner,
-				attemptId: options.createAttemptId(),
-				bodyHash: call.bodyHash,
-				service: call.service,
-				startedWallMs: options.wallMs(),
-			};
-			let row;
-			try {
-				row = await claim(rowKey(call), started);
-			} catch (error) {
-				throw new ProblemError('not-run', 'the table service is unavailable', {
-					cause: error as Error,
-					retryAfterMs: 1000,
-				});
+		get openCount() {
+			return openEntries.size;
+		},
+		async run(call) {
+			return unwrap(await runUntil(call, clock.nowMs() + call.timeoutMs));
+		},
+		async status(question) {
+			if (question.owner !== options.owner) {
+				return 'other-process';
+			}
+
+			const entry = openEntries.get(
+				bookingRowKey(question.account, question.key),
+			);
+			if (entry?.attemptId === question.attemptId) {
+				if (entry.phase === 'given-up') {
+					return 'not-run';
+				}
+
+				const closed = await settlesWithin(
+					timers,
+					entry.closed,
+					question.waitMs,
+				);
+				return closed ? 'recorded' : 'running';
+			}
+
+			if (!context.checks('read-before-not-run')) {
+				return 'not-run';
 			}
 
-			const found = parseRecord(row);
-			if (found.attemptId !== started.attemptId) {
-				return answerFrom(call, found);
+			const row = await records.read(question.account, question.key);
+			const record = row && parseBookingRecord(row);
+			if (
+				record?.state !== 'started' ||
+				record.attemptId !== question.attemptId
+			) {
+				return 'recorded';
 			}
 
-			try {
-				const answer = await send();
-				await record(row, {...started, state: 'done', answer});
-				return answer;
-			} catch (error) {
-				const notSent =
-					error instanceof ProblemError && error.type === 'target-unavailable';
-				await record(row, {...started, state: notSent ? 'not-run' : 'unknown'});
-				throw new ProblemError(
-					notSent ? 'not-run' : 'outcome-unknown',
-					notSent ? 'the target could not be reached' : 'the call may have run',
-					{cause: error as Error},
+			return (await owner.closeForgotten(row!, record))
+				? 'not-run'
+				: 'recorded';
+		},
+		async drain() {
+			while (openEntries.size > 0) {
+				await Promise.all(
+					[...openEntries.values()].map(async (entry) => entry.closed),
 				);
 			}
 		},
--- a/src/decisions/bookings/booking-key.ts
+++ b/src/decisions/bookings/booking-key.ts
@@ -4,6 +4,14 @@
 	/^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/;
 const maxSkewMs = 300_000;
 
+/**
+ * Time embedded in a UUID version 7.
+ * @returns wall-clock time in milliseconds
+ */
+export function bookingKeyTimeMs(key: string): number {
+	return Number.parseInt(key.slice(0, 8) + key.slice(9, 13), 16);
+}
+
 /**
  * Checks an idempotency key. Its embedded time lets old records be removed without reopening a key.
  * @param key - value of the `Idempotency-Key` header
@@ -26,10 +34,7 @@
 		);
 	}
 
-	const createdWallMs = Number.parseInt(
-		normalized.replaceAll('-', '').slice(0, 12),
-		16,
-	);
+	const createdWallMs = bookingKeyTimeMs(normalized);
 	if (createdWallMs > wallMs + maxSkewMs) {
 		throw new ProblemError(
 			'idempotency-key-invalid',
--- a/src/decisions/bookings/index.ts
+++ b/src/decisions/bookings/index.ts
@@ -1,3 +1,7 @@
 export * from './booking-coordinator.js';
 export * from './booking-key.js';
-export type * from './types.js';
+export * from './booking-owners.js';
+export {bookingPrefix, parseBookingRecord} from './booking-record.js';
+export * from './booking-retention.js';
+export * from './group-commit.js';
+export * from './types.js';
--- /dev/null
+++ b/src/programs/entry/create-bookings.ts
@@ -0,0 +1,100 @@
+import {randomUUID} from 'node:crypto';
+import {TrpcBookingOwners} from '../../adapters/peers/index.js';
+import {HttpObjectStore} from '../../adapters/platform/index.js';
+import {type Metrics, SystemTimers} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	createInvariantMonitor,
+	type Disposable,
+	type RandomSource,
+	type TableService,
+	toProblem,
+} from '../../common/index.js';
+import {
+	type BookingCoordinator,
+	createBookingCoordinator,
+	createBookingRetention,
+} from '../../decisions/bookings/index.js';
+import type {EntrySettings} from './settings.js';
+import type {TargetsRegistry} from './targets-registry.js';
+
+/** What bookings need from the daemon. */
+export type BookingsOptions = {
+	readonly settings: EntrySettings;
+	readonly table: TableService;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly instanceId: string;
+	/** Address and port of the peer server. */
+	readonly peerAddress: () => string;
+	readonly registry: TargetsRegistry;
+	readonly metrics: Metrics;
+};
+
+/** The daemon's bookings with the removal of their old records. */
+export type Bookings = Disposable & {readonly coordinator: BookingCoordinator};
+
+const sweepPeriodMs = 600_000;
+const maxRowsPerSweep = 5000;
+
+/** Wires bookings together. */
+export function createBookings(options: BookingsOptions): Bookings {
+	const {settings, table, clock, random, registry, metrics} = options;
+	const timers = new SystemTimers();
+	const objects = new HttpObjectStore({
+		url: settings.platformUrl,
+		timeoutMs: settings.tableTimeoutMs,
+	});
+	const invariants = createInvariantMonitor();
+	invariants.onViolation(({name}) => {
+		metrics.count('violations', {name});
+	});
+	const coordinator = createBookingCoordinator({
+		table,
+		objects,
+		owners: new TrpcBookingOwners({
+			token: settings.peerToken,
+			networkMs: settings.tableTimeoutMs,
+		}),
+		clock,
+		timers,
+		random,
+		owner: options.instanceId,
+		ownerAddress: options.peerAddress,
+		createAttemptId: () => randomUUID(),
+		place: (service) => registry.placeCall(service),
+		findTarget: (targetId) => registry.findService(targetId),
+		limits: settings.bookingLimits,
+		invariants,
+		count(name) {
+			metrics.count('bookings', {event: name});
+		},
+	});
+	const retention = createBookingRetention({
+		table,
+		objects,
+		clock,
+		retentionMs: settings.bookingRetentionMs,
+		maxRowsPerSweep,
+	});
+	const sweep = async (): Promise<void> => {
+		try {
+			const removed = await retention.sweep();
+			metrics.count('booking_records_removed', {}, removed);
+		} catch (error) {
+			metrics.count('booking_sweep_errors', {type: toProblem(error).type});
+		}
+	};
+
+	// VMs start their sweeps at different times, so that they do not all read the same rows.
+	let timer = timers.after(random.nextUnit() * sweepPeriodMs, function again() {
+		void sweep();
+		timer = timers.after(sweepPeriodMs, again);
+	});
+	return {
+		coordinator,
+		dispose() {
+			timer.dispose();
+		},
+	};
+}
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -21,13 +21,13 @@
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
-import {createBookingCoordinator} from '../../decisions/bookings/index.js';
 import {
 	createConfigurationFollower,
 	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -149,6 +149,19 @@
 		},
 	});
 
+	let {peerPort} = settings;
+	const bookings = owned.add(
+		createBookings({
+			settings,
+			table,
+			clock,
+			random,
+			instanceId,
+			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			registry,
+			metrics,
+		}),
+	);
 	const isReady = () => follower.confirmed && !stopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -191,12 +204,7 @@
 			retentionMs: settings.bookingRetentionMs,
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
-			bookings: createBookingCoordinator({
-				table,
-				owner: instanceId,
-				createAttemptId: () => randomUUID(),
-				wallMs: () => clock.wallMs(),
-			}),
+			bookings: bookings.coordinator,
 			place: (service) => registry.placeCall(service),
 		}),
 		onProblem(problem) {
@@ -221,17 +229,14 @@
 			registry.table.markLeaving(targetId);
 		},
 		metricsText: () => metrics.text(),
+		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
 	const callerPort = await listen(
 		callers,
 		settings.listenPort,
 		settings.listenAddress,
 	);
-	const peerPort = await listen(
-		peers,
-		settings.peerPort,
-		settings.listenAddress,
-	);
+	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
@@ -251,6 +256,7 @@
 				});
 			}
 
+			await bookings.coordinator.drain();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.close(resolve);
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,5 +1,7 @@
 import type {LogLevel} from '../../adapters/system/index.js';
+import type {BookingLimits} from '../../decisions/bookings/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
+import {bookingFlags, readBookingLimits} from './booking-settings.js';
 
 /** Settings of the entry daemon. */
 export type EntrySettings = {
@@ -20,6 +22,7 @@
 	readonly pollIntervalMs: number;
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
+	readonly bookingLimits: BookingLimits;
 	readonly logLevel: LogLevel;
 };
 
@@ -119,6 +122,7 @@
 				default: 7 * dayMs,
 				describe: 'how long booking records are kept, in ms',
 			},
+			...bookingFlags,
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
@@ -174,6 +178,7 @@
 			60_000,
 			365 * dayMs,
 		),
+		bookingLimits: readBookingLimits(flags),
 		logLevel: flags['log-level'],
 	};
 }
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -26,6 +26,7 @@
 	};
 	placeCall(service: string): PlainService;
 	findEngine(targetId: string): Engine | undefined;
+	findService(targetId: string): PlainService | undefined;
 	released(targetId: string, outcome: 'finished' | 'failed' | 'left'): void;
 };
 
@@ -89,6 +90,9 @@
 		findEngine(targetId) {
 			return engines.get(targetId);
 		},
+		findService(targetId) {
+			return services.get(targetId);
+		},
 		released(targetId, outcome) {
 			table.release(targetId);
 			if (outcome === 'failed') {
