--- a/src/adapters/callers/services-handler.ts
+++ b/src/adapters/callers/services-handler.ts
@@ -1,10 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import {
-	type PlainService,
-	ProblemError,
-	type ServiceAnswer,
-} from '../../common/index.js';
+import {ProblemError, type ServiceAnswer} from '../../common/index.js';
 import {
 	type BookingCoordinator,
 	checkBookingKey,
@@ -26,8 +22,6 @@
 	/** Sends calls that may be repeated. */
 	readonly caller: ServiceCaller;
 	readonly nowMs: () => number;
-	/** Chooses a target; throws `not-run` or `unknown-service`. */
-	readonly place: (service: string) => PlainService;
 };
 
 const servicePattern = /^\/v1\/services\/([\w-]+)(\/.*)?$/;
@@ -57,14 +51,16 @@
 			contentType: String(
 				request.headers['content-type'] ?? 'application/octet-stream',
 			),
-			timeoutMs,
-			idempotencyKey: undefined,
 		};
 		let answer: ServiceAnswer;
 		if (method === 'GET' || method === 'HEAD') {
-			answer = await options.caller.run({account, service, call, deadlineMs});
+			answer = await options.caller.run({
+				account,
+				service,
+				call: {...call, timeoutMs, idempotencyKey: undefined},
+				deadlineMs,
+			});
 		} else {
-			const target = options.place(service);
 			const header = request.headers['idempotency-key'];
 			const key = checkBookingKey(
 				typeof header === 'string' ? header : undefined,
@@ -74,10 +70,14 @@
 			const bodyHash = createHash('sha256')
 				.update(`${method}\n${service}\n${call.path}\n${body}`)
 				.digest('base64url');
-			answer = await options.bookings.run(
-				{account, key, bodyHash, service},
-				async () => target.call({...call, idempotencyKey: key}),
-			);
+			answer = await options.bookings.run({
+				account,
+				key,
+				bodyHash,
+				service,
+				request: call,
+				timeoutMs,
+			});
 		}
 
 		response.writeHead(answer.status, {
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -21,7 +21,6 @@
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
-import {createBookingCoordinator} from '../../decisions/bookings/index.js';
 import {
 	createConfigurationFollower,
 	createConfigurationStore,
@@ -30,6 +29,7 @@
 } from '../../decisions/configuration/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -167,6 +167,19 @@
 		},
 	});
 
+	let {peerPort} = settings;
+	const bookings = owned.add(
+		createBookings({
+			settings,
+			table,
+			clock,
+			random,
+			instanceId,
+			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			registry,
+			metrics,
+		}),
+	);
 	const isReady = () => follower.confirmed && !stopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -208,13 +221,7 @@
 			retentionMs: settings.bookingRetentionMs,
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
-			bookings: createBookingCoordinator({
-				table,
-				owner: instanceId,
-				createAttemptId: () => randomUUID(),
-				wallMs: () => clock.wallMs(),
-			}),
-			place: (service) => registry.placeCall(service),
+			bookings: bookings.coordinator,
 			caller: wiring.serviceCaller,
 			nowMs: () => clock.nowMs(),
 		}),
@@ -242,17 +249,14 @@
 			registry.table.markLeaving(targetId);
 		},
 		metricsText: () => metrics.text(),
+		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
 	const callerPort = await listen(
 		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
-	const peerPort = await listen(
-		peers,
-		settings.peerPort,
-		settings.listenAddress,
-	);
+	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
@@ -273,6 +277,7 @@
 				});
 			}
 
+			await bookings.coordinator.drain();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,10 +1,12 @@
 import type {LogLevel} from '../../adapters/system/index.js';
+import type {BookingLimits} from '../../decisions/bookings/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
 import {
 	readRelaySettings,
 	relayFlags,
 	type RelaySettings,
 } from './relay-settings.js';
+import {bookingFlags, readBookingLimits} from './booking-settings.js';
 
 /** Settings of the entry daemon. */
 export type EntrySettings = {
@@ -25,6 +27,7 @@
 	readonly pollIntervalMs: number;
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
+	readonly bookingLimits: BookingLimits;
 	readonly logLevel: LogLevel;
 	readonly relay: RelaySettings;
 };
@@ -125,6 +128,7 @@
 				default: 7 * dayMs,
 				describe: 'how long booking records are kept, in ms',
 			},
+			...bookingFlags,
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
@@ -181,6 +185,7 @@
 			60_000,
 			365 * dayMs,
 		),
+		bookingLimits: readBookingLimits(flags),
 		logLevel: flags['log-level'],
 		relay: readRelaySettings(flags),
 	};
