--- a/src/decisions/leases/command-planner.ts
+++ b/src/decisions/leases/command-planner.ts
@@ -16,6 +16,7 @@
 	type PlacementSettings,
 	type PlannedOrder,
 	planModels,
+	planRepair,
 } from './placement/index.js';
 import type {LeaseRecord} from './types.js';
 import {
@@ -44,6 +45,7 @@
 	readonly readReport: (target: TargetDescription) => Promise<LoadReport>;
 	readonly sizeBytes: (model: string, version: string) => Promise<number>;
 	readonly createCommandId: () => string;
+	readonly copyCheck?: typeof keepsCopy;
 	/** Called when a planned command is put off. */
 	readonly onHeldBack: (
 		order: PlannedOrder,
@@ -53,8 +55,15 @@
 
 /** Chooses commands and prepares the transactions that announce them. */
 export type CommandPlanner = {
-	/** Commands wanted now for the targets that are free. */
-	plan(isFree: (targetId: string) => boolean): readonly PlannedOrder[];
+	/**
+	 * Commands wanted now for the targets that are free: repairs first, then changes for the demand.
+	 * @param isFree - whether this VM may give a target a command, judged by a view that is new enough
+	 * @param recordOf - lease row of a target that is free
+	 */
+	plan(
+		isFree: (view: EngineView) => boolean,
+		recordOf: (targetId: string) => LeaseRecord,
+	): readonly PlannedOrder[];
 	/**
 	 * Prepares the write of a command's intent, with the debit of a load's weights or the copy check
 	 * of an unload in the same transaction.
@@ -75,7 +84,7 @@
 export function createCommandPlanner(
 	options: CommandPlannerOptions,
 ): CommandPlanner {
-	const {table, clock} = options;
+	const {table, clock, copyCheck = keepsCopy} = options;
 	let memory: ReadonlyMap<string, ModelMemory> = new Map();
 
 	const intentWrite = (
@@ -151,7 +160,7 @@
 		};
 		const keptCount = isInUse(demand, model) ? Math.max(1, model.minCopies) : 0;
 		const live = await readLiveCopies(order);
-		if (!keepsCopy(ledger, order.targetId, live, keptCount)) {
+		if (!copyCheck(ledger, order.targetId, live, keptCount)) {
 			options.onHeldBack(order, 'last-copy');
 			return undefined;
 		}
@@ -164,18 +173,29 @@
 	};
 
 	return {
-		plan(isFree) {
+		plan(isFree, recordOf) {
+			const engines = options.engines();
+			const free = engines.filter((view) => isFree(view));
+			const repairs = free.flatMap((view) =>
+				planRepair(view, recordOf(view.target.id).wantedModels),
+			);
+			const repaired = new Set(repairs.map((order) => order.targetId));
+			const freeIds = new Set(
+				free
+					.map((view) => view.target.id)
+					.filter((targetId) => !repaired.has(targetId)),
+			);
 			const plan = planModels({
 				models: options.models(),
 				demand: options.demand(),
-				engines: options.engines(),
+				engines,
 				memory,
 				settings: options.placement(),
-				isFree,
+				isFree: (targetId) => freeIds.has(targetId),
 				nowMs: clock.nowMs(),
 			});
 			memory = plan.memory;
-			return plan.orders;
+			return [...repairs, ...plan.orders];
 		},
 		async announce(order, record) {
 			return order.kind === 'load-model'
--- a/src/decisions/leases/lease-events.ts
+++ b/src/decisions/leases/lease-events.ts
@@ -41,20 +41,28 @@
 	version: number,
 	nowMs: number,
 ): LeaseState {
-	const held = isSameHolder(state.record?.holder, state.self);
-	const holds = isSameHolder(record?.holder, state.self);
+	const seen = {...state, record, version, unchangedSinceMs: nowMs};
+	if (!isSameHolder(record?.holder, state.self)) {
+		return {
+			...seen,
+			predecessor: 'unknown',
+			validUntilMs: 0,
+			shownMs: undefined,
+		};
+	}
+
+	const before = state.record;
+	const held = isSameHolder(before?.holder, state.self);
 	const activated =
-		state.record?.waitingFor !== undefined && record?.waitingFor === undefined;
-	const sameCommand =
-		record?.intent?.commandId === state.record?.intent?.commandId;
+		before?.waitingFor !== undefined && record!.waitingFor === undefined;
+	const freed =
+		record!.intent === undefined && (!held || before?.intent !== undefined);
+	const sameCommand = record!.intent?.commandId === before?.intent?.commandId;
 	return {
-		...state,
-		record,
-		version,
-		unchangedSinceMs: nowMs,
-		heldSinceMs: holds && (!held || activated) ? nowMs : state.heldSinceMs,
-		predecessor: holds && held ? state.predecessor : 'unknown',
-		validUntilMs: holds ? state.validUntilMs : 0,
+		...seen,
+		predecessor: held ? state.predecessor : 'unknown',
+		heldSinceMs: !held || activated ? nowMs : state.heldSinceMs,
+		freeSinceMs: freed ? nowMs : state.freeSinceMs,
 		shownMs: sameCommand ? state.shownMs : undefined,
 	};
 }
@@ -115,6 +123,19 @@
 	};
 }
 
+function onReport(
+	state: LeaseState,
+	event: Extract<LeaseEvent, {type: 'report'}>,
+): LeaseState {
+	const intent = state.record?.intent;
+	if (!intent || event.atMs < (state.shownMs ?? 0)) {
+		return state;
+	}
+
+	const shown = showsWanted(intent.order, event.models);
+	return {...state, shownMs: shown ? event.atMs : undefined};
+}
+
 /** State of a lease after an event; see {@link LeaseState}. */
 export function advanceLease(
 	state: LeaseState,
@@ -165,14 +186,7 @@
 		}
 
 		case 'report': {
-			const intent = state.record?.intent;
-			const newer = event.atMs >= (state.shownMs ?? 0);
-			if (!intent || !newer) {
-				return state;
-			}
-
-			const shown = showsWanted(intent.order, event.models);
-			return {...state, shownMs: shown ? event.atMs : undefined};
+			return onReport(state, event);
 		}
 
 		case 'predecessor': {
--- a/src/decisions/leases/lease-machine.ts
+++ b/src/decisions/leases/lease-machine.ts
@@ -41,6 +41,7 @@
 		predecessor: 'unknown',
 		copies: [],
 		shownMs: undefined,
+		freeSinceMs: 0,
 		stopBelow: 0,
 	};
 }
@@ -136,6 +137,7 @@
 		holder: self,
 		fencingNumber: (record?.fencingNumber ?? 0) + 1,
 		renewal: record?.renewal ?? 0,
+		wantedModels: record?.wantedModels ?? {},
 		intent: intent && {
 			...intent,
 			sentCount: 0,
@@ -150,6 +152,19 @@
 	});
 }
 
+function cleared(record: LeaseRecord): LeaseRecord {
+	const {kind, name, version} = record.intent!.order;
+	const isModel = kind === 'load-model' || kind === 'unload-model';
+	const state = kind === 'load-model' ? 'loaded' : 'unloaded';
+	return {
+		...record,
+		intent: undefined,
+		wantedModels: isModel
+			? {...record.wantedModels, [name]: {state, version}}
+			: record.wantedModels,
+	};
+}
+
 function decideIntent(
 	state: LeaseState,
 	nowMs: number,
@@ -172,7 +187,7 @@
 	}
 
 	if (isSettled(state, nowMs, settings) && isShown(state)) {
-		return write('clear', {...record, intent: undefined});
+		return write('clear', cleared(record));
 	}
 
 	const due = !last || nowMs - last.sentMs >= settings.resendMs;
--- a/src/decisions/leases/order-coordinator.ts
+++ b/src/decisions/leases/order-coordinator.ts
@@ -18,9 +18,11 @@
 	type LeaseKeeperOptions,
 	type LeaseWrite,
 } from './lease-keeper.js';
+import {createHolderCalls} from './holder-calls.js';
 import {createLeaseSpread} from './lease-spread.js';
+import type {EngineView} from './placement/index.js';
 import {leaseDecisions} from './lease-machine.js';
-import type {LeaseAction, LeaseDecisions, LeaseSettings} from './types.js';
+import type {LeaseDecisions, LeaseSettings, OrderRecord} from './types.js';
 
 /** What a coordinator needs from its surroundings. */
 export type OrderCoordinatorOptions = Omit<
@@ -44,15 +46,11 @@
 	readonly onCount: (name: string, labels: Record<string, string>) => void;
 };
 
-/** What was done for one target, why, and with what result. */
-export type OrderRecord = {
-	readonly subject: string;
-	readonly cause: string;
-	readonly result: string;
-};
-
 /** Holds leases and gives commands on behalf of one entry VM. */
 export type OrderCoordinator = {
+	readonly heldCount: number;
+	/** Commands in flight on the leases that this VM holds. */
+	readonly inFlightCount: number;
 	/** Does what is due. Calls while one runs return at once. */
 	tick(): Promise<void>;
 	/** Takes in a VM list; older ones are ignored. */
@@ -61,16 +59,13 @@
 	confirmStop(question: StopQuestion): StopAnswer;
 	/** Takes no more leases and gives up those without a command in flight. */
 	retire(): void;
-	readonly heldCount: number;
-	/** Commands in flight on the leases that this VM holds. */
-	readonly inFlightCount: number;
 };
 
 /** Creates a coordinator that holds nothing until it has seen its own VM in the VM list. */
 export function createOrderCoordinator(
 	options: OrderCoordinatorOptions,
 ): OrderCoordinator {
-	const {clock, peers} = options;
+	const {clock} = options;
 	const decisions = options.decisions ?? leaseDecisions;
 	let list: VmListSnapshot = {sequence: -1, vms: []};
 	let running = false;
@@ -125,6 +120,13 @@
 		},
 	});
 
+	const calls = createHolderCalls({
+		...options,
+		keeper,
+		engineOf,
+		vmList: () => list,
+	});
+
 	const watchTargets = () => {
 		const targets = options.targets();
 		const spread = createLeaseSpread(
@@ -179,12 +181,21 @@
 			);
 		};
 
-		// The budget's row can change once in a transaction, so one command is announced at a time.
-		for (const order of planner.plan(isFree)) {
+		const recordOf = (targetId: string) => keeper.states.get(targetId)!.record!;
+		// A view from before the end of the last command does not show what that command did.
+		const isFreeByView = ({target, seenMs}: EngineView) =>
+			isFree(target.id) && seenMs >= keeper.states.get(target.id)!.freeSinceMs;
+
+		// The budget's row can change once in a transaction, so commands are announced one by one.
+		for (const order of planner.plan(isFreeByView, recordOf)) {
 			try {
-				const {record} = keeper.states.get(order.targetId)!;
-				const write = await planner.announce(order, record!);
-				if (write && isFree(order.targetId)) {
+				const before = recordOf(order.targetId);
+				const write = await planner.announce(order, before);
+				if (
+					write &&
+					isFree(order.targetId) &&
+					recordOf(order.targetId) === before
+				) {
 					await keeper.commit(write);
 				}
 			} catch (error) {
@@ -193,89 +204,19 @@
 		}
 	};
 
-	const send = async (
-		targetId: string,
-		action: Extract<LeaseAction, {kind: 'send'}>,
-	) => {
-		const {commandId, copyNumber, order} = action;
-		let outcome: 'accepted' | 'refused' | 'unanswered' = 'accepted';
-		keeper.apply(targetId, {type: 'copy-sent'});
-		try {
-			await engineOf(targetId).order(order);
-		} catch (error) {
-			outcome =
-				toProblem(error).type === 'order-rejected' ? 'refused' : 'unanswered';
-		}
-
-		keeper.apply(targetId, {
-			type: 'copy-ended',
-			commandId,
-			copyNumber,
-			outcome,
-		});
-		options.onCount('order_copies', {kind: order.kind, outcome});
-		options.onRecord({
-			subject: targetId,
-			cause: `copy ${copyNumber} of ${order.kind} ${order.name} under number ${order.fencingNumber}`,
-			result: outcome,
-		});
-	};
-
-	const ask = async (targetId: string, holder: LeaseHolder) => {
-		const isOwnEarlierRun =
-			holder.vmInstanceId === options.vmInstanceId &&
-			holder.incarnation !== options.incarnation;
-		const isListedGone =
-			list.sequence > holder.listSequence &&
-			list.vms.every((vm) => vm.instanceId !== holder.vmInstanceId);
-		if (isOwnEarlierRun || isListedGone) {
-			keeper.apply(targetId, {type: 'predecessor', holder, evidence: 'gone'});
-			return;
-		}
-
-		const {fencingNumber} = keeper.states.get(targetId)!.record!;
-		try {
-			const answer = await peers.confirmStop({targetId, holder, fencingNumber});
-			options.onCount('lease_stop_answers', {answer});
-			if (answer !== 'busy') {
-				keeper.apply(targetId, {
-					type: 'predecessor',
-					holder,
-					evidence: answer,
-				});
-			}
-		} catch (error) {
-			options.onCount('lease_stop_answers', {answer: toProblem(error).type});
-		}
-	};
-
-	const readReport = async (targetId: string) => {
-		try {
-			const startedMs = clock.nowMs();
-			const report = await engineOf(targetId).loadReport();
-			keeper.apply(targetId, {
-				type: 'report',
-				atMs: startedMs - report.ageMs,
-				models: report.models,
-			});
-		} catch (error) {
-			options.onCount('order_report_errors', {type: toProblem(error).type});
-		}
-	};
-
 	const carryOut = async () => {
 		const waits: Array<Promise<void>> = [];
 		for (const targetId of keeper.held()) {
 			const action = keeper.decide(targetId);
 			if (action.kind === 'send') {
 				// Not awaited: a target that does not answer must not delay renewals.
-				void send(targetId, action);
+				void calls.send(targetId, action);
 			} else if (action.kind === 'ask') {
-				waits.push(ask(targetId, action.holder));
+				waits.push(calls.ask(targetId, action.holder));
 			}
 
 			if (keeper.states.get(targetId)?.record?.intent) {
-				waits.push(readReport(targetId));
+				waits.push(calls.readReport(targetId));
 			}
 		}
 
--- a/src/decisions/leases/placement/types.ts
+++ b/src/decisions/leases/placement/types.ts
@@ -38,7 +38,7 @@
 	readonly target: TargetDescription;
 	readonly models: readonly string[];
 	readonly leaving: boolean;
-	/** Monotonic time of the last load report, in milliseconds. */
+	/** Monotonic time for which the last load report's figures hold, in milliseconds. */
 	readonly seenMs: number;
 	/** Share of the memory in use, 0 to 1. */
 	readonly load: number;
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -32,6 +32,14 @@
 	readonly intent: CommandIntent | undefined;
 	/** Earlier holder that may still send; the present one stays passive meanwhile. */
 	readonly waitingFor: LeaseHolder | undefined;
+	/** Models that commands have loaded or unloaded; the holder repairs deviations from it. */
+	readonly wantedModels: Readonly<Record<string, WantedModel>>;
+};
+
+/** Wanted state of one model on a target. */
+export type WantedModel = {
+	readonly state: 'loaded' | 'unloaded';
+	readonly version: string;
 };
 
 /** Settings of leases. */
@@ -86,6 +94,8 @@
 	readonly copies: readonly SentCopy[];
 	/** Time for which the target last showed the state that the intent wants. */
 	readonly shownMs: number | undefined;
+	/** Since when the row holds no intent, while this VM holds the lease. */
+	readonly freeSinceMs: number;
 	/** Asked to stop by a holder with this number; nothing is sent below it. */
 	readonly stopBelow: number;
 };
@@ -167,3 +177,10 @@
 		settings: LeaseSettings,
 	): boolean;
 };
+
+/** What was done for one target, why, and with what result. */
+export type OrderRecord = {
+	readonly subject: string;
+	readonly cause: string;
+	readonly result: string;
+};
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -1,4 +1,5 @@
 export * from './fake-object-store.js';
+export * from './fake-order-target.js';
 export * from './fake-plain-service.js';
 export * from './fake-process.js';
 export * from './fake-table-service.js';
--- /dev/null
+++ b/src/experiments/soak/orders/index.ts
@@ -0,0 +1,2 @@
+export * from './order-plan.js';
+export * from './order-world.js';
--- /dev/null
+++ b/src/experiments/soak/scenarios/order-scenario.ts
@@ -0,0 +1,134 @@
+import {
+	createOrderWorld,
+	modelNames,
+	orderPlans,
+	type OrderStep,
+	type OrderWorld,
+	type PlantedFaults,
+} from '../orders/index.js';
+import {type SoakContext, SoakScenario} from '../soak-scenario.js';
+
+const startMs = 12_000;
+const quietMs = 90_000;
+const rowCheckMs = 500;
+
+/** Entry VMs hold leases and load and unload models while faults happen, alone and in pairs. */
+export class OrderScenario extends SoakScenario<readonly OrderStep[]> {
+	override readonly name = 'orders';
+	override readonly plans = orderPlans;
+	/** Worlds of the latest run, for tests that look at the end. */
+	lastWorld: OrderWorld | undefined;
+
+	/** @param planted - faults that a test plants in the decisions */
+	constructor(private readonly planted: PlantedFaults = {}) {
+		super();
+	}
+
+	override async execute(
+		plan: readonly OrderStep[],
+		context: SoakContext,
+	): Promise<void> {
+		const {time} = context;
+		const world = createOrderWorld(context, this.planted);
+		this.lastWorld = world;
+		const runFor = async (lengthMs: number) => {
+			const untilMs = time.nowMs() + lengthMs;
+			while (time.nowMs() < untilMs) {
+				await time.runUntil(Math.min(untilMs, time.nowMs() + rowCheckMs));
+				world.checks.watchRows();
+			}
+		};
+
+		for (const model of modelNames) {
+			world.setDemand(model, 60);
+		}
+
+		await runFor(startMs);
+		for (const step of plan) {
+			await runFor(step.afterMs);
+			this.inject(step, world, context);
+		}
+
+		await runFor(quietMs / 2);
+		world.heal();
+		await runFor(quietMs);
+		world.checks.finish();
+	}
+
+	private inject(
+		step: OrderStep,
+		world: OrderWorld,
+		context: SoakContext,
+	): void {
+		const nowMs = context.time.nowMs();
+		switch (step.kind) {
+			case 'demand': {
+				world.setDemand(modelNames[step.model], step.tokensPerSecond);
+				context.trace(
+					`demand ${modelNames[step.model]} ${step.tokensPerSecond}`,
+				);
+				break;
+			}
+
+			case 'crash': {
+				world.crash(step.vm);
+				break;
+			}
+
+			case 'pause': {
+				world.pause(step.vm, step.pauseMs);
+				break;
+			}
+
+			case 'fault-at-send': {
+				world.planFaultAtSend(step.pauseMs);
+				break;
+			}
+
+			case 'order-fault': {
+				context.fault(
+					step.fault.kind === 'duplicated' ? 'order-duplicated' : 'order-late',
+				);
+				world.planOrderFault(step.target, step.fault);
+				break;
+			}
+
+			case 'commit-fault': {
+				context.fault('answer-lost');
+				world.table.planCommitFault({
+					kind: step.fault,
+					delayMs: step.delayMs,
+				});
+				break;
+			}
+
+			case 'outage': {
+				context.fault('table-down');
+				world.table.planPeriod({
+					fromMs: nowMs,
+					untilMs: nowMs + step.lengthMs,
+					kind: step.silent ? 'silent' : 'refuse',
+				});
+				break;
+			}
+
+			case 'stale-list': {
+				context.fault('list-stale');
+				world.staleList(nowMs + step.lengthMs);
+				break;
+			}
+
+			case 'peers-cut': {
+				context.fault('peers-cut');
+				world.cutPeers(nowMs + step.lengthMs);
+				break;
+			}
+
+			case 'report-lag': {
+				context.fault('report-lagged');
+				world.setReportLag(step.lagMs);
+				break;
+			}
+		}
+	}
+}
--- a/src/experiments/soak/soak-scenario.ts
+++ b/src/experiments/soak/soak-scenario.ts
@@ -21,7 +21,9 @@
 	| 'zone-lost'
 	| 'operators-race'
 	| 'caller-left'
-	| 'report-lagged';
+	| 'report-lagged'
+	| 'order-late'
+	| 'order-duplicated';
 
 /** What one run of a scenario works with. */
 export type SoakContext = {
