Exchange membership messages between the daemons over tRPC

Cause: each daemon polled all peers for the configuration in turn, and a peer that did not answer held up the rest; leaving marks did not travel. Change: a membership loop sends the messages that the state machine gives, checks replies and configuration changes of peers, and hands leaving marks to the target table; malformed messages are refused as peer-protocol and counted; status tells when a VM is cut off. Conclusion: ledger and activity can be taken from the loop by routing.

--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -1,6 +1,8 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
+import {toProblem} from '../../common/index.js';
 import type {ConfigurationChange} from '../../decisions/configuration/index.js';
+import type {PackedMessage} from '../../decisions/membership/index.js';
 
 /** What an entry VM tells peers and operators about itself. */
 export type EntryStatus = {
@@ -11,6 +13,8 @@
 	readonly ready: boolean;
 	readonly stopping: boolean;
 	readonly openStreams: number;
+	/** True while neither the table service nor any peer can be asked for a newer configuration. */
+	readonly cutOff: boolean;
 };
 
 /** What the procedures call. */
@@ -20,6 +24,11 @@
 		version: number,
 	) => readonly ConfigurationChange[];
 	readonly markTargetLeaving: (targetId: string) => void;
+	/**
+	 * Takes a membership message and gives the reply.
+	 * @throws ProblemError `peer-protocol` if it is malformed
+	 */
+	readonly exchange: (message: unknown) => PackedMessage;
 	readonly metricsText: () => string;
 };
 
@@ -39,6 +48,17 @@
 	return next();
 });
 
+const fromPeer = authorized.use(async ({ctx, next}) => {
+	if (ctx.role !== 'peer') {
+		throw new TRPCError({
+			code: 'FORBIDDEN',
+			message: 'only entry VMs exchange membership messages',
+		});
+	}
+
+	return next();
+});
+
 /** Creates the procedures that entry VMs offer to each other and to operators. */
 export function createPeerRouter(options: PeerRouterOptions) {
 	return trpc.router({
@@ -51,6 +71,21 @@
 			.mutation(({input}) => {
 				options.markTargetLeaving(input.targetId);
 			}),
+		exchange: fromPeer
+			// Checked by the handler, which names and counts what is malformed.
+			.input((message: unknown) => message)
+			.mutation(({input}) => {
+				try {
+					return options.exchange(input);
+				} catch (error) {
+					const problem = toProblem(error);
+					throw new TRPCError({
+						code: 'BAD_REQUEST',
+						message: problem.detail,
+						cause: problem,
+					});
+				}
+			}),
 		metrics: authorized.query(() => options.metricsText()),
 	});
 }
--- a/src/decisions/routing/target-table.ts
+++ b/src/decisions/routing/target-table.ts
@@ -6,6 +6,8 @@
 	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
 	/** Marks a target that takes no new work. */
 	markLeaving(targetId: string): void;
+	/** Takes the mark back, since the target runs on a new instance. */
+	markReturned(targetId: string): void;
 	/**
 	 * Keeps a failed target out until a time.
 	 * @param untilMs - monotonic time in milliseconds
@@ -89,6 +91,12 @@
 				state.leaving = true;
 			}
 		},
+		markReturned(targetId) {
+			const state = targets.get(targetId);
+			if (state) {
+				state.leaving = false;
+			}
+		},
 		eject(targetId, untilMs) {
 			const state = targets.get(targetId);
 			if (state) {
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -6,10 +6,7 @@
 	createServicesHandler,
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
-import {
-	createPeerClient,
-	createPeerServer,
-} from '../../adapters/peers/index.js';
+import {createPeerServer} from '../../adapters/peers/index.js';
 import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
 import {
 	createLogger,
@@ -28,6 +25,7 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -83,6 +81,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const targetId of membership.leavingTargets) {
+				registry.table.markLeaving(targetId);
+			}
+
 			logger.info('configuration in force', {version: configuration.version});
 		}),
 	);
@@ -111,39 +113,29 @@
 		}
 	};
 
-	const pollPeers = async () => {
-		const {vms} = await vmList.read();
-		for (const vm of vms) {
-			if (
-				vm.role === 'entry' &&
-				vm.name !== settings.name &&
-				follower.confirmed
-			) {
-				const peer = createPeerClient({
-					url: `http://${vm.address}`,
-					token: settings.peerToken,
-					timeoutMs: settings.tableTimeoutMs,
-				});
-				const {version} = follower.current;
-				follower.offer(await peer.configurationAfter.query({version}), 'peer');
-			} else if (vm.role !== 'entry' && vm.state === 'leaving') {
-				registry.table.markLeaving(vm.name);
-			}
-		}
-	};
-
-	const poll = async () => {
-		await pollTable();
-		try {
-			await pollPeers();
-		} catch (error) {
-			metrics.count('peer_errors', {type: toProblem(error).type});
-		}
-	};
+	const membership = owned.add(
+		createMembershipLoop({
+			settings,
+			clock,
+			random,
+			logger,
+			metrics,
+			vmList,
+			follower,
+			stopping: () => stopping,
+			onLeaving(targetId, leaving) {
+				if (leaving) {
+					registry.table.markLeaving(targetId);
+				} else {
+					registry.table.markReturned(targetId);
+				}
+			},
+		}),
+	);
 
-	await poll();
+	await pollTable();
 	const timer = setInterval(() => {
-		void poll();
+		void pollTable();
 	}, settings.pollIntervalMs);
 	owned.add({
 		dispose() {
@@ -212,11 +204,13 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			cutOff: !tableReachable && membership.isolated,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
+		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 	});
 	const callerPort = await listen(
@@ -229,6 +223,7 @@
 		settings.peerPort,
 		settings.listenAddress,
 	);
+	membership.start(peerPort);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
--- /dev/null
+++ b/src/programs/entry/membership-loop.ts
@@ -0,0 +1,242 @@
+import {LRUCache} from 'lru-cache';
+import {
+	createPeerClient,
+	parseChanges,
+	type PeerClient,
+} from '../../adapters/peers/index.js';
+import type {Logger, Metrics} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	createDisposableStore,
+	type Disposable,
+	type RandomSource,
+	type TargetActivity,
+	toProblem,
+	type VmList,
+} from '../../common/index.js';
+import {
+	type ConfigurationFollower,
+	effectiveSettings,
+} from '../../decisions/configuration/index.js';
+import type {SharedContractLedger} from '../../decisions/contracts/index.js';
+import {
+	createMemberNode,
+	type MemberAddress,
+	type MemberNode,
+	type OutgoingMessage,
+	packMessage,
+	type PackedMessage,
+	tickMs,
+	unpackMessage,
+} from '../../decisions/membership/index.js';
+import type {EntrySettings} from './settings.js';
+
+/** What the loop works with. */
+export type MembershipLoopOptions = {
+	readonly settings: EntrySettings;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly vmList: VmList;
+	readonly follower: ConfigurationFollower;
+	readonly stopping: () => boolean;
+	readonly onLeaving: (targetId: string, leaving: boolean) => void;
+};
+
+/** Membership of a running daemon. */
+export type MembershipLoop = Disposable & {
+	readonly ledger: SharedContractLedger;
+	readonly activity: MemberNode['activity'];
+	readonly leavingTargets: ReadonlySet<string>;
+	/** True while no peer answers though there are some. */
+	readonly isolated: boolean;
+	/** Sets where this VM's own activity at targets comes from. */
+	shareActivity(source: () => readonly TargetActivity[]): void;
+	/** Takes a target's own sign, in a load report or an answer, that it is leaving. */
+	signLeaving(targetId: string): void;
+	/**
+	 * Answers a peer's message.
+	 * @throws ProblemError `peer-protocol` if it is malformed
+	 */
+	exchange(message: unknown): PackedMessage;
+	/**
+	 * Begins to exchange messages.
+	 * @param peerPort - port that this VM's peer server listens on
+	 */
+	start(peerPort: number): void;
+};
+
+// A peer that does not answer must not hold up the others.
+const maxOpenExchanges = 8;
+const maxClients = 64;
+
+/** Creates the loop; it is silent until it is started. */
+export function createMembershipLoop(
+	options: MembershipLoopOptions,
+): MembershipLoop {
+	const {settings, clock, metrics, logger, follower} = options;
+	const owned = createDisposableStore();
+	const clients = new LRUCache<string, PeerClient>({max: maxClients});
+	let activitySource: () => readonly TargetActivity[] = () => [];
+	let openExchanges = 0;
+	let catchingUp = false;
+	let wasIsolated = false;
+
+	const self = {
+		name: settings.name,
+		address: `${settings.listenAddress}:${settings.peerPort}`,
+		availabilityZone: settings.availabilityZone,
+		region: settings.region,
+	};
+	const node = createMemberNode({
+		self,
+		incarnation: clock.wallMs(),
+		random: options.random,
+		nowMs: () => clock.nowMs(),
+		wallMs: () => clock.wallMs(),
+		configurationVersion: () => follower.current.version,
+		stopping: options.stopping,
+		contractOf: (account) =>
+			effectiveSettings(follower.current, account, '').contract,
+		ownActivity: () => activitySource(),
+	});
+	const {membership} = node;
+
+	const clientOf = ({address}: MemberAddress): PeerClient => {
+		let client = clients.get(address);
+		if (!client) {
+			client = createPeerClient({
+				url: `http://${address}`,
+				token: settings.peerToken,
+				timeoutMs: settings.tableTimeoutMs,
+			});
+			clients.set(address, client);
+		}
+
+		return client;
+	};
+
+	const countFailure = (error: unknown) => {
+		metrics.count('peer_errors', {
+			type: toProblem(error, 'peer-unavailable').type,
+		});
+	};
+
+	const send = async ({peer, message}: OutgoingMessage) => {
+		openExchanges++;
+		try {
+			const reply = await clientOf(peer).exchange.mutate(packMessage(message));
+			membership.replied(unpackMessage(reply), clock.nowMs());
+			metrics.count('peer_exchanges');
+		} catch (error) {
+			membership.failed(peer.name, clock.nowMs());
+			countFailure(error);
+		} finally {
+			openExchanges--;
+		}
+	};
+
+	// A peer may lag behind what this VM had in force before it started, so the table service comes first.
+	const catchUp = async (peer: MemberAddress) => {
+		if (catchingUp || !follower.confirmed) {
+			return;
+		}
+
+		catchingUp = true;
+		try {
+			const {version} = follower.current;
+			const changes = await clientOf(peer).configurationAfter.query({version});
+			follower.offer(parseChanges(changes), 'peer');
+		} catch (error) {
+			countFailure(error);
+		} finally {
+			catchingUp = false;
+		}
+	};
+
+	const readList = async () => {
+		try {
+			const {vms} = await options.vmList.read();
+			node.observeList(vms);
+		} catch (error) {
+			countFailure(error);
+		}
+	};
+
+	const noteIsolation = () => {
+		const isIsolated = !membership.connected(clock.nowMs());
+		if (isIsolated !== wasIsolated) {
+			wasIsolated = isIsolated;
+			logger.warn(isIsolated ? 'no peer answers' : 'peers answer again');
+		}
+	};
+
+	const tick = () => {
+		noteIsolation();
+		for (const outgoing of node.tick()) {
+			if (openExchanges < maxOpenExchanges) {
+				void send(outgoing);
+			}
+		}
+	};
+
+	const every = (intervalMs: number, run: () => void) => {
+		const timer = setInterval(run, intervalMs);
+		owned.add({
+			dispose() {
+				clearInterval(timer);
+			},
+		});
+	};
+
+	owned.add(
+		membership.onNewerConfiguration((peer) => {
+			void catchUp(peer);
+		}),
+	);
+	owned.add(
+		node.marks.onChange(({targetId, leaving}) => {
+			logger.info(leaving ? 'target is leaving' : 'target has returned', {
+				targetId,
+			});
+			options.onLeaving(targetId, leaving);
+		}),
+	);
+
+	return {
+		ledger: node.ledger,
+		activity: node.activity,
+		leavingTargets: node.marks.leaving,
+		get isolated() {
+			return !membership.connected(clock.nowMs());
+		},
+		shareActivity(source) {
+			activitySource = source;
+		},
+		signLeaving(targetId) {
+			node.marks.sign(targetId, clock.wallMs());
+		},
+		exchange(message) {
+			try {
+				return packMessage(
+					membership.receive(unpackMessage(message), clock.nowMs()),
+				);
+			} catch (error) {
+				metrics.count('peer_messages_refused', {type: toProblem(error).type});
+				throw error;
+			}
+		},
+		start(peerPort) {
+			self.address = `${settings.listenAddress}:${peerPort}`;
+			void readList();
+			every(settings.pollIntervalMs, () => {
+				void readList();
+			});
+			every(tickMs, tick);
+		},
+		dispose() {
+			owned.dispose();
+		},
+	};
+}
