--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -15,6 +15,10 @@
 	readonly openStreams: number;
 	/** True while neither the table service nor any peer can be asked for a newer configuration. */
 	readonly cutOff: boolean;
+	/** Requests of callers that have no whole answer yet; a planned stop waits for them. */
+	readonly openExchanges: number;
+	/** Callers that left and whose generations go on until their resume windows end. */
+	readonly awaitedCallers: number;
 };
 
 /** What the procedures call. */
