--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -6,10 +6,7 @@
 	createServicesHandler,
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
-import {
-	createPeerClient,
-	createPeerServer,
-} from '../../adapters/peers/index.js';
+import {createPeerServer} from '../../adapters/peers/index.js';
 import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
 import {
 	createLogger,
@@ -27,6 +24,7 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createBookings} from './create-bookings.js';
@@ -95,6 +93,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const targetId of membership.leavingTargets) {
+				registry.table.markLeaving(targetId);
+			}
+
 			for (const [service, targetIds] of registry.table.services()) {
 				wiring.outliers.update(service, targetIds);
 			}
@@ -127,39 +129,29 @@
 		}
 	};
 
-	const pollPeers = async () => {
-		const {vms} = await vmList.read();
-		for (const vm of vms) {
-			if (
-				vm.role === 'entry' &&
-				vm.name !== settings.name &&
-				follower.confirmed
-			) {
-				const peer = createPeerClient({
-					url: `http://${vm.address}`,
-					token: settings.peerToken,
-					timeoutMs: settings.tableTimeoutMs,
-				});
-				const {version} = follower.current;
-				follower.offer(await peer.configurationAfter.query({version}), 'peer');
-			} else if (vm.role !== 'entry' && vm.state === 'leaving') {
-				registry.table.markLeaving(vm.name);
-			}
-		}
-	};
-
-	const poll = async () => {
-		await pollTable();
-		try {
-			await pollPeers();
-		} catch (error) {
-			metrics.count('peer_errors', {type: toProblem(error).type});
-		}
-	};
+	const membership = owned.add(
+		createMembershipLoop({
+			settings,
+			clock,
+			random,
+			logger,
+			metrics,
+			vmList,
+			follower,
+			stopping: () => stopping,
+			onLeaving(targetId, leaving) {
+				if (leaving) {
+					registry.table.markLeaving(targetId);
+				} else {
+					registry.table.markReturned(targetId);
+				}
+			},
+		}),
+	);
 
-	await poll();
+	await pollTable();
 	const timer = setInterval(() => {
-		void poll();
+		void pollTable();
 	}, settings.pollIntervalMs);
 	owned.add({
 		dispose() {
@@ -241,13 +233,15 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			cutOff: !tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
+		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
@@ -257,6 +251,7 @@
 		settings.listenAddress,
 	);
 	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
+	membership.start(peerPort);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
