Fill the platform's VM list in the demo and the process check

Cause: the scripts left the VM list empty, so entry VMs had no peers there, and a VM did not know its own instance id of the list. Change: --vm-instance-id; the scripts publish the list; docs-check lets cowslipctl find the entry VMs by it. Conclusion: the checks now run with membership.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,6 +17,7 @@
 entry entry-2 "$caller2" "$peer2" zone-2
 entry_pid="$last_pid"
 wait_ports "$platform" "$service" "$engine1" "$engine2" "$caller1" "$caller2" "$peer1" "$peer2"
+set_vms "entry,entry-1,$peer1,zone-1" "entry,entry-2,$peer2,zone-2" "engine,engine-1,$engine1,zone-1" "engine,engine-2,$engine2,zone-2" "service,kiln-1,$service,zone-1"
 set_engine engine-1 "$engine1" zone-1
 set_engine engine-2 "$engine2" zone-2
 set_service kiln-1 "$service" zone-1
--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -6,14 +6,16 @@
 source scripts/lib/fleet.sh
 read -r platform caller1 peer1 caller2 peer2 <<<"$(node dist/experiments/demo/free-ports.js 5)"
 platform_url="http://127.0.0.1:$platform"
-entry_flags=(--entry "http://127.0.0.1:$peer1" --entry "http://127.0.0.1:$peer2")
 launch standin-platform --listen-port "$platform"
 entry entry-1 "$caller1" "$peer1" zone-1
 entry entry-2 "$caller2" "$peer2" zone-2
 wait_ports "$platform" "$caller1" "$peer1" "$caller2" "$peer2"
+set_vms "entry,entry-1,$peer1,zone-1" "entry,entry-2,$peer2,zone-2"
+# The stand-in shows the list after its lag, as the platform does.
+sleep 1.5
 cowslipctl() {
 	node "$programs/cowslipctl.js" --platform-url "$platform_url" --operator-token operator-token \
-		"${entry_flags[@]}" "$@" >/dev/null
+		"$@" >/dev/null
 }
 commands="$(awk '/^```sh check$/ {on = 1; next} /^```$/ {on = 0} on' docs/operations.md)"
 count=0
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -45,6 +45,20 @@
 	done
 }
 
+# set_vms ROLE,NAME,PORT,ZONE...: replaces the platform's VM list; an entry VM's port is its peer port.
+set_vms() {
+	node -e '
+		const [url, ...rows] = process.argv.slice(1);
+		const vms = rows.map((row) => {
+			const [role, name, port, availabilityZone] = row.split(",");
+			return {instanceId: name, role, name, availabilityZone, region: "pirkanmaa", address: `127.0.0.1:${port}`, state: "live"};
+		});
+		fetch(`${url}/vms`, {method: "PUT", body: JSON.stringify(vms)}).then((response) => {
+			process.exitCode = response.ok ? 0 : 1;
+		});
+	' "$platform_url" "$@"
+}
+
 # ctl FLAGS...: runs the operator's command line; entry_flags names the entry VMs.
 ctl() {
 	node "$programs/cowslipctl.js" --platform-url "$platform_url" --operator-token operator-token --json \
--- a/scripts/process-check.sh
+++ b/scripts/process-check.sh
@@ -21,6 +21,8 @@
 entry entry-3 "$caller3" "$peer3" zone-3
 stopped_pid="$last_pid"
 wait_ports "$platform" "$service" "$engine1" "$engine2" "$engine3" "$caller1" "$caller2" "$caller3" "$peer1" "$peer2" "$peer3"
+set_vms "entry,entry-1,$peer1,zone-1" "entry,entry-2,$peer2,zone-2" "entry,entry-3,$peer3,zone-3" \
+	"engine,engine-1,$engine1,zone-1" "engine,engine-2,$engine2,zone-2" "engine,engine-3,$engine3,zone-3" "service,kiln-1,$service,zone-1"
 set_engine engine-1 "$engine1" zone-1
 set_engine engine-2 "$engine2" zone-2
 set_engine engine-3 "$engine3" zone-3
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -11,6 +11,8 @@
 /** Settings of the entry daemon. */
 export type EntrySettings = {
 	readonly name: string;
+	/** Instance id of this VM in the platform's VM list; a replaced VM has a new one. */
+	readonly vmInstanceId: string;
 	readonly listenAddress: string;
 	readonly listenPort: number;
 	readonly peerPort: number;
@@ -48,6 +50,10 @@
 				demandOption: true,
 				describe: 'name of this entry VM',
 			},
+			'vm-instance-id': {
+				type: 'string',
+				describe: 'instance id of this VM in the VM list; the name if absent',
+			},
 			'listen-address': {
 				type: 'string',
 				default: '127.0.0.1',
@@ -139,6 +145,7 @@
 		.parseAsync();
 	return {
 		name: flags.name,
+		vmInstanceId: flags['vm-instance-id'] ?? flags.name,
 		listenAddress: flags['listen-address'],
 		listenPort: checkNumber('listen-port', flags['listen-port'], 0, maxPort),
 		peerPort: checkNumber('peer-port', flags['peer-port'], 0, maxPort),
