Check bookings in randomized runs and plant faults that they must notice

Cause: nothing ran the booking decisions under crashes, pauses, lost and late writes, and a soak without a failing run proves nothing about its own checks.

Change: a simulated fleet of entry VMs (booking-fleet), a judge that sees every request, effect and write of a record (booking-judge), the booking scenario, and a test that leaves out one check of the decision code at a time. A call whose record is closed says so (keyClosed, no Retry-After), so that a caller knows that it needs a new key. Problem answers carry their details.

--- a/src/decisions/bookings/booking-entry.ts
+++ b/src/decisions/bookings/booking-entry.ts
@@ -61,6 +61,18 @@
 	};
 }
 
+/** Outcome of a call whose record is closed: a repeat with its key never runs. */
+export function closedOutcome(message: string, cause?: Error): BookingOutcome {
+	return {
+		kind: 'problem',
+		problem: new ProblemError(
+			'not-run',
+			`${message}; book again with a new Idempotency-Key`,
+			{cause, field: 'Idempotency-Key', details: {keyClosed: true}},
+		),
+	};
+}
+
 /** Outcome that tells callers of a problem. */
 export function problemOutcome(
 	type: ProblemType,
--- a/src/decisions/bookings/booking-owner.ts
+++ b/src/decisions/bookings/booking-owner.ts
@@ -9,6 +9,7 @@
 import {
 	type BookingEntry,
 	type BookingOutcome,
+	closedOutcome,
 	problemOutcome,
 } from './booking-entry.js';
 import {parseBookingRecord} from './booking-record.js';
@@ -42,7 +43,7 @@
 
 const outcomeOfFailure = (problem: ProblemError): BookingOutcome =>
 	problem.type === 'target-unavailable'
-		? problemOutcome('not-run', 'the target could not be reached', problem)
+		? closedOutcome('the target could not be reached', problem)
 		: problemOutcome(
 				'outcome-unknown',
 				'the call may have run; ask again later',
--- /dev/null
+++ b/src/experiments/soak/scenarios/booking-fleet.ts
@@ -0,0 +1,278 @@
+import {
+	type Clock,
+	type InvariantMonitor,
+	ProblemError,
+	type RandomSource,
+	type ServiceAnswer,
+	type ServiceCall,
+	toProblem,
+} from '../../../common/index.js';
+import {
+	type BookingCheck,
+	type BookingCoordinator,
+	type BookingLimits,
+	BookingOwners,
+	type BookingQuestion,
+	type BookingStatus,
+	checkBookingKey,
+	createBookingCoordinator,
+	createBookingRetention,
+	defaultBookingLimits,
+} from '../../../decisions/bookings/index.js';
+import {
+	FakeObjectStore,
+	FakePlainService,
+	FakeProcess,
+	FakeTableService,
+	type VirtualTime,
+} from '../../fakes/index.js';
+import {BookingJudge} from './booking-judge.js';
+
+/** Options of a simulated fleet that handles bookings. */
+export type BookingFleetOptions = {
+	readonly time: VirtualTime;
+	readonly random: RandomSource;
+	readonly invariants: InvariantMonitor;
+	readonly vmCount: number;
+	readonly answersOutcomes: boolean;
+	readonly retentionMs?: number;
+	readonly limits?: Partial<BookingLimits>;
+	readonly omittedChecks?: ReadonlySet<BookingCheck>;
+	readonly onFault?: (kind: 'crash' | 'pause') => void;
+	readonly trace?: (line: string) => void;
+};
+
+type FleetVm = {
+	readonly process: FakeProcess;
+	readonly owner: string;
+	readonly address: string;
+	readonly coordinator: BookingCoordinator;
+	readonly clock: Clock;
+};
+
+/** One call of a simulated caller. */
+export type FleetCall = {
+	readonly vm: number;
+	readonly key: string;
+	/** Which of several bodies the caller sends under the key. */
+	readonly variant: number;
+	readonly timeoutMs: number;
+};
+
+const networkMs = 200;
+const peerLatencyMs = 1;
+const account = 'finishers';
+const service = 'kiln';
+const dayMs = 86_400_000;
+
+/** Table, target, object store and entry VMs in one simulated fleet. */
+export class BookingFleet {
+	readonly table: FakeTableService;
+	readonly objects: FakeObjectStore;
+	readonly target: FakePlainService;
+	readonly judge: BookingJudge;
+	/** While true, entry VMs cannot reach each other. */
+	peersCut = false;
+	/** Difference of each VM's wall clock from the true time, in milliseconds. */
+	readonly clockErrorsMs: number[] = [];
+	private readonly vms: FleetVm[] = [];
+	private incarnationCount = 0;
+	private requestCount = 0;
+	private attemptCount = 0;
+
+	constructor(private readonly options: BookingFleetOptions) {
+		const {time} = options;
+		this.table = new FakeTableService(time, {
+			latencyMs: 6,
+			timeoutMs: 150,
+			onWrite: (key, before, after) => {
+				this.judge.noteWrite(key, before, after);
+			},
+		});
+		this.objects = new FakeObjectStore(time, 5);
+		this.target = new FakePlainService(time, {
+			id: 'kiln-1',
+			service,
+			latencyMs: 30,
+			answersOutcomes: options.answersOutcomes,
+			onEffect: (call) => {
+				this.judge.noteEffect(call.idempotencyKey!, call.body);
+			},
+		});
+		this.judge = new BookingJudge(options.invariants, options.trace);
+		for (let vm = 0; vm < options.vmCount; vm++) {
+			this.vms.push(this.startVm(vm));
+		}
+	}
+
+	/** Replaces a crashed VM by a new process at the same address. */
+	restart(vm: number): void {
+		if (this.vms[vm].process.state === 'crashed') {
+			this.vms[vm] = this.startVm(vm);
+		}
+	}
+
+	processOf(vm: number): FakeProcess {
+		return this.vms[vm].process;
+	}
+
+	/** Bookings that a living VM holds in memory. */
+	openCountOf(vm: number): number {
+		const {process, coordinator} = this.vms[vm];
+		return process.state === 'crashed' ? 0 : coordinator.openCount;
+	}
+
+	/** Ends every planned fault and replaces crashed VMs. */
+	heal(): void {
+		this.table.heal();
+		this.peersCut = false;
+		this.objects.down = false;
+		for (const [vm, {process}] of this.vms.entries()) {
+			process.heal();
+			this.restart(vm);
+		}
+	}
+
+	/** Makes a call through a VM; a crashed VM accepts none. */
+	call(call: FleetCall): void {
+		const vm = this.vms[call.vm];
+		if (vm.process.state === 'crashed') {
+			return;
+		}
+
+		const id = `${call.variant}:request-${this.requestCount++}`;
+		this.judge.noteRequest(id, call.key, () => vm.process.state === 'crashed');
+		void this.carry(vm, id, call);
+	}
+
+	/** Removes old records through a VM. */
+	async sweep(vm: number): Promise<number> {
+		const {process, clock} = this.vms[vm];
+		const retention = createBookingRetention({
+			table: process.guard(this.table),
+			objects: process.guard(this.objects),
+			clock,
+			retentionMs: this.retentionMs,
+			maxRowsPerSweep: 1000,
+		});
+		try {
+			return await retention.sweep();
+		} catch {
+			return 0;
+		}
+	}
+
+	/** Compares the records with what happened. */
+	async checkRecords(): Promise<void> {
+		const rows = this.table.peekAll('booking/');
+		await this.judge.checkRecords(rows, async (name) => this.objects.get(name));
+	}
+
+	private get retentionMs(): number {
+		return this.options.retentionMs ?? dayMs;
+	}
+
+	private async carry(vm: FleetVm, id: string, call: FleetCall): Promise<void> {
+		let answer: ServiceAnswer;
+		try {
+			answer = await vm.process.run(async () => {
+				checkBookingKey(call.key, vm.clock.wallMs(), this.retentionMs);
+				return vm.coordinator.run({
+					account,
+					key: call.key,
+					bodyHash: `hash-${call.variant}`,
+					service,
+					request: createRequest(id),
+					timeoutMs: call.timeoutMs,
+				});
+			});
+		} catch (error) {
+			this.judge.noteProblem(id, toProblem(error));
+			return;
+		}
+
+		this.judge.noteAnswer(id, answer);
+	}
+
+	private startVm(vm: number): FleetVm {
+		const {time, random, invariants} = this.options;
+		const process = new FakeProcess(time, this.options.onFault);
+		const owner = `vm-${vm}-run-${this.incarnationCount++}`;
+		const address = `vm-${vm}`;
+		const clock: Clock = {
+			nowMs: () => time.nowMs(),
+			wallMs: () => time.wallMs() + (this.clockErrorsMs[vm] ?? 0),
+		};
+		const target = process.guard(this.target);
+		const coordinator = createBookingCoordinator({
+			table: process.guard(this.table),
+			objects: process.guard(this.objects),
+			owners: process.guard(new FleetOwners(this.ask)),
+			clock,
+			timers: process,
+			random,
+			owner,
+			ownerAddress: () => address,
+			createAttemptId: () => `attempt-${this.attemptCount++}`,
+			place: () => target,
+			findTarget: () => target,
+			limits: {
+				...defaultBookingLimits,
+				commitSpacingMs: 5,
+				claimTimeoutMs: 600,
+				recordWaitMs: 300,
+				targetTimeoutMs: 5000,
+				maxBackoffMs: 1000,
+				...this.options.limits,
+			},
+			invariants,
+			count: () => undefined,
+			omittedChecks: this.options.omittedChecks,
+		});
+		return {process, owner, address, coordinator, clock};
+	}
+
+	private readonly ask = async (
+		address: string,
+		question: BookingQuestion,
+	): Promise<BookingStatus> => {
+		const {time} = this.options;
+		const limitMs = question.waitMs + networkMs;
+		const vm = this.vms.find((one) => one.address === address);
+		await time.sleep(peerLatencyMs);
+		if (this.peersCut || !vm || vm.process.state === 'crashed') {
+			await time.sleep(networkMs);
+			throw new ProblemError('peer-unavailable', 'the peer does not answer');
+		}
+
+		const answer = vm.process.run(async () => vm.coordinator.status(question));
+		const timeout = async () => {
+			await time.sleep(limitMs);
+			throw new ProblemError('peer-unavailable', 'the peer timed out');
+		};
+
+		return Promise.race([answer, timeout()]);
+	};
+}
+
+class FleetOwners extends BookingOwners {
+	constructor(
+		override readonly ask: (
+			address: string,
+			question: BookingQuestion,
+		) => Promise<BookingStatus>,
+	) {
+		super();
+	}
+}
+
+function createRequest(
+	id: string,
+): Pick<ServiceCall, 'method' | 'path' | 'body' | 'contentType'> {
+	return {
+		method: 'POST',
+		path: '/bookings',
+		body: id,
+		contentType: 'text/plain',
+	};
+}
--- /dev/null
+++ b/src/experiments/soak/scenarios/booking-scenario.ts
@@ -0,0 +1,338 @@
+import fc from 'fast-check';
+import {
+	type BookingCheck,
+	bookingPrefix,
+} from '../../../decisions/bookings/index.js';
+import type {CallFault, CommitFault} from '../../fakes/index.js';
+import {
+	type FaultKind,
+	type SoakContext,
+	SoakScenario,
+} from '../soak-scenario.js';
+import {BookingFleet} from './booking-fleet.js';
+
+const vmCount = 3;
+const keyCount = 4;
+const hourMs = 3_600_000;
+const retentionMs = hourMs;
+const settleMs = 30_000;
+const slowVm = 2;
+
+const vm = fc.nat(vmCount - 1);
+const key = fc.nat(keyCount - 1);
+const lengthMs = fc.integer({min: 20, max: 1500});
+
+const call = fc.record({
+	kind: fc.constant('call' as const),
+	vm,
+	key,
+	variant: fc.constantFrom(0, 0, 0, 0, 0, 1),
+	timeoutMs: fc.constantFrom(60, 300, 800, 2000),
+});
+
+const steps = fc.oneof(
+	{arbitrary: call, weight: 10},
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('process' as const),
+			vm,
+			stepsAhead: fc.nat(12),
+			fault: fc.constantFrom('crash' as const, 'pause' as const),
+			pauseMs: fc.integer({min: 20, max: 5000}),
+		}),
+		weight: 3,
+	},
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('commit' as const),
+			fault: fc.constantFrom(
+				'answer-lost' as const,
+				'late-effect' as const,
+				'no-effect' as const,
+				'duplicated' as const,
+			),
+			delayMs: fc.integer({min: 1, max: 3000}),
+		}),
+		weight: 3,
+	},
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('target' as const),
+			fault: fc.constantFrom(
+				'answer-lost' as const,
+				'refused' as const,
+				'slow' as const,
+				'hanging' as const,
+				'late-effect' as const,
+			),
+			delayMs: fc.integer({min: 1, max: 6000}),
+		}),
+		weight: 2,
+	},
+	fc.record({
+		kind: fc.constant('table' as const),
+		mode: fc.constantFrom(
+			'refuse' as const,
+			'silent' as const,
+			'slow' as const,
+		),
+		lengthMs,
+		extraMs: fc.integer({min: 10, max: 400}),
+	}),
+	fc.record({kind: fc.constant('restart' as const), vm}),
+	fc.record({kind: fc.constant('peers' as const), lengthMs}),
+	fc.record({kind: fc.constant('objects' as const), lengthMs}),
+	fc.record({kind: fc.constant('corrupt' as const), key}),
+	fc.record({kind: fc.constant('sweep' as const), vm: fc.nat(1)}),
+);
+
+const plans = fc.record({
+	answersOutcomes: fc.boolean(),
+	largeAnswers: fc.boolean(),
+	steps: fc.array(
+		fc.record({
+			afterMs: fc.constantFrom(0, 0, 1, 3, 8, 20, 60, 300),
+			step: steps,
+		}),
+		{minLength: 15, maxLength: 60},
+	),
+});
+
+type Plan = typeof plans extends fc.Arbitrary<infer T> ? T : never;
+type Step = Plan['steps'][number]['step'];
+
+const commitFaultKinds: Record<CommitFault['kind'], FaultKind> = {
+	'answer-lost': 'answer-lost',
+	'late-effect': 'write-late',
+	'no-effect': 'answer-lost',
+	duplicated: 'write-duplicated',
+};
+
+const targetFaultKinds: Record<CallFault['kind'], FaultKind> = {
+	'answer-lost': 'target-answer-lost',
+	'late-effect': 'target-answer-lost',
+	refused: 'target-refused',
+	slow: 'target-slow',
+	hanging: 'target-hanging',
+};
+
+/**
+ * Callers book and repeat through all entry VMs while processes crash and pause at step boundaries,
+ * writes and answers get lost, late or doubled, and old records are removed.
+ */
+export class BookingScenario extends SoakScenario<Plan> {
+	override readonly name = 'booking';
+	override readonly plans = plans;
+
+	/** @param omittedChecks - checks left out; for tests only */
+	constructor(private readonly omittedChecks?: ReadonlySet<BookingCheck>) {
+		super();
+	}
+
+	override async execute(plan: Plan, context: SoakContext): Promise<void> {
+		await new BookingRun(plan, context, this.omittedChecks).run();
+	}
+}
+
+class BookingRun {
+	private readonly fleet: BookingFleet;
+	private readonly keys = new Map<number, string>();
+
+	constructor(
+		private readonly plan: Plan,
+		private readonly context: SoakContext,
+		omittedChecks: ReadonlySet<BookingCheck> | undefined,
+	) {
+		const {time, random, invariants} = context;
+		this.fleet = new BookingFleet({
+			time,
+			random,
+			invariants,
+			vmCount,
+			answersOutcomes: plan.answersOutcomes,
+			retentionMs,
+			limits: plan.largeAnswers ? {maxRowAnswerBytes: 0} : {},
+			omittedChecks,
+			onFault(kind) {
+				context.fault(kind === 'crash' ? 'entry-killed' : 'entry-paused');
+				context.trace(`an entry VM's process is hit by a ${kind}`);
+			},
+			trace(line) {
+				context.trace(line);
+			},
+		});
+	}
+
+	async run(): Promise<void> {
+		const {time} = this.context;
+		for (const {afterMs, step} of this.plan.steps) {
+			await time.runUntil(time.nowMs() + afterMs);
+			this.take(step);
+		}
+
+		await this.heal();
+		await this.repeatAll();
+		this.fleet.judge.checkAllAnswered();
+		await this.checkRecords();
+		await this.repeatAfterRetention();
+	}
+
+	private take(step: Step): void {
+		const {context, fleet} = this;
+		const {time} = context;
+		const nowMs = time.nowMs();
+		switch (step.kind) {
+			case 'call': {
+				context.countBookings();
+				fleet.call({...step, key: this.keyOf(step.key)});
+				break;
+			}
+
+			case 'process': {
+				const process = fleet.processOf(step.vm);
+				process.planFault({
+					atStep: process.steps + step.stepsAhead,
+					kind: step.fault,
+					pauseMs: step.pauseMs,
+				});
+				break;
+			}
+
+			case 'commit': {
+				context.fault(commitFaultKinds[step.fault]);
+				const {fault: kind, delayMs} = step;
+				fleet.table.planCommitFault({
+					kind,
+					delayMs,
+					keyPrefix: bookingPrefix,
+				});
+				break;
+			}
+
+			case 'target': {
+				context.fault(targetFaultKinds[step.fault]);
+				fleet.target.planFault({kind: step.fault, delayMs: step.delayMs});
+				break;
+			}
+
+			case 'table': {
+				context.fault(step.mode === 'slow' ? 'table-slow' : 'table-down');
+				fleet.table.planPeriod({
+					kind: step.mode,
+					fromMs: nowMs,
+					untilMs: nowMs + step.lengthMs,
+					extraMs: step.extraMs,
+				});
+				break;
+			}
+
+			case 'restart': {
+				fleet.restart(step.vm);
+				break;
+			}
+
+			case 'peers': {
+				context.fault('peers-cut');
+				fleet.peersCut = true;
+				time.after(step.lengthMs, () => {
+					fleet.peersCut = false;
+				});
+				break;
+			}
+
+			case 'objects': {
+				context.fault('objects-down');
+				fleet.objects.down = true;
+				time.after(step.lengthMs, () => {
+					fleet.objects.down = false;
+				});
+				break;
+			}
+
+			case 'corrupt': {
+				this.corrupt(this.keyOf(step.key));
+				break;
+			}
+
+			case 'sweep': {
+				void fleet.sweep(step.vm);
+				break;
+			}
+		}
+	}
+
+	private keyOf(index: number): string {
+		const known = this.keys.get(index);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const time = this.context.time.wallMs().toString(16).padStart(12, '0');
+		const key = `${time.slice(0, 8)}-${time.slice(8)}-7abc-8def-${String(index).padStart(12, '0')}`;
+		this.keys.set(index, key);
+		return key;
+	}
+
+	private corrupt(key: string): void {
+		const row = this.fleet.table
+			.peekAll(bookingPrefix)
+			.find((one) => one.key.endsWith(key));
+		if (row) {
+			this.context.fault('row-corrupt');
+			this.fleet.judge.noteCorruption(key);
+			this.fleet.table.poke(row.key, row.value.slice(1));
+		}
+	}
+
+	private async heal(): Promise<void> {
+		const {time} = this.context;
+		this.fleet.table.heal();
+		await time.runUntil(time.nowMs() + settleMs);
+		this.fleet.heal();
+	}
+
+	/** After every fault has passed, each key is asked for once more through each VM. */
+	private async repeatAll(): Promise<void> {
+		const {time} = this.context;
+		for (const one of this.keys.values()) {
+			for (let index = 0; index < vmCount; index++) {
+				this.context.countBookings();
+				this.fleet.call({vm: index, key: one, variant: 0, timeoutMs: 2000});
+			}
+		}
+
+		await time.runUntil(time.nowMs() + settleMs);
+	}
+
+	private async checkRecords(): Promise<void> {
+		const {time} = this.context;
+		const checked = this.fleet.checkRecords();
+		await time.runUntil(time.nowMs() + settleMs);
+		await checked;
+		for (let index = 0; index < vmCount; index++) {
+			this.context.invariants.check(
+				'whole-answer',
+				this.fleet.openCountOf(index) === 0,
+				() => `VM ${index} still holds bookings`,
+			);
+		}
+	}
+
+	/** Removes the records and repeats every key through the VM whose clock is slow. */
+	private async repeatAfterRetention(): Promise<void> {
+		const {time} = this.context;
+		await time.runUntil(time.nowMs() + 4 * hourMs);
+		void this.fleet.sweep(0);
+		// The slow VM takes keys for recent that the others take for expired.
+		this.fleet.clockErrorsMs[slowVm] = -3.5 * hourMs;
+		await time.runUntil(time.nowMs() + settleMs);
+		this.context.fault('records-removed');
+		this.context.fault('clock-skewed');
+		for (const one of this.keys.values()) {
+			this.context.countBookings();
+			this.fleet.call({vm: slowVm, key: one, variant: 0, timeoutMs: 2000});
+		}
+
+		await time.runUntil(time.nowMs() + settleMs);
+	}
+}
--- a/src/experiments/soak/soak-scenario.ts
+++ b/src/experiments/soak/soak-scenario.ts
@@ -21,7 +21,17 @@
 	| 'zone-lost'
 	| 'operators-race'
 	| 'caller-left'
-	| 'report-lagged';
+	| 'report-lagged'
+	| 'write-late'
+	| 'write-duplicated'
+	| 'target-answer-lost'
+	| 'target-refused'
+	| 'target-slow'
+	| 'target-hanging'
+	| 'objects-down'
+	| 'row-corrupt'
+	| 'clock-skewed'
+	| 'records-removed';
 
 /** What one run of a scenario works with. */
 export type SoakContext = {
