--- a/src/adapters/callers/services-handler.ts
+++ b/src/adapters/callers/services-handler.ts
@@ -1,17 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import type {IncomingHttpHeaders} from 'node:http';
-import {
-	type PlainService,
-	ProblemError,
-	type ServiceAnswer,
-} from '../../common/index.js';
+import {ProblemError, type ServiceAnswer} from '../../common/index.js';
 import {
 	type BookingCoordinator,
 	checkBookingKey,
 } from '../../decisions/bookings/index.js';
+import type {ServiceCaller} from '../../decisions/retries/index.js';
 import type {CallerHandler} from './caller-server.js';
 import {readRequestBody} from './request-body.js';
+import {readRequestTimeoutMs} from './request-deadline.js';
 
 /** What the handler of calls to plain services needs. */
 export type ServicesHandlerOptions = {
@@ -22,34 +19,13 @@
 	readonly callTimeoutMs: number;
 	readonly wallMs: () => number;
 	readonly bookings: BookingCoordinator;
-	/** Chooses a target; throws `not-run` or `unknown-service`. */
-	readonly place: (service: string) => PlainService;
+	/** Sends calls that may be repeated. */
+	readonly caller: ServiceCaller;
+	readonly nowMs: () => number;
 };
 
 const servicePattern = /^\/v1\/services\/([\w-]+)(\/.*)?$/;
 
-/**
- * Time that the caller waits, from its header and the limit of this entry VM.
- * @throws ProblemError `invalid-request`
- */
-function readTimeoutMs(headers: IncomingHttpHeaders, limitMs: number): number {
-	const text = headers['x-request-timeout-ms'];
-	if (text === undefined) {
-		return limitMs;
-	}
-
-	const timeoutMs = Number(text);
-	if (!Number.isInteger(timeoutMs) || timeoutMs < 1) {
-		throw new ProblemError(
-			'invalid-request',
-			'X-Request-Timeout-Ms must be a whole number of milliseconds above 0',
-			{field: 'X-Request-Timeout-Ms'},
-		);
-	}
-
-	return Math.min(timeoutMs, limitMs);
-}
-
 /** Creates the handler of `/v1/services/<service>/<path>`. */
 export function createServicesHandler(
 	options: ServicesHandlerOptions,
@@ -62,6 +38,11 @@
 
 		const [, service, path = '/'] = match;
 		const method = request.method ?? 'GET';
+		const timeoutMs = Math.min(
+			options.callTimeoutMs,
+			readRequestTimeoutMs(request) ?? options.callTimeoutMs,
+		);
+		const deadlineMs = options.nowMs() + timeoutMs;
 		const body = await readRequestBody(request, options.maxBodyBytes);
 		const call = {
 			method,
@@ -71,12 +52,14 @@
 				request.headers['content-type'] ?? 'application/octet-stream',
 			),
 		};
-		const timeoutMs = readTimeoutMs(request.headers, options.callTimeoutMs);
 		let answer: ServiceAnswer;
 		if (method === 'GET' || method === 'HEAD') {
-			answer = await options
-				.place(service)
-				.call({...call, idempotencyKey: undefined, timeoutMs});
+			answer = await options.caller.run({
+				account,
+				service,
+				call: {...call, timeoutMs, idempotencyKey: undefined},
+				deadlineMs,
+			});
 		} else {
 			const header = request.headers['idempotency-key'];
 			const key = checkBookingKey(
--- a/src/experiments/soak/soak-scenario.ts
+++ b/src/experiments/soak/soak-scenario.ts
@@ -31,7 +31,9 @@
 	| 'objects-down'
 	| 'row-corrupt'
 	| 'clock-skewed'
-	| 'records-removed';
+	| 'records-removed'
+	| 'order-late'
+	| 'order-duplicated';
 
 /** What one run of a scenario works with. */
 export type SoakContext = {
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -27,8 +27,9 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
-import {createBookings} from './create-bookings.js';
 import {createRegistryPlacer} from './registry-placer.js';
+import {createRelayWiring} from './relay-wiring.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -76,6 +77,17 @@
 	const follower = createConfigurationFollower();
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
+	const wiring = createRelayWiring({
+		settings: settings.relay,
+		clock,
+		random,
+		metrics,
+		placer,
+		placeCall: (service, avoid) => registry.placeCall(service, avoid),
+		onTargetLeaving(targetId) {
+			registry.table.markLeaving(targetId);
+		},
+	});
 	const sessions = new Set<object>();
 	let stopping = false;
 	let tableReachable = true;
@@ -83,6 +95,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const [service, targetIds] of registry.table.services()) {
+				wiring.outliers.update(service, targetIds);
+			}
+
 			logger.info('configuration in force', {version: configuration.version});
 		}),
 	);
@@ -171,6 +187,8 @@
 	const callers = createCallerServer({
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
+		requestTimeoutMs: settings.relay.requestTimeoutMs,
+		isStopping: () => stopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -184,9 +202,11 @@
 		]),
 		handleCompletions: createCompletionsHandler({
 			maxBodyBytes: settings.maxBodyBytes,
+			maxOpenStreams: settings.relay.maxOpenStreams,
 			streamTokens: createStreamTokens(settings.streamKey),
 			settingsFor,
-			placer,
+			relay: wiring.relay,
+			metricsFor: wiring.metricsFor,
 			onSession(session) {
 				sessions.add(session);
 				return {
@@ -202,7 +222,8 @@
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
 			bookings: bookings.coordinator,
-			place: (service) => registry.placeCall(service),
+			caller: wiring.serviceCaller,
+			nowMs: () => clock.nowMs(),
 		}),
 		onProblem(problem) {
 			metrics.count('problems', {type: problem.type});
@@ -220,6 +241,8 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			openExchanges: callers.openExchanges(),
+			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
@@ -229,7 +252,7 @@
 		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
 	const callerPort = await listen(
-		callers,
+		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
@@ -247,7 +270,8 @@
 
 			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			while (sessions.size > 0) {
+			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
+			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
 				await new Promise((resolve) => {
 					setTimeout(resolve, drainCheckMs);
 				});
@@ -256,9 +280,11 @@
 			await bookings.coordinator.drain();
 			owned.dispose();
 			await new Promise((resolve) => {
-				callers.close(resolve);
-				callers.closeIdleConnections();
+				callers.server.close(resolve);
+				callers.server.closeIdleConnections();
 			});
+			// Callers that left may come back through another entry VM.
+			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,6 +1,11 @@
 import type {LogLevel} from '../../adapters/system/index.js';
 import type {BookingLimits} from '../../decisions/bookings/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
+import {
+	readRelaySettings,
+	relayFlags,
+	type RelaySettings,
+} from './relay-settings.js';
 import {bookingFlags, readBookingLimits} from './booking-settings.js';
 
 /** Settings of the entry daemon. */
@@ -24,6 +29,7 @@
 	readonly bookingRetentionMs: number;
 	readonly bookingLimits: BookingLimits;
 	readonly logLevel: LogLevel;
+	readonly relay: RelaySettings;
 };
 
 const maxPort = 65_535;
@@ -128,6 +134,7 @@
 				default: 'info' as const,
 				describe: 'lowest level that is logged',
 			},
+			...relayFlags,
 		})
 		.parseAsync();
 	return {
@@ -180,5 +187,6 @@
 		),
 		bookingLimits: readBookingLimits(flags),
 		logLevel: flags['log-level'],
+		relay: readRelaySettings(flags),
 	};
 }
