--- a/src/adapters/callers/problem-response.ts
+++ b/src/adapters/callers/problem-response.ts
@@ -34,6 +34,7 @@
 /** Body of an `application/problem+json` answer. Causes stay inside, since they may name internals. */
 export function problemBody(problem: ProblemError): Record<string, unknown> {
 	return {
+		...problem.details,
 		type: problem.type,
 		status: statusOf(problem),
 		// The message of an unforeseen failure may name internals.
--- a/src/decisions/bookings/booking-settler.ts
+++ b/src/decisions/bookings/booking-settler.ts
@@ -1,6 +1,10 @@
 import {type Row, type ServiceAnswer, toProblem} from '../../common/index.js';
 import type {BookingContext} from './booking-context.js';
-import {type BookingOutcome, problemOutcome} from './booking-entry.js';
+import {
+	type BookingOutcome,
+	closedOutcome,
+	problemOutcome,
+} from './booking-entry.js';
 import {parseBookingRecord} from './booking-record.js';
 import type {BookingRecord} from './types.js';
 
@@ -33,7 +37,7 @@
 		record: BookingRecord,
 	): Promise<BookingOutcome | undefined> => {
 		if (record.state === 'not-run') {
-			return problemOutcome('not-run', 'this call was refused and did not run');
+			return closedOutcome('this call was refused and did not run');
 		}
 
 		if (record.state !== 'done') {
--- a/src/experiments/fakes/fake-process.ts
+++ b/src/experiments/fakes/fake-process.ts
@@ -46,6 +46,11 @@
 		this.faults.push(fault);
 	}
 
+	/** Forgets the planned faults that were not reached. */
+	heal(): void {
+		this.faults.length = 0;
+	}
+
 	crash(): void {
 		if (this.current !== 'crashed') {
 			this.current = 'crashed';
--- a/src/experiments/soak/scenarios/index.ts
+++ b/src/experiments/soak/scenarios/index.ts
@@ -1,9 +1,11 @@
 import type {SoakScenario} from '../soak-scenario.js';
+import {BookingScenario} from './booking-scenario.js';
 import {ConfigurationScenario} from './configuration-scenario.js';
 import {OrderScenario} from './order-scenario.js';
 
 /** Every scenario of the soak, in the order in which each run executes them. */
 export const allScenarios: ReadonlyArray<SoakScenario<unknown>> = [
 	new ConfigurationScenario(),
+	new BookingScenario(),
 	new OrderScenario(),
 ];
