Put membership and contracts under randomized faults

Cause: floors, ceilings, leaving marks and the spread of the configuration through peers were unproved. Change: a fake fleet in virtual time, a load of three accounts on engines of limited capacity, checks of leaving-target, contract-floor and configuration, and a soak scenario with VMs killed, paused, cut off, cut one way and flapping, a stale VM list and table outages, several at once.

--- a/src/decisions/contracts/peer-usage.ts
+++ b/src/decisions/contracts/peer-usage.ts
@@ -41,16 +41,23 @@
 // Marks what an ended process had produced. Names of VMs hold no space.
 const endedSuffix = ' ended';
 
-function ceilingTokens(held: Held, wallMs: number): number {
-	const {report, atWallMs} = held;
+/** Tokens that a source is taken to have used during a silence: its last rate goes on. */
+export function silentTokens(report: UsageReport, silentMs: number): number {
+	return (report.tokensPerSecond * silentMs) / 1000;
+}
+
+function ceilingTokens(
+	{report, atWallMs}: Held,
+	wallMs: number,
+	tokensInSilence: typeof silentTokens,
+): number {
 	const minute = minuteOf(wallMs);
-	const silentMs = Math.max(0, wallMs - atWallMs);
 	if (report.minute >= minute) {
-		const produced = (report.tokensPerSecond * silentMs) / 1000;
+		const produced = tokensInSilence(report, Math.max(0, wallMs - atWallMs));
 		return report.chargedTokens + Math.max(report.reservedTokens, produced);
 	}
 
-	return (report.tokensPerSecond * (wallMs - minute * minuteMs)) / 1000;
+	return tokensInSilence(report, wallMs - minute * minuteMs);
 }
 
 function retire(sources: Map<string, Held>, source: string, wallMs: number) {
@@ -79,8 +86,11 @@
 	}
 }
 
-/** Creates a store without reports. */
-export function createPeerUsage(): PeerUsage {
+/**
+ * Creates a store without reports.
+ * @param tokensInSilence - what a silent source counts for
+ */
+export function createPeerUsage(tokensInSilence = silentTokens): PeerUsage {
 	const accounts = new Map<string, Map<string, Held>>();
 	return {
 		report(source, account, report, wallMs) {
@@ -120,7 +130,7 @@
 
 				const {report} = held;
 				sum.floorTokens += report.minute >= minute ? report.chargedTokens : 0;
-				sum.ceilingTokens += ceilingTokens(held, wallMs);
+				sum.ceilingTokens += ceilingTokens(held, wallMs, tokensInSilence);
 				sum.tokensPerSecond += report.tokensPerSecond;
 				sum.demandPerSecond += report.demandPerSecond;
 			}
--- a/src/decisions/membership/entry-store.ts
+++ b/src/decisions/membership/entry-store.ts
@@ -1,4 +1,5 @@
-import {reachOf, travelsTo} from './entry-scope.js';
+import {reachOf} from './entry-scope.js';
+import type {MembershipRules} from './membership-rules.js';
 import type {EntryReach, SharedEntry} from './types.js';
 
 /** Newest known entries, with those that still have to be passed on. */
@@ -57,7 +58,9 @@
 const maxRepeatScan = 64;
 
 /** Creates an empty store. */
-export function createEntryStore(): EntryStore {
+export function createEntryStore(
+	rules: Pick<MembershipRules, 'isNewer' | 'travelsTo'>,
+): EntryStore {
 	const entries = new Map<string, Held>();
 	const urgent = new Map<string, Held>();
 	const pending = new Map<string, Held>();
@@ -87,7 +90,7 @@
 			}
 
 			const size = options.sizeOf(held.entry);
-			if (!travelsTo(held.entry, options.closeness) || size > left) {
+			if (!rules.travelsTo(held.entry, options.closeness) || size > left) {
 				continue;
 			}
 
@@ -134,7 +137,7 @@
 				return;
 			}
 
-			if (travelsTo(held.entry, options.closeness)) {
+			if (rules.travelsTo(held.entry, options.closeness)) {
 				picked.set(identityOf(held.entry), held.entry);
 				left -= size;
 			}
@@ -151,7 +154,7 @@
 		put(entry, sendCount) {
 			const id = identityOf(entry);
 			const held = entries.get(id);
-			if (held && !isNewer(entry, held.entry)) {
+			if (held && !rules.isNewer(entry, held.entry)) {
 				return false;
 			}
 
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -3,6 +3,7 @@
 export * from './entry-store.js';
 export * from './leaving-marks.js';
 export * from './member-directory.js';
+export * from './membership-rules.js';
 export type * from './membership-types.js';
 export * from './membership.js';
 export * from './message-codec.js';
--- a/src/decisions/membership/member-directory.ts
+++ b/src/decisions/membership/member-directory.ts
@@ -64,8 +64,15 @@
 	};
 }
 
-/** Creates a directory without members. */
-export function createMemberDirectory(self: string): MemberDirectory {
+/**
+ * Creates a directory without members.
+ * @param self - name of this VM, which is not a member
+ * @param compareRuns - above 0 if the first incarnation is later than the second
+ */
+export function createMemberDirectory(
+	self: string,
+	compareRuns: (one: number, other: number) => number,
+): MemberDirectory {
 	const members = new Map<string, Member>();
 	let contactAtMs = Number.NEGATIVE_INFINITY;
 
@@ -115,14 +122,15 @@
 				return true;
 			}
 
-			if (incarnation < member.incarnation) {
+			const order = compareRuns(incarnation, member.incarnation);
+			if (order < 0) {
 				return false;
 			}
 
-			const advanced = incarnation > member.incarnation || beat > member.beat;
+			const advanced = order > 0 || beat > member.beat;
 			if (advanced) {
 				member.beat = beat;
-				member.incarnation = incarnation;
+				member.incarnation = Math.max(member.incarnation, incarnation);
 			}
 
 			if (advanced || direct) {
--- a/src/decisions/membership/member-node.ts
+++ b/src/decisions/membership/member-node.ts
@@ -15,6 +15,7 @@
 	createActivityExchange,
 } from './activity-exchange.js';
 import {createLeavingMarks, type LeavingMarks} from './leaving-marks.js';
+import type {MembershipRules} from './membership-rules.js';
 import type {Membership} from './membership-types.js';
 import {createMembership} from './membership.js';
 import type {MemberAddress, OutgoingMessage} from './types.js';
@@ -33,6 +34,7 @@
 	readonly contractOf: (account: string) => Contract;
 	/** What this VM has running at targets. */
 	readonly ownActivity: () => readonly TargetActivity[];
+	readonly rules?: MembershipRules;
 };
 
 /** Membership of one entry VM with everything that is shared through it. */
@@ -53,7 +55,7 @@
 export function createMemberNode(options: MemberNodeOptions): MemberNode {
 	const {self, nowMs, wallMs, contractOf} = options;
 	const membership = createMembership(options);
-	const peerUsage = createPeerUsage();
+	const peerUsage = createPeerUsage(options.rules?.silentTokens);
 	const ledger = createContractLedger({
 		contractOf,
 		peerUsage,
--- a/src/decisions/membership/membership-types.ts
+++ b/src/decisions/membership/membership-types.ts
@@ -1,6 +1,7 @@
 import type {Event, RandomSource, VmEntry} from '../../common/index.js';
 import type {EntryStore} from './entry-store.js';
 import type {MemberDirectory} from './member-directory.js';
+import type {MembershipRules} from './membership-rules.js';
 import type {PeerSelector} from './peer-selector.js';
 import type {
 	MemberAddress,
@@ -17,6 +18,7 @@
 	readonly random: RandomSource;
 	readonly configurationVersion: () => number;
 	readonly stopping: () => boolean;
+	readonly rules?: MembershipRules;
 };
 
 /** Live peers and shared state of one entry VM, as a state machine without I/O. */
--- a/src/decisions/membership/membership.ts
+++ b/src/decisions/membership/membership.ts
@@ -1,6 +1,7 @@
 import {createEmitter, ProblemError} from '../../common/index.js';
 import {isSumScope} from './entry-scope.js';
 import {createEntryStore} from './entry-store.js';
+import {membershipRules} from './membership-rules.js';
 import {createMemberDirectory} from './member-directory.js';
 import {createUrgentBursts} from './urgent-bursts.js';
 import {createMessageComposer} from './message-composer.js';
@@ -34,10 +35,10 @@
 
 /** Creates a VM without peers. */
 export function createMembership(options: MembershipOptions): Membership {
-	const {self, random} = options;
-	const directory = createMemberDirectory(self.name);
+	const {self, random, rules = membershipRules} = options;
+	const directory = createMemberDirectory(self.name, rules.compareRuns);
 	const selector = createPeerSelector(self, directory, random);
-	const entries = createEntryStore();
+	const entries = createEntryStore(rules);
 	const entryEmitter = createEmitter<SharedEntry>();
 	const configurationEmitter = createEmitter<MemberAddress>();
 	const forgottenEmitter = createEmitter<string>();
@@ -91,7 +92,7 @@
 
 		const known = directory.heartbeatOf(heartbeat.name)?.incarnation ?? 0;
 		directory.observe(heartbeat, direct, nowMs);
-		if (known > 0 && heartbeat.incarnation > known) {
+		if (known > 0 && rules.compareRuns(heartbeat.incarnation, known) > 0) {
 			forget(heartbeat.name);
 		}
 	};
@@ -102,7 +103,10 @@
 		}
 
 		const known = directory.heartbeatOf(entry.scope);
-		return known !== undefined && entry.incarnation >= known.incarnation;
+		return (
+			known !== undefined &&
+			rules.compareRuns(entry.incarnation, known.incarnation) >= 0
+		);
 	};
 
 	const accept = (entry: SharedEntry, nowMs: number) => {
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -3,3 +3,4 @@
 export * from './fake-process.js';
 export * from './fake-table-service.js';
 export * from './virtual-time.js';
+export * from './fake-fleet.js';
--- /dev/null
+++ b/src/experiments/soak/scenarios/membership-scenario.ts
@@ -0,0 +1,245 @@
+import fc from 'fast-check';
+import type {MembershipRules} from '../../../decisions/membership/index.js';
+import {createFakeFleet, type FakeFleet} from '../../fakes/index.js';
+import {type SoakContext, SoakScenario} from '../soak-scenario.js';
+import {
+	type ContractLoad,
+	createContractLoad,
+	loadContracts,
+} from './contract-load.js';
+import {createFleetChecks, type FleetChecks} from './fleet-checks.js';
+
+type StepKind =
+	| 'kill'
+	| 'pause'
+	| 'cut-off'
+	| 'cut-one-way'
+	| 'flap'
+	| 'stale-list'
+	| 'table-down'
+	| 'leave'
+	| 'replace'
+	| 'change';
+
+type Step = {
+	readonly kind: StepKind;
+	readonly atMs: number;
+	readonly vm: number;
+	readonly other: number;
+	readonly durationMs: number;
+};
+
+const vmCount = 6;
+const targetCount = 4;
+const lastStepMs = 140_000;
+const longestMs = 25_000;
+
+/** Ends 50 s into a minute, long after the last fault. */
+const endMs = 210_000;
+const flapMs = 1500;
+const secondMs = 1000;
+
+const kinds: readonly StepKind[] = [
+	'kill',
+	'pause',
+	'cut-off',
+	'cut-one-way',
+	'flap',
+	'stale-list',
+	'table-down',
+	'leave',
+	'leave',
+	'replace',
+	'change',
+];
+
+/** Peers fail, pause and lose links while accounts flood, targets leave and the configuration changes. */
+export class MembershipScenario extends SoakScenario<readonly Step[]> {
+	override readonly name = 'membership';
+	override readonly plans = fc.array(
+		fc.record({
+			kind: fc.constantFrom(...kinds),
+			atMs: fc.integer({min: 5000, max: lastStepMs}),
+			vm: fc.nat(vmCount - 1),
+			other: fc.nat(vmCount - 1),
+			durationMs: fc.integer({min: 2000, max: longestMs}),
+		}),
+		{minLength: 4, maxLength: 16},
+	);
+
+	/** @param rules - replaced by tests that plant faults */
+	constructor(private readonly rules?: MembershipRules) {
+		super();
+	}
+
+	override async execute(
+		plan: readonly Step[],
+		context: SoakContext,
+	): Promise<void> {
+		const {time, random} = context;
+		const fleet = createFakeFleet({
+			time,
+			random,
+			members: Array.from({length: vmCount}, (_, index) => ({
+				name: `entry-${index}`,
+				address: `127.0.0.1:${index + 1}`,
+				availabilityZone: `zone-${index % 3}`,
+				region: 'region-1',
+			})),
+			contractOf: (account) => loadContracts[account],
+			rules: this.rules,
+		});
+		for (let index = 0; index < targetCount; index++) {
+			fleet.targetVms.push({
+				name: `engine-${index}`,
+				instanceId: `engine-${index}-0`,
+				role: 'engine',
+				availabilityZone: 'zone-0',
+				region: 'region-1',
+				address: '127.0.0.1:99',
+				state: 'live',
+			});
+		}
+
+		fleet.start();
+		const load = createContractLoad(fleet.vms, context, random);
+		const checks = createFleetChecks(fleet, load, context);
+		for (const step of plan) {
+			time.after(step.atMs, () => {
+				context.trace(
+					`${step.kind} vm ${step.vm} other ${step.other} for ${step.durationMs} ms`,
+				);
+				inject(step, {fleet, load, checks, context});
+			});
+		}
+
+		const everySecond = () => {
+			load.step();
+			checks.step();
+			time.after(secondMs, everySecond);
+		};
+
+		time.after(secondMs, everySecond);
+		await time.runUntil(endMs);
+		checks.finish();
+	}
+}
+
+type Run = {
+	readonly fleet: FakeFleet;
+	readonly load: ContractLoad;
+	readonly checks: FleetChecks;
+	readonly context: SoakContext;
+};
+
+function inject(step: Step, {fleet, load, checks, context}: Run): void {
+	const {time} = context;
+	const vm = fleet.vms[step.vm];
+	const other = fleet.vms[step.other];
+	const later = (run: () => void) => {
+		time.after(step.durationMs, run);
+	};
+
+	const setAllLinks = (works: boolean) => {
+		for (const peer of fleet.vms) {
+			fleet.setLink(vm, peer, works);
+			fleet.setLink(peer, vm, works);
+		}
+	};
+
+	switch (step.kind) {
+		case 'kill': {
+			if (vm.state === 'dead') {
+				return;
+			}
+
+			context.fault('entry-killed');
+			checks.trouble(vm, step.durationMs);
+			fleet.kill(vm);
+			load.drop(vm);
+			later(() => {
+				fleet.restart(vm);
+			});
+			break;
+		}
+
+		case 'pause': {
+			context.fault('entry-paused');
+			checks.trouble(vm, step.durationMs);
+			fleet.pause(vm);
+			later(() => {
+				fleet.resume(vm);
+			});
+			break;
+		}
+
+		case 'cut-off': {
+			context.fault('peers-cut');
+			checks.trouble(vm, step.durationMs);
+			setAllLinks(false);
+			later(() => {
+				setAllLinks(true);
+			});
+			break;
+		}
+
+		case 'cut-one-way': {
+			context.fault('peers-cut');
+			fleet.setLink(vm, other, false);
+			later(() => {
+				fleet.setLink(vm, other, true);
+			});
+			break;
+		}
+
+		case 'flap': {
+			context.fault('peers-cut');
+			for (let passedMs = 0; passedMs < step.durationMs; passedMs += flapMs) {
+				const works = (passedMs / flapMs) % 2 === 1;
+				time.after(passedMs, () => {
+					fleet.setLink(vm, other, works);
+					fleet.setLink(other, vm, works);
+				});
+			}
+
+			later(() => {
+				fleet.setLink(vm, other, true);
+				fleet.setLink(other, vm, true);
+			});
+			break;
+		}
+
+		case 'stale-list': {
+			context.fault('list-stale');
+			fleet.listStale = true;
+			later(() => {
+				fleet.listStale = false;
+			});
+			break;
+		}
+
+		case 'table-down': {
+			context.fault('table-down');
+			fleet.tableDown = true;
+			later(() => {
+				fleet.tableDown = false;
+			});
+			break;
+		}
+
+		case 'leave': {
+			checks.leave(vm, step.other % targetCount);
+			break;
+		}
+
+		case 'replace': {
+			checks.replace(step.other % targetCount);
+			break;
+		}
+
+		case 'change': {
+			checks.change(vm);
+			break;
+		}
+	}
+}
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -83,7 +83,7 @@
 		placer,
 		placeCall: (service, avoid) => registry.placeCall(service, avoid),
 		onTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
 	});
 	const sessions = new Set<object>();
