--- /dev/null
+++ b/src/decisions/routing/engine-choice.ts
@@ -0,0 +1,140 @@
+import type {CostWeights, RandomSource} from '../../common/index.js';
+import type {CacheAffinity} from './cache-affinity.js';
+import type {EngineLoad} from './engine-load.js';
+import type {RoutingTuning} from './routing-tuning.js';
+import {
+	createStreamForecast,
+	horizonCount,
+	type StreamForecast,
+} from './stream-forecast.js';
+
+/** An engine that a generation may go to. */
+export type EngineCandidate = {
+	readonly load: EngineLoad;
+	readonly affinity: CacheAffinity;
+	readonly availabilityZone: string;
+	/** Monotonic time until which prompts sent by this VM keep the engine busy, in milliseconds. */
+	readonly prefillBusyUntilMs: number;
+};
+
+/** A generation that looks for an engine. */
+export type ChoiceRequest = {
+	readonly forecast: StreamForecast;
+	readonly promptTokens: number;
+	readonly prefixHashes: readonly string[];
+	readonly entitled: boolean;
+	readonly weights: CostWeights;
+	readonly nowMs: number;
+};
+
+/** Chooses engines by weighted cost. */
+export type EngineChooser = {
+	/**
+	 * @param averageStream - forecast of an average stream, which stands for each of the peers' streams
+	 * @returns the engine, or undefined if none has room
+	 */
+	choose<C extends EngineCandidate>(
+		candidates: readonly C[],
+		request: ChoiceRequest,
+		averageStream: StreamForecast,
+	): C | undefined;
+};
+
+// The chance of running out of memory is about halved by each 2% of the memory that stay free.
+const pressureScale = 0.03;
+const millisecondsPerSecond = 1000;
+const stepPerStreamMs = 0.2;
+
+/**
+ * Creates a chooser.
+ * @param ownZone - availability zone of this VM
+ */
+export function createEngineChooser(
+	tuning: RoutingTuning,
+	ownZone: string,
+	random: RandomSource,
+): EngineChooser {
+	const memory = createStreamForecast();
+	let costs = new Float64Array(64);
+
+	/** Part of the engine's memory at its forecast peak, margin included. */
+	const peakPart = (load: EngineLoad, request: ChoiceRequest) => {
+		const {meanTokens, variance} = request.forecast;
+		let peak = 0;
+		for (let index = 0; index < horizonCount; index++) {
+			const mean = memory.meanTokens[index] + meanTokens[index];
+			const spread = memory.variance[index] + variance[index];
+			peak = Math.max(
+				peak,
+				mean + tuning.marginDeviations * Math.sqrt(Math.max(0, spread)),
+			);
+		}
+
+		return peak / load.capacityTokens;
+	};
+
+	const costOf = (
+		candidate: EngineCandidate,
+		request: ChoiceRequest,
+		part: number,
+	) => {
+		const {load, affinity} = candidate;
+		const {weights, nowMs} = request;
+		const cached = affinity.expectedCachedTokens(request.prefixHashes, nowMs);
+		const prefillMs =
+			tuning.prefillPerTokenMs * Math.max(0, request.promptTokens - cached);
+		const busyMs = Math.max(0, candidate.prefillBusyUntilMs - nowMs);
+		const streams = load.openCount;
+		const gapMs = load.stepMs + busyMs + prefillMs;
+		const stallMs = streams * Math.max(0, gapMs - tuning.stallThresholdMs);
+		const zoneMs =
+			candidate.availabilityZone === ownZone ? 0 : tuning.otherZoneMs;
+		const pressure = Math.exp((part - 1) / pressureScale);
+		const recomputeMs = tuning.prefillPerTokenMs * (load.ownTokens + 1);
+		return (
+			weights.preemption * pressure +
+			(weights.stallPerSecond * (stallMs + pressure * recomputeMs)) /
+				millisecondsPerSecond +
+			(weights.tailPerSecond *
+				(prefillMs + busyMs + zoneMs + stepPerStreamMs * streams)) /
+				millisecondsPerSecond
+		);
+	};
+
+	return {
+		choose(candidates, request, averageStream) {
+			if (costs.length < candidates.length) {
+				costs = new Float64Array(candidates.length * 2);
+			}
+
+			const limit = request.entitled ? 1 : 1 - tuning.floorReserve;
+			let lowest = Infinity;
+			for (const [index, candidate] of candidates.entries()) {
+				candidate.load.forecast(memory, averageStream, request.nowMs);
+				const part = peakPart(candidate.load, request);
+				// A prompt that no engine could hold beside others still runs on an empty one.
+				const fits = part <= limit || candidate.load.openCount === 0;
+				costs[index] = fits ? costOf(candidate, request, part) : Infinity;
+				lowest = Math.min(lowest, costs[index]);
+			}
+
+			if (lowest === Infinity) {
+				return undefined;
+			}
+
+			const bound = lowest * (1 + tuning.equalCostPart);
+			let chosen: (typeof candidates)[number] | undefined;
+			let equal = 0;
+			for (const [index, candidate] of candidates.entries()) {
+				if (costs[index] <= bound) {
+					equal++;
+					if (random.nextInt(equal) === 0) {
+						chosen = candidate;
+					}
+				}
+			}
+
+			return chosen;
+		},
+	};
+}
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -1,2 +1,15 @@
+export * from './admission-queue.js';
+export * from './cache-affinity.js';
+export * from './engine-choice.js';
+export * from './engine-load.js';
+export * from './engine-priority.js';
+export * from './engine-table.js';
+export * from './generation-placer.js';
+export * from './generation-router.js';
+export * from './length-distribution.js';
+export * from './length-histogram.js';
+export * from './length-statistics.js';
+export * from './routing-tuning.js';
+export * from './stream-forecast.js';
 export * from './target-table.js';
 export type * from './types.js';
--- a/src/programs/standin-engine.ts
+++ b/src/programs/standin-engine.ts
@@ -65,6 +65,7 @@
 		stepBaseMs: checkNumber('step-base-ms', flags['step-base-ms'], 0, 10_000),
 		stepPerRunningMs: 0.05,
 		prefillPerTokenMs: 0.02,
+		cacheTokens: 50_000,
 		refusesOldOrders: flags['refuses-old-orders'],
 		reportLagMs: checkNumber(
 			'report-lag-ms',
--- a/src/standins/engine/engine-model.ts
+++ b/src/standins/engine/engine-model.ts
@@ -1,4 +1,5 @@
-import type {FinishReason} from '../../common/index.js';
+import type {CacheEvent, FinishReason} from '../../common/index.js';
+import {createPrefixCache} from './prefix-cache.js';
 
 /** Size and speed of a modelled engine. */
 export type EngineModelOptions = {
@@ -12,6 +13,10 @@
 	readonly stepPerRunningMs: number;
 	/** Cost of computing one prompt token, in milliseconds. */
 	readonly prefillPerTokenMs: number;
+	/** Prompt tokens computed in one step; a longer prompt goes alone. Default 8192. */
+	readonly maxPrefillTokens?: number;
+	/** Memory for cached prompt prefixes, counted in tokens. Default 0. */
+	readonly cacheTokens?: number;
 };
 
 /** A generation that is submitted to the model. */
@@ -23,92 +28,190 @@
 	/** Smaller is more important. */
 	readonly priority: number;
 	readonly finishReason: FinishReason;
+	/** Hashes of the prompt's prefixes, shortest first. */
+	readonly prefixHashes?: readonly string[];
 };
 
-/** What one step produced. */
-export type StepResult = {
+/** A generation inside the model. */
+export type ModelSequence<G extends ModelGeneration = ModelGeneration> = {
+	readonly generation: G;
+	readonly producedTokens: number;
+};
+
+/** What one step produced. The arrays are reused by the next step. */
+export type StepResult<G extends ModelGeneration = ModelGeneration> = {
 	/** Duration of the step, in milliseconds. */
 	readonly durationMs: number;
-	/** Generations that produced one token each. */
-	readonly produced: readonly string[];
-	readonly finished: readonly string[];
-	readonly preempted: readonly string[];
+	/** Generations that produced one token each, those that finished included. */
+	readonly produced: ReadonlyArray<ModelSequence<G>>;
+	readonly finished: ReadonlyArray<ModelSequence<G>>;
+	readonly preempted: ReadonlyArray<ModelSequence<G>>;
 };
 
-type Sequence = {
-	readonly generation: ModelGeneration;
+type Sequence<G extends ModelGeneration> = {
+	readonly generation: G;
+	readonly order: number;
 	producedTokens: number;
-	order: number;
+	/** Index among the running ones, or -1 while it waits. */
+	runningIndex: number;
 };
 
 /** An engine that batches continuously and preempts when its memory is full. */
-export type EngineModel = {
+export type EngineModel<G extends ModelGeneration = ModelGeneration> = {
 	readonly runningCount: number;
 	readonly waitingCount: number;
 	readonly usedTokens: number;
 	readonly preemptionsTotal: number;
-	submit(generation: ModelGeneration): void;
+	/** Running generations, for observers that know everything. */
+	readonly running: ReadonlyArray<ModelSequence<G>>;
+	readonly waiting: ReadonlyArray<ModelSequence<G>>;
+	submit(generation: G): void;
 	cancel(id: string): boolean;
 	/** Runs one decoding step. */
-	step(): StepResult;
+	step(): StepResult<G>;
+	/** Leading prompt tokens that are in the prefix cache. */
+	cachedTokens(prefixHashes: readonly string[]): number;
+	/** Removes and returns the prefix-cache events since the last call. */
+	takeCacheEvents(): readonly CacheEvent[];
 };
 
+const defaultMaxPrefillTokens = 8192;
+
+// Admission leaves this part of the memory free, as engines do, so that a generation is not admitted
+// and preempted in turns.
+const freePart = 0.01;
+
 /** Creates an idle engine model. */
-export function createEngineModel(options: EngineModelOptions): EngineModel {
-	const waiting: Sequence[] = [];
-	const running: Sequence[] = [];
+export function createEngineModel<G extends ModelGeneration = ModelGeneration>(
+	options: EngineModelOptions,
+): EngineModel<G> {
+	// Sorted, the most important generation last.
+	const waiting: Array<Sequence<G>> = [];
+	const running: Array<Sequence<G>> = [];
+	const byId = new Map<string, Sequence<G>>();
+	const cache = createPrefixCache(options.cacheTokens ?? 0);
+	const maxPrefillTokens = options.maxPrefillTokens ?? defaultMaxPrefillTokens;
+	const admissionLimit = options.capacityTokens * (1 - freePart);
+	const produced: Array<Sequence<G>> = [];
+	const finished: Array<Sequence<G>> = [];
+	const preempted: Array<Sequence<G>> = [];
 	let usedTokens = 0;
 	let preemptionsTotal = 0;
 	let nextOrder = 0;
 
-	const sizeTokens = (sequence: Sequence) =>
+	const sizeTokens = (sequence: Sequence<G>) =>
 		sequence.generation.promptTokens + sequence.producedTokens;
 
-	const byImportance = (a: Sequence, b: Sequence) =>
+	const byImportance = (a: Sequence<G>, b: Sequence<G>) =>
 		a.generation.priority - b.generation.priority || a.order - b.order;
 
+	const waitingIndex = (sequence: Sequence<G>): number => {
+		let low = 0;
+		let high = waiting.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (byImportance(waiting[middle], sequence) > 0) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return low;
+	};
+
+	const enqueue = (sequence: Sequence<G>) => {
+		waiting.splice(waitingIndex(sequence), 0, sequence);
+	};
+
+	const addRunning = (sequence: Sequence<G>) => {
+		sequence.runningIndex = running.length;
+		running.push(sequence);
+		usedTokens += sizeTokens(sequence);
+	};
+
+	const removeRunning = (sequence: Sequence<G>) => {
+		const last = running.pop()!;
+		if (last !== sequence) {
+			running[sequence.runningIndex] = last;
+			last.runningIndex = sequence.runningIndex;
+		}
+
+		sequence.runningIndex = -1;
+		usedTokens -= sizeTokens(sequence);
+	};
+
+	/** Admits waiting generations and returns the tokens to compute for them. */
 	const admit = () => {
 		let prefillTokens = 0;
-		waiting.sort(byImportance);
 		while (waiting.length > 0 && running.length < options.maxRunning) {
-			const [next] = waiting;
-			const needed = sizeTokens(next) + 1;
-			if (running.length > 0 && usedTokens + needed > options.capacityTokens) {
+			const next = waiting.at(-1)!;
+			const size = sizeTokens(next);
+			if (
+				running.length > 0 &&
+				usedTokens + size + running.length + 1 > admissionLimit
+			) {
+				break;
+			}
+
+			const hashes = next.generation.prefixHashes ?? [];
+			const computed = Math.max(1, size - cache.cachedTokens(hashes));
+			if (prefillTokens > 0 && prefillTokens + computed > maxPrefillTokens) {
 				break;
 			}
 
-			waiting.shift();
-			running.push(next);
-			usedTokens += sizeTokens(next);
-			prefillTokens += sizeTokens(next);
+			waiting.pop();
+			addRunning(next);
+			cache.store(hashes);
+			prefillTokens += computed;
 		}
 
 		return prefillTokens;
 	};
 
-	const remove = (list: Sequence[], id: string): Sequence | undefined => {
-		const index = list.findIndex((sequence) => sequence.generation.id === id);
-		return index === -1 ? undefined : list.splice(index, 1)[0];
+	const leastImportant = () => {
+		let [worst] = running;
+		for (const sequence of running) {
+			if (byImportance(sequence, worst) > 0) {
+				worst = sequence;
+			}
+		}
+
+		return worst;
 	};
 
-	const preemptUntilStepFits = (): string[] => {
-		const preempted: string[] = [];
+	const preemptUntilStepFits = () => {
 		while (
 			running.length > 1 &&
 			usedTokens + running.length > options.capacityTokens
 		) {
-			running.sort(byImportance);
-			const victim = running.pop()!;
-			usedTokens -= sizeTokens(victim);
+			const victim = leastImportant();
+			removeRunning(victim);
 			preemptionsTotal++;
-			preempted.push(victim.generation.id);
-			waiting.push(victim);
+			preempted.push(victim);
+			enqueue(victim);
+		}
+	};
+
+	const decode = () => {
+		for (const sequence of running) {
+			sequence.producedTokens++;
+			produced.push(sequence);
+			if (sequence.producedTokens >= sequence.generation.outputTokens) {
+				finished.push(sequence);
+			}
 		}
 
-		return preempted;
+		usedTokens += running.length;
+		for (const sequence of finished) {
+			removeRunning(sequence);
+			byId.delete(sequence.generation.id);
+		}
 	};
 
 	return {
+		running,
+		waiting,
 		get runningCount() {
 			return running.length;
 		},
@@ -122,41 +225,48 @@
 			return preemptionsTotal;
 		},
 		submit(generation) {
-			waiting.push({generation, producedTokens: 0, order: nextOrder++});
+			const sequence: Sequence<G> = {
+				generation,
+				order: nextOrder++,
+				producedTokens: 0,
+				runningIndex: -1,
+			};
+			byId.set(generation.id, sequence);
+			enqueue(sequence);
 		},
 		cancel(id) {
-			if (remove(waiting, id)) {
-				return true;
+			const sequence = byId.get(id);
+			if (!sequence) {
+				return false;
 			}
 
-			const sequence = remove(running, id);
-			if (sequence) {
-				usedTokens -= sizeTokens(sequence);
+			byId.delete(id);
+			if (sequence.runningIndex === -1) {
+				waiting.splice(waitingIndex(sequence), 1);
+			} else {
+				removeRunning(sequence);
 			}
 
-			return sequence !== undefined;
+			return true;
 		},
 		step() {
-			const prefillTokens = admit();
-			const preempted = preemptUntilStepFits();
-			const produced: string[] = [];
-			const finished: string[] = [];
+			produced.length = 0;
+			finished.length = 0;
+			preempted.length = 0;
+			preemptUntilStepFits();
+			const prefillTokens = preempted.length === 0 ? admit() : 0;
 			const durationMs =
 				options.stepBaseMs +
 				options.stepPerRunningMs * running.length +
 				options.prefillPerTokenMs * prefillTokens;
-			for (const sequence of running) {
-				sequence.producedTokens++;
-				usedTokens++;
-				produced.push(sequence.generation.id);
-				if (sequence.producedTokens >= sequence.generation.outputTokens) {
-					finished.push(sequence.generation.id);
-					remove(running, sequence.generation.id);
-					usedTokens -= sizeTokens(sequence);
-				}
-			}
-
+			decode();
 			return {durationMs, produced, finished, preempted};
 		},
+		cachedTokens(prefixHashes) {
+			return cache.cachedTokens(prefixHashes);
+		},
+		takeCacheEvents() {
+			return cache.takeEvents();
+		},
 	};
 }
--- a/src/standins/engine/engine-server.ts
+++ b/src/standins/engine/engine-server.ts
@@ -4,10 +4,12 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {
-	CacheEvent,
-	FinishReason,
-	TargetOrder,
+import {
+	type CacheEvent,
+	type FinishReason,
+	prefixHashesOf,
+	promptTokensOf,
+	type TargetOrder,
 } from '../../common/index.js';
 import {readBody, sendJson} from '../http-helpers.js';
 import {createEngineModel, type EngineModelOptions} from './engine-model.js';
@@ -24,6 +26,8 @@
 	readonly retainMs: number;
 };
 
+const maxCacheEvents = 10_000;
+
 type Generation = {
 	readonly id: string;
 	readonly outputTokens: number;
@@ -117,21 +121,26 @@
 		const result = model.step();
 		stepTimer = setTimeout(() => {
 			const nowMs = performance.now();
-			for (const id of result.produced) {
-				generations.get(id)!.producedTokens++;
-			}
-
-			for (const id of result.finished) {
-				generations.get(id)!.finishedAtMs = nowMs;
+			for (const {generation} of result.finished) {
+				const finished = generations.get(generation.id);
+				if (finished) {
+					finished.finishedAtMs = nowMs;
+				}
 			}
 
-			for (const id of result.produced) {
-				const generation = generations.get(id)!;
-				for (const link of generation.links) {
-					writeLink(generation, link);
+			for (const sequence of result.produced) {
+				// A generation that was cancelled during the step is gone.
+				const generation = generations.get(sequence.generation.id);
+				if (generation) {
+					generation.producedTokens = sequence.producedTokens;
+					for (const link of generation.links) {
+						writeLink(generation, link);
+					}
 				}
 			}
 
+			cacheEvents.push(...model.takeCacheEvents());
+			cacheEvents.splice(0, cacheEvents.length - maxCacheEvents);
 			recordLoad();
 			step();
 		}, result.durationMs);
@@ -191,7 +200,8 @@
 		generations.set(id, generation);
 		model.submit({
 			id,
-			promptTokens: Math.ceil(body.prompt.length / 4),
+			promptTokens: promptTokensOf(body.prompt),
+			prefixHashes: prefixHashesOf(body.prompt),
 			outputTokens,
 			priority: body.priority ?? 0,
 			finishReason: generation.finishReason,
