Bound the shrinking of failing plans and refuse unknown scenario names

Change: at most 40 executions for each failing plan; unknown names are a usage error that lists the scenarios. Conclusion: failing runs now end soon enough to be read.

--- a/src/experiments/soak/main.ts
+++ b/src/experiments/soak/main.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {ProblemError} from '../../common/index.js';
 import {
 	checkNumber,
 	commandLine,
@@ -24,6 +25,13 @@
 	const scenarios = allScenarios.filter(
 		(one) => flags.scenario === undefined || one.name === flags.scenario,
 	);
+	if (scenarios.length === 0) {
+		const names = allScenarios.map((one) => one.name).join(', ');
+		throw new ProblemError('invalid-setting', `--scenario allows: ${names}`, {
+			field: 'scenario',
+		});
+	}
+
 	const report = await runSoak(
 		scenarios,
 		checkNumber('seed', flags.seed, 0, maxSeed),
--- a/src/experiments/soak/soak-runner.ts
+++ b/src/experiments/soak/soak-runner.ts
@@ -30,6 +30,9 @@
 const maxTraceLines = 60;
 const seedStep = 7919;
 
+// Bounds the time that shrinking a failing plan takes; the smallest plan found so far is printed.
+const maxExecutions = 40;
+
 type Tally = {
 	readonly context: SoakContext;
 	readonly trace: string[];
@@ -91,7 +94,12 @@
 ): Promise<void> {
 	let first: Tally | undefined;
 	let last: Tally | undefined;
+	let executions = 0;
 	const property = fc.asyncProperty(scenario.plans, async (plan) => {
+		if (++executions > maxExecutions) {
+			return true;
+		}
+
 		const tally = createTally(seed);
 		first ??= tally;
 		await scenario.execute(plan, tally.context);
