--- a/src/decisions/configuration/configuration-store.ts
+++ b/src/decisions/configuration/configuration-store.ts
@@ -1,23 +1,54 @@
-import {ProblemError, type TableService} from '../../common/index.js';
-import {checkEdit} from './fleet-configuration.js';
-import type {ConfigurationChange, ConfigurationEdit} from './types.js';
+import {
+	ProblemError,
+	type RowWrite,
+	type TableService,
+	toProblem,
+} from '../../common/index.js';
+import {
+	encodeSnapshot,
+	snapshotRowKey,
+	versionRowKey,
+} from './configuration-codec.js';
+import {
+	type ChangePage,
+	createConfigurationHistory,
+	keptSnapshots,
+	removedSnapshots,
+} from './configuration-history.js';
+import {
+	applyChange,
+	checkConfiguration,
+	checkEdit,
+} from './fleet-configuration.js';
+import type {
+	ConfigurationChange,
+	ConfigurationCheck,
+	ConfigurationEdit,
+	FleetConfiguration,
+} from './types.js';
 
 const headKey = 'config/head';
-const versionPrefix = 'config/version/';
-const versionDigits = 12;
-const pageRows = 500;
+const maxEdits = 200;
 
 /** Reads and writes the configuration's versions in the table service. */
 export type ConfigurationStore = {
-	/** Version that the table service has; 0 before the first change. */
+	/**
+	 * Version that the table service has; 0 before the first change.
+	 * @throws ProblemError `table-corrupt-row` if the row is malformed
+	 */
 	headVersion(): Promise<number>;
 	/**
-	 * Changes after a version, oldest first.
-	 * @throws ProblemError `table-corrupt-row` if a row is malformed
+	 * A page of changes after a version, oldest first.
+	 * @throws ProblemError `table-corrupt-row` if the next row is malformed
 	 */
 	changesAfter(version: number): Promise<readonly ConfigurationChange[]>;
+	/** Like `changesAfter`, but reports a malformed row beside the changes before it. */
+	readPage(version: number): Promise<ChangePage>;
+	/** Latest whole configuration that can be read, if there is any. */
+	readSnapshot(): Promise<FleetConfiguration | undefined>;
 	/**
-	 * Commits a change on top of a version.
+	 * Commits a change on top of a version. A change id that is in the history on top of that
+	 * version already counts as committed, so a proposal can be repeated after a lost answer.
 	 * @throws ProblemError `configuration-conflict` whose details hold the other change
 	 */
 	commit(proposal: ChangeProposal): Promise<ConfigurationChange>;
@@ -32,48 +63,47 @@
 	readonly edits: readonly ConfigurationEdit[];
 };
 
-function rowKey(version: number): string {
-	return versionPrefix + String(version).padStart(versionDigits, '0');
-}
+/** Options of a store. */
+export type ConfigurationStoreOptions = {
+	/** Rows read at once. */
+	readonly pageRows?: number;
+	/** A whole configuration is written every so many versions. */
+	readonly snapshotEvery?: number;
+	/** Checks left out; for tests only. */
+	readonly omittedChecks?: ReadonlySet<ConfigurationCheck>;
+};
 
-function parseChange(key: string, text: string): ConfigurationChange {
-	try {
-		const change = JSON.parse(text) as ConfigurationChange;
-		for (const edit of change.edits) {
-			checkEdit(edit);
-		}
-
-		if (rowKey(change.version) === key) {
-			return change;
-		}
-	} catch {
-		// Reported below, like a row with the wrong version.
-	}
-
-	throw new ProblemError(
-		'table-corrupt-row',
-		`row "${key}" holds no valid change`,
-		{field: key},
-	);
-}
+const defaultPageRows = 200;
+const defaultSnapshotEvery = 64;
 
 /** Creates a store over a table service. */
 export function createConfigurationStore(
 	table: TableService,
+	options: ConfigurationStoreOptions = {},
 ): ConfigurationStore {
+	const {
+		pageRows = defaultPageRows,
+		snapshotEvery = defaultSnapshotEvery,
+		omittedChecks,
+	} = options;
+
 	const readHead = async () => {
 		const row = await table.get(headKey);
-		return {
-			version: row ? Number(row.value) : 0,
-			rowVersion: row?.version ?? 0,
-		};
-	};
+		const version = row ? Number(row.value) : 0;
+		if (!Number.isSafeInteger(version) || version < 0) {
+			throw new ProblemError(
+				'table-corrupt-row',
+				`row "${headKey}" holds no version`,
+				{field: headKey},
+			);
+		}
 
-	const readChange = async (version: number) => {
-		const row = await table.get(rowKey(version));
-		return row && parseChange(row.key, row.value);
+		return {version, rowVersion: row?.version ?? 0};
 	};
 
+	const {readChange, readPage, readSnapshot, readConfiguration} =
+		createConfigurationHistory(table, pageRows);
+
 	const conflict = async (proposal: ChangeProposal) =>
 		new ProblemError(
 			'configuration-conflict',
@@ -81,65 +111,141 @@
 			{details: {otherChange: await readChange(proposal.baseVersion + 1)}},
 		);
 
+	const isOwn = (
+		written: ConfigurationChange | undefined,
+		proposal: ChangeProposal,
+	): boolean =>
+		written !== undefined &&
+		(written.changeId === proposal.changeId ||
+			Boolean(omittedChecks?.has('change-id')));
+
+	/** Finds the proposal in the history, or tells its author who was first. */
+	const findOwn = async (
+		proposal: ChangeProposal,
+		otherwise?: Error,
+	): Promise<ConfigurationChange> => {
+		const written = await readChange(proposal.baseVersion + 1);
+		if (isOwn(written, proposal)) {
+			return written!;
+		}
+
+		throw !written && otherwise ? otherwise : await conflict(proposal);
+	};
+
+	const checkProposal = (proposal: ChangeProposal): ConfigurationChange => {
+		const {changeId, author, atWallMs} = proposal;
+		if (proposal.edits.length === 0 || proposal.edits.length > maxEdits) {
+			throw new ProblemError(
+				'invalid-configuration',
+				`a change allows: 1 to ${maxEdits} edits`,
+				{field: 'edits'},
+			);
+		}
+
+		return {
+			version: proposal.baseVersion + 1,
+			changeId,
+			author,
+			atWallMs,
+			edits: proposal.edits.map((edit) => checkEdit(edit)),
+		};
+	};
+
+	/** Writes of the snapshot that is due with a change. */
+	const snapshotWrites = (next: FleetConfiguration): readonly RowWrite[] => {
+		if (next.version % snapshotEvery !== 0) {
+			return [];
+		}
+
+		const writes: RowWrite[] = [
+			{key: snapshotRowKey(next.version), value: encodeSnapshot(next)},
+		];
+		for (
+			let age = keptSnapshots;
+			age < keptSnapshots + removedSnapshots;
+			age++
+		) {
+			const version = next.version - age * snapshotEvery;
+			if (version > 0) {
+				writes.push({key: snapshotRowKey(version), value: undefined});
+			}
+		}
+
+		return writes;
+	};
+
+	const write = async (
+		change: ConfigurationChange,
+		headRowVersion: number,
+	): Promise<boolean> => {
+		const base = await readConfiguration(change.version - 1);
+		const next = base && applyChange(base, change);
+		if (next) {
+			checkConfiguration(next);
+		}
+
+		const [result] = await table.commit([
+			{
+				checks: omittedChecks?.has('head-version')
+					? []
+					: [
+							{key: headKey, version: headRowVersion},
+							{key: versionRowKey(change.version), version: 0},
+						],
+				writes: [
+					{key: headKey, value: String(change.version)},
+					{key: versionRowKey(change.version), value: JSON.stringify(change)},
+					...(next ? snapshotWrites(next) : []),
+				],
+			},
+		]);
+		return result.committed;
+	};
+
 	return {
 		async headVersion() {
 			const head = await readHead();
 			return head.version;
 		},
 		async changesAfter(version) {
-			const rows = await table.list(versionPrefix, {
-				after: rowKey(version),
-				limit: pageRows,
-			});
-			return rows.map((row) => parseChange(row.key, row.value));
+			const {changes, corrupt} = await readPage(version);
+			if (corrupt && changes.length === 0) {
+				throw corrupt;
+			}
+
+			return changes;
 		},
+		readPage,
+		readSnapshot,
 		async commit(proposal) {
-			const edits = proposal.edits.map((edit) => checkEdit(edit));
-			const version = proposal.baseVersion + 1;
-			const {changeId, author, atWallMs} = proposal;
-			const change: ConfigurationChange = {
-				version,
-				changeId,
-				author,
-				atWallMs,
-				edits,
-			};
+			const change = checkProposal(proposal);
 			const head = await readHead();
-			if (head.version !== proposal.baseVersion) {
-				throw await conflict(proposal);
+			if (head.version < proposal.baseVersion) {
+				throw new ProblemError(
+					'invalid-configuration',
+					`version ${proposal.baseVersion} does not exist; the latest is ${head.version}`,
+					{field: 'baseVersion'},
+				);
+			}
+
+			if (head.version > proposal.baseVersion) {
+				return findOwn(proposal);
 			}
 
 			try {
-				const [result] = await table.commit([
-					{
-						checks: [
-							{key: headKey, version: head.rowVersion},
-							{key: rowKey(version), version: 0},
-						],
-						writes: [
-							{key: headKey, value: String(version)},
-							{key: rowKey(version), value: JSON.stringify(change)},
-						],
-					},
-				]);
-				if (!result.committed) {
-					throw await conflict(proposal);
+				if (await write(change, head.rowVersion)) {
+					return change;
 				}
 			} catch (error) {
-				if (!(
-					error instanceof ProblemError &&
-					error.type === 'table-outcome-unknown'
-				)) {
+				const problem = toProblem(error);
+				if (problem.type !== 'table-outcome-unknown') {
 					throw error;
 				}
 
-				const written = await readChange(version);
-				if (written?.changeId !== changeId) {
-					throw written ? await conflict(proposal) : error;
-				}
+				return findOwn(proposal, problem);
 			}
 
-			return change;
+			return findOwn(proposal);
 		},
 	};
 }
--- a/src/decisions/configuration/fleet-configuration.ts
+++ b/src/decisions/configuration/fleet-configuration.ts
@@ -5,7 +5,12 @@
 	ProblemError,
 	type TargetDescription,
 } from '../../common/index.js';
-import {checkSetting, settingSchemas} from './setting-schemas.js';
+import {
+	checkSetting,
+	checkStoredSetting,
+	isKnownSetting,
+	settingSchemas,
+} from './setting-schemas.js';
 import type {
 	ConfigurationChange,
 	ConfigurationEdit,
@@ -18,6 +23,8 @@
 
 const scopePattern = /^(account|class|zone|target):.+$/;
 const targetPrefix = 'target.';
+const floorKey = 'contract.floorTokensPerMinute';
+const ceilingKey = 'contract.ceilingTokensPerMinute';
 
 /** The configuration before the first change. */
 export const emptyConfiguration: FleetConfiguration = {
@@ -26,46 +33,92 @@
 	exceptions: new Map(),
 };
 
+const maxReasonLength = 1000;
+
+function invalid(field: string, message: string): ProblemError {
+	return new ProblemError('invalid-configuration', message, {field});
+}
+
+function checkReason(reason: string): void {
+	if (reason.trim() === '' || reason.length > maxReasonLength) {
+		throw invalid(
+			'reason',
+			`an exception needs a written reason of at most ${maxReasonLength} characters`,
+		);
+	}
+}
+
+function checkScope(scope: string): void {
+	if (!scopePattern.test(scope)) {
+		throw invalid(
+			'scope',
+			`scope "${scope}" allows: account:NAME, class:NAME, zone:NAME or target:NAME`,
+		);
+	}
+}
+
+function checkKnown(key: string): void {
+	if (!isKnownSetting(key)) {
+		throw invalid(key, `setting "${key}" does not exist`);
+	}
+}
+
 /**
  * Checks one edit.
+ * @param isStored - whether the edit was accepted before, perhaps by a newer program
  * @returns the edit with checked values
  * @throws ProblemError `invalid-configuration`
  */
-export function checkEdit(edit: ConfigurationEdit): ConfigurationEdit {
+export function checkEdit(
+	edit: ConfigurationEdit,
+	isStored = false,
+): ConfigurationEdit {
+	const check = isStored ? checkStoredSetting : checkSetting;
 	switch (edit.op) {
 		case 'set': {
-			return {...edit, value: checkSetting(edit.key, edit.value)};
+			return {...edit, value: check(edit.key, edit.value)};
 		}
 
 		case 'except': {
-			if (edit.reason.trim() === '') {
-				throw new ProblemError(
-					'invalid-configuration',
-					'an exception needs a written reason',
-					{
-						field: 'reason',
-					},
-				);
-			}
-
-			if (!scopePattern.test(edit.scope)) {
-				throw new ProblemError(
-					'invalid-configuration',
-					`scope "${edit.scope}" allows: account:NAME, class:NAME, zone:NAME or target:NAME`,
-					{field: 'scope'},
-				);
-			}
-
-			return {...edit, value: checkSetting(edit.key, edit.value)};
+			checkReason(edit.reason);
+			checkScope(edit.scope);
+			return {...edit, value: check(edit.key, edit.value)};
+		}
+
+		case 'unset': {
+			checkKnown(edit.key);
+			return edit;
 		}
 
-		case 'unset':
 		case 'unexcept': {
+			checkScope(edit.scope);
+			checkKnown(edit.key);
 			return edit;
 		}
 	}
 }
 
+/**
+ * Checks rules between settings.
+ * @throws ProblemError `invalid-configuration` if a floor is above its ceiling
+ */
+export function checkConfiguration(configuration: FleetConfiguration): void {
+	const scopes = new Set(
+		[...configuration.exceptions.values()].map(({scope}) => scope),
+	);
+	for (const scope of [undefined, ...scopes]) {
+		const applying = scope === undefined ? [] : [scope];
+		const floor = settingInForce(configuration, floorKey, applying);
+		const ceiling = settingInForce(configuration, ceilingKey, applying);
+		if (floor > ceiling) {
+			throw invalid(
+				floorKey,
+				`"${floorKey}" allows at most "${ceilingKey}" (${Number(ceiling)}) for ${scope ?? 'the fleet'}`,
+			);
+		}
+	}
+}
+
 /**
  * Applies the next change.
  * @throws ProblemError `invalid-configuration` if the change is not the next version
--- a/src/decisions/configuration/setting-schemas.ts
+++ b/src/decisions/configuration/setting-schemas.ts
@@ -88,7 +88,9 @@
 export function checkSetting(key: string, value: unknown): SettingValue {
 	const schema = targetKeyPattern.test(key)
 		? targetSchema
-		: settingSchemas[key]?.schema;
+		: Object.hasOwn(settingSchemas, key)
+			? settingSchemas[key].schema
+			: undefined;
 	if (!schema) {
 		throw new ProblemError(
 			'invalid-configuration',
@@ -114,3 +116,20 @@
 
 	return result.data;
 }
+
+/**
+ * Checks a key and value that were accepted before. A key that this program does not know comes
+ * from a newer program; it is kept as it is and has no effect here.
+ * @throws ProblemError `invalid-configuration`
+ */
+export function checkStoredSetting(
+	key: string,
+	value: SettingValue,
+): SettingValue {
+	return isKnownSetting(key) ? checkSetting(key, value) : value;
+}
+
+/** Whether a key names a setting or a target. */
+export function isKnownSetting(key: string): boolean {
+	return targetKeyPattern.test(key) || Object.hasOwn(settingSchemas, key);
+}
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -69,3 +69,7 @@
 
 /** Targets by id. */
 export type TargetDirectory = ReadonlyMap<string, TargetDescription>;
+
+/** A safety check that a test can leave out, to show that the randomized runs notice. */
+export type ConfigurationCheck =
+	'version-only-rises' | 'change-id' | 'head-version' | 'table-confirms';
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -22,13 +22,12 @@
 	toProblem,
 } from '../../common/index.js';
 import {
-	createConfigurationFollower,
-	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createConfigurationWiring} from './configuration-wiring.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -73,8 +72,12 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const store = createConfigurationStore(table);
-	const follower = createConfigurationFollower();
+	const {follower, poll: pollTable} = createConfigurationWiring({
+		table,
+		metrics,
+		logger,
+		maxPages: settings.configurationMaxPages,
+	});
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -90,7 +93,6 @@
 	});
 	const sessions = new Set<object>();
 	let stopping = false;
-	let tableReachable = true;
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -103,37 +105,13 @@
 		}),
 	);
 
-	const noteTable = (reachable: boolean) => {
-		if (reachable !== tableReachable) {
-			tableReachable = reachable;
-			logger.warn(
-				reachable
-					? 'table service is reachable'
-					: 'table service is unreachable',
-			);
-		}
-	};
-
-	const pollTable = async () => {
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-			noteTable(true);
-		} catch (error) {
-			metrics.count('table_errors', {type: toProblem(error).type});
-			noteTable(false);
-		}
-	};
-
 	const pollPeers = async () => {
 		const {vms} = await vmList.read();
 		for (const vm of vms) {
 			if (
 				vm.role === 'entry' &&
 				vm.name !== settings.name &&
-				follower.confirmed
+				follower.acceptsPeers
 			) {
 				const peer = createPeerClient({
 					url: `http://${vm.address}`,
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -25,6 +25,7 @@
 	readonly maxHeaderBytes: number;
 	readonly tableTimeoutMs: number;
 	readonly pollIntervalMs: number;
+	readonly configurationMaxPages: number;
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
 	readonly bookingLimits: BookingLimits;
@@ -118,6 +119,11 @@
 				default: 2000,
 				describe: 'time between reads of the configuration, in ms',
 			},
+			'configuration-max-pages': {
+				type: 'number',
+				default: 20,
+				describe: 'most pages of configuration changes read in one poll',
+			},
 			'call-timeout-ms': {
 				type: 'number',
 				default: 10_000,
@@ -173,6 +179,12 @@
 			50,
 			60_000,
 		),
+		configurationMaxPages: checkNumber(
+			'configuration-max-pages',
+			flags['configuration-max-pages'],
+			1,
+			1000,
+		),
 		callTimeoutMs: checkNumber(
 			'call-timeout-ms',
 			flags['call-timeout-ms'],
