--- a/src/programs/entry/configuration-wiring.ts
+++ b/src/programs/entry/configuration-wiring.ts
@@ -19,6 +19,8 @@
 /** The daemon's configuration. */
 export type ConfigurationWiring = {
 	readonly follower: ConfigurationFollower;
+	/** Whether the last poll reached the table service. */
+	readonly tableReachable: boolean;
 	/** Reads what is new from the table service. Failures are counted. */
 	poll(): Promise<void>;
 };
@@ -29,6 +31,7 @@
 ): ConfigurationWiring {
 	const {metrics, logger} = options;
 	const follower = createConfigurationFollower();
+	let isPolling = false;
 	let isReachable = true;
 	let corruptRow: string | undefined;
 	let foundCorruptRow: string | undefined;
@@ -77,7 +80,16 @@
 
 	return {
 		follower,
+		get tableReachable() {
+			return isReachable;
+		},
 		async poll() {
+			// A slow table service must not make polls pile up.
+			if (isPolling) {
+				return;
+			}
+
+			isPolling = true;
 			foundCorruptRow = undefined;
 			try {
 				await reader.poll();
@@ -87,6 +99,8 @@
 			} catch (error) {
 				metrics.count('table_errors', {type: toProblem(error).type});
 				noteReachable(false);
+			} finally {
+				isPolling = false;
 			}
 		},
 	};
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -6,25 +6,19 @@
 	createServicesHandler,
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
-import {
-	createPeerClient,
-	createPeerServer,
-} from '../../adapters/peers/index.js';
+import {createPeerServer} from '../../adapters/peers/index.js';
 import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
 import {
 	createLogger,
 	createMetrics,
 	SystemClock,
 } from '../../adapters/system/index.js';
-import {
-	createDisposableStore,
-	SeededRandomSource,
-	toProblem,
-} from '../../common/index.js';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
 import {
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createConfigurationWiring} from './configuration-wiring.js';
@@ -72,12 +66,13 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const {follower, poll: pollTable} = createConfigurationWiring({
+	const configurationWiring = createConfigurationWiring({
 		table,
 		metrics,
 		logger,
 		maxPages: settings.configurationMaxPages,
 	});
+	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -97,6 +92,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const targetId of membership.leavingTargets) {
+				registry.table.markLeaving(targetId);
+			}
+
 			for (const [service, targetIds] of registry.table.services()) {
 				wiring.outliers.update(service, targetIds);
 			}
@@ -105,39 +104,29 @@
 		}),
 	);
 
-	const pollPeers = async () => {
-		const {vms} = await vmList.read();
-		for (const vm of vms) {
-			if (
-				vm.role === 'entry' &&
-				vm.name !== settings.name &&
-				follower.acceptsPeers
-			) {
-				const peer = createPeerClient({
-					url: `http://${vm.address}`,
-					token: settings.peerToken,
-					timeoutMs: settings.tableTimeoutMs,
-				});
-				const {version} = follower.current;
-				follower.offer(await peer.configurationAfter.query({version}), 'peer');
-			} else if (vm.role !== 'entry' && vm.state === 'leaving') {
-				registry.table.markLeaving(vm.name);
-			}
-		}
-	};
-
-	const poll = async () => {
-		await pollTable();
-		try {
-			await pollPeers();
-		} catch (error) {
-			metrics.count('peer_errors', {type: toProblem(error).type});
-		}
-	};
+	const membership = owned.add(
+		createMembershipLoop({
+			settings,
+			clock,
+			random,
+			logger,
+			metrics,
+			vmList,
+			follower,
+			stopping: () => stopping,
+			onLeaving(targetId, leaving) {
+				if (leaving) {
+					registry.table.markLeaving(targetId);
+				} else {
+					registry.table.markReturned(targetId);
+				}
+			},
+		}),
+	);
 
-	await poll();
+	await pollTable();
 	const timer = setInterval(() => {
-		void poll();
+		void pollTable();
 	}, settings.pollIntervalMs);
 	owned.add({
 		dispose() {
@@ -219,13 +208,15 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
+		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
@@ -235,6 +226,7 @@
 		settings.listenAddress,
 	);
 	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
+	membership.start(peerPort);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
