Check the configuration with real polls, crashes, late writes and bad rows

Change: a simulated fleet whose VMs poll, gossip, pause, crash and restart while operators race and repeat; a judge that compares every version in force with the history and with what operators were told. A proposal is looked for in the latest page of the history as well as on top of its base.

--- a/src/decisions/configuration/configuration-store.ts
+++ b/src/decisions/configuration/configuration-store.ts
@@ -47,8 +47,8 @@
 	/** Latest whole configuration that can be read, if there is any. */
 	readSnapshot(): Promise<FleetConfiguration | undefined>;
 	/**
-	 * Commits a change on top of a version. A change id that is in the history on top of that
-	 * version already counts as committed, so a proposal can be repeated after a lost answer.
+	 * Commits a change on top of a version. A change id that is in the latest page of the history
+	 * counts as committed, so that a proposal can be repeated after a lost answer.
 	 * @throws ProblemError `configuration-conflict` whose details hold the other change
 	 */
 	commit(proposal: ChangeProposal): Promise<ConfigurationChange>;
@@ -104,32 +104,45 @@
 	const {readChange, readPage, readSnapshot, readConfiguration} =
 		createConfigurationHistory(table, pageRows);
 
-	const conflict = async (proposal: ChangeProposal) =>
-		new ProblemError(
-			'configuration-conflict',
-			`version ${proposal.baseVersion + 1} was written by somebody else`,
-			{details: {otherChange: await readChange(proposal.baseVersion + 1)}},
-		);
-
-	const isOwn = (
-		written: ConfigurationChange | undefined,
+	/** Looks for a proposal in the latest part of the history. */
+	const findWritten = async (
 		proposal: ChangeProposal,
-	): boolean =>
-		written !== undefined &&
-		(written.changeId === proposal.changeId ||
-			Boolean(omittedChecks?.has('change-id')));
+		headVersion: number,
+	): Promise<ConfigurationChange | undefined> => {
+		const {changes} = await readPage(Math.max(0, headVersion - pageRows));
+		return changes.find(
+			(change) =>
+				change.changeId === proposal.changeId ||
+				(change.version === proposal.baseVersion + 1 &&
+					omittedChecks?.has('change-id')),
+		);
+	};
 
 	/** Finds the proposal in the history, or tells its author who was first. */
 	const findOwn = async (
 		proposal: ChangeProposal,
 		otherwise?: Error,
 	): Promise<ConfigurationChange> => {
-		const written = await readChange(proposal.baseVersion + 1);
-		if (isOwn(written, proposal)) {
-			return written!;
+		const head = await readHead();
+		const written = await findWritten(proposal, head.version);
+		if (written) {
+			return written;
+		}
+
+		const otherChange = await readChange(proposal.baseVersion + 1);
+		if (otherChange?.changeId === proposal.changeId) {
+			return otherChange;
 		}
 
-		throw !written && otherwise ? otherwise : await conflict(proposal);
+		if (!otherChange && otherwise) {
+			throw otherwise;
+		}
+
+		throw new ProblemError(
+			'configuration-conflict',
+			`version ${proposal.baseVersion + 1} was written by somebody else`,
+			{details: {otherChange}},
+		);
 	};
 
 	const checkProposal = (proposal: ChangeProposal): ConfigurationChange => {
@@ -228,6 +241,11 @@
 				);
 			}
 
+			const written = await findWritten(proposal, head.version);
+			if (written) {
+				return written;
+			}
+
 			if (head.version > proposal.baseVersion) {
 				return findOwn(proposal);
 			}
--- /dev/null
+++ b/src/experiments/soak/scenarios/configuration-fleet.ts
@@ -0,0 +1,210 @@
+import {
+	type InvariantMonitor,
+	ProblemError,
+	toProblem,
+} from '../../../common/index.js';
+import {
+	type ConfigurationCheck,
+	type ConfigurationFollower,
+	type ConfigurationReader,
+	createConfigurationFollower,
+	createConfigurationReader,
+	createConfigurationStore,
+	type ConfigurationStore,
+} from '../../../decisions/configuration/index.js';
+import {
+	FakeProcess,
+	FakeTableService,
+	type VirtualTime,
+} from '../../fakes/index.js';
+import {ConfigurationJudge} from './configuration-judge.js';
+
+/** Options of a simulated fleet that follows the configuration. */
+export type ConfigurationFleetOptions = {
+	readonly time: VirtualTime;
+	readonly invariants: InvariantMonitor;
+	readonly vmCount: number;
+	readonly operatorCount: number;
+	readonly pollMs: number;
+	readonly omittedChecks?: ReadonlySet<ConfigurationCheck>;
+	readonly onFault: (kind: 'crash' | 'pause') => void;
+	readonly onRace: () => void;
+	readonly trace: (line: string) => void;
+};
+
+type Follower = {
+	readonly process: FakeProcess;
+	readonly follower: ConfigurationFollower;
+	readonly reader: ConfigurationReader;
+};
+
+type Operator = {
+	process: FakeProcess;
+	store: ConfigurationStore;
+	/** Version that the operator's next change builds on. */
+	base: number;
+};
+
+const settingKey = 'contract.shareWeight';
+const maxTries = 4;
+const retryMs = 120;
+
+// Small, so that a run goes through several pages and snapshots.
+const storeLimits = {pageRows: 4, snapshotEvery: 3};
+
+/** Table, operators and entry VMs that follow the configuration. */
+export class ConfigurationFleet {
+	readonly table: FakeTableService;
+	readonly judge: ConfigurationJudge;
+	peersCut = false;
+	private readonly vms: Follower[] = [];
+	private readonly operators: Operator[] = [];
+	private changeCount = 0;
+
+	constructor(private readonly options: ConfigurationFleetOptions) {
+		this.table = new FakeTableService(options.time, {
+			latencyMs: 6,
+			timeoutMs: 150,
+		});
+		this.judge = new ConfigurationJudge(options.invariants, this.table);
+		for (let vm = 0; vm < options.vmCount; vm++) {
+			this.vms.push(this.startVm(vm));
+		}
+
+		for (let index = 0; index < options.operatorCount; index++) {
+			this.operators.push(this.startOperator());
+		}
+	}
+
+	processOf(vm: number): FakeProcess {
+		return this.vms[vm].process;
+	}
+
+	operatorProcess(index: number): FakeProcess {
+		return this.operators[index].process;
+	}
+
+	followerOf(vm: number): ConfigurationFollower {
+		return this.vms[vm].follower;
+	}
+
+	/** Replaces a crashed VM; the new process knows nothing. */
+	restart(vm: number): void {
+		if (this.vms[vm].process.state === 'crashed') {
+			this.vms[vm] = this.startVm(vm);
+		}
+	}
+
+	/** Lets an operator make a change, repeating it with the same id after a lost answer. */
+	async change(index: number, value: number): Promise<void> {
+		if (this.operators[index].process.state === 'crashed') {
+			this.operators[index] = this.startOperator();
+		}
+
+		const operator = this.operators[index];
+		const baseVersion = operator.base;
+		const changeId = `change-${this.changeCount++}`;
+		for (let attempt = 0; attempt < maxTries; attempt++) {
+			try {
+				const {version} = await operator.store.commit({
+					baseVersion,
+					changeId,
+					author: `operator-${index}`,
+					atWallMs: this.options.time.wallMs(),
+					edits: [{op: 'set', key: settingKey, value}],
+				});
+				this.options.trace(`${changeId} is accepted as version ${version}`);
+				this.judge.noteAccepted(changeId, version, value);
+				operator.base = Math.max(operator.base, version);
+				return;
+			} catch (error) {
+				const problem = toProblem(error);
+				this.options.trace(`${changeId}: ${problem.type}`);
+				if (problem.type === 'configuration-conflict') {
+					this.options.onRace();
+					this.judge.noteConflict(changeId, problem);
+					operator.base = Math.max(operator.base, baseVersion + 1);
+					return;
+				}
+
+				await operator.process.sleep(retryMs);
+			}
+		}
+	}
+
+	/** One VM takes changes from another. */
+	gossip(from: number, to: number): void {
+		const source = this.vms[from];
+		const taker = this.vms[to];
+		if (
+			this.peersCut ||
+			source.process.state !== 'running' ||
+			taker.process.state !== 'running'
+		) {
+			return;
+		}
+
+		const {version} = taker.follower.current;
+		taker.follower.offer(source.follower.changesAfter(version), 'peer');
+	}
+
+	heal(): void {
+		this.table.heal();
+		this.peersCut = false;
+		for (const [vm, {process}] of this.vms.entries()) {
+			process.heal();
+			this.restart(vm);
+		}
+	}
+
+	private startOperator(): Operator {
+		const process = new FakeProcess(this.options.time, this.options.onFault);
+		return {
+			process,
+			store: createConfigurationStore(process.guard(this.table), {
+				...storeLimits,
+				omittedChecks: this.options.omittedChecks,
+			}),
+			base: this.judge.highestAccepted,
+		};
+	}
+
+	private startVm(vm: number): Follower {
+		const process = new FakeProcess(this.options.time, this.options.onFault);
+		const follower = createConfigurationFollower(this.options.omittedChecks);
+		const reader = createConfigurationReader({
+			store: createConfigurationStore(process.guard(this.table), storeLimits),
+			follower,
+			maxPages: 50,
+			onCorruptRow: () => undefined,
+		});
+		follower.onChange((configuration) => {
+			this.options.trace(`VM ${vm} has version ${configuration.version}`);
+			this.judge.noteInForce(vm, follower, configuration);
+		});
+		void this.pollForever(vm, process, reader);
+		return {process, follower, reader};
+	}
+
+	private async pollForever(
+		vm: number,
+		process: FakeProcess,
+		reader: ConfigurationReader,
+	): Promise<void> {
+		// VMs poll at different times.
+		await process.sleep(vm * 10);
+		for (;;) {
+			try {
+				await reader.poll();
+				const {follower} = this.vms[vm];
+				this.judge.noteInForce(vm, follower, follower.current);
+			} catch (error) {
+				if (!(error instanceof ProblemError)) {
+					throw error;
+				}
+			}
+
+			await process.sleep(this.options.pollMs);
+		}
+	}
+}
--- a/src/experiments/soak/scenarios/configuration-scenario.ts
+++ b/src/experiments/soak/scenarios/configuration-scenario.ts
@@ -1,191 +1,239 @@
 import fc from 'fast-check';
-import {toProblem} from '../../../common/index.js';
+import type {ConfigurationCheck} from '../../../decisions/configuration/index.js';
 import {
-	createConfigurationFollower,
-	createConfigurationStore,
-} from '../../../decisions/configuration/index.js';
-import {FakeTableService} from '../../fakes/index.js';
-import {type SoakContext, SoakScenario} from '../soak-scenario.js';
-
-type Step =
-	| {readonly kind: 'change'; readonly operator: number; readonly value: number}
-	| {readonly kind: 'poll'; readonly vm: number}
-	| {readonly kind: 'peer'; readonly from: number; readonly to: number}
-	| {readonly kind: 'restart'; readonly vm: number}
-	| {readonly kind: 'outage'; readonly lengthMs: number}
-	| {readonly kind: 'lost-answer'};
-
-const vmCount = 3;
-const runLimitMs = 60_000;
-const settingKey = 'contract.floorTokensPerMinute';
-
-/** Operators race, VMs poll, gossip and restart; no VM goes back to an older version. */
-export class ConfigurationScenario extends SoakScenario<readonly Step[]> {
+	type FaultKind,
+	type SoakContext,
+	SoakScenario,
+} from '../soak-scenario.js';
+import {ConfigurationFleet} from './configuration-fleet.js';
+
+const vmCount = 4;
+const operatorCount = 2;
+const pollMs = 2000;
+
+// Every accepted change is in force everywhere within this time.
+const limitMs = 11_000;
+const longestFaultMs = 6000;
+
+const vm = fc.nat(vmCount - 1);
+const operator = fc.nat(operatorCount - 1);
+const lengthMs = fc.integer({min: 20, max: longestFaultMs});
+const fault = fc.constantFrom('crash' as const, 'pause' as const);
+
+const steps = fc.oneof(
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('change' as const),
+			operator,
+			value: fc.integer({min: 1, max: 1000}),
+		}),
+		weight: 8,
+	},
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('gossip' as const),
+			to: vm,
+		}),
+		weight: 6,
+	},
+	fc.record({
+		kind: fc.constant('process' as const),
+		vm,
+		stepsAhead: fc.nat(6),
+		fault,
+		pauseMs: lengthMs,
+	}),
+	fc.record({
+		kind: fc.constant('operator' as const),
+		operator,
+		stepsAhead: fc.nat(6),
+		fault,
+		pauseMs: lengthMs,
+	}),
+	fc.record({kind: fc.constant('restart' as const), vm}),
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('commit' as const),
+			fault: fc.constantFrom(
+				'answer-lost' as const,
+				'late-effect' as const,
+				'no-effect' as const,
+				'duplicated' as const,
+			),
+			delayMs: fc.integer({min: 1, max: 1000}),
+		}),
+		weight: 3,
+	},
+	{
+		arbitrary: fc.record({
+			kind: fc.constant('table' as const),
+			mode: fc.constantFrom(
+				'refuse' as const,
+				'silent' as const,
+				'slow' as const,
+			),
+			lengthMs,
+			extraMs: fc.integer({min: 10, max: 200}),
+		}),
+		weight: 2,
+	},
+	fc.record({kind: fc.constant('peers' as const), lengthMs}),
+	fc.record({
+		kind: fc.constant('corrupt' as const),
+		prefix: fc.constantFrom('config/version/', 'config/snapshot/'),
+		index: fc.nat(20),
+		lengthMs,
+	}),
+);
+
+const plans = fc.array(
+	fc.record({afterMs: fc.constantFrom(0, 1, 4, 9, 30, 500, 1500), step: steps}),
+	{minLength: 20, maxLength: 80},
+);
+
+type Plan = typeof plans extends fc.Arbitrary<infer T> ? T : never;
+type Step = Plan[number]['step'];
+
+const tableFaults: Record<string, FaultKind> = {
+	'answer-lost': 'answer-lost',
+	'late-effect': 'write-late',
+	'no-effect': 'answer-lost',
+	duplicated: 'write-duplicated',
+	refuse: 'table-down',
+	silent: 'table-down',
+	slow: 'table-slow',
+};
+
+/**
+ * Operators race and repeat their changes while VMs poll, gossip, crash and pause, writes get lost,
+ * late or doubled, and rows cannot be read for a while.
+ */
+export class ConfigurationScenario extends SoakScenario<Plan> {
 	override readonly name = 'configuration';
-	override readonly plans = fc.array(
-		fc.oneof(
-			fc.record({
-				kind: fc.constant('change' as const),
-				operator: fc.nat(1),
-				value: fc.nat(1000),
-			}),
-			fc.record({kind: fc.constant('poll' as const), vm: fc.nat(vmCount - 1)}),
-			fc.record({
-				kind: fc.constant('peer' as const),
-				from: fc.nat(vmCount - 1),
-				to: fc.nat(vmCount - 1),
-			}),
-			fc.record({
-				kind: fc.constant('restart' as const),
-				vm: fc.nat(vmCount - 1),
-			}),
-			fc.record({
-				kind: fc.constant('outage' as const),
-				lengthMs: fc.integer({min: 1, max: 60}),
-			}),
-			fc.record({kind: fc.constant('lost-answer' as const)}),
-		),
-		{minLength: 20, maxLength: 80},
-	);
-
-	override async execute(
-		plan: readonly Step[],
-		context: SoakContext,
-	): Promise<void> {
-		const done = runPlan(plan, context);
-		await context.time.runUntil(runLimitMs);
-		await done;
+	override readonly plans = plans;
+
+	/** @param omittedChecks - checks left out; for tests only */
+	constructor(
+		private readonly omittedChecks?: ReadonlySet<ConfigurationCheck>,
+	) {
+		super();
+	}
+
+	override async execute(plan: Plan, context: SoakContext): Promise<void> {
+		const {time, invariants} = context;
+		const fleet = new ConfigurationFleet({
+			time,
+			invariants,
+			vmCount,
+			operatorCount,
+			pollMs,
+			omittedChecks: this.omittedChecks,
+			onFault(kind) {
+				context.fault(kind === 'crash' ? 'entry-killed' : 'entry-paused');
+			},
+			onRace() {
+				context.fault('operators-race');
+			},
+			trace(line) {
+				context.trace(line);
+			},
+		});
+		for (const {afterMs, step} of plan) {
+			await time.runUntil(time.nowMs() + afterMs);
+			take(step, fleet, context);
+		}
+
+		// Faults that began last end, and then the limit runs.
+		await time.runUntil(time.nowMs() + longestFaultMs);
+		fleet.heal();
+		await time.runUntil(time.nowMs() + limitMs);
+		fleet.judge.checkHistory();
+		for (let index = 0; index < vmCount; index++) {
+			fleet.judge.checkCaughtUp(index, fleet.followerOf(index));
+		}
 	}
 }
 
-async function runPlan(
-	plan: readonly Step[],
+function take(
+	step: Step,
+	fleet: ConfigurationFleet,
 	context: SoakContext,
-): Promise<void> {
-	const {invariants} = context;
-	const table = new FakeTableService(context.time, {
-		latencyMs: 4,
-		timeoutMs: 100,
-	});
-	const store = createConfigurationStore(table);
-	const followers = Array.from({length: vmCount}, () =>
-		createConfigurationFollower(),
-	);
-	const highest = Array.from({length: vmCount}, () => 0);
-	const bases = [0, 0];
-	let accepted = 0;
-	let changeCount = 0;
-
-	const observe = (vm: number) => {
-		const follower = followers[vm];
-		if (follower.confirmed) {
-			const {version} = follower.current;
-			invariants.check(
-				'configuration',
-				version >= highest[vm],
-				() => `VM ${vm} went from version ${highest[vm]} to ${version}`,
-			);
-			highest[vm] = Math.max(highest[vm], version);
+): void {
+	const {time} = context;
+	const nowMs = time.nowMs();
+	switch (step.kind) {
+		case 'change': {
+			context.countRequests();
+			void fleet.change(step.operator, step.value);
+			break;
 		}
-	};
-
-	const change = async (operator: number, value: number) => {
-		context.countRequests();
-		try {
-			const result = await store.commit({
-				baseVersion: bases[operator],
-				changeId: `change-${changeCount++}`,
-				author: `operator-${operator}`,
-				atWallMs: context.time.wallMs(),
-				edits: [{op: 'set', key: settingKey, value}],
-			});
-			accepted = Math.max(accepted, result.version);
-			bases[operator] = result.version;
-		} catch (error) {
-			const problem = toProblem(error);
-			context.trace(`change by operator ${operator}: ${problem.type}`);
-			if (problem.type === 'configuration-conflict') {
-				context.fault('operators-race');
-				invariants.check(
-					'configuration',
-					problem.details?.otherChange !== undefined,
-					() => 'a conflict does not show the other change',
-				);
-				bases[operator]++;
+
+		case 'gossip': {
+			for (let from = 0; from < vmCount; from++) {
+				fleet.gossip(from, step.to);
 			}
+
+			break;
 		}
-	};
-
-	const poll = async (vm: number) => {
-		const follower = followers[vm];
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-		} catch (error) {
-			context.trace(`poll by VM ${vm}: ${toProblem(error).type}`);
+
+		case 'process':
+		case 'operator': {
+			const process =
+				step.kind === 'process'
+					? fleet.processOf(step.vm)
+					: fleet.operatorProcess(step.operator);
+			process.planFault({
+				atStep: process.steps + step.stepsAhead,
+				kind: step.fault,
+				pauseMs: step.pauseMs,
+			});
+			break;
 		}
-	};
 
-	for (const step of plan) {
-		switch (step.kind) {
-			case 'change': {
-				await change(step.operator, step.value);
-				break;
-			}
+		case 'restart': {
+			fleet.processOf(step.vm).crash();
+			fleet.restart(step.vm);
+			break;
+		}
 
-			case 'poll': {
-				await poll(step.vm);
-				break;
-			}
+		case 'commit': {
+			context.fault(tableFaults[step.fault]);
+			fleet.table.planCommitFault({kind: step.fault, delayMs: step.delayMs});
+			break;
+		}
 
-			case 'peer': {
-				const {version} = followers[step.to].current;
-				followers[step.to].offer(
-					followers[step.from].changesAfter(version),
-					'peer',
-				);
-				break;
-			}
+		case 'table': {
+			context.fault(tableFaults[step.mode]);
+			fleet.table.planPeriod({
+				kind: step.mode,
+				fromMs: nowMs,
+				untilMs: nowMs + step.lengthMs,
+				extraMs: step.extraMs,
+			});
+			break;
+		}
 
-			case 'restart': {
-				context.fault('entry-killed');
-				followers[step.vm] = createConfigurationFollower();
-				break;
-			}
+		case 'peers': {
+			context.fault('peers-cut');
+			fleet.peersCut = true;
+			time.after(step.lengthMs, () => {
+				fleet.peersCut = false;
+			});
+			break;
+		}
 
-			case 'outage': {
-				context.fault('table-down');
-				table.planPeriod({
-					kind: 'refuse',
-					fromMs: context.time.nowMs(),
-					untilMs: context.time.nowMs() + step.lengthMs,
+		case 'corrupt': {
+			const rows = fleet.table.peekAll(step.prefix);
+			const row = rows[step.index % Math.max(1, rows.length)];
+			if (row?.value.startsWith('{')) {
+				context.fault('row-corrupt');
+				fleet.table.poke(row.key, row.value.slice(1));
+				time.after(step.lengthMs, () => {
+					fleet.table.poke(row.key, row.value);
 				});
-				break;
 			}
 
-			case 'lost-answer': {
-				context.fault('answer-lost');
-				table.planCommitFault({kind: 'answer-lost'});
-				break;
-			}
+			break;
 		}
-
-		for (let vm = 0; vm < vmCount; vm++) {
-			observe(vm);
-		}
-	}
-
-	table.heal();
-	const lastAccepted = accepted;
-	for (let vm = 0; vm < vmCount; vm++) {
-		await poll(vm);
-		observe(vm);
-		invariants.check(
-			'configuration',
-			followers[vm].current.version >= lastAccepted,
-			() => `VM ${vm} lacks accepted version ${lastAccepted}`,
-		);
 	}
 }
