--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -13,20 +13,15 @@
 	createMetrics,
 	SystemClock,
 } from '../../adapters/system/index.js';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
 import {
-	createDisposableStore,
-	SeededRandomSource,
-	toProblem,
-} from '../../common/index.js';
-import {
-	createConfigurationFollower,
-	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
 import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createConfigurationWiring} from './configuration-wiring.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -71,8 +66,13 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const store = createConfigurationStore(table);
-	const follower = createConfigurationFollower();
+	const configurationWiring = createConfigurationWiring({
+		table,
+		metrics,
+		logger,
+		maxPages: settings.configurationMaxPages,
+	});
+	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -88,7 +88,6 @@
 	});
 	const sessions = new Set<object>();
 	let stopping = false;
-	let tableReachable = true;
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -105,30 +104,6 @@
 		}),
 	);
 
-	const noteTable = (reachable: boolean) => {
-		if (reachable !== tableReachable) {
-			tableReachable = reachable;
-			logger.warn(
-				reachable
-					? 'table service is reachable'
-					: 'table service is unreachable',
-			);
-		}
-	};
-
-	const pollTable = async () => {
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-			noteTable(true);
-		} catch (error) {
-			metrics.count('table_errors', {type: toProblem(error).type});
-			noteTable(false);
-		}
-	};
-
 	const membership = owned.add(
 		createMembershipLoop({
 			settings,
@@ -233,7 +208,7 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
-			cutOff: !tableReachable && membership.isolated,
+			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
--- a/src/programs/entry/membership-loop.ts
+++ b/src/programs/entry/membership-loop.ts
@@ -139,7 +139,7 @@
 
 	// A peer may lag behind what this VM had in force before it started, so the table service comes first.
 	const catchUp = async (peer: MemberAddress) => {
-		if (catchingUp || !follower.confirmed) {
+		if (catchingUp || !follower.acceptsPeers) {
 			return;
 		}
 
