Wire leases and commands into the entry daemon

Cause: no daemon held leases; a renewal that was due at every look held up the rest of the work on a lease, found by the new test with lease.renewalMs below the look interval. Change: duty in order-duty.ts, peer procedures confirmStop and explain, settings lease.*, placement.*, weightStore.* and model.<name>, demand from load reports, plain renewals after all other actions; the stand-in engine reports the lag as the age of an idle engine's figures; tests of plan, budget and spread.

--- a/src/adapters/peers/index.ts
+++ b/src/adapters/peers/index.ts
@@ -3,3 +3,4 @@
 export type * from './peer-router.js';
 export * from './peer-server.js';
 export * from './trpc-booking-owners.js';
+export * from './trpc-lease-peers.js';
--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -4,8 +4,13 @@
 	BookingQuestion,
 	BookingStatus,
 } from '../../decisions/bookings/index.js';
-import {toProblem} from '../../common/index.js';
+import {
+	type StopAnswer,
+	type StopQuestion,
+	toProblem,
+} from '../../common/index.js';
 import type {ConfigurationChange} from '../../decisions/configuration/index.js';
+import type {ExplainRecord} from '../../decisions/explain/index.js';
 import type {PackedMessage} from '../../decisions/membership/index.js';
 
 /** What an entry VM tells peers and operators about itself. */
@@ -39,8 +44,16 @@
 	readonly exchange: (message: unknown) => PackedMessage;
 	readonly metricsText: () => string;
 	readonly bookingStatus: (question: BookingQuestion) => Promise<BookingStatus>;
+	/** Answers a later holder of a lease. */
+	readonly confirmStop: (question: StopQuestion) => StopAnswer;
+	/** Records of commands for a target, or of a calendar minute. */
+	readonly explain: (query: ExplainQuery) => readonly ExplainRecord[];
 };
 
+/** Selects records of commands. */
+export type ExplainQuery =
+	{readonly subject: string} | {readonly minute: number};
+
 /** Role that the caller's token grants. */
 export type PeerContext = {readonly role: 'peer' | 'operator' | undefined};
 
@@ -109,6 +122,27 @@
 					});
 				}
 			}),
+		confirmStop: fromPeer
+			.input(
+				z.object({
+					targetId: z.string(),
+					holder: z.object({
+						vmInstanceId: z.string(),
+						incarnation: z.string(),
+						listSequence: z.number().int(),
+					}),
+					fencingNumber: z.number().int().min(0),
+				}),
+			)
+			.mutation(({input}) => options.confirmStop(input)),
+		explain: authorized
+			.input(
+				z.union([
+					z.object({subject: z.string()}),
+					z.object({minute: z.number().int().min(0)}),
+				]),
+			)
+			.query(({input}) => options.explain(input)),
 		metrics: authorized.query(() => options.metricsText()),
 	});
 }
--- a/src/decisions/configuration/setting-schemas.ts
+++ b/src/decisions/configuration/setting-schemas.ts
@@ -66,8 +66,78 @@
 		defaultValue: 1,
 		allowed: 'cost for each second, 0 or more',
 	},
+	'lease.durationMs': {
+		schema: z.number().int().min(1000).max(600_000),
+		defaultValue: 15_000,
+		allowed: 'milliseconds, 1000 to 600000',
+	},
+	'lease.renewalMs': {
+		schema: z.number().int().min(250).max(200_000),
+		defaultValue: 5000,
+		allowed:
+			'milliseconds, 250 to 200000; more than a third of lease.durationMs counts as a third',
+	},
+	'lease.resendMs': {
+		schema: z.number().int().min(500).max(600_000),
+		defaultValue: 10_000,
+		allowed: 'milliseconds, 500 to 600000',
+	},
+	'lease.lateCopyMs': {
+		schema: durationMs,
+		defaultValue: 120_000,
+		allowed: 'milliseconds, 0 to 86400000',
+	},
+	'lease.candidatesPerTarget': {
+		schema: z.number().int().min(2).max(16),
+		defaultValue: 2,
+		allowed: 'VMs that watch each lease, 2 to 16',
+	},
+	'placement.growAtLoad': {
+		schema: z.number().positive().max(1),
+		defaultValue: 0.8,
+		allowed: 'share of the copies at full load, above 0 to 1',
+	},
+	'placement.shrinkAtLoad': {
+		schema: z.number().positive().max(1),
+		defaultValue: 0.5,
+		allowed:
+			'share of the remaining copies at full load, above 0 and below placement.growAtLoad',
+	},
+	'placement.minDwellMs': {
+		schema: durationMs,
+		defaultValue: 300_000,
+		allowed: 'milliseconds, 0 to 86400000',
+	},
+	'placement.stepInMs': {
+		schema: z.number().int().min(1000).max(600_000),
+		defaultValue: 30_000,
+		allowed: 'milliseconds, 1000 to 600000',
+	},
+	'weightStore.bytesPerSecond': {
+		schema: positiveNumber,
+		defaultValue: 1_000_000_000,
+		allowed: 'bytes a second for the whole fleet, above 0',
+	},
+	'weightStore.burstBytes': {
+		schema: positiveNumber,
+		defaultValue: 200_000_000_000,
+		allowed: 'bytes, above 0',
+	},
 };
 
+const modelSchema = z
+	.object({
+		version: z.string().default(''),
+		minCopies: z.number().int().min(0).max(10_000).default(1),
+		maxCopies: z.number().int().min(1).max(10_000).default(10_000),
+		tokensPerSecondPerCopy: positiveNumber,
+		tokensPerSecondPerStream: positiveNumber.default(20),
+		queuePerCopy: positiveNumber.default(20),
+	})
+	.refine((model) => model.minCopies <= model.maxCopies, {
+		error: 'minCopies at most maxCopies',
+	});
+
 const targetSchema = z.object({
 	kind: z.enum(['engine', 'service']),
 	url: z.url(),
@@ -79,6 +149,17 @@
 });
 
 const targetKeyPattern = /^target\.[\w-]+$/;
+const modelKeyPattern = /^model\.[\w.-]+$/;
+
+function schemaOf(key: string): z.ZodType<SettingValue> | undefined {
+	if (modelKeyPattern.test(key)) {
+		return modelSchema;
+	}
+
+	return targetKeyPattern.test(key)
+		? targetSchema
+		: settingSchemas[key]?.schema;
+}
 
 /**
  * Checks a key and value.
@@ -86,9 +167,7 @@
  * @throws ProblemError `invalid-configuration` naming the key and what is allowed
  */
 export function checkSetting(key: string, value: unknown): SettingValue {
-	const schema = targetKeyPattern.test(key)
-		? targetSchema
-		: settingSchemas[key]?.schema;
+	const schema = schemaOf(key);
 	if (!schema) {
 		throw new ProblemError(
 			'invalid-configuration',
--- a/src/decisions/leases/index.ts
+++ b/src/decisions/leases/index.ts
@@ -1,6 +1,7 @@
 export * from './lease-machine.js';
 export * from './lease-record.js';
 export * from './lease-spread.js';
+export * from './order-settings.js';
 export * from './placement/index.js';
 export type * from './types.js';
 export * from './unload-ledger.js';
--- a/src/decisions/leases/lease-machine.ts
+++ b/src/decisions/leases/lease-machine.ts
@@ -239,30 +239,41 @@
 		return write('release', {...record, holder: undefined});
 	}
 
-	if (
-		nowMs >= state.validUntilMs ||
-		nowMs - state.renewedMs >= settings.renewalMs
-	) {
+	if (nowMs >= state.validUntilMs) {
 		return write('renew', renewed(state));
 	}
 
-	if (record.waitingFor) {
-		if (state.predecessor === 'unknown') {
-			return {kind: 'ask', holder: record.waitingFor};
-		}
+	// Every write renews the lease, so a plain renewal comes last; first, it would hold up the rest
+	// whenever the daemon looks less often than the lease is renewed.
+	const action = decideHeld(state, nowMs, settings);
+	return action.kind === 'wait' && nowMs - state.renewedMs >= settings.renewalMs
+		? write('renew', renewed(state))
+		: action;
+}
 
-		return write('activate', {
-			...record,
-			waitingFor: undefined,
-			intent: record.intent && {
-				...record.intent,
-				inheritedCount:
-					state.predecessor === 'stopped' ? 0 : record.intent.inheritedCount,
-			},
-		});
+function decideHeld(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseAction {
+	const record = state.record!;
+	if (!record.waitingFor) {
+		return record.intent ? decideIntent(state, nowMs, settings) : waiting;
+	}
+
+	if (state.predecessor === 'unknown') {
+		return {kind: 'ask', holder: record.waitingFor};
 	}
 
-	return record.intent ? decideIntent(state, nowMs, settings) : waiting;
+	const isConfirmed = state.predecessor === 'stopped';
+	return write('activate', {
+		...record,
+		waitingFor: undefined,
+		intent: record.intent && {
+			...record.intent,
+			inheritedCount: isConfirmed ? 0 : record.intent.inheritedCount,
+		},
+	});
 }
 
 /** The decisions that the binaries use. */
--- a/src/decisions/leases/placement/model-plan.ts
+++ b/src/decisions/leases/placement/model-plan.ts
@@ -177,7 +177,7 @@
 					kind,
 					model,
 					version: modelSettings.version,
-					cause: `${holders.length} copies, ${wanted} wanted at ${Math.round(demand.tokensPerSecond)} tokens/s and ${demand.queueLength} waiting`,
+					cause: `${holders.length} copies, ${wanted} wanted at ${Math.round(demand.tokensPerSecond)} tokens/s and ${Math.round(demand.queueLength)} waiting`,
 				});
 			}
 		};
--- a/src/decisions/leases/placement/types.ts
+++ b/src/decisions/leases/placement/types.ts
@@ -15,6 +15,8 @@
 	readonly maxCopies: number;
 	/** Tokens that one copy produces at full load. */
 	readonly tokensPerSecondPerCopy: number;
+	/** Tokens that one running generation produces. */
+	readonly tokensPerSecondPerStream: number;
 	/** Waiting generations for which one more copy is wanted. */
 	readonly queuePerCopy: number;
 };
@@ -40,8 +42,8 @@
 	readonly leaving: boolean;
 	/** Monotonic time for which the last load report's figures hold, in milliseconds. */
 	readonly seenMs: number;
-	/** Share of the memory in use, 0 to 1. */
-	readonly load: number;
+	readonly runningCount: number;
+	readonly waitingCount: number;
 };
 
 /** A command that the plan wants now. */
--- a/src/experiments/soak/orders/order-vm.ts
+++ b/src/experiments/soak/orders/order-vm.ts
@@ -52,6 +52,7 @@
 			minCopies: 1,
 			maxCopies: 4,
 			tokensPerSecondPerCopy: 100,
+			tokensPerSecondPerStream: 20,
 			queuePerCopy: 10,
 		},
 	]),
@@ -144,7 +145,8 @@
 				models: report.models,
 				leaving: report.leaving,
 				seenMs: startedMs - report.ageMs,
-				load: 0,
+				runningCount: 0,
+				waitingCount: 0,
 			});
 		});
 		await Promise.all(reads);
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {
 	createCallerServer,
 	createCompletionsHandler,
@@ -24,6 +23,8 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {listen} from './listen.js';
+import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
@@ -41,18 +42,6 @@
 
 const drainCheckMs = 50;
 
-async function listen(
-	server: Server,
-	port: number,
-	address: string,
-): Promise<number> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
-	return (server.address() as {port: number}).port;
-}
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
@@ -172,6 +161,19 @@
 			metrics,
 		}),
 	);
+	const orders = owned.add(
+		createOrderDuty({
+			settings,
+			instanceId,
+			table,
+			vmList,
+			clock,
+			follower,
+			registry,
+			metrics,
+			logger,
+		}),
+	);
 	const isReady = () => follower.confirmed && !stopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -244,6 +246,8 @@
 		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
+		confirmStop: (question) => orders.confirmStop(question),
+		explain: (query) => orders.explain(query),
 	});
 	const callerPort = await listen(
 		callers.server,
@@ -252,6 +256,7 @@
 	);
 	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	membership.start(peerPort);
+	orders.start();
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
@@ -273,6 +278,7 @@
 			}
 
 			await bookings.coordinator.drain();
+			await orders.stop();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
--- a/src/standins/engine/engine-server.ts
+++ b/src/standins/engine/engine-server.ts
@@ -246,7 +246,8 @@
 		);
 		sendJson(response, 200, {
 			sequence: report?.sequence ?? 0,
-			ageMs: report ? nowMs - report.atMs : 0,
+			// An idle engine records nothing; its last figures still hold as of the lag.
+			ageMs: report ? options.reportLagMs : 0,
 			runningCount: report?.runningCount ?? 0,
 			waitingCount: report?.waitingCount ?? 0,
 			usedTokens: report?.usedTokens ?? 0,
