Soak the relay over engines, links, entry VMs and callers that fail

Cause: promises of the relay were checked in no randomised run. Change: StreamScenario over FakeStreamEngine and simulated entry VMs and callers; the planned stop is decision code shared with the daemon; planted-faults.test.ts patches one fault into a copy of the built code and expects the runs to catch it. Two violations seen on the way were faults of the simulated callers (two connections at once) and of the simulated VM list (replaced engines stayed marked as leaving).

--- a/src/experiments/soak/soak-runner.ts
+++ b/src/experiments/soak/soak-runner.ts
@@ -81,11 +81,13 @@
 /**
  * Runs a scenario once and adds its figures to the report.
  * @param seed - seed of the plan and of the run's random numbers
+ * @param isShrinking - whether the plan of a failing run is reduced, which takes many runs
  */
 export async function runScenario<Plan>(
 	scenario: SoakScenario<Plan>,
 	seed: number,
 	report: SoakReport,
+	isShrinking = true,
 ): Promise<void> {
 	let first: Tally | undefined;
 	let last: Tally | undefined;
@@ -103,6 +105,7 @@
 	const details = await fc.check(property, {
 		seed,
 		numRuns: 1,
+		endOnFailure: !isShrinking,
 	});
 	const tally = first!;
 	report.requests += tally.requests;
@@ -136,6 +139,19 @@
 	}
 }
 
+/** Creates a report without runs. */
+export function createSoakReport(): SoakReport {
+	return {
+		runs: 0,
+		violations: 0,
+		requests: 0,
+		bookings: 0,
+		faultsInjected: {},
+		checks: {},
+		failures: [],
+	};
+}
+
 /**
  * Runs every scenario once for each run, with a seed derived from the given one.
  * @param seed - whole number
@@ -146,15 +162,7 @@
 	seed: number,
 	runs: number,
 ): Promise<SoakReport> {
-	const report: SoakReport = {
-		runs: 0,
-		violations: 0,
-		requests: 0,
-		bookings: 0,
-		faultsInjected: {},
-		checks: {},
-		failures: [],
-	};
+	const report = createSoakReport();
 	for (let run = 0; run < runs; run++) {
 		for (const scenario of scenarios) {
 			await runScenario(scenario, seed * seedStep + run, report);
--- /dev/null
+++ b/src/experiments/soak/streams/simulated-entry.ts
@@ -0,0 +1,236 @@
+import {
+	type InvariantMonitor,
+	type RandomSource,
+	ProblemError,
+} from '../../../common/index.js';
+import {createRetryBudget} from '../../../decisions/retries/index.js';
+import {createTargetTable} from '../../../decisions/routing/index.js';
+import {
+	createByteBudget,
+	createPendingCancellations,
+	createPlannedStop,
+	createRelaySession,
+	defaultRelayLimits,
+	type GenerationPlace,
+	type GenerationPlacer,
+	type GenerationRequest,
+	type RelayMetrics,
+	type RelaySession,
+	type RelaySurroundings,
+} from '../../../decisions/streams/index.js';
+import {
+	FakeProcess,
+	type FakeStreamEngine,
+	type VirtualTime,
+} from '../../fakes/index.js';
+import type {CallerConnection} from './caller-connection.js';
+import {EntryLinks} from './entry-links.js';
+
+/** Time in which a caller that left may come back, in milliseconds. */
+export const resumeWindowMs = 3000;
+
+// Small enough that some answers do not fit.
+const maxStreamBufferBytes = 4000;
+const maxDaemonBufferBytes = 12_000;
+const listLagMs = 3000;
+const ejectionMs = 2000;
+
+const noMetrics: RelayMetrics = {
+	firstToken: () => undefined,
+	tokenGap: () => undefined,
+	finished: () => undefined,
+	reopened: () => undefined,
+	restarted: () => undefined,
+	failed: () => undefined,
+};
+
+/** What a simulated entry VM works with. */
+export type SimulatedEntryOptions = {
+	readonly name: string;
+	readonly time: VirtualTime;
+	readonly random: RandomSource;
+	readonly invariants: InvariantMonitor;
+	readonly engines: readonly FakeStreamEngine[];
+};
+
+/** An entry VM that runs the relay's code. */
+export type SimulatedEntry = {
+	readonly takesConnections: boolean;
+	open(
+		request: GenerationRequest,
+		connection: CallerConnection,
+		from?: {readonly place: GenerationPlace; readonly position: number},
+	): void;
+	crash(): void;
+	stop(): void;
+};
+
+/** Creates a running entry VM. */
+export function createSimulatedEntry(
+	options: SimulatedEntryOptions,
+): SimulatedEntry {
+	const {name, time, random, invariants} = options;
+	const process = new FakeProcess(time);
+	const isAlive = () => process.state === 'running';
+	const table = createTargetTable(random);
+	const descriptions = new Map(
+		options.engines.map((engine) => [
+			engine.description.id,
+			engine.description,
+		]),
+	);
+	table.update(descriptions);
+	const links = new Map(
+		options.engines.map((engine) => [
+			engine.description.id,
+			new EntryLinks(engine, isAlive),
+		]),
+	);
+	const sessions = new Map<CallerConnection, RelaySession>();
+	const targetIds = new Map<string, string>();
+	let generationCount = 0;
+	const left = new Set<string>();
+	let hasExited = false;
+
+	/** An engine that left was replaced by a new one under its id. */
+	const replaceLeft = (id: string) => {
+		if (left.delete(id)) {
+			table.update(new Map([...descriptions].filter(([one]) => one !== id)));
+			table.update(descriptions);
+		}
+	};
+
+	const placer: GenerationPlacer = {
+		place(_request, callbacks) {
+			// Entry VMs learn from the VM list that a target is leaving, with a lag.
+			for (const {leavingSinceMs, description} of options.engines) {
+				const {id} = description;
+				if (leavingSinceMs === undefined) {
+					replaceLeft(id);
+				} else if (time.nowMs() - leavingSinceMs >= listLagMs) {
+					left.add(id);
+					table.markLeaving(id);
+				}
+			}
+
+			const targetId = table.placeGeneration('model', time.nowMs());
+			if (targetId === undefined) {
+				callbacks.onRefused(
+					new ProblemError('not-run', 'no engine takes work', {
+						retryAfterMs: ejectionMs,
+					}),
+				);
+			} else {
+				const generationId = `${name}-${generationCount++}`;
+				targetIds.set(generationId, targetId);
+				callbacks.onPlaced({
+					engine: links.get(targetId)!,
+					generationId,
+					priority: 0,
+				});
+			}
+
+			return {dispose: () => undefined};
+		},
+		progressed: () => undefined,
+		ended(generationId, outcome) {
+			const targetId = targetIds.get(generationId);
+			if (targetId !== undefined && targetIds.delete(generationId)) {
+				table.release(targetId);
+				if (outcome === 'lost') {
+					table.eject(targetId, time.nowMs() + ejectionMs);
+				}
+			}
+		},
+		adopt: (_request, place) => links.get(place.targetId),
+	};
+	const cancellations = createPendingCancellations(process);
+	const surroundings: RelaySurroundings = {
+		placer,
+		clock: time,
+		timers: process,
+		random,
+		invariants,
+		limits: {...defaultRelayLimits, maxStreamBufferBytes},
+		bufferBudget: createByteBudget(maxDaemonBufferBytes),
+		restartBudget: createRetryBudget({
+			clock: time,
+			retriesPerRequest: 0.1,
+			retriesPerSecond: 1,
+			maxSaved: 5,
+		}),
+		cancellations,
+		onTargetLeaving(targetId) {
+			left.add(targetId);
+			table.markLeaving(targetId);
+		},
+	};
+
+	const exit = () => {
+		hasExited = true;
+		process.crash();
+		for (const link of links.values()) {
+			link.crash();
+		}
+
+		for (const connection of sessions.keys()) {
+			connection.breakOff();
+		}
+
+		sessions.clear();
+	};
+
+	const plannedStop = createPlannedStop({
+		timers: process,
+		invariants,
+		cancellations,
+		graceMs: 0,
+		openExchanges: () => sessions.size,
+		onDrained() {
+			invariants.check(
+				'graceful-stop',
+				[...sessions.keys()].every((connection) => connection.isClosed),
+				() => `${name} stopped with open connections`,
+			);
+			exit();
+		},
+	});
+
+	return {
+		get takesConnections() {
+			return !hasExited && !plannedStop.isStopping;
+		},
+		open(request, connection, from) {
+			const session = createRelaySession({
+				...surroundings,
+				request,
+				resumeWindowMs,
+				sink: connection.sink,
+				metrics: noMetrics,
+			});
+			sessions.set(connection, session);
+			connection.attach({
+				onDrained() {
+					session.drained();
+				},
+				onClosed() {
+					sessions.delete(connection);
+					session.leave();
+				},
+			});
+			if (from) {
+				session.resume(from.place, from.position);
+			} else {
+				session.start();
+			}
+		},
+		crash() {
+			if (!hasExited) {
+				exit();
+			}
+		},
+		stop() {
+			plannedStop.begin();
+		},
+	};
+}
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -28,6 +28,7 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
 import type {EntrySettings} from './settings.js';
@@ -41,8 +42,6 @@
 	stop(): Promise<void>;
 };
 
-const drainCheckMs = 50;
-
 async function listen(
 	server: Server,
 	port: number,
@@ -89,8 +88,19 @@
 		},
 	});
 	const sessions = new Set<object>();
-	let stopping = false;
 	let tableReachable = true;
+	let noteDrained: () => void = () => undefined;
+	const drained = new Promise<void>((resolve) => {
+		noteDrained = resolve;
+	});
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -167,7 +177,7 @@
 		},
 	});
 
-	const isReady = () => follower.confirmed && !stopping;
+	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
@@ -175,7 +185,7 @@
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
 		requestTimeoutMs: settings.relay.requestTimeoutMs,
-		isStopping: () => stopping,
+		isStopping: () => plannedStop.isStopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -232,7 +242,7 @@
 			availabilityZone: settings.availabilityZone,
 			configurationVersion: follower.current.version,
 			ready: isReady(),
-			stopping,
+			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
@@ -259,27 +269,18 @@
 		callerPort,
 		peerPort,
 		async stop() {
-			if (stopping) {
+			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
 				return;
 			}
 
-			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
-			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
-			}
-
+			await drained;
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
 				callers.server.closeIdleConnections();
 			});
-			// Callers that left may come back through another entry VM.
-			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
