Parse engine streams directly and answer every broken request with a problem

Cause: every token went through a general event-stream parser; the link count, the answer of a leaving engine and tokens of another generation were not read. Change: createEngineEventParser takes events of the usual form apart and leaves others to eventsource-parser; HttpEngine reads the link count from the entity tag, tells a leaving engine from a failed one and passes the deadline on.

--- a/src/adapters/targets/http-engine.ts
+++ b/src/adapters/targets/http-engine.ts
@@ -1,4 +1,3 @@
-import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {Agent, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import {
@@ -14,10 +13,14 @@
 	toProblem,
 } from '../../common/index.js';
 import {callJson} from '../platform/index.js';
+import {createEngineEventParser} from './engine-event-parser.js';
+import {linkCountOf, problemOfStatus} from './engine-link-answer.js';
 
 const controlTimeoutMs = 2000;
 const connectTimeoutMs = 2000;
 const maxEventBytes = 65_536;
+const maxProblemBytes = 1024;
+const firstServerErrorStatus = 500;
 
 const loadSchema = z.object({
 	sequence: z.number(),
@@ -39,14 +42,6 @@
 	}),
 );
 
-type WireChunk = {
-	readonly choices?: ReadonlyArray<{
-		readonly text?: string;
-		readonly finish_reason?: 'stop' | 'length' | null;
-	}>;
-	readonly usage?: {readonly completion_tokens: number};
-};
-
 /** Model engine behind an OpenAI-style HTTP interface with server-sent events. */
 export class HttpEngine extends Engine {
 	private readonly agent = new Agent({
@@ -70,6 +65,13 @@
 				headers: {
 					'content-type': 'application/json',
 					'x-request-id': request.generationId,
+					...(request.timeoutMs === undefined
+						? {}
+						: {
+								'x-request-timeout-ms': String(
+									Math.max(1, Math.ceil(request.timeoutMs)),
+								),
+							}),
 				},
 				body: JSON.stringify({
 					model: request.model,
@@ -79,6 +81,7 @@
 					stream: true,
 				}),
 			},
+			request.generationId,
 			listener,
 		);
 	}
@@ -95,6 +98,7 @@
 				headers:
 					fromPosition > 0 ? {'last-event-id': String(fromPosition - 1)} : {},
 			},
+			generationId,
 			listener,
 		);
 	}
@@ -143,6 +147,13 @@
 				timeoutMs: controlTimeoutMs,
 				dispatcher: this.agent,
 			});
+			if (answer.status >= firstServerErrorStatus) {
+				throw new ProblemError(
+					'target-unavailable',
+					`target "${this.description.id}" answered status ${answer.status}`,
+				);
+			}
+
 			if (answer.status === 409) {
 				throw new ProblemError(
 					'order-rejected',
@@ -166,6 +177,7 @@
 
 	private open(
 		options: Omit<Dispatcher.DispatchOptions, 'origin'>,
+		generationId: string,
 		listener: EngineStreamListener,
 	): EngineStream {
 		const targetId = this.description.id;
@@ -173,6 +185,8 @@
 		let paused = false;
 		let ended = false;
 		let status = 0;
+		let linkCount: number | undefined;
+		let problemText = '';
 
 		const fail = (error: ProblemError) => {
 			if (!ended) {
@@ -182,28 +196,19 @@
 			}
 		};
 
-		const takeChunk = (event: EventSourceMessage) => {
-			if (ended || event.data === '[DONE]') {
-				return;
-			}
-
-			const chunk = JSON.parse(event.data) as WireChunk;
-			const choice = chunk.choices?.[0];
-			if (choice?.finish_reason && chunk.usage) {
-				ended = true;
-				listener.onFinish(choice.finish_reason, chunk.usage.completion_tokens);
-			} else if (typeof choice?.text === 'string' && event.id !== undefined) {
-				listener.onToken(Number(event.id), choice.text);
-			} else {
-				throw new ProblemError(
-					'target-protocol',
-					'event holds neither a token nor an end',
-				);
-			}
-		};
-
-		const parser = createParser({onEvent: takeChunk});
-		const decoder = new TextDecoder();
+		const parser = createEngineEventParser(generationId, maxEventBytes, {
+			onToken(position, text) {
+				if (!ended) {
+					listener.onToken(position, text);
+				}
+			},
+			onFinish(reason, tokenCount) {
+				if (!ended) {
+					ended = true;
+					listener.onFinish(reason, tokenCount);
+				}
+			},
+		});
 		this.agent.dispatch(
 			{...options, origin: this.description.url},
 			{
@@ -215,26 +220,24 @@
 						);
 					}
 				},
-				onResponseStart(started, statusCode) {
+				onResponseStart(started, statusCode, headers) {
 					status = statusCode;
+					linkCount = linkCountOf(headers.etag);
 					if (paused) {
 						started.pause();
 					}
 				},
 				onResponseData(_controller, data) {
 					if (status !== 200) {
+						if (problemText.length < maxProblemBytes) {
+							problemText += data.toString();
+						}
+
 						return;
 					}
 
 					try {
-						if (data.length > maxEventBytes * 16) {
-							throw new ProblemError(
-								'target-protocol',
-								'chunk of an event stream is too large',
-							);
-						}
-
-						parser.feed(decoder.decode(data, {stream: true}));
+						parser.feed(data);
 					} catch (error) {
 						fail(
 							new ProblemError(
@@ -256,14 +259,7 @@
 							),
 						);
 					} else {
-						const type =
-							status === 404 ? 'stream-unknown' : 'target-unavailable';
-						fail(
-							new ProblemError(
-								type,
-								`target "${targetId}" answered status ${status}`,
-							),
-						);
+						fail(problemOfStatus(targetId, status, problemText));
 					}
 				},
 				onResponseError(_controller, error) {
@@ -280,6 +276,9 @@
 			},
 		);
 		return {
+			get linkCount() {
+				return linkCount;
+			},
 			pause() {
 				paused = true;
 				controller?.pause();
