Take token events apart by their known form and write one chunk at a time

Cause: the profile showed JSON.parse of every event (13% of the samples in this code) and Node's four-piece chunk writes. Change: events that differ from a parsed one in a plain text only are taken apart without JSON.parse; ChunkedWriter frames chunks itself.

--- /dev/null
+++ b/src/adapters/callers/chunked-writer.ts
@@ -0,0 +1,34 @@
+import {Buffer} from 'node:buffer';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+
+/**
+ * Writes a chunked response body with one write for each chunk. Node.js writes the size, the data
+ * and the line ends of a chunk as four pieces, which costs more than the rest of the relay.
+ */
+export type ChunkedWriter = {
+	begin(status: number, headers: OutgoingHttpHeaders): void;
+	/** @param text - not empty, since an empty chunk ends the body */
+	write(text: string): void;
+	end(text: string): void;
+};
+
+const bodyEnd = '0\r\n\r\n';
+
+/** Creates the writer of a response whose header has not been sent. */
+export function createChunkedWriter(response: ServerResponse): ChunkedWriter {
+	const frame = (text: string) =>
+		`${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+	return {
+		begin(status, headers) {
+			response.writeHead(status, {...headers, 'transfer-encoding': 'chunked'});
+			// The header says so; the frames are written here.
+			response.chunkedEncoding = false;
+		},
+		write(text) {
+			response.write(frame(text));
+		},
+		end(text) {
+			response.end(frame(text) + bodyEnd);
+		},
+	};
+}
--- a/src/adapters/callers/event-stream-sink.ts
+++ b/src/adapters/callers/event-stream-sink.ts
@@ -3,6 +3,7 @@
 	CallerSink,
 	GenerationPlace,
 } from '../../decisions/streams/index.js';
+import {createChunkedWriter} from './chunked-writer.js';
 import {problemBody, sendProblem} from './problem-response.js';
 
 /** Options of a sink that writes server-sent events. */
@@ -25,6 +26,7 @@
 	options: EventStreamSinkOptions,
 ): CallerSink {
 	const {response} = options;
+	const writer = createChunkedWriter(response);
 	const tail = `","object":"text_completion","model":${JSON.stringify(options.model)},"choices":[{"index":0,"text":`;
 	let prefix = '';
 	let head = '';
@@ -34,7 +36,7 @@
 	const flush = () => {
 		isScheduled = false;
 		if (pending !== '') {
-			response.write(pending);
+			writer.write(pending);
 			pending = '';
 		}
 	};
@@ -44,14 +46,14 @@
 		prefix = `id: ${token}.`;
 		head = `\ndata: {"id":"${place.generationId}${tail}`;
 		flush();
-		response.write(`${prefix}${position}\nevent: ${event}\ndata: {}\n\n`);
+		writer.write(`${prefix}${position}\nevent: ${event}\ndata: {}\n\n`);
 	};
 
 	return {
 		resumable: true,
 		accepted(place) {
 			if (!response.headersSent) {
-				response.writeHead(200, {
+				writer.begin(200, {
 					'content-type': 'text/event-stream',
 					'cache-control': 'no-store',
 				});
@@ -75,12 +77,12 @@
 		},
 		keepAlive() {
 			if (response.headersSent) {
-				response.write(': keep-alive\n\n');
+				writer.write(': keep-alive\n\n');
 			}
 		},
 		finished(reason, tokenCount) {
 			flush();
-			response.end(
+			writer.end(
 				`${prefix}${tokenCount}${head}"","finish_reason":"${reason}"}],` +
 					`"usage":{"completion_tokens":${tokenCount}}}\n\ndata: [DONE]\n\n`,
 			);
@@ -88,7 +90,7 @@
 		failed(error) {
 			flush();
 			if (response.headersSent) {
-				response.end(
+				writer.end(
 					`event: error\ndata: ${JSON.stringify(problemBody(error))}\n\n`,
 				);
 			} else {
--- a/src/adapters/targets/engine-event-parser.ts
+++ b/src/adapters/targets/engine-event-parser.ts
@@ -25,6 +25,9 @@
 const idField = 'id: ';
 const dataField = 'data: ';
 const eventEnd = '\n\n';
+
+// A text with none of these is the same inside and outside of a JSON string.
+const escapePattern = /["\\\u0000-\u001F]/;
 const positionPattern = /^\d{1,9}$/;
 
 function malformed(message: string, cause?: Error): ProblemError {
@@ -55,7 +58,41 @@
 	let general: EventSourceParser | undefined;
 	let isGeneral = false;
 
+	// Token events of one stream differ in their texts only, so what surrounds the text is learned
+	// from an event that was parsed in full.
+	let head = '';
+	let tail = '';
+
+	const learn = (data: string, text: string) => {
+		const quoted = JSON.stringify(text);
+		const start = data.indexOf(quoted);
+		const isPlain = quoted.length === text.length + 2;
+		if (isPlain && text !== '' && start === data.lastIndexOf(quoted)) {
+			head = data.slice(0, start + 1);
+			tail = data.slice(start + quoted.length - 1);
+		}
+	};
+
+	/** @returns the text, or undefined if the event has to be parsed in full */
+	const textOfKnownForm = (data: string): string | undefined => {
+		if (head === '' || !data.startsWith(head) || !data.endsWith(tail)) {
+			return undefined;
+		}
+
+		const end = data.length - tail.length;
+		const text = end < head.length ? '"' : data.slice(head.length, end);
+		return escapePattern.test(text) ? undefined : text;
+	};
+
 	const take = (id: string | undefined, data: string) => {
+		if (id !== undefined && positionPattern.test(id)) {
+			const text = textOfKnownForm(data);
+			if (text !== undefined) {
+				events.onToken(Number(id), text);
+				return;
+			}
+		}
+
 		if (data === '[DONE]') {
 			return;
 		}
@@ -82,6 +119,7 @@
 			id !== undefined &&
 			positionPattern.test(id)
 		) {
+			learn(data, choice.text);
 			events.onToken(Number(id), choice.text);
 		} else {
 			throw malformed('event holds neither a token nor an end');
