--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -20,6 +20,7 @@
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createConfigurationWiring} from './configuration-wiring.js';
@@ -35,7 +36,6 @@
 	stop(): Promise<void>;
 };
 
-const drainCheckMs = 50;
 
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
@@ -76,7 +76,18 @@
 		},
 	});
 	const sessions = new Set<object>();
-	let stopping = false;
+	let noteDrained: () => void = () => undefined;
+	const drained = new Promise<void>((resolve) => {
+		noteDrained = resolve;
+	});
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -102,7 +113,7 @@
 			metrics,
 			vmList,
 			follower,
-			stopping: () => stopping,
+			stopping: () => plannedStop.isStopping,
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
@@ -149,7 +160,7 @@
 			logger,
 		}),
 	);
-	const isReady = () => follower.confirmed && !stopping;
+	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
@@ -157,7 +168,7 @@
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
 		requestTimeoutMs: settings.relay.requestTimeoutMs,
-		isStopping: () => stopping,
+		isStopping: () => plannedStop.isStopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -208,7 +219,7 @@
 			availabilityZone: settings.availabilityZone,
 			configurationVersion: follower.current.version,
 			ready: isReady(),
-			stopping,
+			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
 			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
@@ -238,20 +249,13 @@
 		callerPort,
 		peerPort,
 		async stop() {
-			if (stopping) {
+			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
 				return;
 			}
 
-			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
-			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
-			}
-
+			await drained;
 			await bookings.coordinator.drain();
 			await orders.stop();
 			owned.dispose();
@@ -259,8 +263,6 @@
 				callers.server.close(resolve);
 				callers.server.closeIdleConnections();
 			});
-			// Callers that left may come back through another entry VM.
-			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
