--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -1,5 +1,9 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
+import type {
+	BookingQuestion,
+	BookingStatus,
+} from '../../decisions/bookings/index.js';
 import {toProblem} from '../../common/index.js';
 import type {ConfigurationChange} from '../../decisions/configuration/index.js';
 import type {PackedMessage} from '../../decisions/membership/index.js';
@@ -34,11 +38,15 @@
 	 */
 	readonly exchange: (message: unknown) => PackedMessage;
 	readonly metricsText: () => string;
+	readonly bookingStatus: (question: BookingQuestion) => Promise<BookingStatus>;
 };
 
 /** Role that the caller's token grants. */
 export type PeerContext = {readonly role: 'peer' | 'operator' | undefined};
 
+/** Longest time for which an owner lets a peer wait, in milliseconds. */
+export const maxBookingWaitMs = 30_000;
+
 const trpc = initTRPC.context<PeerContext>().create();
 
 const authorized = trpc.procedure.use(async ({ctx, next}) => {
@@ -75,6 +83,17 @@
 			.mutation(({input}) => {
 				options.markTargetLeaving(input.targetId);
 			}),
+		bookingStatus: authorized
+			.input(
+				z.object({
+					account: z.string(),
+					key: z.string(),
+					owner: z.string(),
+					attemptId: z.string(),
+					waitMs: z.number().min(0).max(maxBookingWaitMs),
+				}),
+			)
+			.query(async ({input}) => options.bookingStatus(input)),
 		exchange: fromPeer
 			// Checked by the handler, which names and counts what is malformed.
 			.input((message: unknown) => message)
--- a/src/decisions/membership/membership.ts
+++ b/src/decisions/membership/membership.ts
@@ -20,9 +20,10 @@
 export const tickMs = 250;
 
 const exchangeIntervalMs = 1000;
-const maxEntryBytes = 470;
+const maxEntryBytes = 750;
 const maxHeldEntries = 30_000;
 const connectedMs = 6000;
+const entriesPerPressure = 30;
 
 /** A new mark goes to several peers at once, so that it is everywhere long before 5 s have passed. */
 const urgentFanout: readonly EntryReach[] = [
@@ -251,6 +252,9 @@
 		failed(peer, nowMs) {
 			directory.failed(peer, nowMs);
 		},
+		pressure() {
+			return 1 + entries.pendingCount / entriesPerPressure;
+		},
 		connected(nowMs) {
 			return (
 				directory.size === 0 || nowMs - directory.contactAtMs <= connectedMs
--- a/src/decisions/streams/link-watch.ts
+++ b/src/decisions/streams/link-watch.ts
@@ -1,4 +1,4 @@
-import type {Clock, Disposable, Scheduler} from '../../common/index.js';
+import type {Clock, Disposable, Timers} from '../../common/index.js';
 import type {RelayLimits} from './relay-limits.js';
 
 /** Finds links that are silent for longer than the stream's own pace explains. */
@@ -22,7 +22,7 @@
 /** What a watch needs. */
 export type LinkWatchOptions = {
 	readonly clock: Clock;
-	readonly scheduler: Scheduler;
+	readonly timers: Timers;
 	readonly limits: RelayLimits;
 	readonly onStalled: () => void;
 };
@@ -31,7 +31,7 @@
 
 /** Creates a watch; no link is open. */
 export function createLinkWatch(options: LinkWatchOptions): LinkWatch {
-	const {clock, scheduler, limits} = options;
+	const {clock, timers, limits} = options;
 	let lastTokenMs: number | undefined;
 	let gapMs = 0;
 	let stalls = 0;
@@ -59,7 +59,7 @@
 		}
 
 		const leftMs = linkSinceMs + limitMs() - clock.nowMs();
-		timer = scheduler.after(Math.max(1, leftMs), () => {
+		timer = timers.after(Math.max(1, leftMs), () => {
 			if (clock.nowMs() < linkSinceMs + limitMs()) {
 				arm();
 			} else {
--- a/src/decisions/streams/pending-cancellations.ts
+++ b/src/decisions/streams/pending-cancellations.ts
@@ -1,4 +1,4 @@
-import type {Disposable, Scheduler} from '../../common/index.js';
+import type {Disposable, Timers} from '../../common/index.js';
 
 /** Generations whose callers left and that are cancelled when their resume windows end. */
 export type PendingCancellations = {
@@ -28,7 +28,7 @@
 
 /** Creates an empty set. */
 export function createPendingCancellations(
-	scheduler: Scheduler,
+	timers: Timers,
 ): PendingCancellations {
 	const pending = new Map<string, Pending>();
 
@@ -47,7 +47,7 @@
 		},
 		add(generationId, windowMs, onExpired, onReturned) {
 			returned(generationId);
-			const timer = scheduler.after(windowMs, () => {
+			const timer = timers.after(windowMs, () => {
 				pending.delete(generationId);
 				onExpired();
 			});
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -18,7 +18,6 @@
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
-import {createBookingCoordinator} from '../../decisions/bookings/index.js';
 import {
 	createConfigurationFollower,
 	createConfigurationStore,
@@ -28,6 +27,7 @@
 import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -159,6 +159,19 @@
 		},
 	});
 
+	let {peerPort} = settings;
+	const bookings = owned.add(
+		createBookings({
+			settings,
+			table,
+			clock,
+			random,
+			instanceId,
+			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			registry,
+			metrics,
+		}),
+	);
 	const isReady = () => follower.confirmed && !stopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -200,13 +213,7 @@
 			retentionMs: settings.bookingRetentionMs,
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
-			bookings: createBookingCoordinator({
-				table,
-				owner: instanceId,
-				createAttemptId: () => randomUUID(),
-				wallMs: () => clock.wallMs(),
-			}),
-			place: (service) => registry.placeCall(service),
+			bookings: bookings.coordinator,
 			caller: wiring.serviceCaller,
 			nowMs: () => clock.nowMs(),
 		}),
@@ -236,17 +243,14 @@
 		},
 		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
+		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
 	const callerPort = await listen(
 		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
-	const peerPort = await listen(
-		peers,
-		settings.peerPort,
-		settings.listenAddress,
-	);
+	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	membership.start(peerPort);
 	logger.info('listening', {callerPort, peerPort});
 
@@ -268,6 +272,7 @@
 				});
 			}
 
+			await bookings.coordinator.drain();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
--- a/src/programs/entry/relay-wiring.ts
+++ b/src/programs/entry/relay-wiring.ts
@@ -1,7 +1,7 @@
 import {
 	createRelayMetricsRegistry,
 	type Metrics,
-	SystemScheduler,
+	SystemTimers,
 } from '../../adapters/system/index.js';
 import {
 	type Clock,
@@ -69,7 +69,7 @@
 /** Wires the relay and the service caller together. */
 export function createRelayWiring(options: RelayWiringOptions): RelayWiring {
 	const {settings, clock, random, metrics, placer} = options;
-	const scheduler = new SystemScheduler();
+	const timers = new SystemTimers();
 	const invariants = createInvariantMonitor();
 	const budget = createRetryBudget({
 		clock,
@@ -94,19 +94,19 @@
 		relay: {
 			placer,
 			clock,
-			scheduler,
+			timers,
 			random,
 			invariants,
 			limits: settings.limits,
 			bufferBudget: createByteBudget(settings.limits.maxDaemonBufferBytes),
 			restartBudget: budget,
-			cancellations: createPendingCancellations(scheduler),
+			cancellations: createPendingCancellations(timers),
 			onTargetLeaving: options.onTargetLeaving,
 		},
 		serviceCaller: createServiceCaller({
 			...callBackoff,
 			clock,
-			scheduler,
+			timers,
 			random,
 			budget,
 			outliers,
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -31,6 +31,7 @@
 	placeCall(service: string, avoid?: ReadonlySet<string>): PlainService;
 	findEngine(targetId: string): Engine | undefined;
 	released(targetId: string, outcome: GenerationOutcome): void;
+	findService(targetId: string): PlainService | undefined;
 };
 
 /** Creates a registry without targets. */
@@ -93,6 +94,9 @@
 		findEngine(targetId) {
 			return engines.get(targetId);
 		},
+		findService(targetId) {
+			return services.get(targetId);
+		},
 		released(targetId, outcome) {
 			table.release(targetId);
 			if (outcome === 'lost') {
