Send large figures first and keep a sign that the VM list explains late

Change: a target's own sign counts for an instance that the list shows up to 10 s later; waiting entries go by size in bands, with fewer copies while many wait, and tolerances grow with the queue ahead. The test of a mark that ends with its instance now allows the 10 s and checks both sides of them. Conclusion: failed tries: one queue for all entries, and a tolerance that counted entries of smaller bands.

--- a/src/decisions/membership/activity-exchange.ts
+++ b/src/decisions/membership/activity-exchange.ts
@@ -150,6 +150,9 @@
 		}
 	});
 
+	const pressureOn = (activity: TargetActivity) =>
+		membership.pressure('activity', valuesOf(activity));
+
 	const publishOwn = (own: readonly TargetActivity[]) => {
 		const gone = new Set(published.keys());
 		for (const activity of own) {
@@ -159,7 +162,7 @@
 				differs(
 					activity,
 					published.get(targetId) ?? empty(targetId),
-					membership.pressure(),
+					pressureOn(activity),
 				)
 			) {
 				published.set(targetId, activity);
@@ -191,7 +194,7 @@
 				known?.values ?? [];
 			const last = {targetId, openCount, openTokens, expectedGrowthTokens};
 			const renews = !isRenewed && total.openCount > 0;
-			if (renews || differs(total, last, membership.pressure())) {
+			if (renews || differs(total, last, pressureOn(total))) {
 				isRenewed = true;
 				membership.shareEntry({
 					scope,
--- a/src/decisions/membership/entry-store.ts
+++ b/src/decisions/membership/entry-store.ts
@@ -7,6 +7,8 @@
 	readonly size: number;
 	/** Entries that wait to be passed on. */
 	readonly pendingCount: number;
+	/** Entries that wait and would be sent before one with these values, or in turn with it. */
+	pendingAhead(entry: Pick<SharedEntry, 'kind' | 'values'>): number;
 	/**
 	 * Takes an entry if it is newer than the one held.
 	 * @param sendCount - to how many peers it is passed on
@@ -38,7 +40,27 @@
 	readonly sizeOf: (entry: SharedEntry) => number;
 };
 
-type Held = {entry: SharedEntry; sendsLeft: number};
+type Held = {entry: SharedEntry; sendsLeft: number; readonly band: number};
+
+/** Bands of the queue: marks of leaving targets first, then figures by their size. */
+const urgentBand = 0;
+const bandCount = 10;
+const bandsPerDoubling = 0.75;
+
+/**
+ * Band of an entry. With more entries than the messages can carry, those that say most about use and load
+ * go first; the others travel with the repeats.
+ */
+function bandOf({kind, values}: Pick<SharedEntry, 'kind' | 'values'>): number {
+	if (kind === 'leaving') {
+		return urgentBand;
+	}
+
+	const [first = 0, second = 0, , perSecond = 0] = values;
+	const size = kind === 'usage' ? perSecond : first + second / 100;
+	const doublings = Math.floor(bandsPerDoubling * Math.log2(1 + size));
+	return Math.max(1, bandCount - 1 - doublings);
+}
 
 const identity = (kind: string, scope: string, key: string) =>
 	`${kind} ${scope} ${key}`;
@@ -62,17 +84,15 @@
 	rules: Pick<MembershipRules, 'isNewer' | 'travelsTo'>,
 ): EntryStore {
 	const entries = new Map<string, Held>();
-	const urgent = new Map<string, Held>();
-	const pending = new Map<string, Held>();
+	const queues = Array.from({length: bandCount}, () => new Map<string, Held>());
 	let repeatCursor: IterableIterator<Held> = entries.values();
 
-	const queueOf = (entry: SharedEntry) =>
-		entry.kind === 'leaving' ? urgent : pending;
-
 	const drop = (id: string) => {
-		entries.delete(id);
-		urgent.delete(id);
-		pending.delete(id);
+		const held = entries.get(id);
+		if (held) {
+			entries.delete(id);
+			queues[held.band].delete(id);
+		}
 	};
 
 	const pickPending = (
@@ -149,7 +169,15 @@
 			return entries.size;
 		},
 		get pendingCount() {
-			return urgent.size + pending.size;
+			return queues.reduce((sum, queue) => sum + queue.size, 0);
+		},
+		pendingAhead(entry) {
+			let count = 0;
+			for (const queue of queues.slice(0, bandOf(entry) + 1)) {
+				count += queue.size;
+			}
+
+			return count;
 		},
 		put(entry, sendCount) {
 			const id = identityOf(entry);
@@ -158,11 +186,15 @@
 				return false;
 			}
 
-			const next = {entry, sendsLeft: sendCount};
+			const next = {entry, sendsLeft: sendCount, band: bandOf(entry)};
 			entries.set(id, next);
+			if (held && held.band !== next.band) {
+				queues[held.band].delete(id);
+			}
+
 			// A pending entry keeps its place: one that changes often would otherwise never be sent.
 			if (sendCount > 0) {
-				queueOf(entry).set(id, next);
+				queues[next.band].set(id, next);
 			}
 
 			return true;
@@ -187,9 +219,12 @@
 		},
 		pick(options) {
 			const picked = new Map<string, SharedEntry>();
-			let left = pickPending(urgent, picked, options, options.maxBytes);
-			left = pickPending(pending, picked, options, left);
-			pickRepeats(picked, options, Math.min(left, options.maxRepeatBytes));
+			let left = options.maxBytes - options.maxRepeatBytes;
+			for (const queue of queues) {
+				left = pickPending(queue, picked, options, left);
+			}
+
+			pickRepeats(picked, options, options.maxRepeatBytes);
 			return [...picked.values()];
 		},
 	};
--- a/src/decisions/membership/leaving-marks.ts
+++ b/src/decisions/membership/leaving-marks.ts
@@ -35,6 +35,9 @@
 // A sign of the target itself may be late and then hit a new instance; repeated signs renew it.
 const targetMarkMs = 120_000;
 
+// The VM list may show an instance this long after it took over: a sign given shortly before may mean it.
+const listLagMs = 10_000;
+
 // Repeated signs are shared this rarely.
 const renewMs = 30_000;
 const maxMarks = 4096;
@@ -59,9 +62,19 @@
 			return true;
 		}
 
-		return mark.instanceId === ''
-			? current.sinceMs <= mark.signedAtMs
-			: current.instanceId === mark.instanceId;
+		if (mark.instanceId === current.instanceId) {
+			return true;
+		}
+
+		if (mark.source === 'list') {
+			return false;
+		}
+
+		const isOlder = current.sinceMs <= mark.signedAtMs;
+		const mayMeanCurrent =
+			current.sinceMs - mark.signedAtMs <= listLagMs &&
+			wallMs() - mark.signedAtMs <= listLagMs;
+		return (mark.instanceId === '' && isOlder) || mayMeanCurrent;
 	};
 
 	const evaluate = (targetId: string) => {
@@ -169,6 +182,10 @@
 		},
 		expire(nowWallMs) {
 			for (const [key, held] of marks) {
+				if (nowWallMs - held.signedAtMs <= 2 * listLagMs) {
+					evaluate(held.targetId);
+				}
+
 				if (isExpired(held, nowWallMs)) {
 					marks.delete(key);
 					const entry = membership.entries.get('leaving', '', key);
--- a/src/decisions/membership/membership-types.ts
+++ b/src/decisions/membership/membership-types.ts
@@ -56,10 +56,11 @@
 	replied(message: MembershipMessage, nowMs: number): void;
 	failed(peer: string, nowMs: number): void;
 	/**
-	 * 1 while every entry is passed on at once, more the longer the queue of waiting ones is. Those who share
-	 * figures multiply their tolerances by it, so that large changes do not wait behind small ones.
+	 * 1 while an entry with these values would be passed on at once, more the longer the queue ahead of it.
+	 * Those who share figures multiply their tolerances by it, so that large changes do not wait behind small
+	 * ones.
 	 */
-	pressure(): number;
+	pressure(kind: SharedEntry['kind'], values: readonly number[]): number;
 	/** False while there are peers and none has answered for some seconds. */
 	connected(nowMs: number): boolean;
 };
--- a/src/decisions/membership/membership.test.ts
+++ b/src/decisions/membership/membership.test.ts
@@ -109,7 +109,8 @@
 	});
 });
 
-// Guards against a mark that keeps out the target's next instance, and against a lost mark.
+// Guards against a mark that keeps out the target's next instance, against one that is lost because the VM
+// list showed the instance that gave the sign only later, and against one that does not travel.
 test('a mark holds for the instance that leaves', () => {
 	const membership = createVm('a');
 	const wall = {ms: 1000};
@@ -128,6 +129,11 @@
 	other.receive(sent.message, 3000);
 	assert.equal(otherMarks.leaving.has('engine-1'), true);
 	otherMarks.observeList([engine('two')], 4000);
+	wall.ms = 11_000;
+	otherMarks.expire(wall.ms);
+	assert.equal(otherMarks.leaving.has('engine-1'), true);
+	wall.ms = 13_000;
+	otherMarks.expire(wall.ms);
 	assert.equal(otherMarks.leaving.has('engine-1'), false);
 	wall.ms = 200_000;
 	marks.expire(wall.ms);
--- a/src/decisions/membership/membership.ts
+++ b/src/decisions/membership/membership.ts
@@ -24,6 +24,9 @@
 const maxHeldEntries = 30_000;
 const connectedMs = 6000;
 const entriesPerPressure = 30;
+const longQueuePressure = 3;
+const leastSends = 2;
+const extraMarkSends = 3;
 
 /** A new mark goes to several peers at once, so that it is everywhere long before 5 s have passed. */
 const urgentFanout: readonly EntryReach[] = [
@@ -50,8 +53,19 @@
 	let exchangeAtMs = Number.NEGATIVE_INFINITY;
 	const bursts = createUrgentBursts();
 
-	const sendCount = () =>
-		Math.ceil(Math.log2(selector.groupMembers.length + 2)) + 2;
+	const pressure: Membership['pressure'] = (kind, values) =>
+		1 + entries.pendingAhead({kind, values}) / entriesPerPressure;
+
+	// Copies of an entry are many enough to reach every VM of a group, unless other entries wait: then fewer
+	// copies of more entries say more. A mark that is lost breaks a promise, so it never has fewer.
+	const sendCount = ({kind, values}: Pick<SharedEntry, 'kind' | 'values'>) => {
+		const enough = Math.ceil(Math.log2(selector.groupMembers.length + 2)) + 2;
+		if (kind === 'leaving') {
+			return enough + extraMarkSends;
+		}
+
+		return pressure(kind, values) > longQueuePressure ? leastSends : enough;
+	};
 
 	const {compose} = createMessageComposer({
 		...options,
@@ -73,7 +87,7 @@
 		);
 		incarnation = seen + 1;
 		for (const entry of own) {
-			entries.put({...entry, incarnation}, sendCount());
+			entries.put({...entry, incarnation}, sendCount(entry));
 		}
 	};
 
@@ -132,7 +146,7 @@
 		const known = entries.get(entry.kind, entry.scope, entry.key);
 		if (
 			(!known && entries.size >= maxHeldEntries) ||
-			!entries.put(entry, sendCount())
+			!entries.put(entry, sendCount(entry))
 		) {
 			return;
 		}
@@ -203,11 +217,11 @@
 			const {name: scope} = self;
 			entries.put(
 				{scope, kind, key, incarnation, counter, values},
-				sendCount(),
+				sendCount({kind, values}),
 			);
 		},
 		shareEntry(entry) {
-			const isNew = entries.put(entry, sendCount());
+			const isNew = entries.put(entry, sendCount(entry));
 			if (isNew && entry.kind === 'leaving') {
 				bursts.request(2);
 			}
@@ -252,9 +266,7 @@
 		failed(peer, nowMs) {
 			directory.failed(peer, nowMs);
 		},
-		pressure() {
-			return 1 + entries.pendingCount / entriesPerPressure;
-		},
+		pressure,
 		connected(nowMs) {
 			return (
 				directory.size === 0 || nowMs - directory.contactAtMs <= connectedMs
--- a/src/decisions/membership/message-composer.ts
+++ b/src/decisions/membership/message-composer.ts
@@ -73,7 +73,7 @@
 				entries: entries.pick({
 					closeness,
 					maxBytes,
-					maxRepeatBytes,
+					maxRepeatBytes: Math.min(maxRepeatBytes, maxBytes / 4),
 					sizeOf: entryBytes,
 				}),
 			};
--- a/src/decisions/membership/usage-exchange.ts
+++ b/src/decisions/membership/usage-exchange.ts
@@ -95,8 +95,11 @@
 	const publishedSums = new Map<string, Published>();
 	let sumsAtMs = Number.NEGATIVE_INFINITY;
 
+	const pressureOn = (report: UsageReport) =>
+		membership.pressure('usage', valuesOf(report));
+
 	const tolerance = (account: string, report: UsageReport) =>
-		membership.pressure() *
+		pressureOn(report) *
 		Math.max(
 			leastTokens,
 			usePart * report.chargedTokens,
@@ -116,7 +119,7 @@
 		const wallMs = options.wallMs();
 		if (last.report.minute !== report.minute) {
 			const rate = last.report.tokensPerSecond + last.report.demandPerSecond;
-			const isQueueLong = membership.pressure() > longQueuePressure;
+			const isQueueLong = pressureOn(report) > longQueuePressure;
 			return (
 				report.chargedTokens + rate >
 				(isQueueLong ? tolerance(account, report) : 0)
@@ -126,7 +129,7 @@
 		const off = Math.abs(predictedTokens(last, wallMs) - report.chargedTokens);
 		return (
 			off > tolerance(account, report) ||
-			(wallMs - last.atWallMs > renewMs * membership.pressure() &&
+			(wallMs - last.atWallMs > renewMs * pressureOn(report) &&
 				(report.chargedTokens !== last.report.chargedTokens ||
 					last.report.tokensPerSecond >= 1))
 		);
