--- a/src/decisions/bookings/booking-follower.ts
+++ b/src/decisions/bookings/booking-follower.ts
@@ -3,6 +3,7 @@
 import {
 	type BookingEntry,
 	type BookingOutcome,
+	closedOutcome,
 	problemOutcome,
 } from './booking-entry.js';
 import type {BookingOwner} from './booking-owner.js';
@@ -32,7 +33,7 @@
 	open(problemOutcome('outcome-unknown', message, cause));
 
 const notRun = (): FollowResult =>
-	open(problemOutcome('not-run', 'this call was given up and did not run'));
+	open(closedOutcome('this call was given up and did not run'));
 
 /** Creates the side of a VM that does not own the record. */
 export function createBookingFollower(
--- a/src/decisions/bookings/booking-runner.ts
+++ b/src/decisions/bookings/booking-runner.ts
@@ -8,6 +8,7 @@
 import {
 	type BookingEntry,
 	type BookingOutcome,
+	closedOutcome,
 	problemOutcome,
 } from './booking-entry.js';
 import type {BookingFollower} from './booking-follower.js';
@@ -65,16 +66,10 @@
 	const giveUp = async (
 		entry: BookingEntry,
 		record: BookingRecord,
-		cause?: Error,
+		outcome: BookingOutcome,
 	): Promise<void> => {
 		entry.phase = 'given-up';
-		entry.finish(
-			problemOutcome(
-				'not-run',
-				'this call was given up and did not run',
-				cause,
-			),
-		);
+		entry.finish(outcome);
 		await owner.closeGivenUp(entry, record);
 	};
 
@@ -111,7 +106,11 @@
 			case 'claimed': {
 				context.count('claimed');
 				if (!maySend(entry)) {
-					await giveUp(entry, record);
+					await giveUp(
+						entry,
+						record,
+						closedOutcome('the deadline passed before the call ran'),
+					);
 					return;
 				}
 
@@ -129,7 +128,15 @@
 			}
 
 			case 'uncertain': {
-				await giveUp(entry, record, claim.problem);
+				await giveUp(
+					entry,
+					record,
+					problemOutcome(
+						'not-run',
+						'the table service did not confirm the claim; the call was given up',
+						claim.problem,
+					),
+				);
 				return;
 			}
 
--- a/src/experiments/fakes/fake-table-service.ts
+++ b/src/experiments/fakes/fake-table-service.ts
@@ -15,6 +15,12 @@
 	readonly latencyMs: number;
 	/** Time after which a call without an answer fails, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Called after each write of a row with its value before and after. */
+	readonly onWrite?: (
+		key: string,
+		before: string | undefined,
+		after: string | undefined,
+	) => void;
 };
 
 /** A period in which calls fail or are slow. */
@@ -227,12 +233,19 @@
 	private apply(
 		batch: readonly ConditionalWrite[],
 	): readonly ConditionalResult[] {
+		const before = batch.map((write) =>
+			write.writes.map(({key}) => this.store.get(key)?.value),
+		);
 		const results = this.store.commit(batch);
 		this.counts.conditionalWrites += batch.length;
 		for (const [index, result] of results.entries()) {
-			this.counts.rowsWritten += result.committed
-				? batch[index].writes.length
-				: 0;
+			if (result.committed) {
+				const {writes} = batch[index];
+				this.counts.rowsWritten += writes.length;
+				for (const [position, {key, value}] of writes.entries()) {
+					this.options.onWrite?.(key, before[index][position], value);
+				}
+			}
 		}
 
 		return results;
--- /dev/null
+++ b/src/experiments/soak/scenarios/booking-scenario.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {InvariantName} from '../../../common/index.js';
+import type {BookingCheck} from '../../../decisions/bookings/index.js';
+import {BookingScenario} from './booking-scenario.js';
+import {findViolation} from './planted-faults.js';
+
+const maxRuns = 400;
+
+const plantedFaults: ReadonlyArray<readonly [BookingCheck, InvariantName]> = [
+	['attempt-id', 'at-most-once'],
+	['single-send', 'at-most-once'],
+	['horizon', 'at-most-once'],
+	['give-up-uncertain-claim', 'not-run'],
+	['give-up-before-send', 'not-run'],
+	['absence-is-no-proof', 'not-run'],
+	['read-before-not-run', 'not-run'],
+	['row-version', 'whole-answer'],
+	['body-hash', 'whole-answer'],
+];
+
+for (const [check, name] of plantedFaults) {
+	// Guards against randomized runs that would pass without this check in the decision code.
+	test(`the runs notice that bookings lack the check "${check}"`, async (t) => {
+		const found = await findViolation(
+			new BookingScenario(new Set([check])),
+			name,
+			maxRuns,
+		);
+		assert.ok(found, `${name} held in ${maxRuns} runs`);
+		t.diagnostic(`seed ${found.seed}: ${found.detail}`);
+	});
+}
--- a/src/experiments/soak/soak-scenario.ts
+++ b/src/experiments/soak/soak-scenario.ts
@@ -22,6 +22,16 @@
 	| 'operators-race'
 	| 'caller-left'
 	| 'report-lagged'
+	| 'write-late'
+	| 'write-duplicated'
+	| 'target-answer-lost'
+	| 'target-refused'
+	| 'target-slow'
+	| 'target-hanging'
+	| 'objects-down'
+	| 'row-corrupt'
+	| 'clock-skewed'
+	| 'records-removed'
 	| 'order-late'
 	| 'order-duplicated';
 
