--- a/src/decisions/membership/leaving-marks.ts
+++ b/src/decisions/membership/leaving-marks.ts
@@ -55,6 +55,7 @@
 	const marks = new Map<string, Mark>();
 	const instances = new Map<string, Instance>();
 	const leaving = new Set<string>();
+	const ownSignsAtMs = new Map<string, number>();
 
 	const applies = (mark: Mark): boolean => {
 		const current = instances.get(mark.targetId);
@@ -102,6 +103,38 @@
 	const keyOf = (targetId: string, instanceId: string) =>
 		`${targetId} ${instanceId}`;
 
+	const share = (one: Mark) => {
+		const key = keyOf(one.targetId, one.instanceId);
+		hold(key, one);
+		membership.shareEntry({
+			scope: '',
+			kind: 'leaving',
+			key,
+			incarnation: one.source === 'list' ? 1 : 0,
+			counter: one.signedAtMs,
+			values: [],
+		});
+	};
+
+	// Repeated signs are not shared. If the list shows a new instance right after one, peers have to learn of
+	// it, since the sign may have come from that instance.
+	const noteInstance = (targetId: string, instanceId: string, atMs: number) => {
+		const known = instances.get(targetId);
+		instances.set(targetId, {instanceId, sinceMs: atMs});
+		const signedAtMs = ownSignsAtMs.get(targetId);
+		if (
+			known &&
+			signedAtMs !== undefined &&
+			atMs - signedAtMs <= listLagMs &&
+			marks.get(keyOf(targetId, known.instanceId))?.source === 'target'
+		) {
+			const {instanceId: earlier} = known;
+			share({targetId, instanceId: earlier, source: 'target', signedAtMs});
+		}
+
+		evaluate(targetId);
+	};
+
 	const mark = (
 		targetId: string,
 		instanceId: string,
@@ -118,15 +151,7 @@
 			return;
 		}
 
-		hold(key, {targetId, instanceId, source, signedAtMs: atWallMs});
-		membership.shareEntry({
-			scope: '',
-			kind: 'leaving',
-			key,
-			incarnation: source === 'list' ? 1 : 0,
-			counter: atWallMs,
-			values: [],
-		});
+		share({targetId, instanceId, source, signedAtMs: atWallMs});
 	};
 
 	const isExpired = (held: Mark, nowWallMs: number) => {
@@ -167,8 +192,7 @@
 				}
 
 				if (instances.get(name)?.instanceId !== instanceId) {
-					instances.set(name, {instanceId, sinceMs: atWallMs});
-					evaluate(name);
+					noteInstance(name, instanceId, atWallMs);
 				}
 
 				if (state === 'leaving') {
@@ -178,6 +202,7 @@
 		},
 		sign(targetId, atWallMs) {
 			const instanceId = instances.get(targetId)?.instanceId ?? '';
+			ownSignsAtMs.set(targetId, atWallMs);
 			mark(targetId, instanceId, 'target', atWallMs);
 		},
 		expire(nowWallMs) {
@@ -187,6 +212,7 @@
 				}
 
 				if (isExpired(held, nowWallMs)) {
+					ownSignsAtMs.delete(held.targetId);
 					marks.delete(key);
 					const entry = membership.entries.get('leaving', '', key);
 					if (entry) {
--- a/src/experiments/soak/scenarios/contract-load.ts
+++ b/src/experiments/soak/scenarios/contract-load.ts
@@ -16,7 +16,7 @@
 	step(): void;
 	/** Tokens that an account was given in the current minute, by all VMs or all but one, up to a time. */
 	delivered(account: string, untilMs: number, exceptVm?: string): number;
-	/** Like `delivered`, without what killed VMs delivered too shortly before to have reported it. */
+	/** Like `delivered`, without what VMs delivered while cut off or just before they were killed. */
 	reported(account: string, untilMs: number, exceptVm: string): number;
 	/** Ends what a killed VM has open. */
 	drop(vm: FleetVm): void;
@@ -154,7 +154,8 @@
 				vm: name,
 				account: one.account,
 				tokens,
-				reported: true,
+				// A VM in trouble may be cut off: what it delivers then is unknown to others.
+				reported: time.nowMs() >= one.vm.troubledAtMs,
 			});
 			if (one.tokensLeft <= 0) {
 				one.ledger.release(one.reservation);
