Pace prompts in turns and leave memory for what peers send unseen

Cause: prompts of several VMs reached one engine in the same step and stalled its streams; memory was filled to the last token although peers' latest sends are not known yet.

Change: VMs send waiting prompts in turns; placement stays below a memory limit and backs off from engines that preempted lately; waiting classes go shortest first with ageing; floors get a slack.

--- a/src/decisions/routing/admission-queue.ts
+++ b/src/decisions/routing/admission-queue.ts
@@ -117,10 +117,17 @@
 		return request;
 	};
 
+	/** Short requests first, but the longer one has waited, the shorter it counts. */
+	const urgency = (request: R, nowMs: number) => {
+		const limitMs = Math.max(1, request.deadlineMs - request.arrivedMs);
+		const leftPart = (request.deadlineMs - nowMs) / limitMs;
+		return request.expectedTokens * Math.max(0, leftPart);
+	};
+
 	const headsOf = (account: Account<R>) =>
 		[...account.lines.values()]
 			.map((line) => line[0])
-			.sort((a, b) => a.arrivedMs - b.arrivedMs);
+			.sort((a, b) => urgency(a, rateAtMs) - urgency(b, rateAtMs));
 
 	const serveOnce = (
 		order: ReadonlyArray<{account: Account<R>; standing: QueueStanding}>,
--- a/src/decisions/routing/engine-choice.ts
+++ b/src/decisions/routing/engine-choice.ts
@@ -12,11 +12,21 @@
 export type EngineCandidate = {
 	readonly load: EngineLoad;
 	readonly affinity: CacheAffinity;
+	/** Place in the order of names, from 0. */
+	readonly index: number;
 	readonly availabilityZone: string;
 	/** Monotonic time until which prompts sent by this VM keep the engine busy, in milliseconds. */
 	readonly prefillBusyUntilMs: number;
 };
 
+/** Place of a VM among those that take turns. */
+export type Turn = {
+	readonly wallMs: number;
+	/** Place of this VM in the order of names, from 0. */
+	readonly rank: number;
+	readonly vmCount: number;
+};
+
 /** A generation that looks for an engine. */
 export type ChoiceRequest = {
 	readonly forecast: StreamForecast;
@@ -25,6 +35,8 @@
 	readonly entitled: boolean;
 	readonly weights: CostWeights;
 	readonly nowMs: number;
+	/** Place of this VM in the turns, or undefined if none are taken. */
+	readonly turn: Turn | undefined;
 };
 
 /** Chooses engines by weighted cost. */
@@ -60,19 +72,33 @@
 	/** Part of the engine's memory at its forecast peak, margin included. */
 	const peakPart = (load: EngineLoad, request: ChoiceRequest) => {
 		const {meanTokens, variance} = request.forecast;
+		const deviations = request.entitled
+			? tuning.floorMarginDeviations
+			: tuning.marginDeviations;
 		let peak = 0;
 		for (let index = 0; index < horizonCount; index++) {
 			const mean = memory.meanTokens[index] + meanTokens[index];
 			const spread = memory.variance[index] + variance[index];
-			peak = Math.max(
-				peak,
-				mean + tuning.marginDeviations * Math.sqrt(Math.max(0, spread)),
-			);
+			peak = Math.max(peak, mean + deviations * Math.sqrt(Math.max(0, spread)));
 		}
 
 		return peak / load.capacityTokens;
 	};
 
+	/** False while other prompts would be computed together with this one and stall the streams. */
+	const isTurn = (candidate: EngineCandidate, request: ChoiceRequest) => {
+		const {turn, nowMs} = request;
+		if (!turn || candidate.load.openCount === 0) {
+			return true;
+		}
+
+		const index = Math.floor(turn.wallMs / tuning.turnMs) + candidate.index;
+		return (
+			index % turn.vmCount === turn.rank &&
+			candidate.prefillBusyUntilMs <= nowMs
+		);
+	};
+
 	const costOf = (
 		candidate: EngineCandidate,
 		request: ChoiceRequest,
@@ -107,13 +133,19 @@
 				costs = new Float64Array(candidates.length * 2);
 			}
 
-			const limit = request.entitled ? 1 : 1 - tuning.floorReserve;
+			const limit =
+				tuning.memoryLimit - (request.entitled ? 0 : tuning.floorReserve);
 			let lowest = Infinity;
 			for (const [index, candidate] of candidates.entries()) {
+				const backOff =
+					tuning.preemptionBackOff *
+					candidate.load.recentPreemptions(request.nowMs);
 				candidate.load.forecast(memory, averageStream, request.nowMs);
 				const part = peakPart(candidate.load, request);
 				// A prompt that no engine could hold beside others still runs on an empty one.
-				const fits = part <= limit || candidate.load.openCount === 0;
+				const fits =
+					(part <= limit - backOff || candidate.load.openCount === 0) &&
+					isTurn(candidate, request);
 				costs[index] = fits ? costOf(candidate, request, part) : Infinity;
 				lowest = Math.min(lowest, costs[index]);
 			}
--- a/src/decisions/routing/engine-load.ts
+++ b/src/decisions/routing/engine-load.ts
@@ -15,6 +15,8 @@
 	readonly openCount: number;
 	/** Duration of one decoding step as this VM sees it, in milliseconds. */
 	readonly stepMs: number;
+	/** Preemptions in the last while, older ones counting less; at most a few. */
+	recentPreemptions(nowMs: number): number;
 	/** Tokens of this VM's streams. */
 	readonly ownTokens: number;
 	/** Adds one stream of this VM, or takes it off. */
@@ -60,6 +62,8 @@
 const unknownSmoothing = 0.3;
 const stepSmoothing = 0.05;
 const firstStepMs = 20;
+const recentMs = 20_000;
+const maxRecentPreemptions = 6;
 const defaultCoefficient = 1;
 
 /** Creates the estimate for an idle engine. */
@@ -72,6 +76,9 @@
 	let peerCount = 0;
 	let capacityTokens = unreportedCapacityTokens;
 	let preemptionsTotal = 0;
+	let reported = false;
+	let recentPreemptions = 0;
+	let recentAtMs = 0;
 	let lastSequence = -1;
 	let unknownTokens = 0;
 	let stepMs = firstStepMs;
@@ -104,6 +111,11 @@
 		samples[0]?.tokens ??
 		ownTokens + peerTokens(nowMs);
 
+	const recentPreemptionsAt = (nowMs: number) =>
+		recentPreemptions === 0
+			? 0
+			: recentPreemptions * Math.exp(-(nowMs - recentAtMs) / recentMs);
+
 	const recountPeers = () => {
 		peerCount = 0;
 		for (const {activity} of peers.values()) {
@@ -124,6 +136,9 @@
 		get stepMs() {
 			return stepMs;
 		},
+		recentPreemptions(nowMs) {
+			return recentPreemptionsAt(nowMs);
+		},
 		get ownTokens() {
 			return ownTokens;
 		},
@@ -148,6 +163,16 @@
 		noteReport(report, nowMs) {
 			sample(nowMs);
 			capacityTokens = report.capacityTokens;
+			if (reported) {
+				const seen = Math.max(0, report.preemptionsTotal - preemptionsTotal);
+				recentPreemptions = Math.min(
+					maxRecentPreemptions,
+					recentPreemptionsAt(nowMs) + seen,
+				);
+				recentAtMs = nowMs;
+			}
+
+			reported = true;
 			preemptionsTotal = report.preemptionsTotal;
 			if (report.sequence === lastSequence) {
 				return;
--- a/src/decisions/routing/engine-table.ts
+++ b/src/decisions/routing/engine-table.ts
@@ -12,6 +12,8 @@
 	readonly id: string;
 	readonly load: EngineLoad;
 	readonly affinity: CacheAffinity;
+	/** Place in the order of names, from 0. */
+	index: number;
 	readonly availabilityZone: string;
 	models: ReadonlySet<string>;
 	leaving: boolean;
@@ -23,6 +25,8 @@
 /** Engines by id and model. */
 export type EngineTable = {
 	readonly peerCount: number;
+	/** Place of a VM in the order of the names of this VM's peers, from 0. */
+	rankOf(vmName: string): number;
 	get(targetId: string): EngineState | undefined;
 	all(): Iterable<EngineState>;
 	/** Replaces the descriptions, keeping what is known of engines that stay. */
@@ -64,7 +68,10 @@
 
 	const reindex = () => {
 		byModel.clear();
-		for (const engine of engines.values()) {
+		const ids = [...engines.keys()].sort();
+		for (const [index, id] of ids.entries()) {
+			const engine = engines.get(id)!;
+			engine.index = index;
 			for (const model of engine.models) {
 				const list = byModel.get(model) ?? [];
 				list.push(engine);
@@ -73,6 +80,15 @@
 		}
 	};
 
+	const rankOf = (vmName: string) => {
+		let rank = 0;
+		for (const peer of peers) {
+			rank += Number(peer < vmName);
+		}
+
+		return rank;
+	};
+
 	const markLeaving = (targetId: string) => {
 		const engine = engines.get(targetId);
 		if (engine) {
@@ -84,6 +100,9 @@
 		get peerCount() {
 			return peers.size;
 		},
+		rankOf(vmName) {
+			return rankOf(vmName);
+		},
 		get(targetId) {
 			return engines.get(targetId);
 		},
@@ -106,6 +125,7 @@
 						id,
 						load: createEngineLoad(),
 						affinity: createCacheAffinity(),
+						index: 0,
 						availabilityZone,
 						models: new Set(models),
 						leaving: false,
--- a/src/decisions/routing/generation-router.ts
+++ b/src/decisions/routing/generation-router.ts
@@ -5,7 +5,7 @@
 	type RandomSource,
 } from '../../common/index.js';
 import type {ContractLedger, TokenReservation} from '../contracts/index.js';
-import {createAdmissionQueue} from './admission-queue.js';
+import {createAdmissionQueue, type QueueStanding} from './admission-queue.js';
 import {createEngineChooser} from './engine-choice.js';
 import {enginePriority} from './engine-priority.js';
 import {createEngineTable, type EngineTable} from './engine-table.js';
@@ -24,6 +24,8 @@
 export type GenerationRouterOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	/** Name of this VM, as its peers know it. */
+	readonly vmName: string;
 	/** Availability zone of this VM. */
 	readonly availabilityZone: string;
 	readonly ledger: ContractLedger;
@@ -110,8 +112,8 @@
 		const minuteLeft = 1 - (wallMs % minuteMs) / minuteMs;
 		const {floorTokensLeft} = ledger.standing(account, wallMs);
 		return (
-			floorTokensLeft / vmCount > covered * minuteLeft ||
-			floorTokensPerMinute / vmCount > covered
+			(floorTokensLeft * tuning.floorSlack) / vmCount > covered * minuteLeft ||
+			(floorTokensPerMinute * tuning.floorSlack) / vmCount > covered
 		);
 	};
 
@@ -120,9 +122,16 @@
 		shareWeight: contract.shareWeight,
 	});
 
+	const turnNow = () => ({
+		wallMs: clock.wallMs(),
+		rank: engines.rankOf(options.vmName),
+		vmCount: engines.peerCount + 1,
+	});
+
 	const tryPlace = (
 		queued: Queued,
-		standing: {readonly entitled: boolean; readonly shareWeight: number},
+		standing: QueueStanding,
+		turns: boolean,
 	): boolean => {
 		const {request, forecast, settings, distribution, reservation} = queued;
 		const nowMs = clock.nowMs();
@@ -135,6 +144,7 @@
 				entitled: standing.entitled,
 				weights: settings.weights,
 				nowMs,
+				turn: turns ? turnNow() : undefined,
 			},
 			open.average,
 		);
@@ -208,7 +218,7 @@
 		queue.serve(
 			nowMs,
 			(account) => standingOf(account, settingsFor(account, '')),
-			tryPlace,
+			(queued, standing) => tryPlace(queued, standing, tuning.turnMs > 0),
 		);
 		announce();
 	};
@@ -243,7 +253,7 @@
 		// Nobody overtakes requests that already wait, except an account below its floor.
 		if (
 			(queue.length === 0 || standing.entitled) &&
-			tryPlace(queued, standing)
+			tryPlace(queued, standing, false)
 		) {
 			queue.charge(account, queued.expectedTokens, standing.shareWeight);
 			announce();
--- a/src/decisions/routing/routing-tuning.ts
+++ b/src/decisions/routing/routing-tuning.ts
@@ -2,6 +2,19 @@
 export type RoutingTuning = {
 	/** Standard deviations that the forecast peak of an engine stays below its memory. */
 	readonly marginDeviations: number;
+	/** The same for accounts below their floor, whose streams displace others if need be. */
+	readonly floorMarginDeviations: number;
+	/** Factor on the floor up to which an account counts as below it, against short-term variation. */
+	readonly floorSlack: number;
+	/**
+	 * Length of the turns in which VMs send waiting prompts to an engine, in milliseconds. Prompts that
+	 * reach an engine together are computed in one step and stall its streams. 0 takes no turns.
+	 */
+	readonly turnMs: number;
+	/** Part of an engine's memory that its forecast peak may fill. The rest covers what peers sent unseen. */
+	readonly memoryLimit: number;
+	/** Part of an engine's memory that stays free for a while for each preemption seen there. */
+	readonly preemptionBackOff: number;
 	/** Part of an engine's memory that only accounts below their floor may fill. */
 	readonly floorReserve: number;
 	/** Cost of computing one prompt token, in milliseconds. */
@@ -18,8 +31,13 @@
 
 /** Constants in use. */
 export const defaultRoutingTuning: RoutingTuning = {
-	marginDeviations: 1,
-	floorReserve: 0.05,
+	marginDeviations: 2,
+	floorMarginDeviations: 1.5,
+	floorSlack: 1.2,
+	turnMs: 200,
+	memoryLimit: 0.97,
+	preemptionBackOff: 0.01,
+	floorReserve: 0.03,
 	prefillPerTokenMs: 0.05,
 	stallThresholdMs: 250,
 	equalCostPart: 0.05,
--- a/src/decisions/routing/stream-forecast.ts
+++ b/src/decisions/routing/stream-forecast.ts
@@ -4,7 +4,7 @@
  * Decoding steps ahead at which memory is forecast. The streams of an engine advance together, one
  * token in each step, so steps are the natural clock of its memory.
  */
-export const horizonSteps: readonly number[] = [0, 64, 192, 512, 1200, 2800];
+export const horizonSteps: readonly number[] = [0, 32, 128, 400, 1200, 2800];
 
 /** Number of horizons. */
 export const horizonCount = horizonSteps.length;
--- a/src/experiments/bench/cowslipspread-policy.ts
+++ b/src/experiments/bench/cowslipspread-policy.ts
@@ -45,6 +45,7 @@
 			const router = createGenerationRouter({
 				clock: time,
 				random: new SeededRandomSource(seedStep * (vm + 1)),
+				vmName: `vm-${vm}`,
 				availabilityZone: zoneOf(deployment, vm),
 				ledger,
 				statistics: createLengthStatistics(),
