--- a/src/adapters/callers/problem-response.ts
+++ b/src/adapters/callers/problem-response.ts
@@ -34,9 +34,11 @@
 /** Body of an `application/problem+json` answer. Causes stay inside, since they may name internals. */
 export function problemBody(problem: ProblemError): Record<string, unknown> {
 	return {
+		...problem.details,
 		type: problem.type,
 		status: statusOf(problem),
-		detail: problem.detail,
+		// The message of an unforeseen failure may name internals.
+		detail: problem.type === 'internal' ? 'internal error' : problem.detail,
 		...(problem.field === undefined ? {} : {field: problem.field}),
 		...(problem.retryAfterMs === undefined
 			? {}
--- a/src/adapters/callers/services-handler.ts
+++ b/src/adapters/callers/services-handler.ts
@@ -1,16 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import {
-	type PlainService,
-	ProblemError,
-	type ServiceAnswer,
-} from '../../common/index.js';
+import {ProblemError, type ServiceAnswer} from '../../common/index.js';
 import {
 	type BookingCoordinator,
 	checkBookingKey,
 } from '../../decisions/bookings/index.js';
+import type {ServiceCaller} from '../../decisions/retries/index.js';
 import type {CallerHandler} from './caller-server.js';
 import {readRequestBody} from './request-body.js';
+import {readRequestTimeoutMs} from './request-deadline.js';
 
 /** What the handler of calls to plain services needs. */
 export type ServicesHandlerOptions = {
@@ -21,8 +19,9 @@
 	readonly callTimeoutMs: number;
 	readonly wallMs: () => number;
 	readonly bookings: BookingCoordinator;
-	/** Chooses a target; throws `not-run` or `unknown-service`. */
-	readonly place: (service: string) => PlainService;
+	/** Sends calls that may be repeated. */
+	readonly caller: ServiceCaller;
+	readonly nowMs: () => number;
 };
 
 const servicePattern = /^\/v1\/services\/([\w-]+)(\/.*)?$/;
@@ -39,6 +38,11 @@
 
 		const [, service, path = '/'] = match;
 		const method = request.method ?? 'GET';
+		const timeoutMs = Math.min(
+			options.callTimeoutMs,
+			readRequestTimeoutMs(request) ?? options.callTimeoutMs,
+		);
+		const deadlineMs = options.nowMs() + timeoutMs;
 		const body = await readRequestBody(request, options.maxBodyBytes);
 		const call = {
 			method,
@@ -47,12 +51,15 @@
 			contentType: String(
 				request.headers['content-type'] ?? 'application/octet-stream',
 			),
-			timeoutMs: options.callTimeoutMs,
 		};
-		const target = options.place(service);
 		let answer: ServiceAnswer;
 		if (method === 'GET' || method === 'HEAD') {
-			answer = await target.call({...call, idempotencyKey: undefined});
+			answer = await options.caller.run({
+				account,
+				service,
+				call: {...call, timeoutMs, idempotencyKey: undefined},
+				deadlineMs,
+			});
 		} else {
 			const header = request.headers['idempotency-key'];
 			const key = checkBookingKey(
@@ -63,10 +70,14 @@
 			const bodyHash = createHash('sha256')
 				.update(`${method}\n${service}\n${call.path}\n${body}`)
 				.digest('base64url');
-			answer = await options.bookings.run(
-				{account, key, bodyHash, service},
-				async () => target.call({...call, idempotencyKey: key}),
-			);
+			answer = await options.bookings.run({
+				account,
+				key,
+				bodyHash,
+				service,
+				request: call,
+				timeoutMs,
+			});
 		}
 
 		response.writeHead(answer.status, {
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -6,10 +6,7 @@
 	createServicesHandler,
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
-import {
-	createPeerClient,
-	createPeerServer,
-} from '../../adapters/peers/index.js';
+import {createPeerServer} from '../../adapters/peers/index.js';
 import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
 import {
 	createLogger,
@@ -21,13 +18,16 @@
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
-import {createBookingCoordinator} from '../../decisions/bookings/index.js';
 import {
 	createConfigurationFollower,
 	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createMembershipLoop} from './membership-loop.js';
+import {createRegistryPlacer} from './registry-placer.js';
+import {createRelayWiring} from './relay-wiring.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -74,6 +74,18 @@
 	const store = createConfigurationStore(table);
 	const follower = createConfigurationFollower();
 	const registry = createTargetsRegistry(clock, random);
+	const placer = createRegistryPlacer(registry, metrics);
+	const wiring = createRelayWiring({
+		settings: settings.relay,
+		clock,
+		random,
+		metrics,
+		placer,
+		placeCall: (service, avoid) => registry.placeCall(service, avoid),
+		onTargetLeaving(targetId) {
+			membership.signLeaving(targetId);
+		},
+	});
 	const sessions = new Set<object>();
 	let stopping = false;
 	let tableReachable = true;
@@ -81,6 +93,14 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const targetId of membership.leavingTargets) {
+				registry.table.markLeaving(targetId);
+			}
+
+			for (const [service, targetIds] of registry.table.services()) {
+				wiring.outliers.update(service, targetIds);
+			}
+
 			logger.info('configuration in force', {version: configuration.version});
 		}),
 	);
@@ -109,39 +129,29 @@
 		}
 	};
 
-	const pollPeers = async () => {
-		const {vms} = await vmList.read();
-		for (const vm of vms) {
-			if (
-				vm.role === 'entry' &&
-				vm.name !== settings.name &&
-				follower.confirmed
-			) {
-				const peer = createPeerClient({
-					url: `http://${vm.address}`,
-					token: settings.peerToken,
-					timeoutMs: settings.tableTimeoutMs,
-				});
-				const {version} = follower.current;
-				follower.offer(await peer.configurationAfter.query({version}), 'peer');
-			} else if (vm.role !== 'entry' && vm.state === 'leaving') {
-				registry.table.markLeaving(vm.name);
-			}
-		}
-	};
-
-	const poll = async () => {
-		await pollTable();
-		try {
-			await pollPeers();
-		} catch (error) {
-			metrics.count('peer_errors', {type: toProblem(error).type});
-		}
-	};
+	const membership = owned.add(
+		createMembershipLoop({
+			settings,
+			clock,
+			random,
+			logger,
+			metrics,
+			vmList,
+			follower,
+			stopping: () => stopping,
+			onLeaving(targetId, leaving) {
+				if (leaving) {
+					registry.table.markLeaving(targetId);
+				} else {
+					registry.table.markReturned(targetId);
+				}
+			},
+		}),
+	);
 
-	await poll();
+	await pollTable();
 	const timer = setInterval(() => {
-		void poll();
+		void pollTable();
 	}, settings.pollIntervalMs);
 	owned.add({
 		dispose() {
@@ -149,6 +159,19 @@
 		},
 	});
 
+	let {peerPort} = settings;
+	const bookings = owned.add(
+		createBookings({
+			settings,
+			table,
+			clock,
+			random,
+			instanceId,
+			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			registry,
+			metrics,
+		}),
+	);
 	const isReady = () => follower.confirmed && !stopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -156,6 +179,8 @@
 	const callers = createCallerServer({
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
+		requestTimeoutMs: settings.relay.requestTimeoutMs,
+		isStopping: () => stopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -169,14 +194,11 @@
 		]),
 		handleCompletions: createCompletionsHandler({
 			maxBodyBytes: settings.maxBodyBytes,
+			maxOpenStreams: settings.relay.maxOpenStreams,
 			streamTokens: createStreamTokens(settings.streamKey),
 			settingsFor,
-			place: (request) => registry.placeGeneration(request),
-			findEngine: (targetId) => registry.findEngine(targetId),
-			onReleased(targetId, outcome) {
-				metrics.count('generations', {outcome});
-				registry.released(targetId, outcome);
-			},
+			relay: wiring.relay,
+			metricsFor: wiring.metricsFor,
 			onSession(session) {
 				sessions.add(session);
 				return {
@@ -191,13 +213,9 @@
 			retentionMs: settings.bookingRetentionMs,
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
-			bookings: createBookingCoordinator({
-				table,
-				owner: instanceId,
-				createAttemptId: () => randomUUID(),
-				wallMs: () => clock.wallMs(),
-			}),
-			place: (service) => registry.placeCall(service),
+			bookings: bookings.coordinator,
+			caller: wiring.serviceCaller,
+			nowMs: () => clock.nowMs(),
 		}),
 		onProblem(problem) {
 			metrics.count('problems', {type: problem.type});
@@ -215,23 +233,25 @@
 			ready: isReady(),
 			stopping,
 			openStreams: sessions.size,
+			cutOff: !tableReachable && membership.isolated,
+			openExchanges: callers.openExchanges(),
+			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
+		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
+		bookingStatus: async (question) => bookings.coordinator.status(question),
 	});
 	const callerPort = await listen(
-		callers,
+		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
-	const peerPort = await listen(
-		peers,
-		settings.peerPort,
-		settings.listenAddress,
-	);
+	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
+	membership.start(peerPort);
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
@@ -245,17 +265,21 @@
 
 			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			while (sessions.size > 0) {
+			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
+			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
 				await new Promise((resolve) => {
 					setTimeout(resolve, drainCheckMs);
 				});
 			}
 
+			await bookings.coordinator.drain();
 			owned.dispose();
 			await new Promise((resolve) => {
-				callers.close(resolve);
-				callers.closeIdleConnections();
+				callers.server.close(resolve);
+				callers.server.closeIdleConnections();
 			});
+			// Callers that left may come back through another entry VM.
+			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,9 +1,18 @@
 import type {LogLevel} from '../../adapters/system/index.js';
+import type {BookingLimits} from '../../decisions/bookings/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
+import {
+	readRelaySettings,
+	relayFlags,
+	type RelaySettings,
+} from './relay-settings.js';
+import {bookingFlags, readBookingLimits} from './booking-settings.js';
 
 /** Settings of the entry daemon. */
 export type EntrySettings = {
 	readonly name: string;
+	/** Instance id of this VM in the platform's VM list; a replaced VM has a new one. */
+	readonly vmInstanceId: string;
 	readonly listenAddress: string;
 	readonly listenPort: number;
 	readonly peerPort: number;
@@ -20,7 +29,9 @@
 	readonly pollIntervalMs: number;
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
+	readonly bookingLimits: BookingLimits;
 	readonly logLevel: LogLevel;
+	readonly relay: RelaySettings;
 };
 
 const maxPort = 65_535;
@@ -39,6 +50,10 @@
 				demandOption: true,
 				describe: 'name of this entry VM',
 			},
+			'vm-instance-id': {
+				type: 'string',
+				describe: 'instance id of this VM in the VM list; the name if absent',
+			},
 			'listen-address': {
 				type: 'string',
 				default: '127.0.0.1',
@@ -119,15 +134,18 @@
 				default: 7 * dayMs,
 				describe: 'how long booking records are kept, in ms',
 			},
+			...bookingFlags,
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
 				describe: 'lowest level that is logged',
 			},
+			...relayFlags,
 		})
 		.parseAsync();
 	return {
 		name: flags.name,
+		vmInstanceId: flags['vm-instance-id'] ?? flags.name,
 		listenAddress: flags['listen-address'],
 		listenPort: checkNumber('listen-port', flags['listen-port'], 0, maxPort),
 		peerPort: checkNumber('peer-port', flags['peer-port'], 0, maxPort),
@@ -174,6 +192,8 @@
 			60_000,
 			365 * dayMs,
 		),
+		bookingLimits: readBookingLimits(flags),
 		logLevel: flags['log-level'],
+		relay: readRelaySettings(flags),
 	};
 }
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -12,7 +12,10 @@
 	createTargetTable,
 	type TargetTable,
 } from '../../decisions/routing/index.js';
-import type {GenerationRequest} from '../../decisions/streams/index.js';
+import type {
+	GenerationOutcome,
+	GenerationRequest,
+} from '../../decisions/streams/index.js';
 
 const ejectionMs = 2000;
 
@@ -24,9 +27,11 @@
 		readonly engine: Engine;
 		readonly generationId: string;
 	};
-	placeCall(service: string): PlainService;
+	/** @param avoid - ids of targets to choose only if there is no other */
+	placeCall(service: string, avoid?: ReadonlySet<string>): PlainService;
 	findEngine(targetId: string): Engine | undefined;
-	released(targetId: string, outcome: 'finished' | 'failed' | 'left'): void;
+	released(targetId: string, outcome: GenerationOutcome): void;
+	findService(targetId: string): PlainService | undefined;
 };
 
 /** Creates a registry without targets. */
@@ -77,8 +82,8 @@
 
 			return {engine, generationId: randomUUID()};
 		},
-		placeCall(service) {
-			const targetId = table.placeCall(service, clock.nowMs());
+		placeCall(service, avoid) {
+			const targetId = table.placeCall(service, clock.nowMs(), avoid);
 			const found = targetId === undefined ? undefined : services.get(targetId);
 			if (!found) {
 				throw refuse('service', service);
@@ -89,9 +94,12 @@
 		findEngine(targetId) {
 			return engines.get(targetId);
 		},
+		findService(targetId) {
+			return services.get(targetId);
+		},
 		released(targetId, outcome) {
 			table.release(targetId);
-			if (outcome === 'failed') {
+			if (outcome === 'lost') {
 				table.eject(targetId, clock.nowMs() + ejectionMs);
 			}
 		},
