--- a/src/experiments/capacity/loopback-membership.ts
+++ b/src/experiments/capacity/loopback-membership.ts
@@ -6,7 +6,11 @@
 	type PeerClient,
 } from '../../adapters/peers/index.js';
 import {SystemClock} from '../../adapters/system/index.js';
-import {SeededRandomSource, type VmEntry} from '../../common/index.js';
+import {
+	ProblemError,
+	SeededRandomSource,
+	type VmEntry,
+} from '../../common/index.js';
 import {
 	createMemberNode,
 	type MemberNode,
@@ -49,6 +53,13 @@
 		setTimeout(resolve, durationMs);
 	});
 
+const notMeasured = (): never => {
+	throw new ProblemError(
+		'internal',
+		'this procedure is not part of the measurement',
+	);
+};
+
 /**
  * Runs daemons' memberships in this process for a limited time.
  * @param durationMs - time that is measured, in milliseconds
@@ -98,12 +109,10 @@
 			peerToken: token,
 			operatorToken: 'operator-token',
 			maxBodyBytes,
-			status() {
-				throw new Error('not asked for here');
-			},
-			bookingStatus() {
-				throw new Error('not asked for here');
-			},
+			status: notMeasured,
+			bookingStatus: notMeasured,
+			confirmStop: notMeasured,
+			explain: notMeasured,
 			configurationAfter: () => [],
 			markTargetLeaving() {
 				// Nothing asks for it here.
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -17,10 +17,10 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
-import {createPlannedStop} from '../../decisions/streams/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createConfigurationWiring} from './configuration-wiring.js';
@@ -36,7 +36,6 @@
 	stop(): Promise<void>;
 };
 
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
