Write chunks of one-byte characters without conversion

Cause: writeUtf8String took more time than the bare pipe's writev in the profile. Change: a chunk with as many bytes as characters is written as latin1.

--- a/src/adapters/callers/chunked-writer.ts
+++ b/src/adapters/callers/chunked-writer.ts
@@ -16,8 +16,11 @@
 
 /** Creates the writer of a response whose header has not been sent. */
 export function createChunkedWriter(response: ServerResponse): ChunkedWriter {
-	const frame = (text: string) =>
-		`${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+	const frame = (text: string, sizeBytes: number) =>
+		`${sizeBytes.toString(16)}\r\n${text}\r\n`;
+	// A text with as many bytes as characters is the same in both encodings.
+	const encodingOf = (text: string, sizeBytes: number) =>
+		sizeBytes === text.length ? 'latin1' : 'utf8';
 	return {
 		begin(status, headers) {
 			response.writeHead(status, {...headers, 'transfer-encoding': 'chunked'});
@@ -25,10 +28,15 @@
 			response.chunkedEncoding = false;
 		},
 		write(text) {
-			response.write(frame(text));
+			const sizeBytes = Buffer.byteLength(text);
+			response.write(frame(text, sizeBytes), encodingOf(text, sizeBytes));
 		},
 		end(text) {
-			response.end(frame(text) + bodyEnd);
+			const sizeBytes = Buffer.byteLength(text);
+			response.end(
+				frame(text, sizeBytes) + bodyEnd,
+				encodingOf(text, sizeBytes),
+			);
 		},
 	};
 }
