--- a/src/adapters/targets/engine-event-parser.test.ts
+++ b/src/adapters/targets/engine-event-parser.test.ts
@@ -5,7 +5,7 @@
 
 const maxEventBytes = 500;
 
-const parse = (chunks: readonly Uint8Array[]): string[] => {
+const parse = (chunks: readonly Buffer[]): string[] => {
 	const seen: string[] = [];
 	const parser = createEngineEventParser('g', maxEventBytes, {
 		onToken(position, text) {
--- a/src/adapters/targets/engine-event-parser.ts
+++ b/src/adapters/targets/engine-event-parser.ts
@@ -1,3 +1,4 @@
+import {type Buffer, isAscii} from 'node:buffer';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
 import {type FinishReason, ProblemError} from '../../common/index.js';
 
@@ -10,7 +11,7 @@
 /** Parses an engine's event stream. */
 export type EngineEventParser = {
 	/** @throws ProblemError `target-protocol` if an event is malformed, too long or of another generation */
-	feed(data: Uint8Array): void;
+	feed(data: Buffer): void;
 };
 
 type WireChunk = {
@@ -22,12 +23,14 @@
 	readonly usage?: {readonly completion_tokens: number};
 };
 
+// Bytes of characters that take several bytes are at least this.
+const firstMultibyte = 0x80;
 const idField = 'id: ';
 const dataField = 'data: ';
 const eventEnd = '\n\n';
 
 // A text with none of these is the same inside and outside of a JSON string.
-const escapePattern = /["\\\u0000-\u001F]/;
+const escapePattern = /["\\\p{Cc}]/u;
 const positionPattern = /^\d{1,9}$/;
 
 function malformed(message: string, cause?: Error): ProblemError {
@@ -57,6 +60,7 @@
 	let rest = '';
 	let general: EventSourceParser | undefined;
 	let isGeneral = false;
+	let isBetweenCharacters = true;
 
 	// Token events of one stream differ in their texts only, so what surrounds the text is learned
 	// from an event that was parsed in full.
@@ -160,9 +164,18 @@
 		general.feed(text);
 	};
 
+	const decode = (data: Buffer): string => {
+		if (isBetweenCharacters && isAscii(data)) {
+			return data.toString('latin1');
+		}
+
+		isBetweenCharacters = data.length > 0 && data.at(-1)! < firstMultibyte;
+		return decoder.decode(data, {stream: true});
+	};
+
 	return {
 		feed(data) {
-			const text = decoder.decode(data, {stream: true});
+			const text = decode(data);
 			// Other line ends than the usual one are left to the general parser from here on.
 			if (isGeneral || text.includes('\r')) {
 				isGeneral = true;
