--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {
 	createCallerServer,
 	createCompletionsHandler,
@@ -13,20 +12,18 @@
 	createMetrics,
 	SystemClock,
 } from '../../adapters/system/index.js';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
 import {
-	createDisposableStore,
-	SeededRandomSource,
-	toProblem,
-} from '../../common/index.js';
-import {
-	createConfigurationFollower,
-	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {listen} from './listen.js';
+import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createConfigurationWiring} from './configuration-wiring.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -39,19 +36,6 @@
 	stop(): Promise<void>;
 };
 
-const drainCheckMs = 50;
-
-async function listen(
-	server: Server,
-	port: number,
-	address: string,
-): Promise<number> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
-	return (server.address() as {port: number}).port;
-}
 
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
@@ -71,8 +55,13 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const store = createConfigurationStore(table);
-	const follower = createConfigurationFollower();
+	const configurationWiring = createConfigurationWiring({
+		table,
+		metrics,
+		logger,
+		maxPages: settings.configurationMaxPages,
+	});
+	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -87,8 +76,18 @@
 		},
 	});
 	const sessions = new Set<object>();
-	let stopping = false;
-	let tableReachable = true;
+	let noteDrained: () => void = () => undefined;
+	const drained = new Promise<void>((resolve) => {
+		noteDrained = resolve;
+	});
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -105,30 +104,6 @@
 		}),
 	);
 
-	const noteTable = (reachable: boolean) => {
-		if (reachable !== tableReachable) {
-			tableReachable = reachable;
-			logger.warn(
-				reachable
-					? 'table service is reachable'
-					: 'table service is unreachable',
-			);
-		}
-	};
-
-	const pollTable = async () => {
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-			noteTable(true);
-		} catch (error) {
-			metrics.count('table_errors', {type: toProblem(error).type});
-			noteTable(false);
-		}
-	};
-
 	const membership = owned.add(
 		createMembershipLoop({
 			settings,
@@ -138,7 +113,7 @@
 			metrics,
 			vmList,
 			follower,
-			stopping: () => stopping,
+			stopping: () => plannedStop.isStopping,
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
@@ -172,7 +147,20 @@
 			metrics,
 		}),
 	);
-	const isReady = () => follower.confirmed && !stopping;
+	const orders = owned.add(
+		createOrderDuty({
+			settings,
+			instanceId,
+			table,
+			vmList,
+			clock,
+			follower,
+			registry,
+			metrics,
+			logger,
+		}),
+	);
+	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
@@ -180,7 +168,7 @@
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
 		requestTimeoutMs: settings.relay.requestTimeoutMs,
-		isStopping: () => stopping,
+		isStopping: () => plannedStop.isStopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -231,9 +219,9 @@
 			availabilityZone: settings.availabilityZone,
 			configurationVersion: follower.current.version,
 			ready: isReady(),
-			stopping,
+			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
-			cutOff: !tableReachable && membership.isolated,
+			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
@@ -244,6 +232,8 @@
 		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
+		confirmStop: (question) => orders.confirmStop(question),
+		explain: (query) => orders.explain(query),
 	});
 	const callerPort = await listen(
 		callers.server,
@@ -252,34 +242,27 @@
 	);
 	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	membership.start(peerPort);
+	orders.start();
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
 		callerPort,
 		peerPort,
 		async stop() {
-			if (stopping) {
+			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
 				return;
 			}
 
-			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
-			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
-			}
-
+			await drained;
 			await bookings.coordinator.drain();
+			await orders.stop();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
 				callers.server.closeIdleConnections();
 			});
-			// Callers that left may come back through another entry VM.
-			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
