--- a/src/decisions/routing/admission-queue.ts
+++ b/src/decisions/routing/admission-queue.ts
@@ -22,12 +22,12 @@
 	readonly length: number;
 	readonly waitingTokens: number;
 	/**
-	 * Time until a new request would be placed, in milliseconds, or undefined while nothing is known.
-	 * @param standing - of the request's account
+	 * Time until a new request would be placed, in milliseconds, or undefined while nothing is known:
+	 * the requests ahead in its line at the pace at which the line moved lately.
 	 */
 	expectedWaitMs(
 		account: string,
-		standing: QueueStanding,
+		requestClass: string,
 		nowMs: number,
 	): number | undefined;
 	/** @returns false if the queue is full */
@@ -49,15 +49,23 @@
 	charge(account: string, tokens: number, shareWeight: number): void;
 };
 
+type Line<R> = {
+	readonly requests: R[];
+	/** Requests served and time passed, older ones counting less. */
+	servedCount: number;
+	passedMs: number;
+	atMs: number;
+};
+
 type Account<R> = {
 	readonly name: string;
 	/** One line for each class, so that long requests do not block short ones. */
-	readonly lines: Map<string, R[]>;
+	readonly lines: Map<string, Line<R>>;
 	waitingCount: number;
-	waitingTokens: number;
 };
 
 const rateHalfLifeMs = 10_000;
+const minPassedMs = 1000;
 const maxTriesPerServe = 64;
 const keptVirtualTimes = 10_000;
 
@@ -74,9 +82,6 @@
 	let length = 0;
 	let waitingTokens = 0;
 	let virtualNow = 0;
-	let servedTokens = 0;
-	let servedMs = 0;
-	let rateAtMs = 0;
 
 	const virtualTimeOf = (account: string) =>
 		Math.max(virtualNow, virtualTimes.get(account) ?? 0);
@@ -91,22 +96,20 @@
 		}
 	};
 
-	const passTime = (nowMs: number) => {
-		const passedMs = Math.max(0, nowMs - rateAtMs);
+	const passTime = (line: Line<R>, nowMs: number) => {
+		const passedMs = Math.max(0, nowMs - line.atMs);
 		const decay = 0.5 ** (passedMs / rateHalfLifeMs);
-		servedTokens *= decay;
-		// Only time in which requests waited tells how fast the queue moves.
-		servedMs = servedMs * decay + (length > 0 ? passedMs : 0);
-		rateAtMs = nowMs;
+		line.servedCount *= decay;
+		line.passedMs = line.passedMs * decay + passedMs;
+		line.atMs = nowMs;
 	};
 
-	const take = (account: Account<R>, line: R[], index: number) => {
-		const [request] = line.splice(index, 1);
+	const take = (account: Account<R>, line: Line<R>, index: number) => {
+		const [request] = line.requests.splice(index, 1);
 		account.waitingCount--;
-		account.waitingTokens -= request.expectedTokens;
 		length--;
 		waitingTokens -= request.expectedTokens;
-		if (line.length === 0) {
+		if (line.requests.length === 0) {
 			account.lines.delete(request.requestClass);
 		}
 
@@ -124,25 +127,27 @@
 		return request.expectedTokens * Math.max(0, leftPart);
 	};
 
-	const headsOf = (account: Account<R>) =>
+	const headsOf = (account: Account<R>, nowMs: number) =>
 		[...account.lines.values()]
-			.map((line) => line[0])
-			.sort((a, b) => urgency(a, rateAtMs) - urgency(b, rateAtMs));
+			.map((line) => line.requests[0])
+			.sort((a, b) => urgency(a, nowMs) - urgency(b, nowMs));
 
 	const serveOnce = (
 		order: ReadonlyArray<{account: Account<R>; standing: QueueStanding}>,
 		place: (request: R, standing: QueueStanding) => boolean,
-		budget: {tries: number},
+		budget: {tries: number; readonly nowMs: number},
 	): boolean => {
 		for (const {account, standing} of order) {
-			for (const head of headsOf(account)) {
+			for (const head of headsOf(account, budget.nowMs)) {
 				if (budget.tries-- <= 0) {
 					return false;
 				}
 
 				if (place(head, standing)) {
-					take(account, account.lines.get(head.requestClass)!, 0);
-					servedTokens += head.expectedTokens;
+					const line = account.lines.get(head.requestClass)!;
+					passTime(line, budget.nowMs);
+					line.servedCount++;
+					take(account, line, 0);
 					virtualNow = Math.max(
 						virtualNow,
 						Math.min(
@@ -167,29 +172,20 @@
 		get waitingTokens() {
 			return waitingTokens;
 		},
-		expectedWaitMs(account, standing, nowMs) {
-			passTime(nowMs);
-			if (length === 0) {
+		expectedWaitMs(account, requestClass, nowMs) {
+			const line = accounts.get(account)?.lines.get(requestClass);
+			if (!line) {
 				return 0;
 			}
 
-			if (servedMs < 1000 || servedTokens === 0) {
+			passTime(line, nowMs);
+			if (line.passedMs < minPassedMs) {
 				return undefined;
 			}
 
-			const own = accounts.get(account)?.waitingTokens ?? 0;
-			let ahead = own;
-			if (!standing.entitled) {
-				for (const other of accounts.values()) {
-					if (other.name !== account) {
-						// Fair order lets each account go first with what it is behind.
-						const behind = virtualTimeOf(account) - virtualTimeOf(other.name);
-						ahead += Math.min(other.waitingTokens, own + Math.max(0, behind));
-					}
-				}
-			}
-
-			return (ahead * servedMs) / servedTokens;
+			// A line that has not moved at all counts as half a request served.
+			const paceMs = line.passedMs / Math.max(0.5, line.servedCount);
+			return line.requests.length * paceMs;
 		},
 		add(request) {
 			if (length >= maxLength) {
@@ -202,21 +198,23 @@
 					name: request.account,
 					lines: new Map(),
 					waitingCount: 0,
-					waitingTokens: 0,
 				};
 				accounts.set(request.account, account);
 			}
 
 			const line = account.lines.get(request.requestClass);
 			if (line) {
-				line.push(request);
+				line.requests.push(request);
 			} else {
-				account.lines.set(request.requestClass, [request]);
+				account.lines.set(request.requestClass, {
+					requests: [request],
+					servedCount: 0,
+					passedMs: 0,
+					atMs: request.arrivedMs,
+				});
 			}
 
-			passTime(Math.max(rateAtMs, request.arrivedMs));
 			account.waitingCount++;
-			account.waitingTokens += request.expectedTokens;
 			length++;
 			waitingTokens += request.expectedTokens;
 			return true;
@@ -224,7 +222,7 @@
 		remove(request) {
 			const account = accounts.get(request.account);
 			const line = account?.lines.get(request.requestClass);
-			const index = line?.indexOf(request) ?? -1;
+			const index = line?.requests.indexOf(request) ?? -1;
 			if (!account || !line || index === -1) {
 				return false;
 			}
@@ -236,8 +234,8 @@
 			const expired: R[] = [];
 			for (const account of accounts.values()) {
 				for (const line of account.lines.values()) {
-					for (let index = line.length - 1; index >= 0; index--) {
-						if (line[index].deadlineMs <= nowMs) {
+					for (let index = line.requests.length - 1; index >= 0; index--) {
+						if (line.requests[index].deadlineMs <= nowMs) {
 							expired.push(take(account, line, index));
 						}
 					}
@@ -247,8 +245,7 @@
 			return expired;
 		},
 		serve(nowMs, standingOf, place) {
-			passTime(nowMs);
-			const budget = {tries: maxTriesPerServe};
+			const budget = {tries: maxTriesPerServe, nowMs};
 			let placed = length > 0;
 			while (placed) {
 				const order = [...accounts.values()]
--- a/src/decisions/routing/cache-affinity.ts
+++ b/src/decisions/routing/cache-affinity.ts
@@ -1,4 +1,5 @@
 import {type CacheEvent, prefixBlockTokens} from '../../common/index.js';
+import type {PrefixBelief, PrefixIndex, PrefixRow} from './prefix-index.js';
 
 /** What this VM believes of one engine's prefix cache. */
 export type CacheAffinity = {
@@ -8,14 +9,13 @@
 	note(events: readonly CacheEvent[], nowMs: number): void;
 	/** A prompt with these prefixes was just sent to the engine. */
 	sent(prefixHashes: readonly string[], nowMs: number): void;
-	/** Expected leading tokens of a prompt that the engine need not compute. */
-	expectedCachedTokens(prefixHashes: readonly string[], nowMs: number): number;
-};
-
-type Belief = {
-	atMs: number;
-	/** Value of the engine's gap count when the belief was formed. */
-	gaps: number;
+	/**
+	 * Expected leading tokens of a prompt that the engine need not compute.
+	 * @param rows - rows of the prompt's prefixes in the shared index
+	 */
+	expectedCachedTokens(rows: readonly PrefixRow[], nowMs: number): number;
+	/** Takes all beliefs out of the shared index. */
+	clear(): void;
 };
 
 const maxBeliefs = 4096;
@@ -25,19 +25,28 @@
 // A lost event may have been the eviction of any prefix.
 const gapFactor = 0.9;
 
-/** Creates beliefs of an empty cache. */
-export function createCacheAffinity(): CacheAffinity {
-	const beliefs = new Map<string, Belief>();
+/**
+ * Creates beliefs of an empty cache.
+ * @param slot - place of the engine in the rows of the index
+ */
+export function createCacheAffinity(
+	index: PrefixIndex,
+	slot: number,
+): CacheAffinity {
+	const beliefs = new Map<string, PrefixBelief>();
 	let lastSequence = 0;
 	let gaps = 0;
 	let lifetimeMs = firstLifetimeMs;
 
 	const believe = (hash: string, nowMs: number) => {
 		beliefs.delete(hash);
-		beliefs.set(hash, {atMs: nowMs, gaps});
+		const belief = {atMs: nowMs, gaps};
+		beliefs.set(hash, belief);
+		index.set(hash, slot, belief);
 		if (beliefs.size > maxBeliefs) {
 			const [oldest] = beliefs.keys();
 			beliefs.delete(oldest);
+			index.delete(oldest, slot);
 		}
 	};
 
@@ -47,6 +56,7 @@
 			const seenMs = nowMs - belief.atMs;
 			lifetimeMs += lifetimeSmoothing * (seenMs - lifetimeMs);
 			beliefs.delete(hash);
+			index.delete(hash, slot);
 		}
 	};
 
@@ -74,15 +84,17 @@
 				believe(hash, nowMs);
 			}
 		},
-		expectedCachedTokens(prefixHashes, nowMs) {
+		expectedCachedTokens(rows, nowMs) {
 			let expected = 0;
-			for (const hash of prefixHashes) {
-				const belief = beliefs.get(hash);
+			for (const row of rows) {
+				const belief = row[slot];
 				if (!belief) {
 					break;
 				}
 
-				const age = Math.exp(-(nowMs - belief.atMs) / lifetimeMs);
+				// Close to the exponential function and cheaper, since placement calls this for each engine.
+				const lifetimes = (nowMs - belief.atMs) / lifetimeMs;
+				const age = 1 / (1 + lifetimes + (lifetimes * lifetimes) / 2);
 				const missed = gaps - belief.gaps;
 				expected +=
 					prefixBlockTokens * age * (missed > 0 ? gapFactor ** missed : 1);
@@ -90,5 +102,12 @@
 
 			return expected;
 		},
+		clear() {
+			for (const hash of beliefs.keys()) {
+				index.delete(hash, slot);
+			}
+
+			beliefs.clear();
+		},
 	};
 }
--- a/src/decisions/routing/engine-choice.ts
+++ b/src/decisions/routing/engine-choice.ts
@@ -2,11 +2,8 @@
 import type {CacheAffinity} from './cache-affinity.js';
 import type {EngineLoad} from './engine-load.js';
 import type {RoutingTuning} from './routing-tuning.js';
-import {
-	createStreamForecast,
-	horizonCount,
-	type StreamForecast,
-} from './stream-forecast.js';
+import type {PrefixRow} from './prefix-index.js';
+import type {StreamForecast} from './stream-forecast.js';
 
 /** An engine that a generation may go to. */
 export type EngineCandidate = {
@@ -31,8 +28,10 @@
 export type ChoiceRequest = {
 	readonly forecast: StreamForecast;
 	readonly promptTokens: number;
-	readonly prefixHashes: readonly string[];
+	readonly prefixRows: readonly PrefixRow[];
 	readonly entitled: boolean;
+	/** True if the generation is to displace others where there is no room. */
+	readonly urgent: boolean;
 	readonly weights: CostWeights;
 	readonly nowMs: number;
 	/** Place of this VM in the turns, or undefined if none are taken. */
@@ -66,29 +65,16 @@
 	ownZone: string,
 	random: RandomSource,
 ): EngineChooser {
-	const memory = createStreamForecast();
 	let costs = new Float64Array(64);
 
-	/** Part of the engine's memory at its forecast peak, margin included. */
-	const peakPart = (load: EngineLoad, request: ChoiceRequest) => {
-		const {meanTokens, variance} = request.forecast;
-		const deviations = request.entitled
-			? tuning.floorMarginDeviations
-			: tuning.marginDeviations;
-		let peak = 0;
-		for (let index = 0; index < horizonCount; index++) {
-			const mean = memory.meanTokens[index] + meanTokens[index];
-			const spread = memory.variance[index] + variance[index];
-			peak = Math.max(peak, mean + deviations * Math.sqrt(Math.max(0, spread)));
-		}
-
-		return peak / load.capacityTokens;
-	};
-
 	/** False while other prompts would be computed together with this one and stall the streams. */
-	const isTurn = (candidate: EngineCandidate, request: ChoiceRequest) => {
+	const isTurn = (
+		candidate: EngineCandidate,
+		request: ChoiceRequest,
+		part: number,
+	) => {
 		const {turn, nowMs} = request;
-		if (!turn || candidate.load.openCount === 0) {
+		if (!turn || part < tuning.turnFromPart) {
 			return true;
 		}
 
@@ -106,7 +92,7 @@
 	) => {
 		const {load, affinity} = candidate;
 		const {weights, nowMs} = request;
-		const cached = affinity.expectedCachedTokens(request.prefixHashes, nowMs);
+		const cached = affinity.expectedCachedTokens(request.prefixRows, nowMs);
 		const prefillMs =
 			tuning.prefillPerTokenMs * Math.max(0, request.promptTokens - cached);
 		const busyMs = Math.max(0, candidate.prefillBusyUntilMs - nowMs);
@@ -135,17 +121,28 @@
 
 			const limit =
 				tuning.memoryLimit - (request.entitled ? 0 : tuning.floorReserve);
+			const deviations = request.entitled
+				? tuning.floorMarginDeviations
+				: tuning.marginDeviations;
 			let lowest = Infinity;
-			for (const [index, candidate] of candidates.entries()) {
+			for (let index = 0; index < candidates.length; index++) {
+				const candidate = candidates[index];
 				const backOff =
 					tuning.preemptionBackOff *
 					candidate.load.recentPreemptions(request.nowMs);
-				candidate.load.forecast(memory, averageStream, request.nowMs);
-				const part = peakPart(candidate.load, request);
+				const part =
+					candidate.load.peakTokens(
+						request.forecast,
+						averageStream,
+						deviations,
+						request.nowMs,
+					) / candidate.load.capacityTokens;
 				// A prompt that no engine could hold beside others still runs on an empty one.
 				const fits =
-					(part <= limit - backOff || candidate.load.openCount === 0) &&
-					isTurn(candidate, request);
+					(request.urgent ||
+						part <= limit - backOff ||
+						candidate.load.openCount === 0) &&
+					isTurn(candidate, request, part);
 				costs[index] = fits ? costOf(candidate, request, part) : Infinity;
 				lowest = Math.min(lowest, costs[index]);
 			}
@@ -157,7 +154,8 @@
 			const bound = lowest * (1 + tuning.equalCostPart);
 			let chosen: (typeof candidates)[number] | undefined;
 			let equal = 0;
-			for (const [index, candidate] of candidates.entries()) {
+			for (let index = 0; index < candidates.length; index++) {
+				const candidate = candidates[index];
 				if (costs[index] <= bound) {
 					equal++;
 					if (random.nextInt(equal) === 0) {
--- a/src/decisions/routing/engine-load.ts
+++ b/src/decisions/routing/engine-load.ts
@@ -15,10 +15,10 @@
 	readonly openCount: number;
 	/** Duration of one decoding step as this VM sees it, in milliseconds. */
 	readonly stepMs: number;
-	/** Preemptions in the last while, older ones counting less; at most a few. */
-	recentPreemptions(nowMs: number): number;
 	/** Tokens of this VM's streams. */
 	readonly ownTokens: number;
+	/** Preemptions in the last while, older ones counting less; at most a few. */
+	recentPreemptions(nowMs: number): number;
 	/** Adds one stream of this VM, or takes it off. */
 	changeOwn(
 		forecast: StreamForecast,
@@ -41,8 +41,18 @@
 		atMs: number,
 	): void;
 	noteStep(stepMs: number): void;
-	/** Writes the forecast of the engine's memory. */
-	forecast(into: StreamForecast, own: StreamForecast, nowMs: number): void;
+	/**
+	 * Forecast peak of the engine's memory with one more stream, in tokens.
+	 * @param added - forecast of the stream
+	 * @param average - forecast of an average stream, which stands for each of the peers' streams
+	 * @param deviations - standard deviations that are added as a margin
+	 */
+	peakTokens(
+		added: StreamForecast,
+		average: StreamForecast,
+		deviations: number,
+		nowMs: number,
+	): number;
 	/** What this VM tells its peers. */
 	activity(targetId: string): TargetActivity;
 };
@@ -73,7 +83,13 @@
 	const samples: Sample[] = [];
 	let ownCount = 0;
 	let ownTokens = 0;
+	// Sums over the peers, since placement reads them for each engine.
 	let peerCount = 0;
+	let peerOpenTokens = 0;
+	let peerGrowth = 0;
+	/** Growth of each peer multiplied by the time of its figures. */
+	let peerGrowthMs = 0;
+	let oldestPeerMs = Infinity;
 	let capacityTokens = unreportedCapacityTokens;
 	let preemptionsTotal = 0;
 	let reported = false;
@@ -84,16 +100,8 @@
 	let stepMs = firstStepMs;
 
 	const peerTokens = (nowMs: number) => {
-		let tokens = 0;
-		for (const {activity, atMs} of peers.values()) {
-			const part = Math.min(1, Math.max(0, nowMs - atMs) / growthWindowMs);
-			tokens += Math.max(
-				0,
-				activity.openTokens + part * activity.expectedGrowthTokens,
-			);
-		}
-
-		return tokens;
+		const grown = (peerGrowth * nowMs - peerGrowthMs) / growthWindowMs;
+		return Math.max(0, peerOpenTokens + grown);
 	};
 
 	const sample = (nowMs: number) => {
@@ -118,9 +126,27 @@
 
 	const recountPeers = () => {
 		peerCount = 0;
-		for (const {activity} of peers.values()) {
+		peerOpenTokens = 0;
+		peerGrowth = 0;
+		peerGrowthMs = 0;
+		oldestPeerMs = Infinity;
+		for (const {activity, atMs} of peers.values()) {
 			peerCount += activity.openCount;
+			peerOpenTokens += activity.openTokens;
+			peerGrowth += activity.expectedGrowthTokens;
+			peerGrowthMs += activity.expectedGrowthTokens * atMs;
+			oldestPeerMs = Math.min(oldestPeerMs, atMs);
+		}
+	};
+
+	const forgetPeers = (nowMs: number) => {
+		for (const [peer, {atMs}] of peers) {
+			if (nowMs - atMs > forgetPeerMs) {
+				peers.delete(peer);
+			}
 		}
+
+		recountPeers();
 	};
 
 	return {
@@ -198,33 +224,33 @@
 		noteStep(observedMs) {
 			stepMs += stepSmoothing * (observedMs - stepMs);
 		},
-		forecast(into, average, nowMs) {
-			let tokens = 0;
-			let growth = 0;
-			for (const [peer, {activity, atMs}] of peers) {
-				const ageMs = Math.max(0, nowMs - atMs);
-				if (ageMs > forgetPeerMs) {
-					peers.delete(peer);
-					recountPeers();
-					continue;
-				}
-
-				tokens +=
-					activity.openTokens +
-					Math.min(1, ageMs / growthWindowMs) * activity.expectedGrowthTokens;
-				growth += activity.expectedGrowthTokens;
+		peakTokens(added, average, deviations, nowMs) {
+			if (nowMs - oldestPeerMs > forgetPeerMs) {
+				forgetPeers(nowMs);
 			}
 
-			const windowSteps = growthWindowMs / stepMs;
+			const tokens = peerTokens(nowMs);
+			const partPerStep = stepMs / growthWindowMs;
+			let peak = 0;
 			for (let index = 0; index < horizonCount; index++) {
-				const part = Math.min(1, horizonSteps[index] / windowSteps);
-				into.meanTokens[index] =
+				const part = Math.min(1, horizonSteps[index] * partPerStep);
+				const mean =
 					unknownTokens +
 					own.meanTokens[index] +
-					Math.max(0, tokens + part * growth);
-				into.variance[index] =
-					own.variance[index] + peerCount * average.variance[index];
+					added.meanTokens[index] +
+					Math.max(0, tokens + part * peerGrowth);
+				const variance =
+					own.variance[index] +
+					added.variance[index] +
+					peerCount * average.variance[index];
+				const tokensAtPeak =
+					mean + deviations * Math.sqrt(Math.max(0, variance));
+				if (tokensAtPeak > peak) {
+					peak = tokensAtPeak;
+				}
 			}
+
+			return peak;
 		},
 		activity(targetId) {
 			const windowSteps = growthWindowMs / stepMs;
--- a/src/decisions/routing/engine-priority.ts
+++ b/src/decisions/routing/engine-priority.ts
@@ -2,12 +2,12 @@
 
 /** What decides on the priority of a generation. */
 export type PriorityInput = {
-	/** True if the account gets less than its floor. */
-	readonly entitled: boolean;
+	/** True if the account is behind its floor in this minute, so that the generation displaces others. */
+	readonly urgent: boolean;
 	readonly delivery: Delivery;
 };
 
-const entitledPriority = 0;
+const urgentPriority = 0;
 
 // Within one number engines preempt the generation that was submitted last, which has produced least.
 const priorities: Readonly<Record<Delivery, number>> = {
@@ -22,5 +22,5 @@
  * first.
  */
 export function enginePriority(input: PriorityInput): number {
-	return input.entitled ? entitledPriority : priorities[input.delivery];
+	return input.urgent ? urgentPriority : priorities[input.delivery];
 }
--- a/src/decisions/routing/engine-table.ts
+++ b/src/decisions/routing/engine-table.ts
@@ -5,6 +5,7 @@
 	TargetDescription,
 } from '../../common/index.js';
 import {type CacheAffinity, createCacheAffinity} from './cache-affinity.js';
+import {createPrefixIndex, type PrefixRow} from './prefix-index.js';
 import {createEngineLoad, type EngineLoad} from './engine-load.js';
 
 /** One engine as this VM knows it. */
@@ -12,6 +13,8 @@
 	readonly id: string;
 	readonly load: EngineLoad;
 	readonly affinity: CacheAffinity;
+	/** Place in the rows of the prefix index. */
+	readonly slot: number;
 	/** Place in the order of names, from 0. */
 	index: number;
 	readonly availabilityZone: string;
@@ -24,10 +27,9 @@
 
 /** Engines by id and model. */
 export type EngineTable = {
-	readonly peerCount: number;
-	/** Place of a VM in the order of the names of this VM's peers, from 0. */
-	rankOf(vmName: string): number;
 	get(targetId: string): EngineState | undefined;
+	/** What is believed of the prefixes of a prompt. */
+	prefixRows(prefixHashes: readonly string[]): readonly PrefixRow[];
 	all(): Iterable<EngineState>;
 	/** Replaces the descriptions, keeping what is known of engines that stay. */
 	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
@@ -40,6 +42,7 @@
 	/** True if some engine offers the model, whether or not it takes work now. */
 	knows(model: string): boolean;
 	markLeaving(targetId: string): void;
+	markReturned(targetId: string): void;
 	eject(targetId: string, untilMs: number): void;
 	noteReport(targetId: string, report: LoadReport, nowMs: number): void;
 	noteCacheEvents(
@@ -63,8 +66,10 @@
 /** Creates an empty table. */
 export function createEngineTable(): EngineTable {
 	const engines = new Map<string, EngineState>();
+	const prefixes = createPrefixIndex();
+	const freeSlots: number[] = [];
+	let slotCount = 0;
 	const byModel = new Map<string, EngineState[]>();
-	const peers = new Set<string>();
 
 	const reindex = () => {
 		byModel.clear();
@@ -80,15 +85,6 @@
 		}
 	};
 
-	const rankOf = (vmName: string) => {
-		let rank = 0;
-		for (const peer of peers) {
-			rank += Number(peer < vmName);
-		}
-
-		return rank;
-	};
-
 	const markLeaving = (targetId: string) => {
 		const engine = engines.get(targetId);
 		if (engine) {
@@ -97,11 +93,8 @@
 	};
 
 	return {
-		get peerCount() {
-			return peers.size;
-		},
-		rankOf(vmName) {
-			return rankOf(vmName);
+		prefixRows(prefixHashes) {
+			return prefixes.rowsOf(prefixHashes);
 		},
 		get(targetId) {
 			return engines.get(targetId);
@@ -110,8 +103,10 @@
 			return engines.values();
 		},
 		update(descriptions) {
-			for (const id of engines.keys()) {
+			for (const [id, engine] of engines) {
 				if (descriptions.get(id)?.kind !== 'engine') {
+					engine.affinity.clear();
+					freeSlots.push(engine.slot);
 					engines.delete(id);
 				}
 			}
@@ -121,10 +116,12 @@
 				if (known) {
 					known.models = new Set(models);
 				} else if (kind === 'engine') {
+					const slot = freeSlots.pop() ?? slotCount++;
 					engines.set(id, {
 						id,
 						load: createEngineLoad(),
-						affinity: createCacheAffinity(),
+						affinity: createCacheAffinity(prefixes, slot),
+						slot,
 						index: 0,
 						availabilityZone,
 						models: new Set(models),
@@ -153,6 +150,12 @@
 			return byModel.has(model);
 		},
 		markLeaving,
+		markReturned(targetId) {
+			const engine = engines.get(targetId);
+			if (engine) {
+				engine.leaving = false;
+			}
+		},
 		eject(targetId, untilMs) {
 			const engine = engines.get(targetId);
 			if (engine) {
@@ -169,14 +172,12 @@
 			engines.get(targetId)?.affinity.note(events, nowMs);
 		},
 		noteActivity(peer, activity, atMs) {
-			peers.add(peer);
 			const byTarget = new Map(activity.map((one) => [one.targetId, one]));
 			for (const engine of engines.values()) {
 				engine.load.noteActivity(peer, byTarget.get(engine.id), atMs);
 			}
 		},
 		forgetPeer(peer) {
-			peers.delete(peer);
 			for (const engine of engines.values()) {
 				engine.load.noteActivity(peer, undefined, 0);
 			}
--- /dev/null
+++ b/src/decisions/routing/floor-watch.ts
@@ -0,0 +1,59 @@
+import type {Clock} from '../../common/index.js';
+import type {ContractLedger} from '../contracts/index.js';
+
+/** What the watch works with. */
+export type FloorWatchOptions = {
+	readonly clock: Clock;
+	readonly ledger: ContractLedger;
+	/** Factor on the floor up to which an account counts as below it. */
+	readonly floorSlack: number;
+	/** Entry VMs among which the accounts' requests are spread. */
+	readonly vmCount: () => number;
+	/** Tokens that an account's streams on this VM should produce in the next minute. */
+	readonly nextMinuteTokens: (account: string) => number;
+};
+
+/** Tells which accounts need help to reach their floor. */
+export type FloorWatch = {
+	/** True if this VM's part of the floor is not covered by what it has running. */
+	isEntitled(account: string, floorTokensPerMinute: number): boolean;
+	/** True if the whole fleet has given less than the floor up to this time of the minute. */
+	isBehind(account: string, floorTokensPerMinute: number): boolean;
+};
+
+const minuteMs = 60_000;
+
+// Before, a late start of a few streams would look like a floor that is missed.
+const minPassedPart = 0.1;
+
+/** Creates a watch. */
+export function createFloorWatch(options: FloorWatchOptions): FloorWatch {
+	const {clock, ledger, floorSlack} = options;
+	return {
+		isEntitled(account, floorTokensPerMinute) {
+			if (floorTokensPerMinute <= 0) {
+				return false;
+			}
+
+			const wallMs = clock.wallMs();
+			const ownPart = floorSlack / options.vmCount();
+			const covered = options.nextMinuteTokens(account);
+			const minuteLeft = 1 - (wallMs % minuteMs) / minuteMs;
+			const {floorTokensLeft} = ledger.standing(account, wallMs);
+			return (
+				floorTokensLeft * ownPart > covered * minuteLeft ||
+				floorTokensPerMinute * ownPart > covered
+			);
+		},
+		isBehind(account, floorTokensPerMinute) {
+			const wallMs = clock.wallMs();
+			const passedPart = (wallMs % minuteMs) / minuteMs;
+			const {floorTokensLeft} = ledger.standing(account, wallMs);
+			return (
+				passedPart > minPassedPart &&
+				floorTokensPerMinute - floorTokensLeft <
+					floorTokensPerMinute * passedPart
+			);
+		},
+	};
+}
--- a/src/decisions/routing/generation-placer.ts
+++ b/src/decisions/routing/generation-placer.ts
@@ -5,7 +5,7 @@
 	promptTokensOf,
 } from '../../common/index.js';
 import type {GenerationPlacer, GenerationRequest} from '../streams/index.js';
-import type {GenerationRouter} from './generation-router.js';
+import type {GenerationRouter} from './router-types.js';
 import type {RoutedRequest} from './types.js';
 
 function routedRequestOf(request: GenerationRequest): RoutedRequest {
--- a/src/decisions/routing/generation-router.ts
+++ b/src/decisions/routing/generation-router.ts
@@ -1,76 +1,18 @@
-import {
-	type Clock,
-	type Disposable,
-	ProblemError,
-	type RandomSource,
-} from '../../common/index.js';
-import type {ContractLedger, TokenReservation} from '../contracts/index.js';
+import {type Disposable, ProblemError} from '../../common/index.js';
+import type {TokenReservation} from '../contracts/index.js';
 import {createAdmissionQueue, type QueueStanding} from './admission-queue.js';
 import {createEngineChooser} from './engine-choice.js';
 import {enginePriority} from './engine-priority.js';
-import {createEngineTable, type EngineTable} from './engine-table.js';
-import {type LengthStatistics} from './length-statistics.js';
+import {createEngineTable} from './engine-table.js';
+import {createFloorWatch} from './floor-watch.js';
 import {createOpenGenerations, type OpenOutcome} from './open-generations.js';
-import {defaultRoutingTuning, type RoutingTuning} from './routing-tuning.js';
-import {createStreamForecast, forecastStream} from './stream-forecast.js';
 import type {
-	QueuedRequest,
-	Route,
-	RoutedRequest,
-	RoutingSettings,
-} from './types.js';
-
-/** What a router works with. */
-export type GenerationRouterOptions = {
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	/** Name of this VM, as its peers know it. */
-	readonly vmName: string;
-	/** Availability zone of this VM. */
-	readonly availabilityZone: string;
-	readonly ledger: ContractLedger;
-	readonly statistics: LengthStatistics;
-	readonly settingsFor: (
-		account: string,
-		requestClass: string,
-	) => RoutingSettings;
-	readonly createGenerationId: () => string;
-	readonly tuning?: RoutingTuning;
-};
-
-/** Receives the answer to a request for a place. */
-export type RouteCallbacks = {
-	onPlaced(route: Route): void;
-	/** Called with `not-run`, `rate-limited` or `unknown-model`. */
-	onRefused(problem: ProblemError): void;
-};
-
-/** Admits generations and chooses engines, on one VM. */
-export type GenerationRouter = {
-	readonly engines: EngineTable;
-	readonly queueLength: number;
-	readonly openCount: number;
-	submit(
-		request: RoutedRequest,
-		callbacks: RouteCallbacks,
-		avoidTargetId?: string,
-	): Disposable;
-	progressed(generationId: string, producedTokens: number): void;
-	ended(
-		generationId: string,
-		outcome: OpenOutcome,
-		producedTokens: number,
-	): void;
-	/** Counts a generation that another VM placed. */
-	adopt(
-		request: RoutedRequest,
-		targetId: string,
-		generationId: string,
-		position: number,
-	): void;
-	/** Serves the queue; called regularly and whenever news of the engines arrive. */
-	tick(): void;
-};
+	GenerationRouter,
+	GenerationRouterOptions,
+} from './router-types.js';
+import {defaultRoutingTuning} from './routing-tuning.js';
+import {forecastRequest} from './request-forecast.js';
+import type {QueuedRequest, Route, RoutingSettings} from './types.js';
 
 type Queued = QueuedRequest;
 
@@ -79,7 +21,9 @@
 		// The request was refused already.
 	},
 };
-const minuteMs = 60_000;
+
+// In larger fleets VMs share turns, so that no prompt waits longer than about a second for one.
+const maxTurns = 8;
 const minRetryAfterMs = 1000;
 const lostEjectionMs = 2000;
 
@@ -91,6 +35,13 @@
 	const tuning = options.tuning ?? defaultRoutingTuning;
 	const engines = createEngineTable();
 	const open = createOpenGenerations({clock, engines, statistics, ledger});
+	const floors = createFloorWatch({
+		clock,
+		ledger,
+		floorSlack: tuning.floorSlack,
+		vmCount: () => options.fleet().vmCount,
+		nextMinuteTokens: (account) => open.nextMinuteTokens(account),
+	});
 	const queue = createAdmissionQueue<Queued>(tuning.maxQueueLength);
 	const placed: Array<{readonly queued: QueuedRequest; readonly route: Route}> =
 		[];
@@ -100,51 +51,35 @@
 		options.random,
 	);
 
-	/** True if this VM's part of the account's floor is not covered by what it has running. */
-	const isEntitled = (account: string, floorTokensPerMinute: number) => {
-		if (floorTokensPerMinute <= 0) {
-			return false;
-		}
-
-		const wallMs = clock.wallMs();
-		const vmCount = engines.peerCount + 1;
-		const covered = open.nextMinuteTokens(account);
-		const minuteLeft = 1 - (wallMs % minuteMs) / minuteMs;
-		const {floorTokensLeft} = ledger.standing(account, wallMs);
-		return (
-			(floorTokensLeft * tuning.floorSlack) / vmCount > covered * minuteLeft ||
-			(floorTokensPerMinute * tuning.floorSlack) / vmCount > covered
-		);
-	};
-
 	const standingOf = (account: string, {contract}: RoutingSettings) => ({
-		entitled: isEntitled(account, contract.floorTokensPerMinute),
+		entitled: floors.isEntitled(account, contract.floorTokensPerMinute),
 		shareWeight: contract.shareWeight,
 	});
 
-	const turnNow = () => ({
-		wallMs: clock.wallMs(),
-		rank: engines.rankOf(options.vmName),
-		vmCount: engines.peerCount + 1,
-	});
+	const turnNow = () => {
+		const {rank, vmCount} = options.fleet();
+		const turnCount = Math.min(vmCount, maxTurns);
+		return {wallMs: clock.wallMs(), rank: rank % turnCount, vmCount: turnCount};
+	};
 
-	const tryPlace = (
-		queued: Queued,
-		standing: QueueStanding,
-		turns: boolean,
-	): boolean => {
+	const tryPlace = (queued: Queued, standing: QueueStanding): boolean => {
 		const {request, forecast, settings, distribution, reservation} = queued;
 		const nowMs = clock.nowMs();
+		const prefixRows = engines.prefixRows(request.prefixHashes);
+		const urgent =
+			nowMs - queued.arrivedMs > tuning.urgentWaitMs &&
+			floors.isBehind(request.account, settings.contract.floorTokensPerMinute);
 		const engine = chooser.choose(
 			engines.usable(request.model, nowMs, queued.avoidTargetId),
 			{
 				forecast,
 				promptTokens: request.promptTokens,
-				prefixHashes: request.prefixHashes,
+				prefixRows,
 				entitled: standing.entitled,
+				urgent,
 				weights: settings.weights,
 				nowMs,
-				turn: turns ? turnNow() : undefined,
+				turn: tuning.turnMs > 0 ? turnNow() : undefined,
 			},
 			open.average,
 		);
@@ -152,10 +87,7 @@
 			return false;
 		}
 
-		const cached = engine.affinity.expectedCachedTokens(
-			request.prefixHashes,
-			nowMs,
-		);
+		const cached = engine.affinity.expectedCachedTokens(prefixRows, nowMs);
 		engine.prefillBusyUntilMs =
 			Math.max(nowMs, engine.prefillBusyUntilMs) +
 			tuning.prefillPerTokenMs * Math.max(0, request.promptTokens - cached);
@@ -174,8 +106,7 @@
 			progressedMs: undefined,
 			nextMinuteTokens: 0,
 		});
-		const {entitled} = standing;
-		const priority = enginePriority({entitled, delivery: request.delivery});
+		const priority = enginePriority({urgent, delivery: request.delivery});
 		placed.push({queued, route: {targetId: engine.id, generationId, priority}});
 		return true;
 	};
@@ -218,7 +149,7 @@
 		queue.serve(
 			nowMs,
 			(account) => standingOf(account, settingsFor(account, '')),
-			(queued, standing) => tryPlace(queued, standing, tuning.turnMs > 0),
+			tryPlace,
 		);
 		announce();
 	};
@@ -253,14 +184,14 @@
 		// Nobody overtakes requests that already wait, except an account below its floor.
 		if (
 			(queue.length === 0 || standing.entitled) &&
-			tryPlace(queued, standing, false)
+			tryPlace(queued, standing)
 		) {
 			queue.charge(account, queued.expectedTokens, standing.shareWeight);
 			announce();
 			return;
 		}
 
-		const waitMs = queue.expectedWaitMs(account, standing, nowMs);
+		const waitMs = queue.expectedWaitMs(account, queued.requestClass, nowMs);
 		const {queueTimeoutMs} = settings.classSettings;
 		if (waitMs !== undefined && waitMs > queueTimeoutMs) {
 			refuse(
@@ -284,7 +215,7 @@
 			return open.size;
 		},
 		submit(request, callbacks, avoidTargetId) {
-			const {account, requestClass, model, maxTokens} = request;
+			const {account, requestClass, model} = request;
 			if (!engines.knows(model)) {
 				callbacks.onRefused(
 					new ProblemError('unknown-model', `model "${model}" does not exist`, {
@@ -295,18 +226,11 @@
 			}
 
 			const settings = settingsFor(account, requestClass);
-			const distribution = statistics.distribution(
-				account,
-				requestClass,
-				model,
+			const {distribution, forecast, expectedTokens} = forecastRequest(
+				statistics,
+				request,
+				0,
 			);
-			const expectedTokens = distribution.expectedRemaining(0, maxTokens);
-			const forecast = createStreamForecast();
-			forecastStream(forecast, distribution, {
-				promptTokens: request.promptTokens,
-				producedTokens: 0,
-				maxTokens,
-			});
 			let reservation: TokenReservation;
 			try {
 				reservation = ledger.reserve(
@@ -363,19 +287,13 @@
 				return;
 			}
 
-			const {account, requestClass, model, maxTokens, promptTokens} = request;
+			const {account, requestClass} = request;
 			const {contract} = settingsFor(account, requestClass);
-			const distribution = statistics.distribution(
-				account,
-				requestClass,
-				model,
+			const {distribution, forecast} = forecastRequest(
+				statistics,
+				request,
+				position,
 			);
-			const forecast = createStreamForecast();
-			forecastStream(forecast, distribution, {
-				promptTokens,
-				producedTokens: position,
-				maxTokens,
-			});
 			open.open(generationId, {
 				request,
 				targetId,
--- a/src/decisions/routing/index.ts
+++ b/src/decisions/routing/index.ts
@@ -9,6 +9,8 @@
 export * from './length-distribution.js';
 export * from './length-histogram.js';
 export * from './length-statistics.js';
+export * from './prefix-index.js';
+export type * from './router-types.js';
 export * from './routing-tuning.js';
 export * from './stream-forecast.js';
 export * from './target-table.js';
--- a/src/decisions/routing/length-histogram.ts
+++ b/src/decisions/routing/length-histogram.ts
@@ -19,6 +19,8 @@
 	add(tokens: number): void;
 	/** Adds the shares of the buckets, multiplied by a factor, to an array. */
 	accumulate(shares: Float64Array, factor: number): void;
+	/** Weakens the contents, so that new samples soon outweigh them. */
+	weaken(effectiveCount: number): void;
 	/** Replaces the contents by those of another histogram. */
 	copyFrom(other: LengthHistogram): void;
 	/** Weights of the buckets, counted in newest samples. */
@@ -35,9 +37,14 @@
 	);
 }
 
+const middles = Float64Array.from(
+	{length: bucketCount},
+	(_, bucket) => 2 ** ((bucket + 0.5) / bucketsPerOctave),
+);
+
 /** Typical length in a bucket, in tokens. */
 export function bucketMiddleTokens(bucket: number): number {
-	return 2 ** ((bucket + 0.5) / bucketsPerOctave);
+	return middles[bucket];
 }
 
 /**
@@ -62,7 +69,7 @@
 		sumSquareLog += weight * log * log;
 	};
 
-	const scale = (factor: number) => {
+	const scaleWeights = (factor: number) => {
 		for (let bucket = 0; bucket < bucketCount; bucket++) {
 			weights[bucket] *= factor;
 		}
@@ -70,7 +77,6 @@
 		total *= factor;
 		sumLog *= factor;
 		sumSquareLog *= factor;
-		unit *= factor;
 	};
 
 	const restore = (stored: readonly number[]) => {
@@ -100,7 +106,8 @@
 			unit *= growth;
 			put(bucketOf(tokens), Math.log(Math.max(1, tokens)), unit);
 			if (unit > largestUnit) {
-				scale(1 / unit);
+				scaleWeights(1 / unit);
+				unit = 1;
 			}
 		},
 		accumulate(shares, factor) {
@@ -113,6 +120,11 @@
 				shares[bucket] += weights[bucket] * each;
 			}
 		},
+		weaken(effectiveCount) {
+			if (total > effectiveCount * unit) {
+				scaleWeights((effectiveCount * unit) / total);
+			}
+		},
 		copyFrom(other) {
 			restore(other.weights());
 		},
--- a/src/decisions/routing/length-statistics.ts
+++ b/src/decisions/routing/length-statistics.ts
@@ -44,6 +44,7 @@
 const steadyHalfLife = 600;
 const recentHalfLife = 24;
 const minRecentSamples = 16;
+const keptSamples = 4;
 
 // Deviations of the recent mean that count as a change of lengths. Noise alone passes 4 about once in
 // 15,000 independent windows.
@@ -115,7 +116,11 @@
 			entry.samples >= minRecentSamples &&
 			Math.abs(recent.meanLog - steady.meanLog) > changeDeviations * deviation
 		) {
+			// What was seen before the change stays as a weak guess only.
 			steady.copyFrom(recent);
+			steady.weaken(keptSamples);
+			recent.weaken(keptSamples);
+			entry.samples = 0;
 		}
 	};
 
@@ -149,7 +154,7 @@
 			// A level without samples of its own follows the class at each call.
 			if (
 				!entry.distribution ||
-				entry.samples < refreshSamples ||
+				entry.steady.effectiveCount < refreshSamples ||
 				entry.sinceDistribution >= refreshSamples
 			) {
 				entry.distribution = mix(levels);
@@ -169,7 +174,7 @@
 			return JSON.stringify({format: 1, rows});
 		},
 		restore(snapshot) {
-			const {format, rows} = JSON.parse(snapshot) as {
+			const {format, rows} = (JSON.parse(snapshot) ?? {}) as {
 				format?: unknown;
 				rows?: unknown;
 			};
--- a/src/decisions/routing/routing-tuning.ts
+++ b/src/decisions/routing/routing-tuning.ts
@@ -11,6 +11,10 @@
 	 * reach an engine together are computed in one step and stall its streams. 0 takes no turns.
 	 */
 	readonly turnMs: number;
+	/** Part of an engine's memory from which on its prompts are sent in turns. */
+	readonly turnFromPart: number;
+	/** Wait after which a request displaces others if its account is behind its floor, in milliseconds. */
+	readonly urgentWaitMs: number;
 	/** Part of an engine's memory that its forecast peak may fill. The rest covers what peers sent unseen. */
 	readonly memoryLimit: number;
 	/** Part of an engine's memory that stays free for a while for each preemption seen there. */
@@ -35,7 +39,9 @@
 	floorMarginDeviations: 1.5,
 	floorSlack: 1.2,
 	turnMs: 200,
-	memoryLimit: 0.97,
+	turnFromPart: 0.8,
+	urgentWaitMs: 1000,
+	memoryLimit: 0.94,
 	preemptionBackOff: 0.01,
 	floorReserve: 0.03,
 	prefillPerTokenMs: 0.05,
--- a/src/decisions/routing/target-table.ts
+++ b/src/decisions/routing/target-table.ts
@@ -13,12 +13,6 @@
 	 * @param untilMs - monotonic time in milliseconds
 	 */
 	eject(targetId: string, untilMs: number): void;
-	/**
-	 * Chooses an engine for a model and counts the generation there.
-	 * @param nowMs - monotonic time in milliseconds
-	 * @returns the engine's id, or undefined if there is none
-	 */
-	placeGeneration(model: string, nowMs: number): string | undefined;
 	/**
 	 * Chooses a target of a plain service.
 	 * @param avoid - ids of targets to choose only if there is no other
@@ -30,15 +24,12 @@
 	): string | undefined;
 	/** Ids of the targets of each plain service. */
 	services(): ReadonlyMap<string, readonly string[]>;
-	/** Takes back the count of a generation that ended. */
-	release(targetId: string): void;
 	/** True if some target offers the model or service. */
 	knows(kind: 'model' | 'service', name: string): boolean;
 };
 
 type TargetState = {
 	description: TargetDescription;
-	outstanding: number;
 	leaving: boolean;
 	ejectedUntilMs: number;
 };
@@ -59,8 +50,7 @@
 				state.description.service === name;
 
 	const place = (
-		kind: 'model' | 'service',
-		name: string,
+		service: string,
 		nowMs: number,
 		avoid?: ReadonlySet<string>,
 	) => {
@@ -68,15 +58,13 @@
 			(state) =>
 				!state.leaving &&
 				state.ejectedUntilMs <= nowMs &&
-				matches(state, kind, name),
+				matches(state, 'service', service),
 		);
 		const preferred = all.filter((state) => !avoid?.has(state.description.id));
 		const usable = preferred.length > 0 ? preferred : all;
-		const least = Math.min(...usable.map((state) => state.outstanding));
-		const candidates = usable.filter((state) => state.outstanding === least);
-		return candidates.length === 0
+		return usable.length === 0
 			? undefined
-			: candidates[random.nextInt(candidates.length)];
+			: usable[random.nextInt(usable.length)];
 	};
 
 	return {
@@ -94,7 +82,6 @@
 				} else {
 					targets.set(id, {
 						description,
-						outstanding: 0,
 						leaving: false,
 						ejectedUntilMs: 0,
 					});
@@ -119,16 +106,8 @@
 				state.ejectedUntilMs = untilMs;
 			}
 		},
-		placeGeneration(model, nowMs) {
-			const state = place('model', model, nowMs);
-			if (state) {
-				state.outstanding++;
-			}
-
-			return state?.description.id;
-		},
 		placeCall(service, nowMs, avoid) {
-			return place('service', service, nowMs, avoid)?.description.id;
+			return place(service, nowMs, avoid)?.description.id;
 		},
 		services() {
 			const found = new Map<string, string[]>();
@@ -141,12 +120,6 @@
 
 			return found;
 		},
-		release(targetId) {
-			const state = targets.get(targetId);
-			if (state) {
-				state.outstanding--;
-			}
-		},
 		knows(kind, name) {
 			return [...targets.values()].some((state) => matches(state, kind, name));
 		},
--- a/src/experiments/bench/cowslipspread-policy.ts
+++ b/src/experiments/bench/cowslipspread-policy.ts
@@ -45,7 +45,7 @@
 			const router = createGenerationRouter({
 				clock: time,
 				random: new SeededRandomSource(seedStep * (vm + 1)),
-				vmName: `vm-${vm}`,
+				fleet: () => ({rank: vm, vmCount: deployment.vmCount}),
 				availabilityZone: zoneOf(deployment, vm),
 				ledger,
 				statistics: createLengthStatistics(),
--- /dev/null
+++ b/src/experiments/capacity/placement-slopes.ts
@@ -0,0 +1,219 @@
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {
+	Clock,
+	SeededRandomSource,
+	type TargetDescription,
+} from '../../common/index.js';
+import {
+	createEngineTable,
+	createGenerationRouter,
+	createLengthStatistics,
+	type EngineTable,
+	type GenerationRouter,
+} from '../../decisions/routing/index.js';
+import {createExactLedger} from '../bench/exact-ledger.js';
+
+/** Cost of placements at several numbers of engines, and memory of what routing keeps. */
+export type PlacementSlopes = {
+	/** Processor time of one placement in microseconds, by number of engines. */
+	readonly placementMicros: Readonly<Record<string, number>>;
+	/** Memory of one engine in the table, in bytes. */
+	readonly engineBytes: number;
+	/** Memory of one histogram entry of the length statistics, in bytes. */
+	readonly statisticsEntryBytes: number;
+};
+
+class StillClock extends Clock {
+	timeMs = 0;
+
+	override nowMs(): number {
+		return this.timeMs;
+	}
+
+	override wallMs(): number {
+		return this.timeMs;
+	}
+}
+
+const engineCounts = [10, 30, 100, 300];
+const warmUpPlacements = 5000;
+const measuredPlacements = 20_000;
+const streamsPerEngine = 10;
+const memoryEngines = 2000;
+const memoryEntries = 6000;
+const lengthStride = 379;
+const capacityTokens = 1_000_000;
+const promptTokens = 1500;
+const account = 'account';
+const requestClass = 'class';
+const model = 'model';
+
+const contract = {
+	floorTokensPerMinute: 1000,
+	ceilingTokensPerMinute: 1e12,
+	shareWeight: 1,
+};
+
+function descriptionsOf(count: number): ReadonlyMap<string, TargetDescription> {
+	const descriptions = new Map<string, TargetDescription>();
+	for (let index = 0; index < count; index++) {
+		const id = `engine-${index}`;
+		descriptions.set(id, {
+			id,
+			kind: 'engine',
+			url: `http://${id}`,
+			availabilityZone: `zone-${index % 3}`,
+			models: [model],
+			service: '',
+			fencing: 'ignores',
+			answersOutcomes: false,
+		});
+	}
+
+	return descriptions;
+}
+
+function noteState(engines: EngineTable): void {
+	for (const {id} of engines.all()) {
+		engines.noteReport(
+			id,
+			{
+				sequence: 1,
+				ageMs: 500,
+				runningCount: streamsPerEngine,
+				waitingCount: 0,
+				usedTokens: promptTokens * streamsPerEngine,
+				capacityTokens,
+				preemptionsTotal: 0,
+				models: [model],
+				leaving: false,
+			},
+			0,
+		);
+		const activity = {
+			targetId: id,
+			openCount: streamsPerEngine,
+			openTokens: promptTokens * streamsPerEngine,
+			expectedGrowthTokens: promptTokens,
+		};
+		engines.noteActivity('others', [activity], 0);
+	}
+}
+
+function createMeasuredRouter(engineCount: number): GenerationRouter {
+	const statistics = createLengthStatistics();
+	for (let index = 0; index < 1000; index++) {
+		const tokens = 1 + ((index * lengthStride) % 1000);
+		statistics.record(account, requestClass, model, tokens);
+	}
+
+	let nextId = 0;
+	const router = createGenerationRouter({
+		clock: new StillClock(),
+		random: new SeededRandomSource(1),
+		fleet: () => ({vmCount: 8, rank: 0}),
+		availabilityZone: 'zone-0',
+		ledger: createExactLedger(() => contract),
+		statistics,
+		settingsFor: () => ({
+			contract,
+			classSettings: {
+				defaultDelivery: 'whole',
+				resumeWindowMs: 0,
+				maxTokens: 30_000,
+				queueTimeoutMs: 30_000,
+			},
+			weights: {stallPerSecond: 1, preemption: 1, tailPerSecond: 1},
+		}),
+		createGenerationId: () => String(nextId++),
+	});
+	router.engines.update(descriptionsOf(engineCount));
+	noteState(router.engines);
+	return router;
+}
+
+/** Places and ends generations one after another. */
+function placeMany(router: GenerationRouter, count: number): void {
+	for (let index = 0; index < count; index++) {
+		const prefix = `p${index % 50}`;
+		router.submit(
+			{
+				account,
+				requestClass,
+				model,
+				promptTokens,
+				prefixHashes: [prefix, `${prefix}/1`, `${prefix}/2`],
+				maxTokens: 30_000,
+				delivery: 'whole',
+			},
+			{
+				onPlaced({generationId}) {
+					router.ended(generationId, 'cancelled', 0);
+				},
+				onRefused(problem) {
+					throw problem;
+				},
+			},
+		);
+	}
+}
+
+function placementMicros(engineCount: number): number {
+	const router = createMeasuredRouter(engineCount);
+	placeMany(router, warmUpPlacements);
+	const before = process.cpuUsage();
+	placeMany(router, measuredPlacements);
+	const {user, system} = process.cpuUsage(before);
+	return (user + system) / measuredPlacements;
+}
+
+function createCollector(): () => void {
+	setFlagsFromString('--expose-gc');
+	return runInNewContext('gc') as () => void;
+}
+
+/** Memory that stays in use by what a function creates, in bytes. */
+function heldBytes(collect: () => void, create: () => unknown): number {
+	collect();
+	const before = process.memoryUsage();
+	const held = create();
+	collect();
+	const after = process.memoryUsage();
+	const bytes =
+		after.heapUsed + after.arrayBuffers - before.heapUsed - before.arrayBuffers;
+	// Keeps the object reachable until here.
+	return held === undefined ? 0 : bytes;
+}
+
+/** Measures placements and memory on this machine; takes a few seconds. */
+export function measurePlacementSlopes(): PlacementSlopes {
+	const micros = engineCounts.map(
+		(count) =>
+			[String(count), Number(placementMicros(count).toFixed(2))] as const,
+	);
+	const collect = createCollector();
+	const descriptions = descriptionsOf(memoryEngines);
+	const engineBytes =
+		heldBytes(collect, () => {
+			const table = createEngineTable();
+			table.update(descriptions);
+			noteState(table);
+			return table;
+		}) / memoryEngines;
+	const statisticsEntryBytes =
+		heldBytes(collect, () => {
+			const statistics = createLengthStatistics();
+			for (let index = 0; index < memoryEntries - 2; index++) {
+				statistics.record(`account-${index}`, requestClass, model, 100);
+			}
+
+			return statistics;
+		}) / memoryEntries;
+	return {
+		placementMicros: Object.fromEntries(micros),
+		engineBytes: Math.round(engineBytes),
+		statisticsEntryBytes: Math.round(statisticsEntryBytes),
+	};
+}
--- a/src/experiments/soak/scenarios/index.ts
+++ b/src/experiments/soak/scenarios/index.ts
@@ -3,6 +3,7 @@
 import {ConfigurationScenario} from './configuration-scenario.js';
 import {OrderScenario} from './order-scenario.js';
 import {MembershipScenario} from './membership-scenario.js';
+import {RoutingScenario} from './routing-scenario.js';
 
 /** Every scenario of the soak, in the order in which each run executes them. */
 export const allScenarios: ReadonlyArray<SoakScenario<unknown>> = [
@@ -10,4 +11,5 @@
 	new BookingScenario(),
 	new OrderScenario(),
 	new MembershipScenario(),
+	new RoutingScenario(),
 ];
--- /dev/null
+++ b/src/experiments/soak/scenarios/routing-fleet.ts
@@ -0,0 +1,233 @@
+import {
+	type LoadReport,
+	type TargetDescription,
+	SeededRandomSource,
+} from '../../../common/index.js';
+import {
+	createContractLedger,
+	createPeerUsage,
+	type PeerUsage,
+	type SharedContractLedger,
+} from '../../../decisions/contracts/index.js';
+import {
+	createGenerationRouter,
+	createLengthStatistics,
+	defaultRoutingTuning,
+	type GenerationRouter,
+} from '../../../decisions/routing/index.js';
+import {
+	createEngineModel,
+	type EngineModel,
+	type ModelGeneration,
+} from '../../../standins/engine/index.js';
+import type {SoakContext} from '../soak-scenario.js';
+
+/** One entry VM of the scenario. */
+export type RoutingVm = {
+	readonly name: string;
+	readonly router: GenerationRouter;
+	readonly ledger: SharedContractLedger;
+	readonly peerUsage: PeerUsage;
+};
+
+/** A generation at an engine of the scenario. */
+export type SoakGeneration = ModelGeneration & {
+	readonly account: string;
+	readonly onProgress: (producedTokens: number) => void;
+	readonly onEnd: (
+		outcome: 'finished' | 'lost',
+		producedTokens: number,
+	) => void;
+};
+
+/** One engine of the scenario. */
+export type RoutingEngine = {
+	readonly id: string;
+	up: boolean;
+	/** Starts anew whenever the engine is killed. */
+	model: EngineModel<SoakGeneration>;
+	report: LoadReport;
+	stepping: boolean;
+};
+
+/** Floors, ceilings and weights of the scenario's accounts. */
+export const soakContracts = {
+	steady: {
+		floorTokensPerMinute: 600,
+		ceilingTokensPerMinute: 1_000_000,
+		shareWeight: 1,
+	},
+	flood: {
+		floorTokensPerMinute: 0,
+		ceilingTokensPerMinute: 1_000_000,
+		shareWeight: 4,
+	},
+} as const;
+
+/** Client accounts of the scenario. */
+export type SoakAccount = keyof typeof soakContracts;
+
+const model = 'model';
+const capacityTokens = 4000;
+const queueTimeoutMs = 10_000;
+const maxQueueLength = 40;
+const reportIntervalMs = 1000;
+
+const modelOptions = {
+	capacityTokens,
+	maxRunning: 32,
+	stepBaseMs: 90,
+	stepPerRunningMs: 1,
+	prefillPerTokenMs: 0.1,
+};
+
+/** Settings of all accounts. */
+function settingsFor(account: string) {
+	return {
+		contract: soakContracts[account as SoakAccount],
+		classSettings: {
+			defaultDelivery: 'whole' as const,
+			resumeWindowMs: 0,
+			maxTokens: 2000,
+			queueTimeoutMs,
+		},
+		weights: {stallPerSecond: 1, preemption: 1, tailPerSecond: 1},
+	};
+}
+
+/** Creates the VMs. */
+export function createRoutingVms(
+	count: number,
+	engineIds: readonly string[],
+	context: SoakContext,
+): readonly RoutingVm[] {
+	const descriptions = new Map<string, TargetDescription>(
+		engineIds.map((id, index) => [
+			id,
+			{
+				id,
+				kind: 'engine',
+				url: `http://${id}`,
+				availabilityZone: `zone-${index % 2}`,
+				models: [model],
+				service: '',
+				fencing: 'ignores',
+				answersOutcomes: false,
+			},
+		]),
+	);
+	return Array.from({length: count}, (_, rank) => {
+		const peerUsage = createPeerUsage();
+		const ledger = createContractLedger({
+			contractOf: (account) => soakContracts[account as SoakAccount],
+			peerUsage,
+			vmCount: () => count,
+			connected: () => true,
+		});
+		let nextId = 0;
+		const router = createGenerationRouter({
+			clock: context.time,
+			random: new SeededRandomSource(context.random.nextInt(2 ** 31)),
+			fleet: () => ({rank, vmCount: count}),
+			availabilityZone: `zone-${rank % 2}`,
+			ledger,
+			statistics: createLengthStatistics(),
+			settingsFor,
+			createGenerationId: () => `vm-${rank}/${nextId++}`,
+			tuning: {...defaultRoutingTuning, maxQueueLength},
+		});
+		router.engines.update(descriptions);
+		return {name: `vm-${rank}`, router, ledger, peerUsage};
+	});
+}
+
+/** Engines that run in virtual time. */
+export function createRoutingEngines(
+	ids: readonly string[],
+	{time}: SoakContext,
+): ReadonlyMap<
+	string,
+	RoutingEngine & {start(generation: SoakGeneration): void}
+> {
+	const create = (id: string) => {
+		const run = () => {
+			const current = engine.model;
+			if (
+				!engine.up ||
+				current.runningCount + current.waitingCount === 0 ||
+				engine.stepping
+			) {
+				return;
+			}
+
+			engine.stepping = true;
+			const {durationMs, produced, finished} = current.step();
+			const made = produced.map(({generation, producedTokens}) => ({
+				generation,
+				producedTokens,
+			}));
+			const ended = finished.map(({generation}) => generation);
+			time.after(durationMs, () => {
+				// A killed engine delivers nothing of its last step.
+				if (engine.model !== current) {
+					return;
+				}
+
+				engine.stepping = false;
+				for (const {generation, producedTokens} of made) {
+					generation.onProgress(producedTokens);
+				}
+
+				for (const generation of ended) {
+					generation.onEnd('finished', generation.outputTokens);
+				}
+
+				run();
+			});
+		};
+
+		const engine = {
+			id,
+			up: true,
+			model: createEngineModel<SoakGeneration>(modelOptions),
+			report: reportOf(createEngineModel(modelOptions), 0),
+			stepping: false,
+			start(generation: SoakGeneration) {
+				engine.model.submit(generation);
+				run();
+			},
+		};
+		return engine;
+	};
+
+	return new Map(ids.map((id) => [id, create(id)]));
+}
+
+/** Report of an engine's present state. */
+export function reportOf(
+	engineModel: EngineModel<SoakGeneration>,
+	sequence: number,
+): LoadReport {
+	return {
+		sequence,
+		ageMs: reportIntervalMs,
+		runningCount: engineModel.runningCount,
+		waitingCount: engineModel.waitingCount,
+		usedTokens: engineModel.usedTokens,
+		capacityTokens,
+		preemptionsTotal: engineModel.preemptionsTotal,
+		models: [model],
+		leaving: false,
+	};
+}
+
+/** Kills an engine: its generations are lost, and it starts again empty. */
+export function killEngine(engine: RoutingEngine): void {
+	const lost = [...engine.model.running, ...engine.model.waiting];
+	engine.model = createEngineModel<SoakGeneration>(modelOptions);
+	engine.up = false;
+	engine.stepping = false;
+	for (const {generation, producedTokens} of lost) {
+		generation.onEnd('lost', producedTokens);
+	}
+}
--- /dev/null
+++ b/src/experiments/soak/scenarios/routing-scenario.ts
@@ -0,0 +1,298 @@
+import type {ProblemError} from '../../../common/index.js';
+import {type SoakContext, SoakScenario} from '../soak-scenario.js';
+import {
+	createRoutingEngines,
+	createRoutingVms,
+	killEngine,
+	reportOf,
+	type SoakAccount,
+	soakContracts,
+} from './routing-fleet.js';
+import {
+	type RoutingStep,
+	routingPlans,
+	type TimedRoutingStep,
+} from './routing-plan.js';
+
+type Attempt = {
+	readonly id: number;
+	readonly account: SoakAccount;
+	sent: boolean;
+	refused: boolean;
+	withdrawn: boolean;
+};
+
+const vmCount = 3;
+const engineIds = ['engine-0', 'engine-1', 'engine-2'];
+const minuteMs = 60_000;
+const runMs = 170_000;
+const tickMs = 50;
+const exchangeMs = 1000;
+const steadyStreams = 6;
+const steadyTokens = 60;
+const retryMs = 1000;
+const linkMs = 5;
+const model = 'model';
+
+// After the loss of an engine its minute and the next hold less than the engines can carry.
+const recoveryMs = 60_000;
+
+/** Floods, killed engines, lagging reports and cut peers around an account with a floor. */
+export class RoutingScenario extends SoakScenario<readonly TimedRoutingStep[]> {
+	override readonly name = 'routing';
+	override readonly plans = routingPlans;
+
+	override async execute(
+		plan: readonly TimedRoutingStep[],
+		context: SoakContext,
+	): Promise<void> {
+		const {time, random, invariants} = context;
+		const vms = createRoutingVms(vmCount, engineIds, context);
+		const engines = createRoutingEngines(engineIds, context);
+		const attempts: Attempt[] = [];
+		const waiting = new Map<Attempt, {dispose(): void}>();
+		const deliveredByMinute = new Map<number, number>();
+		let reportsLagUntilMs = 0;
+		let peersCutUntilMs = 0;
+		let lastKillMs = Number.NEGATIVE_INFINITY;
+
+		const submit = (
+			account: SoakAccount,
+			tokens: number,
+			onDone: (finished: boolean) => void,
+		) => {
+			const vm = vms[random.nextInt(vmCount)];
+			const attempt: Attempt = {
+				id: attempts.length,
+				account,
+				sent: false,
+				refused: false,
+				withdrawn: false,
+			};
+			attempts.push(attempt);
+			context.countRequests();
+			let chargedTo = 0;
+
+			const onPlaced = (route: {
+				targetId: string;
+				generationId: string;
+				priority: number;
+			}) => {
+				waiting.delete(attempt);
+				invariants.check(
+					'not-run',
+					!attempt.refused && !attempt.withdrawn && !attempt.sent,
+					() => `attempt ${attempt.id} was placed after its answer`,
+				);
+				attempt.sent = true;
+				const engine = engines.get(route.targetId)!;
+				time.after(linkMs, () => {
+					if (!engine.up) {
+						vm.router.ended(route.generationId, 'lost', 0);
+						onDone(false);
+						return;
+					}
+
+					engine.start({
+						id: route.generationId,
+						promptTokens: 50 + (attempt.id % 100),
+						outputTokens: tokens,
+						priority: route.priority,
+						finishReason: 'stop',
+						account,
+						onProgress(producedTokens) {
+							if (account === 'steady') {
+								const minute = Math.floor(time.wallMs() / minuteMs);
+								const sum = deliveredByMinute.get(minute) ?? 0;
+								deliveredByMinute.set(minute, sum + producedTokens - chargedTo);
+								chargedTo = producedTokens;
+							}
+
+							vm.router.progressed(route.generationId, producedTokens);
+						},
+						onEnd(outcome, producedTokens) {
+							vm.router.ended(route.generationId, outcome, producedTokens);
+							onDone(outcome === 'finished');
+						},
+					});
+				});
+			};
+
+			const onRefused = (problem: ProblemError) => {
+				waiting.delete(attempt);
+				invariants.check(
+					'not-run',
+					!attempt.sent && !attempt.refused && !attempt.withdrawn,
+					() => `attempt ${attempt.id} was refused after it was placed`,
+				);
+				attempt.refused = true;
+				context.trace(`attempt ${attempt.id} of ${account}: ${problem.type}`);
+				time.after(problem.retryAfterMs ?? retryMs, () => {
+					onDone(false);
+				});
+			};
+
+			const registration = vm.router.submit(
+				{
+					account,
+					requestClass: tokens > 200 ? 'long' : 'short',
+					model,
+					promptTokens: 50 + (attempt.id % 100),
+					prefixHashes: [],
+					maxTokens: 2000,
+					delivery: 'whole',
+				},
+				{onPlaced, onRefused},
+			);
+			if (!attempt.sent && !attempt.refused) {
+				waiting.set(attempt, registration);
+			}
+		};
+
+		/** Keeps one request of the account with the floor open at any time. */
+		const keepOpen = () => {
+			submit('steady', steadyTokens, () => {
+				time.after(linkMs, keepOpen);
+			});
+		};
+
+		const every = (intervalMs: number, run: () => void) => {
+			const repeat = () => {
+				run();
+				if (time.nowMs() < runMs) {
+					time.after(intervalMs, repeat);
+				}
+			};
+
+			time.after(intervalMs, repeat);
+		};
+
+		const exchange = () => {
+			if (time.nowMs() >= reportsLagUntilMs) {
+				for (const engine of engines.values()) {
+					engine.report = reportOf(engine.model, Math.round(time.nowMs()));
+				}
+			}
+
+			for (const vm of vms) {
+				for (const engine of engines.values()) {
+					vm.router.engines.noteReport(engine.id, engine.report, time.nowMs());
+				}
+
+				if (time.nowMs() >= peersCutUntilMs) {
+					const reports = vm.ledger.ownReports(time.wallMs());
+					for (const peer of vms.filter((one) => one !== vm)) {
+						peer.router.engines.noteActivity(
+							vm.name,
+							vm.router.engines.activity(),
+							time.nowMs(),
+						);
+						for (const [account, report] of reports) {
+							peer.peerUsage.report(vm.name, account, report, time.wallMs());
+						}
+					}
+				}
+			}
+		};
+
+		const execute = (step: RoutingStep) => {
+			switch (step.kind) {
+				case 'flood': {
+					for (let index = 0; index < step.count; index++) {
+						submit('flood', step.tokens, () => undefined);
+					}
+
+					break;
+				}
+
+				case 'kill': {
+					const engine = engines.get(engineIds[step.engine])!;
+					if ([...engines.values()].filter((one) => one.up).length > 1) {
+						context.fault('engine-killed');
+						context.trace(`${engine.id} is killed`);
+						lastKillMs = time.nowMs() + step.downMs;
+						killEngine(engine);
+						time.after(step.downMs, () => {
+							engine.up = true;
+						});
+					}
+
+					break;
+				}
+
+				case 'lag-reports': {
+					context.fault('report-lagged');
+					reportsLagUntilMs = time.nowMs() + step.forMs;
+					break;
+				}
+
+				case 'cut-peers': {
+					context.fault('peers-cut');
+					peersCutUntilMs = time.nowMs() + step.forMs;
+					break;
+				}
+
+				case 'withdraw': {
+					const [first] = waiting;
+					if (first) {
+						context.fault('caller-left');
+						const [attempt, registration] = first;
+						attempt.withdrawn = true;
+						waiting.delete(attempt);
+						registration.dispose();
+						if (attempt.account === 'steady') {
+							time.after(retryMs, keepOpen);
+						}
+					}
+
+					break;
+				}
+			}
+		};
+
+		const checkMinute = (minute: number) => {
+			const delivered = deliveredByMinute.get(minute) ?? 0;
+			const troubled = time.nowMs() - lastKillMs < minuteMs + recoveryMs;
+			invariants.check(
+				'contract-floor',
+				troubled || delivered >= soakContracts.steady.floorTokensPerMinute,
+				() =>
+					`minute ${minute}: ${delivered} tokens, the floor is ${soakContracts.steady.floorTokensPerMinute}`,
+			);
+		};
+
+		exchange();
+		for (let index = 0; index < steadyStreams; index++) {
+			keepOpen();
+		}
+
+		every(tickMs, () => {
+			for (const vm of vms) {
+				vm.router.tick();
+			}
+		});
+		every(exchangeMs, exchange);
+		for (const {atMs, step} of plan) {
+			time.after(atMs, () => {
+				execute(step);
+			});
+		}
+
+		const firstMinute = Math.floor(time.wallMs() / minuteMs) + 1;
+		const firstEndMs = minuteMs - (time.wallMs() % minuteMs) + minuteMs;
+		for (let index = 0; firstEndMs + index * minuteMs <= runMs; index++) {
+			time.after(firstEndMs + index * minuteMs, () => {
+				checkMinute(firstMinute + index);
+			});
+		}
+
+		await time.runUntil(runMs);
+		for (const attempt of attempts) {
+			invariants.check(
+				'not-run',
+				!(attempt.refused && attempt.sent),
+				() => `attempt ${attempt.id} was refused and ran`,
+			);
+		}
+	}
+}
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -7,7 +7,11 @@
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
 import {createPeerServer} from '../../adapters/peers/index.js';
-import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
+import {
+	EtcdTableService,
+	HttpObjectStore,
+	HttpVmList,
+} from '../../adapters/platform/index.js';
 import {
 	createLogger,
 	createMetrics,
@@ -25,7 +29,7 @@
 	targetsOf,
 } from '../../decisions/configuration/index.js';
 import {createMembershipLoop} from './membership-loop.js';
-import {createRegistryPlacer} from './registry-placer.js';
+import {createGenerationRouting} from './generation-routing.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
@@ -74,27 +78,18 @@
 	const store = createConfigurationStore(table);
 	const follower = createConfigurationFollower();
 	const registry = createTargetsRegistry(clock, random);
-	const placer = createRegistryPlacer(registry, metrics);
-	const wiring = createRelayWiring({
-		settings: settings.relay,
-		clock,
-		random,
-		metrics,
-		placer,
-		placeCall: (service, avoid) => registry.placeCall(service, avoid),
-		onTargetLeaving(targetId) {
-			membership.signLeaving(targetId);
-		},
-	});
 	const sessions = new Set<object>();
 	let stopping = false;
 	let tableReachable = true;
 
 	owned.add(
 		follower.onChange((configuration) => {
-			registry.update(targetsOf(configuration));
+			const targets = targetsOf(configuration);
+			registry.update(targets);
+			routing.update(targets);
 			for (const targetId of membership.leavingTargets) {
 				registry.table.markLeaving(targetId);
+				routing.engines.markLeaving(targetId);
 			}
 
 			for (const [service, targetIds] of registry.table.services()) {
@@ -142,13 +137,42 @@
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
+					routing.engines.markLeaving(targetId);
 				} else {
 					registry.table.markReturned(targetId);
+					routing.engines.markReturned(targetId);
 				}
 			},
 		}),
 	);
 
+	const settingsFor = (account: string, requestClass: string) =>
+		effectiveSettings(follower.current, account, requestClass);
+	const routing = owned.add(
+		createGenerationRouting({
+			settings,
+			clock,
+			random,
+			metrics,
+			registry,
+			membership,
+			objects: new HttpObjectStore(platform),
+			settingsFor,
+		}),
+	);
+	const wiring = createRelayWiring({
+		settings: settings.relay,
+		clock,
+		random,
+		metrics,
+		placer: routing.placer,
+		placeCall: (service, avoid) => registry.placeCall(service, avoid),
+		onTargetLeaving(targetId) {
+			membership.signLeaving(targetId);
+		},
+	});
+
+	await routing.restore();
 	await pollTable();
 	const timer = setInterval(() => {
 		void pollTable();
@@ -173,8 +197,6 @@
 		}),
 	);
 	const isReady = () => follower.confirmed && !stopping;
-	const settingsFor = (account: string, requestClass: string) =>
-		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
 	const callers = createCallerServer({
 		accountTokens: settings.accountTokens,
--- /dev/null
+++ b/src/programs/entry/generation-routing.ts
@@ -0,0 +1,179 @@
+import {randomUUID} from 'node:crypto';
+import type {Metrics} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	createDisposableStore,
+	type Disposable,
+	type ObjectStore,
+	type RandomSource,
+	type TargetDescription,
+	toProblem,
+} from '../../common/index.js';
+import {
+	createGenerationPlacer,
+	createGenerationRouter,
+	createLengthStatistics,
+	type GenerationRouter,
+	type RoutingSettings,
+} from '../../decisions/routing/index.js';
+import type {GenerationPlacer} from '../../decisions/streams/index.js';
+import type {MembershipLoop} from './membership-loop.js';
+import type {EntrySettings} from './settings.js';
+import type {TargetsRegistry} from './targets-registry.js';
+
+/** What the routing of generations works with. */
+export type GenerationRoutingOptions = {
+	readonly settings: EntrySettings;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly metrics: Metrics;
+	readonly registry: TargetsRegistry;
+	readonly membership: MembershipLoop;
+	readonly objects: ObjectStore;
+	readonly settingsFor: (
+		account: string,
+		requestClass: string,
+	) => RoutingSettings;
+};
+
+/** Routing of generations in a running daemon. */
+export type GenerationRouting = Disposable & {
+	readonly placer: GenerationPlacer;
+	readonly engines: GenerationRouter['engines'];
+	/** Takes in the targets of a new configuration. */
+	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
+	/** Reads the statistics that the fleet stored last. */
+	restore(): Promise<void>;
+};
+
+const tickMs = 25;
+const reportIntervalMs = 500;
+const cacheIntervalMs = 1000;
+const fleetIntervalMs = 1000;
+const snapshotIntervalMs = 60_000;
+const othersName = 'others';
+
+/** Creates the routing and begins to poll engines. */
+export function createGenerationRouting(
+	options: GenerationRoutingOptions,
+): GenerationRouting {
+	const {settings, clock, metrics, registry, membership, objects} = options;
+	const owned = createDisposableStore();
+	const statistics = createLengthStatistics();
+	const snapshotName = `length-statistics/${settings.region}`;
+	const polling = new Set<string>();
+	let fleetPlace = membership.fleetPlace();
+	const router = createGenerationRouter({
+		clock,
+		random: options.random,
+		fleet: () => fleetPlace,
+		availabilityZone: settings.availabilityZone,
+		ledger: membership.ledger,
+		statistics,
+		settingsFor: options.settingsFor,
+		createGenerationId: () => randomUUID(),
+	});
+	const {engines} = router;
+	const inner = createGenerationPlacer(router, (id) => registry.findEngine(id));
+
+	const every = (intervalMs: number, run: () => void) => {
+		const timer = setInterval(run, intervalMs);
+		owned.add({
+			dispose() {
+				clearInterval(timer);
+			},
+		});
+	};
+
+	/** Calls an engine unless the same call is still open. */
+	const poll = async (key: string, call: () => Promise<void>) => {
+		if (polling.has(key)) {
+			return;
+		}
+
+		polling.add(key);
+		try {
+			await call();
+		} catch (error) {
+			metrics.count('engine_poll_errors', {type: toProblem(error).type});
+		} finally {
+			polling.delete(key);
+		}
+	};
+
+	const pollReports = () => {
+		const others = [...engines.all()].map(({id}) =>
+			membership.activity.othersActivity(id, clock.nowMs()),
+		);
+		engines.noteActivity(othersName, others, clock.nowMs());
+		for (const {id} of engines.all()) {
+			void poll(`load ${id}`, async () => {
+				const report = await registry.findEngine(id)!.loadReport();
+				engines.noteReport(id, report, clock.nowMs());
+				if (report.leaving) {
+					membership.signLeaving(id);
+				}
+			});
+		}
+	};
+
+	const pollCaches = () => {
+		for (const {id, affinity} of engines.all()) {
+			void poll(`cache ${id}`, async () => {
+				const after = affinity.lastSequence;
+				const events = await registry.findEngine(id)!.cacheEvents(after);
+				engines.noteCacheEvents(id, events, clock.nowMs());
+			});
+		}
+	};
+
+	const store = async () => {
+		try {
+			await objects.put(snapshotName, statistics.snapshot());
+		} catch (error) {
+			metrics.count('object_store_errors', {type: toProblem(error).type});
+		}
+	};
+
+	membership.shareActivity(() => engines.activity());
+	every(tickMs, () => {
+		if (router.queueLength > 0) {
+			router.tick();
+		}
+	});
+	every(reportIntervalMs, pollReports);
+	every(cacheIntervalMs, pollCaches);
+	every(fleetIntervalMs, () => {
+		fleetPlace = membership.fleetPlace();
+	});
+	every(snapshotIntervalMs, () => {
+		void store();
+	});
+
+	return {
+		engines,
+		placer: {
+			...inner,
+			ended(generationId, outcome, producedTokens) {
+				metrics.count('generations', {outcome});
+				inner.ended(generationId, outcome, producedTokens);
+			},
+		},
+		update(descriptions) {
+			engines.update(descriptions);
+		},
+		async restore() {
+			try {
+				const snapshot = await objects.get(snapshotName);
+				if (snapshot !== undefined) {
+					statistics.restore(snapshot);
+				}
+			} catch (error) {
+				metrics.count('object_store_errors', {type: toProblem(error).type});
+			}
+		},
+		dispose() {
+			owned.dispose();
+		},
+	};
+}
--- a/src/programs/entry/membership-loop.ts
+++ b/src/programs/entry/membership-loop.ts
@@ -29,6 +29,7 @@
 	tickMs,
 	unpackMessage,
 } from '../../decisions/membership/index.js';
+import type {FleetPlace} from '../../decisions/routing/index.js';
 import type {EntrySettings} from './settings.js';
 
 /** What the loop works with. */
@@ -51,6 +52,8 @@
 	readonly leavingTargets: ReadonlySet<string>;
 	/** True while no peer answers though there are some. */
 	readonly isolated: boolean;
+	/** This VM's place among the entry VMs of its region that are heard of. */
+	fleetPlace(): FleetPlace;
 	/** Sets where this VM's own activity at targets comes from. */
 	shareActivity(source: () => readonly TargetActivity[]): void;
 	/** Takes a target's own sign, in a load report or an answer, that it is leaving. */
@@ -211,6 +214,19 @@
 		get isolated() {
 			return !membership.connected(clock.nowMs());
 		},
+		fleetPlace() {
+			const names = [...membership.directory.members()]
+				.filter(
+					({name, region}) =>
+						region === self.region &&
+						membership.directory.stateOf(name, clock.nowMs()) !== 'silent',
+				)
+				.map(({name}) => name);
+			return {
+				vmCount: names.length + 1,
+				rank: names.filter((name) => name < self.name).length,
+			};
+		},
 		shareActivity(source) {
 			activitySource = source;
 		},
--- a/src/programs/entry/targets-registry.ts
+++ b/src/programs/entry/targets-registry.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import {HttpEngine, HttpPlainService} from '../../adapters/targets/index.js';
 import {
 	type Clock,
@@ -12,10 +11,6 @@
 	createTargetTable,
 	type TargetTable,
 } from '../../decisions/routing/index.js';
-import type {
-	GenerationOutcome,
-	GenerationRequest,
-} from '../../decisions/streams/index.js';
 
 const ejectionMs = 2000;
 
@@ -23,14 +18,9 @@
 export type TargetsRegistry = {
 	readonly table: TargetTable;
 	update(descriptions: ReadonlyMap<string, TargetDescription>): void;
-	placeGeneration(request: GenerationRequest): {
-		readonly engine: Engine;
-		readonly generationId: string;
-	};
 	/** @param avoid - ids of targets to choose only if there is no other */
 	placeCall(service: string, avoid?: ReadonlySet<string>): PlainService;
 	findEngine(targetId: string): Engine | undefined;
-	released(targetId: string, outcome: GenerationOutcome): void;
 	findService(targetId: string): PlainService | undefined;
 };
 
@@ -73,15 +63,6 @@
 				}
 			}
 		},
-		placeGeneration(request) {
-			const targetId = table.placeGeneration(request.model, clock.nowMs());
-			const engine = targetId === undefined ? undefined : engines.get(targetId);
-			if (!engine) {
-				throw refuse('model', request.model);
-			}
-
-			return {engine, generationId: randomUUID()};
-		},
 		placeCall(service, avoid) {
 			const targetId = table.placeCall(service, clock.nowMs(), avoid);
 			const found = targetId === undefined ? undefined : services.get(targetId);
@@ -97,11 +78,5 @@
 		findService(targetId) {
 			return services.get(targetId);
 		},
-		released(targetId, outcome) {
-			table.release(targetId);
-			if (outcome === 'lost') {
-				table.eject(targetId, clock.nowMs() + ejectionMs);
-			}
-		},
 	};
 }
--- a/src/standins/engine/engine-model.ts
+++ b/src/standins/engine/engine-model.ts
@@ -141,21 +141,55 @@
 		usedTokens -= sizeTokens(sequence);
 	};
 
+	const leastImportant = () => {
+		let [worst] = running;
+		for (const sequence of running) {
+			if (byImportance(sequence, worst) > 0) {
+				worst = sequence;
+			}
+		}
+
+		return worst;
+	};
+
+	const preempt = (victim: Sequence<G>) => {
+		removeRunning(victim);
+		preemptionsTotal++;
+		preempted.push(victim);
+		enqueue(victim);
+	};
+
+	const fits = (next: Sequence<G>) =>
+		running.length === 0 ||
+		usedTokens + sizeTokens(next) + running.length + 1 <= admissionLimit;
+
+	/** Makes room for a generation by preempting less important ones; never for an equal one. */
+	const makeRoom = (next: Sequence<G>) => {
+		while (running.length > 1 && !fits(next)) {
+			const victim = leastImportant();
+			if (victim.generation.priority <= next.generation.priority) {
+				return;
+			}
+
+			preempt(victim);
+		}
+	};
+
 	/** Admits waiting generations and returns the tokens to compute for them. */
 	const admit = () => {
 		let prefillTokens = 0;
 		while (waiting.length > 0 && running.length < options.maxRunning) {
 			const next = waiting.at(-1)!;
-			const size = sizeTokens(next);
-			if (
-				running.length > 0 &&
-				usedTokens + size + running.length + 1 > admissionLimit
-			) {
+			makeRoom(next);
+			if (!fits(next)) {
 				break;
 			}
 
 			const hashes = next.generation.prefixHashes ?? [];
-			const computed = Math.max(1, size - cache.cachedTokens(hashes));
+			const computed = Math.max(
+				1,
+				sizeTokens(next) - cache.cachedTokens(hashes),
+			);
 			if (prefillTokens > 0 && prefillTokens + computed > maxPrefillTokens) {
 				break;
 			}
@@ -169,27 +203,12 @@
 		return prefillTokens;
 	};
 
-	const leastImportant = () => {
-		let [worst] = running;
-		for (const sequence of running) {
-			if (byImportance(sequence, worst) > 0) {
-				worst = sequence;
-			}
-		}
-
-		return worst;
-	};
-
 	const preemptUntilStepFits = () => {
 		while (
 			running.length > 1 &&
 			usedTokens + running.length > options.capacityTokens
 		) {
-			const victim = leastImportant();
-			removeRunning(victim);
-			preemptionsTotal++;
-			preempted.push(victim);
-			enqueue(victim);
+			preempt(leastImportant());
 		}
 	};
 
