--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -6,7 +6,11 @@
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
 import {createPeerServer} from '../../adapters/peers/index.js';
-import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
+import {
+	EtcdTableService,
+	HttpObjectStore,
+	HttpVmList,
+} from '../../adapters/platform/index.js';
 import {
 	createLogger,
 	createMetrics,
@@ -21,7 +25,7 @@
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
-import {createRegistryPlacer} from './registry-placer.js';
+import {createGenerationRouting} from './generation-routing.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createConfigurationWiring} from './configuration-wiring.js';
 import {createBookings} from './create-bookings.js';
@@ -62,37 +66,19 @@
 	});
 	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
-	const placer = createRegistryPlacer(registry, metrics);
-	const wiring = createRelayWiring({
-		settings: settings.relay,
-		clock,
-		random,
-		metrics,
-		placer,
-		placeCall: (service, avoid) => registry.placeCall(service, avoid),
-		onTargetLeaving(targetId) {
-			membership.signLeaving(targetId);
-		},
-	});
 	const sessions = new Set<object>();
 	let noteDrained: () => void = () => undefined;
 	const drained = new Promise<void>((resolve) => {
 		noteDrained = resolve;
 	});
-	const plannedStop = createPlannedStop({
-		timers: wiring.relay.timers,
-		invariants: wiring.invariants,
-		cancellations: wiring.relay.cancellations,
-		graceMs: settings.relay.stopGraceMs,
-		openExchanges: () => callers.openExchanges(),
-		onDrained: noteDrained,
-	});
-
 	owned.add(
 		follower.onChange((configuration) => {
-			registry.update(targetsOf(configuration));
+			const targets = targetsOf(configuration);
+			registry.update(targets);
+			routing.update(targets);
 			for (const targetId of membership.leavingTargets) {
 				registry.table.markLeaving(targetId);
+				routing.engines.markLeaving(targetId);
 			}
 
 			for (const [service, targetIds] of registry.table.services()) {
@@ -116,13 +102,51 @@
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
+					routing.engines.markLeaving(targetId);
 				} else {
 					registry.table.markReturned(targetId);
+					routing.engines.markReturned(targetId);
 				}
 			},
 		}),
 	);
 
+	const settingsFor = (account: string, requestClass: string) =>
+		effectiveSettings(follower.current, account, requestClass);
+	const routing = owned.add(
+		createGenerationRouting({
+			settings,
+			clock,
+			random,
+			metrics,
+			registry,
+			membership,
+			objects: new HttpObjectStore(platform),
+			settingsFor,
+		}),
+	);
+	const wiring = createRelayWiring({
+		settings: settings.relay,
+		clock,
+		random,
+		metrics,
+		placer: routing.placer,
+		placeCall: (service, avoid) => registry.placeCall(service, avoid),
+		onTargetLeaving(targetId) {
+			membership.signLeaving(targetId);
+		},
+	});
+
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
+
+	await routing.restore();
 	await pollTable();
 	const timer = setInterval(() => {
 		void pollTable();
@@ -160,8 +184,6 @@
 		}),
 	);
 	const isReady = () => follower.confirmed && !plannedStop.isStopping;
-	const settingsFor = (account: string, requestClass: string) =>
-		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
 	const callers = createCallerServer({
 		accountTokens: settings.accountTokens,
