--- a/src/experiments/capacity/loopback-membership.ts
+++ b/src/experiments/capacity/loopback-membership.ts
@@ -44,6 +44,10 @@
 const chargedTokens = 24;
 const secondMs = 1000;
 
+const notAsked = (): never => {
+	throw new Error('only messages are exchanged here');
+};
+
 const wait = async (durationMs: number) =>
 	new Promise((resolve) => {
 		setTimeout(resolve, durationMs);
@@ -98,12 +102,10 @@
 			peerToken: token,
 			operatorToken: 'operator-token',
 			maxBodyBytes,
-			status() {
-				throw new Error('not asked for here');
-			},
-			bookingStatus() {
-				throw new Error('not asked for here');
-			},
+			status: notAsked,
+			bookingStatus: notAsked,
+			confirmStop: notAsked,
+			explain: notAsked,
 			configurationAfter: () => [],
 			markTargetLeaving() {
 				// Nothing asks for it here.
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -36,7 +36,6 @@
 	stop(): Promise<void>;
 };
 
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
