--- a/src/experiments/capacity/loopback-membership.ts
+++ b/src/experiments/capacity/loopback-membership.ts
@@ -6,7 +6,11 @@
 	type PeerClient,
 } from '../../adapters/peers/index.js';
 import {SystemClock} from '../../adapters/system/index.js';
-import {SeededRandomSource, type VmEntry} from '../../common/index.js';
+import {
+	ProblemError,
+	SeededRandomSource,
+	type VmEntry,
+} from '../../common/index.js';
 import {
 	createMemberNode,
 	type MemberNode,
@@ -44,15 +48,18 @@
 const chargedTokens = 24;
 const secondMs = 1000;
 
-const notAsked = (): never => {
-	throw new Error('only messages are exchanged here');
-};
-
 const wait = async (durationMs: number) =>
 	new Promise((resolve) => {
 		setTimeout(resolve, durationMs);
 	});
 
+const notMeasured = (): never => {
+	throw new ProblemError(
+		'internal',
+		'this procedure is not part of the measurement',
+	);
+};
+
 /**
  * Runs daemons' memberships in this process for a limited time.
  * @param durationMs - time that is measured, in milliseconds
@@ -102,10 +109,10 @@
 			peerToken: token,
 			operatorToken: 'operator-token',
 			maxBodyBytes,
-			status: notAsked,
-			bookingStatus: notAsked,
-			confirmStop: notAsked,
-			explain: notAsked,
+			status: notMeasured,
+			bookingStatus: notMeasured,
+			confirmStop: notMeasured,
+			explain: notMeasured,
 			configurationAfter: () => [],
 			markTargetLeaving() {
 				// Nothing asks for it here.
