--- a/src/adapters/peers/peer-client.ts
+++ b/src/adapters/peers/peer-client.ts
@@ -21,9 +21,11 @@
 				url: options.url,
 				headers: {authorization: `Bearer ${options.token}`},
 				async fetch(url, init) {
+					const {signal} = init as RequestInit;
+					const timeout = AbortSignal.timeout(options.timeoutMs);
 					return fetch(url as string | URL, {
 						...(init as RequestInit),
-						signal: AbortSignal.timeout(options.timeoutMs),
+						signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
 					});
 				},
 			}),
--- a/src/adapters/peers/trpc-booking-owners.ts
+++ b/src/adapters/peers/trpc-booking-owners.ts
@@ -31,7 +31,8 @@
 		address: string,
 		question: BookingQuestion,
 	): Promise<BookingStatus> {
-		const waitMs = Math.min(question.waitMs, maxBookingWaitMs);
+		// Timeout signals take whole milliseconds only.
+		const waitMs = Math.ceil(Math.min(question.waitMs, maxBookingWaitMs));
 		try {
 			return await this.clientOf(address).bookingStatus.query(
 				{...question, waitMs},
--- a/src/experiments/fakes/fake-process.ts
+++ b/src/experiments/fakes/fake-process.ts
@@ -70,6 +70,16 @@
 		}
 	}
 
+	/** Ends a pause at once. */
+	resume(): void {
+		if (this.current === 'paused') {
+			this.current = 'running';
+			for (const resolve of this.waiting.splice(0)) {
+				resolve();
+			}
+		}
+	}
+
 	/** Passes a step boundary: at once, when the process resumes, or never. */
 	async step(): Promise<void> {
 		const step = this.stepCount++;
@@ -143,13 +153,4 @@
 			this.pause(fault.pauseMs);
 		}
 	}
-
-	private resume(): void {
-		if (this.current === 'paused') {
-			this.current = 'running';
-			for (const resolve of this.waiting.splice(0)) {
-				resolve();
-			}
-		}
-	}
 }
--- /dev/null
+++ b/src/experiments/soak/scenarios/booking-exploration.ts
@@ -0,0 +1,296 @@
+import {
+	createInvariantMonitor,
+	type InvariantViolation,
+	PlainService,
+	ProblemError,
+	SeededRandomSource,
+	TableService,
+} from '../../../common/index.js';
+import type {BookingCheck} from '../../../decisions/bookings/index.js';
+import {VirtualTime} from '../../fakes/index.js';
+import {Exploration} from '../exploration.js';
+import {BookingFleet} from './booking-fleet.js';
+
+/** Faults that an exploration may place, at most one of each. */
+export type ExplorationFaults = {
+	/** The answer of a transaction or of the target gets lost. */
+	readonly loss: boolean;
+	/** An entry VM crashes or pauses. */
+	readonly hit: 'crash' | 'pause' | 'none';
+};
+
+/** What an exploration of two entry VMs with one key saw. */
+export type ExplorationReport = {
+	readonly runs: number;
+	/** Whether every sequence was run. */
+	readonly isComplete: boolean;
+	/** Violations of the first run that had any. */
+	readonly violations: readonly InvariantViolation[];
+	/** Events of that run, in order. */
+	readonly events: readonly string[];
+};
+
+type Message = {
+	readonly vm: number;
+	readonly name: string;
+	readonly isAnswer: boolean;
+	/** Whether the answer of a call with an effect may get lost. */
+	readonly canLose: boolean;
+	readonly deliver: (lost: boolean) => void;
+};
+
+type Choice = {readonly name: string; readonly run: () => Promise<void> | void};
+
+const key = '018bcfe5-6800-7abc-8def-000000000001';
+const vmCount = 2;
+const callTimeoutMs = 2000;
+const settleMs = 20_000;
+
+// Longer than the spacing of transactions, shorter than any timeout.
+const tickMs = 6;
+const idleMs = 1000;
+const maxIdleTicks = 6;
+const pauseMs = 1_000_000_000;
+
+/** Messages under way between the VMs and what they call. */
+class Messages {
+	/** While true, every message arrives at once. */
+	isOpen = false;
+	pending: Message[] = [];
+
+	readonly gate = <T extends object>(vm: number, system: T): T => {
+		const hasEffect =
+			system instanceof TableService || system instanceof PlainService;
+		return new Proxy(system, {
+			get: (target, name) => {
+				const member = Reflect.get(target, name) as unknown;
+				return typeof member === 'function'
+					? async (...values: unknown[]) =>
+							this.carry(
+								vm,
+								String(name),
+								hasEffect && (name === 'commit' || name === 'call'),
+								async () =>
+									Reflect.apply(member, target, values) as Promise<unknown>,
+							)
+					: member;
+			},
+		});
+	};
+
+	private async carry(
+		vm: number,
+		name: string,
+		hasEffect: boolean,
+		call: () => Promise<unknown>,
+	): Promise<unknown> {
+		await this.wait({vm, name, isAnswer: false, canLose: false});
+		if (!hasEffect) {
+			return call();
+		}
+
+		const value = await call();
+		if (await this.wait({vm, name, isAnswer: true, canLose: true})) {
+			throw new ProblemError(
+				name === 'commit' ? 'table-outcome-unknown' : 'outcome-unknown',
+				'the answer got lost',
+			);
+		}
+
+		return value;
+	}
+
+	private async wait(message: Omit<Message, 'deliver'>): Promise<boolean> {
+		if (this.isOpen) {
+			return false;
+		}
+
+		return new Promise((resolve) => {
+			const pending: Message = {
+				...message,
+				deliver: (lost) => {
+					this.pending = this.pending.filter((one) => one !== pending);
+					resolve(lost);
+				},
+			};
+			this.pending.push(pending);
+		});
+	}
+}
+
+/** One run: two VMs get the same call, and the exploration orders every message and fault. */
+class ExplorationRun {
+	readonly events: string[] = [];
+	private readonly time = new VirtualTime();
+	private readonly invariants = createInvariantMonitor();
+	private readonly messages = new Messages();
+	private readonly fleet: BookingFleet;
+	private mayLose: boolean;
+	private mayHit: boolean;
+	private idleTicks = 0;
+
+	constructor(
+		private readonly exploration: Exploration,
+		private readonly faults: ExplorationFaults,
+		omittedChecks: ReadonlySet<BookingCheck> | undefined,
+	) {
+		this.mayLose = faults.loss;
+		this.mayHit = faults.hit !== 'none';
+		this.fleet = new BookingFleet({
+			time: this.time,
+			random: new SeededRandomSource(1),
+			invariants: this.invariants,
+			vmCount,
+			answersOutcomes: true,
+			hasLatency: false,
+			// Large caches would take most of the time of a run.
+			limits: {maxRemembered: 4},
+			gate: this.messages.gate,
+			omittedChecks,
+			trace: (line) => {
+				this.events.push(line);
+			},
+		});
+	}
+
+	async run(): Promise<readonly InvariantViolation[]> {
+		for (let vm = 0; vm < vmCount; vm++) {
+			this.fleet.call({vm, key, variant: 0, timeoutMs: callTimeoutMs});
+		}
+
+		while (this.idleTicks < maxIdleTicks) {
+			await this.time.runUntil(this.time.nowMs() + tickMs);
+			await this.takeChoice();
+		}
+
+		await this.repeat();
+		return this.invariants.violations;
+	}
+
+	private async takeChoice(): Promise<void> {
+		const choices = this.choices();
+		if (choices.length === 0) {
+			this.idleTicks++;
+			this.resumeAll();
+			await this.time.runUntil(this.time.nowMs() + idleMs);
+			return;
+		}
+
+		const {name, run} = choices[this.exploration.choose(choices.length)];
+		this.events.push(name);
+		await run();
+	}
+
+	private choices(): readonly Choice[] {
+		// An answer to a crashed VM reaches nobody.
+		const pending = this.messages.pending.filter(
+			({vm, isAnswer}) =>
+				!isAnswer || this.fleet.processOf(vm).state !== 'crashed',
+		);
+		if (pending.length === 0) {
+			return [];
+		}
+
+		const deliveries = pending.map((message) => this.delivery(message, false));
+		const losses = this.mayLose
+			? pending
+					.filter((message) => message.canLose)
+					.map((message) => this.delivery(message, true))
+			: [];
+		const hits = this.mayHit ? this.hits() : [];
+		return [...deliveries, ...losses, ...hits, ...this.resumptions()];
+	}
+
+	private delivery(message: Message, lost: boolean): Choice {
+		const {vm, name, isAnswer} = message;
+		return {
+			name: `VM ${vm}: ${name} ${isAnswer ? 'answer' : 'request'} ${lost ? 'is lost' : 'arrives'}`,
+			run: () => {
+				this.mayLose &&= !lost;
+				message.deliver(lost);
+			},
+		};
+	}
+
+	private hits(): readonly Choice[] {
+		const {hit} = this.faults;
+		return Array.from({length: vmCount}, (_, vm) => ({
+			name: `VM ${vm}: ${hit}`,
+			run: () => {
+				this.mayHit = false;
+				const process = this.fleet.processOf(vm);
+				if (hit === 'crash') {
+					process.crash();
+				} else {
+					process.pause(pauseMs);
+				}
+			},
+		}));
+	}
+
+	private resumptions(): readonly Choice[] {
+		const choices: Choice[] = [];
+		for (let vm = 0; vm < vmCount; vm++) {
+			const process = this.fleet.processOf(vm);
+			if (process.state === 'paused') {
+				choices.push({
+					name: `VM ${vm} resumes`,
+					run() {
+						process.resume();
+					},
+				});
+			}
+		}
+
+		return choices;
+	}
+
+	private resumeAll(): void {
+		if (this.idleTicks >= maxIdleTicks / 2) {
+			for (const {run} of this.resumptions()) {
+				void run();
+			}
+		}
+	}
+
+	/** Every message arrives now, crashed VMs are replaced, and both VMs get the call again. */
+	private async repeat(): Promise<void> {
+		const {time, fleet} = this;
+		this.messages.isOpen = true;
+		for (const message of this.messages.pending) {
+			message.deliver(false);
+		}
+
+		fleet.heal();
+		await time.runUntil(time.nowMs() + settleMs);
+		for (let vm = 0; vm < vmCount; vm++) {
+			fleet.call({vm, key, variant: 0, timeoutMs: callTimeoutMs});
+		}
+
+		await time.runUntil(time.nowMs() + settleMs);
+		fleet.judge.checkAllAnswered();
+		const checked = fleet.checkRecords();
+		await time.runUntil(time.nowMs() + settleMs);
+		await checked;
+	}
+}
+
+/**
+ * Runs every order of the messages of two entry VMs that handle the same key, with at most one
+ * crash or pause and at most one lost answer, until a run violates an invariant.
+ */
+export async function exploreBookings(
+	faults: ExplorationFaults,
+	omittedChecks?: ReadonlySet<BookingCheck>,
+	maxRuns = Number.MAX_SAFE_INTEGER,
+): Promise<ExplorationReport> {
+	const exploration = new Exploration();
+	for (let runs = 1; ; runs++) {
+		const run = new ExplorationRun(exploration, faults, omittedChecks);
+		const violations = await run.run();
+		const isComplete = !exploration.next();
+		if (violations.length > 0 || isComplete || runs >= maxRuns) {
+			return {runs, isComplete, violations, events: run.events};
+		}
+	}
+}
--- a/src/experiments/soak/scenarios/booking-fleet.ts
+++ b/src/experiments/soak/scenarios/booking-fleet.ts
@@ -38,6 +38,10 @@
 	readonly retentionMs?: number;
 	readonly limits?: Partial<BookingLimits>;
 	readonly omittedChecks?: ReadonlySet<BookingCheck>;
+	/** False makes the table and the target answer without delay. */
+	readonly hasLatency?: boolean;
+	/** Wraps what a VM calls, so that the caller decides when each call goes on. */
+	readonly gate?: <T extends object>(vm: number, system: T) => T;
 	readonly onFault?: (kind: 'crash' | 'pause') => void;
 	readonly trace?: (line: string) => void;
 };
@@ -81,9 +85,9 @@
 	private attemptCount = 0;
 
 	constructor(private readonly options: BookingFleetOptions) {
-		const {time} = options;
+		const {time, hasLatency = true} = options;
 		this.table = new FakeTableService(time, {
-			latencyMs: 6,
+			latencyMs: hasLatency ? 6 : 0,
 			timeoutMs: 150,
 			onWrite: (key, before, after) => {
 				this.judge.noteWrite(key, before, after);
@@ -93,7 +97,7 @@
 		this.target = new FakePlainService(time, {
 			id: 'kiln-1',
 			service,
-			latencyMs: 30,
+			latencyMs: hasLatency ? 30 : 0,
 			answersOutcomes: options.answersOutcomes,
 			onEffect: (call) => {
 				this.judge.noteEffect(call.idempotencyKey!, call.body);
@@ -203,11 +207,13 @@
 			nowMs: () => time.nowMs(),
 			wallMs: () => time.wallMs() + (this.clockErrorsMs[vm] ?? 0),
 		};
-		const target = process.guard(this.target);
+		const outside = <T extends object>(system: T): T =>
+			process.guard(this.options.gate?.(vm, system) ?? system);
+		const target = outside(this.target);
 		const coordinator = createBookingCoordinator({
-			table: process.guard(this.table),
-			objects: process.guard(this.objects),
-			owners: process.guard(new FleetOwners(this.ask)),
+			table: outside(this.table),
+			objects: outside(this.objects),
+			owners: outside(new FleetOwners(this.ask)),
 			clock,
 			timers: process,
 			random,
