--- a/src/decisions/membership/activity-exchange.ts
+++ b/src/decisions/membership/activity-exchange.ts
@@ -27,8 +27,6 @@
 	othersActivity(targetId: string, nowMs: number): TargetActivity;
 };
 
-type Held = {readonly activity: TargetActivity; readonly atMs: number};
-
 // A change of fewer tokens does not alter a placement.
 const leastChangeTokens = 500;
 const changePart = 0.1;
@@ -53,15 +51,20 @@
 	};
 }
 
-function differs(one: TargetActivity, other: TargetActivity): boolean {
+function differs(
+	one: TargetActivity,
+	other: TargetActivity,
+	pressure: number,
+): boolean {
 	const change =
 		Math.abs(one.openTokens - other.openTokens) +
 		Math.abs(one.expectedGrowthTokens - other.expectedGrowthTokens);
 	const size = other.openTokens + other.expectedGrowthTokens;
 	return (
-		change > Math.max(leastChangeTokens, changePart * size) ||
+		change > pressure * Math.max(leastChangeTokens, changePart * size) ||
 		(one.openCount === 0) !== (other.openCount === 0) ||
-		Math.abs(one.openCount - other.openCount) > changePart * other.openCount
+		Math.abs(one.openCount - other.openCount) >
+			pressure * changePart * other.openCount
 	);
 }
 
@@ -79,14 +82,15 @@
 	const {directory, selector} = membership;
 	const emitter = createEmitter<string>();
 	const published = new Map<string, TargetActivity>();
-	const targets = new Map<string, Map<string, Held>>();
+	const targets = new Map<string, Map<string, TargetActivity>>();
+	const sumHeardAtMs = new Map<string, number>();
 	let sumsAtMs = Number.NEGATIVE_INFINITY;
 	let latestMs = 0;
 
-	const counts = (scope: string, held: Held, nowMs: number) =>
+	const counts = (scope: string, nowMs: number) =>
 		isSumScope(scope)
 			? scope !== groupScope(selector.group) &&
-				nowMs - held.atMs <= sumLifetimeMs
+				nowMs - (sumHeardAtMs.get(scope) ?? 0) <= sumLifetimeMs
 			: directory.stateOf(scope, nowMs) !== 'silent';
 
 	const sum = (
@@ -95,9 +99,9 @@
 		includes: (scope: string) => boolean,
 	) => {
 		let total = empty(targetId);
-		for (const [scope, held] of targets.get(targetId) ?? []) {
-			if (includes(scope) && counts(scope, held, nowMs)) {
-				total = add(total, held.activity);
+		for (const [scope, activity] of targets.get(targetId) ?? []) {
+			if (includes(scope) && counts(scope, nowMs)) {
+				total = add(total, activity);
 			}
 		}
 
@@ -114,17 +118,21 @@
 
 	const take = ({scope, key, values}: SharedEntry) => {
 		const [openCount = 0, openTokens = 0, expectedGrowthTokens = 0] = values;
+		if (isSumScope(scope)) {
+			sumHeardAtMs.set(scope, latestMs);
+		}
+
 		if (openCount === 0 && openTokens === 0) {
 			drop(scope, key);
 		} else {
-			const scopes = targets.get(key) ?? new Map<string, Held>();
+			const scopes = targets.get(key) ?? new Map<string, TargetActivity>();
 			const activity = {
 				targetId: key,
 				openCount,
 				openTokens,
 				expectedGrowthTokens,
 			};
-			scopes.set(scope, {activity, atMs: latestMs});
+			scopes.set(scope, activity);
 			targets.set(key, scopes);
 		}
 
@@ -142,12 +150,21 @@
 		}
 	});
 
+	const pressureOn = (activity: TargetActivity) =>
+		membership.pressure('activity', valuesOf(activity));
+
 	const publishOwn = (own: readonly TargetActivity[]) => {
 		const gone = new Set(published.keys());
 		for (const activity of own) {
 			const {targetId} = activity;
 			gone.delete(targetId);
-			if (differs(activity, published.get(targetId) ?? empty(targetId))) {
+			if (
+				differs(
+					activity,
+					published.get(targetId) ?? empty(targetId),
+					pressureOn(activity),
+				)
+			) {
 				published.set(targetId, activity);
 				membership.share('activity', targetId, valuesOf(activity));
 			}
@@ -167,6 +184,8 @@
 
 		const scope = groupScope(selector.group);
 		const ownById = new Map(own.map((one) => [one.targetId, one]));
+		// One sum is renewed even without a change, so that the group is heard of.
+		let isRenewed = false;
 		for (const targetId of new Set([...ownById.keys(), ...targets.keys()])) {
 			const others = sum(targetId, nowMs, (source) => !isSumScope(source));
 			const total = add(others, ownById.get(targetId) ?? empty(targetId));
@@ -174,7 +193,9 @@
 			const [openCount = 0, openTokens = 0, expectedGrowthTokens = 0] =
 				known?.values ?? [];
 			const last = {targetId, openCount, openTokens, expectedGrowthTokens};
-			if (differs(total, last) || total.openCount > 0) {
+			const renews = !isRenewed && total.openCount > 0;
+			if (renews || differs(total, last, pressureOn(total))) {
+				isRenewed = true;
 				membership.shareEntry({
 					scope,
 					kind: 'activity',
--- a/src/decisions/membership/leaving-marks.ts
+++ b/src/decisions/membership/leaving-marks.ts
@@ -35,6 +35,9 @@
 // A sign of the target itself may be late and then hit a new instance; repeated signs renew it.
 const targetMarkMs = 120_000;
 
+// The VM list may show an instance this long after it took over: a sign given shortly before may mean it.
+const listLagMs = 10_000;
+
 // Repeated signs are shared this rarely.
 const renewMs = 30_000;
 const maxMarks = 4096;
@@ -52,6 +55,7 @@
 	const marks = new Map<string, Mark>();
 	const instances = new Map<string, Instance>();
 	const leaving = new Set<string>();
+	const ownSignsAtMs = new Map<string, number>();
 
 	const applies = (mark: Mark): boolean => {
 		const current = instances.get(mark.targetId);
@@ -59,9 +63,19 @@
 			return true;
 		}
 
-		return mark.instanceId === ''
-			? current.sinceMs <= mark.signedAtMs
-			: current.instanceId === mark.instanceId;
+		if (mark.instanceId === current.instanceId) {
+			return true;
+		}
+
+		if (mark.source === 'list') {
+			return false;
+		}
+
+		const isOlder = current.sinceMs <= mark.signedAtMs;
+		const mayMeanCurrent =
+			current.sinceMs - mark.signedAtMs <= listLagMs &&
+			wallMs() - mark.signedAtMs <= listLagMs;
+		return (mark.instanceId === '' && isOlder) || mayMeanCurrent;
 	};
 
 	const evaluate = (targetId: string) => {
@@ -89,6 +103,38 @@
 	const keyOf = (targetId: string, instanceId: string) =>
 		`${targetId} ${instanceId}`;
 
+	const share = (one: Mark) => {
+		const key = keyOf(one.targetId, one.instanceId);
+		hold(key, one);
+		membership.shareEntry({
+			scope: '',
+			kind: 'leaving',
+			key,
+			incarnation: one.source === 'list' ? 1 : 0,
+			counter: one.signedAtMs,
+			values: [],
+		});
+	};
+
+	// Repeated signs are not shared. If the list shows a new instance right after one, peers have to learn of
+	// it, since the sign may have come from that instance.
+	const noteInstance = (targetId: string, instanceId: string, atMs: number) => {
+		const known = instances.get(targetId);
+		instances.set(targetId, {instanceId, sinceMs: atMs});
+		const signedAtMs = ownSignsAtMs.get(targetId);
+		if (
+			known &&
+			signedAtMs !== undefined &&
+			atMs - signedAtMs <= listLagMs &&
+			marks.get(keyOf(targetId, known.instanceId))?.source === 'target'
+		) {
+			const {instanceId: earlier} = known;
+			share({targetId, instanceId: earlier, source: 'target', signedAtMs});
+		}
+
+		evaluate(targetId);
+	};
+
 	const mark = (
 		targetId: string,
 		instanceId: string,
@@ -105,15 +151,7 @@
 			return;
 		}
 
-		hold(key, {targetId, instanceId, source, signedAtMs: atWallMs});
-		membership.shareEntry({
-			scope: '',
-			kind: 'leaving',
-			key,
-			incarnation: source === 'list' ? 1 : 0,
-			counter: atWallMs,
-			values: [],
-		});
+		share({targetId, instanceId, source, signedAtMs: atWallMs});
 	};
 
 	const isExpired = (held: Mark, nowWallMs: number) => {
@@ -154,8 +192,7 @@
 				}
 
 				if (instances.get(name)?.instanceId !== instanceId) {
-					instances.set(name, {instanceId, sinceMs: atWallMs});
-					evaluate(name);
+					noteInstance(name, instanceId, atWallMs);
 				}
 
 				if (state === 'leaving') {
@@ -165,11 +202,17 @@
 		},
 		sign(targetId, atWallMs) {
 			const instanceId = instances.get(targetId)?.instanceId ?? '';
+			ownSignsAtMs.set(targetId, atWallMs);
 			mark(targetId, instanceId, 'target', atWallMs);
 		},
 		expire(nowWallMs) {
 			for (const [key, held] of marks) {
+				if (nowWallMs - held.signedAtMs <= 2 * listLagMs) {
+					evaluate(held.targetId);
+				}
+
 				if (isExpired(held, nowWallMs)) {
+					ownSignsAtMs.delete(held.targetId);
 					marks.delete(key);
 					const entry = membership.entries.get('leaving', '', key);
 					if (entry) {
--- a/src/decisions/membership/membership.ts
+++ b/src/decisions/membership/membership.ts
@@ -1,6 +1,7 @@
 import {createEmitter, ProblemError} from '../../common/index.js';
 import {isSumScope} from './entry-scope.js';
 import {createEntryStore} from './entry-store.js';
+import {membershipRules} from './membership-rules.js';
 import {createMemberDirectory} from './member-directory.js';
 import {createUrgentBursts} from './urgent-bursts.js';
 import {createMessageComposer} from './message-composer.js';
@@ -19,9 +20,13 @@
 export const tickMs = 250;
 
 const exchangeIntervalMs = 1000;
-const maxEntryBytes = 470;
+const maxEntryBytes = 750;
 const maxHeldEntries = 30_000;
 const connectedMs = 6000;
+const entriesPerPressure = 40;
+const longQueuePressure = 3;
+const leastSends = 2;
+const extraMarkSends = 3;
 
 /** A new mark goes to several peers at once, so that it is everywhere long before 5 s have passed. */
 const urgentFanout: readonly EntryReach[] = [
@@ -34,10 +39,10 @@
 
 /** Creates a VM without peers. */
 export function createMembership(options: MembershipOptions): Membership {
-	const {self, random} = options;
-	const directory = createMemberDirectory(self.name);
+	const {self, random, rules = membershipRules} = options;
+	const directory = createMemberDirectory(self.name, rules.compareRuns);
 	const selector = createPeerSelector(self, directory, random);
-	const entries = createEntryStore();
+	const entries = createEntryStore(rules);
 	const entryEmitter = createEmitter<SharedEntry>();
 	const configurationEmitter = createEmitter<MemberAddress>();
 	const forgottenEmitter = createEmitter<string>();
@@ -48,8 +53,19 @@
 	let exchangeAtMs = Number.NEGATIVE_INFINITY;
 	const bursts = createUrgentBursts();
 
-	const sendCount = () =>
-		Math.ceil(Math.log2(selector.groupMembers.length + 2)) + 2;
+	const pressure: Membership['pressure'] = (kind, values) =>
+		Math.max(1, entries.pendingAhead({kind, values}) / entriesPerPressure);
+
+	// Copies of an entry are many enough to reach every VM of a group, unless other entries wait: then fewer
+	// copies of more entries say more. A mark that is lost breaks a promise, so it never has fewer.
+	const sendCount = ({kind, values}: Pick<SharedEntry, 'kind' | 'values'>) => {
+		const enough = Math.ceil(Math.log2(selector.groupMembers.length + 2)) + 2;
+		if (kind === 'leaving') {
+			return enough + extraMarkSends;
+		}
+
+		return pressure(kind, values) > longQueuePressure ? leastSends : enough;
+	};
 
 	const {compose} = createMessageComposer({
 		...options,
@@ -71,7 +87,7 @@
 		);
 		incarnation = seen + 1;
 		for (const entry of own) {
-			entries.put({...entry, incarnation}, sendCount());
+			entries.put({...entry, incarnation}, sendCount(entry));
 		}
 	};
 
@@ -91,7 +107,7 @@
 
 		const known = directory.heartbeatOf(heartbeat.name)?.incarnation ?? 0;
 		directory.observe(heartbeat, direct, nowMs);
-		if (known > 0 && heartbeat.incarnation > known) {
+		if (known > 0 && rules.compareRuns(heartbeat.incarnation, known) > 0) {
 			forget(heartbeat.name);
 		}
 	};
@@ -102,7 +118,10 @@
 		}
 
 		const known = directory.heartbeatOf(entry.scope);
-		return known !== undefined && entry.incarnation >= known.incarnation;
+		return (
+			known !== undefined &&
+			rules.compareRuns(entry.incarnation, known.incarnation) >= 0
+		);
 	};
 
 	const accept = (entry: SharedEntry, nowMs: number) => {
@@ -127,7 +146,7 @@
 		const known = entries.get(entry.kind, entry.scope, entry.key);
 		if (
 			(!known && entries.size >= maxHeldEntries) ||
-			!entries.put(entry, sendCount())
+			!entries.put(entry, sendCount(entry))
 		) {
 			return;
 		}
@@ -198,11 +217,11 @@
 			const {name: scope} = self;
 			entries.put(
 				{scope, kind, key, incarnation, counter, values},
-				sendCount(),
+				sendCount({kind, values}),
 			);
 		},
 		shareEntry(entry) {
-			const isNew = entries.put(entry, sendCount());
+			const isNew = entries.put(entry, sendCount(entry));
 			if (isNew && entry.kind === 'leaving') {
 				bursts.request(2);
 			}
@@ -247,6 +266,7 @@
 		failed(peer, nowMs) {
 			directory.failed(peer, nowMs);
 		},
+		pressure,
 		connected(nowMs) {
 			return (
 				directory.size === 0 || nowMs - directory.contactAtMs <= connectedMs
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {
 	createCallerServer,
 	createCompletionsHandler,
@@ -18,6 +17,9 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
+import {listen} from './listen.js';
+import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
@@ -34,20 +36,6 @@
 	stop(): Promise<void>;
 };
 
-const drainCheckMs = 50;
-
-async function listen(
-	server: Server,
-	port: number,
-	address: string,
-): Promise<number> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
-	return (server.address() as {port: number}).port;
-}
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
@@ -83,11 +71,22 @@
 		placer,
 		placeCall: (service, avoid) => registry.placeCall(service, avoid),
 		onTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
 	});
 	const sessions = new Set<object>();
-	let stopping = false;
+	let noteDrained: () => void = () => undefined;
+	const drained = new Promise<void>((resolve) => {
+		noteDrained = resolve;
+	});
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -113,7 +112,7 @@
 			metrics,
 			vmList,
 			follower,
-			stopping: () => stopping,
+			stopping: () => plannedStop.isStopping,
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
@@ -147,7 +146,20 @@
 			metrics,
 		}),
 	);
-	const isReady = () => follower.confirmed && !stopping;
+	const orders = owned.add(
+		createOrderDuty({
+			settings,
+			instanceId,
+			table,
+			vmList,
+			clock,
+			follower,
+			registry,
+			metrics,
+			logger,
+		}),
+	);
+	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
@@ -155,7 +167,7 @@
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
 		requestTimeoutMs: settings.relay.requestTimeoutMs,
-		isStopping: () => stopping,
+		isStopping: () => plannedStop.isStopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -206,7 +218,7 @@
 			availabilityZone: settings.availabilityZone,
 			configurationVersion: follower.current.version,
 			ready: isReady(),
-			stopping,
+			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
 			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
@@ -219,6 +231,8 @@
 		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
+		confirmStop: (question) => orders.confirmStop(question),
+		explain: (query) => orders.explain(query),
 	});
 	const callerPort = await listen(
 		callers.server,
@@ -227,34 +241,27 @@
 	);
 	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
 	membership.start(peerPort);
+	orders.start();
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
 		callerPort,
 		peerPort,
 		async stop() {
-			if (stopping) {
+			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
 				return;
 			}
 
-			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
-			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
-			}
-
+			await drained;
 			await bookings.coordinator.drain();
+			await orders.stop();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
 				callers.server.closeIdleConnections();
 			});
-			// Callers that left may come back through another entry VM.
-			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
