--- a/src/decisions/leases/lease-events.ts
+++ b/src/decisions/leases/lease-events.ts
@@ -128,12 +128,16 @@
 	event: Extract<LeaseEvent, {type: 'report'}>,
 ): LeaseState {
 	const intent = state.record?.intent;
-	if (!intent || event.atMs < (state.shownMs ?? 0)) {
+	if (!intent || event.atMs < state.reportMs) {
 		return state;
 	}
 
 	const shown = showsWanted(intent.order, event.models);
-	return {...state, shownMs: shown ? event.atMs : undefined};
+	return {
+		...state,
+		reportMs: event.atMs,
+		shownMs: shown ? event.atMs : undefined,
+	};
 }
 
 /** State of a lease after an event; see {@link LeaseState}. */
--- a/src/decisions/leases/lease-keeper.ts
+++ b/src/decisions/leases/lease-keeper.ts
@@ -103,6 +103,19 @@
 	const isHeld = (state: LeaseState) =>
 		isSameHolder(state.record?.holder, state.self);
 
+	// A VM that may still have copies in flight has to answer for them.
+	const dropIfDone = (targetId: string) => {
+		const state = states.get(targetId)!;
+		const isDone =
+			state.rank < 0 &&
+			!isHeld(state) &&
+			state.writing === undefined &&
+			decisions.hasStopped(state, clock.nowMs(), options.settings());
+		if (isDone) {
+			states.delete(targetId);
+		}
+	};
+
 	const itemFor = (targetId: string, withAll: boolean): Item | undefined => {
 		const state = states.get(targetId)!;
 		const action = decide(targetId);
@@ -213,16 +226,8 @@
 				return;
 			}
 
-			// A VM that may still have copies in flight has to answer for them.
-			const busy =
-				isHeld(state) ||
-				state.writing !== undefined ||
-				!decisions.hasStopped(state, clock.nowMs(), options.settings());
-			if (busy) {
-				states.set(targetId, {...state, rank: -1});
-			} else {
-				states.delete(targetId);
-			}
+			states.set(targetId, {...state, rank: -1});
+			dropIfDone(targetId);
 		},
 		apply,
 		decide,
@@ -232,11 +237,23 @@
 				.map(([targetId]) => targetId),
 		async round(withAll, amend) {
 			const items: Item[] = [];
+			const sharedKeys = new Set<string>();
+			for (const targetId of states.keys()) {
+				dropIfDone(targetId);
+			}
+
 			for (const targetId of states.keys()) {
 				const item = itemFor(targetId, withAll);
 				const write = item?.write && (await amend(item.write));
-				if (item && (write !== undefined || item.write === undefined)) {
+				const keys = (write?.writes ?? []).map(({key}) => key);
+				// A transaction may write a key once, so the second one waits for the next round.
+				const collides = keys.some((key) => sharedKeys.has(key));
+				const dropped = item?.write !== undefined && write === undefined;
+				if (item && !dropped && !collides) {
 					items.push({targetId, write});
+					for (const key of keys) {
+						sharedKeys.add(key);
+					}
 				}
 			}
 
--- a/src/decisions/leases/lease-machine.ts
+++ b/src/decisions/leases/lease-machine.ts
@@ -1,5 +1,12 @@
 import type {FencingSupport, LeaseHolder} from '../../common/index.js';
-import {advanceLease, mayArrive} from './lease-events.js';
+import {
+	isSettled,
+	isShown,
+	mayAct,
+	openCount,
+	ownCopies,
+} from './lease-conditions.js';
+import {advanceLease} from './lease-events.js';
 import {isSameHolder} from './lease-record.js';
 import type {
 	LeaseAction,
@@ -11,9 +18,6 @@
 	WritePurpose,
 } from './types.js';
 
-// Part of a lease's duration that a holder leaves unused, against clocks that run at other rates.
-const marginShare = 0.1;
-
 // Copies of one command that may be without an answer at the same time.
 const maxOpenCopies = 3;
 
@@ -41,6 +45,7 @@
 		predecessor: 'unknown',
 		copies: [],
 		shownMs: undefined,
+		reportMs: 0,
 		freeSinceMs: 0,
 		stopBelow: 0,
 	};
@@ -54,66 +59,6 @@
 	};
 }
 
-function ownCopies(state: LeaseState): readonly SentCopy[] {
-	const commandId = state.record?.intent?.commandId;
-	return state.copies.filter((copy) => copy.commandId === commandId);
-}
-
-function openCount(
-	copies: readonly SentCopy[],
-	nowMs: number,
-	settings: LeaseSettings,
-): number {
-	return copies.filter((copy) => mayArrive(copy, nowMs, settings)).length;
-}
-
-/** True if no copy of the command in flight can change the target's state any more. */
-function isSettled(
-	state: LeaseState,
-	nowMs: number,
-	settings: LeaseSettings,
-): boolean {
-	const record = state.record!;
-	const own = ownCopies(state);
-	const fencedOff =
-		state.fencing === 'refuses-old' &&
-		own.some(
-			(copy) =>
-				copy.outcome === 'accepted' &&
-				copy.fencingNumber === record.fencingNumber,
-		);
-	// The senders of inherited copies are known to be gone only where the target ignores numbers.
-	const inheritedDone =
-		record.intent!.inheritedCount === 0 ||
-		(state.fencing === 'ignores' &&
-			nowMs - state.heldSinceMs >= settings.lateCopyMs);
-	return fencedOff || (inheritedDone && openCount(own, nowMs, settings) === 0);
-}
-
-/** True if a report of a time after the last copy's answer shows the wanted state. */
-function isShown(state: LeaseState): boolean {
-	const latestMs = Math.max(
-		state.heldSinceMs,
-		...ownCopies(state).map((copy) => copy.endedMs ?? copy.sentMs),
-	);
-	return state.shownMs !== undefined && state.shownMs >= latestMs;
-}
-
-function mayAct(
-	state: LeaseState,
-	nowMs: number,
-	settings: LeaseSettings,
-): boolean {
-	return (
-		isSameHolder(state.record?.holder, state.self) &&
-		state.record!.waitingFor === undefined &&
-		state.record!.fencingNumber >= state.stopBelow &&
-		state.writing === undefined &&
-		!state.mustRead &&
-		nowMs < state.validUntilMs - settings.durationMs * marginShare
-	);
-}
-
 function decideChallenger(
 	state: LeaseState,
 	nowMs: number,
@@ -165,6 +110,23 @@
 	};
 }
 
+// An accepted copy is repeated only after a report that is newer than its answer does not show the
+// state; repeating it earlier would put off the moment from which a report counts.
+function isResendDue(
+	state: LeaseState,
+	last: SentCopy | undefined,
+	nowMs: number,
+	settings: LeaseSettings,
+): boolean {
+	if (!last) {
+		return true;
+	}
+
+	const isReported =
+		last.outcome !== 'accepted' || state.reportMs >= last.endedMs!;
+	return isReported && nowMs - last.sentMs >= settings.resendMs;
+}
+
 function decideIntent(
 	state: LeaseState,
 	nowMs: number,
@@ -190,8 +152,10 @@
 		return write('clear', cleared(record));
 	}
 
-	const due = !last || nowMs - last.sentMs >= settings.resendMs;
-	if (due && openCount(own, nowMs, settings) < maxOpenCopies) {
+	if (
+		isResendDue(state, last, nowMs, settings) &&
+		openCount(own, nowMs, settings) < maxOpenCopies
+	) {
 		return write('announce', {
 			...record,
 			fencingNumber: record.fencingNumber + 1,
--- a/src/decisions/leases/order-coordinator.ts
+++ b/src/decisions/leases/order-coordinator.ts
@@ -127,8 +127,16 @@
 		vmList: () => list,
 	});
 
+	// Ranks depend on few inputs that seldom change; computing them costs a hash for each target and VM.
+	let watched: readonly unknown[] = [];
 	const watchTargets = () => {
 		const targets = options.targets();
+		const inputs = [targets, list, retired, options.candidateCount()];
+		if (inputs.every((input, index) => input === watched[index])) {
+			return;
+		}
+
+		watched = inputs;
 		const spread = createLeaseSpread(
 			list.vms,
 			options.vmInstanceId,
--- a/src/decisions/leases/placement/model-plan.test.ts
+++ b/src/decisions/leases/placement/model-plan.test.ts
@@ -41,16 +41,18 @@
 	engines: readonly EngineView[],
 	tokensPerSecond: number,
 	nowMs: number,
-	memory: ReadonlyMap<string, ModelMemory> = new Map(),
-	isFree: (targetId: string) => boolean = () => true,
+	options: {
+		readonly memory?: ReadonlyMap<string, ModelMemory>;
+		readonly isFree?: (targetId: string) => boolean;
+	} = {},
 ) =>
 	planModels({
 		models: new Map([['m', model]]),
 		demand: new Map([['m', {tokensPerSecond, queueLength: 0}]]),
 		engines,
-		memory,
+		memory: options.memory ?? new Map(),
 		settings,
-		isFree,
+		isFree: options.isFree ?? (() => true),
 		nowMs,
 	});
 
@@ -91,16 +93,22 @@
 	const engines = [view(0, ['m']), view(1, ['m']), view(2, ['m'])];
 	const first = plan(engines, 20, 0);
 	assert.deepEqual(first.orders, []);
-	const due = plan(engines, 20, 1000, first.memory);
+	const due = plan(engines, 20, 1000, first);
 	assert.equal(due.orders[0]?.kind, 'unload-model');
 	const chosen = due.orders[0].targetId;
 	const others = (targetId: string) => targetId !== chosen;
-	const waiting = plan(engines, 20, 1400, first.memory, others);
+	const waiting = plan(engines, 20, 1400, {
+		memory: first.memory,
+		isFree: others,
+	});
 	assert.deepEqual(waiting.orders, []);
-	const steppedIn = plan(engines, 20, 1600, first.memory, others);
+	const steppedIn = plan(engines, 20, 1600, {
+		memory: first.memory,
+		isFree: others,
+	});
 	assert.equal(steppedIn.orders.length, 1);
-	const dip = plan(engines, 170, 500, first.memory);
-	assert.deepEqual(plan(engines, 20, 1200, dip.memory).orders, []);
+	const dip = plan(engines, 170, 500, first);
+	assert.deepEqual(plan(engines, 20, 1200, dip).orders, []);
 });
 
 // Guards against a late copy of an old command that stays in force.
--- a/src/decisions/leases/types.ts
+++ b/src/decisions/leases/types.ts
@@ -94,6 +94,8 @@
 	readonly copies: readonly SentCopy[];
 	/** Time for which the target last showed the state that the intent wants. */
 	readonly shownMs: number | undefined;
+	/** Time for which the figures of the last report hold. */
+	readonly reportMs: number;
 	/** Since when the row holds no intent, while this VM holds the lease. */
 	readonly freeSinceMs: number;
 	/** Asked to stop by a holder with this number; nothing is sent below it. */
--- a/src/experiments/soak/orders/exploration-world.ts
+++ b/src/experiments/soak/orders/exploration-world.ts
@@ -93,6 +93,7 @@
 	'renewedMs',
 	'freeSinceMs',
 	'sentMs',
+	'reportMs',
 	'wantedModels',
 	'version',
 ]);
