--- a/src/decisions/configuration/setting-schemas.ts
+++ b/src/decisions/configuration/setting-schemas.ts
@@ -156,9 +156,13 @@
 		return modelSchema;
 	}
 
-	return targetKeyPattern.test(key)
-		? targetSchema
-		: settingSchemas[key]?.schema;
+	if (targetKeyPattern.test(key)) {
+		return targetSchema;
+	}
+
+	return Object.hasOwn(settingSchemas, key)
+		? settingSchemas[key].schema
+		: undefined;
 }
 
 /**
@@ -193,3 +197,20 @@
 
 	return result.data;
 }
+
+/**
+ * Checks a key and value that were accepted before. A key that this program does not know comes
+ * from a newer program; it is kept as it is and has no effect here.
+ * @throws ProblemError `invalid-configuration`
+ */
+export function checkStoredSetting(
+	key: string,
+	value: SettingValue,
+): SettingValue {
+	return isKnownSetting(key) ? checkSetting(key, value) : value;
+}
+
+/** Whether a key names a setting or a target. */
+export function isKnownSetting(key: string): boolean {
+	return targetKeyPattern.test(key) || Object.hasOwn(settingSchemas, key);
+}
--- a/src/decisions/membership/usage-exchange.ts
+++ b/src/decisions/membership/usage-exchange.ts
@@ -39,6 +39,9 @@
 // Floors count reported tokens only, so these are renewed while they grow.
 const renewMs = 10_000;
 
+// A new minute is reported at once, even if little was used, unless the queue is this long.
+const longQueuePressure = 3;
+
 // Sums move slowly and travel far.
 const sumIntervalMs = 5000;
 
@@ -89,9 +92,14 @@
 	const {membership, peerUsage, ledger} = options;
 	const {selector} = membership;
 	const published = new Map<string, Published>();
+	const publishedSums = new Map<string, Published>();
 	let sumsAtMs = Number.NEGATIVE_INFINITY;
 
+	const pressureOn = (report: UsageReport) =>
+		membership.pressure('usage', valuesOf(report));
+
 	const tolerance = (account: string, report: UsageReport) =>
+		pressureOn(report) *
 		Math.max(
 			leastTokens,
 			usePart * report.chargedTokens,
@@ -99,24 +107,29 @@
 				(membership.directory.size + 1),
 		);
 
-	const isDue = (account: string, report: UsageReport, wallMs: number) => {
-		const last = published.get(account);
+	const isDue = (
+		account: string,
+		report: UsageReport,
+		last: Published | undefined,
+	) => {
 		if (!last) {
-			return true;
+			return report.chargedTokens + report.demandPerSecond > 0;
 		}
 
+		const wallMs = options.wallMs();
 		if (last.report.minute !== report.minute) {
+			const rate = last.report.tokensPerSecond + last.report.demandPerSecond;
+			const isQueueLong = pressureOn(report) > longQueuePressure;
 			return (
-				report.chargedTokens > 0 ||
-				last.report.tokensPerSecond > 0 ||
-				last.report.demandPerSecond > 0
+				report.chargedTokens + rate >
+				(isQueueLong ? tolerance(account, report) : 0)
 			);
 		}
 
 		const off = Math.abs(predictedTokens(last, wallMs) - report.chargedTokens);
 		return (
 			off > tolerance(account, report) ||
-			(wallMs - last.atWallMs > renewMs &&
+			(wallMs - last.atWallMs > renewMs * pressureOn(report) &&
 				(report.chargedTokens !== last.report.chargedTokens ||
 					last.report.tokensPerSecond >= 1))
 		);
@@ -125,7 +138,7 @@
 	const publishOwn = (wallMs: number) => {
 		const reports = ledger.ownReports(wallMs);
 		for (const [account, report] of reports) {
-			if (isDue(account, report, wallMs)) {
+			if (isDue(account, report, published.get(account))) {
 				published.set(account, {report, atWallMs: wallMs});
 				membership.share('usage', account, valuesOf(report));
 			}
@@ -159,20 +172,19 @@
 			tokensPerSecond: others.tokensPerSecond + (own?.tokensPerSecond ?? 0),
 			demandPerSecond: others.demandPerSecond + (own?.demandPerSecond ?? 0),
 		};
-		const values = valuesOf(report);
-		const known = membership.entries.get('usage', scope, account);
-		const isIdle = values.slice(1).every((value) => value === 0);
-		if (isIdle && (!known || known.values.slice(1).every((one) => one === 0))) {
+		const id = `${scope} ${account}`;
+		if (!isDue(account, report, publishedSums.get(id))) {
 			return;
 		}
 
+		publishedSums.set(id, {report, atWallMs: wallMs});
 		membership.shareEntry({
 			scope,
 			kind: 'usage',
 			key: account,
 			incarnation: Math.floor(wallMs / 1000),
 			counter: 0,
-			values,
+			values: valuesOf(report),
 		});
 	};
 
@@ -188,6 +200,7 @@
 			nowMs,
 		);
 		if (!role.group) {
+			publishedSums.clear();
 			return;
 		}
 
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -12,22 +12,18 @@
 	createMetrics,
 	SystemClock,
 } from '../../adapters/system/index.js';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
 import {
-	createDisposableStore,
-	SeededRandomSource,
-	toProblem,
-} from '../../common/index.js';
-import {
-	createConfigurationFollower,
-	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createPlannedStop} from '../../decisions/streams/index.js';
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createConfigurationWiring} from './configuration-wiring.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -40,8 +36,6 @@
 	stop(): Promise<void>;
 };
 
-const drainCheckMs = 50;
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
@@ -60,8 +54,13 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const store = createConfigurationStore(table);
-	const follower = createConfigurationFollower();
+	const configurationWiring = createConfigurationWiring({
+		table,
+		metrics,
+		logger,
+		maxPages: settings.configurationMaxPages,
+	});
+	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -76,8 +75,18 @@
 		},
 	});
 	const sessions = new Set<object>();
-	let stopping = false;
-	let tableReachable = true;
+	let noteDrained: () => void = () => undefined;
+	const drained = new Promise<void>((resolve) => {
+		noteDrained = resolve;
+	});
+	const plannedStop = createPlannedStop({
+		timers: wiring.relay.timers,
+		invariants: wiring.invariants,
+		cancellations: wiring.relay.cancellations,
+		graceMs: settings.relay.stopGraceMs,
+		openExchanges: () => callers.openExchanges(),
+		onDrained: noteDrained,
+	});
 
 	owned.add(
 		follower.onChange((configuration) => {
@@ -94,30 +103,6 @@
 		}),
 	);
 
-	const noteTable = (reachable: boolean) => {
-		if (reachable !== tableReachable) {
-			tableReachable = reachable;
-			logger.warn(
-				reachable
-					? 'table service is reachable'
-					: 'table service is unreachable',
-			);
-		}
-	};
-
-	const pollTable = async () => {
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-			noteTable(true);
-		} catch (error) {
-			metrics.count('table_errors', {type: toProblem(error).type});
-			noteTable(false);
-		}
-	};
-
 	const membership = owned.add(
 		createMembershipLoop({
 			settings,
@@ -127,7 +112,7 @@
 			metrics,
 			vmList,
 			follower,
-			stopping: () => stopping,
+			stopping: () => plannedStop.isStopping,
 			onLeaving(targetId, leaving) {
 				if (leaving) {
 					registry.table.markLeaving(targetId);
@@ -174,7 +159,7 @@
 			logger,
 		}),
 	);
-	const isReady = () => follower.confirmed && !stopping;
+	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
 	const page = (status: number, body: string) => () => ({status, body});
@@ -182,7 +167,7 @@
 		accountTokens: settings.accountTokens,
 		maxHeaderBytes: settings.maxHeaderBytes,
 		requestTimeoutMs: settings.relay.requestTimeoutMs,
-		isStopping: () => stopping,
+		isStopping: () => plannedStop.isStopping,
 		pages: new Map([
 			['/healthz', page(200, 'ok\n')],
 			[
@@ -233,9 +218,9 @@
 			availabilityZone: settings.availabilityZone,
 			configurationVersion: follower.current.version,
 			ready: isReady(),
-			stopping,
+			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
-			cutOff: !tableReachable && membership.isolated,
+			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
@@ -263,20 +248,13 @@
 		callerPort,
 		peerPort,
 		async stop() {
-			if (stopping) {
+			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
 				return;
 			}
 
-			stopping = true;
 			logger.info('stopping', {openStreams: sessions.size});
-			const graceEndMs = clock.nowMs() + settings.relay.stopGraceMs;
-			while (callers.openExchanges() > 0 || clock.nowMs() < graceEndMs) {
-				await new Promise((resolve) => {
-					setTimeout(resolve, drainCheckMs);
-				});
-			}
-
+			await drained;
 			await bookings.coordinator.drain();
 			await orders.stop();
 			owned.dispose();
@@ -284,8 +262,6 @@
 				callers.server.close(resolve);
 				callers.server.closeIdleConnections();
 			});
-			// Callers that left may come back through another entry VM.
-			wiring.relay.cancellations.abandon();
 			peers.close();
 			peers.closeAllConnections();
 			logger.info('stopped');
