--- a/src/decisions/leases/lease-machine.ts
+++ b/src/decisions/leases/lease-machine.ts
@@ -41,6 +41,7 @@
 		predecessor: 'unknown',
 		copies: [],
 		shownMs: undefined,
+		freeSinceMs: 0,
 		stopBelow: 0,
 	};
 }
@@ -136,6 +137,7 @@
 		holder: self,
 		fencingNumber: (record?.fencingNumber ?? 0) + 1,
 		renewal: record?.renewal ?? 0,
+		wantedModels: record?.wantedModels ?? {},
 		intent: intent && {
 			...intent,
 			sentCount: 0,
@@ -150,6 +152,19 @@
 	});
 }
 
+function cleared(record: LeaseRecord): LeaseRecord {
+	const {kind, name, version} = record.intent!.order;
+	const isModel = kind === 'load-model' || kind === 'unload-model';
+	const state = kind === 'load-model' ? 'loaded' : 'unloaded';
+	return {
+		...record,
+		intent: undefined,
+		wantedModels: isModel
+			? {...record.wantedModels, [name]: {state, version}}
+			: record.wantedModels,
+	};
+}
+
 function decideIntent(
 	state: LeaseState,
 	nowMs: number,
@@ -172,7 +187,7 @@
 	}
 
 	if (isSettled(state, nowMs, settings) && isShown(state)) {
-		return write('clear', {...record, intent: undefined});
+		return write('clear', cleared(record));
 	}
 
 	const due = !last || nowMs - last.sentMs >= settings.resendMs;
@@ -224,30 +239,41 @@
 		return write('release', {...record, holder: undefined});
 	}
 
-	if (
-		nowMs >= state.validUntilMs ||
-		nowMs - state.renewedMs >= settings.renewalMs
-	) {
+	if (nowMs >= state.validUntilMs) {
 		return write('renew', renewed(state));
 	}
 
-	if (record.waitingFor) {
-		if (state.predecessor === 'unknown') {
-			return {kind: 'ask', holder: record.waitingFor};
-		}
+	// Every write renews the lease, so a plain renewal comes last; first, it would hold up the rest
+	// whenever the daemon looks less often than the lease is renewed.
+	const action = decideHeld(state, nowMs, settings);
+	return action.kind === 'wait' && nowMs - state.renewedMs >= settings.renewalMs
+		? write('renew', renewed(state))
+		: action;
+}
 
-		return write('activate', {
-			...record,
-			waitingFor: undefined,
-			intent: record.intent && {
-				...record.intent,
-				inheritedCount:
-					state.predecessor === 'stopped' ? 0 : record.intent.inheritedCount,
-			},
-		});
+function decideHeld(
+	state: LeaseState,
+	nowMs: number,
+	settings: LeaseSettings,
+): LeaseAction {
+	const record = state.record!;
+	if (!record.waitingFor) {
+		return record.intent ? decideIntent(state, nowMs, settings) : waiting;
 	}
 
-	return record.intent ? decideIntent(state, nowMs, settings) : waiting;
+	if (state.predecessor === 'unknown') {
+		return {kind: 'ask', holder: record.waitingFor};
+	}
+
+	const isConfirmed = state.predecessor === 'stopped';
+	return write('activate', {
+		...record,
+		waitingFor: undefined,
+		intent: record.intent && {
+			...record.intent,
+			inheritedCount: isConfirmed ? 0 : record.intent.inheritedCount,
+		},
+	});
 }
 
 /** The decisions that the binaries use. */
--- a/src/experiments/soak/planted-faults.test.ts
+++ b/src/experiments/soak/planted-faults.test.ts
@@ -73,15 +73,15 @@
 			import(
 				pathToFileURL(path.join(copy, 'experiments/soak', file)).href
 			) as Promise<unknown>;
-		const {createSoakReport, runScenario} = (await load(
+		const {emptySoakReport, runScenario} = (await load(
 			'soak-runner.js',
 		)) as typeof Runner;
 		const {StreamScenario} = (await load('scenarios/stream-scenario.js')) as {
 			StreamScenario: typeof Scenario;
 		};
-		const report = createSoakReport();
+		const report = emptySoakReport();
 		for (let seed = 0; seed < maxRuns; seed++) {
-			await runScenario(new StreamScenario(), seed, report, false);
+			await runScenario(new StreamScenario(), seed, report, {shrink: false});
 			if (report.failures.length > 0) {
 				break;
 			}
--- a/src/experiments/soak/soak-runner.ts
+++ b/src/experiments/soak/soak-runner.ts
@@ -30,6 +30,9 @@
 const maxTraceLines = 60;
 const seedStep = 7919;
 
+// Bounds the time that shrinking a failing plan takes; the smallest plan found so far is printed.
+const maxExecutions = 40;
+
 type Tally = {
 	readonly context: SoakContext;
 	readonly trace: string[];
@@ -81,17 +84,22 @@
 /**
  * Runs a scenario once and adds its figures to the report.
  * @param seed - seed of the plan and of the run's random numbers
- * @param isShrinking - whether the plan of a failing run is reduced, which takes many runs
+ * @param options - whether a failing plan is reduced to a smaller one
  */
 export async function runScenario<Plan>(
 	scenario: SoakScenario<Plan>,
 	seed: number,
 	report: SoakReport,
-	isShrinking = true,
+	options: {readonly shrink?: boolean} = {},
 ): Promise<void> {
 	let first: Tally | undefined;
 	let last: Tally | undefined;
+	let executions = 0;
 	const property = fc.asyncProperty(scenario.plans, async (plan) => {
+		if (++executions > maxExecutions) {
+			return true;
+		}
+
 		const tally = createTally(seed);
 		first ??= tally;
 		await scenario.execute(plan, tally.context);
@@ -105,7 +113,7 @@
 	const details = await fc.check(property, {
 		seed,
 		numRuns: 1,
-		endOnFailure: !isShrinking,
+		endOnFailure: options.shrink === false,
 	});
 	const tally = first!;
 	report.requests += tally.requests;
@@ -139,8 +147,8 @@
 	}
 }
 
-/** Creates a report without runs. */
-export function createSoakReport(): SoakReport {
+/** A report without runs. */
+export function emptySoakReport(): SoakReport {
 	return {
 		runs: 0,
 		violations: 0,
@@ -162,7 +170,7 @@
 	seed: number,
 	runs: number,
 ): Promise<SoakReport> {
-	const report = createSoakReport();
+	const report = emptySoakReport();
 	for (let run = 0; run < runs; run++) {
 		for (const scenario of scenarios) {
 			await runScenario(scenario, seed * seedStep + run, report);
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -1,36 +1,30 @@
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {
 	createCallerServer,
 	createCompletionsHandler,
 	createServicesHandler,
 	createStreamTokens,
 } from '../../adapters/callers/index.js';
-import {
-	createPeerClient,
-	createPeerServer,
-} from '../../adapters/peers/index.js';
+import {createPeerServer} from '../../adapters/peers/index.js';
 import {EtcdTableService, HttpVmList} from '../../adapters/platform/index.js';
 import {
 	createLogger,
 	createMetrics,
 	SystemClock,
 } from '../../adapters/system/index.js';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
 import {
-	createDisposableStore,
-	SeededRandomSource,
-	toProblem,
-} from '../../common/index.js';
-import {createBookingCoordinator} from '../../decisions/bookings/index.js';
-import {
-	createConfigurationFollower,
-	createConfigurationStore,
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
 import {createPlannedStop} from '../../decisions/streams/index.js';
+import {listen} from './listen.js';
+import {createOrderDuty} from './order-duty.js';
+import {createMembershipLoop} from './membership-loop.js';
 import {createRegistryPlacer} from './registry-placer.js';
 import {createRelayWiring} from './relay-wiring.js';
+import {createConfigurationWiring} from './configuration-wiring.js';
+import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
 
@@ -42,18 +36,6 @@
 	stop(): Promise<void>;
 };
 
-async function listen(
-	server: Server,
-	port: number,
-	address: string,
-): Promise<number> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, address, resolve);
-	});
-	return (server.address() as {port: number}).port;
-}
-
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
@@ -72,8 +54,13 @@
 	};
 	const table = new EtcdTableService(platform);
 	const vmList = new HttpVmList(platform);
-	const store = createConfigurationStore(table);
-	const follower = createConfigurationFollower();
+	const configurationWiring = createConfigurationWiring({
+		table,
+		metrics,
+		logger,
+		maxPages: settings.configurationMaxPages,
+	});
+	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
 	const placer = createRegistryPlacer(registry, metrics);
 	const wiring = createRelayWiring({
@@ -84,11 +71,10 @@
 		placer,
 		placeCall: (service, avoid) => registry.placeCall(service, avoid),
 		onTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
 	});
 	const sessions = new Set<object>();
-	let tableReachable = true;
 	let noteDrained: () => void = () => undefined;
 	const drained = new Promise<void>((resolve) => {
 		noteDrained = resolve;
@@ -105,6 +91,10 @@
 	owned.add(
 		follower.onChange((configuration) => {
 			registry.update(targetsOf(configuration));
+			for (const targetId of membership.leavingTargets) {
+				registry.table.markLeaving(targetId);
+			}
+
 			for (const [service, targetIds] of registry.table.services()) {
 				wiring.outliers.update(service, targetIds);
 			}
@@ -113,63 +103,29 @@
 		}),
 	);
 
-	const noteTable = (reachable: boolean) => {
-		if (reachable !== tableReachable) {
-			tableReachable = reachable;
-			logger.warn(
-				reachable
-					? 'table service is reachable'
-					: 'table service is unreachable',
-			);
-		}
-	};
-
-	const pollTable = async () => {
-		try {
-			follower.offer(
-				await store.changesAfter(follower.current.version),
-				'table',
-			);
-			noteTable(true);
-		} catch (error) {
-			metrics.count('table_errors', {type: toProblem(error).type});
-			noteTable(false);
-		}
-	};
-
-	const pollPeers = async () => {
-		const {vms} = await vmList.read();
-		for (const vm of vms) {
-			if (
-				vm.role === 'entry' &&
-				vm.name !== settings.name &&
-				follower.confirmed
-			) {
-				const peer = createPeerClient({
-					url: `http://${vm.address}`,
-					token: settings.peerToken,
-					timeoutMs: settings.tableTimeoutMs,
-				});
-				const {version} = follower.current;
-				follower.offer(await peer.configurationAfter.query({version}), 'peer');
-			} else if (vm.role !== 'entry' && vm.state === 'leaving') {
-				registry.table.markLeaving(vm.name);
-			}
-		}
-	};
-
-	const poll = async () => {
-		await pollTable();
-		try {
-			await pollPeers();
-		} catch (error) {
-			metrics.count('peer_errors', {type: toProblem(error).type});
-		}
-	};
+	const membership = owned.add(
+		createMembershipLoop({
+			settings,
+			clock,
+			random,
+			logger,
+			metrics,
+			vmList,
+			follower,
+			stopping: () => plannedStop.isStopping,
+			onLeaving(targetId, leaving) {
+				if (leaving) {
+					registry.table.markLeaving(targetId);
+				} else {
+					registry.table.markReturned(targetId);
+				}
+			},
+		}),
+	);
 
-	await poll();
+	await pollTable();
 	const timer = setInterval(() => {
-		void poll();
+		void pollTable();
 	}, settings.pollIntervalMs);
 	owned.add({
 		dispose() {
@@ -177,6 +133,32 @@
 		},
 	});
 
+	let {peerPort} = settings;
+	const bookings = owned.add(
+		createBookings({
+			settings,
+			table,
+			clock,
+			random,
+			instanceId,
+			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			registry,
+			metrics,
+		}),
+	);
+	const orders = owned.add(
+		createOrderDuty({
+			settings,
+			instanceId,
+			table,
+			vmList,
+			clock,
+			follower,
+			registry,
+			metrics,
+			logger,
+		}),
+	);
 	const isReady = () => follower.confirmed && !plannedStop.isStopping;
 	const settingsFor = (account: string, requestClass: string) =>
 		effectiveSettings(follower.current, account, requestClass);
@@ -218,13 +200,7 @@
 			retentionMs: settings.bookingRetentionMs,
 			callTimeoutMs: settings.callTimeoutMs,
 			wallMs: () => clock.wallMs(),
-			bookings: createBookingCoordinator({
-				table,
-				owner: instanceId,
-				createAttemptId: () => randomUUID(),
-				wallMs: () => clock.wallMs(),
-			}),
-			place: (service) => registry.placeCall(service),
+			bookings: bookings.coordinator,
 			caller: wiring.serviceCaller,
 			nowMs: () => clock.nowMs(),
 		}),
@@ -244,25 +220,28 @@
 			ready: isReady(),
 			stopping: plannedStop.isStopping,
 			openStreams: sessions.size,
+			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
 		}),
 		configurationAfter: (version) => follower.changesAfter(version),
 		markTargetLeaving(targetId) {
-			registry.table.markLeaving(targetId);
+			membership.signLeaving(targetId);
 		},
+		exchange: (message) => membership.exchange(message),
 		metricsText: () => metrics.text(),
+		bookingStatus: async (question) => bookings.coordinator.status(question),
+		confirmStop: (question) => orders.confirmStop(question),
+		explain: (query) => orders.explain(query),
 	});
 	const callerPort = await listen(
 		callers.server,
 		settings.listenPort,
 		settings.listenAddress,
 	);
-	const peerPort = await listen(
-		peers,
-		settings.peerPort,
-		settings.listenAddress,
-	);
+	peerPort = await listen(peers, settings.peerPort, settings.listenAddress);
+	membership.start(peerPort);
+	orders.start();
 	logger.info('listening', {callerPort, peerPort});
 
 	return {
@@ -276,6 +255,8 @@
 
 			logger.info('stopping', {openStreams: sessions.size});
 			await drained;
+			await bookings.coordinator.drain();
+			await orders.stop();
 			owned.dispose();
 			await new Promise((resolve) => {
 				callers.server.close(resolve);
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,14 +1,18 @@
 import type {LogLevel} from '../../adapters/system/index.js';
+import type {BookingLimits} from '../../decisions/bookings/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
 import {
 	readRelaySettings,
 	relayFlags,
 	type RelaySettings,
 } from './relay-settings.js';
+import {bookingFlags, readBookingLimits} from './booking-settings.js';
 
 /** Settings of the entry daemon. */
 export type EntrySettings = {
 	readonly name: string;
+	/** Instance id of this VM in the platform's VM list; a replaced VM has a new one. */
+	readonly vmInstanceId: string;
 	readonly listenAddress: string;
 	readonly listenPort: number;
 	readonly peerPort: number;
@@ -23,8 +27,10 @@
 	readonly maxHeaderBytes: number;
 	readonly tableTimeoutMs: number;
 	readonly pollIntervalMs: number;
+	readonly configurationMaxPages: number;
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
+	readonly bookingLimits: BookingLimits;
 	readonly logLevel: LogLevel;
 	readonly relay: RelaySettings;
 };
@@ -45,6 +51,10 @@
 				demandOption: true,
 				describe: 'name of this entry VM',
 			},
+			'vm-instance-id': {
+				type: 'string',
+				describe: 'instance id of this VM in the VM list; the name if absent',
+			},
 			'listen-address': {
 				type: 'string',
 				default: '127.0.0.1',
@@ -115,6 +125,11 @@
 				default: 2000,
 				describe: 'time between reads of the configuration, in ms',
 			},
+			'configuration-max-pages': {
+				type: 'number',
+				default: 20,
+				describe: 'most pages of configuration changes read in one poll',
+			},
 			'call-timeout-ms': {
 				type: 'number',
 				default: 10_000,
@@ -125,6 +140,7 @@
 				default: 7 * dayMs,
 				describe: 'how long booking records are kept, in ms',
 			},
+			...bookingFlags,
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
@@ -135,6 +151,7 @@
 		.parseAsync();
 	return {
 		name: flags.name,
+		vmInstanceId: flags['vm-instance-id'] ?? flags.name,
 		listenAddress: flags['listen-address'],
 		listenPort: checkNumber('listen-port', flags['listen-port'], 0, maxPort),
 		peerPort: checkNumber('peer-port', flags['peer-port'], 0, maxPort),
@@ -169,6 +186,12 @@
 			50,
 			60_000,
 		),
+		configurationMaxPages: checkNumber(
+			'configuration-max-pages',
+			flags['configuration-max-pages'],
+			1,
+			1000,
+		),
 		callTimeoutMs: checkNumber(
 			'call-timeout-ms',
 			flags['call-timeout-ms'],
@@ -181,6 +204,7 @@
 			60_000,
 			365 * dayMs,
 		),
+		bookingLimits: readBookingLimits(flags),
 		logLevel: flags['log-level'],
 		relay: readRelaySettings(flags),
 	};
