--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -60,7 +60,10 @@
 /** Longest time for which an owner lets a peer wait, in milliseconds. */
 export const maxBookingWaitMs = 30_000;
 
-const trpc = initTRPC.context<PeerContext>().create();
+const trpc = initTRPC
+	.context<PeerContext>()
+	// Without this, error bodies hold stack traces unless NODE_ENV is "production".
+	.create({isDev: false});
 
 const authorized = trpc.procedure.use(async ({ctx, next}) => {
 	if (ctx.role === undefined) {
