--- a/src/experiments/capacity/order-slopes.ts
+++ b/src/experiments/capacity/order-slopes.ts
@@ -178,7 +178,7 @@
 	targetCount: number,
 	vmCount: number,
 	regionCount: number,
-	seconds = 30,
+	seconds = 10,
 ): Promise<OrderSlope> {
 	const time = new VirtualTime();
 	const table = new FakeTableService(time, {latencyMs: 4, timeoutMs: 2000});
