Let operators ask why the fleet did something

Cause: only commands left a record, and no command showed it; load reports were read twice; preemptions were not counted. Change: one bounded log for refusals, restarts, losses, resumptions, retries, ejections, preemptions, leases and commands; cowslipctl explain by subject or minute; answers carry X-Request-Id; routing hands its load reports to the duty for commands and counts preemptions from them. Conclusion: causes can be looked up for a request, a target or a minute.

--- a/src/adapters/callers/caller-server.ts
+++ b/src/adapters/callers/caller-server.ts
@@ -1,4 +1,4 @@
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {createHash, randomUUID, timingSafeEqual} from 'node:crypto';
 import {
 	createServer,
 	type IncomingMessage,
@@ -37,8 +37,11 @@
 		string,
 		() => {readonly status: number; readonly body: string}
 	>;
-	/** Called with every problem that ends a request. */
-	readonly onProblem: (problem: ProblemError) => void;
+	/**
+	 * Called with every problem that ends a request.
+	 * @param requestId - the caller's `X-Request-Id`, or a new one; answers carry it
+	 */
+	readonly onProblem: (problem: ProblemError, requestId: string) => void;
 };
 
 /** The server and what it has open. */
@@ -51,6 +54,16 @@
 const digest = (text: string) => createHash('sha256').update(text).digest();
 const checksPerTimeout = 10;
 
+/** Longer or other ids of callers are replaced, since they are kept and shown to operators. */
+const requestIdPattern = /^[\w.-]{1,64}$/;
+
+function requestIdOf(request: IncomingMessage): string {
+	const given = request.headers['x-request-id'];
+	return typeof given === 'string' && requestIdPattern.test(given)
+		? given
+		: randomUUID();
+}
+
 function createAuthenticator(
 	accountTokens: ReadonlyMap<string, string>,
 ): (request: IncomingMessage) => string {
@@ -137,9 +150,11 @@
 				response.setHeader('connection', 'close');
 			}
 
+			const requestId = requestIdOf(request);
+			response.setHeader('x-request-id', requestId);
 			handle(request, response).catch((error: unknown) => {
 				const problem = toProblem(error);
-				options.onProblem(problem);
+				options.onProblem(problem, requestId);
 				if (!request.complete) {
 					response.shouldKeepAlive = false;
 				}
@@ -149,7 +164,7 @@
 		},
 	);
 	server.on('clientError', (error, socket) => {
-		options.onProblem(answerBrokenRequest(error, socket));
+		options.onProblem(answerBrokenRequest(error, socket), randomUUID());
 	});
 	return {server, openExchanges: () => openCount};
 }
--- a/src/experiments/capacity/relay-slopes-relay.ts
+++ b/src/experiments/capacity/relay-slopes-relay.ts
@@ -10,6 +10,7 @@
 import {createMetrics, SystemClock} from '../../adapters/system/index.js';
 import {HttpEngine} from '../../adapters/targets/index.js';
 import {SeededRandomSource} from '../../common/index.js';
+import {createExplainLog} from '../../decisions/explain/index.js';
 import {
 	effectiveSettings,
 	emptyConfiguration,
@@ -112,6 +113,7 @@
 		throw new Error('no services here');
 	},
 	onTargetLeaving: () => undefined,
+	explainLog: createExplainLog({maxRecords: 100}),
 });
 createCallerServer({
 	accountTokens: new Map([['account', 'token']]),
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -21,6 +21,7 @@
 	effectiveSettings,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
+import {createExplainLog} from '../../decisions/explain/index.js';
 import {createPlannedStop} from '../../decisions/streams/index.js';
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
@@ -40,6 +41,8 @@
 	stop(): Promise<void>;
 };
 
+const maxExplainRecords = 5000;
+
 /** Wires an entry daemon together and makes it listen. */
 export async function createEntry(
 	settings: EntrySettings,
@@ -52,6 +55,7 @@
 		Number.parseInt(instanceId.slice(0, 8), 16),
 	);
 	const owned = createDisposableStore();
+	const explainLog = createExplainLog({maxRecords: maxExplainRecords});
 	const platform = {
 		url: settings.platformUrl,
 		timeoutMs: settings.tableTimeoutMs,
@@ -122,6 +126,10 @@
 			registry,
 			membership,
 			objects: new HttpObjectStore(platform),
+			explainLog,
+			onReport(targetId, report, readMs) {
+				orders.noteReport(targetId, report, readMs);
+			},
 			settingsFor,
 		}),
 	);
@@ -135,6 +143,7 @@
 		onTargetLeaving(targetId) {
 			membership.signLeaving(targetId);
 		},
+		explainLog,
 	});
 
 	const plannedStop = createPlannedStop({
@@ -173,6 +182,7 @@
 	const orders = owned.add(
 		createOrderDuty({
 			settings,
+			explainLog,
 			instanceId,
 			table,
 			vmList,
@@ -226,8 +236,15 @@
 			caller: wiring.serviceCaller,
 			nowMs: () => clock.nowMs(),
 		}),
-		onProblem(problem) {
+		onProblem(problem, requestId) {
 			metrics.count('problems', {type: problem.type});
+			explainLog.add({
+				atWallMs: clock.wallMs(),
+				kind: 'refusal',
+				subject: requestId,
+				cause: problem.detail,
+				result: problem.type,
+			});
 		},
 	});
 	const peers = createPeerServer({
@@ -254,7 +271,10 @@
 		metricsText: () => metrics.text(),
 		bookingStatus: async (question) => bookings.coordinator.status(question),
 		confirmStop: (question) => orders.confirmStop(question),
-		explain: (query) => orders.explain(query),
+		explain: (query) =>
+			'subject' in query
+				? explainLog.bySubject(query.subject)
+				: explainLog.byMinute(query.minute),
 	});
 	const callerPort = await listen(
 		callers.server,
--- a/src/programs/entry/generation-routing.ts
+++ b/src/programs/entry/generation-routing.ts
@@ -4,6 +4,7 @@
 	type Clock,
 	createDisposableStore,
 	type Disposable,
+	type LoadReport,
 	type ObjectStore,
 	type RandomSource,
 	type TargetDescription,
@@ -16,7 +17,9 @@
 	type GenerationRouter,
 	type RoutingSettings,
 } from '../../decisions/routing/index.js';
+import type {ExplainLog} from '../../decisions/explain/index.js';
 import type {GenerationPlacer} from '../../decisions/streams/index.js';
+import {createExplainedPlacer} from './explained-placer.js';
 import type {MembershipLoop} from './membership-loop.js';
 import type {EntrySettings} from './settings.js';
 import type {TargetsRegistry} from './targets-registry.js';
@@ -30,6 +33,16 @@
 	readonly registry: TargetsRegistry;
 	readonly membership: MembershipLoop;
 	readonly objects: ObjectStore;
+	readonly explainLog: ExplainLog;
+	/**
+	 * Called with every load report.
+	 * @param readMs - monotonic time at which the read began, in milliseconds
+	 */
+	readonly onReport: (
+		targetId: string,
+		report: LoadReport,
+		readMs: number,
+	) => void;
 	readonly settingsFor: (
 		account: string,
 		requestClass: string,
@@ -74,7 +87,12 @@
 		createGenerationId: () => randomUUID(),
 	});
 	const {engines} = router;
-	const inner = createGenerationPlacer(router, (id) => registry.findEngine(id));
+	const preemptions = new Map<string, number>();
+	const inner = createExplainedPlacer(
+		createGenerationPlacer(router, (id) => registry.findEngine(id)),
+		options.explainLog,
+		clock,
+	);
 
 	const every = (intervalMs: number, run: () => void) => {
 		const timer = setInterval(run, intervalMs);
@@ -101,6 +119,23 @@
 		}
 	};
 
+	const notePreemptions = (targetId: string, report: LoadReport) => {
+		const {preemptionsTotal} = report;
+		const before = preemptions.get(targetId) ?? preemptionsTotal;
+		preemptions.set(targetId, preemptionsTotal);
+		if (preemptionsTotal > before) {
+			const count = preemptionsTotal - before;
+			metrics.count('preemptions', {target: targetId}, count);
+			options.explainLog.add({
+				atWallMs: clock.wallMs(),
+				kind: 'preemption',
+				subject: targetId,
+				cause: `memory holds ${report.usedTokens} of ${report.capacityTokens} tokens`,
+				result: `${count} generations preempted, ${report.waitingCount} wait`,
+			});
+		}
+	};
+
 	const pollReports = () => {
 		const others = [...engines.all()].map(({id}) =>
 			membership.activity.othersActivity(id, clock.nowMs()),
@@ -108,7 +143,10 @@
 		engines.noteActivity(othersName, others, clock.nowMs());
 		for (const {id} of engines.all()) {
 			void poll(`load ${id}`, async () => {
+				const readMs = clock.nowMs();
 				const report = await registry.findEngine(id)!.loadReport();
+				options.onReport(id, report, readMs);
+				notePreemptions(id, report);
 				engines.noteReport(id, report, clock.nowMs());
 				if (report.leaving) {
 					membership.signLeaving(id);
--- a/src/programs/entry/order-duty.ts
+++ b/src/programs/entry/order-duty.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {type ExplainQuery, TrpcLeasePeers} from '../../adapters/peers/index.js';
+import {TrpcLeasePeers} from '../../adapters/peers/index.js';
 import {HttpWeightStore} from '../../adapters/platform/index.js';
 import type {Logger, Metrics} from '../../adapters/system/index.js';
 import {
@@ -18,10 +18,7 @@
 	type ConfigurationFollower,
 	targetsOf,
 } from '../../decisions/configuration/index.js';
-import {
-	createExplainLog,
-	type ExplainRecord,
-} from '../../decisions/explain/index.js';
+import type {ExplainLog} from '../../decisions/explain/index.js';
 import {
 	createOrderCoordinator,
 	demandFromReports,
@@ -43,12 +40,11 @@
 	readonly registry: TargetsRegistry;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
+	readonly explainLog: ExplainLog;
 };
 
 /** Leases and commands of a running daemon. */
 export type OrderDuty = Disposable & {
-	/** Records of commands and leases for a target, or of a calendar minute. */
-	explain(query: ExplainQuery): readonly ExplainRecord[];
 	/** Answers a later holder of a lease. */
 	confirmStop(question: StopQuestion): StopAnswer;
 	/**
@@ -63,7 +59,6 @@
 };
 
 const tickMs = 500;
-const maxRecords = 2000;
 const maxOpenReads = 16;
 // Reads are left out while another part of the daemon keeps the views fresh.
 const readAfterMs = 4000;
@@ -71,9 +66,9 @@
 
 /** Creates the duty; it does nothing until it is started. */
 export function createOrderDuty(options: OrderDutyOptions): OrderDuty {
-	const {settings, clock, follower, registry, metrics, logger} = options;
+	const {settings, clock, follower, registry, metrics, logger, explainLog} =
+		options;
 	const owned = createDisposableStore();
-	const explainLog = createExplainLog({maxRecords});
 	const views = new Map<string, EngineView>();
 	let list: VmListSnapshot | undefined;
 	let heldCount = 0;
@@ -211,10 +206,6 @@
 	};
 
 	return {
-		explain: (query) =>
-			'subject' in query
-				? explainLog.bySubject(query.subject)
-				: explainLog.byMinute(query.minute),
 		confirmStop: (question) => coordinator.confirmStop(question),
 		noteReport,
 		start() {
--- a/src/programs/entry/relay-wiring.ts
+++ b/src/programs/entry/relay-wiring.ts
@@ -10,6 +10,7 @@
 	type PlainService,
 	type RandomSource,
 } from '../../common/index.js';
+import type {ExplainLog} from '../../decisions/explain/index.js';
 import {
 	createOutlierDetector,
 	createRetryBudget,
@@ -47,6 +48,7 @@
 		avoid: ReadonlySet<string>,
 	) => PlainService;
 	readonly onTargetLeaving: (targetId: string) => void;
+	readonly explainLog: ExplainLog;
 };
 
 const maxClassesOfAccount = 32;
@@ -70,6 +72,12 @@
 export function createRelayWiring(options: RelayWiringOptions): RelayWiring {
 	const {settings, clock, random, metrics, placer} = options;
 	const timers = new SystemTimers();
+	const explain = (kind: string, subject: string, cause: string) => {
+		const atWallMs = clock.wallMs();
+		const result = kind === 'retry' ? 'called again' : 'left out for a while';
+		options.explainLog.add({atWallMs, kind, subject, cause, result});
+	};
+
 	const invariants = createInvariantMonitor();
 	const budget = createRetryBudget({
 		clock,
@@ -85,6 +93,7 @@
 		clock,
 		onEjected(targetId) {
 			metrics.count('ejections', {target: targetId});
+			explain('ejection', targetId, 'its calls failed or were slow');
 		},
 	});
 	return {
@@ -114,6 +123,7 @@
 			place: options.placeCall,
 			onRetry(service) {
 				metrics.count('call_retries', {service});
+				explain('retry', `service:${service}`, 'an idempotent call failed');
 			},
 		}),
 	};
