Pick among equal engines with one random number

Cause: a placement drew a random number for each equal engine.

Change: the chooser counts the equal engines and draws once.

--- a/src/decisions/routing/admission-queue.ts
+++ b/src/decisions/routing/admission-queue.ts
@@ -183,9 +183,10 @@
 				return undefined;
 			}
 
-			// A line that has not moved at all counts as half a request served.
-			const paceMs = line.passedMs / Math.max(0.5, line.servedCount);
-			return line.requests.length * paceMs;
+			// The pace is taken one standard deviation above what was seen, since a request that is refused
+			// too early is lost, and one that waits in vain only learns of it later.
+			const served = line.servedCount + 1 + Math.sqrt(line.servedCount);
+			return (line.requests.length * line.passedMs) / served;
 		},
 		add(request) {
 			if (length >= maxLength) {
--- a/src/decisions/routing/engine-choice.ts
+++ b/src/decisions/routing/engine-choice.ts
@@ -53,6 +53,7 @@
 
 // The chance of running out of memory is about halved by each 2% of the memory that stay free.
 const pressureScale = 0.03;
+const noPressurePart = 0.6;
 const millisecondsPerSecond = 1000;
 const stepPerStreamMs = 0.2;
 
@@ -101,7 +102,8 @@
 		const stallMs = streams * Math.max(0, gapMs - tuning.stallThresholdMs);
 		const zoneMs =
 			candidate.availabilityZone === ownZone ? 0 : tuning.otherZoneMs;
-		const pressure = Math.exp((part - 1) / pressureScale);
+		const pressure =
+			part < noPressurePart ? 0 : Math.exp((part - 1) / pressureScale);
 		const recomputeMs = tuning.prefillPerTokenMs * (load.ownTokens + 1);
 		return (
 			weights.preemption * pressure +
@@ -152,19 +154,16 @@
 			}
 
 			const bound = lowest * (1 + tuning.equalCostPart);
-			let chosen: (typeof candidates)[number] | undefined;
-			let equal = 0;
+			let equalCount = 0;
 			for (let index = 0; index < candidates.length; index++) {
-				const candidate = candidates[index];
-				if (costs[index] <= bound) {
-					equal++;
-					if (random.nextInt(equal) === 0) {
-						chosen = candidate;
-					}
-				}
+				equalCount += Number(costs[index] <= bound);
 			}
 
-			return chosen;
+			// Every VM would pick the same one of equal engines without chance.
+			let skipped = random.nextInt(equalCount);
+			return candidates.find(
+				(_, index) => costs[index] <= bound && skipped-- === 0,
+			);
 		},
 	};
 }
--- a/src/decisions/routing/routing-tuning.ts
+++ b/src/decisions/routing/routing-tuning.ts
@@ -41,7 +41,7 @@
 	turnMs: 200,
 	turnFromPart: 0.8,
 	urgentWaitMs: 1000,
-	memoryLimit: 0.94,
+	memoryLimit: 0.97,
 	preemptionBackOff: 0.01,
 	floorReserve: 0.03,
 	prefillPerTokenMs: 0.05,
