--- a/src/experiments/soak/streams/simulated-entry.ts
+++ b/src/experiments/soak/streams/simulated-entry.ts
@@ -130,9 +130,13 @@
 		progressed: () => undefined,
 		ended(generationId, outcome) {
 			const targetId = targetIds.get(generationId);
-			if (targetId !== undefined && targetIds.delete(generationId) && outcome === 'lost') {
-					ejectedUntilMs.set(targetId, time.nowMs() + ejectionMs);
-				}
+			if (
+				targetId !== undefined &&
+				targetIds.delete(generationId) &&
+				outcome === 'lost'
+			) {
+				ejectedUntilMs.set(targetId, time.nowMs() + ejectionMs);
+			}
 		},
 		adopt: (_request, place) => links.get(place.targetId),
 	};
