--- /dev/null
+++ b/src/experiments/capacity/process-figures.ts
@@ -0,0 +1,74 @@
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import type {Figure} from './types.js';
+
+// Arguments: the file with the last line of relay-slopes.js, then NAME=PID of running processes
+// whose memory is read.
+
+type RelaySlope = {
+	readonly streams: number;
+	readonly bareMicrosPerToken: number;
+	readonly wholeMicrosPerToken: number;
+	readonly ratio: number;
+	readonly tokensPerSecond: number;
+	readonly wholeCoreShare: number;
+};
+
+const kibibyte = 1024;
+const bytesPerMegabyte = 1_000_000;
+
+async function relayFigures(path: string): Promise<readonly Figure[]> {
+	const text = await readFile(path, 'utf8');
+	const {relaySlopes} = JSON.parse(text.trimEnd().split('\n').at(-1)!) as {
+		relaySlopes: readonly RelaySlope[];
+	};
+	return relaySlopes.flatMap((slope) => {
+		const at = `with ${slope.streams} streams`;
+		return [
+			{
+				name: `bare pipe ${at}`,
+				value: slope.bareMicrosPerToken,
+				unit: 'µs of processor time a token',
+			},
+			{
+				name: `whole path ${at}`,
+				value: slope.wholeMicrosPerToken,
+				unit: 'µs of processor time a token',
+			},
+			{
+				name: `whole path over bare pipe ${at}`,
+				value: slope.ratio,
+				unit: 'ratio',
+			},
+			{
+				name: `share of a core ${at} at ${slope.tokensPerSecond} tokens/s`,
+				value: slope.wholeCoreShare,
+				unit: 'ratio',
+			},
+		];
+	});
+}
+
+async function memoryFigures(argument: string): Promise<readonly Figure[]> {
+	const [name, pid] = argument.split('=');
+	const status = await readFile(`/proc/${pid}/status`, 'utf8');
+	const read = (field: string) =>
+		(Number(new RegExp(`^${field}:\\s+(\\d+) kB$`, 'm').exec(status)?.[1]) *
+			kibibyte) /
+		bytesPerMegabyte;
+	return [
+		{name: `resident memory of ${name}`, value: read('VmRSS'), unit: 'MB'},
+		{
+			name: `private memory of ${name}`,
+			value: read('RssAnon'),
+			unit: 'MB',
+		},
+	];
+}
+
+const [relayFile, ...processes] = process.argv.slice(2);
+const memory = await Promise.all(
+	processes.map(async (one) => memoryFigures(one)),
+);
+const figures = [...(await relayFigures(relayFile)), ...memory.flat()];
+process.stdout.write(`${JSON.stringify(figures)}\n`);
