Read token events of a known form from the bytes

Cause: the profile of the relay at 2,000 streams showed 5.5% of a core in the event parser's take, the largest entry after the socket write. It made five strings for each event. Change: known-event-form.ts compares the bytes around the text with those of an event that was parsed in full and makes a string of the text only; anything else goes the way it went before. relay-slopes reports mean, deviation, minimum and maximum of all windows and the tokens in each chunk that undici hands on, changes the order of the two ways each round, and takes STREAMS.

--- a/scripts/relay-slopes.sh
+++ b/scripts/relay-slopes.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures the relay's processor time for each token against a bare pipe. Engine, relay and callers
 # are separate processes. Usage: relay-slopes.sh [ROUNDS] [WINDOW_MS] [node flags of the relay...]
+# STREAMS, a list such as "500 2000", replaces the usual numbers of streams.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/ensure-ready.sh
@@ -27,4 +28,4 @@
 		sleep 0.1
 	done
 done
-node "$programs/relay-slopes.js" "$bare" "$whole" "$rounds" 1000 "$window_ms"
+node "$programs/relay-slopes.js" "$bare" "$whole" "$rounds" 1000 "$window_ms" ${STREAMS:-}
--- a/src/adapters/targets/engine-event-parser.test.ts
+++ b/src/adapters/targets/engine-event-parser.test.ts
@@ -67,3 +67,23 @@
 		);
 	}
 });
+
+// Guards against an event that only resembles the known form and is read from its bytes all the same.
+test('reads texts of every kind after a plain one', () => {
+	const texts = ['first', 'a"b', '\\', '\n', '"}]}', 'ä', '\u007F', '', 'last'];
+	const events = texts.map((text, position) => token(position, text));
+	const wanted = texts.map((text, position) => `${position}=${text}`);
+	assert.deepEqual(parse([Buffer.from(events.join(''))]), wanted);
+	assert.deepEqual(parse(events.map((event) => Buffer.from(event))), wanted);
+	const first = Buffer.from(token(0, 'first'));
+	for (const other of [
+		token(1, 'x').replace('"g"', '"h"'),
+		token(1, 'x').replace('id: 1', 'id: 1234567890'),
+		token(1, 'x').replace('id: 1', 'id: '),
+		token(1, 'x').replace('"x"', '"x\t"'),
+	]) {
+		assert.throws(() => parse([first, Buffer.from(other)]), {
+			type: 'target-protocol',
+		});
+	}
+});
--- a/src/adapters/targets/engine-event-parser.ts
+++ b/src/adapters/targets/engine-event-parser.ts
@@ -1,6 +1,7 @@
 import {type Buffer, isAscii} from 'node:buffer';
 import {createParser, type EventSourceParser} from 'eventsource-parser';
 import {type FinishReason, ProblemError} from '../../common/index.js';
+import {createKnownEventForm} from './known-event-form.js';
 
 /** Receives the events of an engine's stream. */
 export type EngineEvents = {
@@ -28,9 +29,6 @@
 const idField = 'id: ';
 const dataField = 'data: ';
 const eventEnd = '\n\n';
-
-// A text with none of these is the same inside and outside of a JSON string.
-const escapePattern = /["\\\p{Cc}]/u;
 const positionPattern = /^\d{1,9}$/;
 
 function malformed(message: string, cause?: Error): ProblemError {
@@ -46,8 +44,8 @@
 }
 
 /**
- * Creates a parser. Events of the usual form, one `id` and one `data` line, are taken apart directly;
- * any other form goes through eventsource-parser.
+ * Creates a parser. Token events of the form seen before are read from the bytes, others of the usual
+ * form, one `id` and one `data` line, are taken apart directly; any other form goes through eventsource-parser.
  * @param generationId - generation whose tokens are expected
  * @param maxEventBytes - longest event, in UTF-16 code units
  */
@@ -62,41 +60,11 @@
 	let isGeneral = false;
 	let isBetweenCharacters = true;
 
-	// Token events of one stream differ in their texts only, so what surrounds the text is learned
-	// from an event that was parsed in full.
-	let head = '';
-	let tail = '';
-
-	const learn = (data: string, text: string) => {
-		const quoted = JSON.stringify(text);
-		const start = data.indexOf(quoted);
-		const isPlain = quoted.length === text.length + 2;
-		if (isPlain && text !== '' && start === data.lastIndexOf(quoted)) {
-			head = data.slice(0, start + 1);
-			tail = data.slice(start + quoted.length - 1);
-		}
-	};
-
-	/** @returns the text, or undefined if the event has to be parsed in full */
-	const textOfKnownForm = (data: string): string | undefined => {
-		if (head === '' || !data.startsWith(head) || !data.endsWith(tail)) {
-			return undefined;
-		}
-
-		const end = data.length - tail.length;
-		const text = end < head.length ? '"' : data.slice(head.length, end);
-		return escapePattern.test(text) ? undefined : text;
-	};
+	const known = createKnownEventForm((position, text) => {
+		events.onToken(position, text);
+	});
 
 	const take = (id: string | undefined, data: string) => {
-		if (id !== undefined && positionPattern.test(id)) {
-			const text = textOfKnownForm(data);
-			if (text !== undefined) {
-				events.onToken(Number(id), text);
-				return;
-			}
-		}
-
 		if (data === '[DONE]') {
 			return;
 		}
@@ -123,7 +91,7 @@
 			id !== undefined &&
 			positionPattern.test(id)
 		) {
-			learn(data, choice.text);
+			known.learn(data, choice.text);
 			events.onToken(Number(id), choice.text);
 		} else {
 			throw malformed('event holds neither a token nor an end');
@@ -173,9 +141,31 @@
 		return decoder.decode(data, {stream: true});
 	};
 
+	/** @returns number of bytes at the start of the chunk that held events of the known form */
+	const feedKnown = (data: Buffer): number => {
+		let start = 0;
+		if (isGeneral || rest !== '' || !isBetweenCharacters) {
+			return start;
+		}
+
+		for (;;) {
+			const next = known.read(data, start);
+			if (next === -1) {
+				return start;
+			}
+
+			start = next;
+		}
+	};
+
 	return {
 		feed(data) {
-			const text = decode(data);
+			const readCount = feedKnown(data);
+			if (readCount === data.length) {
+				return;
+			}
+
+			const text = decode(readCount === 0 ? data : data.subarray(readCount));
 			// Other line ends than the usual one are left to the general parser from here on.
 			if (isGeneral || text.includes('\r')) {
 				isGeneral = true;
--- a/src/experiments/capacity/relay-slopes-relay.ts
+++ b/src/experiments/capacity/relay-slopes-relay.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {subscribe} from 'node:diagnostics_channel';
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {Agent} from 'undici';
@@ -24,14 +25,20 @@
 const engineUrl = `http://127.0.0.1:${enginePort}`;
 const address = '127.0.0.1';
 
+// Chunks that undici handed on, for both ways alike.
+let chunks = 0;
+subscribe('undici:request:bodyChunkReceived', () => {
+	chunks++;
+});
+
 const agent = new Agent({headersTimeout: 0, bodyTimeout: 0});
 
 /** The bare pipe: undici into Node's http, nothing between. */
 createServer((request, response) => {
 	request.resume();
-	if (request.url === '/cpu') {
+	if (request.url === '/counters') {
 		const {user, system} = process.cpuUsage();
-		response.end(String(user + system));
+		response.end(JSON.stringify({cpuMicros: user + system, chunks}));
 		return;
 	}
 
--- a/src/experiments/capacity/relay-slopes.ts
+++ b/src/experiments/capacity/relay-slopes.ts
@@ -6,10 +6,10 @@
  * and callers are separate processes, for the bare pipe and the whole path alike; both run in the
  * same relay process, in turns.
  */
-const [barePort, wholePort, rounds, warmUpMs, windowMs] = process.argv
-	.slice(2)
-	.map(Number);
-const streamCounts = [100, 500, 1000, 2000];
+const [barePort, wholePort, rounds, warmUpMs, windowMs, ...chosenCounts] =
+	process.argv.slice(2).map(Number);
+const streamCounts =
+	chosenCounts.length > 0 ? chosenCounts : [100, 500, 1000, 2000];
 const newline = 10;
 const pollMs = 20;
 const settleMs = 200;
@@ -20,16 +20,18 @@
 	delivery: 'restartable',
 });
 
-type Sample = {readonly cpuMicros: number; readonly tokens: number};
+/** Counters of the relay process. */
+type RelayCounters = {readonly cpuMicros: number; readonly chunks: number};
+type Sample = RelayCounters & {readonly tokens: number};
 
 const wait = async (durationMs: number) =>
 	new Promise((resolve) => {
 		setTimeout(resolve, durationMs);
 	});
 
-async function cpuMicros(): Promise<number> {
-	const response = await request(`http://127.0.0.1:${barePort}/cpu`);
-	return Number(await response.body.text());
+async function relayCounters(): Promise<RelayCounters> {
+	const response = await request(`http://127.0.0.1:${barePort}/counters`);
+	return (await response.body.json()) as RelayCounters;
 }
 
 function countEvents(data: Uint8Array): number {
@@ -86,10 +88,12 @@
 
 	await wait(warmUpMs);
 	const tokensBefore = counts.tokens;
-	const cpuBefore = await cpuMicros();
+	const before = await relayCounters();
 	await wait(windowMs);
+	const after = await relayCounters();
 	const sample = {
-		cpuMicros: (await cpuMicros()) - cpuBefore,
+		cpuMicros: after.cpuMicros - before.cpuMicros,
+		chunks: after.chunks - before.chunks,
 		tokens: counts.tokens - tokensBefore,
 	};
 	await agent.destroy();
@@ -97,34 +101,63 @@
 	return sample;
 }
 
-const median = (values: readonly number[]) =>
-	[...values].sort((first, second) => first - second)[
-		Math.floor(values.length / 2)
-	];
 const rounded = (value: number) => Math.round(value * 100) / 100;
 
+function summary(
+	samples: readonly Sample[],
+	figureOf: (sample: Sample, round: number) => number,
+) {
+	const values = samples.map((sample, round) => figureOf(sample, round));
+	const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+	const squares = values.map((value) => (value - mean) ** 2);
+	const variance =
+		squares.reduce((sum, square) => sum + square, 0) /
+		Math.max(1, values.length - 1);
+	return {
+		mean: rounded(mean),
+		deviation: rounded(Math.sqrt(variance)),
+		min: rounded(Math.min(...values)),
+		max: rounded(Math.max(...values)),
+	};
+}
+
+const microsPerToken = (sample: Sample) => sample.cpuMicros / sample.tokens;
+const tokensPerChunk = (sample: Sample) => sample.tokens / sample.chunks;
+const tokensPerSecond = (sample: Sample) => (sample.tokens / windowMs) * 1000;
+
 const slopes = [];
 for (const streams of streamCounts) {
-	const bare: number[] = [];
-	const whole: number[] = [];
-	const ratios: number[] = [];
-	const rates: number[] = [];
+	const bare: Sample[] = [];
+	const whole: Sample[] = [];
 	for (let round = 0; round < rounds; round++) {
-		const pipe = await measure(barePort, streams);
-		const path = await measure(wholePort, streams);
-		bare.push(pipe.cpuMicros / pipe.tokens);
-		whole.push(path.cpuMicros / path.tokens);
-		ratios.push(whole.at(-1)! / bare.at(-1)!);
-		rates.push((path.tokens / windowMs) * 1000);
+		// The order changes each round, so that a trend in the machine's load favors neither.
+		const isBareFirst = round % 2 === 0;
+		if (isBareFirst) {
+			bare.push(await measure(barePort, streams));
+		}
+
+		whole.push(await measure(wholePort, streams));
+		if (!isBareFirst) {
+			bare.push(await measure(barePort, streams));
+		}
 	}
 
 	slopes.push({
 		streams,
-		bareMicrosPerToken: rounded(median(bare)),
-		wholeMicrosPerToken: rounded(median(whole)),
-		ratio: rounded(median(ratios)),
-		tokensPerSecond: Math.round(median(rates)),
-		wholeCoreShare: rounded((median(whole) * median(rates)) / 1_000_000),
+		bareMicrosPerToken: summary(bare, microsPerToken),
+		wholeMicrosPerToken: summary(whole, microsPerToken),
+		ratio: summary(
+			whole,
+			(sample, round) => microsPerToken(sample) / microsPerToken(bare[round]),
+		),
+		bareTokensPerChunk: summary(bare, tokensPerChunk),
+		wholeTokensPerChunk: summary(whole, tokensPerChunk),
+		bareTokensPerSecond: summary(bare, tokensPerSecond),
+		wholeTokensPerSecond: summary(whole, tokensPerSecond),
+		wholeCoreShare: summary(
+			whole,
+			(sample) => sample.cpuMicros / windowMs / 1000,
+		),
 	});
 }
 
