Write the tokens of one turn together and split the session and the fake engine

Change: one immediate writes what all streams have pending once the event loop has handled its input (turn-flusher.ts); the sink adds up the bytes as it appends; a sink whose response is destroyed drops what is pending. The relay's slopes discard one round for each number of streams, since the first window includes compilation. Rules for lost generations (generation-loss.ts) and the engine's request (engine-request.ts) leave the session, chunk faults and generations of the fake engine its file.

--- a/src/adapters/callers/chunked-writer.ts
+++ b/src/adapters/callers/chunked-writer.ts
@@ -7,8 +7,11 @@
  */
 export type ChunkedWriter = {
 	begin(status: number, headers: OutgoingHttpHeaders): void;
-	/** @param text - not empty, since an empty chunk ends the body */
-	write(text: string): void;
+	/**
+	 * @param text - not empty, since an empty chunk ends the body
+	 * @param sizeBytes - its length in UTF-8, counted here if it is not given
+	 */
+	write(text: string, sizeBytes?: number): void;
 	end(text: string): void;
 };
 
@@ -27,8 +30,7 @@
 			// The header says so; the frames are written here.
 			response.chunkedEncoding = false;
 		},
-		write(text) {
-			const sizeBytes = Buffer.byteLength(text);
+		write(text, sizeBytes = Buffer.byteLength(text)) {
 			response.write(frame(text, sizeBytes), encodingOf(text, sizeBytes));
 		},
 		end(text) {
--- a/src/adapters/callers/completions-handler.ts
+++ b/src/adapters/callers/completions-handler.ts
@@ -18,6 +18,7 @@
 import {parseJsonBody, readRequestBody} from './request-body.js';
 import {readRequestTimeoutMs} from './request-deadline.js';
 import type {StreamPlace, StreamTokens} from './stream-token.js';
+import {createTurnFlusher} from './turn-flusher.js';
 
 /** What the handler of completions needs. */
 export type CompletionsHandlerOptions = {
@@ -42,6 +43,7 @@
 	options: CompletionsHandlerOptions,
 ): CallerHandler {
 	const {relay} = options;
+	const flusher = createTurnFlusher();
 	let openStreams = 0;
 
 	const placeIn = ({account, request}: CallerExchange, isStream: boolean) => {
@@ -89,6 +91,7 @@
 		const {model} = body;
 		return body.stream
 			? createEventStreamSink({
+					flusher,
 					response,
 					model,
 					tokenOf: (place: GenerationPlace) =>
--- a/src/adapters/callers/event-stream-sink.ts
+++ b/src/adapters/callers/event-stream-sink.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {
 	CallerSink,
@@ -5,6 +6,7 @@
 } from '../../decisions/streams/index.js';
 import {createChunkedWriter} from './chunked-writer.js';
 import {problemBody, sendProblem} from './problem-response.js';
+import type {TurnFlusher} from './turn-flusher.js';
 
 /** Options of a sink that writes server-sent events. */
 export type EventStreamSinkOptions = {
@@ -14,13 +16,15 @@
 	readonly tokenOf: (place: GenerationPlace) => string;
 	/** Number of tokens that the caller has when the stream opens. */
 	readonly firstPosition: number;
+	readonly flusher: TurnFlusher;
 };
 
+const tokenEnd = '}]}\n\n';
 const maxPendingCharacters = 65_536;
 
 /**
- * Creates a sink that passes tokens on as server-sent events. The tokens of one chunk from the
- * engine arrive in one turn and leave in one write.
+ * Creates a sink that passes tokens on as server-sent events. The tokens that come in one
+ * turn of the event loop leave in one write.
  */
 export function createEventStreamSink(
 	options: EventStreamSinkOptions,
@@ -30,14 +34,21 @@
 	const tail = `","object":"text_completion","model":${JSON.stringify(options.model)},"choices":[{"index":0,"text":`;
 	let prefix = '';
 	let head = '';
+	let fixedBytes = 0;
+	let pendingBytes = 0;
 	let pending = '';
 	let isScheduled = false;
 
 	const flush = () => {
 		isScheduled = false;
 		if (pending !== '') {
-			writer.write(pending);
+			// The caller may have left since the token came.
+			if (!response.destroyed) {
+				writer.write(pending, pendingBytes);
+			}
+
 			pending = '';
+			pendingBytes = 0;
 		}
 	};
 
@@ -45,6 +56,7 @@
 		const token = options.tokenOf(place);
 		prefix = `id: ${token}.`;
 		head = `\ndata: {"id":"${place.generationId}${tail}`;
+		fixedBytes = Buffer.byteLength(prefix + head + tokenEnd);
 		flush();
 		writer.write(`${prefix}${position}\nevent: ${event}\ndata: {}\n\n`);
 	};
@@ -62,12 +74,16 @@
 			begin(place, 'accepted', options.firstPosition);
 		},
 		token(position, text) {
-			pending += `${prefix}${position}${head}${JSON.stringify(text)}}]}\n\n`;
+			const digits = String(position);
+			const quoted = JSON.stringify(text);
+			pending += prefix + digits + head + quoted + tokenEnd;
+			// The length of the joined string would have to be read from a copy of it.
+			pendingBytes += fixedBytes + digits.length + Buffer.byteLength(quoted);
 			if (pending.length >= maxPendingCharacters) {
 				flush();
 			} else if (!isScheduled) {
 				isScheduled = true;
-				queueMicrotask(flush);
+				options.flusher.schedule(flush);
 			}
 
 			return !response.writableNeedDrain;
--- /dev/null
+++ b/src/decisions/streams/engine-request.ts
@@ -0,0 +1,17 @@
+import type {EngineRequest} from '../../common/index.js';
+import type {GenerationRequest, PlacedGeneration} from './types.js';
+
+/**
+ * Creates the request for a placed generation.
+ * @param nowMs - monotonic time in milliseconds
+ */
+export function engineRequestOf(
+	request: GenerationRequest,
+	placed: PlacedGeneration,
+	nowMs: number,
+): EngineRequest {
+	const {model, prompt, maxTokens, deadlineMs} = request;
+	const {generationId, priority} = placed;
+	const timeoutMs = deadlineMs === undefined ? undefined : deadlineMs - nowMs;
+	return {generationId, model, prompt, maxTokens, priority, timeoutMs};
+}
--- a/src/decisions/streams/relay-session.ts
+++ b/src/decisions/streams/relay-session.ts
@@ -1,10 +1,16 @@
 import {
 	type Disposable,
 	type Engine,
-	ProblemError,
+	type ProblemError,
 	toProblem,
 } from '../../common/index.js';
 import {createAnswerDelivery} from './answer-delivery.js';
+import {engineRequestOf} from './engine-request.js';
+import {
+	cancelQuietly,
+	generationLostProblem,
+	mayRestartAfter,
+} from './generation-loss.js';
 import {
 	createGenerationReader,
 	type GenerationListener,
@@ -53,14 +59,6 @@
 		delivery.close();
 	};
 
-	const cancelQuietly = async (own: GenerationReader) => {
-		try {
-			await own.cancel();
-		} catch {
-			// The engine is gone or drops the generation at its own limit.
-		}
-	};
-
 	const fail = (problem: ProblemError, outcome: GenerationOutcome = 'lost') => {
 		if (ended) {
 			return;
@@ -85,13 +83,8 @@
 				sink.keepAlive();
 			}
 		},
-		onDeadline() {
-			fail(
-				new ProblemError('deadline-exceeded', 'the deadline has passed', {
-					field: 'X-Request-Timeout-Ms',
-				}),
-				'cancelled',
-			);
+		onDeadline(problem) {
+			fail(problem, 'cancelled');
 		},
 	});
 
@@ -132,25 +125,18 @@
 			release('lost');
 			restarts.lost(lost, delivery.delivered > 0);
 		} else {
-			failLost(cause);
+			fail(generationLostProblem(limits.backoffMaxMs, cause));
 		}
 	};
 
-	const failLost = (cause?: ProblemError) => {
-		const type =
-			cause?.type === 'target-protocol' ? cause.type : 'generation-lost';
-		fail(
-			new ProblemError(type, 'the engine lost the generation; ask again', {
-				cause,
-				retryAfterMs: limits.backoffMaxMs,
-			}),
-		);
-	};
-
 	const mayRestart = (lost: GenerationPlace) =>
-		lost.attempt + 1 < limits.maxAttempts &&
-		(delivery.delivered === 0 ||
-			(request.delivery !== 'live' && sink.resumable));
+		mayRestartAfter({
+			attempt: lost.attempt,
+			maxAttempts: limits.maxAttempts,
+			delivered: delivery.delivered,
+			delivery: request.delivery,
+			isResumable: sink.resumable,
+		});
 
 	/** Runs a step; the engine or this daemon may be at fault if it fails. */
 	const attempt = (step: () => void) => {
@@ -239,9 +225,8 @@
 	};
 
 	const open = (placed: PlacedGeneration, attemptNumber: number) => {
-		const {generationId, priority} = placed;
-		const {model, prompt, maxTokens, deadlineMs} = request;
 		engine = placed.engine;
+		const {generationId} = placed;
 		const targetId = engine.description.id;
 		place = {targetId, generationId, attempt: attemptNumber};
 		const isRestart = delivery.delivered > 0;
@@ -256,16 +241,7 @@
 			sink.accepted(place);
 		}
 
-		const timeoutMs =
-			deadlineMs === undefined ? undefined : deadlineMs - clock.nowMs();
-		read(place, 0).start({
-			generationId,
-			model,
-			prompt,
-			maxTokens,
-			priority,
-			timeoutMs,
-		});
+		read(place, 0).start(engineRequestOf(request, placed, clock.nowMs()));
 	};
 
 	return {
@@ -285,7 +261,7 @@
 			} else if (mayRestart(from)) {
 				restarts.lost(from, position > 0);
 			} else {
-				failLost();
+				fail(generationLostProblem(limits.backoffMaxMs));
 			}
 		},
 		drained() {
--- a/src/decisions/streams/relay-timers.ts
+++ b/src/decisions/streams/relay-timers.ts
@@ -1,4 +1,9 @@
-import type {Clock, Disposable, Timers} from '../../common/index.js';
+import {
+	type Clock,
+	type Disposable,
+	ProblemError,
+	type Timers,
+} from '../../common/index.js';
 
 /** Timers of one session. Writing a token sets no timer. */
 export type RelayTimers = Disposable & {
@@ -15,7 +20,8 @@
 	/** Monotonic time of the deadline in milliseconds, if there is one. */
 	readonly deadlineMs: number | undefined;
 	readonly onKeepAlive: () => void;
-	readonly onDeadline: () => void;
+	/** @param problem - for the caller */
+	readonly onDeadline: (problem: ProblemError) => void;
 };
 
 /** Creates timers that are not running. */
@@ -40,10 +46,13 @@
 		start() {
 			watch();
 			if (deadlineMs !== undefined) {
-				deadline = timers.after(
-					Math.max(0, deadlineMs - clock.nowMs()),
-					options.onDeadline,
-				);
+				deadline = timers.after(Math.max(0, deadlineMs - clock.nowMs()), () => {
+					options.onDeadline(
+						new ProblemError('deadline-exceeded', 'the deadline has passed', {
+							field: 'X-Request-Timeout-Ms',
+						}),
+					);
+				});
 			}
 		},
 		written() {
--- a/src/experiments/capacity/relay-slopes.ts
+++ b/src/experiments/capacity/relay-slopes.ts
@@ -129,6 +129,9 @@
 for (const streams of streamCounts) {
 	const bare: Sample[] = [];
 	const whole: Sample[] = [];
+	// Without a round before, the first window includes compilation and reads up to half higher.
+	await measure(barePort, streams);
+	await measure(wholePort, streams);
 	for (let round = 0; round < rounds; round++) {
 		// The order changes each round, so that a trend in the machine's load favors neither.
 		const isBareFirst = round % 2 === 0;
--- a/src/experiments/fakes/fake-stream-engine.ts
+++ b/src/experiments/fakes/fake-stream-engine.ts
@@ -10,11 +10,14 @@
 	type TargetDescription,
 } from '../../common/index.js';
 import {outputTokensFor, tokenText} from '../../standins/engine/index.js';
+import {type ChunkFault, damageChunk} from './chunk-faults.js';
+import {
+	createFakeLink,
+	type FakeGeneration,
+	type FakeLink,
+} from './fake-generation.js';
 import type {VirtualTime} from './virtual-time.js';
 
-/** Fault that hits the next chunk of the engine. */
-export type ChunkFault = 'duplicated' | 'reordered' | 'lost';
-
 /** Options of a fake engine. */
 export type FakeStreamEngineOptions = {
 	readonly id: string;
@@ -34,23 +37,6 @@
 	readonly onCancelled: (generationId: string, openLinks: number) => void;
 };
 
-type Generation = {
-	readonly id: string;
-	readonly outputTokens: number;
-	readonly maxTokens: number;
-	produced: number;
-	linkCount: number;
-	readonly links: Set<Link>;
-};
-
-type Link = {
-	readonly listener: EngineStreamListener;
-	next: number;
-	isPaused: boolean;
-	isSilent: boolean;
-	linkCount: number | undefined;
-};
-
 const maxChunkTokens = 3;
 
 /** Engine that streams at a steady pace over links that can fail in every way that the platform allows. */
@@ -59,7 +45,7 @@
 	isDown = false;
 	/** Time since which the engine takes no new work. */
 	leavingSinceMs: number | undefined;
-	private generations = new Map<string, Generation>();
+	private generations = new Map<string, FakeGeneration>();
 	private readonly chunkFaults: ChunkFault[] = [];
 
 	constructor(private readonly options: FakeStreamEngineOptions) {
@@ -114,7 +100,7 @@
 		listener: EngineStreamListener,
 	): EngineStream {
 		const {generationId, prompt, maxTokens} = request;
-		const link = this.createLink(listener, 0);
+		const link = createFakeLink(listener, 0);
 		this.later(() => {
 			this.options.onRequested();
 			if (this.isDown || this.leavingSinceMs !== undefined) {
@@ -126,7 +112,7 @@
 			}
 
 			this.options.onStart(generationId);
-			const generation: Generation = {
+			const generation: FakeGeneration = {
 				id: generationId,
 				outputTokens: outputTokensFor(prompt, maxTokens),
 				maxTokens,
@@ -146,7 +132,7 @@
 		fromPosition: number,
 		listener: EngineStreamListener,
 	): EngineStream {
-		const link = this.createLink(listener, fromPosition);
+		const link = createFakeLink(listener, fromPosition);
 		this.later(() => {
 			const generation = this.generations.get(generationId);
 			if (generation) {
@@ -200,17 +186,7 @@
 		throw this.unavailable();
 	}
 
-	private createLink(listener: EngineStreamListener, next: number): Link {
-		return {
-			listener,
-			next,
-			isPaused: false,
-			isSilent: false,
-			linkCount: undefined,
-		};
-	}
-
-	private streamOf(generationId: string, link: Link): EngineStream {
+	private streamOf(generationId: string, link: FakeLink): EngineStream {
 		return {
 			get linkCount() {
 				return link.linkCount;
@@ -232,7 +208,7 @@
 		};
 	}
 
-	private attach(generation: Generation, link: Link): void {
+	private attach(generation: FakeGeneration, link: FakeLink): void {
 		if (link.isSilent) {
 			generation.linkCount++;
 			return;
@@ -245,7 +221,7 @@
 		});
 	}
 
-	private produce(generation: Generation): void {
+	private produce(generation: FakeGeneration): void {
 		const {time, random, tokenMs, retainMs} = this.options;
 		const chunk = 1 + random.nextInt(maxChunkTokens);
 		time.after(tokenMs * chunk, () => {
@@ -273,7 +249,7 @@
 		});
 	}
 
-	private send(generation: Generation, link: Link): void {
+	private send(generation: FakeGeneration, link: FakeLink): void {
 		if (link.isPaused || link.isSilent) {
 			return;
 		}
@@ -283,7 +259,8 @@
 			positions.push(link.next++);
 		}
 
-		const sent = this.damage(positions);
+		const fault = positions.length > 0 ? this.chunkFaults.shift() : undefined;
+		const sent = damageChunk(positions, fault);
 		const isEnd = link.next >= generation.outputTokens;
 		// A chunk on its way arrives even if the link is closed meanwhile.
 		this.later(() => {
@@ -300,27 +277,6 @@
 		});
 	}
 
-	private damage(positions: readonly number[]): readonly number[] {
-		const fault = positions.length > 0 ? this.chunkFaults.shift() : undefined;
-		switch (fault) {
-			case 'duplicated': {
-				return [...positions, ...positions];
-			}
-
-			case 'reordered': {
-				return [...positions].reverse();
-			}
-
-			case 'lost': {
-				return [];
-			}
-
-			case undefined: {
-				return positions;
-			}
-		}
-	}
-
 	private later(run: () => void): void {
 		this.options.time.after(this.options.latencyMs, run);
 	}
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -1,3 +1,5 @@
+export * from './chunk-faults.js';
+export * from './fake-generation.js';
 export * from './fake-object-store.js';
 export * from './fake-order-target.js';
 export * from './fake-plain-service.js';
