Send usage entries as text and give sums the tolerance of their VMs

Cause: at 510 accounts the queue of usage entries was longer than the messages could carry. An entry took about 52 bytes in JSON, and a region's sum had the tolerance of one VM, so it was published nearly every time. Change: usage entries are one text for each scope with exact charged tokens and rounded rates; other entries keep their JSON form. The tolerance of a sum grows with the VMs in it. The simulation also reports the error over the whole fleet.

--- a/src/decisions/membership/message-codec.ts
+++ b/src/decisions/membership/message-codec.ts
@@ -7,6 +7,12 @@
 	MembershipMessage,
 	SharedEntry,
 } from './types.js';
+import {
+	fitsUsageText,
+	readUsageText,
+	usageTextLength,
+	writeUsageText,
+} from './usage-text.js';
 
 /**
  * Fields by position, entries grouped by scope and incarnation: names of fields would take more bytes than
@@ -20,7 +26,10 @@
 const entrySchema = z
 	.tuple([z.enum(['u', 'a', 'l']), z.string().min(1).max(250), whole])
 	.rest(z.number().min(0));
-const scopeSchema = z.tuple([z.string().max(102), whole]).rest(entrySchema);
+const maxTextLength = 50_000;
+const scopeSchema = z
+	.tuple([z.string().max(102), whole, z.string().max(maxTextLength)])
+	.rest(entrySchema);
 
 /** Shape of a message on the wire. */
 export const packedMessageSchema = z.tuple([
@@ -29,6 +38,8 @@
 	z.union([z.literal(0), z.literal(1)]),
 	z.array(heartbeatSchema).max(64),
 	z.array(scopeSchema).max(maxEntries),
+	/** Minute from which the ages in usage texts count. */
+	whole,
 	z.tuple([name, name, name]).optional(),
 ]);
 
@@ -57,8 +68,16 @@
 	beat: packed[2],
 });
 
+// Part of a scope's header that one entry of several carries.
+const usageHeaderBytes = 6;
+
 /** Bytes that an entry adds to a message, its share of the scope's header included. */
 export function entryBytes(entry: SharedEntry): number {
+	const [minute] = entry.values;
+	if (fitsUsageText(entry, minute)) {
+		return usageTextLength(entry) + usageHeaderBytes;
+	}
+
 	let bytes = entry.key.length + String(entry.counter).length + 10;
 	for (const value of entry.values) {
 		bytes += String(value).length + 1;
@@ -78,17 +97,34 @@
 	return [[address, availabilityZone, region]];
 }
 
+function newestMinute(entries: readonly SharedEntry[]): number {
+	let newest = 0;
+	for (const {kind, values} of entries) {
+		if (kind === 'usage' && Number.isSafeInteger(values[0])) {
+			newest = Math.max(newest, values[0]);
+		}
+	}
+
+	return newest;
+}
+
 /** Packs a message for the wire. */
 export function packMessage(message: MembershipMessage): PackedMessage {
 	const scopes = new Map<string, PackedMessage[4][number]>();
+	const minute = newestMinute(message.entries);
 	for (const entry of message.entries) {
 		const id = `${entry.incarnation} ${entry.scope}`;
 		let scope = scopes.get(id);
 		if (!scope) {
-			scope = [entry.scope, entry.incarnation];
+			scope = [entry.scope, entry.incarnation, ''];
 			scopes.set(id, scope);
 		}
 
+		if (fitsUsageText(entry, minute)) {
+			scope[2] += writeUsageText(entry, minute);
+			continue;
+		}
+
 		scope.push([
 			letters[entry.kind],
 			entry.key,
@@ -103,6 +139,7 @@
 		message.stopping ? 1 : 0,
 		message.heartbeats.map((one) => packHeartbeat(one)),
 		[...scopes.values()],
+		minute,
 		...packIntroduction(message.introduction),
 	];
 }
@@ -122,21 +159,44 @@
 		);
 	}
 
-	const [from, configurationVersion, stopping, heartbeats, scopes, address] =
-		result.data;
+	const [
+		from,
+		configurationVersion,
+		stopping,
+		heartbeats,
+		scopes,
+		minute,
+		address,
+	] = result.data;
 	const entries: SharedEntry[] = [];
-	for (const [scope, incarnation, ...packedEntries] of scopes) {
+	const add = (entry: SharedEntry) => {
+		if (entry.values.length > maxValues || entries.length >= maxEntries) {
+			throw new ProblemError(
+				'peer-protocol',
+				`a membership message allows ${maxEntries} entries of ${maxValues} values`,
+				{field: entry.key},
+			);
+		}
+
+		entries.push(entry);
+	};
+
+	for (const [scope, incarnation, text, ...packedEntries] of scopes) {
+		const usage = readUsageText(text, minute);
+		if (!usage) {
+			throw new ProblemError(
+				'peer-protocol',
+				'membership message is malformed: usage text is not a row of entries',
+				{field: scope},
+			);
+		}
+
+		for (const entry of usage) {
+			add({...entry, scope, incarnation, kind: 'usage'});
+		}
+
 		for (const [letter, key, counter, ...values] of packedEntries) {
-			if (values.length > maxValues || entries.length >= maxEntries) {
-				throw new ProblemError(
-					'peer-protocol',
-					`a membership message allows ${maxEntries} entries of ${maxValues} values`,
-					{field: key},
-				);
-			}
-
-			const kind = kinds[letter];
-			entries.push({scope, kind, key, incarnation, counter, values});
+			add({scope, kind: kinds[letter], key, incarnation, counter, values});
 		}
 	}
 
--- a/src/decisions/membership/usage-exchange.ts
+++ b/src/decisions/membership/usage-exchange.ts
@@ -28,6 +28,13 @@
 
 type Published = {readonly report: UsageReport; readonly atWallMs: number};
 
+/** What a sum is made of. */
+type SumSources = {
+	/** Entry VMs in the sum: it may be off by the tolerances of all of them. */
+	readonly vms: number;
+	readonly includes: (source: string) => boolean;
+};
+
 /**
  * Receivers extend a report by its rate. A new one is sent only when they would be off by this part of the
  * account's ceiling per VM, or of its use, so that steady use costs few bytes.
@@ -98,12 +105,12 @@
 	const pressureOn = (report: UsageReport) =>
 		membership.pressure('usage', valuesOf(report));
 
-	const tolerance = (account: string, report: UsageReport) =>
+	const tolerance = (account: string, report: UsageReport, vms: number) =>
 		pressureOn(report) *
 		Math.max(
 			leastTokens,
 			usePart * report.chargedTokens,
-			(ceilingPart * options.contractOf(account).ceilingTokensPerMinute) /
+			(ceilingPart * options.contractOf(account).ceilingTokensPerMinute * vms) /
 				(membership.directory.size + 1),
 		);
 
@@ -111,6 +118,7 @@
 		account: string,
 		report: UsageReport,
 		last: Published | undefined,
+		vms = 1,
 	) => {
 		if (!last) {
 			return report.chargedTokens + report.demandPerSecond > 0;
@@ -122,13 +130,13 @@
 			const isQueueLong = pressureOn(report) > longQueuePressure;
 			return (
 				report.chargedTokens + rate >
-				(isQueueLong ? tolerance(account, report) : 0)
+				(isQueueLong ? tolerance(account, report, vms) : 0)
 			);
 		}
 
 		const off = Math.abs(predictedTokens(last, wallMs) - report.chargedTokens);
 		return (
-			off > tolerance(account, report) ||
+			off > tolerance(account, report, vms) ||
 			(wallMs - last.atWallMs > renewMs * pressureOn(report) &&
 				(report.chargedTokens !== last.report.chargedTokens ||
 					last.report.tokensPerSecond >= 1))
@@ -157,7 +165,7 @@
 		scope: string,
 		account: string,
 		own: UsageReport | undefined,
-		includes: (source: string) => boolean,
+		{vms, includes}: SumSources,
 	) => {
 		const wallMs = options.wallMs();
 		const others = peerUsage.others(account, wallMs, includes);
@@ -173,7 +181,7 @@
 			demandPerSecond: others.demandPerSecond + (own?.demandPerSecond ?? 0),
 		};
 		const id = `${scope} ${account}`;
-		if (!isDue(account, report, publishedSums.get(id))) {
+		if (!isDue(account, report, publishedSums.get(id), vms)) {
 			return;
 		}
 
@@ -188,6 +196,15 @@
 		});
 	};
 
+	const vmsOfRegion = () => {
+		let count = 1;
+		for (const {region} of membership.directory.members()) {
+			count += region === options.region ? 1 : 0;
+		}
+
+		return count;
+	};
+
 	const publishSums = (
 		own: ReadonlyMap<string, UsageReport>,
 		nowMs: number,
@@ -204,8 +221,14 @@
 			return;
 		}
 
-		const inGroup = (source: string) => !isSumScope(source);
-		const inRegion = (source: string) => !source.startsWith(regionScope(''));
+		const inGroup: SumSources = {
+			vms: selector.groupMembers.length + 1,
+			includes: (source) => !isSumScope(source),
+		};
+		const inRegion: SumSources = {
+			vms: vmsOfRegion(),
+			includes: (source) => !source.startsWith(regionScope('')),
+		};
 		for (const account of new Set([...own.keys(), ...peerUsage.accounts()])) {
 			const ownReport = own.get(account);
 			if (role.otherGroups) {
--- a/src/experiments/capacity/simulated-membership.ts
+++ b/src/experiments/capacity/simulated-membership.ts
@@ -39,6 +39,8 @@
 	readonly usageError: number;
 	/** The same over the ten largest accounts. */
 	readonly largeAccountsUsageError: number;
+	/** The ten largest accounts, over the whole fleet in place of the region. */
+	readonly largeAccountsFleetError: number;
 	readonly entriesPerVm: number;
 	readonly pendingPerVm: number;
 };
@@ -211,6 +213,30 @@
 	};
 
 	const errors = [usageError(size.accounts), usageError(largeAccounts)];
+	const fleetError = () => {
+		let error = 0;
+		let truth = 0;
+		for (let account = 0; account < largeAccounts; account++) {
+			let sum = 0;
+			for (const vm of fleet.vms) {
+				sum += used.get(vm)![account];
+			}
+
+			for (const vm of fleet.vms) {
+				const real = sum - used.get(vm)![account];
+				const view = vm.node.peerUsage.others(
+					`${accountPrefix}${account}`,
+					time.wallMs(),
+				);
+				error += Math.abs(real - view.ceilingTokens);
+				truth += real;
+			}
+		}
+
+		return error / truth;
+	};
+
+	errors.push(fleetError());
 	const signedAtMs = time.nowMs();
 	fleet.vms[0].node.marks.sign('engine-1', time.wallMs());
 	const isKnown = () =>
@@ -238,6 +264,7 @@
 		leavingKnownMs: time.nowMs() - signedAtMs,
 		usageError: Math.round(errors[0] * 1000) / 1000,
 		largeAccountsUsageError: Math.round(errors[1] * 1000) / 1000,
+		largeAccountsFleetError: Math.round(errors[2] * 1000) / 1000,
 		entriesPerVm: perVm((vm) => vm.node.membership.entries.size),
 		pendingPerVm: perVm((vm) => vm.node.membership.entries.pendingCount),
 	};
