--- a/src/experiments/soak/scenarios/routing-scenario.test.ts
+++ b/src/experiments/soak/scenarios/routing-scenario.test.ts
@@ -3,7 +3,7 @@
 import {emptySoakReport, runScenario} from '../soak-runner.js';
 import {RoutingScenario} from './routing-scenario.js';
 
-for (const seed of [23_788, 23_853]) {
+for (const seed of [8018, 23_788, 23_853, 39_607, 39_642]) {
 	// Guards against urgent requests of an account that displace its own streams during floods.
 	test(`every floor holds in the routing scenario with seed ${seed}`, async () => {
 		const report = emptySoakReport();
