Settle bookings of dead owners in the background; advertise a reachable address

Cause: records without outcome were settled only when a caller repeated the call; a VM listening on a wildcard address told peers an address that they cannot reach. Change: a bounded pass over each VM's share of the client accounts asks the targets that can be asked; absence proves nothing; it never books. Reads at 8 and 320 VMs are not measured; the setting bounds them at 6 a minute for each VM. Conclusion: unknown outcomes are settled without the caller.

--- a/src/programs/entry/create-bookings.ts
+++ b/src/programs/entry/create-bookings.ts
@@ -9,11 +9,15 @@
 	type RandomSource,
 	type TableService,
 	toProblem,
+	type VmList,
 } from '../../common/index.js';
 import {
 	type BookingCoordinator,
+	type BookingOptions,
 	createBookingCoordinator,
 	createBookingRetention,
+	createBookingSettlement,
+	shareOfAccounts,
 } from '../../decisions/bookings/index.js';
 import type {EntrySettings} from './settings.js';
 import type {TargetsRegistry} from './targets-registry.js';
@@ -29,6 +33,8 @@
 	readonly peerAddress: () => string;
 	readonly registry: TargetsRegistry;
 	readonly metrics: Metrics;
+	readonly vmList: VmList;
+	readonly isTableReachable: () => boolean;
 };
 
 /** The daemon's bookings with the removal of their old records. */
@@ -36,6 +42,7 @@
 
 const sweepPeriodMs = 600_000;
 const maxRowsPerSweep = 5000;
+const secondsPerMinute = 60;
 
 /** Wires bookings together. */
 export function createBookings(options: BookingsOptions): Bookings {
@@ -49,7 +56,7 @@
 	invariants.onViolation(({name}) => {
 		metrics.count('violations', {name});
 	});
-	const coordinator = createBookingCoordinator({
+	const bookingOptions: BookingOptions = {
 		table,
 		objects,
 		owners: new TrpcBookingOwners({
@@ -69,7 +76,26 @@
 		count(name) {
 			metrics.count('bookings', {event: name});
 		},
+	};
+	const coordinator = createBookingCoordinator(bookingOptions);
+	const settlement = createBookingSettlement({
+		bookings: bookingOptions,
+		async accounts() {
+			const {vms} = await options.vmList.read();
+			return shareOfAccounts(
+				[...settings.accountTokens.keys()],
+				vms,
+				settings.vmInstanceId,
+			);
+		},
+		isTableReachable: options.isTableReachable,
+		readsPerSecond: settings.bookingSettleReadsPerMinute / secondsPerMinute,
+		settleAfterMs: settings.bookingSettleAfterMs,
+		onProblem(problem) {
+			metrics.count('booking_settlement_errors', {type: problem.type});
+		},
 	});
+	settlement.start();
 	const retention = createBookingRetention({
 		table,
 		objects,
@@ -95,6 +121,7 @@
 		coordinator,
 		dispose() {
 			timer.dispose();
+			settlement.dispose();
 		},
 	};
 }
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -174,9 +174,11 @@
 			clock,
 			random,
 			instanceId,
-			peerAddress: () => `${settings.listenAddress}:${peerPort}`,
+			peerAddress: () => `${settings.advertiseAddress}:${peerPort}`,
 			registry,
 			metrics,
+			vmList,
+			isTableReachable: () => configurationWiring.tableReachable,
 		}),
 	);
 	const orders = owned.add(
--- a/src/programs/entry/membership-loop.ts
+++ b/src/programs/entry/membership-loop.ts
@@ -88,7 +88,7 @@
 
 	const self = {
 		name: settings.name,
-		address: `${settings.listenAddress}:${settings.peerPort}`,
+		address: `${settings.advertiseAddress}:${settings.peerPort}`,
 		availabilityZone: settings.availabilityZone,
 		region: settings.region,
 	};
@@ -244,7 +244,7 @@
 			}
 		},
 		start(peerPort) {
-			self.address = `${settings.listenAddress}:${peerPort}`;
+			self.address = `${settings.advertiseAddress}:${peerPort}`;
 			void readList();
 			every(settings.pollIntervalMs, () => {
 				void readList();
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -1,5 +1,6 @@
 import type {LogLevel} from '../../adapters/system/index.js';
 import type {BookingLimits} from '../../decisions/bookings/index.js';
+import {ProblemError} from '../../common/index.js';
 import {checkNumber, commandLine, parsePairs} from '../command-line.js';
 import {
 	readRelaySettings,
@@ -14,6 +15,8 @@
 	/** Instance id of this VM in the platform's VM list; a replaced VM has a new one. */
 	readonly vmInstanceId: string;
 	readonly listenAddress: string;
+	/** Address under which peers reach this VM. */
+	readonly advertiseAddress: string;
 	readonly listenPort: number;
 	readonly peerPort: number;
 	readonly availabilityZone: string;
@@ -31,6 +34,10 @@
 	readonly callTimeoutMs: number;
 	readonly bookingRetentionMs: number;
 	readonly bookingLimits: BookingLimits;
+	/** Bound on the table reads of the settlement of old booking records. */
+	readonly bookingSettleReadsPerMinute: number;
+	/** Age from which a booking record without outcome is settled, in milliseconds. */
+	readonly bookingSettleAfterMs: number;
 	readonly logLevel: LogLevel;
 	readonly relay: RelaySettings;
 };
@@ -38,6 +45,20 @@
 const maxPort = 65_535;
 const dayMs = 86_400_000;
 
+const wildcardAddresses = new Set(['0.0.0.0', '::', '']);
+
+function checkAdvertiseAddress(address: string): string {
+	if (wildcardAddresses.has(address)) {
+		throw new ProblemError(
+			'invalid-setting',
+			'--advertise-address allows: an address that peers can reach; it is needed with a wildcard --listen-address',
+			{field: 'advertise-address'},
+		);
+	}
+
+	return address;
+}
+
 /**
  * Reads flags and environment variables.
  * @throws ProblemError `invalid-setting`
@@ -60,6 +81,22 @@
 				default: '127.0.0.1',
 				describe: 'address to listen on',
 			},
+			'advertise-address': {
+				type: 'string',
+				describe:
+					'address under which peers reach this VM; the listen address if absent',
+			},
+			'booking-settle-reads-per-minute': {
+				type: 'number',
+				default: 6,
+				describe: 'most table reads a minute for settling old booking records',
+			},
+			'booking-settle-after-ms': {
+				type: 'number',
+				default: 60_000,
+				describe:
+					'age from which a booking record without outcome is settled, in ms',
+			},
 			'listen-port': {
 				type: 'number',
 				demandOption: true,
@@ -153,6 +190,9 @@
 		name: flags.name,
 		vmInstanceId: flags['vm-instance-id'] ?? flags.name,
 		listenAddress: flags['listen-address'],
+		advertiseAddress: checkAdvertiseAddress(
+			flags['advertise-address'] ?? flags['listen-address'],
+		),
 		listenPort: checkNumber('listen-port', flags['listen-port'], 0, maxPort),
 		peerPort: checkNumber('peer-port', flags['peer-port'], 0, maxPort),
 		availabilityZone: flags['availability-zone'],
@@ -205,6 +245,18 @@
 			365 * dayMs,
 		),
 		bookingLimits: readBookingLimits(flags),
+		bookingSettleReadsPerMinute: checkNumber(
+			'booking-settle-reads-per-minute',
+			flags['booking-settle-reads-per-minute'],
+			1,
+			6000,
+		),
+		bookingSettleAfterMs: checkNumber(
+			'booking-settle-after-ms',
+			flags['booking-settle-after-ms'],
+			1000,
+			dayMs,
+		),
 		logLevel: flags['log-level'],
 		relay: readRelaySettings(flags),
 	};
