Hold floors to the end of a minute and widen the margins of placement

A trace of every placement showed that the account was ahead of a floor counted in proportion to time, so that its waiting requests became urgent only in the last seconds and ended after the minute. Ruled out: the refusal on expected wait; leaving it out changed nothing. Change: in the second half of a minute an account has to be a quarter of a minute ahead; margins of 2.5 and 2 deviations instead of 2 and 1.5.

--- a/src/decisions/routing/floor-watch.ts
+++ b/src/decisions/routing/floor-watch.ts
@@ -17,7 +17,7 @@
 export type FloorWatch = {
 	/** True if this VM's part of the floor is not covered by what it has running. */
 	isEntitled(account: string, floorTokensPerMinute: number): boolean;
-	/** True if the whole fleet has given less than the floor up to this time of the minute. */
+	/** True if the whole fleet has given less of the floor than is due at this time of the minute. */
 	isBehind(account: string, floorTokensPerMinute: number): boolean;
 };
 
@@ -26,6 +26,18 @@
 // Before, a late start of a few streams would look like a floor that is missed.
 const minPassedPart = 0.1;
 
+// In the second half of a minute an account has to be this part of the minute ahead of its floor's pace:
+// a request that starts only when the account has fallen behind may end after the minute.
+const lookAheadFromPart = 0.5;
+const lookAheadPart = 0.25;
+
+/** Part of the floor that is due when this part of the minute has passed. */
+function duePart(passedPart: number): number {
+	return passedPart > lookAheadFromPart
+		? Math.min(1, passedPart + lookAheadPart)
+		: passedPart;
+}
+
 /** Creates a watch. */
 export function createFloorWatch(options: FloorWatchOptions): FloorWatch {
 	const {clock, ledger, floorSlack} = options;
@@ -52,7 +64,7 @@
 			return (
 				passedPart > minPassedPart &&
 				floorTokensPerMinute - floorTokensLeft <
-					floorTokensPerMinute * passedPart
+					floorTokensPerMinute * duePart(passedPart)
 			);
 		},
 	};
--- a/src/decisions/routing/routing-tuning.ts
+++ b/src/decisions/routing/routing-tuning.ts
@@ -35,8 +35,8 @@
 
 /** Constants in use. */
 export const defaultRoutingTuning: RoutingTuning = {
-	marginDeviations: 2,
-	floorMarginDeviations: 1.5,
+	marginDeviations: 2.5,
+	floorMarginDeviations: 2,
 	floorSlack: 1.2,
 	turnMs: 200,
 	turnFromPart: 0.8,
--- a/src/experiments/capacity/main.ts
+++ b/src/experiments/capacity/main.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {runProgram} from '../../programs/command-line.js';
 import {measureBookings, measurePolling} from './booking-slopes.js';
+import {loadReportFigures} from './load-report-slopes.js';
 import {measureMembershipSlopes} from './membership-slopes.js';
 import {measureOrderSlopes} from './order-slopes.js';
 import {measurePlacementSlopes} from './placement-slopes.js';
@@ -169,8 +170,10 @@
 }
 
 await runProgram(async () => {
+	const engineUrl = process.env.CAPACITY_ENGINE_URL;
 	const figures = [
 		...processFigures(),
+		...(engineUrl === undefined ? [] : await loadReportFigures(engineUrl)),
 		...placementFigures(),
 		...(await bookingFigures()),
 		...(await pollingFigures()),
