--- a/src/adapters/platform/index.ts
+++ b/src/adapters/platform/index.ts
@@ -1,3 +1,4 @@
+export * from './cached-vm-list.js';
 export * from './etcd-table-service.js';
 export * from './http-json.js';
 export * from './http-object-store.js';
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -1,14 +1,9 @@
 import {randomUUID} from 'node:crypto';
-import {
-	createCallerServer,
-	createCompletionsHandler,
-	createServicesHandler,
-	createStreamTokens,
-} from '../../adapters/callers/index.js';
 import {createPeerServer} from '../../adapters/peers/index.js';
 import {
 	EtcdTableService,
 	HttpObjectStore,
+	CachedVmList,
 	HttpVmList,
 } from '../../adapters/platform/index.js';
 import {
@@ -29,6 +24,7 @@
 import {createGenerationRouting} from './generation-routing.js';
 import {createRelayWiring} from './relay-wiring.js';
 import {createConfigurationWiring} from './configuration-wiring.js';
+import {createCallerFront} from './caller-front.js';
 import {createBookings} from './create-bookings.js';
 import type {EntrySettings} from './settings.js';
 import {createTargetsRegistry} from './targets-registry.js';
@@ -61,7 +57,11 @@
 		timeoutMs: settings.tableTimeoutMs,
 	};
 	const table = new EtcdTableService(platform);
-	const vmList = new HttpVmList(platform);
+	const vmList = new CachedVmList(
+		new HttpVmList(platform),
+		clock,
+		settings.pollIntervalMs / 2,
+	);
 	const configurationWiring = createConfigurationWiring({
 		table,
 		metrics,
@@ -70,7 +70,6 @@
 	});
 	const {follower, poll: pollTable} = configurationWiring;
 	const registry = createTargetsRegistry(clock, random);
-	const sessions = new Set<object>();
 	let noteDrained: () => void = () => undefined;
 	const drained = new Promise<void>((resolve) => {
 		noteDrained = resolve;
@@ -196,58 +195,16 @@
 		}),
 	);
 	const isReady = () => follower.confirmed && !plannedStop.isStopping;
-	const page = (status: number, body: string) => () => ({status, body});
-	const callers = createCallerServer({
-		accountTokens: settings.accountTokens,
-		maxHeaderBytes: settings.maxHeaderBytes,
-		requestTimeoutMs: settings.relay.requestTimeoutMs,
+	const callers = createCallerFront({
+		settings,
+		clock,
+		metrics,
+		explainLog,
+		wiring,
+		bookings: bookings.coordinator,
+		settingsFor,
+		isReady,
 		isStopping: () => plannedStop.isStopping,
-		pages: new Map([
-			['/healthz', page(200, 'ok\n')],
-			[
-				'/readyz',
-				() =>
-					isReady()
-						? {status: 200, body: 'ready\n'}
-						: {status: 503, body: 'not ready\n'},
-			],
-			['/metrics', () => ({status: 200, body: metrics.text()})],
-		]),
-		handleCompletions: createCompletionsHandler({
-			maxBodyBytes: settings.maxBodyBytes,
-			maxOpenStreams: settings.relay.maxOpenStreams,
-			streamTokens: createStreamTokens(settings.streamKey),
-			settingsFor,
-			relay: wiring.relay,
-			metricsFor: wiring.metricsFor,
-			onSession(session) {
-				sessions.add(session);
-				return {
-					dispose() {
-						sessions.delete(session);
-					},
-				};
-			},
-		}),
-		handleServices: createServicesHandler({
-			maxBodyBytes: settings.maxBodyBytes,
-			retentionMs: settings.bookingRetentionMs,
-			callTimeoutMs: settings.callTimeoutMs,
-			wallMs: () => clock.wallMs(),
-			bookings: bookings.coordinator,
-			caller: wiring.serviceCaller,
-			nowMs: () => clock.nowMs(),
-		}),
-		onProblem(problem, requestId) {
-			metrics.count('problems', {type: problem.type});
-			explainLog.add({
-				atWallMs: clock.wallMs(),
-				kind: 'refusal',
-				subject: requestId,
-				cause: problem.detail,
-				result: problem.type,
-			});
-		},
 	});
 	const peers = createPeerServer({
 		peerToken: settings.peerToken,
@@ -260,7 +217,7 @@
 			configurationVersion: follower.current.version,
 			ready: isReady(),
 			stopping: plannedStop.isStopping,
-			openStreams: sessions.size,
+			openStreams: callers.openStreams(),
 			cutOff: !configurationWiring.tableReachable && membership.isolated,
 			openExchanges: callers.openExchanges(),
 			awaitedCallers: wiring.relay.cancellations.count,
@@ -297,7 +254,7 @@
 				return;
 			}
 
-			logger.info('stopping', {openStreams: sessions.size});
+			logger.info('stopping', {openStreams: callers.openStreams()});
 			await drained;
 			await bookings.coordinator.drain();
 			await orders.stop();
