Split the booking scenario and share the faults of the table service

Change: booking-plan.ts and table-faults.ts; plans draw the same values. Conclusion: no change of behaviour.

--- a/src/experiments/soak/scenarios/booking-scenario.ts
+++ b/src/experiments/soak/scenarios/booking-scenario.ts
@@ -1,115 +1,27 @@
-import fc from 'fast-check';
 import {
 	type BookingCheck,
 	bookingPrefix,
 } from '../../../decisions/bookings/index.js';
-import type {CallFault, CommitFault} from '../../fakes/index.js';
+import type {CallFault} from '../../fakes/index.js';
 import {
 	type FaultKind,
 	type SoakContext,
 	SoakScenario,
 } from '../soak-scenario.js';
 import {BookingFleet} from './booking-fleet.js';
+import {
+	type BookingPlan,
+	bookingPlans,
+	type BookingStep,
+	bookingVmCount,
+} from './booking-plan.js';
+import {tableFaultKinds} from './table-faults.js';
 
-const vmCount = 3;
-const keyCount = 4;
 const hourMs = 3_600_000;
 const retentionMs = hourMs;
 const settleMs = 30_000;
 const slowVm = 2;
 
-const vm = fc.nat(vmCount - 1);
-const key = fc.nat(keyCount - 1);
-const lengthMs = fc.integer({min: 20, max: 1500});
-
-const call = fc.record({
-	kind: fc.constant('call' as const),
-	vm,
-	key,
-	variant: fc.constantFrom(0, 0, 0, 0, 0, 1),
-	timeoutMs: fc.constantFrom(60, 300, 800, 2000),
-});
-
-const steps = fc.oneof(
-	{arbitrary: call, weight: 10},
-	{
-		arbitrary: fc.record({
-			kind: fc.constant('process' as const),
-			vm,
-			stepsAhead: fc.nat(12),
-			fault: fc.constantFrom('crash' as const, 'pause' as const),
-			pauseMs: fc.integer({min: 20, max: 5000}),
-		}),
-		weight: 3,
-	},
-	{
-		arbitrary: fc.record({
-			kind: fc.constant('commit' as const),
-			fault: fc.constantFrom(
-				'answer-lost' as const,
-				'late-effect' as const,
-				'no-effect' as const,
-				'duplicated' as const,
-			),
-			delayMs: fc.integer({min: 1, max: 3000}),
-		}),
-		weight: 3,
-	},
-	{
-		arbitrary: fc.record({
-			kind: fc.constant('target' as const),
-			fault: fc.constantFrom(
-				'answer-lost' as const,
-				'refused' as const,
-				'slow' as const,
-				'hanging' as const,
-				'late-effect' as const,
-			),
-			delayMs: fc.integer({min: 1, max: 6000}),
-		}),
-		weight: 2,
-	},
-	fc.record({
-		kind: fc.constant('table' as const),
-		mode: fc.constantFrom(
-			'refuse' as const,
-			'silent' as const,
-			'slow' as const,
-		),
-		lengthMs,
-		extraMs: fc.integer({min: 10, max: 400}),
-	}),
-	fc.record({kind: fc.constant('restart' as const), vm}),
-	fc.record({kind: fc.constant('peers' as const), lengthMs}),
-	fc.record({kind: fc.constant('objects' as const), lengthMs}),
-	fc.record({kind: fc.constant('corrupt' as const), key}),
-	fc.record({kind: fc.constant('sweep' as const), vm: fc.nat(1)}),
-);
-
-const plans = fc.record({
-	answersOutcomes: fc.boolean(),
-	largeAnswers: fc.boolean(),
-	steps: fc.array(
-		fc.record({
-			afterMs: fc.constantFrom(0, 0, 1, 3, 8, 20, 60, 300),
-			step: steps,
-		}),
-		{minLength: 15, maxLength: 60},
-	),
-	// Last, so that the other parts of a seed's plan are as they were without it.
-	settles: fc.boolean(),
-});
-
-type Plan = typeof plans extends fc.Arbitrary<infer T> ? T : never;
-type Step = Plan['steps'][number]['step'];
-
-const commitFaultKinds: Record<CommitFault['kind'], FaultKind> = {
-	'answer-lost': 'answer-lost',
-	'late-effect': 'write-late',
-	'no-effect': 'answer-lost',
-	duplicated: 'write-duplicated',
-};
-
 const targetFaultKinds: Record<CallFault['kind'], FaultKind> = {
 	'answer-lost': 'target-answer-lost',
 	'late-effect': 'target-answer-lost',
@@ -122,9 +34,9 @@
  * Callers book and repeat through all entry VMs while processes crash and pause at step boundaries,
  * writes and answers get lost, late or doubled, and old records are removed.
  */
-export class BookingScenario extends SoakScenario<Plan> {
+export class BookingScenario extends SoakScenario<BookingPlan> {
 	override readonly name = 'booking';
-	override readonly plans = plans;
+	override readonly plans = bookingPlans;
 
 	/**
 	 * @param omittedChecks - checks left out; for tests only
@@ -137,7 +49,10 @@
 		super();
 	}
 
-	override async execute(plan: Plan, context: SoakContext): Promise<void> {
+	override async execute(
+		plan: BookingPlan,
+		context: SoakContext,
+	): Promise<void> {
 		await new BookingRun(
 			plan,
 			context,
@@ -153,7 +68,7 @@
 	private readonly keys = new Map<number, string>();
 
 	constructor(
-		private readonly plan: Plan,
+		private readonly plan: BookingPlan,
 		private readonly context: SoakContext,
 		omittedChecks: ReadonlySet<BookingCheck> | undefined,
 		settlementOmits: ReadonlySet<BookingCheck> | undefined,
@@ -164,7 +79,7 @@
 			time,
 			random,
 			invariants,
-			vmCount,
+			vmCount: bookingVmCount,
 			answersOutcomes: plan.answersOutcomes,
 			retentionMs,
 			limits: plan.largeAnswers ? {maxRowAnswerBytes: 0} : {},
@@ -198,7 +113,7 @@
 		await this.repeatAfterRetention();
 	}
 
-	private take(step: Step): void {
+	private take(step: BookingStep): void {
 		const {context, fleet} = this;
 		const {time} = context;
 		const nowMs = time.nowMs();
@@ -220,7 +135,7 @@
 			}
 
 			case 'commit': {
-				context.fault(commitFaultKinds[step.fault]);
+				context.fault(tableFaultKinds[step.fault]);
 				const {fault: kind, delayMs} = step;
 				fleet.table.planCommitFault({
 					kind,
@@ -328,7 +243,7 @@
 	private async repeatAll(): Promise<void> {
 		const {time} = this.context;
 		for (const one of this.keys.values()) {
-			for (let index = 0; index < vmCount; index++) {
+			for (let index = 0; index < bookingVmCount; index++) {
 				this.context.countBookings();
 				this.fleet.call({vm: index, key: one, variant: 0, timeoutMs: 2000});
 			}
@@ -342,7 +257,7 @@
 		const checked = this.fleet.checkRecords();
 		await time.runUntil(time.nowMs() + settleMs);
 		await checked;
-		for (let index = 0; index < vmCount; index++) {
+		for (let index = 0; index < bookingVmCount; index++) {
 			this.context.invariants.check(
 				'whole-answer',
 				this.fleet.openCountOf(index) === 0,
--- a/src/experiments/soak/scenarios/configuration-scenario.ts
+++ b/src/experiments/soak/scenarios/configuration-scenario.ts
@@ -1,11 +1,8 @@
 import fc from 'fast-check';
 import type {ConfigurationCheck} from '../../../decisions/configuration/index.js';
-import {
-	type FaultKind,
-	type SoakContext,
-	SoakScenario,
-} from '../soak-scenario.js';
+import {type SoakContext, SoakScenario} from '../soak-scenario.js';
 import {ConfigurationFleet} from './configuration-fleet.js';
+import {commitFaults, tableFaultKinds, tableModes} from './table-faults.js';
 
 const vmCount = 4;
 const operatorCount = 2;
@@ -54,12 +51,7 @@
 	{
 		arbitrary: fc.record({
 			kind: fc.constant('commit' as const),
-			fault: fc.constantFrom(
-				'answer-lost' as const,
-				'late-effect' as const,
-				'no-effect' as const,
-				'duplicated' as const,
-			),
+			fault: commitFaults,
 			delayMs: fc.integer({min: 1, max: 1000}),
 		}),
 		weight: 3,
@@ -67,11 +59,7 @@
 	{
 		arbitrary: fc.record({
 			kind: fc.constant('table' as const),
-			mode: fc.constantFrom(
-				'refuse' as const,
-				'silent' as const,
-				'slow' as const,
-			),
+			mode: tableModes,
 			lengthMs,
 			extraMs: fc.integer({min: 10, max: 200}),
 		}),
@@ -94,16 +82,6 @@
 type Plan = typeof plans extends fc.Arbitrary<infer T> ? T : never;
 type Step = Plan[number]['step'];
 
-const tableFaults: Record<string, FaultKind> = {
-	'answer-lost': 'answer-lost',
-	'late-effect': 'write-late',
-	'no-effect': 'answer-lost',
-	duplicated: 'write-duplicated',
-	refuse: 'table-down',
-	silent: 'table-down',
-	slow: 'table-slow',
-};
-
 /**
  * Operators race and repeat their changes while VMs poll, gossip, crash and pause, writes get lost,
  * late or doubled, and rows cannot be read for a while.
@@ -197,13 +175,13 @@
 		}
 
 		case 'commit': {
-			context.fault(tableFaults[step.fault]);
+			context.fault(tableFaultKinds[step.fault]);
 			fleet.table.planCommitFault({kind: step.fault, delayMs: step.delayMs});
 			break;
 		}
 
 		case 'table': {
-			context.fault(tableFaults[step.mode]);
+			context.fault(tableFaultKinds[step.mode]);
 			fleet.table.planPeriod({
 				kind: step.mode,
 				fromMs: nowMs,
