Split the simulated booking fleet and the stand-in engine server

Change: booking-fleet-types.ts, generation-link.ts, load-history.ts, and startTableStep shared by the two scenarios.

--- a/src/experiments/soak/scenarios/booking-fleet.ts
+++ b/src/experiments/soak/scenarios/booking-fleet.ts
@@ -1,16 +1,11 @@
 import {
 	type Clock,
-	type InvariantMonitor,
 	ProblemError,
-	type RandomSource,
 	type ServiceAnswer,
 	type ServiceCall,
 	toProblem,
 } from '../../../common/index.js';
 import {
-	type BookingCheck,
-	type BookingCoordinator,
-	type BookingLimits,
 	type BookingOptions,
 	BookingOwners,
 	type BookingQuestion,
@@ -27,49 +22,14 @@
 	FakePlainService,
 	FakeProcess,
 	FakeTableService,
-	type VirtualTime,
 } from '../../fakes/index.js';
+import type {
+	BookingFleetOptions,
+	FleetCall,
+	FleetVm,
+} from './booking-fleet-types.js';
 import {BookingJudge} from './booking-judge.js';
 
-/** Options of a simulated fleet that handles bookings. */
-export type BookingFleetOptions = {
-	readonly time: VirtualTime;
-	readonly random: RandomSource;
-	readonly invariants: InvariantMonitor;
-	readonly vmCount: number;
-	readonly answersOutcomes: boolean;
-	readonly retentionMs?: number;
-	readonly limits?: Partial<BookingLimits>;
-	readonly omittedChecks?: ReadonlySet<BookingCheck>;
-	/** Whether VMs settle old records in the background. */
-	readonly settles?: boolean;
-	/** Checks left out of the settlement alone; for tests only. */
-	readonly settlementOmits?: ReadonlySet<BookingCheck>;
-	/** False makes the table and the target answer without delay. */
-	readonly hasLatency?: boolean;
-	/** Wraps what a VM calls, so that the caller decides when each call goes on. */
-	readonly gate?: <T extends object>(vm: number, system: T) => T;
-	readonly onFault?: (kind: 'crash' | 'pause') => void;
-	readonly trace?: (line: string) => void;
-};
-
-type FleetVm = {
-	readonly process: FakeProcess;
-	readonly owner: string;
-	readonly address: string;
-	readonly coordinator: BookingCoordinator;
-	readonly clock: Clock;
-};
-
-/** One call of a simulated caller. */
-export type FleetCall = {
-	readonly vm: number;
-	readonly key: string;
-	/** Which of several bodies the caller sends under the key. */
-	readonly variant: number;
-	readonly timeoutMs: number;
-};
-
 const networkMs = 200;
 const peerLatencyMs = 1;
 const account = 'finishers';
--- a/src/experiments/soak/scenarios/booking-scenario.ts
+++ b/src/experiments/soak/scenarios/booking-scenario.ts
@@ -15,7 +15,7 @@
 	type BookingStep,
 	bookingVmCount,
 } from './booking-plan.js';
-import {tableFaultKinds} from './table-faults.js';
+import {startTableStep, tableFaultKinds} from './table-faults.js';
 
 const hourMs = 3_600_000;
 const retentionMs = hourMs;
@@ -116,7 +116,6 @@
 	private take(step: BookingStep): void {
 		const {context, fleet} = this;
 		const {time} = context;
-		const nowMs = time.nowMs();
 		switch (step.kind) {
 			case 'call': {
 				context.countBookings();
@@ -152,13 +151,7 @@
 			}
 
 			case 'table': {
-				context.fault(step.mode === 'slow' ? 'table-slow' : 'table-down');
-				fleet.table.planPeriod({
-					kind: step.mode,
-					fromMs: nowMs,
-					untilMs: nowMs + step.lengthMs,
-					extraMs: step.extraMs,
-				});
+				startTableStep(fleet.table, step, context);
 				break;
 			}
 
--- a/src/experiments/soak/scenarios/configuration-scenario.ts
+++ b/src/experiments/soak/scenarios/configuration-scenario.ts
@@ -2,7 +2,12 @@
 import type {ConfigurationCheck} from '../../../decisions/configuration/index.js';
 import {type SoakContext, SoakScenario} from '../soak-scenario.js';
 import {ConfigurationFleet} from './configuration-fleet.js';
-import {commitFaults, tableFaultKinds, tableModes} from './table-faults.js';
+import {
+	commitFaults,
+	startTableStep,
+	tableFaultKinds,
+	tableModes,
+} from './table-faults.js';
 
 const vmCount = 4;
 const operatorCount = 2;
@@ -138,7 +143,6 @@
 	context: SoakContext,
 ): void {
 	const {time} = context;
-	const nowMs = time.nowMs();
 	switch (step.kind) {
 		case 'change': {
 			context.countRequests();
@@ -181,13 +185,7 @@
 		}
 
 		case 'table': {
-			context.fault(tableFaultKinds[step.mode]);
-			fleet.table.planPeriod({
-				kind: step.mode,
-				fromMs: nowMs,
-				untilMs: nowMs + step.lengthMs,
-				extraMs: step.extraMs,
-			});
+			startTableStep(fleet.table, step, context);
 			break;
 		}
 
--- a/src/experiments/soak/scenarios/table-faults.ts
+++ b/src/experiments/soak/scenarios/table-faults.ts
@@ -1,6 +1,10 @@
 import fc from 'fast-check';
-import type {CommitFault, TablePeriod} from '../../fakes/index.js';
-import type {FaultKind} from '../soak-scenario.js';
+import type {
+	CommitFault,
+	FakeTableService,
+	TablePeriod,
+} from '../../fakes/index.js';
+import type {FaultKind, SoakContext} from '../soak-scenario.js';
 
 /** Generator of the faults of one transaction. */
 export const commitFaults = fc.constantFrom(
@@ -29,3 +33,28 @@
 	silent: 'table-down',
 	slow: 'table-slow',
 };
+
+/** A step in which the table service fails for a while. */
+export type TableStep = {
+	readonly mode: TablePeriod['kind'];
+	/** Length of the period, in milliseconds. */
+	readonly lengthMs: number;
+	/** Latency that `slow` adds, in milliseconds. */
+	readonly extraMs: number;
+};
+
+/** Counts a table step as a fault and begins its period now. */
+export function startTableStep(
+	table: FakeTableService,
+	step: TableStep,
+	{time, fault}: SoakContext,
+): void {
+	const fromMs = time.nowMs();
+	fault(tableFaultKinds[step.mode]);
+	table.planPeriod({
+		kind: step.mode,
+		fromMs,
+		untilMs: fromMs + step.lengthMs,
+		extraMs: step.extraMs,
+	});
+}
--- a/src/standins/engine/engine-server.ts
+++ b/src/standins/engine/engine-server.ts
@@ -6,14 +6,15 @@
 } from 'node:http';
 import {
 	type CacheEvent,
-	type FinishReason,
 	prefixHashesOf,
 	promptTokensOf,
 	type TargetOrder,
 } from '../../common/index.js';
 import {readBody, sendJson} from '../http-helpers.js';
 import {createEngineModel, type EngineModelOptions} from './engine-model.js';
-import {outputTokensFor, tokenText} from './token-text.js';
+import {type Generation, type Link, writeLink} from './generation-link.js';
+import {createLoadHistory} from './load-history.js';
+import {outputTokensFor} from './token-text.js';
 
 /** Options of a stand-in engine. */
 export type EngineServerOptions = EngineModelOptions & {
@@ -28,90 +29,17 @@
 
 const maxCacheEvents = 10_000;
 
-type Generation = {
-	readonly id: string;
-	readonly outputTokens: number;
-	readonly finishReason: FinishReason;
-	producedTokens: number;
-	finishedAtMs: number | undefined;
-	linkCount: number;
-	readonly links: Set<Link>;
-};
-
-type Link = {
-	readonly response: ServerResponse;
-	nextPosition: number;
-	blocked: boolean;
-};
-
-type Load = {
-	sequence: number;
-	atMs: number;
-	runningCount: number;
-	waitingCount: number;
-	usedTokens: number;
-	preemptionsTotal: number;
-};
-
 /** Creates the HTTP server of a stand-in engine; the caller makes it listen. */
 export function createEngineServer(options: EngineServerOptions): Server {
 	const model = createEngineModel(options);
 	const generations = new Map<string, Generation>();
 	const models = new Set(options.models);
-	const loads: Load[] = [];
+	const loads = createLoadHistory(options.reportLagMs);
 	const cacheEvents: CacheEvent[] = [];
 	let highestFencingNumber = 0;
 	let leaving = false;
-	let sequence = 0;
 	let stepTimer: NodeJS.Timeout | undefined;
 
-	const writeLink = (generation: Generation, link: Link) => {
-		let text = '';
-		while (link.nextPosition < generation.producedTokens && !link.blocked) {
-			const position = link.nextPosition++;
-			const choice = {text: tokenText(generation.id, position), index: 0};
-			text += `id: ${position}\ndata: ${JSON.stringify({id: generation.id, choices: [choice]})}\n\n`;
-			if (text.length > 16_384) {
-				link.blocked = !link.response.write(text);
-				text = '';
-			}
-		}
-
-		if (
-			generation.finishedAtMs !== undefined &&
-			link.nextPosition >= generation.outputTokens
-		) {
-			const choice = {
-				text: '',
-				index: 0,
-				finish_reason: generation.finishReason,
-			};
-			const usage = {completion_tokens: generation.outputTokens};
-			text += `data: ${JSON.stringify({id: generation.id, choices: [choice], usage})}\n\ndata: [DONE]\n\n`;
-			link.response.end(text);
-			generation.links.delete(link);
-			return;
-		}
-
-		if (text !== '') {
-			link.blocked = !link.response.write(text);
-		}
-	};
-
-	const recordLoad = () => {
-		loads.push({
-			sequence: ++sequence,
-			atMs: performance.now(),
-			runningCount: model.runningCount,
-			waitingCount: model.waitingCount,
-			usedTokens: model.usedTokens,
-			preemptionsTotal: model.preemptionsTotal,
-		});
-		if (loads.length > 1000) {
-			loads.shift();
-		}
-	};
-
 	const step = () => {
 		stepTimer = undefined;
 		if (model.runningCount + model.waitingCount === 0) {
@@ -141,7 +69,7 @@
 
 			cacheEvents.push(...model.takeCacheEvents());
 			cacheEvents.splice(0, cacheEvents.length - maxCacheEvents);
-			recordLoad();
+			loads.record(model, performance.now());
 			step();
 		}, result.durationMs);
 	};
@@ -240,19 +168,9 @@
 	};
 
 	const load = (response: ServerResponse) => {
-		const nowMs = performance.now();
-		const report = loads.findLast(
-			(one) => one.atMs <= nowMs - options.reportLagMs,
-		);
 		sendJson(response, 200, {
-			sequence: report?.sequence ?? 0,
-			// An idle engine records nothing; its last figures still hold as of the lag.
-			ageMs: report ? options.reportLagMs : 0,
-			runningCount: report?.runningCount ?? 0,
-			waitingCount: report?.waitingCount ?? 0,
-			usedTokens: report?.usedTokens ?? 0,
+			...loads.lagged(performance.now()),
 			capacityTokens: options.capacityTokens,
-			preemptionsTotal: report?.preemptionsTotal ?? 0,
 			models: [...models],
 			leaving,
 		});
