--- /dev/null
+++ b/src/adapters/front/caller-listener.ts
@@ -0,0 +1,182 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {
+	type CallerLimits,
+	type HeaderPair,
+	ProblemError,
+	toProblem,
+} from '../../common/index.js';
+import type {CallerReply, ServingSession} from '../../decisions/serving/index.js';
+import {createCallerReply} from './caller-reply.js';
+
+/** What was read of a request. */
+export type ReceivedRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: readonly HeaderPair[];
+	readonly body: Uint8Array | undefined;
+};
+
+/** How callers are served. */
+export type CallerListenerOptions = {
+	readonly limits: () => CallerLimits;
+	readonly isStopping: () => boolean;
+	/** Serves a request that was read whole. */
+	readonly serve: (
+		request: ReceivedRequest,
+		reply: CallerReply,
+	) => ServingSession | undefined;
+	readonly onProblem: (problem: ProblemError) => void;
+};
+
+/** The server towards callers. */
+export type CallerListener = {
+	readonly server: Server;
+	/** Requests without a whole answer. */
+	readonly openCount: number;
+	/** Takes over limits that concern connections. */
+	applyLimits(limits: CallerLimits): void;
+};
+
+const maxParsedHeaderBytes = 65_536;
+const checkIntervalMs = 500;
+/** Callers reuse a connection until close to the idle limit; it stays open a little longer. */
+const idleSlackMs = 1000;
+const headerTooLargeStatus = 431;
+const bodyTooLargeStatus = 413;
+const bytesPerHeaderLine = 4;
+
+function headersOf(request: IncomingMessage): HeaderPair[] {
+	const pairs: HeaderPair[] = [];
+	for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
+		pairs.push([request.rawHeaders[index], request.rawHeaders[index + 1]]);
+	}
+
+	return pairs;
+}
+
+function headerBytes(request: IncomingMessage): number {
+	let size = 0;
+	for (const part of request.rawHeaders) {
+		size += part.length;
+	}
+
+	return size + (request.rawHeaders.length / 2) * bytesPerHeaderLine;
+}
+
+/**
+ * Reads a whole body.
+ * @throws ProblemError `too-large`
+ */
+async function readBody(
+	request: IncomingMessage,
+	maxBytes: number,
+): Promise<Uint8Array | undefined> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > maxBytes) {
+			throw new ProblemError(
+				'too-large',
+				`the body is larger than ${maxBytes} bytes`,
+			);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return size === 0 ? undefined : Buffer.concat(chunks, size);
+}
+
+/** Creates the server towards callers; the owner makes it listen. */
+export function createCallerListener(
+	options: CallerListenerOptions,
+): CallerListener {
+	let openCount = 0;
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		const reply = createCallerReply(response);
+		const limits = options.limits();
+		if (headerBytes(request) > limits.maxHeaderBytes) {
+			response.shouldKeepAlive = false;
+			reply.own(headerTooLargeStatus, 'the headers are too large');
+			return;
+		}
+
+		let body: Uint8Array | undefined;
+		try {
+			body = await readBody(request, limits.maxBodyBytes);
+		} catch (error) {
+			const problem = toProblem(error);
+			if (problem.type === 'too-large') {
+				response.shouldKeepAlive = false;
+				reply.own(bodyTooLargeStatus, problem.detail);
+			} else {
+				// The caller closed its connection before the request was whole.
+				response.destroy();
+			}
+
+			return;
+		}
+
+		if (response.destroyed) {
+			return;
+		}
+
+		const session = options.serve(
+			{
+				method: request.method ?? 'GET',
+				path: request.url ?? '/',
+				headers: headersOf(request),
+				body,
+			},
+			reply,
+		);
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				session?.callerLeft();
+			}
+		});
+	};
+
+	const server = createServer(
+		{
+			maxHeaderSize: maxParsedHeaderBytes,
+			connectionsCheckingInterval: checkIntervalMs,
+			noDelay: true,
+			keepAlive: true,
+			keepAliveInitialDelay: 5000,
+		},
+		(request, response) => {
+			openCount++;
+			response.once('close', () => {
+				openCount--;
+			});
+			if (options.isStopping()) {
+				response.shouldKeepAlive = false;
+			}
+
+			// eslint-disable-next-line promise/prefer-await-to-then
+			handle(request, response).catch((error: unknown) => {
+				options.onProblem(toProblem(error));
+				response.destroy();
+			});
+		},
+	);
+	server.requestTimeout = 0;
+	return {
+		server,
+		get openCount() {
+			return openCount;
+		},
+		applyLimits(limits) {
+			server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
+			server.headersTimeout = limits.headerTimeoutMs;
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/front/datagram-channel.ts
@@ -0,0 +1,49 @@
+import {createSocket} from 'node:dgram';
+import {createEmitter, type Disposable, type Event} from '../../common/index.js';
+
+/** A datagram from a peer. */
+export type Datagram = {
+	/** `address:port` of the sender. */
+	readonly from: string;
+	readonly text: string;
+};
+
+/** Datagrams between VMs. They may be lost. */
+export type DatagramChannel = Disposable & {
+	readonly onDatagram: Event<Datagram>;
+	readonly onError: Event<Error>;
+	/** @param address - `address:port` */
+	send(address: string, text: string): void;
+};
+
+/** Opens a channel on an address and port. */
+export function openDatagramChannel(ip: string, port: number): DatagramChannel {
+	const datagrams = createEmitter<Datagram>();
+	const errors = createEmitter<Error>();
+	const socket = createSocket('udp4');
+	socket.on('message', (message, {address, port: fromPort}) => {
+		datagrams.fire({
+			from: `${address}:${fromPort}`,
+			text: message.toString('utf8'),
+		});
+	});
+	socket.on('error', (error) => {
+		errors.fire(error);
+	});
+	socket.bind(port, ip);
+	return {
+		onDatagram: datagrams.event,
+		onError: errors.event,
+		send(address, text) {
+			const [host, toPort] = address.split(':');
+			socket.send(text, Number(toPort), host, (error) => {
+				if (error) {
+					errors.fire(error);
+				}
+			});
+		},
+		dispose() {
+			socket.close();
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/front/index.ts
@@ -0,0 +1,3 @@
+export * from './caller-listener.js';
+export * from './caller-reply.js';
+export * from './datagram-channel.js';
--- a/src/adapters/system/index.ts
+++ b/src/adapters/system/index.ts
@@ -1,3 +1,4 @@
+export * from './bounded-output.js';
 export * from './logger.js';
 export * from './metrics.js';
 export * from './relay-metrics.js';
--- a/src/adapters/targets/http-engine.ts
+++ b/src/adapters/targets/http-engine.ts
@@ -12,7 +12,7 @@
 	type TargetOrder,
 	toProblem,
 } from '../../common/index.js';
-import {callJson} from '../platform/index.js';
+import {callJson} from '../standalone-platform/index.js';
 import {createEngineEventParser} from './engine-event-parser.js';
 import {linkCountOf, problemOfStatus} from './engine-link-answer.js';
 
--- /dev/null
+++ b/src/common/deployment/index.ts
@@ -0,0 +1,2 @@
+export * from './row-store.js';
+export type * from './types.js';
--- a/src/common/errors/types.ts
+++ b/src/common/errors/types.ts
@@ -25,6 +25,7 @@
 	| 'table-unavailable'
 	| 'table-outcome-unknown'
 	| 'table-corrupt-row'
+	| 'table-history-lost'
 	| 'object-store-unavailable'
 	| 'vm-list-unavailable'
 	| 'weight-store-unavailable'
--- /dev/null
+++ b/src/common/requests/index.ts
@@ -0,0 +1,2 @@
+export * from './target-link.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/common/requests/target-link.ts
@@ -0,0 +1,49 @@
+import type {Disposable} from '../base/index.js';
+import type {
+	AnswerSink,
+	CallerRequest,
+	EngineReport,
+	MoveResult,
+	SendOrders,
+} from './types.js';
+
+/** Connections to targets. */
+export abstract class TargetLink {
+	/**
+	 * Sends a request once. Exactly one of `onEnd` and `onFailure` is called, unless disposed.
+	 * @param address - `address:port` of the target
+	 * @returns disposing it breaks the send off and closes its connection
+	 */
+	abstract send(
+		address: string,
+		request: CallerRequest,
+		orders: SendOrders,
+		sink: AnswerSink,
+	): Disposable;
+
+	/**
+	 * Copies the memory of a run to another engine.
+	 * @param address - engine that runs it
+	 * @param toAddress - engine that receives the copy
+	 * @param final - true to stop the run first; its stream is then closed without its end
+	 */
+	abstract moveMemory(
+		address: string,
+		runId: string,
+		toAddress: string,
+		final: boolean,
+		timeoutMs: number,
+	): Promise<MoveResult>;
+
+	/** Asks an engine for its load. */
+	abstract report(address: string, timeoutMs: number): Promise<EngineReport>;
+
+	/** Opens new connections from now on; requests under way keep theirs. */
+	abstract renew(address: string): void;
+
+	/** Sets the connections that this VM may have to one target. */
+	abstract setMaxConnections(address: string, count: number): void;
+
+	/** Closes the connections to targets that are gone once their requests have ended. */
+	abstract retain(addresses: ReadonlySet<string>): void;
+}
--- /dev/null
+++ b/src/common/requests/types.ts
@@ -0,0 +1,112 @@
+/** A header as it stands on the wire. */
+export type HeaderPair = readonly [name: string, value: string];
+
+/** Part of a prompt that requests may share. */
+export type PromptPart = {
+	readonly id: string;
+	readonly tokens: number;
+};
+
+/** What a request says of the generation that it asks for. */
+export type GenerationDemand = {
+	readonly model: string;
+	readonly promptTokens: number;
+	readonly maxOutputTokens: number;
+	/** In order; the last part belongs to the request or its session alone. */
+	readonly promptParts: readonly PromptPart[];
+	/** The caller's estimate of the output, often far off. */
+	readonly lengthHintTokens: number | undefined;
+};
+
+/** One attempt of a caller, with what concerns only its connection left out. */
+export type CallerRequest = {
+	/** The caller's id of the attempt; unique. */
+	readonly id: string;
+	readonly method: string;
+	/** Path and query as sent. */
+	readonly path: string;
+	readonly host: string;
+	/** Headers that are passed on. */
+	readonly headers: readonly HeaderPair[];
+	readonly body: Uint8Array | undefined;
+	/** Time that the caller waits, in milliseconds. */
+	readonly timeoutMs: number | undefined;
+	readonly apiKey: string | undefined;
+	readonly generation: GenerationDemand | undefined;
+	/** Last event that the caller has, if it continues a stream. */
+	readonly lastEventId: string | undefined;
+};
+
+/** Where the memory of a run lies. */
+export type RunMemory = {
+	/** `address:port` named by the handle. */
+	readonly address: string;
+	readonly handle: string;
+};
+
+/** What this system adds to a request on its way to a target. */
+export type SendOrders = {
+	/** The request is refused by any other target. */
+	readonly expectedTargetId: string;
+	readonly account: string | undefined;
+	/** Time left, in milliseconds. */
+	readonly timeoutMs: number | undefined;
+	/** 0 is the most urgent. */
+	readonly priority: number | undefined;
+	/** Target to which the engine copies the run's memory as it grows, `address:port`. */
+	readonly backupAddress: string | undefined;
+	/** Memory from which the run continues. */
+	readonly continueFrom: RunMemory | undefined;
+	readonly lastEventId: string | undefined;
+};
+
+/** Status and headers of a target's answer. */
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: readonly HeaderPair[];
+	/** Id of the request that the target says it answers. */
+	readonly requestId: string | undefined;
+	/** True if the answer bears the mark of a target. */
+	readonly stamped: boolean;
+	/** True if the target says that it did not run the request. */
+	readonly notExecuted: boolean;
+	/** True if the body is in an encoding that nobody asked for. */
+	readonly encoded: boolean;
+};
+
+/** Why a send has no whole answer. */
+export type SendFailure = {
+	/** True if no byte of the request can have reached the target. */
+	readonly unsent: boolean;
+	readonly reason: string;
+};
+
+/** Receives what becomes of a send. */
+export type AnswerSink = {
+	onHead(head: AnswerHead): void;
+	onData(chunk: Uint8Array): void;
+	/** The answer is whole. */
+	onEnd(): void;
+	onFailure(failure: SendFailure): void;
+};
+
+/** Result of moving the memory of a run. */
+export type MoveResult =
+	| {
+			readonly outcome: 'copied';
+			readonly memory: RunMemory;
+			/** Events that the run had made. */
+			readonly eventCount: number;
+	  }
+	/** The source keeps the memory; `memory` is set if the run was stopped. */
+	| {readonly outcome: 'refused'; readonly memory: RunMemory | undefined}
+	| {readonly outcome: 'unknown-run'}
+	| {readonly outcome: 'failed'; readonly reason: string};
+
+/** Load that an engine reports of itself; some hundred milliseconds old. */
+export type EngineReport = {
+	readonly queuedCount: number;
+	readonly runningCount: number;
+	readonly usedTokens: number;
+	readonly capacityTokens: number;
+};
--- /dev/null
+++ b/src/decisions/serving/admission.ts
@@ -0,0 +1,89 @@
+import type {CallerRequest, RandomSource, RouteRule} from '../../common/index.js';
+import {ownStatus} from './refusals.js';
+import type {RouteTable} from './route-table.js';
+import type {AdmittedRequest} from './session-types.js';
+
+/** What becomes of a request before it is placed. */
+export type Admission =
+	| {readonly admitted: AdmittedRequest}
+	| {
+			readonly status: number;
+			readonly reason: string;
+			/** Time after which the caller may come back, in milliseconds. */
+			readonly retryAfterMs: number | undefined;
+	  };
+
+/** What a request is admitted by. */
+export type AdmissionInputs = {
+	readonly table: RouteTable | undefined;
+	/** Time for which the operator's table could not be read, in milliseconds; 0 if it can. */
+	readonly staleMs: number;
+	readonly nowMs: number;
+	readonly random: RandomSource;
+};
+
+const retryAfterMs = 500;
+/** Age from which an unknown route or key may be one that this VM has not heard of, in milliseconds. */
+const maxCertainStaleMs = 1000;
+
+function drawService(route: RouteRule, random: RandomSource): string {
+	const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+	let left = random.nextUnit() * total;
+	for (const share of route.shares) {
+		left -= share.weight;
+		if (left < 0) {
+			return share.service;
+		}
+	}
+
+	return route.shares.at(-1)?.service ?? '';
+}
+
+/**
+ * Decides whether a request may be served, by the newest configuration that this VM knows. Where that
+ * may be out of date, what it does not know is refused as not run and not as unknown.
+ */
+export function admit(
+	request: CallerRequest,
+	{table, staleMs, nowMs, random}: AdmissionInputs,
+): Admission {
+	const refuse = (status: number, reason: string): Admission => ({
+		status,
+		reason,
+		retryAfterMs: status === ownStatus.notRun ? retryAfterMs : undefined,
+	});
+
+	if (!table) {
+		return refuse(ownStatus.notRun, 'no configuration is known yet');
+	}
+
+	const isUncertain = staleMs > maxCertainStaleMs;
+	const route = table.find(request.host, request.path);
+	if (!route) {
+		return isUncertain
+			? refuse(ownStatus.notRun, 'the configuration may be out of date')
+			: refuse(ownStatus.notFound, 'no route for this host and path');
+	}
+
+	const account = table.accountOf(request.apiKey);
+	const needsKey =
+		table.configuration.accounts !== undefined && !route.anonymous;
+	if (needsKey && !account) {
+		return isUncertain
+			? refuse(ownStatus.notRun, 'the configuration may be out of date')
+			: refuse(ownStatus.unauthorized, 'the API key is not known');
+	}
+
+	const timeoutMs = Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
+	return {
+		admitted: {
+			request,
+			route,
+			service: drawService(route, random),
+			account: account?.name,
+			priority: account?.priority ?? route.priority,
+			arrivedMs: nowMs,
+			deadlineMs: nowMs + timeoutMs,
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/serving/call-session.ts
@@ -0,0 +1,344 @@
+import type {
+	AnswerHead,
+	Clock,
+	Disposable,
+	SendFailure,
+	TargetEntry,
+	TargetLink,
+	Timers,
+} from '../../common/index.js';
+import {ownStatus, refuseNotRun} from './refusals.js';
+import type {RetryShare} from './retry-share.js';
+import type {
+	AdmittedRequest,
+	CallerReply,
+	DecisionLog,
+	ServingSession,
+} from './session-types.js';
+
+/** What calls to plain services work with. */
+export type CallSessionOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly link: TargetLink;
+	readonly retryShare: RetryShare;
+	readonly log: DecisionLog;
+	/** Chooses a target that has not had the request. */
+	readonly choose: (
+		service: string,
+		avoid: ReadonlySet<string>,
+	) => TargetEntry | undefined;
+	/** Counts a send; disposed when it has ended. */
+	readonly opened: (target: TargetEntry) => Disposable;
+	/** A send ended. */
+	readonly ended: (
+		target: TargetEntry,
+		succeeded: boolean,
+		latencyMs: number,
+	) => void;
+	/** The target at the address is another one. */
+	readonly misdirected: (target: TargetEntry) => void;
+};
+
+type Attempt = {
+	readonly target: TargetEntry;
+	readonly startedMs: number;
+	readonly chunks: Uint8Array[];
+	readonly open: Disposable;
+	send: Disposable | undefined;
+	head: AnswerHead | undefined;
+	isOver: boolean;
+};
+
+/** Time without an answer after which an idempotent request goes to a second target as well. */
+const hedgeAfterMs = 250;
+/** A send with less time than this cannot succeed. */
+const minSendMs = 20;
+const retryAfterMs = 300;
+const firstErrorStatus = 500;
+const misdirectedStatus = 421;
+
+function joined(chunks: readonly Uint8Array[]): Uint8Array {
+	const size = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+	const all = new Uint8Array(size);
+	let at = 0;
+	for (const chunk of chunks) {
+		all.set(chunk, at);
+		at += chunk.length;
+	}
+
+	return all;
+}
+
+/**
+ * Serves one call to a plain service. Calls that may not be repeated are sent again only if the
+ * target provably did not run them.
+ */
+export function startCallSession(
+	admitted: AdmittedRequest,
+	reply: CallerReply,
+	options: CallSessionOptions,
+): ServingSession {
+	const {clock, timers, link, retryShare, log} = options;
+	const {request, route, service} = admitted;
+	const isIdempotent = route.kind === 'idempotent';
+	const tried = new Set<string>();
+	const attempts = new Set<Attempt>();
+	let mayHaveRunCount = 0;
+	let isDone = false;
+	let lastFailure: {head: AnswerHead; body: Uint8Array} | undefined;
+	let hedge: Disposable | undefined;
+
+	const leftMs = () => admitted.deadlineMs - clock.nowMs();
+
+	const close = (attempt: Attempt) => {
+		attempt.isOver = true;
+		attempts.delete(attempt);
+		attempt.open.dispose();
+	};
+
+	const finish = (answer: () => void, outcome: string, status?: number) => {
+		if (isDone) {
+			return;
+		}
+
+		isDone = true;
+		hedge?.dispose();
+		timeout.dispose();
+		for (const attempt of [...attempts]) {
+			attempt.send?.dispose();
+			close(attempt);
+		}
+
+		answer();
+		log('call ended', {
+			request: request.id,
+			route: route.name,
+			outcome,
+			status,
+			targetsTried: tried.size,
+			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
+		});
+	};
+
+	const giveUp = (reason: string) => {
+		const failure = lastFailure;
+		if (failure) {
+			finish(
+				() => {
+					reply.whole(failure.head, failure.body);
+				},
+				reason,
+				failure.head.status,
+			);
+		} else if (mayHaveRunCount > 0) {
+			finish(
+				() => {
+					reply.own(ownStatus.outcomeUnknown, reason);
+				},
+				reason,
+				ownStatus.outcomeUnknown,
+			);
+		} else {
+			finish(
+				() => {
+					refuseNotRun(reply, reason, retryAfterMs);
+				},
+				reason,
+				ownStatus.notRun,
+			);
+		}
+	};
+
+	/** Sends the request to a target that has not had it. */
+	const sendOn = (reason: string): boolean => {
+		if (leftMs() < minSendMs) {
+			return false;
+		}
+
+		const isRepeat = tried.size > 0;
+		const target = options.choose(service, tried);
+		if (!target || (isRepeat && !retryShare.tryTake(service))) {
+			return false;
+		}
+
+		tried.add(target.id);
+		const attempt: Attempt = {
+			target,
+			startedMs: clock.nowMs(),
+			chunks: [],
+			open: options.opened(target),
+			send: undefined,
+			head: undefined,
+			isOver: false,
+		};
+		attempts.add(attempt);
+		log('call sent', {
+			request: request.id,
+			route: route.name,
+			target: target.id,
+			reason,
+			leftMs: Math.round(leftMs()),
+		});
+		attempt.send = link.send(
+			target.address,
+			request,
+			{
+				expectedTargetId: target.id,
+				account: admitted.account,
+				timeoutMs: leftMs(),
+				priority: admitted.priority,
+				backupAddress: undefined,
+				continueFrom: undefined,
+				lastEventId: undefined,
+			},
+			{
+				onHead(head) {
+					attempt.head = head;
+				},
+				onData(chunk) {
+					attempt.chunks.push(chunk);
+				},
+				onEnd() {
+					answered(attempt);
+				},
+				onFailure(failure) {
+					failed(attempt, failure);
+				},
+			},
+		);
+		return true;
+	};
+
+	const retryOrGiveUp = (reason: string) => {
+		if (isDone || attempts.size > 0) {
+			return;
+		}
+
+		const mayRepeat =
+			mayHaveRunCount === 0 ||
+			(isIdempotent && mayHaveRunCount < route.maxAttempts);
+		if (!mayRepeat || !sendOn(reason)) {
+			giveUp(reason);
+		}
+	};
+
+	const failed = (attempt: Attempt, failure: SendFailure) => {
+		if (attempt.isOver) {
+			return;
+		}
+
+		close(attempt);
+		options.ended(attempt.target, false, clock.nowMs() - attempt.startedMs);
+		log('call attempt failed', {
+			request: request.id,
+			target: attempt.target.id,
+			unsent: failure.unsent,
+			reason: failure.reason,
+		});
+		if (!failure.unsent) {
+			mayHaveRunCount++;
+		}
+
+		retryOrGiveUp(failure.unsent ? 'target unreachable' : 'answer lost');
+	};
+
+	const answered = (attempt: Attempt) => {
+		const {head, target} = attempt;
+		if (attempt.isOver || !head) {
+			return;
+		}
+
+		const latencyMs = clock.nowMs() - attempt.startedMs;
+		if (head.requestId !== undefined && head.requestId !== request.id) {
+			failed(attempt, {unsent: false, reason: 'answer of another request'});
+			link.renew(target.address);
+			return;
+		}
+
+		close(attempt);
+		if (head.notExecuted || (head.status === misdirectedStatus && !head.stamped)) {
+			if (head.status === misdirectedStatus) {
+				options.misdirected(target);
+			}
+
+			options.ended(target, head.status !== firstErrorStatus, latencyMs);
+			log('call not executed', {
+				request: request.id,
+				target: target.id,
+				status: head.status,
+			});
+			retryOrGiveUp('target refused');
+			return;
+		}
+
+		const isSuccess = head.status < firstErrorStatus;
+		const isWhole = head.stamped && !head.encoded;
+		options.ended(target, isSuccess && isWhole, latencyMs);
+		mayHaveRunCount++;
+		if (!isWhole || isPromise(head.status)) {
+			retryOrGiveUp('answer without proof');
+			return;
+		}
+
+		const body = joined(attempt.chunks);
+		if (isSuccess) {
+			finish(
+				() => {
+					reply.whole(head, body);
+				},
+				'answered',
+				head.status,
+			);
+			return;
+		}
+
+		lastFailure = {head, body};
+		retryOrGiveUp('target failed');
+	};
+
+	const timeout = timers.after(leftMs(), () => {
+		if (mayHaveRunCount > 0 || attempts.size > 0) {
+			finish(
+				() => {
+					reply.own(ownStatus.timedOut, 'no answer in time');
+				},
+				'timed out',
+				ownStatus.timedOut,
+			);
+		} else {
+			giveUp('no target in time');
+		}
+	});
+
+	if (isIdempotent && route.maxAttempts > 1) {
+		hedge = timers.after(hedgeAfterMs, () => {
+			if (!isDone && attempts.size === 1 && mayHaveRunCount === 0) {
+				sendOn('first target is slow');
+			}
+		});
+	}
+
+	retryShare.noteRequest(service);
+	if (!sendOn('first send')) {
+		giveUp('no target of the service is usable');
+	}
+
+	return {
+		callerLeft() {
+			if (isIdempotent || attempts.size === 0) {
+				finish(
+					() => {
+						reply.abort();
+					},
+					'caller left',
+				);
+			}
+		},
+	};
+}
+
+/** Statuses that promise a caller that its request has not run. */
+function isPromise(status: number): boolean {
+	return status === 408 || status === 421 || status === 429 || status === 503;
+}
--- /dev/null
+++ b/src/decisions/serving/index.ts
@@ -0,0 +1,16 @@
+export * from './call-session.js';
+export * from './configuration-state.js';
+export * from './engine-placement.js';
+export * from './event-splitter.js';
+export * from './refusals.js';
+export * from './retry-share.js';
+export * from './route-table.js';
+export * from './service-placement.js';
+export type * from './session-types.js';
+export * from './stream-session.js';
+export * from './table-follower.js';
+export * from './target-directory.js';
+export * from './target-load.js';
+export * from './load-digest.js';
+export * from './peer-list.js';
+export * from './admission.js';
--- /dev/null
+++ b/src/decisions/serving/load-digest.ts
@@ -0,0 +1,73 @@
+import {z} from 'zod';
+import type {LoadShare} from './target-load.js';
+
+/** What a VM tells its peers of its load. */
+export type LoadDigest = {
+	readonly vm: string;
+	/** Tells two lives of a VM apart. */
+	readonly instanceId: string;
+	readonly sequence: number;
+	/** Version of the configuration in force there; 0 if none is. */
+	readonly configurationVersion: number;
+	readonly shares: ReadonlyMap<string, LoadShare>;
+};
+
+const digestSchema = z.object({
+	v: z.string(),
+	i: z.string(),
+	s: z.number(),
+	c: z.number(),
+	t: z.array(
+		z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]),
+	),
+});
+
+/** Encodes a digest for a datagram. */
+export function encodeDigest(digest: LoadDigest): string {
+	return JSON.stringify({
+		v: digest.vm,
+		i: digest.instanceId,
+		s: digest.sequence,
+		c: digest.configurationVersion,
+		t: [...digest.shares].map(([id, share]) => [
+			id,
+			share.openCount,
+			Math.round(share.memoryTokens),
+			Math.round(share.pendingPromptTokens),
+			Math.round(share.growthTokens),
+		]),
+	});
+}
+
+/** @returns undefined if the datagram is not a digest */
+export function decodeDigest(text: string): LoadDigest | undefined {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+
+	const {success, data} = digestSchema.safeParse(value);
+	if (!success) {
+		return undefined;
+	}
+
+	return {
+		vm: data.v,
+		instanceId: data.i,
+		sequence: data.s,
+		configurationVersion: data.c,
+		shares: new Map(
+			data.t.map(([id, openCount, memory, pending, growth]) => [
+				id,
+				{
+					openCount,
+					memoryTokens: memory,
+					pendingPromptTokens: pending,
+					growthTokens: growth,
+				},
+			]),
+		),
+	};
+}
--- /dev/null
+++ b/src/decisions/serving/session-types.ts
@@ -0,0 +1,52 @@
+import type {
+	AnswerHead,
+	CallerRequest,
+	HeaderPair,
+	RouteRule,
+} from '../../common/index.js';
+
+/** An attempt of a caller that was admitted to a route. */
+export type AdmittedRequest = {
+	readonly request: CallerRequest;
+	readonly route: RouteRule;
+	/** The share of the route that was drawn for it. */
+	readonly service: string;
+	readonly account: string | undefined;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Monotonic time of its arrival, in milliseconds. */
+	readonly arrivedMs: number;
+	/** Monotonic time at which its final answer is due, in milliseconds. */
+	readonly deadlineMs: number;
+};
+
+/** Way back to the caller. */
+export type CallerReply = {
+	/** True once the status and headers were sent. */
+	readonly hasHead: boolean;
+	/** Sends status and headers of a target's answer, to be followed by data. */
+	begin(head: AnswerHead): void;
+	data(bytes: Uint8Array): void;
+	/** Ends an answer whole. */
+	end(): void;
+	/** Sends a whole answer of a target. */
+	whole(head: AnswerHead, body: Uint8Array): void;
+	/** Sends an answer of this system. */
+	own(status: number, message: string, headers?: readonly HeaderPair[]): void;
+	/** Closes the connection, so that the answer does not look whole. */
+	abort(): void;
+};
+
+/** A request under way. */
+export type ServingSession = {
+	/** The caller has closed its connection. */
+	callerLeft(): void;
+};
+
+/** Values of a decision, as they are logged. */
+export type DecisionRecord = Readonly<
+	Record<string, string | number | boolean | undefined>
+>;
+
+/** Receives each decision that touches a request. */
+export type DecisionLog = (event: string, record: DecisionRecord) => void;
--- /dev/null
+++ b/src/decisions/serving/stream-session.ts
@@ -0,0 +1,621 @@
+import type {
+	AnswerHead,
+	Clock,
+	Disposable,
+	RunMemory,
+	SendFailure,
+	TargetEntry,
+	TargetLink,
+	Timers,
+} from '../../common/index.js';
+import {createEventSplitter, type EventSplitter} from './event-splitter.js';
+import {ownStatus, refuseNotRun} from './refusals.js';
+import type {RetryShare} from './retry-share.js';
+import type {
+	AdmittedRequest,
+	CallerReply,
+	DecisionLog,
+	ServingSession,
+} from './session-types.js';
+
+/** Where a run goes, and where a copy of its memory is kept. */
+export type StreamPlacement = {
+	readonly target: TargetEntry;
+	readonly backup: TargetEntry | undefined;
+	readonly firstTokenMs: number;
+};
+
+/** A run as others see it. */
+export type StreamRun = {
+	readonly admitted: AdmittedRequest;
+	readonly target: TargetEntry;
+	readonly backup: TargetEntry | undefined;
+	readonly eventCount: number;
+};
+
+/** Counts what a run holds at its engine. */
+export type RunAccount = Disposable & {
+	/** Another event has arrived. */
+	progressed(eventCount: number): void;
+};
+
+/** What streams work with. */
+export type StreamSessionOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly link: TargetLink;
+	readonly retryShare: RetryShare;
+	readonly log: DecisionLog;
+	/** Chooses an engine that is not to be avoided. */
+	readonly place: (
+		admitted: AdmittedRequest,
+		avoid: ReadonlySet<string>,
+	) => StreamPlacement | undefined;
+	/** Chooses a backup for a run that goes on at a target. */
+	readonly placeBackup: (
+		admitted: AdmittedRequest,
+		targetId: string,
+	) => TargetEntry | undefined;
+	/** True while a target may get requests. */
+	readonly isUsable: (targetId: string) => boolean;
+	readonly opened: (run: StreamRun) => RunAccount;
+	readonly ended: (
+		target: TargetEntry,
+		succeeded: boolean,
+		latencyMs: number,
+	) => void;
+	readonly misdirected: (target: TargetEntry) => void;
+	/** The answer is whole. */
+	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
+};
+
+/** A stream under way. */
+export type StreamSession = ServingSession & {
+	readonly run: StreamRun | undefined;
+	/** The engine is about to leave. */
+	engineLeaving(targetId: string): void;
+	/** Checks for silence; called regularly. */
+	tick(): void;
+};
+
+type Send = {
+	readonly placement: StreamPlacement;
+	readonly startedMs: number;
+	readonly splitter: EventSplitter;
+	readonly chunks: Uint8Array[];
+	readonly account: RunAccount;
+	/** True if the send continues a run. */
+	readonly continues: boolean;
+	handle: Disposable | undefined;
+	head: AnswerHead | undefined;
+	isOver: boolean;
+	/** True from the final part of a move on: the end of the stream is expected. */
+	isStopping: boolean;
+};
+
+/** Pause between events after which a run with a copy elsewhere is continued there, in milliseconds. */
+const silenceMs = 900;
+/** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
+const firstEventSilenceMs = 4000;
+const moveTimeoutMs = 1500;
+const retryAfterMs = 400;
+const minSendMs = 50;
+const misdirectedStatus = 421;
+const okStatus = 200;
+const maxMoves = 2;
+
+function isPromise(status: number): boolean {
+	return status === 408 || status === 421 || status === 429 || status === 503;
+}
+
+/**
+ * Serves one stream. A run is started once. It goes on at another engine only from a copy of its
+ * memory, after the send before has been broken off, and events that the caller has are left out.
+ */
+export function startStreamSession(
+	admitted: AdmittedRequest,
+	reply: CallerReply,
+	options: StreamSessionOptions,
+): StreamSession {
+	const {clock, timers, link, retryShare, log} = options;
+	const {request, route, service} = admitted;
+	const avoid = new Set<string>();
+	let send: Send | undefined;
+	let isDone = false;
+	let mayHaveRun = false;
+	let lastEventId: number | undefined;
+	let eventCount = 0;
+	let lastProgressMs = clock.nowMs();
+	let moves = 0;
+
+	const leftMs = () => admitted.deadlineMs - clock.nowMs();
+
+	const closeSend = () => {
+		if (send && !send.isOver) {
+			send.isOver = true;
+			send.handle?.dispose();
+			send.account.dispose();
+		}
+
+		send = undefined;
+	};
+
+	const finish = (
+		answer: () => void,
+		outcome: string,
+		status: number | undefined,
+	) => {
+		if (isDone) {
+			return;
+		}
+
+		isDone = true;
+		timeout.dispose();
+		const target = send?.placement.target.id;
+		closeSend();
+		answer();
+		log('stream ended', {
+			request: request.id,
+			route: route.name,
+			outcome,
+			status,
+			target,
+			events: eventCount,
+			moves,
+			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
+		});
+	};
+
+	const giveUp = (reason: string) => {
+		if (reply.hasHead) {
+			finish(
+				() => {
+					reply.abort();
+				},
+				reason,
+				undefined,
+			);
+		} else if (mayHaveRun) {
+			finish(
+				() => {
+					reply.own(ownStatus.outcomeUnknown, reason);
+				},
+				reason,
+				ownStatus.outcomeUnknown,
+			);
+		} else {
+			finish(
+				() => {
+					refuseNotRun(reply, reason, retryAfterMs);
+				},
+				reason,
+				ownStatus.notRun,
+			);
+		}
+	};
+
+	const dispatch = (
+		placement: StreamPlacement,
+		continueFrom: RunMemory | undefined,
+		reason: string,
+	) => {
+		const current: Send = {
+			placement,
+			startedMs: clock.nowMs(),
+			splitter: createEventSplitter(),
+			chunks: [],
+			account: options.opened({
+				admitted,
+				target: placement.target,
+				backup: placement.backup,
+				eventCount,
+			}),
+			continues: continueFrom !== undefined,
+			handle: undefined,
+			head: undefined,
+			isOver: false,
+			isStopping: false,
+		};
+		send = current;
+		lastProgressMs = clock.nowMs();
+		log('stream sent', {
+			request: request.id,
+			route: route.name,
+			target: placement.target.id,
+			backup: placement.backup?.id,
+			continuesAt: continueFrom ? lastEventId : undefined,
+			expectedFirstTokenMs: Math.round(placement.firstTokenMs),
+			reason,
+			leftMs: Math.round(leftMs()),
+		});
+		const callerEventId = route.resumable ? request.lastEventId : undefined;
+		current.handle = link.send(
+			placement.target.address,
+			request,
+			{
+				expectedTargetId: placement.target.id,
+				account: admitted.account,
+				timeoutMs: leftMs(),
+				priority: admitted.priority,
+				backupAddress: placement.backup?.address,
+				continueFrom,
+				lastEventId: lastEventId === undefined ? callerEventId : String(lastEventId),
+			},
+			{
+				onHead(head) {
+					current.head = head;
+				},
+				onData(chunk) {
+					received(current, chunk);
+				},
+				onEnd() {
+					ended(current);
+				},
+				onFailure(failure) {
+					failed(current, failure);
+				},
+			},
+		);
+	};
+
+	/** Starts the run at an engine that has not refused it. */
+	const start = (reason: string) => {
+		const isRepeat = avoid.size > 0;
+		const placement = options.place(admitted, avoid);
+		if (!placement) {
+			giveUp('no engine of the service is usable');
+		} else if (isRepeat && !retryShare.tryTake(service)) {
+			giveUp('the retry budget is used up');
+		} else {
+			dispatch(placement, undefined, reason);
+		}
+	};
+
+	/** Continues the run where the copy of its memory lies. */
+	const continueAt = (
+		target: TargetEntry | undefined,
+		memory: RunMemory | undefined,
+		reason: string,
+	): boolean => {
+		if (!target || !memory || isDone || leftMs() < minSendMs) {
+			return false;
+		}
+
+		if (!retryShare.tryTake(service)) {
+			log('continuation denied', {request: request.id, reason: 'retry budget'});
+			return false;
+		}
+
+		closeSend();
+		moves++;
+		dispatch(
+			{
+				target,
+				backup: options.placeBackup(admitted, target.id),
+				firstTokenMs: 0,
+			},
+			memory,
+			reason,
+		);
+		return true;
+	};
+
+	const continueAtBackup = (lost: Send, reason: string): boolean => {
+		const {backup} = lost.placement;
+		return continueAt(
+			backup,
+			backup && {address: backup.address, handle: request.id},
+			reason,
+		);
+	};
+
+	const isForeign = (head: AnswerHead) =>
+		head.requestId !== undefined && head.requestId !== request.id;
+
+	const isEventStream = (head: AnswerHead) =>
+		head.status === okStatus && head.stamped && !head.encoded;
+
+	const received = (current: Send, chunk: Uint8Array) => {
+		const {head} = current;
+		if (current.isOver || !head) {
+			return;
+		}
+
+		if (isForeign(head)) {
+			link.renew(current.placement.target.address);
+			failed(current, {unsent: false, reason: 'answer of another request'});
+			return;
+		}
+
+		if (!isEventStream(head)) {
+			current.chunks.push(chunk);
+			return;
+		}
+
+		for (const event of current.splitter.push(chunk)) {
+			if (isDone || current.isOver) {
+				return;
+			}
+
+			forward(current, head, event.id, event.bytes);
+		}
+	};
+
+	const forward = (
+		current: Send,
+		head: AnswerHead,
+		id: number | undefined,
+		bytes: Uint8Array,
+	) => {
+		mayHaveRun = true;
+		lastProgressMs = clock.nowMs();
+		if (id !== undefined && lastEventId !== undefined) {
+			if (id <= lastEventId) {
+				return;
+			}
+
+			if (id > lastEventId + 1) {
+				failed(current, {
+					unsent: false,
+					reason: `event ${id} follows event ${lastEventId}`,
+				});
+				return;
+			}
+		}
+
+		if (id !== undefined) {
+			lastEventId = id;
+		}
+
+		if (!reply.hasHead) {
+			reply.begin(head);
+			options.ended(
+				current.placement.target,
+				true,
+				clock.nowMs() - current.startedMs,
+			);
+		}
+
+		eventCount++;
+		reply.data(bytes);
+		current.account.progressed(eventCount);
+	};
+
+	const failed = (current: Send, failure: SendFailure) => {
+		if (current.isOver || isDone) {
+			return;
+		}
+
+		const {target} = current.placement;
+		if (current.isStopping) {
+			// The move closes the stream; its answer tells how to go on.
+			return;
+		}
+
+		log('stream attempt failed', {
+			request: request.id,
+			target: target.id,
+			unsent: failure.unsent,
+			reason: failure.reason,
+			events: eventCount,
+			silentMs: Math.round(clock.nowMs() - lastProgressMs),
+		});
+		options.ended(target, false, clock.nowMs() - current.startedMs);
+		avoid.add(target.id);
+		closeSend();
+		if (failure.unsent && !current.continues) {
+			start('target unreachable');
+			return;
+		}
+
+		mayHaveRun = true;
+		if (!continueAtBackup(current, 'run lost')) {
+			giveUp('the run was lost');
+		}
+	};
+
+	const ended = (current: Send) => {
+		const {head, placement} = current;
+		if (current.isOver || isDone || !head) {
+			return;
+		}
+
+		if (isForeign(head)) {
+			link.renew(placement.target.address);
+			failed(current, {unsent: false, reason: 'answer of another request'});
+			return;
+		}
+
+		if (isEventStream(head)) {
+			if (current.isStopping) {
+				return;
+			}
+
+			if (current.splitter.hasRest || eventCount === 0) {
+				failed(current, {unsent: false, reason: 'ended inside an event'});
+				return;
+			}
+
+			options.finished(admitted, eventCount);
+			finish(
+				() => {
+					reply.end();
+				},
+				'answered',
+				head.status,
+			);
+			return;
+		}
+
+		refusedOrFailed(current, head);
+	};
+
+	const refusedOrFailed = (current: Send, head: AnswerHead) => {
+		const {target} = current.placement;
+		const refused = head.notExecuted || head.status === misdirectedStatus;
+		options.ended(target, refused, clock.nowMs() - current.startedMs);
+		avoid.add(target.id);
+		log('stream not served', {
+			request: request.id,
+			target: target.id,
+			status: head.status,
+			notExecuted: refused,
+			continuesAt: current.continues ? lastEventId : undefined,
+		});
+		closeSend();
+		if (head.status === misdirectedStatus) {
+			options.misdirected(target);
+		}
+
+		if (refused && !current.continues) {
+			start('engine refused');
+			return;
+		}
+
+		mayHaveRun = true;
+		if (reply.hasHead || !head.stamped || isPromise(head.status)) {
+			giveUp('the run could not be continued');
+			return;
+		}
+
+		const body = current.chunks[0] ?? new Uint8Array();
+		finish(
+			() => {
+				reply.whole(head, body);
+			},
+			'target failed',
+			head.status,
+		);
+	};
+
+	/** Moves the run away from an engine that leaves. */
+	const move = async (current: Send) => {
+		const {target} = current.placement;
+		const placement = options.place(admitted, new Set([...avoid, target.id]));
+		if (!placement) {
+			log('move impossible', {request: request.id, target: target.id});
+			return;
+		}
+
+		const to = placement.target;
+		const copy = async (final: boolean) =>
+			link.moveMemory(
+				target.address,
+				request.id,
+				to.address,
+				final,
+				moveTimeoutMs,
+			);
+		const first = await copy(false);
+		log('move started', {
+			request: request.id,
+			target: target.id,
+			to: to.id,
+			outcome: first.outcome,
+			events: eventCount,
+		});
+		if (first.outcome !== 'copied' || current.isOver || isDone) {
+			return;
+		}
+
+		current.isStopping = true;
+		const last = await copy(true);
+		log('move finished', {
+			request: request.id,
+			target: target.id,
+			to: to.id,
+			outcome: last.outcome,
+			events: eventCount,
+		});
+		if (current.isOver || isDone) {
+			return;
+		}
+
+		const isCopied = last.outcome === 'copied';
+		const keeper = isCopied ? to : target;
+		const memory =
+			isCopied || last.outcome === 'refused' ? last.memory : undefined;
+		if (continueAt(keeper, memory, 'engine leaves')) {
+			return;
+		}
+
+		current.isStopping = false;
+		failed(current, {unsent: false, reason: 'the move failed'});
+	};
+
+	const timeout = timers.after(leftMs(), () => {
+		if (reply.hasHead) {
+			giveUp('timed out');
+		} else if (send || mayHaveRun) {
+			finish(
+				() => {
+					reply.own(ownStatus.timedOut, 'no answer in time');
+				},
+				'timed out',
+				ownStatus.timedOut,
+			);
+		} else {
+			giveUp('no engine in time');
+		}
+	});
+
+	retryShare.noteRequest(service);
+	start('first send');
+
+	return {
+		get run() {
+			return send
+				? {
+						admitted,
+						target: send.placement.target,
+						backup: send.placement.backup,
+						eventCount,
+					}
+				: undefined;
+		},
+		callerLeft() {
+			finish(
+				() => {
+					reply.abort();
+				},
+				'caller left',
+				undefined,
+			);
+		},
+		engineLeaving(targetId) {
+			const current = send;
+			if (
+				!current ||
+				current.isOver ||
+				current.isStopping ||
+				current.placement.target.id !== targetId ||
+				moves >= maxMoves + 6
+			) {
+				return;
+			}
+
+			const {backup} = current.placement;
+			if (backup && options.isUsable(backup.id)) {
+				return;
+			}
+
+			void move(current);
+		},
+		tick() {
+			const current = send;
+			if (!current || current.isOver || current.isStopping) {
+				return;
+			}
+
+			const limitMs = eventCount > 0 ? silenceMs : firstEventSilenceMs;
+			const {backup} = current.placement;
+			if (
+				clock.nowMs() - lastProgressMs > limitMs &&
+				backup &&
+				options.isUsable(backup.id)
+			) {
+				failed(current, {unsent: false, reason: 'the engine is silent'});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/answer-head.ts
@@ -0,0 +1,19 @@
+import type {AnswerHead, HeaderPair} from '../common/index.js';
+import {headerNames} from './names.js';
+import {endToEndHeaders, indexHeaders} from './request-headers.js';
+
+/** Decodes the status and headers of a target's answer. */
+export function decodeAnswerHead(
+	status: number,
+	headers: readonly HeaderPair[],
+): AnswerHead {
+	const index = indexHeaders(headers);
+	return {
+		status,
+		headers: endToEndHeaders(headers),
+		requestId: index.get(headerNames.requestId.toLowerCase()),
+		stamped: index.has(headerNames.stamp.toLowerCase()),
+		notExecuted: index.has(headerNames.notExecuted.toLowerCase()),
+		encoded: (index.get('content-encoding') ?? 'identity') !== 'identity',
+	};
+}
--- /dev/null
+++ b/src/platform/boot-file.ts
@@ -0,0 +1,70 @@
+import {z} from 'zod';
+import type {VmSettings} from '../common/index.js';
+import {decode, parseJson} from './decode.js';
+
+const address = z.string().regex(/^\d+(\.\d+){3}:\d{1,5}$/);
+const positive = z.number().positive();
+const notNegative = z.number().nonnegative();
+const port = z.number().int().min(1).max(65_535);
+const millisecondsPerSecond = 1000;
+
+const bootSchema = z.object({
+	node: z.string().min(1),
+	ip: z.string().min(1),
+	zone: z.string().min(1),
+	region: z.string(),
+	listen: z.object({front: address, ready: address}),
+	port_range: z.tuple([port, port]),
+	heartbeat_ms: positive,
+	limits: z.object({memory_mb: positive, max_fds: positive}),
+	bounds: z.object({
+		drain_ms: positive,
+		grace_s: positive,
+		config_apply_ms: positive,
+		retry_budget_ratio: notNegative,
+		retry_budget_extra: notNegative,
+		budget_window_s: positive,
+		reuse_after_s: notNegative,
+	}),
+	platform: z.object({address}),
+});
+
+/**
+ * Decodes the boot file of a VM. Fields that are not known are ignored.
+ * @param text - content of the file
+ * @throws ProblemError `invalid-setting` that names the field
+ */
+export function decodeBootFile(text: string): VmSettings {
+	const what = 'the boot file';
+	const boot = decode(
+		bootSchema,
+		parseJson(text, what, 'invalid-setting'),
+		what,
+		'invalid-setting',
+	);
+	const {bounds} = boot;
+	return {
+		name: boot.node,
+		availabilityZone: boot.zone,
+		region: boot.region,
+		callerAddress: boot.listen.front,
+		readyAddress: boot.listen.ready,
+		ip: boot.ip,
+		peerPorts: boot.port_range,
+		storeAddress: boot.platform.address,
+		heartbeatMs: boot.heartbeat_ms,
+		limits: {
+			memoryMb: boot.limits.memory_mb,
+			maxDescriptors: boot.limits.max_fds,
+		},
+		bounds: {
+			drainMs: bounds.drain_ms,
+			stopGraceMs: bounds.grace_s * millisecondsPerSecond,
+			configurationApplyMs: bounds.config_apply_ms,
+			retryRatio: bounds.retry_budget_ratio,
+			retryExtra: bounds.retry_budget_extra,
+			retryWindowMs: bounds.budget_window_s * millisecondsPerSecond,
+			addressReuseMs: bounds.reuse_after_s * millisecondsPerSecond,
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/configuration.ts
@@ -0,0 +1,127 @@
+import {z} from 'zod';
+import type {
+	DeploymentConfiguration,
+	RouteKind,
+	RouteRule,
+	ServiceRule,
+} from '../common/index.js';
+import {decode, parseJson} from './decode.js';
+
+const routeSchema = z.object({
+	name: z.string(),
+	hostname: z.string(),
+	prefix: z.string(),
+	kind: z.string(),
+	timeout_ms: z.number().positive(),
+	target_latency_ms: z.number().positive().optional(),
+	target_gap_ms: z.number().positive().optional(),
+	priority: z.number().optional(),
+	max_attempts: z.number().optional(),
+	allow_anonymous: z.boolean().optional(),
+	sticky: z.boolean().optional(),
+	resumable: z.boolean().optional(),
+	service: z.string().optional(),
+	traffic_split: z
+		.array(z.object({service: z.string(), weight: z.number().nonnegative()}))
+		.optional(),
+});
+
+const serviceSchema = z.object({
+	name: z.string(),
+	max_conns: z.number().positive().optional(),
+});
+
+const configurationSchema = z.object({
+	version: z.number(),
+	routes: z.array(routeSchema),
+	services: z.array(serviceSchema).optional(),
+	tenants: z
+		.array(
+			z.object({
+				name: z.string(),
+				api_keys: z.array(z.string()),
+				priority: z.number().optional(),
+			}),
+		)
+		.optional(),
+	limits: z
+		.object({
+			max_header_bytes: z.number().positive().optional(),
+			max_body_bytes: z.number().positive().optional(),
+			header_timeout_ms: z.number().positive().optional(),
+			idle_timeout_ms: z.number().positive().optional(),
+		})
+		.optional(),
+});
+
+const kinds: Readonly<Record<string, RouteKind>> = {
+	idempotent: 'idempotent',
+	non_idempotent: 'non-idempotent',
+	stream: 'stream',
+};
+
+const defaultLimits = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 4_194_304,
+	headerTimeoutMs: 10_000,
+	idleTimeoutMs: 60_000,
+};
+
+function decodeRoute(route: z.infer<typeof routeSchema>): RouteRule {
+	const shares =
+		route.traffic_split ??
+		(route.service === undefined ? [] : [{service: route.service, weight: 1}]);
+	return {
+		name: route.name,
+		host: route.hostname.toLowerCase(),
+		pathPrefix: route.prefix,
+		// A kind that is not known is never repeated.
+		kind: kinds[route.kind] ?? 'non-idempotent',
+		timeoutMs: route.timeout_ms,
+		objectiveMs: route.target_latency_ms ?? route.timeout_ms,
+		maxEventGapMs: route.target_gap_ms,
+		maxAttempts: Math.max(1, route.max_attempts ?? 1),
+		priority: route.priority ?? 0,
+		anonymous: route.allow_anonymous ?? false,
+		resumable: route.resumable ?? false,
+		generation: route.kind === 'stream',
+		shares,
+	};
+}
+
+/**
+ * Decodes a version of the operator's configuration.
+ * @throws ProblemError `invalid-configuration` that names the field
+ */
+export function decodeConfiguration(text: string): DeploymentConfiguration {
+	const what = 'the configuration';
+	const problem = 'invalid-configuration';
+	const raw = decode(
+		configurationSchema,
+		parseJson(text, what, problem),
+		what,
+		problem,
+	);
+	const services = (raw.services ?? []).map((service): ServiceRule => ({
+		name: service.name,
+		maxConnections: service.max_conns,
+	}));
+	return {
+		version: raw.version,
+		routes: raw.routes.map((route) => decodeRoute(route)),
+		services: new Map(services.map((service) => [service.name, service])),
+		accounts: raw.tenants?.map((account) => ({
+			name: account.name,
+			apiKeys: account.api_keys,
+			priority: account.priority,
+		})),
+		limits: {
+			maxHeaderBytes:
+				raw.limits?.max_header_bytes ?? defaultLimits.maxHeaderBytes,
+			maxBodyBytes: raw.limits?.max_body_bytes ?? defaultLimits.maxBodyBytes,
+			headerTimeoutMs:
+				raw.limits?.header_timeout_ms ?? defaultLimits.headerTimeoutMs,
+			idleTimeoutMs: raw.limits?.idle_timeout_ms ?? defaultLimits.idleTimeoutMs,
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/decode.ts
@@ -0,0 +1,45 @@
+import {z} from 'zod';
+import {ProblemError, type ProblemType} from '../common/index.js';
+
+/**
+ * Checks a value against a schema.
+ * @param what - what the value is, for the message
+ * @throws ProblemError of the given type that names the first bad field
+ */
+export function decode<T>(
+	schema: z.ZodType<T>,
+	value: unknown,
+	what: string,
+	problem: ProblemType,
+): T {
+	const result = schema.safeParse(value);
+	if (result.success) {
+		return result.data;
+	}
+
+	const [issue] = result.error.issues;
+	const field = issue.path.join('.');
+	throw new ProblemError(
+		problem,
+		`${what}: field "${field}" is invalid: ${issue.message}`,
+		{field},
+	);
+}
+
+/**
+ * Parses JSON.
+ * @throws ProblemError of the given type
+ */
+export function parseJson(
+	text: string,
+	what: string,
+	problem: ProblemType,
+): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch (error) {
+		throw new ProblemError(problem, `${what} is not JSON`, {
+			cause: error as Error,
+		});
+	}
+}
--- /dev/null
+++ b/src/platform/http-target-link.ts
@@ -0,0 +1,254 @@
+import {Pool} from 'undici';
+import {z} from 'zod';
+import {
+	type AnswerSink,
+	type CallerRequest,
+	type Disposable,
+	type EngineReport,
+	type MoveResult,
+	ProblemError,
+	type SendOrders,
+	TargetLink,
+} from '../common/index.js';
+import {decodeAnswerHead} from './answer-head.js';
+import {decode, parseJson} from './decode.js';
+import {targetCalls} from './names.js';
+import {encodeRequestHeaders, headerPairs} from './request-headers.js';
+
+const connectTimeoutMs = 800;
+/** Idle connections without a hint of the target are closed after this time, in milliseconds. */
+const idleTimeoutMs = 4000;
+const defaultMaxConnections = 16;
+
+const reportSchema = z.object({
+	queued: z.number(),
+	running: z.number(),
+	kv_used: z.number(),
+	kv_total: z.number(),
+});
+const movedSchema = z.object({
+	handle: z.string().optional(),
+	created: z.number().optional(),
+});
+
+type RawHeaders = {readonly rawHeaders?: readonly Buffer[]};
+
+function rawPairs(controller: unknown, fallback: Record<string, unknown>) {
+	const raw = (controller as RawHeaders).rawHeaders;
+	if (raw) {
+		return headerPairs(raw.map((part) => part.toString('latin1')));
+	}
+
+	return Object.entries(fallback).flatMap(([name, value]) =>
+		(Array.isArray(value) ? value : [value]).map(
+			(one) => [name, String(one)] as const,
+		),
+	);
+}
+
+/** Connections to targets over HTTP/1.1, one request at a time on each. */
+export class HttpTargetLink extends TargetLink {
+	private readonly pools = new Map<string, Pool>();
+	private readonly maxConnections = new Map<string, number>();
+
+	override send(
+		address: string,
+		request: CallerRequest,
+		orders: SendOrders,
+		sink: AnswerSink,
+	): Disposable {
+		let settled = false;
+		let started = false;
+		let abort: ((reason: Error) => void) | undefined;
+		const settle = (run: () => void) => {
+			if (!settled) {
+				settled = true;
+				run();
+			}
+		};
+
+		const breakOff = () => {
+			abort?.(new ProblemError('target-failed', 'the send was broken off'));
+		};
+
+		this.poolOf(address).dispatch(
+			{
+				path: request.path,
+				method: request.method as 'GET',
+				headers: encodeRequestHeaders(request, orders),
+				body: request.body,
+				headersTimeout: 0,
+				bodyTimeout: 0,
+			},
+			{
+				onRequestStart(controller) {
+					if (settled) {
+						controller.abort(new Error('the send was broken off'));
+						return;
+					}
+
+					started = true;
+					abort = (reason) => {
+						controller.abort(reason);
+					};
+				},
+				onResponseStart(controller, status, headers) {
+					if (!settled && status >= 200) {
+						sink.onHead(
+							decodeAnswerHead(status, rawPairs(controller, headers)),
+						);
+					}
+				},
+				onResponseData(_controller, chunk) {
+					if (!settled) {
+						sink.onData(chunk);
+					}
+				},
+				onResponseEnd() {
+					settle(() => {
+						sink.onEnd();
+					});
+				},
+				onResponseError(_controller, error) {
+					settle(() => {
+						sink.onFailure({unsent: !started, reason: error.message});
+					});
+				},
+			},
+		);
+		return {
+			dispose() {
+				settle(breakOff);
+			},
+		};
+	}
+
+	override async moveMemory(
+		address: string,
+		runId: string,
+		toAddress: string,
+		final: boolean,
+		timeoutMs: number,
+	): Promise<MoveResult> {
+		const body = JSON.stringify({id: runId, to: toAddress, last: final});
+		try {
+			const {status, text} = await this.call(
+				address,
+				'POST',
+				targetCalls.moveMemory,
+				body,
+				timeoutMs,
+			);
+			if (status === 404) {
+				return {outcome: 'unknown-run'};
+			}
+
+			const problem = 'target-protocol';
+			const what = 'the answer to a move';
+			const moved = text
+				? decode(movedSchema, parseJson(text, what, problem), what, problem)
+				: {};
+			const memory =
+				moved.handle === undefined
+					? undefined
+					: {address, handle: moved.handle};
+			if (status === 200 && memory) {
+				return {outcome: 'copied', memory, eventCount: moved.created ?? 0};
+			}
+
+			return status === 503
+				? {outcome: 'refused', memory}
+				: {outcome: 'failed', reason: `status ${status}`};
+		} catch (error) {
+			return {outcome: 'failed', reason: (error as Error).message};
+		}
+	}
+
+	override async report(
+		address: string,
+		timeoutMs: number,
+	): Promise<EngineReport> {
+		const {status, text} = await this.call(
+			address,
+			'GET',
+			targetCalls.report,
+			undefined,
+			timeoutMs,
+		);
+		const problem = 'target-protocol';
+		const what = 'the load report of an engine';
+		if (status !== 200) {
+			throw new ProblemError(problem, `${what} has status ${status}`);
+		}
+
+		const raw = decode(
+			reportSchema,
+			parseJson(text, what, problem),
+			what,
+			problem,
+		);
+		return {
+			queuedCount: raw.queued,
+			runningCount: raw.running,
+			usedTokens: raw.kv_used,
+			capacityTokens: raw.kv_total,
+		};
+	}
+
+	override renew(address: string): void {
+		const pool = this.pools.get(address);
+		this.pools.delete(address);
+		void pool?.close();
+	}
+
+	override setMaxConnections(address: string, count: number): void {
+		if (this.maxConnections.get(address) !== count) {
+			this.maxConnections.set(address, count);
+			this.renew(address);
+		}
+	}
+
+	override retain(addresses: ReadonlySet<string>): void {
+		for (const address of this.pools.keys()) {
+			if (!addresses.has(address)) {
+				this.renew(address);
+				this.maxConnections.delete(address);
+			}
+		}
+	}
+
+	private poolOf(address: string): Pool {
+		let pool = this.pools.get(address);
+		if (!pool) {
+			pool = new Pool(`http://${address}`, {
+				connections: this.maxConnections.get(address) ?? defaultMaxConnections,
+				pipelining: 1,
+				connect: {timeout: connectTimeoutMs, keepAliveInitialDelay: 1000},
+				keepAliveTimeout: idleTimeoutMs,
+				keepAliveMaxTimeout: idleTimeoutMs,
+			});
+			this.pools.set(address, pool);
+		}
+
+		return pool;
+	}
+
+	private async call(
+		address: string,
+		method: 'GET' | 'POST',
+		path: string,
+		body: string | undefined,
+		timeoutMs: number,
+	): Promise<{status: number; text: string}> {
+		const answer = await this.poolOf(address).request({
+			path,
+			method,
+			body,
+			headers: body === undefined ? {} : {'content-type': 'application/json'},
+			headersTimeout: timeoutMs,
+			bodyTimeout: timeoutMs,
+			signal: AbortSignal.timeout(timeoutMs),
+		});
+		return {status: answer.statusCode, text: await answer.body.text()};
+	}
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,7 @@
+export * from './boot-file.js';
+export * from './configuration.js';
+export * from './http-target-link.js';
+export * from './names.js';
+export * from './request-headers.js';
+export * from './store-client.js';
+export * from './target-entry.js';
--- a/src/programs/entry/create-bookings.ts
+++ b/src/programs/entry/create-bookings.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {TrpcBookingOwners} from '../../adapters/peers/index.js';
-import {HttpObjectStore} from '../../adapters/platform/index.js';
+import {HttpObjectStore} from '../../adapters/standalone-platform/index.js';
 import {type Metrics, SystemTimers} from '../../adapters/system/index.js';
 import {
 	type Clock,
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -5,7 +5,7 @@
 	HttpObjectStore,
 	CachedVmList,
 	HttpVmList,
-} from '../../adapters/platform/index.js';
+} from '../../adapters/standalone-platform/index.js';
 import {
 	createLogger,
 	createMetrics,
--- a/src/programs/entry/order-duty.test.ts
+++ b/src/programs/entry/order-duty.test.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import {test, type TestContext} from 'node:test';
 import {createPeerClient, TrpcLeasePeers} from '../../adapters/peers/index.js';
-import {EtcdTableService} from '../../adapters/platform/index.js';
+import {EtcdTableService} from '../../adapters/standalone-platform/index.js';
 import {createConfigurationStore} from '../../decisions/configuration/index.js';
 import {
 	createEngineServer,
--- a/src/programs/entry/order-duty.ts
+++ b/src/programs/entry/order-duty.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {TrpcLeasePeers} from '../../adapters/peers/index.js';
-import {HttpWeightStore} from '../../adapters/platform/index.js';
+import {HttpWeightStore} from '../../adapters/standalone-platform/index.js';
 import type {Logger, Metrics} from '../../adapters/system/index.js';
 import {
 	type Clock,
--- /dev/null
+++ b/src/programs/front/capacity-reader.ts
@@ -0,0 +1,63 @@
+import type {Logger} from '../../adapters/system/index.js';
+import {
+	type Disposable,
+	type TargetEntry,
+	type TargetLink,
+	toProblem,
+} from '../../common/index.js';
+
+/** Reads the memory of the engines of each service once, from the first that answers. */
+export type CapacityReader = Disposable & {
+	arrived(entry: TargetEntry): void;
+};
+
+const reportTimeoutMs = 1000;
+
+/** Creates a reader that knows no service. */
+export function createCapacityReader(
+	link: TargetLink,
+	isEngineService: (service: string) => boolean,
+	onCapacity: (service: string, capacityTokens: number) => void,
+	logger: Logger,
+): CapacityReader {
+	const known = new Set<string>();
+	let isDisposed = false;
+
+	const read = async ({id, service, address}: TargetEntry) => {
+		try {
+			const report = await link.report(address, reportTimeoutMs);
+			logger.info('capacity read', {
+				target: id,
+				service,
+				capacityTokens: report.capacityTokens,
+			});
+			onCapacity(service, report.capacityTokens);
+		} catch (error) {
+			// The next engine that arrives is asked.
+			known.delete(service);
+			logger.warn('capacity not read', {
+				target: id,
+				service,
+				detail: toProblem(error).message,
+			});
+		}
+	};
+
+	return {
+		arrived(entry) {
+			if (
+				isDisposed ||
+				known.has(entry.service) ||
+				!isEngineService(entry.service)
+			) {
+				return;
+			}
+
+			known.add(entry.service);
+			void read(entry);
+		},
+		dispose() {
+			isDisposed = true;
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/front/create-front.ts
@@ -0,0 +1,319 @@
+import {randomUUID} from 'node:crypto';
+import process from 'node:process';
+import {createCallerListener} from '../../adapters/front/index.js';
+import {
+	createLogger,
+	createMetrics,
+	SystemClock,
+	SystemTimers,
+} from '../../adapters/system/index.js';
+import {
+	createDisposableStore,
+	SeededRandomSource,
+	toProblem,
+} from '../../common/index.js';
+import {createOutlierDetector} from '../../decisions/retries/index.js';
+import {createLengthStatistics} from '../../decisions/routing/index.js';
+import {
+	createConfigurationState,
+	createRetryShare,
+	createRouteTable,
+	createTargetDirectory,
+	createTargetLoad,
+	type RouteTable,
+} from '../../decisions/serving/index.js';
+import {HttpTargetLink, StoreClient} from '../../platform/index.js';
+import {listen} from '../entry/listen.js';
+import {createCapacityReader} from './capacity-reader.js';
+import {createFleetView} from './fleet-view.js';
+import {type FrontSettings, readBootFile} from './front-settings.js';
+import {createFrontPages} from './front-pages.js';
+import {startPeerLoads} from './peer-loads.js';
+import {createRequestServer} from './request-server.js';
+import {watchStore} from './store-watch.js';
+
+/** A running front daemon. */
+export type FrontDaemon = {
+	/** Reads the boot file again. */
+	reload(): void;
+	/** Turns readiness off, waits for the open requests as long as it may, and ends. */
+	stop(): Promise<void>;
+};
+
+const lapseGraceMs = 2000;
+const lingerMs = 30_000;
+const peerTimeoutMs = 2500;
+const tickMs = 100;
+const defaultLimits = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 4_194_304,
+	headerTimeoutMs: 10_000,
+	idleTimeoutMs: 60_000,
+};
+/** The balancer needs two checks, one second apart, to notice that a VM is not ready. */
+const minStopMs = 2500;
+/** Part of the grace time that is left for the end of the process, in milliseconds. */
+const stopMarginMs = 400;
+const stopCheckMs = 100;
+/** Descriptors kept for listeners, the store, pipes and files. */
+const connectionsPerTarget = 24;
+
+function splitAddress(address: string): {host: string; port: number} {
+	const [host, port] = address.split(':');
+	return {host, port: Number(port)};
+}
+
+/** Wires a front daemon together and makes it listen. */
+export async function createFront(
+	settings: FrontSettings,
+): Promise<FrontDaemon> {
+	const {vm} = settings;
+	const logger = createLogger(
+		'cowslip-front',
+		settings.logLevel,
+		settings.maxLogBacklogBytes,
+	);
+	const metrics = createMetrics();
+	const clock = new SystemClock();
+	const timers = new SystemTimers();
+	const instanceId = randomUUID();
+	const random = new SeededRandomSource(
+		Number.parseInt(instanceId.slice(0, 8), 16),
+	);
+	const owned = createDisposableStore();
+	let isStopping = false;
+
+	// A fault in one request must not end the process.
+	process.on('uncaughtException', (error) => {
+		logger.error('unexpected error', {detail: error.message, stack: error.stack});
+	});
+	process.on('unhandledRejection', (reason) => {
+		const problem = toProblem(reason);
+		logger.error('unexpected error', {
+			detail: problem.message,
+			stack: problem.stack,
+		});
+	});
+
+	const store = new StoreClient({
+		address: vm.storeAddress,
+		timeoutMs: settings.storeTimeoutMs,
+	});
+	const link = new HttpTargetLink();
+	const configuration = createConfigurationState();
+	const directory = createTargetDirectory({clock, lapseGraceMs, lingerMs});
+	const load = createTargetLoad(clock, peerTimeoutMs);
+	const detector = createOutlierDetector({
+		clock,
+		maxFailures: 2,
+		slowFactor: 4,
+		slowMinMs: 250,
+		ejectionMs: 800,
+		maxEjectionMs: 4000,
+		maxEjectedShare: 0.6,
+		onEjected(targetId, untilMs) {
+			logger.warn('target ejected', {
+				target: targetId,
+				forMs: Math.round(untilMs - clock.nowMs()),
+			});
+		},
+	});
+	let table: RouteTable | undefined;
+	const peers = owned.add(
+		startPeerLoads({
+			vm,
+			instanceId,
+			clock,
+			timers,
+			store,
+			load,
+			configuration,
+			intervalMs: settings.digestIntervalMs,
+			logger,
+		}),
+	);
+	const view = createFleetView({
+		availabilityZone: vm.availabilityZone,
+		directory,
+		load,
+		detector,
+		statistics: createLengthStatistics(),
+		random,
+		onPlaced() {
+			peers.changed();
+		},
+	});
+	const retryShare = createRetryShare({
+		clock,
+		ratio: vm.bounds.retryRatio,
+		extra: vm.bounds.retryExtra,
+		windowMs: vm.bounds.retryWindowMs,
+		vmCount: () => peers.vmCount,
+	});
+	const watch = owned.add(
+		watchStore({
+			store,
+			clock,
+			timers,
+			random,
+			waitMs: settings.storeWaitMs,
+			configuration,
+			directory,
+			logger,
+		}),
+	);
+	const requests = createRequestServer({
+		clock,
+		timers,
+		random,
+		link,
+		directory,
+		view,
+		detector,
+		retryShare,
+		metrics,
+		logger,
+		table: () => table,
+		staleMs: () =>
+			watch.configurationLostMs === undefined
+				? 0
+				: clock.nowMs() - watch.configurationLostMs,
+	});
+	const listener = createCallerListener({
+		limits: () => configuration.current?.limits ?? defaultLimits,
+		isStopping: () => isStopping,
+		serve: (received, reply) => requests.serve(received, reply),
+		onProblem(problem) {
+			logger.error('request failed unexpectedly', {
+				type: problem.type,
+				detail: problem.message,
+			});
+		},
+	});
+
+	const isEngineService = (service: string) =>
+		table?.configuration.routes.some(
+			(route) =>
+				route.generation &&
+				route.shares.some((share) => share.service === service),
+		) ?? false;
+	const capacities = owned.add(
+		createCapacityReader(
+			link,
+			isEngineService,
+			(service, tokens) => {
+				view.setCapacity(service, tokens);
+			},
+			logger,
+		),
+	);
+	const knownServices = new Set<string>();
+	const updateService = (service: string) => {
+		knownServices.add(service);
+		detector.update(
+			service,
+			directory.usable(service).map(({entry}) => entry.id),
+		);
+	};
+
+	owned.add(
+		directory.onArrived((entry) => {
+			logger.info('target arrived', {
+				target: entry.id,
+				service: entry.service,
+				address: entry.address,
+				availabilityZone: entry.availabilityZone,
+			});
+			link.setMaxConnections(entry.address, connectionsPerTarget);
+			updateService(entry.service);
+			capacities.arrived(entry);
+		}),
+	);
+	owned.add(
+		directory.onLeaving(({entry, reason}) => {
+			logger.info('target leaves', {
+				target: entry.id,
+				service: entry.service,
+				reason,
+			});
+			updateService(entry.service);
+			requests.engineLeaving(entry.id);
+		}),
+	);
+	owned.add(
+		configuration.onChanged((current) => {
+			table = createRouteTable(current);
+			listener.applyLimits(current.limits);
+			for (const service of current.services.keys()) {
+				for (const {entry} of directory.usable(service)) {
+					capacities.arrived(entry);
+				}
+			}
+		}),
+	);
+
+	const tick = () => {
+		directory.tick();
+		requests.tick();
+		link.retain(directory.addresses());
+		owned.add(timers.after(tickMs, tick));
+	};
+
+	tick();
+
+	const pages = createFrontPages({
+		isReady: () => !isStopping && watch.isComplete,
+		metricsText: () => metrics.text(),
+	});
+	const caller = splitAddress(vm.callerAddress);
+	const ready = splitAddress(vm.readyAddress);
+	await listen(listener.server, caller.port, caller.host);
+	await listen(pages.ready, ready.port, ready.host);
+	if (settings.metricsPort > 0) {
+		await listen(pages.metrics, settings.metricsPort, vm.ip);
+	}
+
+	logger.info('started', {
+		vm: vm.name,
+		instanceId,
+		availabilityZone: vm.availabilityZone,
+		callerAddress: vm.callerAddress,
+	});
+
+	return {
+		reload() {
+			try {
+				const next = readBootFile(settings.bootFile);
+				logger.info('settings read again', {vm: next.name});
+			} catch (error) {
+				const problem = toProblem(error);
+				logger.error('settings refused', {
+					type: problem.type,
+					detail: problem.message,
+					field: problem.field,
+				});
+			}
+		},
+		async stop() {
+			isStopping = true;
+			const startedMs = clock.nowMs();
+			logger.info('stopping', {openRequests: listener.openCount});
+			for (;;) {
+				await timers.sleep(stopCheckMs);
+				const spentMs = clock.nowMs() - startedMs;
+				if (spentMs > minStopMs) {
+					listener.server.closeIdleConnections();
+				}
+
+				const isDrained = spentMs > minStopMs && listener.openCount === 0;
+				if (isDrained || spentMs > vm.bounds.stopGraceMs - stopMarginMs) {
+					break;
+				}
+			}
+
+			logger.info('stopped', {openRequests: listener.openCount});
+			owned.dispose();
+			process.exit(0);
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/front/front-settings.ts
@@ -0,0 +1,132 @@
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import type {LogLevel} from '../../adapters/system/index.js';
+import {ProblemError, type VmSettings} from '../../common/index.js';
+import {bootFileVariable, decodeBootFile} from '../../platform/index.js';
+import {checkNumber, commandLine} from '../command-line.js';
+
+/** Settings of the front daemon. */
+export type FrontSettings = {
+	readonly bootFile: string;
+	/** Content of the boot file at the start. */
+	readonly vm: VmSettings;
+	/** Port of the metrics page; 0 serves none. */
+	readonly metricsPort: number;
+	/** Time in which the store must answer, in milliseconds. */
+	readonly storeTimeoutMs: number;
+	/** Time after which the store answers a wait for changes, in milliseconds. */
+	readonly storeWaitMs: number;
+	/** Interval at which peers are told of changed load, in milliseconds. */
+	readonly digestIntervalMs: number;
+	/** Log lines that may wait for a reader of the output, in bytes. */
+	readonly maxLogBacklogBytes: number;
+	readonly logLevel: LogLevel;
+	/** True to read the settings and end. */
+	readonly checkOnly: boolean;
+};
+
+const maxPort = 65_535;
+
+/**
+ * Reads the boot file.
+ * @throws ProblemError `invalid-setting`
+ */
+export function readBootFile(path: string): VmSettings {
+	let text: string;
+	try {
+		text = readFileSync(path, 'utf8');
+	} catch (error) {
+		throw new ProblemError(
+			'invalid-setting',
+			`the boot file "${path}" cannot be read`,
+			{cause: error as Error, field: 'boot-file'},
+		);
+	}
+
+	return decodeBootFile(text);
+}
+
+/**
+ * Reads flags, environment variables and the boot file.
+ * @throws ProblemError `invalid-setting`
+ */
+export async function readFrontSettings(): Promise<FrontSettings> {
+	const flags = await commandLine('cowslip-front')
+		.usage("$0: serves callers on one VM of the users' platform")
+		.options({
+			'boot-file': {
+				type: 'string',
+				default: process.env[bootFileVariable],
+				demandOption: process.env[bootFileVariable] === undefined,
+				describe: `file with the settings of this VM; ${bootFileVariable} if absent`,
+			},
+			'metrics-port': {
+				type: 'number',
+				default: 9464,
+				describe: 'port of the metrics page, 0 for none',
+			},
+			'store-timeout-ms': {
+				type: 'number',
+				default: 800,
+				describe: 'time in which the store must answer, in ms',
+			},
+			'store-wait-ms': {
+				type: 'number',
+				default: 4000,
+				describe: 'time after which a wait for changes is renewed, in ms',
+			},
+			'digest-interval-ms': {
+				type: 'number',
+				default: 200,
+				describe: 'interval at which peers are told of changed load, in ms',
+			},
+			'max-log-backlog-bytes': {
+				type: 'number',
+				default: 262_144,
+				describe: 'log output that may wait for its reader, in bytes',
+			},
+			'log-level': {
+				choices: ['error', 'warn', 'info', 'debug'] as const,
+				default: 'info' as const,
+				describe: 'least level that is logged',
+			},
+			check: {
+				type: 'boolean',
+				default: false,
+				describe: 'check the settings and end',
+			},
+		})
+		.parseAsync();
+	const bootFile = flags['boot-file'] ?? '';
+	return {
+		bootFile,
+		vm: readBootFile(bootFile),
+		metricsPort: checkNumber('metrics-port', flags['metrics-port'], 0, maxPort),
+		storeTimeoutMs: checkNumber(
+			'store-timeout-ms',
+			flags['store-timeout-ms'],
+			50,
+			10_000,
+		),
+		storeWaitMs: checkNumber(
+			'store-wait-ms',
+			flags['store-wait-ms'],
+			100,
+			30_000,
+		),
+		digestIntervalMs: checkNumber(
+			'digest-interval-ms',
+			flags['digest-interval-ms'],
+			20,
+			5000,
+		),
+		maxLogBacklogBytes: checkNumber(
+			'max-log-backlog-bytes',
+			flags['max-log-backlog-bytes'],
+			1024,
+			16_777_216,
+		),
+		logLevel: flags['log-level'],
+		checkOnly: flags.check,
+	};
+}
--- /dev/null
+++ b/src/programs/front/peer-loads.ts
@@ -0,0 +1,162 @@
+import {openDatagramChannel} from '../../adapters/front/index.js';
+import type {Logger} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	type Disposable,
+	type RowStore,
+	type Timers,
+	toProblem,
+	type VmSettings,
+} from '../../common/index.js';
+import {
+	type ConfigurationState,
+	createPeerList,
+	decodeDigest,
+	encodeDigest,
+	type TargetLoad,
+} from '../../decisions/serving/index.js';
+
+/** What the exchange of loads works with. */
+export type PeerLoadsOptions = {
+	readonly vm: VmSettings;
+	readonly instanceId: string;
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly store: RowStore;
+	readonly load: TargetLoad;
+	readonly configuration: ConfigurationState;
+	readonly intervalMs: number;
+	readonly logger: Logger;
+};
+
+/** Tells peers of this VM's load and takes theirs in. */
+export type PeerLoads = Disposable & {
+	/** Largest number of VMs that may be serving. */
+	readonly vmCount: number;
+	/** The load has changed much; peers are told soon. */
+	changed(): void;
+};
+
+const vmTable = 'cowslip-vms';
+const soonMs = 20;
+/** Digests that say nothing new still tell that the VM lives. */
+const idleIntervalMs = 1000;
+const forgetPeerMs = 60_000;
+const registerRetryMs = 1500;
+
+/** Starts the exchange: registers this VM in the store, reads the others and opens a channel. */
+export function startPeerLoads(options: PeerLoadsOptions): PeerLoads {
+	const {vm, clock, timers, store, load, logger, configuration} = options;
+	const port = vm.peerPorts[0];
+	const address = `${vm.ip}:${port}`;
+	const channel = openDatagramChannel(vm.ip, port);
+	const peers = createPeerList(clock, address, forgetPeerMs);
+	let sequence = 0;
+	let lastText = '';
+	let lastSentMs = -Infinity;
+	let isDisposed = false;
+	let soon: Disposable | undefined;
+	let isRegistered = false;
+	let areNamed = false;
+
+	channel.onDatagram(({from, text}) => {
+		const digest = decodeDigest(text);
+		if (!digest) {
+			logger.warn('digest refused', {from});
+			return;
+		}
+
+		if (peers.heard(from, digest.instanceId, digest.sequence)) {
+			load.heard(digest.vm, digest.shares);
+		}
+	});
+	channel.onError((error) => {
+		logger.warn('peer channel failed', {detail: error.message});
+	});
+
+	const send = () => {
+		const nowMs = clock.nowMs();
+		const digest = {
+			vm: vm.name,
+			instanceId: options.instanceId,
+			sequence: 0,
+			configurationVersion: configuration.current?.version ?? 0,
+			shares: load.ownShares(),
+		};
+		const text = encodeDigest(digest);
+		if (text === lastText && nowMs - lastSentMs < idleIntervalMs) {
+			return;
+		}
+
+		lastText = text;
+		lastSentMs = nowMs;
+		sequence++;
+		const numbered = encodeDigest({...digest, sequence});
+		for (const peer of peers.addresses) {
+			channel.send(peer, numbered);
+		}
+	};
+
+	const repeat = () => {
+		if (!isDisposed) {
+			send();
+			timers.after(options.intervalMs, repeat);
+		}
+	};
+
+	const register = async () => {
+		try {
+			if (!isRegistered) {
+				await store.put(
+					vmTable,
+					vm.name,
+					new TextEncoder().encode(JSON.stringify({address})),
+				);
+				isRegistered = true;
+			}
+
+			const {rows} = await store.snapshot(vmTable);
+			for (const row of rows) {
+				const {address: peer} = JSON.parse(
+					new TextDecoder().decode(row.value),
+				) as {address?: unknown};
+				if (typeof peer === 'string') {
+					peers.named(peer);
+				}
+			}
+
+			areNamed = true;
+		} catch (error) {
+			const problem = toProblem(error);
+			logger.warn('peers not read', {
+				type: problem.type,
+				detail: problem.message,
+			});
+		}
+
+		if (!areNamed && !isDisposed) {
+			timers.after(registerRetryMs, () => {
+				void register();
+			});
+		}
+	};
+
+	void register();
+	repeat();
+	return {
+		get vmCount() {
+			return peers.vmCount;
+		},
+		changed() {
+			soon ??= timers.after(soonMs, () => {
+				soon = undefined;
+				send();
+			});
+		},
+		dispose() {
+			isDisposed = true;
+			soon?.dispose();
+			channel.dispose();
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/front/request-server.ts
@@ -0,0 +1,188 @@
+import type {ReceivedRequest} from '../../adapters/front/index.js';
+import type {Logger, Metrics} from '../../adapters/system/index.js';
+import type {
+	Clock,
+	RandomSource,
+	TargetLink,
+	Timers,
+} from '../../common/index.js';
+import type {OutlierDetector} from '../../decisions/retries/index.js';
+import {
+	admit,
+	type AdmittedRequest,
+	type CallerReply,
+	type DecisionLog,
+	type RetryShare,
+	type RouteTable,
+	retryAfterHeader,
+	type ServingSession,
+	startCallSession,
+	startStreamSession,
+	type StreamSession,
+	type TargetDirectory,
+} from '../../decisions/serving/index.js';
+import {decodeRequest} from '../../platform/index.js';
+import type {FleetView} from './fleet-view.js';
+
+/** What requests are served with. */
+export type RequestServerOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly random: RandomSource;
+	readonly link: TargetLink;
+	readonly directory: TargetDirectory;
+	readonly view: FleetView;
+	readonly detector: OutlierDetector;
+	readonly retryShare: RetryShare;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+	readonly table: () => RouteTable | undefined;
+	/** Time for which the configuration could not be read, in milliseconds. */
+	readonly staleMs: () => number;
+};
+
+/** Serves requests that were read whole. */
+export type RequestServer = {
+	serve(
+		received: ReceivedRequest,
+		reply: CallerReply,
+	): ServingSession | undefined;
+	engineLeaving(targetId: string): void;
+	tick(): void;
+};
+
+/** Creates a server without requests. */
+export function createRequestServer(
+	options: RequestServerOptions,
+): RequestServer {
+	const {clock, timers, random, link, directory, view, detector, logger} =
+		options;
+	const streams = new Set<StreamSession>();
+	const log: DecisionLog = (event, record) => {
+		logger.info(event, record);
+	};
+
+	const shared = (service: string) => ({
+		clock,
+		timers,
+		link,
+		retryShare: options.retryShare,
+		log,
+		ended(target: {readonly id: string}, succeeded: boolean, latencyMs: number) {
+			detector.ended(service, target.id, succeeded, latencyMs);
+		},
+		misdirected(target: {readonly id: string}) {
+			directory.misdirected(target.id);
+		},
+	});
+
+	/** Passes a reply on and counts how it ends. */
+	const measured = (
+		admitted: AdmittedRequest,
+		reply: CallerReply,
+	): CallerReply => {
+		const labels = {
+			account: admitted.account ?? 'anonymous',
+			route: admitted.route.name,
+		};
+		const durationMs = () => Math.round(clock.nowMs() - admitted.arrivedMs);
+		const count = (outcome: string) => {
+			options.metrics.count('requests', {...labels, outcome});
+		};
+
+		return {
+			get hasHead() {
+				return reply.hasHead;
+			},
+			begin(head) {
+				options.metrics.histogram('first_event', labels).recordValue(durationMs());
+				reply.begin(head);
+			},
+			data(bytes) {
+				reply.data(bytes);
+			},
+			end() {
+				count('answered');
+				options.metrics.histogram('duration', labels).recordValue(durationMs());
+				reply.end();
+			},
+			whole(head, body) {
+				count(`status-${head.status}`);
+				options.metrics.histogram('duration', labels).recordValue(durationMs());
+				reply.whole(head, body);
+			},
+			own(status, message, headers) {
+				count(`own-${status}`);
+				reply.own(status, message, headers);
+			},
+			abort() {
+				count('aborted');
+				reply.abort();
+			},
+		};
+	};
+
+	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
+		const session = startStreamSession(admitted, reply, {
+			...shared(admitted.service),
+			place: (request, avoid) => view.placeStream(request, avoid),
+			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
+			isUsable: (targetId) => directory.get(targetId) !== undefined,
+			opened: (run) => view.openedStream(run),
+			finished(request, eventCount) {
+				view.finishedStream(request, eventCount);
+			},
+		});
+		streams.add(session);
+		return session;
+	};
+
+	return {
+		serve(received, reply) {
+			const request = decodeRequest(received);
+			const admission = admit(request, {
+				table: options.table(),
+				staleMs: options.staleMs(),
+				nowMs: clock.nowMs(),
+				random,
+			});
+			if (!('admitted' in admission)) {
+				const {status, reason, retryAfterMs} = admission;
+				log('request refused', {request: request.id, status, reason});
+				options.metrics.count('requests', {outcome: `own-${status}`});
+				reply.own(
+					status,
+					reason,
+					retryAfterMs === undefined ? [] : [retryAfterHeader(retryAfterMs)],
+				);
+				return undefined;
+			}
+
+			const {admitted} = admission;
+			const counted = measured(admitted, reply);
+			if (admitted.route.kind === 'stream') {
+				return startStream(admitted, counted);
+			}
+
+			return startCallSession(admitted, counted, {
+				...shared(admitted.service),
+				choose: (service, avoid) => view.chooseTarget(service, avoid),
+				opened: (target) => view.openedCall(target),
+			});
+		},
+		engineLeaving(targetId) {
+			for (const session of streams) {
+				session.engineLeaving(targetId);
+			}
+		},
+		tick() {
+			for (const session of streams) {
+				if (session.run) {
+					session.tick();
+				} else {
+					streams.delete(session);
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/front/store-watch.ts
@@ -0,0 +1,174 @@
+import type {Logger} from '../../adapters/system/index.js';
+import {
+	type Clock,
+	type Disposable,
+	type RandomSource,
+	type RowStore,
+	type StoredRow,
+	type TargetEntry,
+	type Timers,
+	toProblem,
+} from '../../common/index.js';
+import {
+	type ConfigurationState,
+	followTable,
+	type TargetDirectory,
+} from '../../decisions/serving/index.js';
+import {
+	decodeConfiguration,
+	decodeTargetEntry,
+	tableNames,
+} from '../../platform/index.js';
+
+/** What is kept up with the store. */
+export type StoreWatchOptions = {
+	readonly store: RowStore;
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly random: RandomSource;
+	readonly waitMs: number;
+	readonly configuration: ConfigurationState;
+	readonly directory: TargetDirectory;
+	readonly logger: Logger;
+};
+
+/** Keeps configuration and targets up with the store. */
+export type StoreWatch = Disposable & {
+	/** True once both tables have been read. */
+	readonly isComplete: boolean;
+	/** Monotonic time since which the operator's table cannot be read, or undefined if it can. */
+	readonly configurationLostMs: number | undefined;
+};
+
+const minConfigurationIntervalMs = 20;
+/** Several targets change at once; their changes are read together. */
+const minTargetsIntervalMs = 100;
+
+/** Starts to follow the operator's table and that of the targets. */
+export function watchStore(options: StoreWatchOptions): StoreWatch {
+	const {configuration, directory, logger, clock} = options;
+	const decoder = new TextDecoder();
+	let hasTargets = false;
+	let configurationLostMs: number | undefined;
+
+	const acceptConfiguration = (value: Uint8Array, rowVersion: number) => {
+		try {
+			const decoded = decodeConfiguration(decoder.decode(value));
+			const accepted = configuration.accept(decoded);
+			logger.info('configuration read', {
+				version: decoded.version,
+				rowVersion,
+				accepted,
+				routes: decoded.routes.length,
+			});
+		} catch (error) {
+			const {type, detail, field} = toProblem(error);
+			logger.warn('configuration refused', {type, detail, field, rowVersion});
+		}
+	};
+
+	const entryOf = (id: string, value: Uint8Array): TargetEntry | undefined => {
+		try {
+			return decodeTargetEntry(id, decoder.decode(value));
+		} catch (error) {
+			const {type, detail, field} = toProblem(error);
+			logger.warn('target entry refused', {target: id, type, detail, field});
+			return undefined;
+		}
+	};
+
+	const follow = (table: string, minIntervalMs: number) => ({
+		...options,
+		table,
+		minIntervalMs,
+	});
+
+	const operator = followTable(
+		follow(tableNames.operator, minConfigurationIntervalMs),
+		{
+			onSnapshot({rows}) {
+				for (const row of rows) {
+					if (row.key === tableNames.configurationKey) {
+						acceptConfiguration(row.value, row.version);
+					}
+				}
+			},
+			onChanges(changes) {
+				for (const {key, value, version} of changes) {
+					if (key === tableNames.configurationKey && value) {
+						acceptConfiguration(value, version);
+					}
+				}
+			},
+			onLost(problem) {
+				configurationLostMs = clock.nowMs();
+				logger.warn('dependency lost', {
+					dependency: 'store, operator table',
+					type: problem.type,
+					detail: problem.message,
+				});
+			},
+			onRegained() {
+				configurationLostMs = undefined;
+				logger.info('dependency regained', {
+					dependency: 'store, operator table',
+				});
+			},
+		},
+	);
+
+	const takeRows = (rows: readonly StoredRow[], version: number) => {
+		const entries = new Map<string, TargetEntry>();
+		for (const row of rows) {
+			const entry = entryOf(row.key, row.value);
+			if (entry) {
+				entries.set(row.key, entry);
+			}
+		}
+
+		directory.reset(entries, version);
+	};
+
+	const targets = followTable(
+		follow(tableNames.targets, minTargetsIntervalMs),
+		{
+			onSnapshot({rows, version}) {
+				hasTargets = true;
+				takeRows(rows, version);
+			},
+			onChanges(changes) {
+				for (const {key, value, version} of changes) {
+					// An entry that cannot be read names no target, as if it were absent.
+					directory.set(key, value && entryOf(key, value), version);
+				}
+			},
+			onLost(problem) {
+				directory.storeLost();
+				logger.warn('dependency lost', {
+					dependency: 'store, targets table',
+					type: problem.type,
+					detail: problem.message,
+				});
+			},
+			onRegained() {
+				directory.storeRegained();
+				logger.info('dependency regained', {
+					dependency: 'store, targets table',
+				});
+			},
+		},
+	);
+
+	return {
+		get isComplete() {
+			return hasTargets && configuration.current !== undefined;
+		},
+		get configurationLostMs() {
+			return configurationLostMs;
+		},
+		dispose() {
+			operator.dispose();
+			targets.dispose();
+		},
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** @type {import('xo').FlatXoConfig} */
 export default [
-	{ignores: ['dist/**', 'out/**']},
+	{ignores: ['dist/**', 'out/**', 'target/**']},
 	{
 		prettier: 'compat',
 		rules: {
