--- a/src/adapters/targets/index.ts
+++ b/src/adapters/targets/index.ts
@@ -1,2 +1,3 @@
 export * from './http-engine.js';
 export * from './http-plain-service.js';
+export * from './reset-aware-client.js';
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -36,6 +36,8 @@
 		succeeded: boolean,
 		latencyMs: number,
 	) => void;
+	/** Nothing accepts connections at the address. */
+	readonly unreachable: (target: TargetEntry) => void;
 	/** The target at the address is another one. */
 	readonly misdirected: (target: TargetEntry) => void;
 };
@@ -84,6 +86,8 @@
 	const isIdempotent = route.kind === 'idempotent';
 	const tried = new Set<string>();
 	const attempts = new Set<Attempt>();
+	/** Sends that reached, or may yet reach, a target. */
+	let arrivedCount = 0;
 	let mayHaveRunCount = 0;
 	let isDone = false;
 	let lastFailure: {head: AnswerHead; body: Uint8Array} | undefined;
@@ -156,13 +160,14 @@
 			return false;
 		}
 
-		const isRepeat = tried.size > 0;
+		const isRepeat = arrivedCount > 0;
 		const target = options.choose(service, tried);
 		if (!target || (isRepeat && !retryShare.tryTake(service))) {
 			return false;
 		}
 
 		tried.add(target.id);
+		arrivedCount++;
 		const attempt: Attempt = {
 			target,
 			startedMs: clock.nowMs(),
@@ -236,7 +241,10 @@
 			unsent: failure.unsent,
 			reason: failure.reason,
 		});
-		if (!failure.unsent) {
+		if (failure.unsent) {
+			arrivedCount--;
+			options.unreachable(attempt.target);
+		} else {
 			mayHaveRunCount++;
 		}
 
--- a/src/decisions/serving/engine-placement.ts
+++ b/src/decisions/serving/engine-placement.ts
@@ -45,6 +45,8 @@
 
 /** Prompts are computed in chunks between the tokens of other requests, at about this part of the speed. */
 const busyPrefillPart = 0.55;
+/** Part of the memory up to which copies of other engines' runs are taken. */
+const backupMemoryPart = 0.85;
 /** Generations rarely peak together, so only part of their growth is counted. */
 const growthPart = 0.6;
 /** Part of the memory from which on more load risks a preemption. */
@@ -140,7 +142,7 @@
 	ownZone: string,
 ): string | undefined {
 	let best: string | undefined;
-	let bestPart = safeMemoryPart;
+	let bestPart = backupMemoryPart;
 	for (const candidate of candidates) {
 		if (candidate.targetId === runTargetId || candidate.suspect) {
 			continue;
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -64,6 +64,8 @@
 		succeeded: boolean,
 		latencyMs: number,
 	) => void;
+	/** Nothing accepts connections at the address. */
+	readonly unreachable: (target: TargetEntry) => void;
 	readonly misdirected: (target: TargetEntry) => void;
 	/** The answer is whole. */
 	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
@@ -102,7 +104,8 @@
 const minSendMs = 50;
 const misdirectedStatus = 421;
 const okStatus = 200;
-const maxMoves = 2;
+/** Engines that are asked to take the memory of a run, one after the other. */
+const maxCopyAttempts = 4;
 
 function isPromise(status: number): boolean {
 	return status === 408 || status === 421 || status === 429 || status === 503;
@@ -259,8 +262,7 @@
 	};
 
 	/** Starts the run at an engine that has not refused it. */
-	const start = (reason: string) => {
-		const isRepeat = avoid.size > 0;
+	const start = (reason: string, isRepeat: boolean) => {
 		const placement = options.place(admitted, avoid);
 		if (!placement) {
 			giveUp('no engine of the service is usable');
@@ -403,8 +405,12 @@
 		options.ended(target, false, clock.nowMs() - current.startedMs);
 		avoid.add(target.id);
 		closeSend();
+		if (failure.unsent) {
+			options.unreachable(target);
+		}
+
 		if (failure.unsent && !current.continues) {
-			start('target unreachable');
+			start('target unreachable', false);
 			return;
 		}
 
@@ -468,7 +474,7 @@
 		}
 
 		if (refused && !current.continues) {
-			start('engine refused');
+			start('engine refused', true);
 			return;
 		}
 
@@ -488,38 +494,62 @@
 		);
 	};
 
-	/** Moves the run away from an engine that leaves. */
-	const move = async (current: Send) => {
+	/** Copies the run's memory to an engine with room, trying others in turn. */
+	const copyAhead = async (current: Send) => {
 		const {target} = current.placement;
-		const placement = options.place(admitted, new Set([...avoid, target.id]));
-		if (!placement) {
-			log('move impossible', {request: request.id, target: target.id});
-			return;
-		}
+		const refused = new Set([...avoid, target.id]);
+		for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
+			const to = options.place(admitted, refused)?.target;
+			if (!to) {
+				log('move impossible', {request: request.id, target: target.id});
+				return undefined;
+			}
 
-		const to = placement.target;
-		const copy = async (final: boolean) =>
-			link.moveMemory(
+			const {outcome} = await link.moveMemory(
 				target.address,
 				request.id,
 				to.address,
-				final,
+				false,
 				moveTimeoutMs,
 			);
-		const first = await copy(false);
-		log('move started', {
-			request: request.id,
-			target: target.id,
-			to: to.id,
-			outcome: first.outcome,
-			events: eventCount,
-		});
-		if (first.outcome !== 'copied' || current.isOver || isDone) {
+			log('move started', {
+				request: request.id,
+				target: target.id,
+				to: to.id,
+				outcome,
+				attempt,
+				events: eventCount,
+			});
+			if (current.isOver || isDone || outcome === 'unknown-run') {
+				return undefined;
+			}
+
+			if (outcome === 'copied') {
+				return to;
+			}
+
+			refused.add(to.id);
+		}
+
+		return undefined;
+	};
+
+	/** Moves the run away from an engine that leaves. */
+	const move = async (current: Send) => {
+		const {target} = current.placement;
+		const to = await copyAhead(current);
+		if (!to || current.isOver || isDone) {
 			return;
 		}
 
 		current.isStopping = true;
-		const last = await copy(true);
+		const last = await link.moveMemory(
+			target.address,
+			request.id,
+			to.address,
+			true,
+			moveTimeoutMs,
+		);
 		log('move finished', {
 			request: request.id,
 			target: target.id,
@@ -560,7 +590,7 @@
 	});
 
 	retryShare.noteRequest(service);
-	start('first send');
+	start('first send', false);
 
 	return {
 		get run() {
@@ -588,8 +618,7 @@
 				!current ||
 				current.isOver ||
 				current.isStopping ||
-				current.placement.target.id !== targetId ||
-				moves >= maxMoves + 6
+				current.placement.target.id !== targetId
 			) {
 				return;
 			}
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -43,6 +43,8 @@
 	storeLost(): void;
 	/** The store can be reached again. */
 	storeRegained(): void;
+	/** Nothing accepts connections at the address; it is not used for a while. */
+	unreachable(targetId: string): void;
 	/** Another target answers at the address. */
 	misdirected(targetId: string): void;
 	/** Settles lapsed entries; called regularly. */
@@ -54,6 +56,8 @@
 	readonly clock: Clock;
 	/** Time after the store's return in which entries that lapsed are written again, in milliseconds. */
 	readonly lapseGraceMs: number;
+	/** Time for which a target that refused a connection is not used, in milliseconds. */
+	readonly unreachableMs: number;
 	/** Time for which the address of a target that left keeps its connections, in milliseconds. */
 	readonly lingerMs: number;
 };
@@ -69,6 +73,7 @@
 	const versions = new Map<string, number>();
 	/** Targets without an entry, by the time at which they count as gone. */
 	const lapsed = new Map<string, number>();
+	const unreachable = new Map<string, number>();
 	const lingering = new Map<string, number>();
 	let byService: Map<string, KnownTarget[]> | undefined;
 	let isStoreLost = false;
@@ -79,6 +84,7 @@
 		lapsed.delete(targetId);
 		if (known) {
 			targets.delete(targetId);
+			unreachable.delete(targetId);
 			byService = undefined;
 			lingering.set(known.entry.address, clock.nowMs() + lingerMs);
 			leaving.fire({entry: known.entry, reason});
@@ -156,7 +162,15 @@
 				}
 			}
 
-			return byService.get(service) ?? [];
+			const list = byService.get(service) ?? [];
+			if (unreachable.size === 0) {
+				return list;
+			}
+
+			const nowMs = clock.nowMs();
+			return list.filter(
+				({entry}) => (unreachable.get(entry.id) ?? -Infinity) <= nowMs,
+			);
 		},
 		get(targetId) {
 			return targets.get(targetId);
@@ -190,6 +204,9 @@
 				lapsed.set(targetId, regainedMs + lapseGraceMs);
 			}
 		},
+		unreachable(targetId) {
+			unreachable.set(targetId, clock.nowMs() + options.unreachableMs);
+		},
 		misdirected(targetId) {
 			depart(targetId, 'misdirected');
 		},
@@ -201,6 +218,12 @@
 				}
 			}
 
+			for (const [targetId, untilMs] of unreachable) {
+				if (nowMs >= untilMs) {
+					unreachable.delete(targetId);
+				}
+			}
+
 			for (const [address, untilMs] of lingering) {
 				if (nowMs >= untilMs) {
 					lingering.delete(address);
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -10,6 +10,7 @@
 	type SendOrders,
 	TargetLink,
 } from '../common/index.js';
+import {createResetAwareClient} from '../adapters/targets/index.js';
 import {decodeAnswerHead} from './answer-head.js';
 import {decode, parseJson} from './decode.js';
 import {targetCalls} from './names.js';
@@ -77,6 +78,9 @@
 				method: request.method as 'GET',
 				headers: encodeRequestHeaders(request, orders),
 				body: request.body,
+				// A generation gets a connection of its own: what an earlier answer left on one would be
+				// taken for its stream.
+				reset: request.generation !== undefined,
 				headersTimeout: 0,
 				bodyTimeout: 0,
 			},
@@ -222,10 +226,8 @@
 		if (!pool) {
 			pool = new Pool(`http://${address}`, {
 				connections: this.maxConnections.get(address) ?? defaultMaxConnections,
-				pipelining: 1,
-				connect: {timeout: connectTimeoutMs, keepAliveInitialDelay: 1000},
-				keepAliveTimeout: idleTimeoutMs,
-				keepAliveMaxTimeout: idleTimeoutMs,
+				factory: (origin) =>
+					createResetAwareClient(origin, {connectTimeoutMs, idleTimeoutMs}),
 			});
 			this.pools.set(address, pool);
 		}
--- a/src/programs/front/capacity-reader.ts
+++ b/src/programs/front/capacity-reader.ts
@@ -3,6 +3,7 @@
 	type Disposable,
 	type TargetEntry,
 	type TargetLink,
+	type Timers,
 	toProblem,
 } from '../../common/index.js';
 
@@ -12,15 +13,19 @@
 };
 
 const reportTimeoutMs = 1000;
+/** Time after a failure in which no engine of the service is asked, in milliseconds. */
+const retryDelayMs = 2000;
 
 /** Creates a reader that knows no service. */
 export function createCapacityReader(
 	link: TargetLink,
+	timers: Timers,
 	isEngineService: (service: string) => boolean,
 	onCapacity: (service: string, capacityTokens: number) => void,
 	logger: Logger,
 ): CapacityReader {
 	const known = new Set<string>();
+	const retry: Disposable[] = [];
 	let isDisposed = false;
 
 	const read = async ({id, service, address}: TargetEntry) => {
@@ -33,8 +38,11 @@
 			});
 			onCapacity(service, report.capacityTokens);
 		} catch (error) {
-			// The next engine that arrives is asked.
-			known.delete(service);
+			retry.push(
+				timers.after(retryDelayMs, () => {
+					known.delete(service);
+				}),
+			);
 			logger.warn('capacity not read', {
 				target: id,
 				service,
@@ -58,6 +66,9 @@
 		},
 		dispose() {
 			isDisposed = true;
+			for (const timer of retry) {
+				timer.dispose();
+			}
 		},
 	};
 }
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -41,6 +41,7 @@
 };
 
 const lapseGraceMs = 2000;
+const unreachableMs = 1000;
 const lingerMs = 30_000;
 const peerTimeoutMs = 2500;
 const tickMs = 100;
@@ -101,7 +102,12 @@
 	});
 	const link = new HttpTargetLink();
 	const configuration = createConfigurationState();
-	const directory = createTargetDirectory({clock, lapseGraceMs, lingerMs});
+	const directory = createTargetDirectory({
+		clock,
+		lapseGraceMs,
+		unreachableMs,
+		lingerMs,
+	});
 	const load = createTargetLoad(clock, peerTimeoutMs);
 	const detector = createOutlierDetector({
 		clock,
@@ -200,6 +206,7 @@
 	const capacities = owned.add(
 		createCapacityReader(
 			link,
+			timers,
 			isEngineService,
 			(service, tokens) => {
 				view.setCapacity(service, tokens);
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -71,6 +71,9 @@
 		ended(target: {readonly id: string}, succeeded: boolean, latencyMs: number) {
 			detector.ended(service, target.id, succeeded, latencyMs);
 		},
+		unreachable(target: {readonly id: string}) {
+			directory.unreachable(target.id);
+		},
 		misdirected(target: {readonly id: string}) {
 			directory.misdirected(target.id);
 		},
