Move runs whose backup leaves as well, and retry moves within the notice

Cause: when own engine and backup left together, or the engine had not begun the run, the run was lost; a refused final part ended a run that was still alive.

--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -74,7 +74,7 @@
 /** A stream under way. */
 export type StreamSession = ServingSession & {
 	readonly run: StreamRun | undefined;
-	/** The engine is about to leave. */
+	/** An engine is about to leave. */
 	engineLeaving(targetId: string): void;
 	/** Checks for silence; called regularly. */
 	tick(): void;
@@ -91,6 +91,9 @@
 	handle: Disposable | undefined;
 	head: AnswerHead | undefined;
 	isOver: boolean;
+	isMoving: boolean;
+	/** The stream was closed after the final part of a move began. */
+	endedWhileStopping: boolean;
 	/** True from the final part of a move on: the end of the stream is expected. */
 	isStopping: boolean;
 };
@@ -104,8 +107,9 @@
 const minSendMs = 50;
 const misdirectedStatus = 421;
 const okStatus = 200;
-/** Engines that are asked to take the memory of a run, one after the other. */
-const maxCopyAttempts = 4;
+/** Tries to move a run within the notice of its engine. */
+const maxMoveAttempts = 8;
+const moveRetryMs = 150;
 
 function isPromise(status: number): boolean {
 	return status === 408 || status === 421 || status === 429 || status === 503;
@@ -217,6 +221,8 @@
 			handle: undefined,
 			head: undefined,
 			isOver: false,
+			isMoving: false,
+			endedWhileStopping: false,
 			isStopping: false,
 		};
 		send = current;
@@ -391,6 +397,7 @@
 		const {target} = current.placement;
 		if (current.isStopping) {
 			// The move closes the stream; its answer tells how to go on.
+			current.endedWhileStopping = true;
 			return;
 		}
 
@@ -409,8 +416,13 @@
 			options.unreachable(target);
 		}
 
-		if (failure.unsent && !current.continues) {
-			start('target unreachable', false);
+		if (failure.unsent) {
+			if (current.continues) {
+				giveUp('the copy of the run is lost');
+			} else {
+				start('target unreachable', false);
+			}
+
 			return;
 		}
 
@@ -434,6 +446,7 @@
 
 		if (isEventStream(head)) {
 			if (current.isStopping) {
+				current.endedWhileStopping = true;
 				return;
 			}
 
@@ -494,83 +507,115 @@
 		);
 	};
 
-	/** Copies the run's memory to an engine with room, trying others in turn. */
-	const copyAhead = async (current: Send) => {
+	const copyTo = async (current: Send, to: TargetEntry, final: boolean) => {
 		const {target} = current.placement;
-		const refused = new Set([...avoid, target.id]);
-		for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
-			const to = options.place(admitted, refused)?.target;
-			if (!to) {
-				log('move impossible', {request: request.id, target: target.id});
-				return undefined;
-			}
+		const result = await link.moveMemory(
+			target.address,
+			request.id,
+			to.address,
+			final,
+			moveTimeoutMs,
+		);
+		log(final ? 'move finished' : 'move started', {
+			request: request.id,
+			target: target.id,
+			to: to.id,
+			outcome: result.outcome,
+			events: eventCount,
+		});
+		return result;
+	};
 
-			const {outcome} = await link.moveMemory(
-				target.address,
-				request.id,
-				to.address,
-				false,
-				moveTimeoutMs,
-			);
-			log('move started', {
-				request: request.id,
-				target: target.id,
-				to: to.id,
-				outcome,
-				attempt,
-				events: eventCount,
-			});
-			if (current.isOver || isDone || outcome === 'unknown-run') {
-				return undefined;
+	const isLost = (current: Send) => current.isOver || isDone;
+
+	/**
+	 * Stops the run and continues it at the engine that has a copy of all but its newest part.
+	 * @returns false if the run goes on where it is
+	 */
+	const finishMove = async (current: Send, to: TargetEntry) => {
+		const {target} = current.placement;
+		current.isStopping = true;
+		const last = await copyTo(current, to, true);
+		if (isLost(current)) {
+			return true;
+		}
+
+		if (last.outcome === 'copied') {
+			if (!continueAt(to, last.memory, 'engine leaves')) {
+				giveUp('the run could not be continued');
 			}
 
-			if (outcome === 'copied') {
-				return to;
+			return true;
+		}
+
+		if (last.outcome === 'refused' && last.memory) {
+			// The run was stopped, and its engine kept the memory.
+			if (!continueAt(target, last.memory, 'move refused')) {
+				giveUp('the run could not be continued');
 			}
 
-			refused.add(to.id);
+			evacuate();
+			return true;
+		}
+
+		current.isStopping = false;
+		if (current.endedWhileStopping) {
+			failed(current, {unsent: false, reason: 'the move failed'});
 		}
 
-		return undefined;
+		return isLost(current);
 	};
 
-	/** Moves the run away from an engine that leaves. */
+	/** Moves the run away from an engine that leaves; answers "several engines leave at once". */
 	const move = async (current: Send) => {
 		const {target} = current.placement;
-		const to = await copyAhead(current);
-		if (!to || current.isOver || isDone) {
-			return;
+		const refused = new Set([...avoid, target.id]);
+		for (let attempt = 1; attempt <= maxMoveAttempts; attempt++) {
+			const to = options.place(admitted, refused)?.target;
+			if (!to) {
+				log('move impossible', {request: request.id, target: target.id});
+				return;
+			}
+
+			const first = await copyTo(current, to, false);
+			if (isLost(current)) {
+				return;
+			}
+
+			if (first.outcome === 'copied') {
+				if (await finishMove(current, to)) {
+					return;
+				}
+
+				refused.add(to.id);
+			} else if (first.outcome === 'unknown-run') {
+				// The engine has not begun the run yet.
+				await timers.sleep(moveRetryMs);
+			} else {
+				refused.add(to.id);
+			}
+
+			if (isLost(current)) {
+				return;
+			}
 		}
+	};
 
-		current.isStopping = true;
-		const last = await link.moveMemory(
-			target.address,
-			request.id,
-			to.address,
-			true,
-			moveTimeoutMs,
-		);
-		log('move finished', {
-			request: request.id,
-			target: target.id,
-			to: to.id,
-			outcome: last.outcome,
-			events: eventCount,
-		});
-		if (current.isOver || isDone) {
+	/** Moves the run if its engine leaves and no copy of its memory is safe elsewhere. */
+	const evacuate = () => {
+		const current = send;
+		if (!current || isLost(current) || current.isMoving) {
 			return;
 		}
 
-		const isCopied = last.outcome === 'copied';
-		const keeper = isCopied ? to : target;
-		const memory =
-			isCopied || last.outcome === 'refused' ? last.memory : undefined;
-		if (continueAt(keeper, memory, 'engine leaves')) {
+		const {target, backup} = current.placement;
+		const isSafe = backup !== undefined && options.isUsable(backup.id);
+		if (isSafe || options.isUsable(target.id)) {
 			return;
 		}
 
-		current.isStopping = false;
-		failed(current, {unsent: false, reason: 'the move failed'});
+		current.isMoving = true;
+		void move(current);
 	};
 
 	const timeout = timers.after(leftMs(), () => {
@@ -613,22 +658,12 @@
 			);
 		},
 		engineLeaving(targetId) {
-			const current = send;
 			if (
-				!current ||
-				current.isOver ||
-				current.isStopping ||
-				current.placement.target.id !== targetId
+				send?.placement.target.id === targetId ||
+				send?.placement.backup?.id === targetId
 			) {
-				return;
-			}
-
-			const {backup} = current.placement;
-			if (backup && options.isUsable(backup.id)) {
-				return;
+				evacuate();
 			}
-
-			void move(current);
 		},
 		tick() {
 			const current = send;
