Prefer the zone of a leaving engine for moves and wait for copies under way

Cause: a move between zones takes twice as long, and several runs of one engine share its link within two seconds of notice; a second copy of a run was refused (409) and its engine given up.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -101,6 +101,8 @@
 	/** The source keeps the memory; `memory` is set if the run was stopped. */
 	| {readonly outcome: 'refused'; readonly memory: RunMemory | undefined}
 	| {readonly outcome: 'unknown-run'}
+	/** Another copy of the run is under way. */
+	| {readonly outcome: 'busy'}
 	| {readonly outcome: 'failed'; readonly reason: string};
 
 /** Load that an engine reports of itself; some hundred milliseconds old. */
--- a/src/decisions/serving/engine-placement.ts
+++ b/src/decisions/serving/engine-placement.ts
@@ -18,6 +18,10 @@
 export type PlacementDemand = {
 	readonly promptTokens: number;
 	readonly expectedOutputTokens: number;
+	/** Zone whose engines are preferred. */
+	readonly nearZone: string;
+	/** Cost of an engine in another zone, in milliseconds. */
+	readonly otherZoneCostMs: number;
 };
 
 /** Speed of the engines. */
@@ -55,8 +59,6 @@
 const pressureCostMs = 20_000;
 /** Cost of an engine that failed of late, in milliseconds. */
 const suspectCostMs = 3000;
-/** Cost of a byte path between zones, in milliseconds. */
-const otherZoneCostMs = 15;
 /** VMs decide at the same time on the same figures, so equal engines are told apart by chance. */
 const jitterMs = 10;
 
@@ -70,7 +72,6 @@
 	candidate: EngineCandidate,
 	demand: PlacementDemand,
 	speed: EngineSpeed,
-	ownZone: string,
 ): PlacementChoice {
 	const {load, capacityTokens} = candidate;
 	const promptTokens = Math.max(
@@ -101,7 +102,9 @@
 		othersMs +
 		pressure * pressureCostMs +
 		(candidate.suspect ? suspectCostMs : 0) +
-		(candidate.availabilityZone === ownZone ? 0 : otherZoneCostMs);
+		(candidate.availabilityZone === demand.nearZone
+			? 0
+			: demand.otherZoneCostMs);
 	return {targetId: candidate.targetId, memoryPart, firstTokenMs, costMs};
 }
 
@@ -112,14 +115,13 @@
 export function chooseEngine(
 	candidates: readonly EngineCandidate[],
 	demand: PlacementDemand,
-	ownZone: string,
 	random: RandomSource,
 	speed: EngineSpeed = defaultEngineSpeed,
 ): PlacementChoice | undefined {
 	let best: PlacementChoice | undefined;
 	let bestCostMs = Infinity;
 	for (const candidate of candidates) {
-		const choice = weigh(candidate, demand, speed, ownZone);
+		const choice = weigh(candidate, demand, speed);
 		const costMs = choice.costMs + random.nextUnit() * jitterMs;
 		if (costMs < bestCostMs) {
 			bestCostMs = costMs;
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -51,6 +51,12 @@
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
 	) => StreamPlacement | undefined;
+	/** Chooses an engine that takes over a run from one that leaves. */
+	readonly placeMove: (
+		admitted: AdmittedRequest,
+		from: TargetEntry,
+		avoid: ReadonlySet<string>,
+	) => TargetEntry | undefined;
 	/** Chooses a backup for a run that goes on at a target. */
 	readonly placeBackup: (
 		admitted: AdmittedRequest,
@@ -102,7 +108,7 @@
 const silenceMs = 900;
 /** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
 const firstEventSilenceMs = 4000;
-const moveTimeoutMs = 1500;
+const moveTimeoutMs = 2500;
 const retryAfterMs = 400;
 const minSendMs = 50;
 const misdirectedStatus = 421;
@@ -521,6 +527,7 @@
 			target: target.id,
 			to: to.id,
 			outcome: result.outcome,
+			reason: result.outcome === 'failed' ? result.reason : undefined,
 			events: eventCount,
 		});
 		return result;
@@ -532,7 +539,11 @@
 	 * Stops the run and continues it at the engine that has a copy of all but its newest part.
 	 * @returns false if the run goes on where it is
 	 */
-	const finishMove = async (current: Send, to: TargetEntry) => {
+	const finishMove = async (
+		current: Send,
+		to: TargetEntry,
+		copy: RunMemory,
+	) => {
 		const {target} = current.placement;
 		current.isStopping = true;
 		const last = await copyTo(current, to, true);
@@ -559,11 +570,16 @@
 		}
 
 		current.isStopping = false;
-		if (current.endedWhileStopping) {
-			failed(current, {unsent: false, reason: 'the move failed'});
+		if (!current.endedWhileStopping) {
+			return false;
 		}
 
-		return isLost(current);
+		// The engine is gone, but the copy lacks only its newest part.
+		if (!continueAt(to, copy, 'engine left')) {
+			giveUp('the run could not be continued');
+		}
+
+		return true;
 	};
 
 	/** Moves the run away from an engine that leaves; answers "several engines leave at once". */
@@ -571,7 +587,7 @@
 		const {target} = current.placement;
 		const refused = new Set([...avoid, target.id]);
 		for (let attempt = 1; attempt <= maxMoveAttempts; attempt++) {
-			const to = options.place(admitted, refused)?.target;
+			const to = options.placeMove(admitted, target, refused);
 			if (!to) {
 				log('move impossible', {request: request.id, target: target.id});
 				return;
@@ -583,13 +599,13 @@
 			}
 
 			if (first.outcome === 'copied') {
-				if (await finishMove(current, to)) {
+				if (await finishMove(current, to, first.memory)) {
 					return;
 				}
 
 				refused.add(to.id);
-			} else if (first.outcome === 'unknown-run') {
-				// The engine has not begun the run yet.
+			} else if (first.outcome === 'unknown-run' || first.outcome === 'busy') {
+				// The engine has not begun the run yet, or copies it already.
 				await timers.sleep(moveRetryMs);
 			} else {
 				refused.add(to.id);
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -147,6 +147,10 @@
 				return {outcome: 'unknown-run'};
 			}
 
+			if (status === 409) {
+				return {outcome: 'busy'};
+			}
+
 			const problem = 'target-protocol';
 			const what = 'the answer to a move';
 			const moved = text
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -29,6 +29,11 @@
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
 	): StreamPlacement | undefined;
+	placeMove(
+		admitted: AdmittedRequest,
+		from: TargetEntry,
+		avoid: ReadonlySet<string>,
+	): TargetEntry | undefined;
 	placeBackup(
 		admitted: AdmittedRequest,
 		targetId: string,
@@ -51,6 +56,10 @@
 
 /** Memory of an engine of both deployments, from their sheets, until one reports its own. */
 const defaultCapacityTokens = 34_000;
+/** Cost of an answer that crosses zones, whose bytes are dear, in milliseconds. */
+const otherZoneAnswerCostMs = 15;
+/** Cost of a move between zones, which takes twice as long as one inside, in milliseconds. */
+const otherZoneMoveCostMs = 250;
 /** Tokens in one event of a stream, from the sheets. */
 const tokensPerEvent = 4;
 /** Generations shorter than this end before a copy of their memory would be of use. */
@@ -165,8 +174,9 @@
 				{
 					promptTokens: admitted.request.generation?.promptTokens ?? 0,
 					expectedOutputTokens: expectedOutputTokens(admitted),
+					nearZone: availabilityZone,
+					otherZoneCostMs: otherZoneAnswerCostMs,
 				},
-				availabilityZone,
 				random,
 			);
 			const target = entryOf(choice?.targetId);
@@ -178,6 +188,19 @@
 					}
 				: undefined;
 		},
+		placeMove(admitted, from, avoid) {
+			const choice = chooseEngine(
+				engineCandidates(admitted.service, avoid),
+				{
+					promptTokens: admitted.request.generation?.promptTokens ?? 0,
+					expectedOutputTokens: expectedOutputTokens(admitted),
+					nearZone: from.availabilityZone,
+					otherZoneCostMs: otherZoneMoveCostMs,
+				},
+				random,
+			);
+			return entryOf(choice?.targetId);
+		},
 		placeBackup(admitted, targetId) {
 			return backupFor(
 				admitted,
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -129,6 +129,8 @@
 		const session = startStreamSession(admitted, reply, {
 			...shared(admitted.service),
 			place: (request, avoid) => view.placeStream(request, avoid),
+			placeMove: (request, from, avoid) =>
+				view.placeMove(request, from, avoid),
 			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
 			isUsable: (targetId) => directory.get(targetId) !== undefined,
 			opened: (run) => view.openedStream(run),
