Relay the store's changes among VMs, refuse on a stopping VM what would outlast it

Change: one VM in eight follows closely and relays rows with their versions; digests thin out with the number of peers; a peer's newer configuration makes a VM read it.

--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -14,3 +14,5 @@
 export * from './load-digest.js';
 export * from './peer-list.js';
 export * from './admission.js';
+export * from './relayed-rows.js';
+export * from './stopping.js';
--- a/src/decisions/serving/load-digest.ts
+++ b/src/decisions/serving/load-digest.ts
@@ -9,6 +9,8 @@
 	readonly sequence: number;
 	/** Version of the configuration in force there; 0 if none is. */
 	readonly configurationVersion: number;
+	/** True if the VM reads the table of the targets now. */
+	readonly readsStore: boolean;
 	readonly shares: ReadonlyMap<string, LoadShare>;
 };
 
@@ -17,6 +19,7 @@
 	i: z.string(),
 	s: z.number(),
 	c: z.number(),
+	r: z.boolean(),
 	t: z.array(
 		z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]),
 	),
@@ -29,6 +32,7 @@
 		i: digest.instanceId,
 		s: digest.sequence,
 		c: digest.configurationVersion,
+		r: digest.readsStore,
 		t: [...digest.shares].map(([id, share]) => [
 			id,
 			share.openCount,
@@ -39,15 +43,8 @@
 	});
 }
 
-/** @returns undefined if the datagram is not a digest */
-export function decodeDigest(text: string): LoadDigest | undefined {
-	let value: unknown;
-	try {
-		value = JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-
+/** @returns undefined if the value is not a digest */
+export function decodeDigest(value: unknown): LoadDigest | undefined {
 	const {success, data} = digestSchema.safeParse(value);
 	if (!success) {
 		return undefined;
@@ -58,6 +55,7 @@
 		instanceId: data.i,
 		sequence: data.s,
 		configurationVersion: data.c,
+		readsStore: data.r,
 		shares: new Map(
 			data.t.map(([id, openCount, memory, pending, growth]) => [
 				id,
--- a/src/decisions/serving/peer-list.ts
+++ b/src/decisions/serving/peer-list.ts
@@ -12,10 +12,29 @@
 	 * A digest arrived.
 	 * @returns false if it is older than one that arrived before
 	 */
-	heard(address: string, instanceId: string, sequence: number): boolean;
+	heard(address: string, digest: PeerMark): boolean;
+	/**
+	 * True if this VM is one of those that follow the store closely and relay its changes. The VMs
+	 * that read the store take this duty in the order of their addresses.
+	 */
+	isRelay(readsStore: boolean): boolean;
+};
+
+/** What a digest says of its sender. */
+export type PeerMark = {
+	readonly instanceId: string;
+	readonly sequence: number;
+	readonly readsStore: boolean;
 };
 
-type Peer = {heardMs: number; instanceId: string; sequence: number};
+type Peer = PeerMark & {readonly heardMs: number};
+
+/** VMs for each one that relays the store's changes. */
+const vmsPerRelay = 8;
+/** Fewest relays, so that the loss of one goes unnoticed. */
+const minRelays = 2;
+/** Time after which a silent peer no longer counts as a relay, in milliseconds. */
+const relayTimeoutMs = 4500;
 
 /**
  * Creates a list without peers.
@@ -40,10 +59,11 @@
 					heardMs: clock.nowMs(),
 					instanceId: '',
 					sequence: -1,
+					readsStore: false,
 				});
 			}
 		},
-		heard(address, instanceId, sequence) {
+		heard(address, digest) {
 			const nowMs = clock.nowMs();
 			for (const [other, peer] of peers) {
 				if (nowMs - peer.heardMs > forgetMs) {
@@ -54,14 +74,33 @@
 			const before = peers.get(address);
 			if (
 				before &&
-				before.instanceId === instanceId &&
-				before.sequence >= sequence
+				before.instanceId === digest.instanceId &&
+				before.sequence >= digest.sequence
 			) {
 				return false;
 			}
 
-			peers.set(address, {heardMs: nowMs, instanceId, sequence});
+			peers.set(address, {...digest, heardMs: nowMs});
 			return true;
 		},
+		isRelay(readsStore) {
+			if (!readsStore) {
+				return false;
+			}
+
+			const nowMs = clock.nowMs();
+			let before = 0;
+			for (const [address, peer] of peers) {
+				const counts =
+					peer.readsStore && nowMs - peer.heardMs <= relayTimeoutMs;
+				before += counts && address < ownAddress ? 1 : 0;
+			}
+
+			const relayCount = Math.max(
+				minRelays,
+				Math.ceil((peers.size + 1) / vmsPerRelay),
+			);
+			return before < relayCount;
+		},
 	};
 }
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -28,24 +28,32 @@
 	readonly random: RandomSource;
 	readonly table: string;
 	/** Time after which the store answers without changes, in milliseconds. */
-	readonly waitMs: number;
-	/** Shortest time between two calls, in milliseconds. */
-	readonly minIntervalMs: number;
+	readonly waitMs: () => number;
+	/** Shortest time between the starts of two calls, in milliseconds. */
+	readonly minIntervalMs: () => number;
 };
 
 const minBackoffMs = 150;
 const maxBackoffMs = 1000;
+const minRefreshMs = 500;
+
+/** A table that is followed. */
+export type TableFollower = Disposable & {
+	/** Reads the whole table now, because something newer than the last read is known to exist. */
+	refresh(): void;
+};
 
 /** Follows a table until disposed. */
 export function followTable(
 	options: TableFollowerOptions,
 	listener: TableListener,
-): Disposable {
+): TableFollower {
 	const {store, timers, random, clock, table} = options;
 	let stopped = false;
 	let failures = 0;
 	let version: number | undefined;
 	let newestVersion = 0;
+	let refreshedMs = -Infinity;
 
 	const succeeded = () => {
 		if (failures > 0) {
@@ -68,7 +76,7 @@
 	};
 
 	const readChanges = async (afterVersion: number) => {
-		const changes = await store.changes(table, afterVersion, options.waitMs);
+		const changes = await store.changes(table, afterVersion, options.waitMs());
 		succeeded();
 		version = Math.max(afterVersion, changes.version);
 		newestVersion = Math.max(newestVersion, version);
@@ -104,7 +112,7 @@
 					: Math.min(maxBackoffMs, minBackoffMs * 2 ** (failures - 1)) *
 						(0.5 + random.nextUnit());
 			const spentMs = clock.nowMs() - startedMs;
-			const pauseMs = Math.max(backoffMs, options.minIntervalMs - spentMs);
+			const pauseMs = Math.max(backoffMs, options.minIntervalMs() - spentMs);
 			if (pauseMs > 0 && !stopped) {
 				await timers.sleep(pauseMs);
 			}
@@ -113,6 +121,18 @@
 
 	void run();
 	return {
+		refresh() {
+			const nowMs = clock.nowMs();
+			if (nowMs - refreshedMs < minRefreshMs) {
+				return;
+			}
+
+			refreshedMs = nowMs;
+			// eslint-disable-next-line promise/prefer-await-to-then
+			readAll().catch((error: unknown) => {
+				failed(toProblem(error, 'table-unavailable'));
+			});
+		},
 		dispose() {
 			stopped = true;
 		},
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -28,9 +28,9 @@
 import {createFleetView} from './fleet-view.js';
 import {type FrontSettings, readBootFile} from './front-settings.js';
 import {createFrontPages} from './front-pages.js';
-import {startPeerLoads} from './peer-loads.js';
+import {type PeerLoads, startPeerLoads} from './peer-loads.js';
 import {createRequestServer} from './request-server.js';
-import {watchStore} from './store-watch.js';
+import {type StoreWatch, watchStore} from './store-watch.js';
 
 /** A running front daemon. */
 export type FrontDaemon = {
@@ -43,7 +43,7 @@
 const lapseGraceMs = 2000;
 const unreachableMs = 1000;
 const lingerMs = 30_000;
-const peerTimeoutMs = 2500;
+const peerTimeoutMs = 4500;
 const tickMs = 100;
 const defaultLimits = {
 	maxHeaderBytes: 16_384,
@@ -82,7 +82,7 @@
 		Number.parseInt(instanceId.slice(0, 8), 16),
 	);
 	const owned = createDisposableStore();
-	let isStopping = false;
+	let stopAtMs: number | undefined;
 
 	// A fault in one request must not end the process.
 	process.on('uncaughtException', (error) => {
@@ -125,7 +125,7 @@
 		},
 	});
 	let table: RouteTable | undefined;
-	const peers = owned.add(
+	const peers: PeerLoads = owned.add(
 		startPeerLoads({
 			vm,
 			instanceId,
@@ -135,6 +135,15 @@
 			load,
 			configuration,
 			intervalMs: settings.digestIntervalMs,
+			readsTargets: () => watch.readsTargets,
+			onRows(rows) {
+				for (const {targetId, entry, version} of rows) {
+					directory.set(targetId, entry, version);
+				}
+			},
+			onNewerConfiguration() {
+				watch.readConfiguration();
+			},
 			logger,
 		}),
 	);
@@ -156,13 +165,17 @@
 		windowMs: vm.bounds.retryWindowMs,
 		vmCount: () => peers.vmCount,
 	});
-	const watch = owned.add(
+	const watch: StoreWatch = owned.add(
 		watchStore({
 			store,
 			clock,
 			timers,
 			random,
-			waitMs: settings.storeWaitMs,
+			waitMs: () => settings.storeWaitMs,
+			isRelay: () => peers.isRelay,
+			onRows(rows) {
+				peers.relay(rows);
+			},
 			configuration,
 			directory,
 			logger,
@@ -180,6 +193,8 @@
 		metrics,
 		logger,
 		table: () => table,
+		stopLeftMs: () =>
+			stopAtMs === undefined ? undefined : stopAtMs - clock.nowMs(),
 		staleMs: () =>
 			watch.configurationLostMs === undefined
 				? 0
@@ -187,7 +202,7 @@
 	});
 	const listener = createCallerListener({
 		limits: () => configuration.current?.limits ?? defaultLimits,
-		isStopping: () => isStopping,
+		isStopping: () => stopAtMs !== undefined,
 		serve: (received, reply) => requests.serve(received, reply),
 		onProblem(problem) {
 			logger.error('request failed unexpectedly', {
@@ -269,7 +284,7 @@
 	tick();
 
 	const pages = createFrontPages({
-		isReady: () => !isStopping && watch.isComplete,
+		isReady: () => stopAtMs === undefined && watch.isComplete,
 		metricsText: () => metrics.text(),
 	});
 	const caller = splitAddress(vm.callerAddress);
@@ -302,8 +317,8 @@
 			}
 		},
 		async stop() {
-			isStopping = true;
 			const startedMs = clock.nowMs();
+			stopAtMs = startedMs + vm.bounds.stopGraceMs - stopMarginMs;
 			logger.info('stopping', {openRequests: listener.openCount});
 			for (;;) {
 				await timers.sleep(stopCheckMs);
@@ -313,7 +328,7 @@
 				}
 
 				const isDrained = spentMs > minStopMs && listener.openCount === 0;
-				if (isDrained || spentMs > vm.bounds.stopGraceMs - stopMarginMs) {
+				if (isDrained || clock.nowMs() > stopAtMs) {
 					break;
 				}
 			}
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -40,6 +40,8 @@
 	): TargetEntry | undefined;
 	openedStream(run: StreamRun): RunAccount;
 	finishedStream(admitted: AdmittedRequest, eventCount: number): void;
+	/** Expected length of an answer, in tokens. */
+	expectedOutputTokens(admitted: AdmittedRequest): number;
 };
 
 /** What the view is made from. */
@@ -139,6 +141,7 @@
 				);
 
 	return {
+		expectedOutputTokens,
 		setCapacity(service, capacityTokens) {
 			capacities.set(service, capacityTokens);
 		},
--- a/src/programs/front/peer-loads.ts
+++ b/src/programs/front/peer-loads.ts
@@ -12,7 +12,11 @@
 	type ConfigurationState,
 	createPeerList,
 	decodeDigest,
+	decodeRelayedRows,
 	encodeDigest,
+	encodeRelayedRows,
+	type LoadDigest,
+	type RelayedRow,
 	type TargetLoad,
 } from '../../decisions/serving/index.js';
 
@@ -25,7 +29,14 @@
 	readonly store: RowStore;
 	readonly load: TargetLoad;
 	readonly configuration: ConfigurationState;
+	/** Shortest interval between two digests, in milliseconds. */
 	readonly intervalMs: number;
+	/** True while this VM reads the table of the targets. */
+	readonly readsTargets: () => boolean;
+	/** A peer relays rows of the table of the targets. */
+	readonly onRows: (rows: readonly RelayedRow[]) => void;
+	/** A peer has a newer configuration than this VM. */
+	readonly onNewerConfiguration: () => void;
 	readonly logger: Logger;
 };
 
@@ -33,17 +44,31 @@
 export type PeerLoads = Disposable & {
 	/** Largest number of VMs that may be serving. */
 	readonly vmCount: number;
+	/** True if this VM relays the changes of the store's tables. */
+	readonly isRelay: boolean;
 	/** The load has changed much; peers are told soon. */
 	changed(): void;
+	/** Passes rows of the table of the targets on. */
+	relay(rows: readonly RelayedRow[]): void;
 };
 
 const vmTable = 'cowslip-vms';
 const soonMs = 20;
+/** Keeps the datagrams of a VM at about this interval, however many peers it has, in milliseconds. */
+const intervalPerPeerMs = 25;
 /** Digests that say nothing new still tell that the VM lives. */
 const idleIntervalMs = 1000;
 const forgetPeerMs = 60_000;
 const registerRetryMs = 1500;
 
+function parseDatagram(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
 /** Starts the exchange: registers this VM in the store, reads the others and opens a channel. */
 export function startPeerLoads(options: PeerLoadsOptions): PeerLoads {
 	const {vm, clock, timers, store, load, logger, configuration} = options;
@@ -59,15 +84,27 @@
 	let isRegistered = false;
 	let areNamed = false;
 
-	channel.onDatagram(({from, text}) => {
-		const digest = decodeDigest(text);
-		if (!digest) {
-			logger.warn('digest refused', {from});
+	const takeDigest = (from: string, digest: LoadDigest) => {
+		if (!peers.heard(from, digest)) {
 			return;
 		}
 
-		if (peers.heard(from, digest.instanceId, digest.sequence)) {
-			load.heard(digest.vm, digest.shares);
+		load.heard(digest.vm, digest.shares);
+		if (digest.configurationVersion > (configuration.current?.version ?? 0)) {
+			options.onNewerConfiguration();
+		}
+	};
+
+	channel.onDatagram(({from, text}) => {
+		const value = parseDatagram(text);
+		const digest = decodeDigest(value);
+		const rows = digest ? undefined : decodeRelayedRows(value);
+		if (digest) {
+			takeDigest(from, digest);
+		} else if (rows) {
+			options.onRows(rows);
+		} else {
+			logger.warn('datagram refused', {from});
 		}
 	});
 	channel.onError((error) => {
@@ -81,6 +118,7 @@
 			instanceId: options.instanceId,
 			sequence: 0,
 			configurationVersion: configuration.current?.version ?? 0,
+			readsStore: options.readsTargets(),
 			shares: load.ownShares(),
 		};
 		const text = encodeDigest(digest);
@@ -100,7 +138,13 @@
 	const repeat = () => {
 		if (!isDisposed) {
 			send();
-			timers.after(options.intervalMs, repeat);
+			timers.after(
+				Math.max(
+					options.intervalMs,
+					peers.addresses.length * intervalPerPeerMs,
+				),
+				repeat,
+			);
 		}
 	};
 
@@ -142,11 +186,25 @@
 	};
 
 	void register();
-	repeat();
+	timers.after(options.intervalMs, repeat);
 	return {
 		get vmCount() {
 			return peers.vmCount;
 		},
+		get isRelay() {
+			return peers.isRelay(options.readsTargets());
+		},
+		relay(rows) {
+			if (!peers.isRelay(options.readsTargets())) {
+				return;
+			}
+
+			for (const message of encodeRelayedRows(rows)) {
+				for (const peer of peers.addresses) {
+					channel.send(peer, message);
+				}
+			}
+		},
 		changed() {
 			soon ??= timers.after(soonMs, () => {
 				soon = undefined;
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -12,6 +12,8 @@
 	type AdmittedRequest,
 	type CallerReply,
 	type DecisionLog,
+	mayStartWhileStopping,
+	refuseNotRun,
 	type RetryShare,
 	type RouteTable,
 	retryAfterHeader,
@@ -37,6 +39,8 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly table: () => RouteTable | undefined;
+	/** Time until this VM ends, in milliseconds; undefined unless it is stopping. */
+	readonly stopLeftMs: () => number | undefined;
 	/** Time for which the configuration could not be read, in milliseconds. */
 	readonly staleMs: () => number;
 };
@@ -51,6 +55,9 @@
 	tick(): void;
 };
 
+/** Other VMs can serve the request at once, in milliseconds. */
+const stoppingRetryAfterMs = 50;
+
 /** Creates a server without requests. */
 export function createRequestServer(
 	options: RequestServerOptions,
@@ -125,6 +132,14 @@
 		};
 	};
 
+	const outlastsStop = (admitted: AdmittedRequest) => {
+		const leftMs = options.stopLeftMs();
+		return (
+			leftMs !== undefined &&
+			!mayStartWhileStopping(view.expectedOutputTokens(admitted), leftMs)
+		);
+	};
+
 	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
 		const session = startStreamSession(admitted, reply, {
 			...shared(admitted.service),
@@ -166,6 +181,12 @@
 			const {admitted} = admission;
 			const counted = measured(admitted, reply);
 			if (admitted.route.kind === 'stream') {
+				if (outlastsStop(admitted)) {
+					log('request refused', {request: request.id, status: 503, reason: 'the VM is stopping'});
+					refuseNotRun(counted, 'the VM is stopping', stoppingRetryAfterMs);
+					return undefined;
+				}
+
 				return startStream(admitted, counted);
 			}
 
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -12,6 +12,7 @@
 import {
 	type ConfigurationState,
 	followTable,
+	type RelayedRow,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {
@@ -26,7 +27,12 @@
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly random: RandomSource;
-	readonly waitMs: number;
+	/** Time after which the store answers a wait without changes, in milliseconds. */
+	readonly waitMs: () => number;
+	/** True if this VM follows the targets closely and relays their changes. */
+	readonly isRelay: () => boolean;
+	/** The store named these rows. */
+	readonly onRows: (rows: readonly RelayedRow[]) => void;
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly logger: Logger;
@@ -36,19 +42,26 @@
 export type StoreWatch = Disposable & {
 	/** True once both tables have been read. */
 	readonly isComplete: boolean;
+	/** True while the table of the targets can be read. */
+	readonly readsTargets: boolean;
+	/** Reads the configuration again, since a newer one is in force elsewhere. */
+	readConfiguration(): void;
 	/** Monotonic time since which the operator's table cannot be read, or undefined if it can. */
 	readonly configurationLostMs: number | undefined;
 };
 
 const minConfigurationIntervalMs = 20;
 /** Several targets change at once; their changes are read together. */
-const minTargetsIntervalMs = 100;
+const relayIntervalMs = 100;
+/** A VM that hears of changes from a relay reads the table itself only this often, in milliseconds. */
+const followerIntervalMs = 1200;
 
 /** Starts to follow the operator's table and that of the targets. */
 export function watchStore(options: StoreWatchOptions): StoreWatch {
 	const {configuration, directory, logger, clock} = options;
 	const decoder = new TextDecoder();
 	let hasTargets = false;
+	let readsTargets = false;
 	let configurationLostMs: number | undefined;
 
 	const acceptConfiguration = (value: Uint8Array, rowVersion: number) => {
@@ -77,14 +90,14 @@
 		}
 	};
 
-	const follow = (table: string, minIntervalMs: number) => ({
+	const follow = (table: string, minIntervalMs: () => number) => ({
 		...options,
 		table,
 		minIntervalMs,
 	});
 
 	const operator = followTable(
-		follow(tableNames.operator, minConfigurationIntervalMs),
+		follow(tableNames.operator, () => minConfigurationIntervalMs),
 		{
 			onSnapshot({rows}) {
 				for (const row of rows) {
@@ -130,19 +143,30 @@
 	};
 
 	const targets = followTable(
-		follow(tableNames.targets, minTargetsIntervalMs),
+		follow(tableNames.targets, () =>
+			options.isRelay() ? relayIntervalMs : followerIntervalMs,
+		),
 		{
 			onSnapshot({rows, version}) {
 				hasTargets = true;
+				readsTargets = true;
 				takeRows(rows, version);
 			},
 			onChanges(changes) {
-				for (const {key, value, version} of changes) {
+				const rows = changes.map(({key, value, version}) => ({
+					targetId: key,
+					version,
 					// An entry that cannot be read names no target, as if it were absent.
-					directory.set(key, value && entryOf(key, value), version);
+					entry: value && entryOf(key, value),
+				}));
+				for (const {targetId, entry, version} of rows) {
+					directory.set(targetId, entry, version);
 				}
+
+				options.onRows(rows);
 			},
 			onLost(problem) {
+				readsTargets = false;
 				directory.storeLost();
 				logger.warn('dependency lost', {
 					dependency: 'store, targets table',
@@ -151,6 +175,7 @@
 				});
 			},
 			onRegained() {
+				readsTargets = true;
 				directory.storeRegained();
 				logger.info('dependency regained', {
 					dependency: 'store, targets table',
@@ -163,9 +188,15 @@
 		get isComplete() {
 			return hasTargets && configuration.current !== undefined;
 		},
+		get readsTargets() {
+			return readsTargets;
+		},
 		get configurationLostMs() {
 			return configurationLostMs;
 		},
+		readConfiguration() {
+			operator.refresh();
+		},
 		dispose() {
 			operator.dispose();
 			targets.dispose();
