Keep a copy of runs whose engine leaves and never stop them for a move

Change: the run goes on while its memory is copied and brought up to date; when the engine is gone it continues from the copy.

--- a/src/common/requests/target-link.ts
+++ b/src/common/requests/target-link.ts
@@ -2,8 +2,8 @@
 import type {
 	AnswerSink,
 	CallerRequest,
+	CopyResult,
 	EngineReport,
-	MoveResult,
 	SendOrders,
 } from './types.js';
 
@@ -22,18 +22,20 @@
 	): Disposable;
 
 	/**
-	 * Copies the memory of a run to another engine.
+	 * Copies the memory of a run to another engine; the run goes on meanwhile. Called again, it copies
+	 * only what is new.
 	 * @param address - engine that runs it
 	 * @param toAddress - engine that receives the copy
-	 * @param final - true to stop the run first; its stream is then closed without its end
 	 */
-	abstract moveMemory(
+	abstract copyMemory(
 		address: string,
 		runId: string,
 		toAddress: string,
-		final: boolean,
 		timeoutMs: number,
-	): Promise<MoveResult>;
+	): Promise<CopyResult>;
+
+	/** Frees a copy that is not needed, at both ends. */
+	abstract releaseCopy(address: string, handle: string): void;
 
 	/** Asks an engine for its load. */
 	abstract report(address: string, timeoutMs: number): Promise<EngineReport>;
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -90,16 +90,11 @@
 	onFailure(failure: SendFailure): void;
 };
 
-/** Result of moving the memory of a run. */
-export type MoveResult =
-	| {
-			readonly outcome: 'copied';
-			readonly memory: RunMemory;
-			/** Events that the run had made. */
-			readonly eventCount: number;
-	  }
-	/** The source keeps the memory; `memory` is set if the run was stopped. */
-	| {readonly outcome: 'refused'; readonly memory: RunMemory | undefined}
+/** Result of copying the memory of a run. */
+export type CopyResult =
+	| {readonly outcome: 'copied'; readonly memory: RunMemory}
+	/** The receiving engine has no room or cannot be reached. */
+	| {readonly outcome: 'refused'}
 	| {readonly outcome: 'unknown-run'}
 	/** Another copy of the run is under way. */
 	| {readonly outcome: 'busy'}
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -86,6 +86,8 @@
 	tick(): void;
 };
 
+type RunCopy = {readonly target: TargetEntry; readonly memory: RunMemory};
+
 type Send = {
 	readonly placement: StreamPlacement;
 	readonly startedMs: number;
@@ -98,24 +100,33 @@
 	head: AnswerHead | undefined;
 	isOver: boolean;
 	isMoving: boolean;
-	/** The stream was closed after the final part of a move began. */
-	endedWhileStopping: boolean;
-	/** True from the final part of a move on: the end of the stream is expected. */
-	isStopping: boolean;
+	/** Copy of the run's memory that was made because its engine leaves. */
+	copy: RunCopy | undefined;
 };
 
 /** Pause between events after which a run with a copy elsewhere is continued there, in milliseconds. */
 const silenceMs = 900;
 /** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
 const firstEventSilenceMs = 4000;
-const moveTimeoutMs = 2500;
+const copyTimeoutMs = 2500;
 const retryAfterMs = 400;
 const minSendMs = 50;
 const misdirectedStatus = 421;
 const okStatus = 200;
-/** Tries to move a run within the notice of its engine. */
-const maxMoveAttempts = 8;
-const moveRetryMs = 150;
+/** Bounds the copies of a run whose engine says that it leaves and stays. */
+const maxCopyAttempts = 16;
+const copyRetryMs = 150;
+/** Time after which a copy is brought up to date, in milliseconds. */
+const copyRenewMs = 500;
+
+function backupOf(
+	target: TargetEntry | undefined,
+	requestId: string,
+): RunCopy | undefined {
+	return (
+		target && {target, memory: {address: target.address, handle: requestId}}
+	);
+}
 
 function isPromise(status: number): boolean {
 	return status === 408 || status === 421 || status === 429 || status === 503;
@@ -140,6 +151,10 @@
 	let eventCount = 0;
 	let lastProgressMs = clock.nowMs();
 	let moves = 0;
+	let firstEventMs: number | undefined;
+	let lastEventMs = 0;
+	let longestGapMs = 0;
+	let longestGapAt: number | undefined;
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
 
@@ -175,6 +190,12 @@
 			target,
 			events: eventCount,
 			moves,
+			firstEventMs:
+				firstEventMs === undefined
+					? undefined
+					: Math.round(firstEventMs - admitted.arrivedMs),
+			longestGapMs: Math.round(longestGapMs),
+			longestGapAt,
 			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
 		});
 	};
@@ -228,8 +249,7 @@
 			head: undefined,
 			isOver: false,
 			isMoving: false,
-			endedWhileStopping: false,
-			isStopping: false,
+			copy: undefined,
 		};
 		send = current;
 		lastProgressMs = clock.nowMs();
@@ -314,13 +334,23 @@
 		return true;
 	};
 
-	const continueAtBackup = (lost: Send, reason: string): boolean => {
+	/** Continues a lost run from the copy made of late, or from its backup. */
+	const continueLost = (lost: Send, reason: string): boolean => {
 		const {backup} = lost.placement;
-		return continueAt(
-			backup,
-			backup && {address: backup.address, handle: request.id},
-			reason,
-		);
+		const copy = lost.copy ?? backupOf(backup, request.id);
+		return continueAt(copy?.target, copy?.memory, reason);
+	};
+
+	const noteEvent = () => {
+		const nowMs = clock.nowMs();
+		if (firstEventMs === undefined) {
+			firstEventMs = nowMs;
+		} else if (nowMs - lastEventMs > longestGapMs) {
+			longestGapMs = nowMs - lastEventMs;
+			longestGapAt = eventCount;
+		}
+
+		lastEventMs = nowMs;
 	};
 
 	const isForeign = (head: AnswerHead) =>
@@ -391,6 +421,7 @@
 		}
 
 		eventCount++;
+		noteEvent();
 		reply.data(bytes);
 		current.account.progressed(eventCount);
 	};
@@ -401,12 +432,6 @@
 		}
 
 		const {target} = current.placement;
-		if (current.isStopping) {
-			// The move closes the stream; its answer tells how to go on.
-			current.endedWhileStopping = true;
-			return;
-		}
-
 		log('stream attempt failed', {
 			request: request.id,
 			target: target.id,
@@ -433,11 +458,18 @@
 		}
 
 		mayHaveRun = true;
-		if (!continueAtBackup(current, 'run lost')) {
+		if (!continueLost(current, 'run lost')) {
 			giveUp('the run was lost');
 		}
 	};
 
+	/** A copy that is not used would hold memory for some seconds. */
+	const releaseCopy = ({copy, placement}: Send) => {
+		if (copy) {
+			link.releaseCopy(placement.target.address, copy.memory.handle);
+		}
+	};
+
 	const ended = (current: Send) => {
 		const {head, placement} = current;
 		if (current.isOver || isDone || !head) {
@@ -451,17 +483,13 @@
 		}
 
 		if (isEventStream(head)) {
-			if (current.isStopping) {
-				current.endedWhileStopping = true;
-				return;
-			}
-
 			if (current.splitter.hasRest || eventCount === 0) {
 				failed(current, {unsent: false, reason: 'ended inside an event'});
 				return;
 			}
 
 			options.finished(admitted, eventCount);
+			releaseCopy(current);
 			finish(
 				() => {
 					reply.end();
@@ -513,16 +541,22 @@
 		);
 	};
 
-	const copyTo = async (current: Send, to: TargetEntry, final: boolean) => {
+	const isLost = (current: Send) => current.isOver || isDone;
+
+	/** Copies what the engine does not have yet; the run goes on meanwhile. */
+	const copyTo = async (current: Send, to: TargetEntry) => {
 		const {target} = current.placement;
-		const result = await link.moveMemory(
+		const result = await link.copyMemory(
 			target.address,
 			request.id,
 			to.address,
-			final,
-			moveTimeoutMs,
+			copyTimeoutMs,
 		);
-		log(final ? 'move finished' : 'move started', {
+		if (result.outcome === 'copied') {
+			current.copy = {target: to, memory: result.memory};
+		}
+
+		log('memory copied', {
 			request: request.id,
 			target: target.id,
 			to: to.id,
@@ -530,85 +564,38 @@
 			reason: result.outcome === 'failed' ? result.reason : undefined,
 			events: eventCount,
 		});
-		return result;
+		return result.outcome;
 	};
 
-	const isLost = (current: Send) => current.isOver || isDone;
-
 	/**
-	 * Stops the run and continues it at the engine that has a copy of all but its newest part.
-	 * @returns false if the run goes on where it is
+	 * Keeps a copy of the run at another engine until its own is gone. Answers the pattern "engines
+	 * leave at two seconds' notice with many runs": the runs share one link, and a run that is
+	 * stopped for its last part waits behind the others, so none is stopped.
 	 */
-	const finishMove = async (
-		current: Send,
-		to: TargetEntry,
-		copy: RunMemory,
-	) => {
-		const {target} = current.placement;
-		current.isStopping = true;
-		const last = await copyTo(current, to, true);
-		if (isLost(current)) {
-			return true;
-		}
-
-		if (last.outcome === 'copied') {
-			if (!continueAt(to, last.memory, 'engine leaves')) {
-				giveUp('the run could not be continued');
-			}
-
-			return true;
-		}
-
-		if (last.outcome === 'refused' && last.memory) {
-			// The run was stopped, and its engine kept the memory.
-			if (!continueAt(target, last.memory, 'move refused')) {
-				giveUp('the run could not be continued');
-			}
-
-			evacuate();
-			return true;
-		}
-
-		current.isStopping = false;
-		if (!current.endedWhileStopping) {
-			return false;
-		}
-
-		// The engine is gone, but the copy lacks only its newest part.
-		if (!continueAt(to, copy, 'engine left')) {
-			giveUp('the run could not be continued');
-		}
-
-		return true;
-	};
-
-	/** Moves the run away from an engine that leaves; answers "several engines leave at once". */
-	const move = async (current: Send) => {
+	const keepCopy = async (current: Send) => {
 		const {target} = current.placement;
 		const refused = new Set([...avoid, target.id]);
-		for (let attempt = 1; attempt <= maxMoveAttempts; attempt++) {
-			const to = options.placeMove(admitted, target, refused);
+		for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
+			const to =
+				current.copy?.target ?? options.placeMove(admitted, target, refused);
 			if (!to) {
 				log('move impossible', {request: request.id, target: target.id});
 				return;
 			}
 
-			const first = await copyTo(current, to, false);
+			const outcome = await copyTo(current, to);
 			if (isLost(current)) {
 				return;
 			}
 
-			if (first.outcome === 'copied') {
-				if (await finishMove(current, to, first.memory)) {
-					return;
-				}
-
-				refused.add(to.id);
-			} else if (first.outcome === 'unknown-run' || first.outcome === 'busy') {
+			if (outcome === 'copied') {
+				await timers.sleep(copyRenewMs);
+			} else if (outcome === 'unknown-run' || outcome === 'busy') {
 				// The engine has not begun the run yet, or copies it already.
-				await timers.sleep(moveRetryMs);
+				await timers.sleep(copyRetryMs);
 			} else {
 				refused.add(to.id);
+				current.copy = undefined;
 			}
 
 			if (isLost(current)) {
@@ -631,7 +618,7 @@
 		}
 
 		current.isMoving = true;
-		void move(current);
+		void keepCopy(current);
 	};
 
 	const timeout = timers.after(leftMs(), () => {
@@ -683,17 +670,16 @@
 		},
 		tick() {
 			const current = send;
-			if (!current || current.isOver || current.isStopping) {
+			if (!current || current.isOver) {
 				return;
 			}
 
 			const limitMs = eventCount > 0 ? silenceMs : firstEventSilenceMs;
 			const {backup} = current.placement;
-			if (
-				clock.nowMs() - lastProgressMs > limitMs &&
-				backup &&
-				options.isUsable(backup.id)
-			) {
+			const canContinue =
+				current.copy !== undefined ||
+				(backup !== undefined && options.isUsable(backup.id));
+			if (clock.nowMs() - lastProgressMs > limitMs && canContinue) {
 				failed(current, {unsent: false, reason: 'the engine is silent'});
 			}
 		},
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -3,9 +3,9 @@
 import {
 	type AnswerSink,
 	type CallerRequest,
+	type CopyResult,
 	type Disposable,
 	type EngineReport,
-	type MoveResult,
 	ProblemError,
 	type SendOrders,
 	TargetLink,
@@ -20,6 +20,7 @@
 /** Idle connections without a hint of the target are closed after this time, in milliseconds. */
 const idleTimeoutMs = 4000;
 const defaultMaxConnections = 16;
+const releaseTimeoutMs = 1000;
 
 const reportSchema = z.object({
 	queued: z.number(),
@@ -27,10 +28,39 @@
 	kv_used: z.number(),
 	kv_total: z.number(),
 });
-const movedSchema = z.object({
-	handle: z.string().optional(),
-	created: z.number().optional(),
-});
+const copiedSchema = z.object({handle: z.string()});
+
+function decodeCopyResult(
+	address: string,
+	status: number,
+	text: string,
+): CopyResult {
+	switch (status) {
+		case 200: {
+			const what = 'the answer to a copy';
+			const problem = 'target-protocol';
+			const value = parseJson(text, what, problem);
+			const {handle} = decode(copiedSchema, value, what, problem);
+			return {outcome: 'copied', memory: {address, handle}};
+		}
+
+		case 404: {
+			return {outcome: 'unknown-run'};
+		}
+
+		case 409: {
+			return {outcome: 'busy'};
+		}
+
+		case 503: {
+			return {outcome: 'refused'};
+		}
+
+		default: {
+			return {outcome: 'failed', reason: `status ${status}`};
+		}
+	}
+}
 
 type RawHeaders = {readonly rawHeaders?: readonly Buffer[]};
 
@@ -127,14 +157,13 @@
 		};
 	}
 
-	override async moveMemory(
+	override async copyMemory(
 		address: string,
 		runId: string,
 		toAddress: string,
-		final: boolean,
 		timeoutMs: number,
-	): Promise<MoveResult> {
-		const body = JSON.stringify({id: runId, to: toAddress, last: final});
+	): Promise<CopyResult> {
+		const body = JSON.stringify({id: runId, to: toAddress, last: false});
 		try {
 			const {status, text} = await this.call(
 				address,
@@ -143,35 +172,25 @@
 				body,
 				timeoutMs,
 			);
-			if (status === 404) {
-				return {outcome: 'unknown-run'};
-			}
-
-			if (status === 409) {
-				return {outcome: 'busy'};
-			}
-
-			const problem = 'target-protocol';
-			const what = 'the answer to a move';
-			const moved = text
-				? decode(movedSchema, parseJson(text, what, problem), what, problem)
-				: {};
-			const memory =
-				moved.handle === undefined
-					? undefined
-					: {address, handle: moved.handle};
-			if (status === 200 && memory) {
-				return {outcome: 'copied', memory, eventCount: moved.created ?? 0};
-			}
-
-			return status === 503
-				? {outcome: 'refused', memory}
-				: {outcome: 'failed', reason: `status ${status}`};
+			return decodeCopyResult(address, status, text);
 		} catch (error) {
 			return {outcome: 'failed', reason: (error as Error).message};
 		}
 	}
 
+	override releaseCopy(address: string, handle: string): void {
+		this.call(
+			address,
+			'DELETE',
+			`${targetCalls.releaseCopy}/${handle}`,
+			undefined,
+			releaseTimeoutMs,
+			// eslint-disable-next-line promise/prefer-await-to-then
+		).catch(() => {
+			// The engine frees a copy by itself after some seconds.
+		});
+	}
+
 	override async report(
 		address: string,
 		timeoutMs: number,
@@ -241,7 +260,7 @@
 
 	private async call(
 		address: string,
-		method: 'GET' | 'POST',
+		method: 'DELETE' | 'GET' | 'POST',
 		path: string,
 		body: string | undefined,
 		timeoutMs: number,
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -46,7 +46,9 @@
 /** Calls of targets besides requests. */
 export const targetCalls = {
 	report: '/-/report',
+	/** Copies while the run goes on, as long as the last part is not asked for. */
 	moveMemory: '/-/kv-move',
+	releaseCopy: '/-/kv-handle',
 } as const;
 
 /** Path of the readiness check. */
