Ask engines whether they leave while the store is away

Cause: runs without a copy were lost when their engine left during an outage of the store, since nobody heard of it.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -106,4 +106,6 @@
 	readonly runningCount: number;
 	readonly usedTokens: number;
 	readonly capacityTokens: number;
+	/** True once the engine is about to end. */
+	readonly leaving: boolean;
 };
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -45,6 +45,8 @@
 	storeRegained(): void;
 	/** Nothing accepts connections at the address; it is not used for a while. */
 	unreachable(targetId: string): void;
+	/** The target itself says that it leaves. */
+	leaving(targetId: string): void;
 	/** Another target answers at the address. */
 	misdirected(targetId: string): void;
 	/** Settles lapsed entries; called regularly. */
@@ -207,6 +209,9 @@
 		unreachable(targetId) {
 			unreachable.set(targetId, clock.nowMs() + options.unreachableMs);
 		},
+		leaving(targetId) {
+			depart(targetId, 'draining');
+		},
 		misdirected(targetId) {
 			depart(targetId, 'misdirected');
 		},
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -27,6 +27,8 @@
 	running: z.number(),
 	kv_used: z.number(),
 	kv_total: z.number(),
+	state: z.string().optional(),
+	leaves_ms: z.number().nullish(),
 });
 const copiedSchema = z.object({handle: z.string()});
 
@@ -219,6 +221,7 @@
 			runningCount: raw.running,
 			usedTokens: raw.kv_used,
 			capacityTokens: raw.kv_total,
+			leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
 		};
 	}
 
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -25,6 +25,7 @@
 import {HttpTargetLink, StoreClient} from '../../platform/index.js';
 import {listen} from '../entry/listen.js';
 import {createCapacityReader} from './capacity-reader.js';
+import {startEngineWatch} from './engine-watch.js';
 import {createFleetView} from './fleet-view.js';
 import {type FrontSettings, readBootFile} from './front-settings.js';
 import {createFrontPages} from './front-pages.js';
@@ -229,9 +230,17 @@
 			logger,
 		),
 	);
-	const knownServices = new Set<string>();
+	owned.add(
+		startEngineWatch({
+			timers,
+			link,
+			directory,
+			readsTargets: () => watch.readsTargets,
+			engines: () => requests.engines(),
+			logger,
+		}),
+	);
 	const updateService = (service: string) => {
-		knownServices.add(service);
 		detector.update(
 			service,
 			directory.usable(service).map(({entry}) => entry.id),
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -3,6 +3,7 @@
 import type {
 	Clock,
 	RandomSource,
+	TargetEntry,
 	TargetLink,
 	Timers,
 } from '../../common/index.js';
@@ -52,6 +53,8 @@
 		reply: CallerReply,
 	): ServingSession | undefined;
 	engineLeaving(targetId: string): void;
+	/** Engines on which runs, or the copies of their memory, depend. */
+	engines(): readonly TargetEntry[];
 	tick(): void;
 };
 
@@ -196,6 +199,18 @@
 				opened: (target) => view.openedCall(target),
 			});
 		},
+		engines() {
+			const engines = new Map<string, TargetEntry>();
+			for (const {run} of streams) {
+				for (const entry of [run?.target, run?.backup]) {
+					if (entry && directory.get(entry.id)) {
+						engines.set(entry.id, entry);
+					}
+				}
+			}
+
+			return [...engines.values()];
+		},
 		engineLeaving(targetId) {
 			for (const session of streams) {
 				session.engineLeaving(targetId);
