Let generations wait for memory within their objective

Cause: a generation placed on engines that are all full displaces another. Change: decideWait, asked every 30 ms until the first token would be late; what is larger than an engine's memory is refused at once.

--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -16,3 +16,4 @@
 export * from './admission.js';
 export * from './relayed-rows.js';
 export * from './stopping.js';
+export * from './generation-wait.js';
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -8,6 +8,7 @@
 	TargetLink,
 	Timers,
 } from '../../common/index.js';
+import {decideWait} from './generation-wait.js';
 import {createEventSplitter, type EventSplitter} from './event-splitter.js';
 import {ownStatus, refuseNotRun} from './refusals.js';
 import type {RetryShare} from './retry-share.js';
@@ -23,6 +24,9 @@
 	readonly target: TargetEntry;
 	readonly backup: TargetEntry | undefined;
 	readonly firstTokenMs: number;
+	/** Part of the engine's memory that is expected to be in use at the peak. */
+	readonly memoryPart: number;
+	readonly capacityTokens: number;
 };
 
 /** A run as others see it. */
@@ -79,6 +83,8 @@
 
 /** A stream under way. */
 export type StreamSession = ServingSession & {
+	/** True once the caller has its final answer. */
+	readonly isDone: boolean;
 	readonly run: StreamRun | undefined;
 	/** An engine is about to leave. */
 	engineLeaving(targetId: string): void;
@@ -110,6 +116,8 @@
 const firstEventSilenceMs = 4000;
 const copyTimeoutMs = 2500;
 const retryAfterMs = 400;
+/** Interval at which a waiting generation asks again for an engine, in milliseconds. */
+const waitStepMs = 30;
 const minSendMs = 50;
 const misdirectedStatus = 421;
 const okStatus = 200;
@@ -145,6 +153,7 @@
 	const {request, route, service} = admitted;
 	const avoid = new Set<string>();
 	let send: Send | undefined;
+	let waiting: Disposable | undefined;
 	let isDone = false;
 	let mayHaveRun = false;
 	let lastEventId: number | undefined;
@@ -179,6 +188,7 @@
 
 		isDone = true;
 		timeout.dispose();
+		waiting?.dispose();
 		const target = send?.placement.target.id;
 		closeSend();
 		answer();
@@ -260,6 +270,8 @@
 			backup: placement.backup?.id,
 			continuesAt: continueFrom ? lastEventId : undefined,
 			expectedFirstTokenMs: Math.round(placement.firstTokenMs),
+			expectedMemoryPart: Number(placement.memoryPart.toFixed(2)),
+			waitedMs: Math.round(clock.nowMs() - admitted.arrivedMs),
 			reason,
 			leftMs: Math.round(leftMs()),
 		});
@@ -293,11 +305,28 @@
 		);
 	};
 
+	const waitFor = (placement: StreamPlacement) =>
+		decideWait({
+			memoryPart: placement.memoryPart,
+			firstTokenMs: placement.firstTokenMs,
+			waitedMs: clock.nowMs() - admitted.arrivedMs,
+			objectiveMs: route.objectiveMs,
+			neededTokens: request.generation?.promptTokens ?? 0,
+			capacityTokens: placement.capacityTokens,
+		});
+
 	/** Starts the run at an engine that has not refused it. */
 	const start = (reason: string, isRepeat: boolean) => {
 		const placement = options.place(admitted, avoid);
+		const decision = placement && waitFor(placement);
 		if (!placement) {
 			giveUp('no engine of the service is usable');
+		} else if (decision === 'refuse') {
+			giveUp('the prompt is larger than the memory of an engine');
+		} else if (decision === 'wait') {
+			waiting = timers.after(waitStepMs, () => {
+				start(reason, isRepeat);
+			});
 		} else if (isRepeat && !retryShare.tryTake(service)) {
 			giveUp('the retry budget is used up');
 		} else {
@@ -327,6 +356,8 @@
 				target,
 				backup: options.placeBackup(admitted, target.id),
 				firstTokenMs: 0,
+				memoryPart: 0,
+				capacityTokens: 0,
 			},
 			memory,
 			reason,
@@ -641,6 +672,9 @@
 	start('first send', false);
 
 	return {
+		get isDone() {
+			return isDone;
+		},
 		get run() {
 			return send
 				? {
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -188,6 +188,9 @@
 						target,
 						backup: backupFor(admitted, target.id, candidates),
 						firstTokenMs: choice.firstTokenMs,
+						memoryPart: choice.memoryPart,
+						capacityTokens:
+							capacities.get(admitted.service) ?? defaultCapacityTokens,
 					}
 				: undefined;
 		},
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -218,10 +218,10 @@
 		},
 		tick() {
 			for (const session of streams) {
-				if (session.run) {
-					session.tick();
-				} else {
+				if (session.isDone) {
 					streams.delete(session);
+				} else {
+					session.tick();
 				}
 			}
 		},
