--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -10,7 +11,10 @@
 	ProblemError,
 	toProblem,
 } from '../../common/index.js';
-import type {CallerReply, ServingSession} from '../../decisions/serving/index.js';
+import type {
+	CallerReply,
+	ServingSession,
+} from '../../decisions/serving/index.js';
 import {createCallerReply} from './caller-reply.js';
 
 /** What was read of a request. */
@@ -161,7 +165,6 @@
 				response.shouldKeepAlive = false;
 			}
 
-			// eslint-disable-next-line promise/prefer-await-to-then
 			handle(request, response).catch((error: unknown) => {
 				options.onProblem(toProblem(error));
 				response.destroy();
--- a/src/adapters/front/caller-reply.ts
+++ b/src/adapters/front/caller-reply.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, HeaderPair} from '../../common/index.js';
 import type {CallerReply} from '../../decisions/serving/index.js';
--- a/src/adapters/front/datagram-channel.ts
+++ b/src/adapters/front/datagram-channel.ts
@@ -1,5 +1,9 @@
 import {createSocket} from 'node:dgram';
-import {createEmitter, type Disposable, type Event} from '../../common/index.js';
+import {
+	createEmitter,
+	type Disposable,
+	type Event,
+} from '../../common/index.js';
 
 /** A datagram from a peer. */
 export type Datagram = {
--- a/src/decisions/serving/admission.ts
+++ b/src/decisions/serving/admission.ts
@@ -1,4 +1,8 @@
-import type {CallerRequest, RandomSource, RouteRule} from '../../common/index.js';
+import type {
+	CallerRequest,
+	RandomSource,
+	RouteRule,
+} from '../../common/index.js';
 import {ownStatus} from './refusals.js';
 import type {RouteTable} from './route-table.js';
 import type {AdmittedRequest} from './session-types.js';
@@ -58,7 +62,7 @@
 	}
 
 	const isUncertain = staleMs > maxCertainStaleMs;
-	const route = table.find(request.host, request.path);
+	const route = table.match(request.host, request.path);
 	if (!route) {
 		return isUncertain
 			? refuse(ownStatus.notRun, 'the configuration may be out of date')
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -1,47 +1,18 @@
 import type {
 	AnswerHead,
-	Clock,
 	Disposable,
 	SendFailure,
 	TargetEntry,
-	TargetLink,
-	Timers,
 } from '../../common/index.js';
-import {ownStatus, refuseNotRun} from './refusals.js';
-import type {RetryShare} from './retry-share.js';
+import type {CallSessionOptions} from './call-session-types.js';
+import {joined} from './joined-bytes.js';
+import {isPromise, ownStatus, refuseNotRun} from './refusals.js';
 import type {
 	AdmittedRequest,
 	CallerReply,
-	DecisionLog,
 	ServingSession,
 } from './session-types.js';
 
-/** What calls to plain services work with. */
-export type CallSessionOptions = {
-	readonly clock: Clock;
-	readonly timers: Timers;
-	readonly link: TargetLink;
-	readonly retryShare: RetryShare;
-	readonly log: DecisionLog;
-	/** Chooses a target that has not had the request. */
-	readonly choose: (
-		service: string,
-		avoid: ReadonlySet<string>,
-	) => TargetEntry | undefined;
-	/** Counts a send; disposed when it has ended. */
-	readonly opened: (target: TargetEntry) => Disposable;
-	/** A send ended. */
-	readonly ended: (
-		target: TargetEntry,
-		succeeded: boolean,
-		latencyMs: number,
-	) => void;
-	/** Nothing accepts connections at the address. */
-	readonly unreachable: (target: TargetEntry) => void;
-	/** The target at the address is another one. */
-	readonly misdirected: (target: TargetEntry) => void;
-};
-
 type Attempt = {
 	readonly target: TargetEntry;
 	readonly startedMs: number;
@@ -60,18 +31,6 @@
 const firstErrorStatus = 500;
 const misdirectedStatus = 421;
 
-function joined(chunks: readonly Uint8Array[]): Uint8Array {
-	const size = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-	const all = new Uint8Array(size);
-	let at = 0;
-	for (const chunk of chunks) {
-		all.set(chunk, at);
-		at += chunk.length;
-	}
-
-	return all;
-}
-
 /**
  * Serves one call to a plain service. Calls that may not be repeated are sent again only if the
  * target provably did not run them.
@@ -109,7 +68,7 @@
 		isDone = true;
 		hedge?.dispose();
 		timeout.dispose();
-		for (const attempt of [...attempts]) {
+		for (const attempt of attempts) {
 			attempt.send?.dispose();
 			close(attempt);
 		}
@@ -265,7 +224,10 @@
 		}
 
 		close(attempt);
-		if (head.notExecuted || (head.status === misdirectedStatus && !head.stamped)) {
+		if (
+			head.notExecuted ||
+			(head.status === misdirectedStatus && !head.stamped)
+		) {
 			if (head.status === misdirectedStatus) {
 				options.misdirected(target);
 			}
@@ -335,18 +297,10 @@
 	return {
 		callerLeft() {
 			if (isIdempotent || attempts.size === 0) {
-				finish(
-					() => {
-						reply.abort();
-					},
-					'caller left',
-				);
+				finish(() => {
+					reply.abort();
+				}, 'caller left');
 			}
 		},
 	};
 }
-
-/** Statuses that promise a caller that its request has not run. */
-function isPromise(status: number): boolean {
-	return status === 408 || status === 421 || status === 429 || status === 503;
-}
--- a/src/decisions/serving/event-splitter.ts
+++ b/src/decisions/serving/event-splitter.ts
@@ -1,3 +1,5 @@
+import {joined} from './joined-bytes.js';
+
 /** One event of a stream, as it stands on the wire. */
 export type StreamEvent = {
 	/** Number in its `id` line, if it has one. */
@@ -7,23 +9,16 @@
 
 /** Cuts a stream of bytes into whole events. */
 export type EventSplitter = {
-	/** Takes bytes in and returns the events that are whole now. */
-	push(chunk: Uint8Array): readonly StreamEvent[];
 	/** True if part of an event was taken in. */
 	readonly hasRest: boolean;
+	/** Takes bytes in and returns the events that are whole now. */
+	push(chunk: Uint8Array): readonly StreamEvent[];
 };
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const latin1 = new TextDecoder('latin1');
 
-function joined(first: Uint8Array, second: Uint8Array): Uint8Array {
-	const both = new Uint8Array(first.length + second.length);
-	both.set(first);
-	both.set(second, first.length);
-	return both;
-}
-
 function idOf(bytes: Uint8Array): number | undefined {
 	const match = /^id: ?(\d+)\r?$/m.exec(latin1.decode(bytes));
 	return match ? Number(match[1]) : undefined;
@@ -57,7 +52,7 @@
 			return rest.length > 0;
 		},
 		push(chunk) {
-			rest = rest.length === 0 ? chunk : joined(rest, chunk);
+			rest = rest.length === 0 ? chunk : joined([rest, chunk]);
 			const events: StreamEvent[] = [];
 			for (;;) {
 				const end = eventEnd(rest);
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -17,3 +17,7 @@
 export * from './relayed-rows.js';
 export * from './stopping.js';
 export * from './generation-wait.js';
+export type * from './call-session-types.js';
+export type * from './stream-session-types.js';
+export * from './run-copies.js';
+export * from './joined-bytes.js';
--- a/src/decisions/serving/peer-list.ts
+++ b/src/decisions/serving/peer-list.ts
@@ -73,8 +73,7 @@
 
 			const before = peers.get(address);
 			if (
-				before &&
-				before.instanceId === digest.instanceId &&
+				before?.instanceId === digest.instanceId &&
 				before.sequence >= digest.sequence
 			) {
 				return false;
--- a/src/decisions/serving/refusals.ts
+++ b/src/decisions/serving/refusals.ts
@@ -13,6 +13,13 @@
 	timedOut: 504,
 } as const;
 
+const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** True for statuses that promise a caller that its request has not run and never will. */
+export function isPromise(status: number): boolean {
+	return promises.has(status);
+}
+
 const millisecondsPerSecond = 1000;
 
 /** `Retry-After` in seconds with fractions. */
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -49,9 +49,7 @@
 		? data.rows.map(([targetId, version, entry]) => ({
 				targetId,
 				version,
-				entry: entry
-					? {...entry, bornMs: entry.bornMs}
-					: undefined,
+				entry: entry ? {...entry, bornMs: entry.bornMs} : undefined,
 			}))
 		: undefined;
 }
--- a/src/decisions/serving/retry-share.ts
+++ b/src/decisions/serving/retry-share.ts
@@ -59,8 +59,7 @@
 		tryTake(service) {
 			const {requests, repeats} = recordOf(service);
 			const allowed =
-				safetyPart *
-				(ratio * requests.length + extra / Math.max(1, vmCount()));
+				safetyPart * (ratio * requests.length + extra / Math.max(1, vmCount()));
 			if (repeats.length + 1 > allowed) {
 				return false;
 			}
--- a/src/decisions/serving/route-table.ts
+++ b/src/decisions/serving/route-table.ts
@@ -8,7 +8,7 @@
 export type RouteTable = {
 	readonly configuration: DeploymentConfiguration;
 	/** Route of the host with the longest prefix of the path. */
-	find(host: string, path: string): RouteRule | undefined;
+	match(host: string, path: string): RouteRule | undefined;
 	accountOf(apiKey: string | undefined): AccountRule | undefined;
 };
 
@@ -38,7 +38,7 @@
 
 	return {
 		configuration,
-		find(host, path) {
+		match(host, path) {
 			const query = path.indexOf('?');
 			const pathOnly = query === -1 ? path : path.slice(0, query);
 			return byHost
--- /dev/null
+++ b/src/decisions/serving/run-copies.ts
@@ -0,0 +1,106 @@
+import type {
+	RunMemory,
+	TargetEntry,
+	TargetLink,
+	Timers,
+} from '../../common/index.js';
+import type {DecisionLog} from './session-types.js';
+
+/** A copy of a run's memory. */
+export type RunCopy = {
+	readonly target: TargetEntry;
+	readonly memory: RunMemory;
+};
+
+/** A run whose engine leaves. */
+export type LeavingRun = {
+	readonly requestId: string;
+	readonly source: TargetEntry;
+	/** True once the run has ended or goes on elsewhere. */
+	readonly isOver: () => boolean;
+	/** Chooses an engine to keep the copy. */
+	readonly choose: (refused: ReadonlySet<string>) => TargetEntry | undefined;
+	/** The newest copy; undefined once its engine refuses more. */
+	readonly onCopy: (copy: RunCopy | undefined) => void;
+};
+
+/** What copies are made with. */
+export type RunCopiesOptions = {
+	readonly link: TargetLink;
+	readonly timers: Timers;
+	readonly log: DecisionLog;
+};
+
+const copyTimeoutMs = 2500;
+/** Bounds the copies of a run whose engine says that it leaves and stays. */
+const maxCopyAttempts = 16;
+/** Time after which an engine is asked again that has not begun the run or copies it already. */
+const copyRetryMs = 150;
+/** Time after which a copy is brought up to date, in milliseconds. */
+const copyRenewMs = 500;
+
+/** Copies what the engine does not have yet; the run goes on meanwhile. */
+async function copyOnce(
+	run: LeavingRun,
+	to: TargetEntry,
+	{link, log}: RunCopiesOptions,
+) {
+	const result = await link.copyMemory(
+		run.source.address,
+		run.requestId,
+		to.address,
+		copyTimeoutMs,
+	);
+	log('memory copied', {
+		request: run.requestId,
+		target: run.source.id,
+		to: to.id,
+		outcome: result.outcome,
+		reason: result.outcome === 'failed' ? result.reason : undefined,
+	});
+	return result;
+}
+
+/**
+ * Keeps a copy of a run at another engine until its own is gone. Answers the pattern "engines leave
+ * at two seconds' notice with many runs": the runs share one link, and a run that is stopped for its
+ * last part waits behind the others, so none is stopped.
+ */
+export async function keepCopy(
+	run: LeavingRun,
+	options: RunCopiesOptions,
+): Promise<void> {
+	const refused = new Set([run.source.id]);
+	let keeper: TargetEntry | undefined;
+	for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
+		const to = keeper ?? run.choose(refused);
+		if (!to) {
+			options.log('copy impossible', {
+				request: run.requestId,
+				target: run.source.id,
+			});
+			return;
+		}
+
+		const result = await copyOnce(run, to, options);
+		if (run.isOver()) {
+			return;
+		}
+
+		if (result.outcome === 'copied') {
+			keeper = to;
+			run.onCopy({target: to, memory: result.memory});
+			await options.timers.sleep(copyRenewMs);
+		} else if (result.outcome === 'unknown-run' || result.outcome === 'busy') {
+			await options.timers.sleep(copyRetryMs);
+		} else {
+			keeper = undefined;
+			refused.add(to.id);
+			run.onCopy(undefined);
+		}
+
+		if (run.isOver()) {
+			return;
+		}
+	}
+}
--- a/src/decisions/serving/service-placement.ts
+++ b/src/decisions/serving/service-placement.ts
@@ -33,8 +33,7 @@
 		}
 
 		const part = candidate.openCount / candidate.slotCount;
-		const isNear =
-			candidate.availabilityZone === ownZone && part < ownZonePart;
+		const isNear = candidate.availabilityZone === ownZone && part < ownZonePart;
 		const cost =
 			(isNear ? part : 1 + part) +
 			(candidate.suspect ? 10 : 0) +
--- /dev/null
+++ b/src/decisions/serving/stream-pauses.ts
@@ -0,0 +1,40 @@
+import type {DecisionRecord} from './session-types.js';
+
+/** Measures when the events of a stream arrive. */
+export type StreamPauses = {
+	/** An event was passed on. */
+	note(nowMs: number): void;
+	/** Time to the first event, and the longest pause with the event that ended it. */
+	record(): DecisionRecord;
+};
+
+/**
+ * Creates a measure without events.
+ * @param arrivedMs - monotonic time at which the request arrived, in milliseconds
+ */
+export function createStreamPauses(arrivedMs: number): StreamPauses {
+	let firstEventMs: number | undefined;
+	let lastEventMs = 0;
+	let count = 0;
+	let longestGapMs = 0;
+	let longestGapAt: number | undefined;
+	return {
+		note(nowMs) {
+			count++;
+			if (firstEventMs === undefined) {
+				firstEventMs = nowMs - arrivedMs;
+			} else if (nowMs - lastEventMs > longestGapMs) {
+				longestGapMs = nowMs - lastEventMs;
+				longestGapAt = count;
+			}
+
+			lastEventMs = nowMs;
+		},
+		record: () => ({
+			firstEventMs:
+				firstEventMs === undefined ? undefined : Math.round(firstEventMs),
+			longestGapMs: Math.round(longestGapMs),
+			longestGapAt,
+		}),
+	};
+}
--- /dev/null
+++ b/src/decisions/serving/stream-send.ts
@@ -0,0 +1,117 @@
+import type {
+	AnswerHead,
+	CallerRequest,
+	Disposable,
+	SendFailure,
+	SendOrders,
+	TargetEntry,
+	TargetLink,
+} from '../../common/index.js';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {joined} from './joined-bytes.js';
+
+/** Receives what becomes of one send of a stream. */
+export type StreamSendListener = {
+	onEvent(event: StreamEvent, head: AnswerHead): void;
+	/** The stream ended after a whole event. */
+	onWhole(head: AnswerHead): void;
+	/** The target answered, but not with a stream. */
+	onOtherAnswer(head: AnswerHead, body: Uint8Array): void;
+	/** The answer broke off or is not one to this request. */
+	onFailure(failure: SendFailure): void;
+};
+
+const okStatus = 200;
+
+const isEventStream = (head: AnswerHead) =>
+	head.status === okStatus && head.stamped && !head.encoded;
+
+/**
+ * Sends a request for a stream once and cuts the answer into whole events. Nothing is reported after
+ * the first of `onWhole`, `onOtherAnswer` and `onFailure`, or once disposed.
+ */
+export function sendStream(
+	link: TargetLink,
+	target: TargetEntry,
+	request: CallerRequest,
+	orders: SendOrders,
+	listener: StreamSendListener,
+): Disposable {
+	const splitter = createEventSplitter();
+	const otherChunks: Uint8Array[] = [];
+	let head: AnswerHead | undefined;
+	let hasEvents = false;
+	let isOver = false;
+
+	const fail = (failure: SendFailure) => {
+		isOver = true;
+		listener.onFailure(failure);
+	};
+
+	/** True, and the send has failed, if the answer belongs to another request. */
+	const failIfForeign = (answer: AnswerHead) => {
+		const isForeign =
+			answer.requestId !== undefined && answer.requestId !== request.id;
+		if (isForeign) {
+			link.renew(target.address);
+			fail({unsent: false, reason: 'answer of another request'});
+		}
+
+		return isForeign;
+	};
+
+	const received = (answer: AnswerHead, chunk: Uint8Array) => {
+		if (!isEventStream(answer)) {
+			otherChunks.push(chunk);
+			return;
+		}
+
+		for (const event of splitter.push(chunk)) {
+			if (isOver) {
+				return;
+			}
+
+			hasEvents = true;
+			listener.onEvent(event, answer);
+		}
+	};
+
+	const ended = (answer: AnswerHead) => {
+		if (!isEventStream(answer)) {
+			isOver = true;
+			listener.onOtherAnswer(answer, joined(otherChunks));
+		} else if (splitter.hasRest || !hasEvents) {
+			fail({unsent: false, reason: 'ended inside an event'});
+		} else {
+			isOver = true;
+			listener.onWhole(answer);
+		}
+	};
+
+	const handle = link.send(target.address, request, orders, {
+		onHead(answer) {
+			head = answer;
+		},
+		onData(chunk) {
+			if (!isOver && head && !failIfForeign(head)) {
+				received(head, chunk);
+			}
+		},
+		onEnd() {
+			if (!isOver && head && !failIfForeign(head)) {
+				ended(head);
+			}
+		},
+		onFailure(failure) {
+			if (!isOver) {
+				fail(failure);
+			}
+		},
+	});
+	return {
+		dispose() {
+			isOver = true;
+			handle.dispose();
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/serving/stream-session-types.ts
@@ -0,0 +1,86 @@
+import type {
+	Clock,
+	Disposable,
+	TargetEntry,
+	TargetLink,
+	Timers,
+} from '../../common/index.js';
+import type {RetryShare} from './retry-share.js';
+import type {
+	AdmittedRequest,
+	DecisionLog,
+	ServingSession,
+} from './session-types.js';
+
+/** Where a run goes, and where a copy of its memory is kept. */
+export type StreamPlacement = {
+	readonly target: TargetEntry;
+	readonly backup: TargetEntry | undefined;
+	readonly firstTokenMs: number;
+	/** Part of the engine's memory that is expected to be in use at the peak. */
+	readonly memoryPart: number;
+	readonly capacityTokens: number;
+};
+
+/** A run as others see it. */
+export type StreamRun = {
+	readonly admitted: AdmittedRequest;
+	readonly target: TargetEntry;
+	readonly backup: TargetEntry | undefined;
+	readonly eventCount: number;
+};
+
+/** Counts what a run holds at its engine. */
+export type RunAccount = Disposable & {
+	/** Another event has arrived. */
+	progressed(eventCount: number): void;
+};
+
+/** What streams work with. */
+export type StreamSessionOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly link: TargetLink;
+	readonly retryShare: RetryShare;
+	readonly log: DecisionLog;
+	/** Chooses an engine that is not to be avoided. */
+	readonly place: (
+		admitted: AdmittedRequest,
+		avoid: ReadonlySet<string>,
+	) => StreamPlacement | undefined;
+	/** Chooses an engine that takes over a run from one that leaves. */
+	readonly placeMove: (
+		admitted: AdmittedRequest,
+		from: TargetEntry,
+		avoid: ReadonlySet<string>,
+	) => TargetEntry | undefined;
+	/** Chooses a backup for a run that goes on at a target. */
+	readonly placeBackup: (
+		admitted: AdmittedRequest,
+		targetId: string,
+	) => TargetEntry | undefined;
+	/** True while a target may get requests. */
+	readonly isUsable: (targetId: string) => boolean;
+	readonly opened: (run: StreamRun) => RunAccount;
+	readonly ended: (
+		target: TargetEntry,
+		succeeded: boolean,
+		latencyMs: number,
+	) => void;
+	/** Nothing accepts connections at the address. */
+	readonly unreachable: (target: TargetEntry) => void;
+	readonly misdirected: (target: TargetEntry) => void;
+	/** The answer is whole. */
+	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
+};
+
+/** A stream under way. */
+export type StreamSession = ServingSession & {
+	/** True once the caller has its final answer. */
+	readonly isDone: boolean;
+	readonly run: StreamRun | undefined;
+	/** An engine is about to leave. */
+	engineLeaving(targetId: string): void;
+	/** Checks for silence; called regularly. */
+	tick(): void;
+};
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,109 +1,31 @@
 import type {
 	AnswerHead,
-	Clock,
 	Disposable,
 	RunMemory,
 	SendFailure,
 	TargetEntry,
-	TargetLink,
-	Timers,
 } from '../../common/index.js';
 import {decideWait} from './generation-wait.js';
-import {createEventSplitter, type EventSplitter} from './event-splitter.js';
-import {ownStatus, refuseNotRun} from './refusals.js';
-import type {RetryShare} from './retry-share.js';
+import type {StreamEvent} from './event-splitter.js';
+import {isPromise, ownStatus, refuseNotRun} from './refusals.js';
+import {keepCopy, type RunCopy} from './run-copies.js';
+import {createStreamAnswer} from './stream-answer.js';
+import {sendStream} from './stream-send.js';
 import type {
-	AdmittedRequest,
-	CallerReply,
-	DecisionLog,
-	ServingSession,
-} from './session-types.js';
-
-/** Where a run goes, and where a copy of its memory is kept. */
-export type StreamPlacement = {
-	readonly target: TargetEntry;
-	readonly backup: TargetEntry | undefined;
-	readonly firstTokenMs: number;
-	/** Part of the engine's memory that is expected to be in use at the peak. */
-	readonly memoryPart: number;
-	readonly capacityTokens: number;
-};
-
-/** A run as others see it. */
-export type StreamRun = {
-	readonly admitted: AdmittedRequest;
-	readonly target: TargetEntry;
-	readonly backup: TargetEntry | undefined;
-	readonly eventCount: number;
-};
-
-/** Counts what a run holds at its engine. */
-export type RunAccount = Disposable & {
-	/** Another event has arrived. */
-	progressed(eventCount: number): void;
-};
-
-/** What streams work with. */
-export type StreamSessionOptions = {
-	readonly clock: Clock;
-	readonly timers: Timers;
-	readonly link: TargetLink;
-	readonly retryShare: RetryShare;
-	readonly log: DecisionLog;
-	/** Chooses an engine that is not to be avoided. */
-	readonly place: (
-		admitted: AdmittedRequest,
-		avoid: ReadonlySet<string>,
-	) => StreamPlacement | undefined;
-	/** Chooses an engine that takes over a run from one that leaves. */
-	readonly placeMove: (
-		admitted: AdmittedRequest,
-		from: TargetEntry,
-		avoid: ReadonlySet<string>,
-	) => TargetEntry | undefined;
-	/** Chooses a backup for a run that goes on at a target. */
-	readonly placeBackup: (
-		admitted: AdmittedRequest,
-		targetId: string,
-	) => TargetEntry | undefined;
-	/** True while a target may get requests. */
-	readonly isUsable: (targetId: string) => boolean;
-	readonly opened: (run: StreamRun) => RunAccount;
-	readonly ended: (
-		target: TargetEntry,
-		succeeded: boolean,
-		latencyMs: number,
-	) => void;
-	/** Nothing accepts connections at the address. */
-	readonly unreachable: (target: TargetEntry) => void;
-	readonly misdirected: (target: TargetEntry) => void;
-	/** The answer is whole. */
-	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
-};
-
-/** A stream under way. */
-export type StreamSession = ServingSession & {
-	/** True once the caller has its final answer. */
-	readonly isDone: boolean;
-	readonly run: StreamRun | undefined;
-	/** An engine is about to leave. */
-	engineLeaving(targetId: string): void;
-	/** Checks for silence; called regularly. */
-	tick(): void;
-};
-
-type RunCopy = {readonly target: TargetEntry; readonly memory: RunMemory};
+	RunAccount,
+	StreamPlacement,
+	StreamSession,
+	StreamSessionOptions,
+} from './stream-session-types.js';
+import type {AdmittedRequest, CallerReply} from './session-types.js';
 
 type Send = {
 	readonly placement: StreamPlacement;
 	readonly startedMs: number;
-	readonly splitter: EventSplitter;
-	readonly chunks: Uint8Array[];
 	readonly account: RunAccount;
 	/** True if the send continues a run. */
 	readonly continues: boolean;
 	handle: Disposable | undefined;
-	head: AnswerHead | undefined;
 	isOver: boolean;
 	isMoving: boolean;
 	/** Copy of the run's memory that was made because its engine leaves. */
@@ -114,19 +36,11 @@
 const silenceMs = 900;
 /** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
 const firstEventSilenceMs = 4000;
-const copyTimeoutMs = 2500;
 const retryAfterMs = 400;
 /** Interval at which a waiting generation asks again for an engine, in milliseconds. */
 const waitStepMs = 30;
 const minSendMs = 50;
 const misdirectedStatus = 421;
-const okStatus = 200;
-/** Bounds the copies of a run whose engine says that it leaves and stays. */
-const maxCopyAttempts = 16;
-const copyRetryMs = 150;
-/** Time after which a copy is brought up to date, in milliseconds. */
-const copyRenewMs = 500;
-
 function backupOf(
 	target: TargetEntry | undefined,
 	requestId: string,
@@ -136,10 +50,6 @@
 	);
 }
 
-function isPromise(status: number): boolean {
-	return status === 408 || status === 421 || status === 429 || status === 503;
-}
-
 /**
  * Serves one stream. A run is started once. It goes on at another engine only from a copy of its
  * memory, after the send before has been broken off, and events that the caller has are left out.
@@ -156,14 +66,9 @@
 	let waiting: Disposable | undefined;
 	let isDone = false;
 	let mayHaveRun = false;
-	let lastEventId: number | undefined;
-	let eventCount = 0;
 	let lastProgressMs = clock.nowMs();
 	let moves = 0;
-	let firstEventMs: number | undefined;
-	let lastEventMs = 0;
-	let longestGapMs = 0;
-	let longestGapAt: number | undefined;
+	const answer = createStreamAnswer(reply, admitted.arrivedMs);
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
 
@@ -178,7 +83,7 @@
 	};
 
 	const finish = (
-		answer: () => void,
+		respond: () => void,
 		outcome: string,
 		status: number | undefined,
 	) => {
@@ -191,21 +96,16 @@
 		waiting?.dispose();
 		const target = send?.placement.target.id;
 		closeSend();
-		answer();
+		respond();
 		log('stream ended', {
 			request: request.id,
 			route: route.name,
 			outcome,
 			status,
 			target,
-			events: eventCount,
+			events: answer.eventCount,
 			moves,
-			firstEventMs:
-				firstEventMs === undefined
-					? undefined
-					: Math.round(firstEventMs - admitted.arrivedMs),
-			longestGapMs: Math.round(longestGapMs),
-			longestGapAt,
+			...answer.pauses.record(),
 			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
 		});
 	};
@@ -246,17 +146,14 @@
 		const current: Send = {
 			placement,
 			startedMs: clock.nowMs(),
-			splitter: createEventSplitter(),
-			chunks: [],
 			account: options.opened({
 				admitted,
 				target: placement.target,
 				backup: placement.backup,
-				eventCount,
+				eventCount: answer.eventCount,
 			}),
 			continues: continueFrom !== undefined,
 			handle: undefined,
-			head: undefined,
 			isOver: false,
 			isMoving: false,
 			copy: undefined,
@@ -268,7 +165,7 @@
 			route: route.name,
 			target: placement.target.id,
 			backup: placement.backup?.id,
-			continuesAt: continueFrom ? lastEventId : undefined,
+			continuesAt: continueFrom ? answer.lastEventId : undefined,
 			expectedFirstTokenMs: Math.round(placement.firstTokenMs),
 			expectedMemoryPart: Number(placement.memoryPart.toFixed(2)),
 			waitedMs: Math.round(clock.nowMs() - admitted.arrivedMs),
@@ -276,8 +173,10 @@
 			leftMs: Math.round(leftMs()),
 		});
 		const callerEventId = route.resumable ? request.lastEventId : undefined;
-		current.handle = link.send(
-			placement.target.address,
+		const {lastEventId = callerEventId} = answer;
+		current.handle = sendStream(
+			link,
+			placement.target,
 			request,
 			{
 				expectedTargetId: placement.target.id,
@@ -286,17 +185,18 @@
 				priority: admitted.priority,
 				backupAddress: placement.backup?.address,
 				continueFrom,
-				lastEventId: lastEventId === undefined ? callerEventId : String(lastEventId),
+				lastEventId:
+					lastEventId === undefined ? undefined : String(lastEventId),
 			},
 			{
-				onHead(head) {
-					current.head = head;
+				onEvent(event, head) {
+					forward(current, event, head);
 				},
-				onData(chunk) {
-					received(current, chunk);
+				onWhole(head) {
+					ended(current, head);
 				},
-				onEnd() {
-					ended(current);
+				onOtherAnswer(head, body) {
+					notServed(current, head, body);
 				},
 				onFailure(failure) {
 					failed(current, failure);
@@ -372,89 +272,24 @@
 		return continueAt(copy?.target, copy?.memory, reason);
 	};
 
-	const noteEvent = () => {
+	const forward = (current: Send, event: StreamEvent, head: AnswerHead) => {
 		const nowMs = clock.nowMs();
-		if (firstEventMs === undefined) {
-			firstEventMs = nowMs;
-		} else if (nowMs - lastEventMs > longestGapMs) {
-			longestGapMs = nowMs - lastEventMs;
-			longestGapAt = eventCount;
-		}
-
-		lastEventMs = nowMs;
-	};
-
-	const isForeign = (head: AnswerHead) =>
-		head.requestId !== undefined && head.requestId !== request.id;
-
-	const isEventStream = (head: AnswerHead) =>
-		head.status === okStatus && head.stamped && !head.encoded;
-
-	const received = (current: Send, chunk: Uint8Array) => {
-		const {head} = current;
-		if (current.isOver || !head) {
-			return;
-		}
-
-		if (isForeign(head)) {
-			link.renew(current.placement.target.address);
-			failed(current, {unsent: false, reason: 'answer of another request'});
-			return;
-		}
-
-		if (!isEventStream(head)) {
-			current.chunks.push(chunk);
-			return;
-		}
-
-		for (const event of current.splitter.push(chunk)) {
-			if (isDone || current.isOver) {
-				return;
-			}
-
-			forward(current, head, event.id, event.bytes);
-		}
-	};
-
-	const forward = (
-		current: Send,
-		head: AnswerHead,
-		id: number | undefined,
-		bytes: Uint8Array,
-	) => {
 		mayHaveRun = true;
-		lastProgressMs = clock.nowMs();
-		if (id !== undefined && lastEventId !== undefined) {
-			if (id <= lastEventId) {
-				return;
-			}
-
-			if (id > lastEventId + 1) {
-				failed(current, {
-					unsent: false,
-					reason: `event ${id} follows event ${lastEventId}`,
-				});
-				return;
+		lastProgressMs = nowMs;
+		const isFirst = answer.eventCount === 0;
+		const outcome = answer.take(event, head, nowMs);
+		if (outcome === 'gap') {
+			failed(current, {
+				unsent: false,
+				reason: `event ${event.id} follows event ${answer.lastEventId}`,
+			});
+		} else if (outcome === 'forwarded') {
+			current.account.progressed(answer.eventCount);
+			if (isFirst) {
+				const {target} = current.placement;
+				options.ended(target, true, nowMs - current.startedMs);
 			}
 		}
-
-		if (id !== undefined) {
-			lastEventId = id;
-		}
-
-		if (!reply.hasHead) {
-			reply.begin(head);
-			options.ended(
-				current.placement.target,
-				true,
-				clock.nowMs() - current.startedMs,
-			);
-		}
-
-		eventCount++;
-		noteEvent();
-		reply.data(bytes);
-		current.account.progressed(eventCount);
 	};
 
 	const failed = (current: Send, failure: SendFailure) => {
@@ -468,7 +303,7 @@
 			target: target.id,
 			unsent: failure.unsent,
 			reason: failure.reason,
-			events: eventCount,
+			events: answer.eventCount,
 			silentMs: Math.round(clock.nowMs() - lastProgressMs),
 		});
 		options.ended(target, false, clock.nowMs() - current.startedMs);
@@ -476,9 +311,6 @@
 		closeSend();
 		if (failure.unsent) {
 			options.unreachable(target);
-		}
-
-		if (failure.unsent) {
 			if (current.continues) {
 				giveUp('the copy of the run is lost');
 			} else {
@@ -501,40 +333,19 @@
 		}
 	};
 
-	const ended = (current: Send) => {
-		const {head, placement} = current;
-		if (current.isOver || isDone || !head) {
-			return;
-		}
-
-		if (isForeign(head)) {
-			link.renew(placement.target.address);
-			failed(current, {unsent: false, reason: 'answer of another request'});
-			return;
-		}
-
-		if (isEventStream(head)) {
-			if (current.splitter.hasRest || eventCount === 0) {
-				failed(current, {unsent: false, reason: 'ended inside an event'});
-				return;
-			}
-
-			options.finished(admitted, eventCount);
-			releaseCopy(current);
-			finish(
-				() => {
-					reply.end();
-				},
-				'answered',
-				head.status,
-			);
-			return;
-		}
-
-		refusedOrFailed(current, head);
+	const ended = (current: Send, head: AnswerHead) => {
+		options.finished(admitted, answer.eventCount);
+		releaseCopy(current);
+		finish(
+			() => {
+				reply.end();
+			},
+			'answered',
+			head.status,
+		);
 	};
 
-	const refusedOrFailed = (current: Send, head: AnswerHead) => {
+	const notServed = (current: Send, head: AnswerHead, body: Uint8Array) => {
 		const {target} = current.placement;
 		const refused = head.notExecuted || head.status === misdirectedStatus;
 		options.ended(target, refused, clock.nowMs() - current.startedMs);
@@ -544,7 +355,7 @@
 			target: target.id,
 			status: head.status,
 			notExecuted: refused,
-			continuesAt: current.continues ? lastEventId : undefined,
+			continuesAt: current.continues ? answer.lastEventId : undefined,
 		});
 		closeSend();
 		if (head.status === misdirectedStatus) {
@@ -562,7 +373,6 @@
 			return;
 		}
 
-		const body = current.chunks[0] ?? new Uint8Array();
 		finish(
 			() => {
 				reply.whole(head, body);
@@ -572,73 +382,10 @@
 		);
 	};
 
-	const isLost = (current: Send) => current.isOver || isDone;
-
-	/** Copies what the engine does not have yet; the run goes on meanwhile. */
-	const copyTo = async (current: Send, to: TargetEntry) => {
-		const {target} = current.placement;
-		const result = await link.copyMemory(
-			target.address,
-			request.id,
-			to.address,
-			copyTimeoutMs,
-		);
-		if (result.outcome === 'copied') {
-			current.copy = {target: to, memory: result.memory};
-		}
-
-		log('memory copied', {
-			request: request.id,
-			target: target.id,
-			to: to.id,
-			outcome: result.outcome,
-			reason: result.outcome === 'failed' ? result.reason : undefined,
-			events: eventCount,
-		});
-		return result.outcome;
-	};
-
-	/**
-	 * Keeps a copy of the run at another engine until its own is gone. Answers the pattern "engines
-	 * leave at two seconds' notice with many runs": the runs share one link, and a run that is
-	 * stopped for its last part waits behind the others, so none is stopped.
-	 */
-	const keepCopy = async (current: Send) => {
-		const {target} = current.placement;
-		const refused = new Set([...avoid, target.id]);
-		for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
-			const to =
-				current.copy?.target ?? options.placeMove(admitted, target, refused);
-			if (!to) {
-				log('move impossible', {request: request.id, target: target.id});
-				return;
-			}
-
-			const outcome = await copyTo(current, to);
-			if (isLost(current)) {
-				return;
-			}
-
-			if (outcome === 'copied') {
-				await timers.sleep(copyRenewMs);
-			} else if (outcome === 'unknown-run' || outcome === 'busy') {
-				// The engine has not begun the run yet, or copies it already.
-				await timers.sleep(copyRetryMs);
-			} else {
-				refused.add(to.id);
-				current.copy = undefined;
-			}
-
-			if (isLost(current)) {
-				return;
-			}
-		}
-	};
-
 	/** Moves the run if its engine leaves and no copy of its memory is safe elsewhere. */
 	const evacuate = () => {
 		const current = send;
-		if (!current || isLost(current) || current.isMoving) {
+		if (!current || current.isOver || isDone || current.isMoving) {
 			return;
 		}
 
@@ -649,7 +396,19 @@
 		}
 
 		current.isMoving = true;
-		void keepCopy(current);
+		void keepCopy(
+			{
+				requestId: request.id,
+				source: target,
+				isOver: () => current.isOver || isDone,
+				choose: (refused) =>
+					options.placeMove(admitted, target, new Set([...avoid, ...refused])),
+				onCopy(copy) {
+					current.copy = copy;
+				},
+			},
+			{link, timers, log},
+		);
 	};
 
 	const timeout = timers.after(leftMs(), () => {
@@ -681,7 +440,7 @@
 						admitted,
 						target: send.placement.target,
 						backup: send.placement.backup,
-						eventCount,
+						eventCount: answer.eventCount,
 					}
 				: undefined;
 		},
@@ -708,7 +467,7 @@
 				return;
 			}
 
-			const limitMs = eventCount > 0 ? silenceMs : firstEventSilenceMs;
+			const limitMs = answer.eventCount > 0 ? silenceMs : firstEventSilenceMs;
 			const {backup} = current.placement;
 			const canContinue =
 				current.copy !== undefined ||
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -98,7 +98,11 @@
 	};
 
 	const run = async () => {
-		while (!stopped) {
+		for (;;) {
+			if (stopped) {
+				return;
+			}
+
 			const startedMs = clock.nowMs();
 			try {
 				await (version === undefined ? readAll() : readChanges(version));
@@ -128,7 +132,7 @@
 			}
 
 			refreshedMs = nowMs;
-			// eslint-disable-next-line promise/prefer-await-to-then
+
 			readAll().catch((error: unknown) => {
 				failed(toProblem(error, 'table-unavailable'));
 			});
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -14,11 +14,7 @@
 
 /** Why a target gets no more requests. */
 export type DepartureReason =
-	| 'draining'
-	| 'removed'
-	| 'restarted'
-	| 'lapsed'
-	| 'misdirected';
+	'draining' | 'removed' | 'restarted' | 'lapsed' | 'misdirected';
 
 /** A target that gets no more requests. */
 export type Departure = {
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import {type z} from 'zod';
 import {ProblemError, type ProblemType} from '../common/index.js';
 
 /**
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -1,4 +1,5 @@
-import {Pool} from 'undici';
+import {type Buffer} from 'node:buffer';
+import {type Dispatcher, Pool} from 'undici';
 import {z} from 'zod';
 import {
 	type AnswerSink,
@@ -82,6 +83,8 @@
 /** Connections to targets over HTTP/1.1, one request at a time on each. */
 export class HttpTargetLink extends TargetLink {
 	private readonly pools = new Map<string, Pool>();
+	/** Requests whose connection was reset, by the options they were dispatched with. */
+	private readonly resets = new WeakSet();
 	private readonly maxConnections = new Map<string, number>();
 
 	override send(
@@ -104,54 +107,55 @@
 			abort?.(new ProblemError('target-failed', 'the send was broken off'));
 		};
 
-		this.poolOf(address).dispatch(
-			{
-				path: request.path,
-				method: request.method as 'GET',
-				headers: encodeRequestHeaders(request, orders),
-				body: request.body,
-				// A generation gets a connection of its own: what an earlier answer left on one would be
-				// taken for its stream.
-				reset: request.generation !== undefined,
-				headersTimeout: 0,
-				bodyTimeout: 0,
-			},
-			{
-				onRequestStart(controller) {
-					if (settled) {
-						controller.abort(new Error('the send was broken off'));
-						return;
-					}
+		const dispatched: Dispatcher.DispatchOptions = {
+			path: request.path,
+			method: request.method,
+			headers: encodeRequestHeaders(request, orders),
+			body: request.body,
+			// A generation gets a connection of its own: what an earlier answer left on one would be
+			// taken for its stream.
+			reset: request.generation !== undefined,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		};
+		const {resets} = this;
+		this.poolOf(address).dispatch(dispatched, {
+			onRequestStart(controller) {
+				if (settled) {
+					controller.abort(new Error('the send was broken off'));
+					return;
+				}
 
-					started = true;
-					abort = (reason) => {
-						controller.abort(reason);
-					};
-				},
-				onResponseStart(controller, status, headers) {
-					if (!settled && status >= 200) {
-						sink.onHead(
-							decodeAnswerHead(status, rawPairs(controller, headers)),
-						);
-					}
-				},
-				onResponseData(_controller, chunk) {
-					if (!settled) {
-						sink.onData(chunk);
-					}
-				},
-				onResponseEnd() {
-					settle(() => {
+				started = true;
+				abort = (reason) => {
+					controller.abort(reason);
+				};
+			},
+			onResponseStart(controller, status, headers) {
+				if (!settled && status >= 200) {
+					sink.onHead(decodeAnswerHead(status, rawPairs(controller, headers)));
+				}
+			},
+			onResponseData(_controller, chunk) {
+				if (!settled) {
+					sink.onData(chunk);
+				}
+			},
+			onResponseEnd() {
+				settle(() => {
+					if (resets.has(dispatched)) {
+						sink.onFailure({unsent: false, reason: 'the connection was reset'});
+					} else {
 						sink.onEnd();
-					});
-				},
-				onResponseError(_controller, error) {
-					settle(() => {
-						sink.onFailure({unsent: !started, reason: error.message});
-					});
-				},
+					}
+				});
 			},
-		);
+			onResponseError(_controller, error) {
+				settle(() => {
+					sink.onFailure({unsent: !started, reason: error.message});
+				});
+			},
+		});
 		return {
 			dispose() {
 				settle(breakOff);
@@ -187,7 +191,6 @@
 			`${targetCalls.releaseCopy}/${handle}`,
 			undefined,
 			releaseTimeoutMs,
-			// eslint-disable-next-line promise/prefer-await-to-then
 		).catch(() => {
 			// The engine frees a copy by itself after some seconds.
 		});
@@ -253,7 +256,13 @@
 			pool = new Pool(`http://${address}`, {
 				connections: this.maxConnections.get(address) ?? defaultMaxConnections,
 				factory: (origin) =>
-					createResetAwareClient(origin, {connectTimeoutMs, idleTimeoutMs}),
+					createResetAwareClient(origin, {
+						connectTimeoutMs,
+						idleTimeoutMs,
+						onReset: (request) => {
+							this.resets.add(request);
+						},
+					}),
 			});
 			this.pools.set(address, pool);
 		}
--- a/src/platform/request-headers.ts
+++ b/src/platform/request-headers.ts
@@ -74,7 +74,9 @@
 		model,
 		promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
 		maxOutputTokens: Number.isFinite(maxOutputTokens) ? maxOutputTokens : 0,
-		promptParts: decodeParts(headers.get(headerNames.promptParts.toLowerCase())),
+		promptParts: decodeParts(
+			headers.get(headerNames.promptParts.toLowerCase()),
+		),
 		lengthHintTokens: hint > 0 ? hint : undefined,
 	};
 }
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {
@@ -36,7 +37,7 @@
 const refusedStatuses: ReadonlySet<number> = new Set([403, 412, 429, 503, 507]);
 
 function decodeValue(row: z.infer<typeof rowSchema>): Uint8Array | undefined {
-	return row.tombstone || row.value === undefined
+	return row.tombstone === true || row.value === undefined
 		? undefined
 		: Buffer.from(row.value, 'base64');
 }
--- a/src/programs/ctl/fleet-client.ts
+++ b/src/programs/ctl/fleet-client.ts
@@ -3,7 +3,10 @@
 	type EntryStatus,
 	type PeerClient,
 } from '../../adapters/peers/index.js';
-import {EtcdTableService, HttpVmList} from '../../adapters/standalone-platform/index.js';
+import {
+	EtcdTableService,
+	HttpVmList,
+} from '../../adapters/standalone-platform/index.js';
 import {ProblemError, toProblem} from '../../common/index.js';
 import {
 	type ConfigurationStore,
--- a/src/programs/front.ts
+++ b/src/programs/front.ts
@@ -11,9 +11,14 @@
 	}
 
 	const front = await createFront(settings);
+	const stop = async () => {
+		await front.stop();
+		process.exit(0);
+	};
+
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.once(signal, () => {
-			void front.stop();
+			void stop();
 		});
 	}
 
--- a/src/programs/front/capacity-reader.ts
+++ b/src/programs/front/capacity-reader.ts
@@ -16,14 +16,20 @@
 /** Time after a failure in which no engine of the service is asked, in milliseconds. */
 const retryDelayMs = 2000;
 
+/** What a reader works with. */
+export type CapacityReaderOptions = {
+	readonly link: TargetLink;
+	readonly timers: Timers;
+	readonly isEngineService: (service: string) => boolean;
+	readonly onCapacity: (service: string, capacityTokens: number) => void;
+	readonly logger: Logger;
+};
+
 /** Creates a reader that knows no service. */
 export function createCapacityReader(
-	link: TargetLink,
-	timers: Timers,
-	isEngineService: (service: string) => boolean,
-	onCapacity: (service: string, capacityTokens: number) => void,
-	logger: Logger,
+	options: CapacityReaderOptions,
 ): CapacityReader {
+	const {link, timers, isEngineService, onCapacity, logger} = options;
 	const known = new Set<string>();
 	const retry: Disposable[] = [];
 	let isDisposed = false;
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -87,7 +87,10 @@
 
 	// A fault in one request must not end the process.
 	process.on('uncaughtException', (error) => {
-		logger.error('unexpected error', {detail: error.message, stack: error.stack});
+		logger.error('unexpected error', {
+			detail: error.message,
+			stack: error.stack,
+		});
 	});
 	process.on('unhandledRejection', (reason) => {
 		const problem = toProblem(reason);
@@ -220,15 +223,15 @@
 				route.shares.some((share) => share.service === service),
 		) ?? false;
 	const capacities = owned.add(
-		createCapacityReader(
+		createCapacityReader({
 			link,
 			timers,
 			isEngineService,
-			(service, tokens) => {
+			onCapacity(service, tokens) {
 				view.setCapacity(service, tokens);
 			},
 			logger,
-		),
+		}),
 	);
 	owned.add(
 		startEngineWatch({
@@ -344,7 +347,6 @@
 
 			logger.info('stopped', {openRequests: listener.openCount});
 			owned.dispose();
-			process.exit(0);
 		},
 	};
 }
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -14,7 +14,11 @@
 } from '../../decisions/serving/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {LengthStatistics} from '../../decisions/routing/index.js';
-import type {Disposable, RandomSource, TargetEntry} from '../../common/index.js';
+import type {
+	Disposable,
+	RandomSource,
+	TargetEntry,
+} from '../../common/index.js';
 
 /** Chooses targets from what this VM knows of them, and counts what it sends. */
 export type FleetView = {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -78,7 +78,11 @@
 		link,
 		retryShare: options.retryShare,
 		log,
-		ended(target: {readonly id: string}, succeeded: boolean, latencyMs: number) {
+		ended(
+			target: {readonly id: string},
+			succeeded: boolean,
+			latencyMs: number,
+		) {
 			detector.ended(service, target.id, succeeded, latencyMs);
 		},
 		unreachable(target: {readonly id: string}) {
@@ -108,7 +112,9 @@
 				return reply.hasHead;
 			},
 			begin(head) {
-				options.metrics.histogram('first_event', labels).recordValue(durationMs());
+				options.metrics
+					.histogram('first_event', labels)
+					.recordValue(durationMs());
 				reply.begin(head);
 			},
 			data(bytes) {
@@ -147,8 +153,7 @@
 		const session = startStreamSession(admitted, reply, {
 			...shared(admitted.service),
 			place: (request, avoid) => view.placeStream(request, avoid),
-			placeMove: (request, from, avoid) =>
-				view.placeMove(request, from, avoid),
+			placeMove: (request, from, avoid) => view.placeMove(request, from, avoid),
 			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
 			isUsable: (targetId) => directory.get(targetId) !== undefined,
 			opened: (run) => view.openedStream(run),
@@ -185,7 +190,11 @@
 			const counted = measured(admitted, reply);
 			if (admitted.route.kind === 'stream') {
 				if (outlastsStop(admitted)) {
-					log('request refused', {request: request.id, status: 503, reason: 'the VM is stopping'});
+					log('request refused', {
+						request: request.id,
+						status: 503,
+						reason: 'the VM is stopping',
+					});
 					refuseNotRun(counted, 'the VM is stopping', stoppingRetryAfterMs);
 					return undefined;
 				}
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -44,10 +44,10 @@
 	readonly isComplete: boolean;
 	/** True while the table of the targets can be read. */
 	readonly readsTargets: boolean;
-	/** Reads the configuration again, since a newer one is in force elsewhere. */
-	readConfiguration(): void;
 	/** Monotonic time since which the operator's table cannot be read, or undefined if it can. */
 	readonly configurationLostMs: number | undefined;
+	/** Reads the configuration again, since a newer one is in force elsewhere. */
+	readConfiguration(): void;
 };
 
 const minConfigurationIntervalMs = 20;
