Test the serving decisions, the adapter and the front against small stand-ins

Each test names the failure it guards against, or replays a load pattern. Stopping closes what was opened; unexpected errors are logged by the program and end nothing.

--- /dev/null
+++ b/src/decisions/serving/admission.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandomSource} from '../../common/index.js';
+import {fakeRequest, fakeRoute} from '../../experiments/fakes/index.js';
+import {admit} from './admission.js';
+import {createRouteTable} from './route-table.js';
+
+const table = createRouteTable({
+	version: 3,
+	routes: [
+		fakeRoute(),
+		fakeRoute({name: 'r-2', pathPrefix: '/stock/deep/', timeoutMs: 400}),
+	],
+	services: new Map(),
+	accounts: [{name: 'finishers', apiKeys: ['key-1'], priority: 0}],
+	limits: {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1,
+	},
+});
+const random = new SeededRandomSource(1);
+const inputs = {table, staleMs: 0, nowMs: 50, random};
+
+const statusOf = (admission: ReturnType<typeof admit>) =>
+	'admitted' in admission ? 'admitted' : admission.status;
+
+test("guards against a shorter prefix hiding a longer one, and a time limit beyond the route's", () => {
+	const admission = admit(fakeRequest({path: '/stock/deep/1?a=b'}), inputs);
+	assert.ok('admitted' in admission);
+	assert.equal(admission.admitted.route.name, 'r-2');
+	assert.equal(admission.admitted.deadlineMs, 450);
+	assert.equal(admission.admitted.priority, 0);
+});
+
+test('guards against serving unknown keys and routes', () => {
+	assert.equal(statusOf(admit(fakeRequest({apiKey: 'old'}), inputs)), 401);
+	assert.equal(statusOf(admit(fakeRequest({apiKey: undefined}), inputs)), 401);
+	assert.equal(statusOf(admit(fakeRequest({path: '/other/'}), inputs)), 404);
+	assert.equal(statusOf(admit(fakeRequest({host: 'b.example'}), inputs)), 404);
+});
+
+test('guards against final refusals by a VM whose configuration may be out of date', () => {
+	const stale = {...inputs, staleMs: 1500};
+	assert.equal(statusOf(admit(fakeRequest({apiKey: 'new'}), stale)), 503);
+	assert.equal(statusOf(admit(fakeRequest({path: '/new/'}), stale)), 503);
+	assert.equal(statusOf(admit(fakeRequest(), stale)), 'admitted');
+	const none = admit(fakeRequest(), {...inputs, table: undefined});
+	assert.equal(statusOf(none), 503);
+	assert.ok(!('admitted' in none) && none.retryAfterMs);
+});
--- /dev/null
+++ b/src/decisions/serving/service-placement.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandomSource} from '../../common/index.js';
+import {chooseServiceTarget} from './service-placement.js';
+
+const random = new SeededRandomSource(2);
+const target = (targetId: string, zone: string, openCount: number) => ({
+	targetId,
+	availabilityZone: zone,
+	slotCount: 6,
+	openCount,
+	suspect: false,
+});
+const none: ReadonlySet<string> = new Set();
+
+test('replay "one zone gets all": the own zone is left once half its slots are taken', () => {
+	const near = (openCount: number) => [
+		target('t1', 'zone-1', openCount),
+		target('t2', 'zone-2', 0),
+	];
+	const chosen = (openCount: number) =>
+		chooseServiceTarget(near(openCount), 'zone-1', none, random)?.targetId;
+	assert.equal(chosen(2), 't1');
+	assert.equal(chosen(5), 't2');
+});
+
+test('guards against repeating a call at the target that failed it', () => {
+	const candidates = [target('t1', 'zone-1', 0), target('t2', 'zone-2', 6)];
+	const avoid = new Set(['t1']);
+	assert.equal(
+		chooseServiceTarget(candidates, 'zone-1', avoid, random)?.targetId,
+		't2',
+	);
+	assert.equal(
+		chooseServiceTarget([candidates[0]], 'zone-1', avoid, random),
+		undefined,
+	);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -382,6 +382,9 @@
 		);
 	};
 
+	const isUsable = (target: TargetEntry | undefined) =>
+		target !== undefined && options.isUsable(target.id);
+
 	/** Moves the run if its engine leaves and no copy of its memory is safe elsewhere. */
 	const evacuate = () => {
 		const current = send;
@@ -390,8 +393,7 @@
 		}
 
 		const {target, backup} = current.placement;
-		const isSafe = backup !== undefined && options.isUsable(backup.id);
-		if (isSafe || options.isUsable(target.id)) {
+		if ([backup, target].some((one) => isUsable(one))) {
 			return;
 		}
 
@@ -414,7 +416,7 @@
 	const timeout = timers.after(leftMs(), () => {
 		if (reply.hasHead) {
 			giveUp('timed out');
-		} else if (send || mayHaveRun) {
+		} else if (send ?? mayHaveRun) {
 			finish(
 				() => {
 					reply.own(ownStatus.timedOut, 'no answer in time');
@@ -469,9 +471,7 @@
 
 			const limitMs = answer.eventCount > 0 ? silenceMs : firstEventSilenceMs;
 			const {backup} = current.placement;
-			const canContinue =
-				current.copy !== undefined ||
-				(backup !== undefined && options.isUsable(backup.id));
+			const canContinue = current.copy !== undefined || isUsable(backup);
 			if (clock.nowMs() - lastProgressMs > limitMs && canContinue) {
 				failed(current, {unsent: false, reason: 'the engine is silent'});
 			}
--- /dev/null
+++ b/src/decisions/serving/table-follower.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	ProblemError,
+	RowStore,
+	SeededRandomSource,
+	type TableChanges,
+	type TableSnapshot,
+} from '../../common/index.js';
+import {VirtualTime} from '../../experiments/fakes/index.js';
+import {followTable} from './table-follower.js';
+
+class ScriptedStore extends RowStore {
+	snapshots: Array<TableSnapshot | ProblemError> = [];
+	feeds: Array<TableChanges | ProblemError> = [];
+	readonly askedAfter: number[] = [];
+
+	override async snapshot(): Promise<TableSnapshot> {
+		return this.next(this.snapshots);
+	}
+
+	override async changes(
+		_table: string,
+		afterVersion: number,
+	): Promise<TableChanges> {
+		this.askedAfter.push(afterVersion);
+		return this.next(this.feeds);
+	}
+
+	override async put(): Promise<void> {
+		throw new Error('not used');
+	}
+
+	private async next<T>(script: Array<T | ProblemError>): Promise<T> {
+		const step = script.shift();
+		if (step === undefined) {
+			return new Promise(() => {
+				// Hangs, as a store without changes does.
+			});
+		}
+
+		if (step instanceof ProblemError) {
+			throw step;
+		}
+
+		return step;
+	}
+}
+
+function follow(store: RowStore) {
+	const time = new VirtualTime();
+	const events: string[] = [];
+	const follower = followTable(
+		{
+			store,
+			clock: time,
+			timers: time,
+			random: new SeededRandomSource(1),
+			table: 'op',
+			waitMs: () => 1000,
+			minIntervalMs: () => 10,
+		},
+		{
+			onSnapshot({version}) {
+				events.push(`snapshot ${version}`);
+			},
+			onChanges(changes) {
+				events.push(`changes ${changes.map(({key}) => key).join(' ')}`);
+			},
+			onLost({type}) {
+				events.push(`lost ${type}`);
+			},
+			onRegained() {
+				events.push('regained');
+			},
+		},
+	);
+	return {time, events, follower};
+}
+
+const row = (key: string, version: number) => ({
+	key,
+	version,
+	value: new Uint8Array(),
+});
+
+test('guards against missed changes when the store forgets its history', async () => {
+	const store = new ScriptedStore();
+	store.snapshots = [
+		{rows: [], version: 5},
+		{rows: [row('a', 9)], version: 9},
+	];
+	store.feeds = [
+		{changes: [row('a', 6)], version: 6},
+		new ProblemError('table-history-lost', 'gone'),
+	];
+	const {time, events} = follow(store);
+	await time.runUntil(1000);
+	assert.deepEqual(events, ['snapshot 5', 'changes a', 'snapshot 9']);
+	assert.deepEqual(store.askedAfter, [5, 6, 9]);
+});
+
+test('guards against a stale read undoing what is known', async () => {
+	const store = new ScriptedStore();
+	store.snapshots = [
+		{rows: [], version: 5},
+		{rows: [], version: 4},
+		{rows: [], version: 7},
+	];
+	store.feeds = [new ProblemError('table-history-lost', 'gone')];
+	const {time, events} = follow(store);
+	await time.runUntil(1000);
+	assert.deepEqual(events, ['snapshot 5', 'snapshot 7']);
+});
+
+test('guards against an outage that is not noticed or never ends', async () => {
+	const away = new ProblemError('table-unavailable', 'away');
+	const store = new ScriptedStore();
+	store.snapshots = [{rows: [], version: 5}];
+	store.feeds = [away, away, {changes: [], version: 6}];
+	const {time, events} = follow(store);
+	await time.runUntil(5000);
+	assert.deepEqual(events, [
+		'snapshot 5',
+		'lost table-unavailable',
+		'regained',
+	]);
+	assert.deepEqual(store.askedAfter, [5, 5, 5, 6]);
+});
--- /dev/null
+++ b/src/decisions/serving/target-directory.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {fakeEntry, VirtualTime} from '../../experiments/fakes/index.js';
+import {createTargetDirectory, type Departure} from './target-directory.js';
+
+function create() {
+	const time = new VirtualTime();
+	const directory = createTargetDirectory({
+		clock: time,
+		lapseGraceMs: 2000,
+		unreachableMs: 1000,
+		lingerMs: 5000,
+	});
+	const departures: Array<[string, Departure['reason']]> = [];
+	directory.onLeaving(({entry, reason}) => {
+		departures.push([entry.id, reason]);
+	});
+	const usable = () => directory.usable('desk').map(({entry}) => entry.id);
+	return {time, directory, departures, usable};
+}
+
+test('guards against requests to targets that drain or whose entry was removed', () => {
+	const {directory, departures, usable} = create();
+	directory.set('t1', fakeEntry('t1'), 1);
+	directory.set('t2', fakeEntry('t2'), 2);
+	directory.set('t1', fakeEntry('t1', {state: 'draining'}), 3);
+	directory.set('t2', undefined, 4);
+	assert.deepEqual(usable(), []);
+	assert.deepEqual(departures, [
+		['t1', 'draining'],
+		['t2', 'removed'],
+	]);
+});
+
+test('guards against a late row of a relay bringing a draining target back', () => {
+	const {directory, usable} = create();
+	directory.set('t1', fakeEntry('t1', {state: 'draining'}), 8);
+	directory.set('t1', fakeEntry('t1'), 7);
+	assert.deepEqual(usable(), []);
+});
+
+test('guards against dropping live targets whose entries lapse while the store is away', async () => {
+	const {time, directory, departures, usable} = create();
+	directory.set('t1', fakeEntry('t1'), 1);
+	directory.set('t2', fakeEntry('t2'), 2);
+	directory.storeLost();
+	directory.set('t1', undefined, 3);
+	directory.set('t2', undefined, 4);
+	directory.storeRegained();
+	assert.deepEqual(usable(), ['t1', 't2']);
+	directory.set('t1', fakeEntry('t1'), 5);
+	await time.runUntil(2100);
+	directory.tick();
+	assert.deepEqual(usable(), ['t1']);
+	assert.deepEqual(departures, [['t2', 'lapsed']]);
+});
+
+test('guards against taking a restarted target for the one before', () => {
+	const {directory, departures} = create();
+	directory.set('t1', fakeEntry('t1'), 1);
+	directory.set('t1', fakeEntry('t1', {bornMs: 2}), 2);
+	assert.deepEqual(departures, [['t1', 'restarted']]);
+	assert.equal(directory.get('t1')?.entry.bornMs, 2);
+});
+
+test('guards against asking a refusing address again and again', async () => {
+	const {time, directory, usable} = create();
+	directory.set('t1', fakeEntry('t1'), 1);
+	directory.unreachable('t1');
+	assert.deepEqual(usable(), []);
+	await time.runUntil(1100);
+	assert.deepEqual(usable(), ['t1']);
+});
--- /dev/null
+++ b/src/experiments/fakes/fake-caller-reply.ts
@@ -0,0 +1,62 @@
+import type {AnswerHead} from '../../common/index.js';
+import type {CallerReply} from '../../decisions/serving/index.js';
+
+/** A caller that records what it gets. */
+export type FakeCallerReply = CallerReply & {
+	readonly status: number | undefined;
+	readonly text: string;
+	/** How the answer ended: whole, by this system itself, or broken off. */
+	readonly ending: 'whole' | 'own' | 'aborted' | undefined;
+	readonly retryAfterS: number | undefined;
+};
+
+/** Creates a caller that waits. */
+export function createFakeCallerReply(): FakeCallerReply {
+	const decoder = new TextDecoder();
+	let status: number | undefined;
+	let text = '';
+	let ending: FakeCallerReply['ending'];
+	let retryAfterS: number | undefined;
+	const begin = (head: AnswerHead) => {
+		status = head.status;
+	};
+
+	return {
+		get status() {
+			return status;
+		},
+		get text() {
+			return text;
+		},
+		get ending() {
+			return ending;
+		},
+		get retryAfterS() {
+			return retryAfterS;
+		},
+		get hasHead() {
+			return status !== undefined;
+		},
+		begin,
+		data(bytes) {
+			text += decoder.decode(bytes);
+		},
+		end() {
+			ending = 'whole';
+		},
+		whole(head, body) {
+			begin(head);
+			text = decoder.decode(body);
+			ending = 'whole';
+		},
+		own(ownStatus, _message, headers = []) {
+			status = ownStatus;
+			ending = 'own';
+			const header = headers.find(([name]) => name === 'Retry-After');
+			retryAfterS = header ? Number(header[1]) : undefined;
+		},
+		abort() {
+			ending = 'aborted';
+		},
+	};
+}
--- /dev/null
+++ b/src/experiments/fakes/fake-target-link.ts
@@ -0,0 +1,101 @@
+import {
+	type AnswerHead,
+	type AnswerSink,
+	type CallerRequest,
+	type CopyResult,
+	type Disposable,
+	type EngineReport,
+	type SendOrders,
+	TargetLink,
+} from '../../common/index.js';
+
+/** A send that a test answers. */
+export type FakeSend = {
+	readonly address: string;
+	readonly request: CallerRequest;
+	readonly orders: SendOrders;
+	readonly sink: AnswerSink;
+	/** True once the sender broke it off. */
+	isDisposed: boolean;
+};
+
+/** Head of an answer that a target made. */
+export function fakeHead(
+	requestId: string,
+	changes: Partial<AnswerHead> = {},
+): AnswerHead {
+	return {
+		status: 200,
+		headers: [],
+		requestId,
+		stamped: true,
+		notExecuted: false,
+		encoded: false,
+		...changes,
+	};
+}
+
+/** Connections whose answers a test gives. */
+export class FakeTargetLink extends TargetLink {
+	readonly sends: FakeSend[] = [];
+	readonly copies: Array<{
+		readonly address: string;
+		readonly toAddress: string;
+	}> = [];
+
+	readonly released: string[] = [];
+	readonly renewed: string[] = [];
+	copyResult: (toAddress: string) => CopyResult = () => ({
+		outcome: 'unknown-run',
+	});
+
+	override send(
+		address: string,
+		request: CallerRequest,
+		orders: SendOrders,
+		sink: AnswerSink,
+	): Disposable {
+		const send: FakeSend = {address, request, orders, sink, isDisposed: false};
+		this.sends.push(send);
+		return {
+			dispose() {
+				send.isDisposed = true;
+			},
+		};
+	}
+
+	override async copyMemory(
+		address: string,
+		_runId: string,
+		toAddress: string,
+	): Promise<CopyResult> {
+		this.copies.push({address, toAddress});
+		return this.copyResult(toAddress);
+	}
+
+	override releaseCopy(_address: string, handle: string): void {
+		this.released.push(handle);
+	}
+
+	override async report(): Promise<EngineReport> {
+		return {
+			queuedCount: 0,
+			runningCount: 0,
+			usedTokens: 0,
+			capacityTokens: 34_000,
+			leaving: false,
+		};
+	}
+
+	override renew(address: string): void {
+		this.renewed.push(address);
+	}
+
+	override setMaxConnections(): void {
+		// Tests do not count connections.
+	}
+
+	override retain(): void {
+		// Tests do not keep connections.
+	}
+}
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -8,3 +8,7 @@
 export * from './fake-table-service.js';
 export * from './virtual-time.js';
 export * from './fake-fleet.js';
+export * from './admitted-request.js';
+export * from './fake-caller-reply.js';
+export * from './fake-target-link.js';
+export * from './find-free-ports.js';
--- /dev/null
+++ b/src/platform/decoding.test.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ProblemError} from '../common/index.js';
+import {decodeBootFile} from './boot-file.js';
+import {decodeConfiguration} from './configuration.js';
+import {
+	decodeRequest,
+	encodeRequestHeaders,
+	headerPairs,
+} from './request-headers.js';
+import {decodeTargetEntry} from './target-entry.js';
+import {bootFile} from './testing/index.js';
+
+const rejects = (run: () => unknown, type: string, field?: string) => {
+	assert.throws(
+		run,
+		(error) =>
+			error instanceof ProblemError &&
+			error.type === type &&
+			(field === undefined || error.field === field),
+	);
+};
+
+test('guards against a boot file whose bad field is not named', () => {
+	const settings = decodeBootFile(JSON.stringify(bootFile()));
+	assert.equal(settings.bounds.stopGraceMs, 8000);
+	assert.equal(settings.bounds.retryWindowMs, 10_000);
+	const bad = {...bootFile(), zone: 7};
+	rejects(() => decodeBootFile(JSON.stringify(bad)), 'invalid-setting', 'zone');
+	rejects(() => decodeBootFile('{'), 'invalid-setting');
+	const more = {...bootFile(), unknown: [1]};
+	assert.equal(decodeBootFile(JSON.stringify(more)).name, settings.name);
+});
+
+test('guards against a route that is repeated although its kind is not known', () => {
+	const route = {
+		name: 'r',
+		hostname: 'A.example',
+		prefix: '/x/',
+		timeout_ms: 900,
+	};
+	const {routes, accounts} = decodeConfiguration(
+		JSON.stringify({
+			version: 4,
+			routes: [
+				{...route, kind: 'strange', service: 's'},
+				{
+					...route,
+					kind: 'idempotent',
+					max_attempts: 2,
+					traffic_split: [
+						{service: 's', weight: 9},
+						{service: 't', weight: 1},
+					],
+				},
+			],
+			tenants: [{name: 'n', api_keys: ['k']}],
+		}),
+	);
+	assert.equal(routes[0].kind, 'non-idempotent');
+	assert.deepEqual(routes[0].shares, [{service: 's', weight: 1}]);
+	assert.equal(routes[0].host, 'a.example');
+	assert.deepEqual(
+		routes[1].shares.map(({weight}) => weight),
+		[9, 1],
+	);
+	assert.deepEqual(accounts?.[0].apiKeys, ['k']);
+	rejects(
+		() => decodeConfiguration('{"version":1,"routes":[{}]}'),
+		'invalid-configuration',
+		'routes.0.name',
+	);
+});
+
+test('guards against entries of other writers naming a target', () => {
+	const entry = {
+		service: 's',
+		address: '10.0.0.1:80',
+		zone: 'z',
+		slots: 6,
+		state: 'ready',
+		born: 17,
+	};
+	assert.equal(decodeTargetEntry('t', JSON.stringify(entry)).bornMs, 17);
+	for (const bad of [
+		{...entry, state: 'odd'},
+		{...entry, slots: 'six'},
+		{...entry, address: undefined},
+		{...entry, born: 1.5},
+	]) {
+		rejects(
+			() => decodeTargetEntry('t', JSON.stringify(bad)),
+			'table-corrupt-row',
+		);
+	}
+
+	rejects(() => decodeTargetEntry('t', '\u0000'), 'table-corrupt-row');
+});
+
+test('guards against headers that a caller may not set, and connection headers, on their way', () => {
+	const request = decodeRequest({
+		method: 'POST',
+		path: '/x/1?q=2',
+		headers: headerPairs([
+			'Host',
+			'A.example',
+			'Cowslipspread-Attempt-Id',
+			'q1',
+			'Cowslipspread-Model',
+			'm',
+			'Cowslipspread-Token-Counts',
+			'1460,80',
+			'Cowslipspread-Prompt-Prefix',
+			'5c:800,91:410',
+			'Cowslipspread-Deadline-Ms',
+			'900',
+			'Api-Key',
+			'secret',
+			'Cowslipspread-Tenant',
+			'other',
+			'Cowslipspread-Kv-Backup',
+			'10.0.0.9:1',
+			'Kv-From',
+			'10.0.0.9:1/h',
+			'Kv-Fetch',
+			'10.0.0.9:1',
+			'Cowslipspread-Hold',
+			'h',
+			'Cowslipspread-Pin-Ms',
+			'1',
+			'Cowslipspread-Request-Priority',
+			'0',
+			'Connection',
+			'close, X-Hop',
+			'X-Hop',
+			'1',
+			'X-Kept',
+			'yes',
+			'Transfer-Encoding',
+			'chunked',
+		]),
+		body: undefined,
+	});
+	assert.deepEqual(request.generation, {
+		model: 'm',
+		promptTokens: 1460,
+		maxOutputTokens: 80,
+		promptParts: [
+			{id: '5c', tokens: 800},
+			{id: '91', tokens: 410},
+		],
+		lengthHintTokens: undefined,
+	});
+	const sent = headerPairs(
+		encodeRequestHeaders(request, {
+			expectedTargetId: 't1',
+			account: 'finishers',
+			timeoutMs: 700.6,
+			priority: 1,
+			backupAddress: undefined,
+			continueFrom: undefined,
+			lastEventId: undefined,
+		}),
+	);
+	assert.deepEqual(
+		new Map(sent.map(([name, value]) => [name.toLowerCase(), value])),
+		new Map([
+			['host', 'A.example'],
+			['cowslipspread-attempt-id', 'q1'],
+			['cowslipspread-model', 'm'],
+			['cowslipspread-token-counts', '1460,80'],
+			['cowslipspread-prompt-prefix', '5c:800,91:410'],
+			['x-kept', 'yes'],
+			['cowslipspread-expect-instance', 't1'],
+			['cowslipspread-tenant', 'finishers'],
+			['cowslipspread-deadline-ms', '700'],
+			['cowslipspread-request-priority', '1'],
+		]),
+	);
+});
--- /dev/null
+++ b/src/platform/testing/boot-file.ts
@@ -0,0 +1,44 @@
+/** Ports of one VM on the loopback address. */
+export type VmPorts = {
+	readonly front: number;
+	readonly ready: number;
+	readonly peer: number;
+	readonly store: number;
+};
+
+const defaultPorts: VmPorts = {
+	front: 8740,
+	ready: 8749,
+	peer: 7200,
+	store: 8742,
+};
+
+/** A boot file as the platform writes it. */
+export function bootFile(
+	ports: VmPorts = defaultPorts,
+): Readonly<Record<string, unknown>> {
+	const host = '127.0.0.1';
+	return {
+		node: 'edge-1',
+		ip: host,
+		zone: 'zone-1',
+		region: 'region-1',
+		listen: {
+			front: `${host}:${ports.front}`,
+			ready: `${host}:${ports.ready}`,
+		},
+		port_range: [ports.peer, ports.peer + 1],
+		heartbeat_ms: 1200,
+		limits: {memory_mb: 200, max_fds: 4100},
+		bounds: {
+			drain_ms: 2000,
+			grace_s: 8,
+			config_apply_ms: 2000,
+			retry_budget_ratio: 0.2,
+			retry_budget_extra: 56,
+			budget_window_s: 10,
+			reuse_after_s: 2,
+		},
+		platform: {address: `${host}:${ports.store}`},
+	};
+}
--- a/src/programs/front.ts
+++ b/src/programs/front.ts
@@ -11,6 +11,8 @@
 	}
 
 	const front = await createFront(settings);
+	process.on('uncaughtException', front.reportUnexpected);
+	process.on('unhandledRejection', front.reportUnexpected);
 	const stop = async () => {
 		await front.stop();
 		process.exit(0);
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import process from 'node:process';
 import {createCallerListener} from '../../adapters/front/index.js';
 import {
 	createLogger,
@@ -9,6 +8,7 @@
 } from '../../adapters/system/index.js';
 import {
 	createDisposableStore,
+	type Disposable,
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
@@ -37,6 +37,8 @@
 export type FrontDaemon = {
 	/** Reads the boot file again. */
 	reload(): void;
+	/** Logs an error that nothing handled; it must not end the process. */
+	reportUnexpected(error: unknown): void;
 	/** Turns readiness off, waits for the open requests as long as it may, and ends. */
 	stop(): Promise<void>;
 };
@@ -85,21 +87,6 @@
 	const owned = createDisposableStore();
 	let stopAtMs: number | undefined;
 
-	// A fault in one request must not end the process.
-	process.on('uncaughtException', (error) => {
-		logger.error('unexpected error', {
-			detail: error.message,
-			stack: error.stack,
-		});
-	});
-	process.on('unhandledRejection', (reason) => {
-		const problem = toProblem(reason);
-		logger.error('unexpected error', {
-			detail: problem.message,
-			stack: problem.stack,
-		});
-	});
-
 	const store = new StoreClient({
 		address: vm.storeAddress,
 		timeoutMs: settings.storeTimeoutMs,
@@ -286,11 +273,17 @@
 		}),
 	);
 
+	let ticking: Disposable | undefined;
+	owned.add({
+		dispose() {
+			ticking?.dispose();
+		},
+	});
 	const tick = () => {
 		directory.tick();
 		requests.tick();
 		link.retain(directory.addresses());
-		owned.add(timers.after(tickMs, tick));
+		ticking = timers.after(tickMs, tick);
 	};
 
 	tick();
@@ -314,7 +307,42 @@
 		callerAddress: vm.callerAddress,
 	});
 
+	const drain = async () => {
+		const startedMs = clock.nowMs();
+		stopAtMs = startedMs + vm.bounds.stopGraceMs - stopMarginMs;
+		logger.info('stopping', {openRequests: listener.openCount});
+		for (;;) {
+			await timers.sleep(stopCheckMs);
+			const spentMs = clock.nowMs() - startedMs;
+			if (spentMs > minStopMs) {
+				listener.server.closeIdleConnections();
+			}
+
+			const isDrained = spentMs > minStopMs && listener.openCount === 0;
+			if (isDrained || clock.nowMs() > stopAtMs) {
+				break;
+			}
+		}
+
+		logger.info('stopped', {openRequests: listener.openCount});
+		owned.dispose();
+		for (const server of [listener.server, pages.ready, pages.metrics]) {
+			server.close();
+			server.closeAllConnections();
+		}
+
+		await store.close();
+	};
+
+	let stopped: Promise<void> | undefined;
 	return {
+		reportUnexpected(error) {
+			const problem = toProblem(error);
+			logger.error('unexpected error', {
+				detail: problem.message,
+				stack: problem.stack,
+			});
+		},
 		reload() {
 			try {
 				const next = readBootFile(settings.bootFile);
@@ -329,24 +357,8 @@
 			}
 		},
 		async stop() {
-			const startedMs = clock.nowMs();
-			stopAtMs = startedMs + vm.bounds.stopGraceMs - stopMarginMs;
-			logger.info('stopping', {openRequests: listener.openCount});
-			for (;;) {
-				await timers.sleep(stopCheckMs);
-				const spentMs = clock.nowMs() - startedMs;
-				if (spentMs > minStopMs) {
-					listener.server.closeIdleConnections();
-				}
-
-				const isDrained = spentMs > minStopMs && listener.openCount === 0;
-				if (isDrained || clock.nowMs() > stopAtMs) {
-					break;
-				}
-			}
-
-			logger.info('stopped', {openRequests: listener.openCount});
-			owned.dispose();
+			stopped ??= drain();
+			return stopped;
 		},
 	};
 }
