--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -29,9 +29,7 @@
 		link,
 		retryShare: createRetryShare({
 			clock: time,
-			ratio: 0.2,
-			extra: 50,
-			windowMs: 10_000,
+			bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
 			vmCount: () => 1,
 		}),
 		log(event, record) {
--- a/src/decisions/serving/retry-share.test.ts
+++ b/src/decisions/serving/retry-share.test.ts
@@ -8,9 +8,7 @@
 	const shares = Array.from({length: 8}, () =>
 		createRetryShare({
 			clock: time,
-			ratio: 0.2,
-			extra: 56,
-			windowMs: 10_000,
+			bounds: () => ({ratio: 0.2, extra: 56, windowMs: 10_000}),
 			vmCount: () => 8,
 		}),
 	);
--- a/src/decisions/serving/retry-share.ts
+++ b/src/decisions/serving/retry-share.ts
@@ -3,13 +3,19 @@
 /** Bound on repeated sends, shared by the whole fleet. */
 export type RetryShareOptions = {
 	readonly clock: Clock;
+	/** Bounds in force; they may change. */
+	readonly bounds: () => RetryBounds;
+	/** Largest number of VMs that may be sending. */
+	readonly vmCount: () => number;
+};
+
+/** Bounds on the repeated sends of the whole fleet. */
+export type RetryBounds = {
 	/** Repeated sends that each request to a service allows. */
 	readonly ratio: number;
 	/** Repeated sends that a service bears in each window besides, from all VMs together. */
 	readonly extra: number;
 	readonly windowMs: number;
-	/** Largest number of VMs that may be sending. */
-	readonly vmCount: () => number;
 };
 
 /** This VM's part of the fleet's budget of repeated sends. */
@@ -36,7 +42,7 @@
 
 /** Creates a budget without any sends. */
 export function createRetryShare(options: RetryShareOptions): RetryShare {
-	const {clock, ratio, extra, windowMs, vmCount} = options;
+	const {clock, bounds, vmCount} = options;
 	const records = new Map<string, Record>();
 
 	const recordOf = (service: string) => {
@@ -46,7 +52,7 @@
 			records.set(service, record);
 		}
 
-		const startMs = clock.nowMs() - windowMs;
+		const startMs = clock.nowMs() - bounds().windowMs;
 		dropBefore(record.requests, startMs);
 		dropBefore(record.repeats, startMs);
 		return record;
@@ -57,6 +63,7 @@
 			recordOf(service).requests.push(clock.nowMs());
 		},
 		tryTake(service) {
+			const {ratio, extra} = bounds();
 			const {requests, repeats} = recordOf(service);
 			const allowed =
 				safetyPart * (ratio * requests.length + extra / Math.max(1, vmCount()));
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -51,9 +51,7 @@
 			link,
 			retryShare: createRetryShare({
 				clock: time,
-				ratio: 0.2,
-				extra: 50,
-				windowMs: 10_000,
+				bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
 				vmCount: () => 1,
 			}),
 			log(event, record) {
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -27,9 +27,11 @@
 import {createCapacityReader} from './capacity-reader.js';
 import {startEngineWatch} from './engine-watch.js';
 import {createFleetView} from './fleet-view.js';
-import {type FrontSettings, readBootFile} from './front-settings.js';
+import type {FrontSettings} from './front-settings.js';
+import {followBootFile} from './live-settings.js';
 import {createFrontPages} from './front-pages.js';
 import {type PeerLoads, startPeerLoads} from './peer-loads.js';
+import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
 import {type StoreWatch, watchStore} from './store-watch.js';
 
@@ -44,6 +46,12 @@
 };
 
 const lapseGraceMs = 2000;
+/** VMs tell each other of new configurations, so that each waits longer the more there are. */
+const storeWaitPerVmMs = 100;
+/** Connections that fall silent must be noticed within this time, in milliseconds. */
+const maxStoreWaitMs = 6500;
+/** Part of the time for leaving targets after which a VM reads the targets by itself. */
+const followerIntervalPart = 0.6;
 const unreachableMs = 1000;
 const lingerMs = 30_000;
 const peerTimeoutMs = 4500;
@@ -54,11 +62,8 @@
 	headerTimeoutMs: 10_000,
 	idleTimeoutMs: 60_000,
 };
-/** The balancer needs two checks, one second apart, to notice that a VM is not ready. */
-const minStopMs = 2500;
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
-const stopCheckMs = 100;
 /** Descriptors kept for listeners, the store, pipes and files. */
 const connectionsPerTarget = 24;
 
@@ -85,6 +90,7 @@
 		Number.parseInt(instanceId.slice(0, 8), 16),
 	);
 	const owned = createDisposableStore();
+	const live = owned.add(followBootFile(settings.bootFile, vm, logger));
 	let stopAtMs: number | undefined;
 
 	const store = new StoreClient({
@@ -151,9 +157,14 @@
 	});
 	const retryShare = createRetryShare({
 		clock,
-		ratio: vm.bounds.retryRatio,
-		extra: vm.bounds.retryExtra,
-		windowMs: vm.bounds.retryWindowMs,
+		bounds() {
+			const {bounds} = live.current;
+			return {
+				ratio: bounds.retryRatio,
+				extra: bounds.retryExtra,
+				windowMs: bounds.retryWindowMs,
+			};
+		},
 		vmCount: () => peers.vmCount,
 	});
 	const watch: StoreWatch = owned.add(
@@ -162,7 +173,13 @@
 			clock,
 			timers,
 			random,
-			waitMs: () => settings.storeWaitMs,
+			waitMs: () =>
+				Math.max(
+					settings.storeWaitMs,
+					Math.min(maxStoreWaitMs, peers.vmCount * storeWaitPerVmMs),
+				),
+			followerIntervalMs: () =>
+				live.current.bounds.drainMs * followerIntervalPart,
 			isRelay: () => peers.isRelay,
 			onRows(rows) {
 				peers.relay(rows);
@@ -308,22 +325,9 @@
 	});
 
 	const drain = async () => {
-		const startedMs = clock.nowMs();
-		stopAtMs = startedMs + vm.bounds.stopGraceMs - stopMarginMs;
+		stopAtMs = clock.nowMs() + live.current.bounds.stopGraceMs - stopMarginMs;
 		logger.info('stopping', {openRequests: listener.openCount});
-		for (;;) {
-			await timers.sleep(stopCheckMs);
-			const spentMs = clock.nowMs() - startedMs;
-			if (spentMs > minStopMs) {
-				listener.server.closeIdleConnections();
-			}
-
-			const isDrained = spentMs > minStopMs && listener.openCount === 0;
-			if (isDrained || clock.nowMs() > stopAtMs) {
-				break;
-			}
-		}
-
+		await waitForRequests({clock, timers, listener, untilMs: stopAtMs});
 		logger.info('stopped', {openRequests: listener.openCount});
 		owned.dispose();
 		for (const server of [listener.server, pages.ready, pages.metrics]) {
@@ -344,17 +348,7 @@
 			});
 		},
 		reload() {
-			try {
-				const next = readBootFile(settings.bootFile);
-				logger.info('settings read again', {vm: next.name});
-			} catch (error) {
-				const problem = toProblem(error);
-				logger.error('settings refused', {
-					type: problem.type,
-					detail: problem.message,
-					field: problem.field,
-				});
-			}
+			live.reload();
 		},
 		async stop() {
 			stopped ??= drain();
--- /dev/null
+++ b/src/programs/front/front-stop.ts
@@ -0,0 +1,33 @@
+import type {CallerListener} from '../../adapters/front/index.js';
+import type {Clock, Timers} from '../../common/index.js';
+
+/** What a stop waits with. */
+export type StopOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly listener: CallerListener;
+	/** Monotonic time at which the stop ends in any case, in milliseconds. */
+	readonly untilMs: number;
+};
+
+/** The balancer needs two checks, one second apart, to notice that a VM is not ready. */
+const minStopMs = 2500;
+const stopCheckMs = 100;
+
+/** Waits until every open request has its answer; new connections are served meanwhile. */
+export async function waitForRequests(options: StopOptions): Promise<void> {
+	const {clock, timers, listener, untilMs} = options;
+	const startedMs = clock.nowMs();
+	for (;;) {
+		await timers.sleep(stopCheckMs);
+		const nowMs = clock.nowMs();
+		const mayEnd = nowMs - startedMs > minStopMs;
+		if (mayEnd) {
+			listener.server.closeIdleConnections();
+		}
+
+		if ((mayEnd && listener.openCount === 0) || nowMs > untilMs) {
+			return;
+		}
+	}
+}
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -29,6 +29,8 @@
 	readonly random: RandomSource;
 	/** Time after which the store answers a wait without changes, in milliseconds. */
 	readonly waitMs: () => number;
+	/** Interval at which a VM that hears of changes from a relay reads the targets itself, in milliseconds. */
+	readonly followerIntervalMs: () => number;
 	/** True if this VM follows the targets closely and relays their changes. */
 	readonly isRelay: () => boolean;
 	/** The store named these rows. */
@@ -53,8 +55,6 @@
 const minConfigurationIntervalMs = 20;
 /** Several targets change at once; their changes are read together. */
 const relayIntervalMs = 100;
-/** A VM that hears of changes from a relay reads the table itself only this often, in milliseconds. */
-const followerIntervalMs = 1200;
 
 /** Starts to follow the operator's table and that of the targets. */
 export function watchStore(options: StoreWatchOptions): StoreWatch {
@@ -144,7 +144,7 @@
 
 	const targets = followTable(
 		follow(tableNames.targets, () =>
-			options.isRelay() ? relayIntervalMs : followerIntervalMs,
+			options.isRelay() ? relayIntervalMs : options.followerIntervalMs(),
 		),
 		{
 			onSnapshot({rows, version}) {
