Add cowslip-explain: what explains the outcome of one request, from log lines

Cause: a request's id leads to its own lines only, while its cause often is a belief about its targets or the store. Each line of a front names its VM now.

--- /dev/null
+++ b/src/decisions/explain/explain-request.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {explainRequest, parseLog} from './explain-request.js';
+
+const at = (second: number) => new Date(second * 1000).toISOString();
+const line = (second: number, record: Readonly<Record<string, unknown>>) =>
+	JSON.stringify({timestamp: at(second), vm: 'vm-1', ...record});
+
+const log = parseLog(
+	[
+		line(1, {message: 'dependency lost', dependency: 'old'}),
+		line(10, {message: 'stream sent', request: 'q1', target: 'e1'}),
+		line(11, {message: 'stream sent', request: 'q2', target: 'e2'}),
+		line(12, {message: 'target leaves', target: 'e1'}),
+		line(12, {message: 'target leaves', target: 'e9'}),
+		line(12, {message: 'dependency lost', dependency: 'store', vm: 'vm-2'}),
+		line(13, {message: 'dependency lost', dependency: 'store'}),
+		line(14, {message: 'stream ended', request: 'q1', target: 'e1'}),
+		'not json',
+	].join('\n'),
+);
+
+test('guards against an explanation that lacks the cause or drowns it', () => {
+	assert.deepEqual(
+		explainRequest(log, 'q1').map(({message}) => message),
+		['stream sent', 'target leaves', 'dependency lost', 'stream ended'],
+	);
+	assert.deepEqual(explainRequest(log, 'q9'), []);
+});
--- a/src/decisions/explain/index.ts
+++ b/src/decisions/explain/index.ts
@@ -1,1 +1,2 @@
 export * from './explain-log.js';
+export * from './explain-request.js';
--- /dev/null
+++ b/src/programs/explain.ts
@@ -0,0 +1,42 @@
+#!/usr/bin/env node
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {ProblemError} from '../common/index.js';
+import {explainRequest, parseLog} from '../decisions/explain/index.js';
+import {commandLine, runProgram} from './command-line.js';
+
+await runProgram(async () => {
+	const flags = await commandLine('cowslip-explain')
+		.usage(
+			'$0 --log FILE --request ID: prints what explains the outcome of a request',
+		)
+		.options({
+			log: {
+				type: 'string',
+				demandOption: true,
+				describe: 'file with log lines of front daemons, in any order',
+			},
+			request: {
+				type: 'string',
+				demandOption: true,
+				describe: 'id of the request, as the caller sent it',
+			},
+		})
+		.completion()
+		.parseAsync();
+	const records = explainRequest(
+		parseLog(readFileSync(flags.log, 'utf8')),
+		flags.request,
+	);
+	if (records.length === 0) {
+		throw new ProblemError(
+			'not-found',
+			`request "${flags.request}" is not in the log`,
+			{field: 'request'},
+		);
+	}
+
+	for (const {program: _, level: __, ...record} of records) {
+		process.stdout.write(`${JSON.stringify(record)}\n`);
+	}
+});
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -81,7 +81,7 @@
 		'cowslip-front',
 		settings.logLevel,
 		settings.maxLogBacklogBytes,
-	);
+	).child({vm: vm.name});
 	const metrics = createMetrics();
 	const clock = new SystemClock();
 	const timers = new SystemTimers();
