--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the blocks marked "sh check" of docs/operations.md against a fleet of stand-ins.
+# Runs the blocks marked "sh check" of docs/OPERATIONS.md against a fleet of stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/ensure-ready.sh
@@ -17,14 +17,17 @@
 	node "$programs/cowslipctl.js" --platform-url "$platform_url" --operator-token operator-token \
 		"$@" >/dev/null
 }
-commands="$(awk '/^```sh check$/ {on = 1; next} /^```$/ {on = 0} on' docs/operations.md)"
+cowslip-explain() {
+	node "$programs/explain.js" "$@"
+}
+commands="$(awk '/^```sh check$/ {on = 1; next} /^```$/ {on = 0} on' docs/OPERATIONS.md)"
 count=0
 while IFS= read -r command; do
 	if ! eval "$command"; then
-		echo "docs/operations.md: command failed: $command" >&2
+		echo "docs/OPERATIONS.md: command failed: $command" >&2
 		exit 1
 	fi
 	count=$((count + 1))
 done <<<"$commands"
 [ "$count" -gt 0 ]
-echo "docs/operations.md: $count commands ran"
+echo "docs/OPERATIONS.md: $count commands ran"
--- a/src/programs/explain.ts
+++ b/src/programs/explain.ts
@@ -36,7 +36,12 @@
 		);
 	}
 
-	for (const {program: _, level: __, ...record} of records) {
-		process.stdout.write(`${JSON.stringify(record)}\n`);
-	}
+	// One write, since a reader such as `head` may close the pipe after the first lines.
+	process.stdout.write(
+		records
+			.map(
+				({program: _, level: __, ...record}) => `${JSON.stringify(record)}\n`,
+			)
+			.join(''),
+	);
 });
