--- a/src/decisions/serving/stopping.ts
+++ b/src/decisions/serving/stopping.ts
@@ -16,3 +16,19 @@
 ): boolean {
 	return firstTokenMs + expectedOutputTokens * tokenMs <= leftMs;
 }
+
+/** Time in which a call ends that no target holds up, in milliseconds. */
+const usualCallMs = 1500;
+
+/**
+ * Decides whether a stopping VM starts a call to a plain service. Balancers and callers with open
+ * connections reach a VM until it ends; a call that is begun then is cut off.
+ * @param timeoutMs - longest time that the call may take, in milliseconds
+ * @param leftMs - time until this VM ends, in milliseconds
+ */
+export function mayCallWhileStopping(
+	timeoutMs: number,
+	leftMs: number,
+): boolean {
+	return leftMs >= Math.min(timeoutMs, usualCallMs);
+}
--- a/src/decisions/serving/waiting.test.ts
+++ b/src/decisions/serving/waiting.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {decideWait} from './generation-wait.js';
-import {mayStartWhileStopping} from './stopping.js';
+import {mayCallWhileStopping, mayStartWhileStopping} from './stopping.js';
 
 const inputs = {
 	memoryPart: 0.7,
@@ -34,3 +34,9 @@
 	assert.equal(mayStartWhileStopping(900, 7000), false);
 	assert.equal(mayStartWhileStopping(400, 7000), true);
 });
+
+test('guards against a call that begins 36 ms before its VM ends (altiplano, mix, seed 97323344234)', () => {
+	assert.equal(mayCallWhileStopping(2500, 36), false);
+	assert.equal(mayCallWhileStopping(400, 450), true);
+	assert.equal(mayCallWhileStopping(2500, 5000), true);
+});
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -13,6 +13,7 @@
 	type AdmittedRequest,
 	type CallerReply,
 	type DecisionLog,
+	mayCallWhileStopping,
 	mayStartWhileStopping,
 	refuseNotRun,
 	type RetryShare,
@@ -143,10 +144,13 @@
 
 	const outlastsStop = (admitted: AdmittedRequest) => {
 		const leftMs = options.stopLeftMs();
-		return (
-			leftMs !== undefined &&
-			!mayStartWhileStopping(view.expectedOutputTokens(admitted), leftMs)
-		);
+		if (leftMs === undefined) {
+			return false;
+		}
+
+		return admitted.route.kind === 'stream'
+			? !mayStartWhileStopping(view.expectedOutputTokens(admitted), leftMs)
+			: !mayCallWhileStopping(admitted.route.timeoutMs, leftMs);
 	};
 
 	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
@@ -188,17 +192,14 @@
 
 			const {admitted} = admission;
 			const counted = measured(admitted, reply);
-			if (admitted.route.kind === 'stream') {
-				if (outlastsStop(admitted)) {
-					log('request refused', {
-						request: request.id,
-						status: 503,
-						reason: 'the VM is stopping',
-					});
-					refuseNotRun(counted, 'the VM is stopping', stoppingRetryAfterMs);
-					return undefined;
-				}
+			if (outlastsStop(admitted)) {
+				const reason = 'the VM is stopping';
+				log('request refused', {request: request.id, status: 503, reason});
+				refuseNotRun(counted, reason, stoppingRetryAfterMs);
+				return undefined;
+			}
 
+			if (admitted.route.kind === 'stream') {
 				return startStream(admitted, counted);
 			}
 
