Let late generations yield the engines' memory to those that can be on time

Cause: on the grown fleets the generations need all of the engines' memory; those that were late already were sent and delayed the ones after them (first token up to 5.8 s). Change: a late generation waits for spare memory for up to three tenths of its time and runs at the lowest urgency.

--- a/src/decisions/serving/generation-wait.ts
+++ b/src/decisions/serving/generation-wait.ts
@@ -8,6 +8,8 @@
 	readonly waitedMs: number;
 	/** Time in which the first token is due, in milliseconds. */
 	readonly objectiveMs: number;
+	/** Time that the request has in all, in milliseconds. */
+	readonly timeoutMs: number;
 	/** Prompt and expected output, in tokens. */
 	readonly neededTokens: number;
 	/** Memory of an engine, in tokens. */
@@ -22,11 +24,22 @@
 /** Part of the objective that waiting and the first token may use together. */
 const objectivePart = 0.85;
 
+/** Part of an engine's memory up to which a generation that is late already is sent. */
+const spareMemoryPart = 0.85;
+/** Part of its whole time that a late generation waits for spare memory; the rest is for the answer. */
+const latePart = 0.3;
+
+/** True once the first token can no longer be on time. */
+export function isLate(inputs: WaitInputs): boolean {
+	const dueMs = inputs.waitedMs + inputs.firstTokenMs;
+	return dueMs >= objectivePart * inputs.objectiveMs;
+}
+
 /**
  * Decides whether a generation goes to an engine now. Answers the pattern "more generations than the
  * engines' memory holds": one more on a full engine preempts the newest, whose prompt is read again
- * and whose answer pauses. The wait ends early enough for the first token to be on time; a late
- * answer is still of use, so that it is then sent and not refused.
+ * and whose answer pauses. Those that can be on time get the memory first; a late answer is still of
+ * use, so that it is made where memory is to spare, or in any case while there is time for it.
  */
 export function decideWait(inputs: WaitInputs): WaitDecision {
 	if (inputs.neededTokens > inputs.capacityTokens) {
@@ -34,7 +47,10 @@
 		return 'refuse';
 	}
 
-	const dueMs = inputs.waitedMs + inputs.firstTokenMs;
-	const hasTime = dueMs < objectivePart * inputs.objectiveMs;
-	return inputs.memoryPart > fullMemoryPart && hasTime ? 'wait' : 'send';
+	if (!isLate(inputs)) {
+		return inputs.memoryPart > fullMemoryPart ? 'wait' : 'send';
+	}
+
+	const mayWait = inputs.waitedMs < latePart * inputs.timeoutMs;
+	return inputs.memoryPart > spareMemoryPart && mayWait ? 'wait' : 'send';
 }
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -5,7 +5,7 @@
 	SendFailure,
 	TargetEntry,
 } from '../../common/index.js';
-import {decideWait} from './generation-wait.js';
+import {decideWait, isLate, type WaitInputs} from './generation-wait.js';
 import type {StreamEvent} from './event-splitter.js';
 import {isPromise, ownStatus, refuseNotRun} from './refusals.js';
 import {keepCopy, type RunCopy} from './run-copies.js';
@@ -39,6 +39,8 @@
 const retryAfterMs = 400;
 /** Interval at which a waiting generation asks again for an engine, in milliseconds. */
 const waitStepMs = 30;
+/** Below the default of the engines, which is 5. */
+const latePriority = 7;
 const minSendMs = 50;
 const misdirectedStatus = 421;
 function backupOf(
@@ -182,7 +184,7 @@
 				expectedTargetId: placement.target.id,
 				account: admitted.account,
 				timeoutMs: leftMs(),
-				priority: admitted.priority,
+				priority: priorityOf(placement),
 				backupAddress: placement.backup?.address,
 				continueFrom,
 				lastEventId:
@@ -205,20 +207,26 @@
 		);
 	};
 
-	const waitFor = (placement: StreamPlacement) =>
-		decideWait({
-			memoryPart: placement.memoryPart,
-			firstTokenMs: placement.firstTokenMs,
-			waitedMs: clock.nowMs() - admitted.arrivedMs,
-			objectiveMs: route.objectiveMs,
-			neededTokens: request.generation?.promptTokens ?? 0,
-			capacityTokens: placement.capacityTokens,
-		});
+	const waitInputs = (placement: StreamPlacement): WaitInputs => ({
+		memoryPart: placement.memoryPart,
+		firstTokenMs: placement.firstTokenMs,
+		waitedMs: clock.nowMs() - admitted.arrivedMs,
+		objectiveMs: route.objectiveMs,
+		timeoutMs: admitted.deadlineMs - admitted.arrivedMs,
+		neededTokens: request.generation?.promptTokens ?? 0,
+		capacityTokens: placement.capacityTokens,
+	});
+
+	/** A late generation yields to those that can be on time. */
+	const priorityOf = (placement: StreamPlacement) =>
+		answer.eventCount === 0 && isLate(waitInputs(placement))
+			? latePriority
+			: admitted.priority;
 
 	/** Starts the run at an engine that has not refused it. */
 	const start = (reason: string, isRepeat: boolean) => {
 		const placement = options.place(admitted, avoid);
-		const decision = placement && waitFor(placement);
+		const decision = placement && decideWait(waitInputs(placement));
 		if (!placement) {
 			giveUp('no engine of the service is usable');
 		} else if (decision === 'refuse') {
