--- a/src/decisions/serving/load-digest.ts
+++ b/src/decisions/serving/load-digest.ts
@@ -3,7 +3,6 @@
 
 /** What a VM tells its peers of its load. */
 export type LoadDigest = {
-	readonly vm: string;
 	/** Tells two lives of a VM apart. */
 	readonly instanceId: string;
 	readonly sequence: number;
@@ -15,7 +14,6 @@
 };
 
 const digestSchema = z.object({
-	v: z.string(),
 	i: z.string(),
 	s: z.number(),
 	c: z.number(),
@@ -28,7 +26,6 @@
 /** Encodes a digest for a datagram. */
 export function encodeDigest(digest: LoadDigest): string {
 	return JSON.stringify({
-		v: digest.vm,
 		i: digest.instanceId,
 		s: digest.sequence,
 		c: digest.configurationVersion,
@@ -51,7 +48,6 @@
 	}
 
 	return {
-		vm: data.v,
 		instanceId: data.i,
 		sequence: data.s,
 		configurationVersion: data.c,
--- a/src/decisions/serving/peer-list.test.ts
+++ b/src/decisions/serving/peer-list.test.ts
@@ -47,7 +47,6 @@
 		],
 	]);
 	const sent = {
-		vm: 'vm-1',
 		configurationVersion: 7,
 		shares,
 		...digest(4),
--- a/src/decisions/serving/stopping.ts
+++ b/src/decisions/serving/stopping.ts
@@ -3,18 +3,26 @@
 /** Time until the first token of a long prompt, in milliseconds. */
 const firstTokenMs = 500;
 
+/** Time after the signal in which balancers still send new connections, in milliseconds. */
+const stillRoutedMs = 2500;
+/** A generation rarely gets longer than this multiple of its expected length. */
+const longestFactor = 4;
+
 /**
  * Decides whether a stopping VM starts a generation. Answers the pattern "VMs are stopped one after
  * the other under load": what would outlast the grace time is cut off, while another VM could serve
- * it whole.
+ * it whole. Once balancers know of the stop, only what ends in time even if it gets long is started.
  * @param expectedOutputTokens - expected length of the answer
+ * @param sinceMs - time since the signal, in milliseconds
  * @param leftMs - time until this VM ends, in milliseconds
  */
 export function mayStartWhileStopping(
 	expectedOutputTokens: number,
+	sinceMs: number,
 	leftMs: number,
 ): boolean {
-	return firstTokenMs + expectedOutputTokens * tokenMs <= leftMs;
+	const factor = sinceMs < stillRoutedMs ? 1 : longestFactor;
+	return firstTokenMs + factor * expectedOutputTokens * tokenMs <= leftMs;
 }
 
 /** Time in which a call ends that no target holds up, in milliseconds. */
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -46,12 +46,11 @@
 };
 
 const lapseGraceMs = 2000;
-/** VMs tell each other of new configurations, so that each waits longer the more there are. */
-const storeWaitPerVmMs = 100;
-/** Connections that fall silent must be noticed within this time, in milliseconds. */
-const maxStoreWaitMs = 6500;
+/** From this size on, VMs that do not relay learn of new configurations from those that do. */
+const manyVms = 16;
+const longerWaitFactor = 2;
 /** Part of the time for leaving targets after which a VM reads the targets by itself. */
-const followerIntervalPart = 0.6;
+const followerIntervalPart = 0.7;
 const unreachableMs = 1000;
 const lingerMs = 30_000;
 const peerTimeoutMs = 4500;
@@ -91,6 +90,7 @@
 	);
 	const owned = createDisposableStore();
 	const live = owned.add(followBootFile(settings.bootFile, vm, logger));
+	let stoppingMs = 0;
 	let stopAtMs: number | undefined;
 
 	const store = new StoreClient({
@@ -174,10 +174,9 @@
 			timers,
 			random,
 			waitMs: () =>
-				Math.max(
-					settings.storeWaitMs,
-					Math.min(maxStoreWaitMs, peers.vmCount * storeWaitPerVmMs),
-				),
+				peers.vmCount < manyVms || peers.isRelay
+					? settings.storeWaitMs
+					: settings.storeWaitMs * longerWaitFactor,
 			followerIntervalMs: () =>
 				live.current.bounds.drainMs * followerIntervalPart,
 			isRelay: () => peers.isRelay,
@@ -201,8 +200,13 @@
 		metrics,
 		logger,
 		table: () => table,
-		stopLeftMs: () =>
-			stopAtMs === undefined ? undefined : stopAtMs - clock.nowMs(),
+		stop: () =>
+			stopAtMs === undefined
+				? undefined
+				: {
+						sinceMs: clock.nowMs() - stoppingMs,
+						leftMs: stopAtMs - clock.nowMs(),
+					},
 		staleMs: () =>
 			watch.configurationLostMs === undefined
 				? 0
@@ -325,7 +329,8 @@
 	});
 
 	const drain = async () => {
-		stopAtMs = clock.nowMs() + live.current.bounds.stopGraceMs - stopMarginMs;
+		stoppingMs = clock.nowMs();
+		stopAtMs = stoppingMs + live.current.bounds.stopGraceMs - stopMarginMs;
 		logger.info('stopping', {openRequests: listener.openCount});
 		await waitForRequests({clock, timers, listener, untilMs: stopAtMs});
 		logger.info('stopped', {openRequests: listener.openCount});
--- a/src/programs/front/peer-loads.ts
+++ b/src/programs/front/peer-loads.ts
@@ -54,6 +54,8 @@
 
 const vmTable = 'cowslip-vms';
 const soonMs = 20;
+/** Bytes between zones are dear, and few VMs have to be told apart. */
+const instanceIdLength = 8;
 /** Keeps the datagrams of a VM at about this interval, however many peers it has, in milliseconds. */
 const intervalPerPeerMs = 25;
 /** Digests that say nothing new still tell that the VM lives. */
@@ -89,7 +91,7 @@
 			return;
 		}
 
-		load.heard(digest.vm, digest.shares);
+		load.heard(from, digest.shares);
 		if (digest.configurationVersion > (configuration.current?.version ?? 0)) {
 			options.onNewerConfiguration();
 		}
@@ -114,8 +116,7 @@
 	const send = () => {
 		const nowMs = clock.nowMs();
 		const digest = {
-			vm: vm.name,
-			instanceId: options.instanceId,
+			instanceId: options.instanceId.slice(0, instanceIdLength),
 			sequence: 0,
 			configurationVersion: configuration.current?.version ?? 0,
 			readsStore: options.readsTargets(),
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -28,6 +28,14 @@
 import {decodeRequest} from '../../platform/index.js';
 import type {FleetView} from './fleet-view.js';
 
+/** Times of a planned stop, in milliseconds. */
+export type StopTimes = {
+	/** Since the signal. */
+	readonly sinceMs: number;
+	/** Until this VM ends. */
+	readonly leftMs: number;
+};
+
 /** What requests are served with. */
 export type RequestServerOptions = {
 	readonly clock: Clock;
@@ -41,8 +49,8 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly table: () => RouteTable | undefined;
-	/** Time until this VM ends, in milliseconds; undefined unless it is stopping. */
-	readonly stopLeftMs: () => number | undefined;
+	/** Undefined unless this VM is stopping. */
+	readonly stop: () => StopTimes | undefined;
 	/** Time for which the configuration could not be read, in milliseconds. */
 	readonly staleMs: () => number;
 };
@@ -143,14 +151,18 @@
 	};
 
 	const outlastsStop = (admitted: AdmittedRequest) => {
-		const leftMs = options.stopLeftMs();
-		if (leftMs === undefined) {
+		const stop = options.stop();
+		if (!stop) {
 			return false;
 		}
 
 		return admitted.route.kind === 'stream'
-			? !mayStartWhileStopping(view.expectedOutputTokens(admitted), leftMs)
-			: !mayCallWhileStopping(admitted.route.timeoutMs, leftMs);
+			? !mayStartWhileStopping(
+					view.expectedOutputTokens(admitted),
+					stop.sinceMs,
+					stop.leftMs,
+				)
+			: !mayCallWhileStopping(admitted.route.timeoutMs, stop.leftMs);
 	};
 
 	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -54,7 +54,7 @@
 
 const minConfigurationIntervalMs = 20;
 /** Several targets change at once; their changes are read together. */
-const relayIntervalMs = 100;
+const relayIntervalMs = 150;
 
 /** Starts to follow the operator's table and that of the targets. */
 export function watchStore(options: StoreWatchOptions): StoreWatch {
