--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -17,7 +17,7 @@
 launch() {
 	local name="$1"
 	shift
-	node "$programs/$name.js" "$@" 2>"$logs/${#pids[@]}.log" &
+	node "$programs/$name.js" "$@" >"$logs/${#pids[@]}.log" 2>&1 &
 	last_pid="$!"
 	# The shell then prints nothing when the process is killed on purpose.
 	disown "$last_pid"
