Answer requests that no target answered in one place

Cause: call and stream sessions each chose between 502 and 503 with Retry-After in the same fourteen lines. Change: replyUnanswered and unansweredStatus beside the other refusals; behaviour as before.

--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -6,7 +6,12 @@
 } from '../../common/index.js';
 import type {CallSessionOptions} from './call-session-types.js';
 import {joined} from './joined-bytes.js';
-import {isPromise, ownStatus, refuseNotRun} from './refusals.js';
+import {
+	isPromise,
+	ownStatus,
+	replyUnanswered,
+	unansweredStatus,
+} from './refusals.js';
 import type {
 	AdmittedRequest,
 	CallerReply,
@@ -94,21 +99,14 @@
 				reason,
 				failure.head.status,
 			);
-		} else if (mayHaveRunCount > 0) {
-			finish(
-				() => {
-					reply.own(ownStatus.outcomeUnknown, reason);
-				},
-				reason,
-				ownStatus.outcomeUnknown,
-			);
 		} else {
+			const mayHaveRun = mayHaveRunCount > 0;
 			finish(
 				() => {
-					refuseNotRun(reply, reason, retryAfterMs);
+					replyUnanswered(reply, mayHaveRun, reason, retryAfterMs);
 				},
 				reason,
-				ownStatus.notRun,
+				unansweredStatus(mayHaveRun),
 			);
 		}
 	};
--- a/src/decisions/serving/refusals.ts
+++ b/src/decisions/serving/refusals.ts
@@ -35,3 +35,22 @@
 ): void {
 	reply.own(ownStatus.notRun, reason, [retryAfterHeader(retryAfterMs)]);
 }
+
+/** Status for a request that no target answered. */
+export function unansweredStatus(mayHaveRun: boolean): number {
+	return mayHaveRun ? ownStatus.outcomeUnknown : ownStatus.notRun;
+}
+
+/** Answers a request that no target answered; only one that has not run is asked to come back. */
+export function replyUnanswered(
+	reply: CallerReply,
+	mayHaveRun: boolean,
+	reason: string,
+	retryAfterMs: number,
+): void {
+	if (mayHaveRun) {
+		reply.own(ownStatus.outcomeUnknown, reason);
+	} else {
+		refuseNotRun(reply, reason, retryAfterMs);
+	}
+}
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -7,7 +7,12 @@
 } from '../../common/index.js';
 import {decideWait, isLate, type WaitInputs} from './generation-wait.js';
 import type {StreamEvent} from './event-splitter.js';
-import {isPromise, ownStatus, refuseNotRun} from './refusals.js';
+import {
+	isPromise,
+	ownStatus,
+	replyUnanswered,
+	unansweredStatus,
+} from './refusals.js';
 import {keepCopy, type RunCopy} from './run-copies.js';
 import {createStreamAnswer} from './stream-answer.js';
 import {sendStream} from './stream-send.js';
@@ -121,21 +126,13 @@
 				reason,
 				undefined,
 			);
-		} else if (mayHaveRun) {
-			finish(
-				() => {
-					reply.own(ownStatus.outcomeUnknown, reason);
-				},
-				reason,
-				ownStatus.outcomeUnknown,
-			);
 		} else {
 			finish(
 				() => {
-					refuseNotRun(reply, reason, retryAfterMs);
+					replyUnanswered(reply, mayHaveRun, reason, retryAfterMs);
 				},
 				reason,
-				ownStatus.notRun,
+				unansweredStatus(mayHaveRun),
 			);
 		}
 	};
