Add a fault soak of real daemons behind loopback proxies

Change: src/experiments/fault-soak plays seeded plans. A proxy stands on each link (callers, store, targets) and delays, cuts one way, silences or resets it; daemons are stopped, killed, paused and reloaded by signals; targets crash and leave; the store refuses and forgets; configurations change in series. Twelve promises are checked while a run goes on, from what callers and targets see. Modelled engines and plain services speak the platform's wire in src/platform/testing, on the engine model that the other stand-ins use. Eight planted faults are each found (test); the build with a planted fault is made in one place for both soaks.

The time of day is not disturbed, for the daemons use it in log lines only.

--- /dev/null
+++ b/src/experiments/fault-soak/checks/at-most-once.ts
@@ -0,0 +1,39 @@
+import {type Observations, type Work, attemptsById} from '../observations.js';
+import type {Violation} from './promise-check.js';
+
+/** Time in which an engine hears that its run goes on elsewhere. */
+const handoverMs = 400;
+
+function overlap(first: Work, second: Work): boolean {
+	return (
+		second.startMs > first.startMs &&
+		(first.endMs ?? Infinity) > second.startMs + handoverMs
+	);
+}
+
+/** A request that may not be repeated is started once, and no second engine works on its run. */
+export function checkAtMostOnce(observations: Observations): Violation[] {
+	const attempts = attemptsById(observations);
+	const byRequest = new Map<string, Work[]>();
+	for (const work of observations.works) {
+		if (attempts.get(work.requestId)?.kind !== 'lookup') {
+			const works = byRequest.get(work.requestId) ?? [];
+			byRequest.set(work.requestId, [...works, work]);
+		}
+	}
+
+	return [...byRequest].flatMap(([requestId, works]) => {
+		const starts = works.filter(({isContinuation}) => !isContinuation);
+		const isTwice = works.some((first) =>
+			works.some((second) => overlap(first, second)),
+		);
+		return starts.length > 1 || isTwice
+			? [
+					{
+						promise: 'at-most-once',
+						detail: `request ${requestId} ran at ${works.map(({targetId}) => targetId).join(', ')}`,
+					},
+				]
+			: [];
+	});
+}
--- /dev/null
+++ b/src/experiments/fault-soak/checks/index.ts
@@ -0,0 +1,36 @@
+import type {Observations} from '../observations.js';
+import {checkAtMostOnce} from './at-most-once.js';
+import {
+	checkConfigurationApplied,
+	checkConfigurationForward,
+} from './configuration.js';
+import {checkLeavingTargets} from './leaving-target.js';
+import type {PromiseCheck, Violation} from './promise-check.js';
+import {checkPromptAnswers} from './prompt-answer.js';
+import {checkRetryBudget} from './retry-budget.js';
+import {checkCalmService, checkRecovery} from './service.js';
+import {checkTrueRefusals} from './true-refusal.js';
+import {checkEventOrder, checkWholeAnswers} from './whole-answer.js';
+import {checkWorkEnds} from './work-ends.js';
+
+export type * from './promise-check.js';
+
+const checks: readonly PromiseCheck[] = [
+	checkAtMostOnce,
+	checkTrueRefusals,
+	checkWholeAnswers,
+	checkEventOrder,
+	checkRetryBudget,
+	checkLeavingTargets,
+	checkConfigurationForward,
+	checkConfigurationApplied,
+	checkPromptAnswers,
+	checkWorkEnds,
+	checkCalmService,
+	checkRecovery,
+];
+
+/** Checks all promises on what was observed so far. */
+export function checkPromises(observations: Observations): Violation[] {
+	return checks.flatMap((check) => check(observations));
+}
--- /dev/null
+++ b/src/experiments/fault-soak/checks/promise-check.ts
@@ -0,0 +1,25 @@
+import type {Observations} from '../observations.js';
+
+/** Names of the promises that the soak checks. */
+export type PromiseName =
+	| 'at-most-once'
+	| 'calm-service'
+	| 'configuration-applied'
+	| 'configuration-forward'
+	| 'event-order'
+	| 'leaving-target'
+	| 'prompt-answer'
+	| 'recovery'
+	| 'retry-budget'
+	| 'true-refusal'
+	| 'whole-answer'
+	| 'work-ends';
+
+/** A promise that was broken, with what shows it. */
+export type Violation = {
+	readonly promise: PromiseName;
+	readonly detail: string;
+};
+
+/** Finds what breaks one promise in the observations so far. */
+export type PromiseCheck = (observations: Observations) => readonly Violation[];
--- /dev/null
+++ b/src/experiments/fault-soak/checks/work-ends.ts
@@ -0,0 +1,29 @@
+import {type Observations, attemptsById, isInTouch} from '../observations.js';
+import type {Violation} from './promise-check.js';
+
+/** Time in which an engine hears that the caller has left. */
+const noticeMs = 500;
+
+/** An engine stops work on a generation whose caller has left. */
+export function checkWorkEnds(observations: Observations): Violation[] {
+	const attempts = attemptsById(observations);
+	return observations.works.flatMap(
+		({requestId, targetId, endMs}): Violation[] => {
+			const attempt = attempts.get(requestId);
+			const {leftMs, kind, vm = 0} = attempt ?? {};
+			if (kind !== 'report' || leftMs === undefined || endMs === undefined) {
+				return [];
+			}
+
+			return endMs > leftMs + noticeMs &&
+				isInTouch(observations, vm, [leftMs, endMs])
+				? [
+						{
+							promise: 'work-ends',
+							detail: `${targetId} worked on ${requestId} ${Math.round(endMs - leftMs)} ms after its caller left`,
+						},
+					]
+				: [];
+		},
+	);
+}
--- /dev/null
+++ b/src/experiments/fault-soak/observations.ts
@@ -0,0 +1,134 @@
+/** Kinds of requests that callers send. */
+export type AttemptKind = 'booking' | 'lookup' | 'moving' | 'report';
+
+/** One request as its caller saw it. Times are monotonic, in milliseconds. */
+export type Attempt = {
+	readonly id: string;
+	readonly vm: number;
+	readonly kind: AttemptKind;
+	/** Time limit that the route states. */
+	readonly routeTimeoutMs: number;
+	/** Events that a whole answer has; 0 if it is no stream. */
+	readonly eventCount: number;
+	readonly sentMs: number;
+	endedMs: number | undefined;
+	status: number | undefined;
+	/** Mark of the target, which names it. */
+	stamp: string | undefined;
+	retryAfter: string | undefined;
+	body: string;
+	/** True if the answer ended as a whole one does. */
+	isWhole: boolean;
+	/** Time at which the caller left by itself. */
+	leftMs: number | undefined;
+};
+
+/** A request as it reached a target. */
+export type Arrival = {
+	readonly requestId: string;
+	readonly targetId: string;
+	readonly service: string;
+	readonly atMs: number;
+	readonly isContinuation: boolean;
+};
+
+/** Work of a target on a request. */
+export type Work = {
+	readonly requestId: string;
+	readonly targetId: string;
+	readonly service: string;
+	readonly isContinuation: boolean;
+	readonly startMs: number;
+	endMs: number | undefined;
+};
+
+/** A version of the configuration and the time at which the store had it. */
+export type ConfigurationAck = {
+	readonly version: number;
+	readonly atMs: number;
+};
+
+/** A target that said it leaves, and the time at which the store had it. */
+export type LeaveAck = {readonly targetId: string; readonly atMs: number};
+
+/** A fault, on one VM or on all. */
+export type Disturbance = {
+	readonly vm: number | undefined;
+	readonly kind: string;
+	readonly fromMs: number;
+	untilMs: number;
+};
+
+/** Life of a VM's process. */
+export type Incarnation = {
+	readonly vm: number;
+	readonly startMs: number;
+	endMs: number;
+};
+
+/** Bounds that the checks hold the system to. */
+export type SoakBounds = {
+	readonly drainMs: number;
+	readonly stopGraceMs: number;
+	readonly configurationApplyMs: number;
+	readonly contactMs: number;
+	readonly retryRatio: number;
+	readonly retryExtra: number;
+	readonly retryWindowMs: number;
+	readonly recoveryMs: number;
+};
+
+/** All that was seen from outside in a run. */
+export type Observations = {
+	readonly bounds: SoakBounds;
+	readonly attempts: Attempt[];
+	readonly arrivals: Arrival[];
+	readonly works: Work[];
+	readonly configurations: ConfigurationAck[];
+	readonly leaves: LeaveAck[];
+	readonly disturbances: Disturbance[];
+	readonly incarnations: Incarnation[];
+	/** Start of the last phase, which has no faults; undefined before it. */
+	calmFromMs: number | undefined;
+};
+
+/** Creates a record without observations. */
+export function createObservations(bounds: SoakBounds): Observations {
+	return {
+		bounds,
+		attempts: [],
+		arrivals: [],
+		works: [],
+		configurations: [],
+		leaves: [],
+		disturbances: [],
+		incarnations: [],
+		calmFromMs: undefined,
+	};
+}
+
+/** Prefix of the services that one version of the configuration alone names. */
+export const movingServicePrefix = 'moving-';
+
+/** True if no fault touched the VM from the contact time before the span to its end. */
+export function isInTouch(
+	{disturbances, bounds}: Observations,
+	vm: number,
+	[fromMs, untilMs]: readonly [number, number],
+	except: (disturbance: Disturbance) => boolean = () => false,
+): boolean {
+	return !disturbances.some(
+		(one) =>
+			(one.vm === undefined || one.vm === vm) &&
+			one.fromMs < untilMs &&
+			one.untilMs + bounds.contactMs > fromMs &&
+			!except(one),
+	);
+}
+
+/** Attempts by their ids. */
+export function attemptsById(
+	observations: Observations,
+): ReadonlyMap<string, Attempt> {
+	return new Map(observations.attempts.map((attempt) => [attempt.id, attempt]));
+}
--- /dev/null
+++ b/src/experiments/fault-soak/soak-fleet.ts
@@ -0,0 +1,172 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {readyPath} from '../../platform/index.js';
+import {
+	bootFile,
+	createStoreStandin,
+	type StoreStandin,
+	type TargetObserver,
+} from '../../platform/testing/index.js';
+import {findFreePorts} from '../fakes/index.js';
+import {createFrontProcess, type FrontProcess} from './front-process.js';
+import {createLoopbackProxy, type LoopbackProxy} from './loopback-proxy.js';
+import type {Observations} from './observations.js';
+import {bootBounds} from './soak-bounds.js';
+import {createTargetFleet, type TargetFleet} from './target-fleet.js';
+
+/** A VM: its daemon, and the proxies on its ways to callers and to the store. */
+export type SoakVm = {
+	readonly index: number;
+	readonly process: FrontProcess;
+	readonly callerProxy: LoopbackProxy;
+	readonly storeProxy: LoopbackProxy;
+	isReady(): Promise<boolean>;
+};
+
+/** All processes and modelled systems of a run. */
+export type SoakFleet = {
+	readonly store: StoreStandin;
+	readonly targets: TargetFleet;
+	readonly vms: readonly SoakVm[];
+	/** Ends all processes and releases all ports. */
+	stop(): Promise<void>;
+};
+
+const host = '127.0.0.1';
+const portsPerVm = 3;
+const stopGraceMs = 5000;
+
+function observe(observations: Observations): TargetObserver {
+	const open = new Map<unknown, {endMs: number | undefined}>();
+	const told = (arrival: Parameters<TargetObserver['arrived']>[0]) => ({
+		requestId: arrival.request.id,
+		targetId: arrival.targetId,
+		service: arrival.service,
+		isContinuation: arrival.continueFrom !== undefined,
+	});
+	return {
+		arrived(arrival) {
+			observations.arrivals.push({...told(arrival), atMs: arrival.atMs});
+		},
+		started(arrival) {
+			const work = {
+				...told(arrival),
+				startMs: performance.now(),
+				endMs: undefined,
+			};
+			open.set(arrival, work);
+			observations.works.push(work);
+		},
+		stopped(arrival) {
+			const work = open.get(arrival);
+			open.delete(arrival);
+			if (work) {
+				work.endMs = performance.now();
+			}
+		},
+	};
+}
+
+type VmSurroundings = {
+	readonly storePort: number;
+	/** Folder of the boot files. */
+	readonly directory: string;
+	readonly program: string;
+	readonly observations: Observations;
+};
+
+async function createVm(
+	index: number,
+	{storePort, directory, program, observations}: VmSurroundings,
+): Promise<SoakVm> {
+	const [front, ready, peer] = await findFreePorts(portsPerVm);
+	const storeProxy = await createLoopbackProxy(storePort);
+	const file = path.join(directory, `vm-${index}.json`);
+	const boot = bootFile(
+		{front, ready, peer, store: storeProxy.port},
+		{name: `vm-${index}`, bounds: bootBounds},
+	);
+	writeFileSync(file, JSON.stringify(boot));
+	return {
+		index,
+		storeProxy,
+		callerProxy: await createLoopbackProxy(front),
+		process: createFrontProcess({
+			program,
+			bootFile: file,
+			onChange(isRunning) {
+				const nowMs = performance.now();
+				if (isRunning) {
+					observations.incarnations.push({
+						vm: index,
+						startMs: nowMs,
+						endMs: Infinity,
+					});
+				} else {
+					const last = observations.incarnations.findLast(
+						({vm}) => vm === index,
+					);
+					if (last) {
+						last.endMs = nowMs;
+					}
+				}
+			},
+		}),
+		async isReady() {
+			try {
+				const answer = await fetch(`http://${host}:${ready}${readyPath}`);
+				return answer.ok;
+			} catch {
+				// Nothing listens yet.
+				return false;
+			}
+		},
+	};
+}
+
+/**
+ * Creates the systems of a run; no daemon is started yet.
+ * @param program - compiled file of the front daemon
+ */
+export async function createSoakFleet(
+	vmCount: number,
+	program: string,
+	observations: Observations,
+): Promise<SoakFleet> {
+	const directory = mkdtempSync(path.join(tmpdir(), 'fault-soak-'));
+	const store = createStoreStandin();
+	const storePort = await new Promise<number>((resolve) => {
+		store.server.listen(0, host, () => {
+			resolve((store.server.address() as AddressInfo).port);
+		});
+	});
+	const targets = createTargetFleet(store, observe(observations));
+	const vms: SoakVm[] = [];
+	for (let index = 0; index < vmCount; index++) {
+		vms.push(
+			await createVm(index, {storePort, directory, program, observations}),
+		);
+	}
+
+	return {
+		store,
+		targets,
+		vms,
+		async stop() {
+			await Promise.all(
+				vms.map(async (vm) => vm.process.end('SIGTERM', stopGraceMs)),
+			);
+			for (const {callerProxy, storeProxy} of vms) {
+				callerProxy.dispose();
+				storeProxy.dispose();
+			}
+
+			targets.dispose();
+			store.server.close();
+			store.server.closeAllConnections();
+			rmSync(directory, {recursive: true});
+		},
+	};
+}
--- a/src/experiments/soak/planted-faults.test.ts
+++ b/src/experiments/soak/planted-faults.test.ts
@@ -1,19 +1,15 @@
 import assert from 'node:assert/strict';
-import fs from 'node:fs/promises';
 import path from 'node:path';
 import {test} from 'node:test';
-import {fileURLToPath, pathToFileURL} from 'node:url';
+import {pathToFileURL} from 'node:url';
+import {type PlantedEdit, withPlantedBuild} from '../fakes/planted-build.js';
 import type * as Runner from './soak-runner.js';
 import type {StreamScenario as Scenario} from './scenarios/stream-scenario.js';
 
-const built = fileURLToPath(new URL('../..', import.meta.url));
 const maxRuns = 150;
 
-type PlantedFault = {
+type PlantedFault = PlantedEdit & {
 	readonly name: string;
-	readonly file: string;
-	readonly original: string;
-	readonly replacement: string;
 	readonly breaks: string;
 };
 
@@ -50,25 +46,7 @@
 
 /** Runs the scenario on a copy of the built code with one fault in it. */
 async function runWith(fault: PlantedFault | undefined) {
-	const directory = path.join(built, '..', 'out');
-	await fs.mkdir(directory, {recursive: true});
-	const copy = await fs.mkdtemp(path.join(directory, 'planted-'));
-	try {
-		await fs.cp(built, copy, {
-			recursive: true,
-			filter: (source) => !source.endsWith('.test.js'),
-		});
-		if (fault) {
-			const file = path.join(copy, fault.file);
-			const text = await fs.readFile(file, 'utf8');
-			assert.equal(
-				text.split(fault.original).length,
-				2,
-				`${fault.file} holds "${fault.original}" once`,
-			);
-			await fs.writeFile(file, text.replace(fault.original, fault.replacement));
-		}
-
+	return withPlantedBuild(fault ? [fault] : [], async (copy) => {
 		const load = async (file: string): Promise<unknown> =>
 			import(
 				pathToFileURL(path.join(copy, 'experiments/soak', file)).href
@@ -88,9 +66,7 @@
 		}
 
 		return report;
-	} finally {
-		await fs.rm(copy, {recursive: true});
-	}
+	});
 }
 
 // Guards against checks that pass whatever the relay does.
--- a/src/platform/testing/boot-file.ts
+++ b/src/platform/testing/boot-file.ts
@@ -13,13 +13,20 @@
 	store: 8742,
 };
 
+/** What differs between the boot files of VMs. */
+export type BootFileOptions = {
+	readonly name?: string;
+	readonly bounds?: Readonly<Record<string, number>>;
+};
+
 /** A boot file as the platform writes it. */
 export function bootFile(
 	ports: VmPorts = defaultPorts,
+	{name = 'edge-1', bounds = {}}: BootFileOptions = {},
 ): Readonly<Record<string, unknown>> {
 	const host = '127.0.0.1';
 	return {
-		node: 'edge-1',
+		node: name,
 		ip: host,
 		zone: 'zone-1',
 		region: 'region-1',
@@ -38,6 +45,7 @@
 			retry_budget_extra: 56,
 			budget_window_s: 10,
 			reuse_after_s: 2,
+			...bounds,
 		},
 		platform: {address: `${host}:${ports.store}`},
 	};
--- a/src/programs/front/create-front.test.ts
+++ b/src/programs/front/create-front.test.ts
@@ -13,8 +13,10 @@
 import {
 	answerHead,
 	bootFile,
+	configurationRow,
 	createStoreStandin,
 	createTargetStandin,
+	targetRow,
 	type TargetScript,
 } from '../../platform/testing/index.js';
 import {createFront} from './create-front.js';
@@ -90,33 +92,18 @@
 	return status;
 }
 
-const route = (
-	name: string,
-	prefix: string,
-	kind: string,
-	service: string,
-) => ({
-	name,
-	hostname: host,
-	prefix,
-	kind,
-	service,
-	timeout_ms: 2000,
-	target_latency_ms: 500,
-	priority: 1,
-	max_attempts: kind === 'idempotent' ? 2 : 1,
-});
-
-const configuration = (version: number, keys: readonly string[] = [key]) => ({
-	version,
-	routes: [
-		route('stock', '/stock/', 'idempotent', 'desk'),
-		route('book', '/book/', 'non_idempotent', 'desk'),
-		route('report', '/report/', 'stream', 'model'),
-	],
-	services: [{name: 'desk'}, {name: 'model'}],
-	tenants: [{name: 'finishers', api_keys: keys}],
-});
+const configuration = (version: number, apiKeys: readonly string[] = [key]) =>
+	configurationRow({
+		version,
+		host,
+		routes: [
+			{name: 'stock', prefix: '/stock/', kind: 'idempotent', service: 'desk'},
+			{name: 'book', prefix: '/book/', kind: 'non_idempotent', service: 'desk'},
+			{name: 'report', prefix: '/report/', kind: 'stream', service: 'model'},
+		],
+		account: 'finishers',
+		apiKeys,
+	});
 
 async function until(isTrue: () => Promise<boolean> | boolean) {
 	for (let tries = 0; tries < 200; tries++) {
@@ -153,13 +140,8 @@
 		checkOnly: false,
 	});
 	context.after(async () => daemon.stop());
-	const entry = (service: string, state = 'ready') => ({
-		service,
-		address: `127.0.0.1:${targetPort}`,
-		zone: 'zone-1',
-		slots: 6,
-		state,
-	});
+	const entry = (service: string, state?: 'draining' | 'ready') =>
+		targetRow(service, `127.0.0.1:${targetPort}`, state);
 	const isReady = async () => {
 		const {status} = await call(ready, '/-/readyz');
 		return status === 200;
--- a/src/standins/engine/engine-model.ts
+++ b/src/standins/engine/engine-model.ts
@@ -28,6 +28,8 @@
 	/** Smaller is more important. */
 	readonly priority: number;
 	readonly finishReason: FinishReason;
+	/** Tokens whose memory is here already, from a copy of the run. */
+	readonly reusedTokens?: number;
 	/** Hashes of the prompt's prefixes, shortest first. */
 	readonly prefixHashes?: readonly string[];
 };
@@ -188,7 +190,11 @@
 			const hashes = next.generation.prefixHashes ?? [];
 			const computed = Math.max(
 				1,
-				sizeTokens(next) - cache.cachedTokens(hashes),
+				sizeTokens(next) -
+					Math.max(
+						cache.cachedTokens(hashes),
+						next.generation.reusedTokens ?? 0,
+					),
 			);
 			if (prefillTokens > 0 && prefillTokens + computed > maxPrefillTokens) {
 				break;
