Handle a reload that arrives while the front daemon starts

Cause: in run 23760 of the fault soak a daemon got SIGHUP 1.2 s after its start, while its modules were still read, and ended, for Node.js ends a process that does not handle that signal. Nothing started it again, so that its callers were refused for the rest of the run (69 of 290 requests served). Ruled out: the store cuts of that run, for the daemon's last line is that it ended with SIGHUP.

Change: the binary handles the signal before it loads its modules, and reads the settings again once it runs.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,7 @@
 	node dist/experiments/soak/main.js --seed 1 --runs 10
 fi
 node dist/experiments/fault-soak/main.js --seed 1 --runs 3 --jobs 3
+node dist/experiments/fault-soak/main.js --regressions --jobs 3
 bash scripts/docs-check.sh
 wait "$lint"
 if [ -s KNOWN-RED.txt ]; then
--- a/src/experiments/fault-soak/checks/checks.test.ts
+++ b/src/experiments/fault-soak/checks/checks.test.ts
@@ -149,7 +149,9 @@
 });
 
 test('guards against a check of versions that misses a process which goes back', () => {
-	const incarnations = [{vm: 0, startMs: 0, endMs: Infinity}];
+	const incarnations = [
+		{vm: 0, startMs: 0, endMs: Infinity, ownEnd: undefined},
+	];
 	const attempts = [attempt('a', {sentMs: 9000, endedMs: 9030}), attempt('b')];
 	const handled = (first: number, second: number) =>
 		broken({
@@ -164,6 +166,14 @@
 	assert.deepEqual(handled(6, 4), ['configuration-forward']);
 });
 
+test('guards against a check that takes a daemon which ended by itself for one that was ended', () => {
+	const life = {vm: 0, startMs: 0, endMs: 9000, ownEnd: undefined};
+	assert.deepEqual(broken({incarnations: [life]}), []);
+	assert.deepEqual(broken({incarnations: [{...life, ownEnd: '1'}]}), [
+		'stays-up',
+	]);
+});
+
 test('guards against checks of time that excuse a late answer, lost work or lost service', () => {
 	assert.deepEqual(broken({attempts: [attempt('a', {endedMs: 12_500})]}), [
 		'prompt-answer',
--- a/src/experiments/fault-soak/checks/index.ts
+++ b/src/experiments/fault-soak/checks/index.ts
@@ -9,6 +9,7 @@
 import {checkPromptAnswers} from './prompt-answer.js';
 import {checkRetryBudget} from './retry-budget.js';
 import {checkCalmService, checkRecovery} from './service.js';
+import {checkStaysUp} from './stays-up.js';
 import {checkTrueRefusals} from './true-refusal.js';
 import {checkEventOrder, checkWholeAnswers} from './whole-answer.js';
 import {checkWorkEnds} from './work-ends.js';
@@ -26,6 +27,7 @@
 	checkConfigurationApplied,
 	checkPromptAnswers,
 	checkWorkEnds,
+	checkStaysUp,
 	checkCalmService,
 	checkRecovery,
 ];
--- a/src/experiments/fault-soak/checks/promise-check.ts
+++ b/src/experiments/fault-soak/checks/promise-check.ts
@@ -11,6 +11,7 @@
 	| 'prompt-answer'
 	| 'recovery'
 	| 'retry-budget'
+	| 'stays-up'
 	| 'true-refusal'
 	| 'whole-answer'
 	| 'work-ends';
--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -10,8 +10,16 @@
 	/** File of the compiled program. */
 	readonly program: string;
 	readonly bootFile: string;
-	/** The process was started, or has ended. */
-	readonly onChange: (isRunning: boolean) => void;
+	readonly onStart: () => void;
+	readonly onEnd: (end: ProcessEnd) => void;
+};
+
+/** How a process ended. */
+export type ProcessEnd = {
+	/** True if nobody ended it. */
+	readonly isOwn: boolean;
+	/** Signal or exit code. */
+	readonly cause: string;
 };
 
 /** A front daemon in a process of its own. */
@@ -19,6 +27,7 @@
 	readonly isRunning: boolean;
 	/** Last lines that it wrote, oldest first. */
 	readonly lines: readonly string[];
+	/** Starts the process, and again whenever it ends by itself. */
 	start(): void;
 	signal(name: NodeJS.Signals): void;
 	/** Ends the process, by force if it does not end in time. */
@@ -26,10 +35,13 @@
 };
 
 const maxLines = 4000;
+/** The platform starts a process that ended after a short delay, in milliseconds. */
+const restartMs = 300;
 
 /** Creates a daemon that is not running yet. */
 export function createFrontProcess(options: FrontProcessOptions): FrontProcess {
 	const lines: string[] = [];
+	const ending = new WeakSet<ChildProcess>();
 	let child: ChildProcess | undefined;
 
 	const note = (line: string) => {
@@ -37,52 +49,60 @@
 		lines.splice(0, Math.max(0, lines.length - maxLines));
 	};
 
+	const start = () => {
+		if (child) {
+			return;
+		}
+
+		const started = spawn(
+			process.execPath,
+			['--max-old-space-size=96', options.program, '--metrics-port', '0'],
+			{
+				env: {...process.env, [bootFileVariable]: options.bootFile},
+				stdio: ['ignore', 'pipe', 'pipe'],
+			},
+		);
+		child = started;
+		endWithThisProcess(started);
+		for (const output of [started.stdout, started.stderr]) {
+			createInterface({input: output}).on('line', note);
+		}
+
+		options.onStart();
+		started.once('exit', (code, signal) => {
+			child = undefined;
+			const cause = String(signal ?? code);
+			const isOwn = !ending.has(started);
+			note(`process ended with ${cause}`);
+			options.onEnd({isOwn, cause});
+			if (isOwn) {
+				setTimeout(start, restartMs);
+			}
+		});
+	};
+
 	return {
 		lines,
 		get isRunning() {
 			return child !== undefined;
 		},
-		start() {
-			if (child) {
-				return;
-			}
-
-			const started = spawn(
-				process.execPath,
-				['--max-old-space-size=96', options.program, '--metrics-port', '0'],
-				{
-					env: {...process.env, [bootFileVariable]: options.bootFile},
-					stdio: ['ignore', 'pipe', 'pipe'],
-				},
-			);
-			child = started;
-			endWithThisProcess(started);
-			for (const output of [started.stdout, started.stderr]) {
-				createInterface({input: output}).on('line', note);
-			}
-
-			options.onChange(true);
-			started.once('exit', (code, signal) => {
-				child = undefined;
-				note(`process ended with ${signal ?? code}`);
-				options.onChange(false);
-			});
-		},
+		start,
 		signal(name) {
 			child?.kill(name);
 		},
 		async end(name, graceMs) {
-			const ending = child;
-			if (!ending) {
+			const current = child;
+			if (!current) {
 				return;
 			}
 
-			const exited = once(ending, 'exit');
-			ending.kill(name);
+			ending.add(current);
+			const exited = once(current, 'exit');
+			current.kill(name);
 			// A paused process handles no signal.
-			ending.kill('SIGCONT');
+			current.kill('SIGCONT');
 			const force = setTimeout(() => {
-				ending.kill('SIGKILL');
+				current.kill('SIGKILL');
 			}, graceMs);
 			await exited;
 			clearTimeout(force);
--- a/src/experiments/fault-soak/main.ts
+++ b/src/experiments/fault-soak/main.ts
@@ -7,6 +7,7 @@
 	commandLine,
 	runProgram,
 } from '../../programs/command-line.js';
+import {regressionSeeds} from './regression-seeds.js';
 import {planOf} from './soak-plan.js';
 import {runPlan, type SoakOutcome} from './soak-run.js';
 
@@ -54,19 +55,34 @@
 				default: false,
 				describe: 'play one run whose own seed is the given one',
 			},
+			regressions: {
+				type: 'boolean',
+				default: false,
+				describe: 'play the runs that failed once',
+			},
 		})
 		.parseAsync();
 	const seed = checkNumber('seed', flags.seed, 0, maxSeed);
-	const runs = flags.exact ? 1 : checkNumber('runs', flags.runs, 1, 100_000);
+	const runs = checkNumber('runs', flags.runs, 1, 100_000);
+	const seeds = flags.regressions
+		? regressionSeeds.map((one) => one.seed)
+		: flags.exact
+			? [seed]
+			: Array.from(
+					{length: runs},
+					(_, index) => (seed * seedStep + index) % maxSeed,
+				);
 	const vms = checkNumber('vms', flags.vms, 0, maxVms);
 	const jobs = checkNumber('jobs', flags.jobs, 1, maxJobs);
 	const figures = {runs: 0, violations: 0, requests: 0, disturbances: 0};
 	const failed: number[] = [];
-	let next = 0;
 	const work = async () => {
-		while (next < runs) {
-			const own = flags.exact ? seed : (seed * seedStep + next) % maxSeed;
-			next++;
+		for (;;) {
+			const own = seeds.shift();
+			if (own === undefined) {
+				return;
+			}
+
 			const plan = planOf(own);
 			const outcome = await runPlan(
 				vms > 0 ? {...plan, vmCount: vms} : plan,
--- a/src/experiments/fault-soak/observations.ts
+++ b/src/experiments/fault-soak/observations.ts
@@ -64,6 +64,8 @@
 	readonly vm: number;
 	readonly startMs: number;
 	endMs: number;
+	/** Signal or exit code, if it ended by itself. */
+	ownEnd: string | undefined;
 };
 
 /** Bounds that the checks hold the system to. */
--- /dev/null
+++ b/src/experiments/fault-soak/regression-seeds.ts
@@ -0,0 +1,14 @@
+/** A run that failed once. */
+export type RegressionSeed = {
+	readonly seed: number;
+	readonly cause: string;
+};
+
+/** Runs that failed once; their seeds are those of the runs, as \`--exact\` takes them. */
+export const regressionSeeds: readonly RegressionSeed[] = [
+	{
+		seed: 23_760,
+		cause:
+			'a daemon ended at SIGHUP while it was starting, since it handled the signal too late',
+	},
+];
--- a/src/experiments/fault-soak/soak-fleet.ts
+++ b/src/experiments/fault-soak/soak-fleet.ts
@@ -96,21 +96,19 @@
 		process: createFrontProcess({
 			program,
 			bootFile: file,
-			onChange(isRunning) {
-				const nowMs = performance.now();
-				if (isRunning) {
-					observations.incarnations.push({
-						vm: index,
-						startMs: nowMs,
-						endMs: Infinity,
-					});
-				} else {
-					const last = observations.incarnations.findLast(
-						({vm}) => vm === index,
-					);
-					if (last) {
-						last.endMs = nowMs;
-					}
+			onStart() {
+				observations.incarnations.push({
+					vm: index,
+					startMs: performance.now(),
+					endMs: Infinity,
+					ownEnd: undefined,
+				});
+			},
+			onEnd({isOwn, cause}) {
+				const last = observations.incarnations.findLast(({vm}) => vm === index);
+				if (last) {
+					last.endMs = performance.now();
+					last.ownEnd = isOwn ? cause : undefined;
 				}
 			},
 		}),
--- a/src/programs/front.ts
+++ b/src/programs/front.ts
@@ -1,8 +1,21 @@
 #!/usr/bin/env node
 import process from 'node:process';
-import {runProgram} from './command-line.js';
-import {createFront} from './front/create-front.js';
-import {readFrontSettings} from './front/front-settings.js';
+
+// The signal would end a process that does not handle it, and reading the modules takes a while.
+let isReloadDue = false;
+let reload = () => {
+	isReloadDue = true;
+};
+
+process.on('SIGHUP', () => {
+	reload();
+});
+
+const [{runProgram}, {createFront}, {readFrontSettings}] = await Promise.all([
+	import('./command-line.js'),
+	import('./front/create-front.js'),
+	import('./front/front-settings.js'),
+]);
 
 await runProgram(async () => {
 	const settings = await readFrontSettings();
@@ -24,7 +37,8 @@
 		});
 	}
 
-	process.on('SIGHUP', () => {
+	reload = front.reload;
+	if (isReloadDue) {
 		front.reload();
-	});
+	}
 });
