Keep a target that a relay has told to leave out of an older read of the table

Cause, found by reading: the directory took over every row of a read of the whole table whatever a relay had told since, so that a read that was on its way when a target began to leave could bring it back until the next change.

Change: rows known at a later version stay. The test failed before.

--- a/src/decisions/serving/target-directory.test.ts
+++ b/src/decisions/serving/target-directory.test.ts
@@ -39,6 +39,16 @@
 	assert.deepEqual(usable(), []);
 });
 
+test('guards against a table read before a relayed row bringing a draining target back', () => {
+	const {directory, usable} = create();
+	directory.set('t1', fakeEntry('t1'), 5);
+	directory.set('t1', fakeEntry('t1', {state: 'draining'}), 8);
+	directory.reset(new Map([['t1', fakeEntry('t1')]]), 7);
+	assert.deepEqual(usable(), []);
+	directory.reset(new Map([['t1', fakeEntry('t1')]]), 9);
+	assert.deepEqual(usable(), ['t1']);
+});
+
 test('guards against dropping live targets whose entries lapse while the store is away', async () => {
 	const {time, directory, departures, usable} = create();
 	directory.set('t1', fakeEntry('t1'), 1);
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -188,8 +188,11 @@
 			}
 
 			for (const [targetId, entry] of rows) {
-				arrive(entry);
-				versions.set(targetId, version);
+				// A relay may have told of a later change than this read of the table.
+				if ((versions.get(targetId) ?? -1) <= version) {
+					arrive(entry);
+					versions.set(targetId, version);
+				}
 			}
 		},
 		storeLost() {
