Join the front daemon and its libraries into one file

A profile of the start shows several hundred modules read one by one, undici's index (fetch, WebSocket, caches, mocks) and zod's locales among them.

The test of the reload at the start runs both forms; the fault soak runs the file.

--- a/scripts/ensure-ready.sh
+++ b/scripts/ensure-ready.sh
@@ -8,5 +8,6 @@
 fi
 if [ ! -f dist/.tsbuildinfo ] || [ -n "$(find src tsconfig.json -newer dist/.built -print -quit 2>/dev/null || echo missing)" ]; then
 	node node_modules/typescript/bin/tsc -p tsconfig.json >&2
+	bash scripts/bundle-front.sh dist >&2
 	touch dist/.built
 fi
--- /dev/null
+++ b/src/adapters/http-client/index.ts
@@ -0,0 +1,1 @@
+export * from './undici-parts.js';
--- a/src/adapters/peers/peer-router.ts
+++ b/src/adapters/peers/peer-router.ts
@@ -1,5 +1,5 @@
 import {initTRPC, TRPCError} from '@trpc/server';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	BookingQuestion,
 	BookingStatus,
--- a/src/adapters/targets/http-engine.ts
+++ b/src/adapters/targets/http-engine.ts
@@ -1,5 +1,5 @@
 import {Agent, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type CacheEvent,
 	Engine,
--- a/src/adapters/targets/reset-aware-client.ts
+++ b/src/adapters/targets/reset-aware-client.ts
@@ -1,4 +1,5 @@
-import {buildConnector, Client} from 'undici';
+import type {Client as UndiciClient} from 'undici';
+import {buildConnector, Client} from '../http-client/index.js';
 
 /** Options of a client that tells resets from orderly ends. */
 export type ResetAwareClientOptions = {
@@ -23,7 +24,7 @@
 export function createResetAwareClient(
 	origin: URL | string,
 	options: ResetAwareClientOptions,
-): Client {
+): UndiciClient {
 	const connect = buildConnector({
 		timeout: options.connectTimeoutMs,
 		keepAliveInitialDelay: keepAliveInitialDelayMs,
--- a/src/decisions/configuration/configuration-codec.ts
+++ b/src/decisions/configuration/configuration-codec.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {ProblemError, type Row} from '../../common/index.js';
 import {checkEdit} from './fleet-configuration.js';
 import {checkStoredSetting} from './setting-schemas.js';
--- a/src/decisions/serving/load-digest.ts
+++ b/src/decisions/serving/load-digest.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LoadShare} from './target-load.js';
 
 /** What a VM tells its peers of its load. */
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {TargetEntry} from '../../common/index.js';
 
 /** A row of the table of the targets as a peer read it from the store. */
--- a/src/experiments/fault-soak/main.ts
+++ b/src/experiments/fault-soak/main.ts
@@ -16,7 +16,7 @@
 const maxVms = 120;
 const maxJobs = 16;
 const program = fileURLToPath(
-	new URL('../../programs/front.js', import.meta.url),
+	new URL('../../front.mjs', import.meta.url),
 );
 
 /** Keeps what explains a failure. */
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	DeploymentConfiguration,
 	RouteKind,
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -1,4 +1,4 @@
-import {type z} from 'zod';
+import type * as z from 'zod';
 import {ProblemError, type ProblemType} from '../common/index.js';
 
 /**
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -1,6 +1,6 @@
 import {type Buffer} from 'node:buffer';
-import {type Dispatcher, Pool} from 'undici';
-import {z} from 'zod';
+import type {Dispatcher, Pool as UndiciPool} from 'undici';
+import * as z from 'zod';
 import {
 	type AnswerSink,
 	type CallerRequest,
@@ -11,6 +11,7 @@
 	type SendOrders,
 	TargetLink,
 } from '../common/index.js';
+import {Pool, request as requestOn} from '../adapters/http-client/index.js';
 import {createResetAwareClient} from '../adapters/targets/index.js';
 import {decodeAnswerHead} from './answer-head.js';
 import {decode, parseJson} from './decode.js';
@@ -82,7 +83,7 @@
 
 /** Connections to targets over HTTP/1.1, one request at a time on each. */
 export class HttpTargetLink extends TargetLink {
-	private readonly pools = new Map<string, Pool>();
+	private readonly pools = new Map<string, UndiciPool>();
 	/** Requests whose connection was reset, by the options they were dispatched with. */
 	private readonly resets = new WeakSet();
 	private readonly maxConnections = new Map<string, number>();
@@ -250,7 +251,7 @@
 		}
 	}
 
-	private poolOf(address: string): Pool {
+	private poolOf(address: string): UndiciPool {
 		let pool = this.pools.get(address);
 		if (!pool) {
 			pool = new Pool(`http://${address}`, {
@@ -277,7 +278,7 @@
 		body: string | undefined,
 		timeoutMs: number,
 	): Promise<{status: number; text: string}> {
-		const answer = await this.poolOf(address).request({
+		const answer = await requestOn(this.poolOf(address), {
 			path,
 			method,
 			body,
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request} from 'undici';
-import {z} from 'zod';
+import type {Agent as UndiciAgent} from 'undici';
+import * as z from 'zod';
+import {Agent, request} from '../adapters/http-client/index.js';
 import {
 	ProblemError,
 	RowStore,
@@ -44,7 +45,7 @@
 
 /** Client of the platform's store. */
 export class StoreClient extends RowStore {
-	private readonly agent: Agent;
+	private readonly agent: UndiciAgent;
 
 	constructor(private readonly options: StoreClientOptions) {
 		super();
@@ -153,11 +154,12 @@
 	): Promise<{status: number; text: string}> {
 		const timeoutMs = waitMs + this.options.timeoutMs;
 		try {
-			const answer = await request(`http://${this.options.address}${path}`, {
+			const answer = await request(this.agent, {
+				origin: `http://${this.options.address}`,
+				path,
 				method,
 				body,
 				headers: body === undefined ? {} : {'content-type': 'application/json'},
-				dispatcher: this.agent,
 				headersTimeout: timeoutMs,
 				bodyTimeout: timeoutMs,
 				signal: AbortSignal.timeout(timeoutMs),
--- a/src/platform/target-entry.ts
+++ b/src/platform/target-entry.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {TargetEntry} from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 
--- a/src/programs/front.test.ts
+++ b/src/programs/front.test.ts
@@ -12,42 +12,46 @@
 import {findFreePorts} from '../experiments/fakes/index.js';
 import {bootFile} from '../platform/testing/index.js';
 
-const program = fileURLToPath(new URL('front.js', import.meta.url));
+const programs = ['front.js', '../front.mjs'].map((file) =>
+	fileURLToPath(new URL(file, import.meta.url)),
+);
 
-test('guards against a change of the boot file that ends a daemon which is starting', async (context) => {
-	const [front, ready, peer, store] = await findFreePorts(4);
-	const text = JSON.stringify(bootFile({front, ready, peer, store}));
-	const directory = mkdtempSync(path.join(tmpdir(), 'front-'));
-	const file = path.join(directory, 'boot');
-	// The daemon cannot go on before the pipe is written to.
-	execFileSync('mkfifo', [file]);
-	const daemon = spawn(
-		process.execPath,
-		[program, '--boot-file', file, '--metrics-port', '0'],
-		{stdio: ['ignore', 'pipe', 'inherit']},
-	);
-	const exited = once(daemon, 'exit');
-	context.after(async () => {
-		daemon.kill('SIGKILL');
-		await exited;
-	});
-	const pipe = await open(file, 'w');
-	daemon.kill('SIGHUP');
-	writeFileSync(path.join(directory, 'next'), text);
-	renameSync(path.join(directory, 'next'), file);
-	await pipe.writeFile(text);
-	await pipe.close();
-	const messages = new Set<unknown>();
-	for await (const line of createInterface({input: daemon.stdout})) {
-		const {message} = JSON.parse(line) as {message?: unknown};
-		messages.add(message);
-		if (messages.has('started') && messages.has('settings read again')) {
-			break;
+for (const program of programs) {
+	test(`guards against a change of the boot file that ends a daemon which is starting (${path.basename(program)})`, async (context) => {
+		const [front, ready, peer, store] = await findFreePorts(4);
+		const text = JSON.stringify(bootFile({front, ready, peer, store}));
+		const directory = mkdtempSync(path.join(tmpdir(), 'front-'));
+		const file = path.join(directory, 'boot');
+		// The daemon cannot go on before the pipe is written to.
+		execFileSync('mkfifo', [file]);
+		const daemon = spawn(
+			process.execPath,
+			[program, '--boot-file', file, '--metrics-port', '0'],
+			{stdio: ['ignore', 'pipe', 'inherit']},
+		);
+		const exited = once(daemon, 'exit');
+		context.after(async () => {
+			daemon.kill('SIGKILL');
+			await exited;
+		});
+		const pipe = await open(file, 'w');
+		daemon.kill('SIGHUP');
+		writeFileSync(path.join(directory, 'next'), text);
+		renameSync(path.join(directory, 'next'), file);
+		await pipe.writeFile(text);
+		await pipe.close();
+		const messages = new Set<unknown>();
+		for await (const line of createInterface({input: daemon.stdout})) {
+			const {message} = JSON.parse(line) as {message?: unknown};
+			messages.add(message);
+			if (messages.has('started') && messages.has('settings read again')) {
+				break;
+			}
 		}
-	}
 
-	assert.deepEqual(
-		[messages.has('started'), messages.has('settings read again')],
-		[true, true],
-	);
-});
+		assert.deepEqual(
+			[messages.has('started'), messages.has('settings read again')],
+			[true, true],
+		);
+	});
+}
--- /dev/null
+++ b/src/programs/front/run-front.ts
@@ -0,0 +1,30 @@
+#!/usr/bin/env node
+import process from 'node:process';
+// Before the other modules, so that the signal is handled while they are evaluated.
+import {reloadSignal} from '../reload-signal.js';
+import {runProgram} from '../command-line.js';
+import {createFront} from './create-front.js';
+import {readFrontSettings} from './front-settings.js';
+
+await runProgram(async () => {
+	const settings = await readFrontSettings();
+	if (settings.checkOnly) {
+		return;
+	}
+
+	const front = await createFront(settings);
+	process.on('uncaughtException', front.reportUnexpected);
+	process.on('unhandledRejection', front.reportUnexpected);
+	const stop = async () => {
+		await front.stop();
+		process.exit(0);
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.once(signal, () => {
+			void stop();
+		});
+	}
+
+	reloadSignal.handle(front.reload);
+});
