End a front daemon that cannot listen, and give each VM of the fault soak an address

Two runs had been given the same free port; the daemon that came second logged EADDRINUSE and went on without its listener, followed the store and never ended, so that nothing started it again. The soak also did not exit: a socket that is reset while it is being ended keeps its handle in Node.js 20, and the end of the process waits for it (found with gdb in CleanupHandles).

The VMs of the soak have addresses of their own in 127.0.0.0/8 with the platform's ports. Sockets that are being ended are destroyed and not reset. A daemon is not started after the soak stopped.

--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -43,6 +43,7 @@
 	const lines: string[] = [];
 	const ending = new WeakSet<ChildProcess>();
 	let child: ChildProcess | undefined;
+	let restart: NodeJS.Timeout | undefined;
 
 	const note = (line: string) => {
 		lines.push(`${Math.round(performance.now())} ${line}`);
@@ -76,7 +77,7 @@
 			note(`process ended with ${cause}`);
 			options.onEnd({isOwn, cause});
 			if (isOwn) {
-				setTimeout(start, restartMs);
+				restart = setTimeout(start, restartMs);
 			}
 		});
 	};
@@ -91,6 +92,7 @@
 			child?.kill(name);
 		},
 		async end(name, graceMs) {
+			clearTimeout(restart);
 			const current = child;
 			if (!current) {
 				return;
--- a/src/experiments/fault-soak/loopback-proxy.ts
+++ b/src/experiments/fault-soak/loopback-proxy.ts
@@ -25,14 +25,20 @@
 /**
  * Creates a proxy that listens on a free port.
  * @param targetPort - port of the listener behind it
+ * @param targetHost - address of the listener behind it
  */
 export async function createLoopbackProxy(
 	targetPort: number,
+	targetHost = host,
 ): Promise<LoopbackProxy> {
 	const links = new Set<ProxiedLink>();
 	let fault = createFaultState(undefined);
 	const server = createServer({allowHalfOpen: true}, (near) => {
-		const far = createConnection({port: targetPort, host, allowHalfOpen: true});
+		const far = createConnection({
+			port: targetPort,
+			host: targetHost,
+			allowHalfOpen: true,
+		});
 		const link = new ProxiedLink(near, far, () => fault.state);
 		links.add(link);
 		far.on('close', () => {
--- a/src/experiments/fault-soak/proxied-link.ts
+++ b/src/experiments/fault-soak/proxied-link.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {resetSocket} from '../../platform/testing/index.js';
 
 /** What a proxy does to the connections that pass it. */
 export type LinkFault =
@@ -41,8 +42,8 @@
 	}
 
 	reset(): void {
-		this.near.resetAndDestroy();
-		this.far.resetAndDestroy();
+		resetSocket(this.near);
+		resetSocket(this.far);
 	}
 
 	private forward(from: Socket, to: Socket, cut: LinkFault) {
@@ -66,7 +67,9 @@
 			pass(() => to.end());
 		});
 		from.on('error', () => {
-			pass(() => to.resetAndDestroy());
+			pass(() => {
+				resetSocket(to);
+			});
 		});
 		from.on('close', () => {
 			pass(() => {
--- a/src/experiments/fault-soak/soak-fleet.ts
+++ b/src/experiments/fault-soak/soak-fleet.ts
@@ -2,14 +2,15 @@
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {readyPath} from '../../platform/index.js';
 import {
 	bootFile,
 	createStoreStandin,
+	defaultPorts,
 	type StoreStandin,
 	type TargetObserver,
 } from '../../platform/testing/index.js';
-import {findFreePorts} from '../fakes/index.js';
 import {createFrontProcess, type FrontProcess} from './front-process.js';
 import {createLoopbackProxy, type LoopbackProxy} from './loopback-proxy.js';
 import type {Observations} from './observations.js';
@@ -35,8 +36,18 @@
 };
 
 const host = '127.0.0.1';
-const portsPerVm = 3;
 const stopGraceMs = 5000;
+const bytesPerPart = 256;
+
+let nextAddress = 1;
+
+/** Every VM has an address of its own in 127.0.0.0/8, so that no run takes another's ports. */
+function freshLoopbackAddress(): string {
+	const number = nextAddress++;
+	const run = 1 + (process.pid % (bytesPerPart - 2));
+	const part = Math.floor(process.pid / (bytesPerPart - 2)) % bytesPerPart;
+	return `127.${run}.${(part + Math.floor(number / (bytesPerPart - 2))) % bytesPerPart}.${1 + (number % (bytesPerPart - 2))}`;
+}
 
 function observe(observations: Observations): TargetObserver {
 	const open = new Map<unknown, {endMs: number | undefined}>();
@@ -81,18 +92,18 @@
 	index: number,
 	{storePort, directory, program, observations}: VmSurroundings,
 ): Promise<SoakVm> {
-	const [front, ready, peer] = await findFreePorts(portsPerVm);
+	const ip = freshLoopbackAddress();
 	const storeProxy = await createLoopbackProxy(storePort);
 	const file = path.join(directory, `vm-${index}.json`);
 	const boot = bootFile(
-		{front, ready, peer, store: storeProxy.port},
-		{name: `vm-${index}`, bounds: bootBounds},
+		{...defaultPorts, store: storeProxy.port},
+		{name: `vm-${index}`, ip, bounds: bootBounds},
 	);
 	writeFileSync(file, JSON.stringify(boot));
 	return {
 		index,
 		storeProxy,
-		callerProxy: await createLoopbackProxy(front),
+		callerProxy: await createLoopbackProxy(defaultPorts.front, ip),
 		process: createFrontProcess({
 			program,
 			bootFile: file,
@@ -114,7 +125,9 @@
 		}),
 		async isReady() {
 			try {
-				const answer = await fetch(`http://${host}:${ready}${readyPath}`);
+				const answer = await fetch(
+					`http://${ip}:${defaultPorts.ready}${readyPath}`,
+				);
 				return answer.ok;
 			} catch {
 				// Nothing listens yet.
--- a/src/platform/testing/boot-file.ts
+++ b/src/platform/testing/boot-file.ts
@@ -1,4 +1,4 @@
-/** Ports of one VM on the loopback address. */
+/** Ports of one VM, and of the store on the loopback address. */
 export type VmPorts = {
 	readonly front: number;
 	readonly ready: number;
@@ -6,7 +6,8 @@
 	readonly store: number;
 };
 
-const defaultPorts: VmPorts = {
+/** Ports of a VM on the platform. */
+export const defaultPorts: VmPorts = {
 	front: 8740,
 	ready: 8749,
 	peer: 7200,
@@ -16,23 +17,24 @@
 /** What differs between the boot files of VMs. */
 export type BootFileOptions = {
 	readonly name?: string;
+	/** Address that the VM listens on. */
+	readonly ip?: string;
 	readonly bounds?: Readonly<Record<string, number>>;
 };
 
 /** A boot file as the platform writes it. */
 export function bootFile(
 	ports: VmPorts = defaultPorts,
-	{name = 'edge-1', bounds = {}}: BootFileOptions = {},
+	{name = 'edge-1', ip = '127.0.0.1', bounds = {}}: BootFileOptions = {},
 ): Readonly<Record<string, unknown>> {
-	const host = '127.0.0.1';
 	return {
 		node: name,
-		ip: host,
+		ip,
 		zone: 'zone-1',
 		region: 'region-1',
 		listen: {
-			front: `${host}:${ports.front}`,
-			ready: `${host}:${ports.ready}`,
+			front: `${ip}:${ports.front}`,
+			ready: `${ip}:${ports.ready}`,
 		},
 		port_range: [ports.peer, ports.peer + 1],
 		heartbeat_ms: 1200,
@@ -47,6 +49,6 @@
 			reuse_after_s: 2,
 			...bounds,
 		},
-		platform: {address: `${host}:${ports.store}`},
+		platform: {address: `127.0.0.1:${ports.store}`},
 	};
 }
--- a/src/platform/testing/service-standin.ts
+++ b/src/platform/testing/service-standin.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {resetSocket} from './reset-socket.js';
 import {
 	beginAnswer,
 	createTargetServer,
@@ -50,7 +51,10 @@
 	const answer = (arrival: TargetArrival, response: ServerResponse) => {
 		observer.stopped(arrival, true);
 		if (mode === 'losing-answers') {
-			response.socket?.resetAndDestroy();
+			if (response.socket) {
+				resetSocket(response.socket);
+			}
+
 			return;
 		}
 
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -2,6 +2,7 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {headerNames} from '../names.js';
+import {resetSocket} from './reset-socket.js';
 import {decodeRequest, headerPairs, indexHeaders} from '../request-headers.js';
 import type {CallerRequest} from '../../common/index.js';
 
@@ -143,7 +144,7 @@
 		server,
 		cut() {
 			for (const socket of sockets) {
-				socket.resetAndDestroy();
+				resetSocket(socket);
 			}
 		},
 	};
--- a/src/programs/front/run-front.ts
+++ b/src/programs/front/run-front.ts
@@ -28,3 +28,7 @@
 
 	reloadSignal.handle(front.reload);
 });
+// A daemon that did not start must not stay half alive; the platform starts it again.
+if (process.exitCode) {
+	process.exit();
+}
