--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -12,6 +12,7 @@
 export * from './target-directory.js';
 export * from './target-load.js';
 export * from './load-digest.js';
+export * from './digest-schedule.js';
 export * from './peer-list.js';
 export * from './admission.js';
 export * from './relayed-rows.js';
--- a/src/decisions/serving/load-digest.ts
+++ b/src/decisions/serving/load-digest.ts
@@ -6,6 +6,7 @@
 	/** Tells two lives of a VM apart. */
 	readonly instanceId: string;
 	readonly sequence: number;
+	readonly availabilityZone: string;
 	/** Version of the configuration in force there; 0 if none is. */
 	readonly configurationVersion: number;
 	/** True if the VM reads the table of the targets now. */
@@ -16,6 +17,7 @@
 const digestSchema = z.object({
 	i: z.string(),
 	s: z.number(),
+	z: z.string(),
 	c: z.number(),
 	r: z.boolean(),
 	t: z.array(
@@ -28,6 +30,7 @@
 	return JSON.stringify({
 		i: digest.instanceId,
 		s: digest.sequence,
+		z: digest.availabilityZone,
 		c: digest.configurationVersion,
 		r: digest.readsStore,
 		t: [...digest.shares].map(([id, share]) => [
@@ -50,6 +53,7 @@
 	return {
 		instanceId: data.i,
 		sequence: data.s,
+		availabilityZone: data.z,
 		configurationVersion: data.c,
 		readsStore: data.r,
 		shares: new Map(
--- a/src/decisions/serving/peer-list.test.ts
+++ b/src/decisions/serving/peer-list.test.ts
@@ -5,14 +5,17 @@
 import {createPeerList} from './peer-list.js';
 import {decodeRelayedRows, encodeRelayedRows} from './relayed-rows.js';
 
+const place = (address: string) => ({address, availabilityZone: 'zone-1'});
+
 const digest = (sequence: number, readsStore = true) => ({
 	instanceId: 'i',
 	sequence,
+	availabilityZone: 'zone-1',
 	readsStore,
 });
 
 test('guards against digests that overtake each other', () => {
-	const peers = createPeerList(new VirtualTime(), 'a', 60_000);
+	const peers = createPeerList(new VirtualTime(), place('a'), 60_000);
 	assert.equal(peers.heard('b', digest(2)), true);
 	assert.equal(peers.heard('b', digest(1)), false);
 	assert.equal(peers.heard('b', {...digest(1), instanceId: 'j'}), true);
@@ -21,7 +24,7 @@
 
 test('guards against nobody relaying the store when the first VMs lose it', async () => {
 	const time = new VirtualTime();
-	const peers = createPeerList(time, 'c', 60_000);
+	const peers = createPeerList(time, place('c'), 60_000);
 	peers.heard('a', digest(1));
 	peers.heard('b', digest(1));
 	assert.equal(peers.isRelay(true), false);
--- a/src/decisions/serving/peer-list.ts
+++ b/src/decisions/serving/peer-list.ts
@@ -2,12 +2,13 @@
 
 /** Peers by address, with the time at which each was last heard. */
 export type PeerList = {
-	/** Addresses to which digests go. */
 	readonly addresses: readonly string[];
+	/** Addresses of the peers that are in this VM's zone, or of those that are not. */
+	inZone(isOwn: boolean): readonly string[];
 	/** Largest number of VMs that may be serving, this one included. */
 	readonly vmCount: number;
 	/** The store names a peer. */
-	named(address: string): void;
+	named(address: string, availabilityZone: string): void;
 	/**
 	 * A digest arrived.
 	 * @returns false if it is older than one that arrived before
@@ -24,9 +25,16 @@
 export type PeerMark = {
 	readonly instanceId: string;
 	readonly sequence: number;
+	readonly availabilityZone: string;
 	readonly readsStore: boolean;
 };
 
+/** Where this VM is. */
+export type OwnPlace = {
+	readonly address: string;
+	readonly availabilityZone: string;
+};
+
 type Peer = PeerMark & {readonly heardMs: number};
 
 /** VMs for each one that relays the store's changes. */
@@ -42,7 +50,7 @@
  */
 export function createPeerList(
 	clock: Clock,
-	ownAddress: string,
+	{address: ownAddress, availabilityZone: ownZone}: OwnPlace,
 	forgetMs: number,
 ): PeerList {
 	const peers = new Map<string, Peer>();
@@ -53,12 +61,18 @@
 		get vmCount() {
 			return peers.size + 1;
 		},
-		named(address) {
+		inZone(isOwn) {
+			return [...peers]
+				.filter(([, peer]) => (peer.availabilityZone === ownZone) === isOwn)
+				.map(([address]) => address);
+		},
+		named(address, availabilityZone) {
 			if (address !== ownAddress && !peers.has(address)) {
 				peers.set(address, {
 					heardMs: clock.nowMs(),
 					instanceId: '',
 					sequence: -1,
+					availabilityZone,
 					readsStore: false,
 				});
 			}
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -20,6 +20,8 @@
 	createRouteTable,
 	createTargetDirectory,
 	createTargetLoad,
+	manyVms,
+	otherZoneCostMs,
 	type RouteTable,
 } from '../../decisions/serving/index.js';
 import {HttpTargetLink, StoreClient} from '../../platform/index.js';
@@ -46,8 +48,6 @@
 };
 
 const lapseGraceMs = 2000;
-/** From this size on, VMs that do not relay learn of new configurations from those that do. */
-const manyVms = 16;
 const longerWaitFactor = 2;
 /** Part of the time for leaving targets after which a VM reads the targets by itself. */
 const followerIntervalPart = 0.7;
@@ -151,6 +151,7 @@
 		detector,
 		statistics: createLengthStatistics(),
 		random,
+		otherZoneCostMs: () => otherZoneCostMs(peers.vmCount),
 		onPlaced() {
 			peers.changed();
 		},
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -56,14 +56,14 @@
 	readonly detector: OutlierDetector;
 	readonly statistics: LengthStatistics;
 	readonly random: RandomSource;
+	/** Cost of an engine outside this VM's zone, in milliseconds. */
+	readonly otherZoneCostMs: () => number;
 	/** Called after a generation was placed. */
 	readonly onPlaced: () => void;
 };
 
 /** Memory of an engine of both deployments, from their sheets, until one reports its own. */
 const defaultCapacityTokens = 34_000;
-/** Cost of an answer that crosses zones, whose bytes are dear, in milliseconds. */
-const otherZoneAnswerCostMs = 15;
 /** Cost of a move between zones, which takes twice as long as one inside, in milliseconds. */
 const otherZoneMoveCostMs = 250;
 /** Tokens in one event of a stream, from the sheets. */
@@ -182,7 +182,7 @@
 					promptTokens: admitted.request.generation?.promptTokens ?? 0,
 					expectedOutputTokens: expectedOutputTokens(admitted),
 					nearZone: availabilityZone,
-					otherZoneCostMs: otherZoneAnswerCostMs,
+					otherZoneCostMs: options.otherZoneCostMs(),
 				},
 				random,
 			);
--- a/src/programs/front/peer-loads.ts
+++ b/src/programs/front/peer-loads.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod';
 import {openDatagramChannel} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
 import {
@@ -11,6 +12,8 @@
 import {
 	type ConfigurationState,
 	createPeerList,
+	digestIntervals,
+	manyVms,
 	decodeDigest,
 	decodeRelayedRows,
 	encodeDigest,
@@ -56,14 +59,12 @@
 const soonMs = 20;
 /** Bytes between zones are dear, and few VMs have to be told apart. */
 const instanceIdLength = 8;
-/** Keeps the datagrams of a VM at about this interval, however many peers it has, in milliseconds. */
-const intervalPerPeerMs = 25;
 /** Digests that say nothing new still tell that the VM lives. */
 const idleIntervalMs = 1000;
 const forgetPeerMs = 60_000;
 const registerRetryMs = 1500;
 
-function parseDatagram(text: string): unknown {
+function parseOrUndefined(text: string): unknown {
 	try {
 		return JSON.parse(text);
 	} catch {
@@ -71,16 +72,31 @@
 	}
 }
 
+const peerSchema = z.object({
+	address: z.string(),
+	availabilityZone: z.string(),
+});
+
+function decodePeer(value: Uint8Array) {
+	const {success, data} = peerSchema.safeParse(
+		parseOrUndefined(new TextDecoder().decode(value)),
+	);
+	return success ? data : undefined;
+}
+
 /** Starts the exchange: registers this VM in the store, reads the others and opens a channel. */
 export function startPeerLoads(options: PeerLoadsOptions): PeerLoads {
 	const {vm, clock, timers, store, load, logger, configuration} = options;
 	const port = vm.peerPorts[0];
 	const address = `${vm.ip}:${port}`;
 	const channel = openDatagramChannel(vm.ip, port);
-	const peers = createPeerList(clock, address, forgetPeerMs);
+	const {availabilityZone} = vm;
+	const peers = createPeerList(
+		clock,
+		{address, availabilityZone},
+		forgetPeerMs,
+	);
 	let sequence = 0;
-	let lastText = '';
-	let lastSentMs = -Infinity;
 	let isDisposed = false;
 	let soon: Disposable | undefined;
 	let isRegistered = false;
@@ -98,7 +114,7 @@
 	};
 
 	channel.onDatagram(({from, text}) => {
-		const value = parseDatagram(text);
+		const value = parseOrUndefined(text);
 		const digest = decodeDigest(value);
 		const rows = digest ? undefined : decodeRelayedRows(value);
 		if (digest) {
@@ -113,40 +129,55 @@
 		logger.warn('peer channel failed', {detail: error.message});
 	});
 
-	const send = () => {
-		const nowMs = clock.nowMs();
-		const digest = {
-			instanceId: options.instanceId.slice(0, instanceIdLength),
-			sequence: 0,
-			configurationVersion: configuration.current?.version ?? 0,
-			readsStore: options.readsTargets(),
-			shares: load.ownShares(),
-		};
-		const text = encodeDigest(digest);
-		if (text === lastText && nowMs - lastSentMs < idleIntervalMs) {
-			return;
-		}
+	const digestNow = (): LoadDigest => ({
+		instanceId: options.instanceId.slice(0, instanceIdLength),
+		sequence: 0,
+		availabilityZone,
+		configurationVersion: configuration.current?.version ?? 0,
+		readsStore: options.readsTargets(),
+		shares: load.ownShares(),
+	});
 
-		lastText = text;
-		lastSentMs = nowMs;
-		sequence++;
-		const numbered = encodeDigest({...digest, sequence});
-		for (const peer of peers.addresses) {
-			channel.send(peer, numbered);
-		}
+	/** Tells the peers inside or outside this VM's zone. */
+	const createTeller = (isOwnZone: boolean) => {
+		let lastText = '';
+		let lastSentMs = -Infinity;
+		return () => {
+			const nowMs = clock.nowMs();
+			const digest = digestNow();
+			const text = encodeDigest(digest);
+			if (text === lastText && nowMs - lastSentMs < idleIntervalMs) {
+				return;
+			}
+
+			lastText = text;
+			lastSentMs = nowMs;
+			sequence++;
+			const numbered = encodeDigest({...digest, sequence});
+			for (const peer of peers.inZone(isOwnZone)) {
+				channel.send(peer, numbered);
+			}
+		};
 	};
 
-	const repeat = () => {
-		if (!isDisposed) {
-			send();
-			timers.after(
-				Math.max(
-					options.intervalMs,
-					peers.addresses.length * intervalPerPeerMs,
-				),
-				repeat,
-			);
-		}
+	const tellOwnZone = createTeller(true);
+	const tellOtherZones = createTeller(false);
+	const intervals = () =>
+		digestIntervals(
+			{
+				ownZone: peers.inZone(true).length,
+				otherZones: peers.inZone(false).length,
+			},
+			options.intervalMs,
+		);
+
+	const repeat = (tell: () => void, intervalMs: () => number) => {
+		timers.after(intervalMs(), () => {
+			if (!isDisposed) {
+				tell();
+				repeat(tell, intervalMs);
+			}
+		});
 	};
 
 	const register = async () => {
@@ -155,18 +186,16 @@
 				await store.put(
 					vmTable,
 					vm.name,
-					new TextEncoder().encode(JSON.stringify({address})),
+					new TextEncoder().encode(JSON.stringify({address, availabilityZone})),
 				);
 				isRegistered = true;
 			}
 
 			const {rows} = await store.snapshot(vmTable);
 			for (const row of rows) {
-				const {address: peer} = JSON.parse(
-					new TextDecoder().decode(row.value),
-				) as {address?: unknown};
-				if (typeof peer === 'string') {
-					peers.named(peer);
+				const peer = decodePeer(row.value);
+				if (peer) {
+					peers.named(peer.address, peer.availabilityZone);
 				}
 			}
 
@@ -187,7 +216,8 @@
 	};
 
 	void register();
-	timers.after(options.intervalMs, repeat);
+	repeat(tellOwnZone, () => intervals().ownZoneMs);
+	repeat(tellOtherZones, () => intervals().otherZonesMs);
 	return {
 		get vmCount() {
 			return peers.vmCount;
@@ -209,7 +239,10 @@
 		changed() {
 			soon ??= timers.after(soonMs, () => {
 				soon = undefined;
-				send();
+				tellOwnZone();
+				if (peers.vmCount < manyVms) {
+					tellOtherZones();
+				}
 			});
 		},
 		dispose() {
