--- a/src/decisions/membership/entry-store.ts
+++ b/src/decisions/membership/entry-store.ts
@@ -67,13 +67,6 @@
 const identityOf = (entry: SharedEntry) =>
 	identity(entry.kind, entry.scope, entry.key);
 
-/** True if `one` replaces `other`. */
-export function isNewer(one: SharedEntry, other: SharedEntry): boolean {
-	return one.incarnation === other.incarnation
-		? one.counter > other.counter
-		: one.incarnation > other.incarnation;
-}
-
 // Pending entries that may not travel to a peer are skipped; the bound keeps a message cheap.
 const maxScanned = 400;
 const minEntryBytes = 16;
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -1,4 +1,5 @@
 export * from './activity-exchange.js';
+export * from './entry-order.js';
 export * from './entry-scope.js';
 export * from './entry-store.js';
 export * from './leaving-marks.js';
--- a/src/decisions/membership/membership-rules.ts
+++ b/src/decisions/membership/membership-rules.ts
@@ -1,6 +1,6 @@
 import {silentTokens, type UsageReport} from '../contracts/index.js';
+import {isNewer} from './entry-order.js';
 import {travelsTo} from './entry-scope.js';
-import {isNewer} from './entry-store.js';
 import type {EntryReach, SharedEntry} from './types.js';
 
 /** Decisions on which the promises rest, replaceable so that tests can plant faults. */
