Share the end, the services and the sends of the two kinds of sessions

Change: session-ending.ts, SessionServices, stream-attempt.ts (one send of a stream), http-call.ts, listen-options.ts and fakeSessionServices hold each once.

Conclusion: moved only; the tests of the sessions, the adapter and the front pass.

--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -6,11 +6,11 @@
 	fakeAdmitted,
 	fakeEntry,
 	fakeHead,
+	fakeSessionServices,
 	FakeTargetLink,
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
 import {startCallSession} from './call-session.js';
-import {createRetryShare} from './retry-share.js';
 
 const bytes = (text: string) => new TextEncoder().encode(text);
 
@@ -24,32 +24,15 @@
 	const log: string[] = [];
 	const targets = [fakeEntry('t1'), fakeEntry('t2'), fakeEntry('t3')];
 	const session = startCallSession(fakeAdmitted(route, request), reply, {
-		clock: time,
-		timers: time,
-		link,
-		retryShare: createRetryShare({
-			clock: time,
-			bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
-			vmCount: () => 1,
-		}),
-		log(event, record) {
+		...fakeSessionServices(time, link, (event, record) => {
 			log.push(`${event} ${String(record.outcome ?? record.reason ?? '')}`);
-		},
+		}),
 		choose: (_service, avoid) => targets.find(({id}) => !avoid.has(id)),
 		opened: () => ({
 			dispose() {
 				// Load is not counted here.
 			},
 		}),
-		ended() {
-			// Health is not kept here.
-		},
-		unreachable() {
-			// No directory here.
-		},
-		misdirected() {
-			// No directory here.
-		},
 	});
 	const answer = (index: number, status: number, text: string) => {
 		const {sink} = link.sends[index];
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -12,6 +12,7 @@
 	replyUnanswered,
 	unansweredStatus,
 } from './refusals.js';
+import {createSessionEnding} from './session-ending.js';
 import type {
 	AdmittedRequest,
 	CallerReply,
@@ -53,7 +54,6 @@
 	/** Sends that reached, or may yet reach, a target. */
 	let arrivedCount = 0;
 	let mayHaveRunCount = 0;
-	let isDone = false;
 	let lastFailure: {head: AnswerHead; body: Uint8Array} | undefined;
 	let hedge: Disposable | undefined;
 
@@ -65,29 +65,26 @@
 		attempt.open.dispose();
 	};
 
-	const finish = (answer: () => void, outcome: string, status?: number) => {
-		if (isDone) {
-			return;
-		}
-
-		isDone = true;
-		hedge?.dispose();
-		timeout.dispose();
-		for (const attempt of attempts) {
-			attempt.send?.dispose();
-			close(attempt);
-		}
+	const ending = createSessionEnding({
+		event: 'call ended',
+		admitted,
+		clock,
+		timers,
+		log,
+		release() {
+			hedge?.dispose();
+			for (const attempt of attempts) {
+				attempt.send?.dispose();
+				close(attempt);
+			}
 
-		answer();
-		log('call ended', {
-			request: request.id,
-			route: route.name,
-			outcome,
-			status,
-			targetsTried: tried.size,
-			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
-		});
-	};
+			return {targetsTried: tried.size};
+		},
+		onTimeout() {
+			timedOut();
+		},
+	});
+	const {finish} = ending;
 
 	const giveUp = (reason: string) => {
 		const failure = lastFailure;
@@ -173,7 +170,7 @@
 	};
 
 	const retryOrGiveUp = (reason: string) => {
-		if (isDone || attempts.size > 0) {
+		if (ending.isDone || attempts.size > 0) {
 			return;
 		}
 
@@ -265,7 +262,7 @@
 		retryOrGiveUp('target failed');
 	};
 
-	const timeout = timers.after(leftMs(), () => {
+	const timedOut = () => {
 		if (mayHaveRunCount > 0 || attempts.size > 0) {
 			finish(
 				() => {
@@ -277,11 +274,11 @@
 		} else {
 			giveUp('no target in time');
 		}
-	});
+	};
 
 	if (isIdempotent && route.maxAttempts > 1) {
 		hedge = timers.after(hedgeAfterMs, () => {
-			if (!isDone && attempts.size === 1 && mayHaveRunCount === 0) {
+			if (!ending.isDone && attempts.size === 1 && mayHaveRunCount === 0) {
 				sendOn('first target is slow');
 			}
 		});
--- a/src/decisions/serving/peer-list.ts
+++ b/src/decisions/serving/peer-list.ts
@@ -3,10 +3,10 @@
 /** Peers by address, with the time at which each was last heard. */
 export type PeerList = {
 	readonly addresses: readonly string[];
-	/** Addresses of the peers that are in this VM's zone, or of those that are not. */
-	inZone(isOwn: boolean): readonly string[];
 	/** Largest number of VMs that may be serving, this one included. */
 	readonly vmCount: number;
+	/** Addresses of the peers that are in this VM's zone, or of those that are not. */
+	inZone(isOwn: boolean): readonly string[];
 	/** The store names a peer. */
 	named(address: string, availabilityZone: string): void;
 	/**
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -1,9 +1,14 @@
 import type {
 	AnswerHead,
 	CallerRequest,
+	Clock,
 	HeaderPair,
 	RouteRule,
+	TargetEntry,
+	TargetLink,
+	Timers,
 } from '../../common/index.js';
+import type {RetryShare} from './retry-share.js';
 
 /** An attempt of a caller that was admitted to a route. */
 export type AdmittedRequest = {
@@ -43,6 +48,25 @@
 	callerLeft(): void;
 };
 
+/** What sessions of both kinds work with. */
+export type SessionServices = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly link: TargetLink;
+	readonly retryShare: RetryShare;
+	readonly log: DecisionLog;
+	/** A send ended. */
+	readonly ended: (
+		target: TargetEntry,
+		succeeded: boolean,
+		latencyMs: number,
+	) => void;
+	/** Nothing accepts connections at the address. */
+	readonly unreachable: (target: TargetEntry) => void;
+	/** The target at the address is another one. */
+	readonly misdirected: (target: TargetEntry) => void;
+};
+
 /** Values of a decision, as they are logged. */
 export type DecisionRecord = Readonly<
 	Record<string, string | number | boolean | undefined>
--- /dev/null
+++ b/src/decisions/serving/stream-attempt.ts
@@ -0,0 +1,122 @@
+import type {Disposable, RunMemory} from '../../common/index.js';
+import type {RunCopy} from './run-copies.js';
+import type {AdmittedRequest} from './session-types.js';
+import type {StreamAnswer} from './stream-answer.js';
+import {sendStream, type StreamSendListener} from './stream-send.js';
+import type {
+	RunAccount,
+	StreamPlacement,
+	StreamSessionOptions,
+} from './stream-session-types.js';
+
+/** One send of a stream to an engine. */
+export type StreamAttempt = {
+	readonly placement: StreamPlacement;
+	/** Monotonic time, in milliseconds. */
+	readonly startedMs: number;
+	readonly account: RunAccount;
+	/** True if the send continues a run. */
+	readonly continues: boolean;
+	readonly isOver: boolean;
+	/** True once copies of its memory are being made, since its engine leaves. */
+	isMoving: boolean;
+	/** Copy of the run's memory that was made because its engine leaves. */
+	copy: RunCopy | undefined;
+	/** Sends; the listener may hear of a failure at once. */
+	start(): void;
+	/** Breaks the send off; its listener hears no more. */
+	close(): void;
+};
+
+/** What a send is made from. */
+export type StreamAttemptOrders = {
+	readonly admitted: AdmittedRequest;
+	readonly placement: StreamPlacement;
+	readonly priority: number;
+	/** Copy from which the run goes on. */
+	readonly continueFrom: RunMemory | undefined;
+	/** What the caller has of the answer. */
+	readonly answer: StreamAnswer;
+	readonly reason: string;
+};
+
+function lastEventIdOf({
+	admitted: {route, request},
+	answer,
+}: StreamAttemptOrders): string | undefined {
+	const callerEventId = route.resumable ? request.lastEventId : undefined;
+	const {lastEventId = callerEventId} = answer;
+	return lastEventId === undefined ? undefined : String(lastEventId);
+}
+
+/**
+ * Creates the send of a stream to the engine it was placed at.
+ * @param listener - hears what becomes of the send, unless it was closed before
+ */
+export function createStreamAttempt(
+	orders: StreamAttemptOrders,
+	{clock, link, log, opened}: StreamSessionOptions,
+	listener: (attempt: StreamAttempt) => StreamSendListener,
+): StreamAttempt {
+	const {admitted, placement, continueFrom, answer} = orders;
+	const {request, route} = admitted;
+	const {target, backup} = placement;
+	const nowMs = clock.nowMs();
+	const leftMs = admitted.deadlineMs - nowMs;
+	const account = opened({
+		admitted,
+		target,
+		backup,
+		eventCount: answer.eventCount,
+	});
+	let handle: Disposable | undefined;
+	let isOver = false;
+	const attempt: StreamAttempt = {
+		placement,
+		startedMs: nowMs,
+		account,
+		continues: continueFrom !== undefined,
+		get isOver() {
+			return isOver;
+		},
+		isMoving: false,
+		copy: undefined,
+		start() {
+			log('stream sent', {
+				request: request.id,
+				route: route.name,
+				target: target.id,
+				backup: backup?.id,
+				continuesAt: continueFrom ? answer.lastEventId : undefined,
+				expectedFirstTokenMs: Math.round(placement.firstTokenMs),
+				expectedMemoryPart: Number(placement.memoryPart.toFixed(2)),
+				waitedMs: Math.round(nowMs - admitted.arrivedMs),
+				reason: orders.reason,
+				leftMs: Math.round(leftMs),
+			});
+			handle = sendStream(
+				link,
+				target,
+				request,
+				{
+					expectedTargetId: target.id,
+					account: admitted.account,
+					timeoutMs: leftMs,
+					priority: orders.priority,
+					backupAddress: backup?.address,
+					continueFrom,
+					lastEventId: lastEventIdOf(orders),
+				},
+				listener(attempt),
+			);
+		},
+		close() {
+			if (!isOver) {
+				isOver = true;
+				handle?.dispose();
+				account.dispose();
+			}
+		},
+	};
+	return attempt;
+}
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -1,15 +1,8 @@
-import type {
-	Clock,
-	Disposable,
-	TargetEntry,
-	TargetLink,
-	Timers,
-} from '../../common/index.js';
-import type {RetryShare} from './retry-share.js';
+import type {Disposable, TargetEntry} from '../../common/index.js';
 import type {
 	AdmittedRequest,
-	DecisionLog,
 	ServingSession,
+	SessionServices,
 } from './session-types.js';
 
 /** Where a run goes, and where a copy of its memory is kept. */
@@ -37,12 +30,7 @@
 };
 
 /** What streams work with. */
-export type StreamSessionOptions = {
-	readonly clock: Clock;
-	readonly timers: Timers;
-	readonly link: TargetLink;
-	readonly retryShare: RetryShare;
-	readonly log: DecisionLog;
+export type StreamSessionOptions = SessionServices & {
 	/** Chooses an engine that is not to be avoided. */
 	readonly place: (
 		admitted: AdmittedRequest,
@@ -62,14 +50,6 @@
 	/** True while a target may get requests. */
 	readonly isUsable: (targetId: string) => boolean;
 	readonly opened: (run: StreamRun) => RunAccount;
-	readonly ended: (
-		target: TargetEntry,
-		succeeded: boolean,
-		latencyMs: number,
-	) => void;
-	/** Nothing accepts connections at the address. */
-	readonly unreachable: (target: TargetEntry) => void;
-	readonly misdirected: (target: TargetEntry) => void;
 	/** The answer is whole. */
 	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
 };
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -7,10 +7,10 @@
 	fakeEntry,
 	fakeHead,
 	type FakeSend,
+	fakeSessionServices,
 	FakeTargetLink,
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
-import {createRetryShare} from './retry-share.js';
 import {startStreamSession} from './stream-session.js';
 
 const firstEngine = fakeEntry('e1');
@@ -46,17 +46,9 @@
 		),
 		reply,
 		{
-			clock: time,
-			timers: time,
-			link,
-			retryShare: createRetryShare({
-				clock: time,
-				bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
-				vmCount: () => 1,
-			}),
-			log(event, record) {
+			...fakeSessionServices(time, link, (event, record) => {
 				log.push({event, record});
-			},
+			}),
 			place(_admitted, avoid) {
 				const target = [firstEngine, secondEngine, thirdEngine].find(
 					({id}) => !avoid.has(id),
@@ -85,15 +77,6 @@
 					// Load is not counted here.
 				},
 			}),
-			ended() {
-				// Health is not kept here.
-			},
-			unreachable() {
-				// No directory here.
-			},
-			misdirected() {
-				// No directory here.
-			},
 			finished() {
 				// Lengths are not kept here.
 			},
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -15,28 +15,15 @@
 } from './refusals.js';
 import {keepCopy, type RunCopy} from './run-copies.js';
 import {createStreamAnswer} from './stream-answer.js';
-import {sendStream} from './stream-send.js';
+import {createSessionEnding} from './session-ending.js';
+import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
 import type {
-	RunAccount,
 	StreamPlacement,
 	StreamSession,
 	StreamSessionOptions,
 } from './stream-session-types.js';
 import type {AdmittedRequest, CallerReply} from './session-types.js';
 
-type Send = {
-	readonly placement: StreamPlacement;
-	readonly startedMs: number;
-	readonly account: RunAccount;
-	/** True if the send continues a run. */
-	readonly continues: boolean;
-	handle: Disposable | undefined;
-	isOver: boolean;
-	isMoving: boolean;
-	/** Copy of the run's memory that was made because its engine leaves. */
-	copy: RunCopy | undefined;
-};
-
 /** Pause between events after which a run with a copy elsewhere is continued there, in milliseconds. */
 const silenceMs = 900;
 /** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
@@ -69,9 +56,8 @@
 	const {clock, timers, link, retryShare, log} = options;
 	const {request, route, service} = admitted;
 	const avoid = new Set<string>();
-	let send: Send | undefined;
+	let send: StreamAttempt | undefined;
 	let waiting: Disposable | undefined;
-	let isDone = false;
 	let mayHaveRun = false;
 	let lastProgressMs = clock.nowMs();
 	let moves = 0;
@@ -80,42 +66,32 @@
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
 
 	const closeSend = () => {
-		if (send && !send.isOver) {
-			send.isOver = true;
-			send.handle?.dispose();
-			send.account.dispose();
-		}
-
+		send?.close();
 		send = undefined;
 	};
 
-	const finish = (
-		respond: () => void,
-		outcome: string,
-		status: number | undefined,
-	) => {
-		if (isDone) {
-			return;
-		}
-
-		isDone = true;
-		timeout.dispose();
-		waiting?.dispose();
-		const target = send?.placement.target.id;
-		closeSend();
-		respond();
-		log('stream ended', {
-			request: request.id,
-			route: route.name,
-			outcome,
-			status,
-			target,
-			events: answer.eventCount,
-			moves,
-			...answer.pauses.record(),
-			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
-		});
-	};
+	const ending = createSessionEnding({
+		event: 'stream ended',
+		admitted,
+		clock,
+		timers,
+		log,
+		release() {
+			waiting?.dispose();
+			const target = send?.placement.target.id;
+			closeSend();
+			return {
+				target,
+				events: answer.eventCount,
+				moves,
+				...answer.pauses.record(),
+			};
+		},
+		onTimeout() {
+			timedOut();
+		},
+	});
+	const {finish} = ending;
 
 	const giveUp = (reason: string) => {
 		if (reply.hasHead) {
@@ -142,52 +118,18 @@
 		continueFrom: RunMemory | undefined,
 		reason: string,
 	) => {
-		const current: Send = {
-			placement,
-			startedMs: clock.nowMs(),
-			account: options.opened({
-				admitted,
-				target: placement.target,
-				backup: placement.backup,
-				eventCount: answer.eventCount,
-			}),
-			continues: continueFrom !== undefined,
-			handle: undefined,
-			isOver: false,
-			isMoving: false,
-			copy: undefined,
-		};
-		send = current;
 		lastProgressMs = clock.nowMs();
-		log('stream sent', {
-			request: request.id,
-			route: route.name,
-			target: placement.target.id,
-			backup: placement.backup?.id,
-			continuesAt: continueFrom ? answer.lastEventId : undefined,
-			expectedFirstTokenMs: Math.round(placement.firstTokenMs),
-			expectedMemoryPart: Number(placement.memoryPart.toFixed(2)),
-			waitedMs: Math.round(clock.nowMs() - admitted.arrivedMs),
-			reason,
-			leftMs: Math.round(leftMs()),
-		});
-		const callerEventId = route.resumable ? request.lastEventId : undefined;
-		const {lastEventId = callerEventId} = answer;
-		current.handle = sendStream(
-			link,
-			placement.target,
-			request,
+		const attempt = createStreamAttempt(
 			{
-				expectedTargetId: placement.target.id,
-				account: admitted.account,
-				timeoutMs: leftMs(),
+				admitted,
+				placement,
 				priority: priorityOf(placement),
-				backupAddress: placement.backup?.address,
 				continueFrom,
-				lastEventId:
-					lastEventId === undefined ? undefined : String(lastEventId),
+				answer,
+				reason,
 			},
-			{
+			options,
+			(current) => ({
 				onEvent(event, head) {
 					forward(current, event, head);
 				},
@@ -200,8 +142,10 @@
 				onFailure(failure) {
 					failed(current, failure);
 				},
-			},
+			}),
 		);
+		send = attempt;
+		attempt.start();
 	};
 
 	const waitInputs = (placement: StreamPlacement): WaitInputs => ({
@@ -245,7 +189,7 @@
 		memory: RunMemory | undefined,
 		reason: string,
 	): boolean => {
-		if (!target || !memory || isDone || leftMs() < minSendMs) {
+		if (!target || !memory || ending.isDone || leftMs() < minSendMs) {
 			return false;
 		}
 
@@ -271,13 +215,17 @@
 	};
 
 	/** Continues a lost run from the copy made of late, or from its backup. */
-	const continueLost = (lost: Send, reason: string): boolean => {
+	const continueLost = (lost: StreamAttempt, reason: string): boolean => {
 		const {backup} = lost.placement;
 		const copy = lost.copy ?? backupOf(backup, request.id);
 		return continueAt(copy?.target, copy?.memory, reason);
 	};
 
-	const forward = (current: Send, event: StreamEvent, head: AnswerHead) => {
+	const forward = (
+		current: StreamAttempt,
+		event: StreamEvent,
+		head: AnswerHead,
+	) => {
 		const nowMs = clock.nowMs();
 		mayHaveRun = true;
 		lastProgressMs = nowMs;
@@ -297,8 +245,8 @@
 		}
 	};
 
-	const failed = (current: Send, failure: SendFailure) => {
-		if (current.isOver || isDone) {
+	const failed = (current: StreamAttempt, failure: SendFailure) => {
+		if (current.isOver || ending.isDone) {
 			return;
 		}
 
@@ -332,13 +280,13 @@
 	};
 
 	/** A copy that is not used would hold memory for some seconds. */
-	const releaseCopy = ({copy, placement}: Send) => {
+	const releaseCopy = ({copy, placement}: StreamAttempt) => {
 		if (copy) {
 			link.releaseCopy(placement.target.address, copy.memory.handle);
 		}
 	};
 
-	const ended = (current: Send, head: AnswerHead) => {
+	const ended = (current: StreamAttempt, head: AnswerHead) => {
 		options.finished(admitted, answer.eventCount);
 		releaseCopy(current);
 		finish(
@@ -350,7 +298,11 @@
 		);
 	};
 
-	const notServed = (current: Send, head: AnswerHead, body: Uint8Array) => {
+	const notServed = (
+		current: StreamAttempt,
+		head: AnswerHead,
+		body: Uint8Array,
+	) => {
 		const {target} = current.placement;
 		const refused = head.notExecuted || head.status === misdirectedStatus;
 		options.ended(target, refused, clock.nowMs() - current.startedMs);
@@ -393,7 +345,7 @@
 	/** Moves the run if its engine leaves and no copy of its memory is safe elsewhere. */
 	const evacuate = () => {
 		const current = send;
-		if (!current || current.isOver || isDone || current.isMoving) {
+		if (!current || current.isOver || ending.isDone || current.isMoving) {
 			return;
 		}
 
@@ -407,7 +359,7 @@
 			{
 				requestId: request.id,
 				source: target,
-				isOver: () => current.isOver || isDone,
+				isOver: () => current.isOver || ending.isDone,
 				choose: (refused) =>
 					options.placeMove(admitted, target, new Set([...avoid, ...refused])),
 				onCopy(copy) {
@@ -418,7 +370,7 @@
 		);
 	};
 
-	const timeout = timers.after(leftMs(), () => {
+	const timedOut = () => {
 		if (reply.hasHead) {
 			giveUp('timed out');
 		} else if (send ?? mayHaveRun) {
@@ -432,14 +384,14 @@
 		} else {
 			giveUp('no engine in time');
 		}
-	});
+	};
 
 	retryShare.noteRequest(service);
 	start('first send', false);
 
 	return {
 		get isDone() {
-			return isDone;
+			return ending.isDone;
 		},
 		get run() {
 			return send
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -12,3 +12,4 @@
 export * from './fake-caller-reply.js';
 export * from './fake-target-link.js';
 export * from './find-free-ports.js';
+export * from './fake-session-services.js';
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -88,7 +88,7 @@
 				replacement: 'false',
 			},
 			{
-				file: `${serving}/stream-session.js`,
+				file: `${serving}/stream-attempt.js`,
 				original: 'undefined : String(lastEventId)',
 				replacement: 'undefined : String(lastEventId + 1)',
 			},
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -11,10 +11,11 @@
 	type SendOrders,
 	TargetLink,
 } from '../common/index.js';
-import {Pool, request as requestOn} from '../adapters/http-client/index.js';
+import {Pool} from '../adapters/http-client/index.js';
 import {createResetAwareClient} from '../adapters/targets/index.js';
 import {decodeAnswerHead} from './answer-head.js';
 import {decode, parseJson} from './decode.js';
+import {makeHttpCall} from './http-call.js';
 import {targetCalls} from './names.js';
 import {encodeRequestHeaders, headerPairs} from './request-headers.js';
 
@@ -172,13 +173,12 @@
 	): Promise<CopyResult> {
 		const body = JSON.stringify({id: runId, to: toAddress, last: false});
 		try {
-			const {status, text} = await this.call(
-				address,
-				'POST',
-				targetCalls.moveMemory,
+			const {status, text} = await makeHttpCall(this.poolOf(address), {
+				method: 'POST',
+				path: targetCalls.moveMemory,
 				body,
 				timeoutMs,
-			);
+			});
 			return decodeCopyResult(address, status, text);
 		} catch (error) {
 			return {outcome: 'failed', reason: (error as Error).message};
@@ -186,13 +186,11 @@
 	}
 
 	override releaseCopy(address: string, handle: string): void {
-		this.call(
-			address,
-			'DELETE',
-			`${targetCalls.releaseCopy}/${handle}`,
-			undefined,
-			releaseTimeoutMs,
-		).catch(() => {
+		makeHttpCall(this.poolOf(address), {
+			method: 'DELETE',
+			path: `${targetCalls.releaseCopy}/${handle}`,
+			timeoutMs: releaseTimeoutMs,
+		}).catch(() => {
 			// The engine frees a copy by itself after some seconds.
 		});
 	}
@@ -201,13 +199,11 @@
 		address: string,
 		timeoutMs: number,
 	): Promise<EngineReport> {
-		const {status, text} = await this.call(
-			address,
-			'GET',
-			targetCalls.report,
-			undefined,
+		const {status, text} = await makeHttpCall(this.poolOf(address), {
+			method: 'GET',
+			path: targetCalls.report,
 			timeoutMs,
-		);
+		});
 		const problem = 'target-protocol';
 		const what = 'the load report of an engine';
 		if (status !== 200) {
@@ -270,23 +266,4 @@
 
 		return pool;
 	}
-
-	private async call(
-		address: string,
-		method: 'DELETE' | 'GET' | 'POST',
-		path: string,
-		body: string | undefined,
-		timeoutMs: number,
-	): Promise<{status: number; text: string}> {
-		const answer = await requestOn(this.poolOf(address), {
-			path,
-			method,
-			body,
-			headers: body === undefined ? {} : {'content-type': 'application/json'},
-			headersTimeout: timeoutMs,
-			bodyTimeout: timeoutMs,
-			signal: AbortSignal.timeout(timeoutMs),
-		});
-		return {status: answer.statusCode, text: await answer.body.text()};
-	}
 }
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {Agent as UndiciAgent} from 'undici';
 import * as z from 'zod';
-import {Agent, request} from '../adapters/http-client/index.js';
+import {Agent} from '../adapters/http-client/index.js';
 import {
 	ProblemError,
 	RowStore,
@@ -10,6 +10,7 @@
 	type TableSnapshot,
 } from '../common/index.js';
 import {decode, parseJson} from './decode.js';
+import {type HttpCallAnswer, makeHttpCall} from './http-call.js';
 import {storeCalls} from './names.js';
 
 /** How the store is reached. */
@@ -151,20 +152,16 @@
 		path: string,
 		body: string | undefined,
 		waitMs: number,
-	): Promise<{status: number; text: string}> {
+	): Promise<HttpCallAnswer> {
 		const timeoutMs = waitMs + this.options.timeoutMs;
 		try {
-			const answer = await request(this.agent, {
+			return await makeHttpCall(this.agent, {
 				origin: `http://${this.options.address}`,
-				path,
 				method,
+				path,
 				body,
-				headers: body === undefined ? {} : {'content-type': 'application/json'},
-				headersTimeout: timeoutMs,
-				bodyTimeout: timeoutMs,
-				signal: AbortSignal.timeout(timeoutMs),
+				timeoutMs,
 			});
-			return {status: answer.statusCode, text: await answer.body.text()};
 		} catch (error) {
 			throw new ProblemError(
 				method === 'GET' ? 'table-unavailable' : 'table-outcome-unknown',
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -2,9 +2,9 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {headerNames} from '../names.js';
-import {resetSocket} from './reset-socket.js';
 import {decodeRequest, headerPairs, indexHeaders} from '../request-headers.js';
 import type {CallerRequest} from '../../common/index.js';
+import {resetSocket} from './reset-socket.js';
 
 /** A request as a modelled target has read it. */
 export type TargetArrival = {
--- a/src/programs/standin-engine.ts
+++ b/src/programs/standin-engine.ts
@@ -1,21 +1,13 @@
 #!/usr/bin/env node
 import {createEngineServer} from '../standins/index.js';
 import {checkNumber, commandLine, runProgram} from './command-line.js';
+import {listenOptions} from './listen-options.js';
 
 await runProgram(async () => {
 	const flags = await commandLine('cowslip-standin-engine')
 		.usage('$0: stand-in for a model engine, for demonstrations and tests')
 		.options({
-			'listen-address': {
-				type: 'string',
-				default: '127.0.0.1',
-				describe: 'address to listen on',
-			},
-			'listen-port': {
-				type: 'number',
-				demandOption: true,
-				describe: 'port to listen on',
-			},
+			...listenOptions,
 			models: {
 				type: 'string',
 				demandOption: true,
--- a/src/programs/standin-platform.ts
+++ b/src/programs/standin-platform.ts
@@ -1,21 +1,13 @@
 #!/usr/bin/env node
 import {createPlatformServer} from '../standins/index.js';
 import {checkNumber, commandLine, runProgram} from './command-line.js';
+import {listenOptions} from './listen-options.js';
 
 await runProgram(async () => {
 	const flags = await commandLine('cowslip-standin-platform')
 		.usage('$0: stand-in for the platform, for demonstrations and tests')
 		.options({
-			'listen-address': {
-				type: 'string',
-				default: '127.0.0.1',
-				describe: 'address to listen on',
-			},
-			'listen-port': {
-				type: 'number',
-				demandOption: true,
-				describe: 'port to listen on',
-			},
+			...listenOptions,
 			'table-delay-ms': {
 				type: 'number',
 				default: 2,
