--- /dev/null
+++ b/src/adapters/front/peer-state-server.ts
@@ -0,0 +1,31 @@
+import type {Server} from 'node:http';
+import {initTRPC} from '@trpc/server';
+import {createHTTPServer} from '@trpc/server/adapters/standalone';
+import {
+	encodeRelayedTables,
+	type RelayedTables,
+} from '../../decisions/serving/index.js';
+
+const t = initTRPC.create();
+
+function createPeerStateRouter(read: () => RelayedTables | undefined) {
+	return t.router({
+		tables: t.procedure.query(() => {
+			const tables = read();
+			return tables ? encodeRelayedTables(tables) : null;
+		}),
+	});
+}
+
+/** Procedures that a front daemon offers to its peers. */
+export type PeerStateRouter = ReturnType<typeof createPeerStateRouter>;
+
+/**
+ * Creates the server that tells peers what this VM has read from the store; the owner makes it listen.
+ * @param read - what is known, or undefined before the store was read
+ */
+export function createPeerStateServer(
+	read: () => RelayedTables | undefined,
+): Server {
+	return createHTTPServer({router: createPeerStateRouter(read)});
+}
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -16,6 +16,7 @@
 export * from './peer-list.js';
 export * from './admission.js';
 export * from './relayed-rows.js';
+export * from './relayed-tables.js';
 export * from './stopping.js';
 export * from './generation-wait.js';
 export type * from './call-session-types.js';
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -20,20 +20,44 @@
 	warmingMs: z.number(),
 	bornMs: z.number().optional(),
 });
-const rowsSchema = z.object({
-	rows: z.array(z.tuple([z.string(), z.number(), entrySchema.nullable()])),
-});
+/** A row as it travels: id, version, and the entry or null. */
+export const relayedRowSchema = z.tuple([
+	z.string(),
+	z.number(),
+	entrySchema.nullable(),
+]);
+const rowsSchema = z.object({rows: z.array(relayedRowSchema)});
 
 /** Rows in one datagram; more would not fit the usual size of a packet train. */
 const maxRowsPerMessage = 30;
 
+/** Form in which a row travels. */
+export function encodeRelayedRow({
+	targetId,
+	version,
+	entry,
+}: RelayedRow): z.infer<typeof relayedRowSchema> {
+	return [targetId, version, entry ?? null];
+}
+
+/** The row that has travelled. */
+export function decodeRelayedRow([targetId, version, entry]: z.infer<
+	typeof relayedRowSchema
+>): RelayedRow {
+	return {
+		targetId,
+		version,
+		entry: entry ? {...entry, bornMs: entry.bornMs} : undefined,
+	};
+}
+
 /** Encodes rows for datagrams. */
 export function encodeRelayedRows(rows: readonly RelayedRow[]): string[] {
 	const messages: string[] = [];
 	for (let start = 0; start < rows.length; start += maxRowsPerMessage) {
 		const part = rows
 			.slice(start, start + maxRowsPerMessage)
-			.map((row) => [row.targetId, row.version, row.entry ?? null]);
+			.map((row) => encodeRelayedRow(row));
 		messages.push(JSON.stringify({rows: part}));
 	}
 
@@ -45,11 +69,5 @@
 	value: unknown,
 ): readonly RelayedRow[] | undefined {
 	const {success, data} = rowsSchema.safeParse(value);
-	return success
-		? data.rows.map(([targetId, version, entry]) => ({
-				targetId,
-				version,
-				entry: entry ? {...entry, bornMs: entry.bornMs} : undefined,
-			}))
-		: undefined;
+	return success ? data.rows.map((row) => decodeRelayedRow(row)) : undefined;
 }
--- /dev/null
+++ b/src/decisions/serving/relayed-tables.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {fakeEntry} from '../../experiments/fakes/index.js';
+import {
+	decodeRelayedTables,
+	encodeRelayedTables,
+	shouldAskPeer,
+} from './relayed-tables.js';
+
+const cutOff = {
+	isStoreLost: true,
+	hasTargets: false,
+	ownVersion: 0,
+	peerVersion: 4,
+	sinceAskedMs: Infinity,
+};
+
+test('guards against a VM without the store that asks nobody, and one that asks all the time', () => {
+	assert.equal(shouldAskPeer(cutOff), true);
+	assert.equal(shouldAskPeer({...cutOff, isStoreLost: false}), false);
+	assert.equal(shouldAskPeer({...cutOff, sinceAskedMs: 100}), false);
+	assert.equal(shouldAskPeer({...cutOff, peerVersion: 0}), false);
+	const served = {...cutOff, hasTargets: true, ownVersion: 4};
+	assert.equal(shouldAskPeer(served), false);
+	assert.equal(shouldAskPeer({...served, peerVersion: 6}), true);
+});
+
+test('guards against tables that change on the way', () => {
+	const tables = {
+		configuration: '{"version":4}',
+		targets: [{targetId: 't1', version: 7, entry: fakeEntry('t1')}],
+		targetsVersion: 7,
+	};
+	const text = JSON.stringify(encodeRelayedTables(tables));
+	const travelled: unknown = JSON.parse(text);
+	assert.deepEqual(decodeRelayedTables(travelled), tables);
+	assert.throws(() => decodeRelayedTables({}), {type: 'peer-protocol'});
+});
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -29,6 +29,8 @@
 	/** Targets of a service that may get requests. */
 	usable(service: string): readonly KnownTarget[];
 	get(targetId: string): KnownTarget | undefined;
+	/** Targets of all services that have not left. */
+	all(): Iterable<KnownTarget>;
 	/** Addresses of all targets that may still have requests under way. */
 	addresses(): ReadonlySet<string>;
 	/** Takes over one row; undefined removes it. */
@@ -173,6 +175,9 @@
 		get(targetId) {
 			return targets.get(targetId);
 		},
+		all() {
+			return targets.values();
+		},
 		addresses() {
 			return new Set([
 				...[...targets.values()].map((known) => known.entry.address),
--- a/src/programs/front/create-front.test.ts
+++ b/src/programs/front/create-front.test.ts
@@ -119,12 +119,12 @@
 	assert.fail('the condition did not come about');
 }
 
-async function start(context: TestContext, script: TargetScript) {
-	const store = createStoreStandin();
-	const target = createTargetStandin(script);
-	const storePort = await listenOn(context, store.server);
-	const targetPort = await listenOn(context, target.server);
-	const [front, ready, peer] = await findFreePorts(3);
+/** Starts a daemon on ports for callers, for the readiness check and for peers. */
+async function startDaemon(
+	context: TestContext,
+	storePort: number,
+	[front, ready, peer]: readonly number[],
+) {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'front-')), 'boot');
 	const boot = bootFile({front, ready, peer, store: storePort});
 	writeFileSync(file, JSON.stringify(boot));
@@ -140,14 +140,25 @@
 		checkOnly: false,
 	});
 	context.after(async () => daemon.stop());
-	const entry = (service: string, state?: 'draining' | 'ready') =>
-		targetRow(service, `127.0.0.1:${targetPort}`, state);
-	const isReady = async () => {
-		const {status} = await call(ready, '/-/readyz');
-		return status === 200;
+	return {
+		daemon,
+		front,
+		async isReady() {
+			const {status} = await call(ready, '/-/readyz');
+			return status === 200;
+		},
 	};
+}
 
-	return {store, target, daemon, front, entry, isReady};
+async function start(context: TestContext, script: TargetScript) {
+	const store = createStoreStandin();
+	const target = createTargetStandin(script);
+	const storePort = await listenOn(context, store.server);
+	const targetPort = await listenOn(context, target.server);
+	const daemon = await startDaemon(context, storePort, await findFreePorts(3));
+	const entry = (service: string, state?: 'draining' | 'ready') =>
+		targetRow(service, `127.0.0.1:${targetPort}`, state);
+	return {store, target, ...daemon, entry};
 }
 
 const answerOk: TargetScript = (request, socket) => {
@@ -248,3 +259,24 @@
 	);
 	assert.equal(await statusOf(front, '/stock/1'), 200);
 });
+
+test('guards against a VM that serves nobody because it alone cannot reach the store', async (context) => {
+	const others = await findFreePorts(4);
+	const [front, , peer, nobody] = others;
+	const {store, entry, isReady} = await start(context, answerOk);
+	store.put('op', 'config', configuration(3));
+	store.put('servers', 't1', entry('desk'));
+	store.put('cowslip-vms', 'edge-2', {
+		address: `127.0.0.1:${peer}`,
+		availabilityZone: 'zone-1',
+	});
+	await until(isReady);
+	const cutOff = await startDaemon(context, nobody, others);
+	await until(cutOff.isReady);
+	assert.equal(await statusOf(front, '/stock/1'), 200);
+	store.put('op', 'config', configuration(8, ['key-2']));
+	await until(
+		async () =>
+			(await statusOf(front, '/stock/1', {'Api-Key': 'key-2'})) === 200,
+	);
+});
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -1,5 +1,8 @@
 import {randomUUID} from 'node:crypto';
-import {createCallerListener} from '../../adapters/front/index.js';
+import {
+	createCallerListener,
+	createPeerStateServer,
+} from '../../adapters/front/index.js';
 import {
 	createLogger,
 	createMetrics,
@@ -32,6 +35,7 @@
 import type {FrontSettings} from './front-settings.js';
 import {followBootFile} from './live-settings.js';
 import {createFrontPages} from './front-pages.js';
+import {createPeerRecovery} from './peer-recovery.js';
 import {type PeerLoads, startPeerLoads} from './peer-loads.js';
 import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
@@ -138,12 +142,21 @@
 					directory.set(targetId, entry, version);
 				}
 			},
+			onDigest(from, digest) {
+				recovery.heard(from, digest);
+			},
 			onNewerConfiguration() {
 				watch.readConfiguration();
 			},
 			logger,
 		}),
 	);
+	const recovery = createPeerRecovery({
+		clock,
+		configuration,
+		watch: () => watch,
+		logger,
+	});
 	const view = createFleetView({
 		availabilityZone: vm.availabilityZone,
 		directory,
@@ -314,10 +327,12 @@
 		isReady: () => stopAtMs === undefined && watch.isComplete,
 		metricsText: () => metrics.text(),
 	});
+	const peerState = createPeerStateServer(() => watch.tables());
 	const caller = splitAddress(vm.callerAddress);
 	const ready = splitAddress(vm.readyAddress);
 	await listen(listener.server, caller.port, caller.host);
 	await listen(pages.ready, ready.port, ready.host);
+	await listen(peerState, vm.peerPorts[0], vm.ip);
 	if (settings.metricsPort > 0) {
 		await listen(pages.metrics, settings.metricsPort, vm.ip);
 	}
@@ -336,7 +351,12 @@
 		await waitForRequests({clock, timers, listener, untilMs: stopAtMs});
 		logger.info('stopped', {openRequests: listener.openCount});
 		owned.dispose();
-		for (const server of [listener.server, pages.ready, pages.metrics]) {
+		for (const server of [
+			listener.server,
+			pages.ready,
+			pages.metrics,
+			peerState,
+		]) {
 			server.close();
 			server.closeAllConnections();
 		}
--- a/src/programs/front/peer-loads.ts
+++ b/src/programs/front/peer-loads.ts
@@ -38,6 +38,8 @@
 	readonly readsTargets: () => boolean;
 	/** A peer relays rows of the table of the targets. */
 	readonly onRows: (rows: readonly RelayedRow[]) => void;
+	/** A digest of a peer arrived. */
+	readonly onDigest: (from: string, digest: LoadDigest) => void;
 	/** A peer has a newer configuration than this VM. */
 	readonly onNewerConfiguration: () => void;
 	readonly logger: Logger;
@@ -108,6 +110,7 @@
 		}
 
 		load.heard(from, digest.shares);
+		options.onDigest(from, digest);
 		if (digest.configurationVersion > (configuration.current?.version ?? 0)) {
 			options.onNewerConfiguration();
 		}
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -13,6 +13,7 @@
 	type ConfigurationState,
 	followTable,
 	type RelayedRow,
+	type RelayedTables,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {
@@ -46,8 +47,16 @@
 	readonly isComplete: boolean;
 	/** True while the table of the targets can be read. */
 	readonly readsTargets: boolean;
+	/** True while a table cannot be read. */
+	readonly isStoreLost: boolean;
+	/** True once the targets are known, from the store or from a peer. */
+	readonly hasTargets: boolean;
 	/** Monotonic time since which the operator's table cannot be read, or undefined if it can. */
 	readonly configurationLostMs: number | undefined;
+	/** What was read, for peers that cannot; undefined before. */
+	tables(): RelayedTables | undefined;
+	/** Takes over what a peer has read, since this VM cannot. */
+	takeTables(tables: RelayedTables): void;
 	/** Reads the configuration again, since a newer one is in force elsewhere. */
 	readConfiguration(): void;
 };
@@ -62,12 +71,19 @@
 	const decoder = new TextDecoder();
 	let hasTargets = false;
 	let readsTargets = false;
+	let areTargetsLost = false;
 	let configurationLostMs: number | undefined;
+	let configurationText: string | undefined;
+	let targetsVersion = 0;
 
-	const acceptConfiguration = (value: Uint8Array, rowVersion: number) => {
+	const acceptConfiguration = (text: string, rowVersion: number | 'peer') => {
 		try {
-			const decoded = decodeConfiguration(decoder.decode(value));
+			const decoded = decodeConfiguration(text);
 			const accepted = configuration.accept(decoded);
+			if (accepted) {
+				configurationText = text;
+			}
+
 			logger.info('configuration read', {
 				version: decoded.version,
 				rowVersion,
@@ -102,14 +118,14 @@
 			onSnapshot({rows}) {
 				for (const row of rows) {
 					if (row.key === tableNames.configurationKey) {
-						acceptConfiguration(row.value, row.version);
+						acceptConfiguration(decoder.decode(row.value), row.version);
 					}
 				}
 			},
 			onChanges(changes) {
 				for (const {key, value, version} of changes) {
 					if (key === tableNames.configurationKey && value) {
-						acceptConfiguration(value, version);
+						acceptConfiguration(decoder.decode(value), version);
 					}
 				}
 			},
@@ -150,6 +166,7 @@
 			onSnapshot({rows, version}) {
 				hasTargets = true;
 				readsTargets = true;
+				targetsVersion = version;
 				takeRows(rows, version);
 			},
 			onChanges(changes) {
@@ -161,12 +178,14 @@
 				}));
 				for (const {targetId, entry, version} of rows) {
 					directory.set(targetId, entry, version);
+					targetsVersion = Math.max(targetsVersion, version);
 				}
 
 				options.onRows(rows);
 			},
 			onLost(problem) {
 				readsTargets = false;
+				areTargetsLost = true;
 				directory.storeLost();
 				logger.warn('dependency lost', {
 					dependency: 'store, targets table',
@@ -176,6 +195,7 @@
 			},
 			onRegained() {
 				readsTargets = true;
+				areTargetsLost = false;
 				directory.storeRegained();
 				logger.info('dependency regained', {
 					dependency: 'store, targets table',
@@ -188,12 +208,48 @@
 		get isComplete() {
 			return hasTargets && configuration.current !== undefined;
 		},
+		get isStoreLost() {
+			return areTargetsLost || configurationLostMs !== undefined;
+		},
+		get hasTargets() {
+			return hasTargets;
+		},
 		get readsTargets() {
 			return readsTargets;
 		},
 		get configurationLostMs() {
 			return configurationLostMs;
 		},
+		tables() {
+			return hasTargets && configurationText !== undefined
+				? {
+						configuration: configurationText,
+						targets: [...directory.all()].map(({entry}) => ({
+							targetId: entry.id,
+							version: targetsVersion,
+							entry,
+						})),
+						targetsVersion,
+					}
+				: undefined;
+		},
+		takeTables(tables) {
+			acceptConfiguration(tables.configuration, 'peer');
+			if (readsTargets) {
+				return;
+			}
+
+			const entries = new Map<string, TargetEntry>();
+			for (const {targetId, entry} of tables.targets) {
+				if (entry) {
+					entries.set(targetId, entry);
+				}
+			}
+
+			directory.reset(entries, tables.targetsVersion);
+			targetsVersion = Math.max(targetsVersion, tables.targetsVersion);
+			hasTargets = true;
+		},
 		readConfiguration() {
 			operator.refresh();
 		},
