Choose copies by what still answers, and try each copy of a lost run

Change: an engine that accepted no connection at the last try keeps no copies until it answers again; a run that lost its backup is copied elsewhere while no notice of its own engine would be heard; a lost run tries each of its copies before it is given up.

--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -16,6 +16,8 @@
 export type LeavingRun = {
 	readonly requestId: string;
 	readonly source: TargetEntry;
+	/** Time after which a copy is brought up to date, in milliseconds. */
+	readonly renewMs: number;
 	/** True once the run has ended or goes on elsewhere. */
 	readonly isOver: () => boolean;
 	/** Chooses an engine to keep the copy. */
@@ -36,8 +38,13 @@
 const maxCopyAttempts = 16;
 /** Time after which an engine is asked again that has not begun the run or copies it already. */
 const copyRetryMs = 150;
-/** Time after which a copy is brought up to date, in milliseconds. */
-const copyRenewMs = 500;
+/** Times after which copies are brought up to date, in milliseconds. */
+export const copyRenewMs = {
+	/** The engine of the run leaves. */
+	leaving: 500,
+	/** The run goes on, and its backup is lost; what a copy lacks is read again in no time. */
+	guarding: 2500,
+} as const;
 
 /** Copies what the engine does not have yet; the run goes on meanwhile. */
 async function copyOnce(
@@ -90,7 +97,7 @@
 		if (result.outcome === 'copied') {
 			keeper = to;
 			run.onCopy({target: to, memory: result.memory});
-			await options.timers.sleep(copyRenewMs);
+			await options.timers.sleep(run.renewMs);
 		} else if (result.outcome === 'unknown-run' || result.outcome === 'busy') {
 			await options.timers.sleep(copyRetryMs);
 		} else {
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -49,6 +49,8 @@
 	) => TargetEntry | undefined;
 	/** True while a target may get requests. */
 	readonly isUsable: (targetId: string) => boolean;
+	/** True while the store tells of targets that leave. */
+	readonly hearsOfLeaving: () => boolean;
 	readonly opened: (run: StreamRun) => RunAccount;
 	/** The answer is whole. */
 	readonly finished: (admitted: AdmittedRequest, eventCount: number) => void;
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -21,6 +21,7 @@
 	readonly backup?: TargetEntry;
 	readonly promptTokens?: number;
 	readonly memoryPart?: () => number;
+	readonly hearsOfLeaving?: boolean;
 };
 
 function start(setup: Setup = {}) {
@@ -69,6 +70,7 @@
 				),
 			placeBackup: () => undefined,
 			isUsable: (id) => !left.has(id),
+			hearsOfLeaving: () => setup.hearsOfLeaving ?? true,
 			opened: () => ({
 				progressed() {
 					// Load is not counted here.
@@ -192,6 +194,55 @@
 	assert.equal(link.copies[0]?.toAddress, thirdEngine.address);
 });
 
+test('replay "the engine of a backup is lost while the store is away" (altiplano, inc-acd6): another copy is made', async () => {
+	const calm = start({backup: secondEngine});
+	give(calm.link.sends[0], 1);
+	calm.leave('e2');
+	await calm.time.runUntil(1000);
+	assert.equal(calm.link.copies.length, 0);
+
+	const {time, link, reply, leave} = start({
+		backup: secondEngine,
+		hearsOfLeaving: false,
+	});
+	link.copyResult = () => ({
+		outcome: 'copied',
+		memory: {address: firstEngine.address, handle: 'h1'},
+	});
+	give(link.sends[0], 1);
+	leave('e2');
+	await time.runUntil(2000);
+	assert.deepEqual(
+		link.copies.map(({toAddress}) => toAddress),
+		[thirdEngine.address],
+	);
+	link.sends[0].sink.onFailure({unsent: false, reason: 'crashed'});
+	assert.equal(link.sends[1].address, thirdEngine.address);
+	give(link.sends[1], 2);
+	link.sends[1].sink.onEnd();
+	assert.equal(reply.text, text(1, 2));
+});
+
+test('guards against giving up a run because one of two copies is lost', async () => {
+	const {time, link, reply, leave} = start({
+		backup: secondEngine,
+		hearsOfLeaving: false,
+	});
+	link.copyResult = () => ({
+		outcome: 'copied',
+		memory: {address: firstEngine.address, handle: 'h1'},
+	});
+	give(link.sends[0], 1);
+	leave('e2');
+	await time.runUntil(10);
+	link.sends[0].sink.onFailure({unsent: false, reason: 'crashed'});
+	link.sends[1].sink.onHead(fakeHead('q1', {status: 503, notExecuted: true}));
+	link.sends[1].sink.onEnd();
+	assert.equal(link.sends[2].address, secondEngine.address);
+	link.sends[2].sink.onFailure({unsent: true, reason: 'refused'});
+	assert.equal(reply.ending, 'aborted');
+});
+
 test('guards against giving up a copy because one engine has no room or the run has not begun', async () => {
 	const {time, link, leave} = start();
 	let calls = 0;
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -13,7 +13,7 @@
 	replyUnanswered,
 	unansweredStatus,
 } from './refusals.js';
-import {keepCopy, type RunCopy} from './run-copies.js';
+import {copyRenewMs, keepCopy, type RunCopy} from './run-copies.js';
 import {createStreamAnswer} from './stream-answer.js';
 import {createSessionEnding} from './session-ending.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
@@ -61,6 +61,8 @@
 	let mayHaveRun = false;
 	let lastProgressMs = clock.nowMs();
 	let moves = 0;
+	/** Copies of the lost run besides the one it goes on from. */
+	let spareCopies: RunCopy[] = [];
 	const answer = createStreamAnswer(reply, admitted.arrivedMs);
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
@@ -183,16 +185,17 @@
 		}
 	};
 
-	/** Continues the run where the copy of its memory lies. */
-	const continueAt = (
-		target: TargetEntry | undefined,
-		memory: RunMemory | undefined,
-		reason: string,
-	): boolean => {
-		if (!target || !memory || ending.isDone || leftMs() < minSendMs) {
+	const isUsable = (target: TargetEntry | undefined) =>
+		target !== undefined && options.isUsable(target.id);
+
+	/** Continues the run where a copy of its memory lies. */
+	const continueAt = (copy: RunCopy | undefined, reason: string): boolean => {
+		if (!copy || ending.isDone || leftMs() < minSendMs) {
 			return false;
 		}
 
+		const {target, memory} = copy;
+
 		if (!retryShare.tryTake(service)) {
 			log('continuation denied', {request: request.id, reason: 'retry budget'});
 			return false;
@@ -216,9 +219,12 @@
 
 	/** Continues a lost run from the copy made of late, or from its backup. */
 	const continueLost = (lost: StreamAttempt, reason: string): boolean => {
-		const {backup} = lost.placement;
-		const copy = lost.copy ?? backupOf(backup, request.id);
-		return continueAt(copy?.target, copy?.memory, reason);
+		const copies = [lost.copy, backupOf(lost.placement.backup, request.id)];
+		const [first, ...rest] = copies
+			.filter((copy) => copy !== undefined)
+			.sort((a, b) => Number(isUsable(b.target)) - Number(isUsable(a.target)));
+		spareCopies = rest;
+		return continueAt(first, reason);
 	};
 
 	const forward = (
@@ -264,10 +270,10 @@
 		closeSend();
 		if (failure.unsent) {
 			options.unreachable(target);
-			if (current.continues) {
-				giveUp('the copy of the run is lost');
-			} else {
+			if (!current.continues) {
 				start('target unreachable', false);
+			} else if (!continueAt(spareCopies.shift(), 'copy unreachable')) {
+				giveUp('the copy of the run is lost');
 			}
 
 			return;
@@ -324,6 +330,10 @@
 			return;
 		}
 
+		if (refused && continueAt(spareCopies.shift(), 'copy refused')) {
+			return;
+		}
+
 		mayHaveRun = true;
 		if (reply.hasHead || !head.stamped || isPromise(head.status)) {
 			giveUp('the run could not be continued');
@@ -339,10 +349,7 @@
 		);
 	};
 
-	const isUsable = (target: TargetEntry | undefined) =>
-		target !== undefined && options.isUsable(target.id);
-
-	/** Moves the run if its engine leaves and no copy of its memory is safe elsewhere. */
+	/** Copies the run's memory elsewhere once no copy of it is safe. */
 	const evacuate = () => {
 		const current = send;
 		if (!current || current.isOver || ending.isDone || current.isMoving) {
@@ -350,7 +357,9 @@
 		}
 
 		const {target, backup} = current.placement;
-		if ([backup, target].some((one) => isUsable(one))) {
+		// A run at a sound engine can wait for notice of its leaving, if any would be heard.
+		const hasTime = isUsable(target) && (!backup || options.hearsOfLeaving());
+		if (isUsable(backup) || hasTime) {
 			return;
 		}
 
@@ -359,6 +368,7 @@
 			{
 				requestId: request.id,
 				source: target,
+				renewMs: isUsable(target) ? copyRenewMs.guarding : copyRenewMs.leaving,
 				isOver: () => current.isOver || ending.isDone,
 				choose: (refused) =>
 					options.placeMove(admitted, target, new Set([...avoid, ...refused])),
--- a/src/decisions/serving/target-directory.test.ts
+++ b/src/decisions/serving/target-directory.test.ts
@@ -80,4 +80,7 @@
 	assert.deepEqual(usable(), []);
 	await time.runUntil(1100);
 	assert.deepEqual(usable(), ['t1']);
+	assert.equal(directory.isDown('t1'), true);
+	directory.reached('t1');
+	assert.equal(directory.isDown('t1'), false);
 });
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -26,6 +26,8 @@
 export type TargetDirectory = {
 	readonly onArrived: Event<TargetEntry>;
 	readonly onLeaving: Event<Departure>;
+	/** A target that may get requests accepts no connections. */
+	readonly onUnreachable: Event<TargetEntry>;
 	/** Targets of a service that may get requests. */
 	usable(service: string): readonly KnownTarget[];
 	get(targetId: string): KnownTarget | undefined;
@@ -43,6 +45,10 @@
 	storeRegained(): void;
 	/** Nothing accepts connections at the address; it is not used for a while. */
 	unreachable(targetId: string): void;
+	/** The target has answered. */
+	reached(targetId: string): void;
+	/** True if the target accepted no connection when it was last tried. */
+	isDown(targetId: string): boolean;
 	/** The target itself says that it leaves. */
 	leaving(targetId: string): void;
 	/** Another target answers at the address. */
@@ -69,10 +75,12 @@
 	const {clock, lapseGraceMs, lingerMs} = options;
 	const arrived = createEmitter<TargetEntry>();
 	const leaving = createEmitter<Departure>();
+	const unreached = createEmitter<TargetEntry>();
 	const targets = new Map<string, KnownTarget>();
 	const versions = new Map<string, number>();
 	/** Targets without an entry, by the time at which they count as gone. */
 	const lapsed = new Map<string, number>();
+	/** Targets that accepted no connection at the last try, by the time until which they are not used. */
 	const unreachable = new Map<string, number>();
 	const lingering = new Map<string, number>();
 	let byService: Map<string, KnownTarget[]> | undefined;
@@ -152,6 +160,7 @@
 	return {
 		onArrived: arrived.event,
 		onLeaving: leaving.event,
+		onUnreachable: unreached.event,
 		usable(service) {
 			if (!byService) {
 				byService = new Map();
@@ -211,7 +220,19 @@
 			}
 		},
 		unreachable(targetId) {
+			const known = targets.get(targetId);
+			if (!known) {
+				return;
+			}
+
 			unreachable.set(targetId, clock.nowMs() + options.unreachableMs);
+			unreached.fire(known.entry);
+		},
+		reached(targetId) {
+			unreachable.delete(targetId);
+		},
+		isDown(targetId) {
+			return unreachable.has(targetId);
 		},
 		leaving(targetId) {
 			depart(targetId, 'draining');
@@ -227,12 +248,6 @@
 				}
 			}
 
-			for (const [targetId, untilMs] of unreachable) {
-				if (nowMs >= untilMs) {
-					unreachable.delete(targetId);
-				}
-			}
-
 			for (const [address, untilMs] of lingering) {
 				if (nowMs >= untilMs) {
 					lingering.delete(address);
--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {setTimeout as sleepFor} from 'node:timers/promises';
 import type {Disposable} from '../../common/index.js';
 import type {Disturbance, Observations} from './observations.js';
@@ -33,6 +34,7 @@
 ): FaultInjector {
 	const {vms, targets, store} = fleet;
 	const stopping = new AbortController();
+	setMaxListeners(0, stopping.signal);
 	const sleep = async (durationMs: number) =>
 		sleepFor(durationMs, undefined, {signal: stopping.signal});
 
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -221,6 +221,7 @@
 						sinceMs: clock.nowMs() - stoppingMs,
 						leftMs: stopAtMs - clock.nowMs(),
 					},
+		hearsOfLeaving: () => watch.readsTargets,
 		staleMs: () =>
 			watch.configurationLostMs === undefined
 				? 0
@@ -296,6 +297,15 @@
 			requests.engineLeaving(entry.id);
 		}),
 	);
+	owned.add(
+		directory.onUnreachable((entry) => {
+			logger.warn('target unreachable', {
+				target: entry.id,
+				service: entry.service,
+			});
+			requests.engineLeaving(entry.id);
+		}),
+	);
 	owned.add(
 		configuration.onChanged((current) => {
 			table = createRouteTable(current);
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -121,6 +121,12 @@
 			}));
 	};
 
+	/** Engines that can keep a copy of a run's memory now. */
+	const keeperCandidates = (service: string, avoid: ReadonlySet<string>) =>
+		engineCandidates(service, avoid).filter(
+			({targetId}) => !directory.isDown(targetId),
+		);
+
 	const neededTokens = (admitted: AdmittedRequest) =>
 		(admitted.request.generation?.promptTokens ?? 0) +
 		expectedOutputTokens(admitted);
@@ -190,7 +196,11 @@
 			return choice && target
 				? {
 						target,
-						backup: backupFor(admitted, target.id, candidates),
+						backup: backupFor(
+							admitted,
+							target.id,
+							keeperCandidates(admitted.service, avoid),
+						),
 						firstTokenMs: choice.firstTokenMs,
 						memoryPart: choice.memoryPart,
 						capacityTokens:
@@ -200,7 +210,7 @@
 		},
 		placeMove(admitted, from, avoid) {
 			const choice = chooseEngine(
-				engineCandidates(admitted.service, avoid),
+				keeperCandidates(admitted.service, avoid),
 				{
 					promptTokens: admitted.request.generation?.promptTokens ?? 0,
 					expectedOutputTokens: expectedOutputTokens(admitted),
@@ -215,7 +225,7 @@
 			return backupFor(
 				admitted,
 				targetId,
-				engineCandidates(admitted.service, new Set()),
+				keeperCandidates(admitted.service, new Set()),
 			);
 		},
 		openedStream({admitted, target, backup, eventCount}) {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -51,6 +51,8 @@
 	readonly table: () => RouteTable | undefined;
 	/** Undefined unless this VM is stopping. */
 	readonly stop: () => StopTimes | undefined;
+	/** True while the store tells of targets that leave. */
+	readonly hearsOfLeaving: () => boolean;
 	/** Time for which the configuration could not be read, in milliseconds. */
 	readonly staleMs: () => number;
 };
@@ -93,6 +95,9 @@
 			latencyMs: number,
 		) {
 			detector.ended(service, target.id, succeeded, latencyMs);
+			if (succeeded) {
+				directory.reached(target.id);
+			}
 		},
 		unreachable(target: {readonly id: string}) {
 			directory.unreachable(target.id);
@@ -171,7 +176,9 @@
 			place: (request, avoid) => view.placeStream(request, avoid),
 			placeMove: (request, from, avoid) => view.placeMove(request, from, avoid),
 			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
-			isUsable: (targetId) => directory.get(targetId) !== undefined,
+			isUsable: (targetId) =>
+				directory.get(targetId) !== undefined && !directory.isDown(targetId),
+			hearsOfLeaving: options.hearsOfLeaving,
 			opened: (run) => view.openedStream(run),
 			finished(request, eventCount) {
 				view.finishedStream(request, eventCount);
