Copy no runs of an engine that refuses one connection more, and split the front's wiring

Cause, found by reading: an engine resets connections beyond those it takes. The VM then counted it as unreachable, and began to copy every run there that had no backup, although the runs went on.

--- a/src/decisions/explain/explain-request.ts
+++ b/src/decisions/explain/explain-request.ts
@@ -19,6 +19,8 @@
 	'dependency lost',
 	'dependency regained',
 	'configuration read',
+	'tables read from a peer',
+	'tables not read from a peer',
 ]);
 
 const timeOf = (record: LogRecord) => Date.parse(record.timestamp);
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -47,7 +47,9 @@
 		admitted: AdmittedRequest,
 		targetId: string,
 	) => TargetEntry | undefined;
-	/** True while a target may get requests. */
+	/** True until a target leaves. */
+	readonly isPresent: (targetId: string) => boolean;
+	/** True while a target is present and accepted a connection when it was last tried. */
 	readonly isUsable: (targetId: string) => boolean;
 	/** True while the store tells of targets that leave. */
 	readonly hearsOfLeaving: () => boolean;
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -31,6 +31,7 @@
 	const log: Array<{event: string; record: Readonly<Record<string, unknown>>}> =
 		[];
 	const left = new Set<string>();
+	const down = new Set<string>();
 	const {memoryPart = () => 0.5, promptTokens = 3000} = setup;
 	const session = startStreamSession(
 		fakeAdmitted(
@@ -69,7 +70,8 @@
 					({id}) => !avoid.has(id) && !left.has(id),
 				),
 			placeBackup: () => undefined,
-			isUsable: (id) => !left.has(id),
+			isPresent: (id) => !left.has(id),
+			isUsable: (id) => !left.has(id) && !down.has(id),
 			hearsOfLeaving: () => setup.hearsOfLeaving ?? true,
 			opened: () => ({
 				progressed() {
@@ -91,7 +93,12 @@
 		}
 	};
 
-	return {time, link, reply, log, session, leave};
+	const refuse = (id: string) => {
+		down.add(id);
+		session.engineLeaving(id);
+	};
+
+	return {time, link, reply, log, session, leave, refuse};
 }
 
 const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
@@ -223,6 +230,14 @@
 	assert.equal(reply.text, text(1, 2));
 });
 
+test('guards against copies of a sound run whose full engine refuses another connection', async () => {
+	const {time, link, refuse} = start({hearsOfLeaving: false});
+	give(link.sends[0], 1);
+	refuse('e1');
+	await time.runUntil(1000);
+	assert.equal(link.copies.length, 0);
+});
+
 test('guards against giving up a run because one of two copies is lost', async () => {
 	const {time, link, reply, leave} = start({
 		backup: secondEngine,
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -358,7 +358,8 @@
 
 		const {target, backup} = current.placement;
 		// A run at a sound engine can wait for notice of its leaving, if any would be heard.
-		const hasTime = isUsable(target) && (!backup || options.hearsOfLeaving());
+		const isPresent = options.isPresent(target.id);
+		const hasTime = isPresent && (!backup || options.hearsOfLeaving());
 		if (isUsable(backup) || hasTime) {
 			return;
 		}
@@ -368,7 +369,7 @@
 			{
 				requestId: request.id,
 				source: target,
-				renewMs: isUsable(target) ? copyRenewMs.guarding : copyRenewMs.leaving,
+				renewMs: isPresent ? copyRenewMs.guarding : copyRenewMs.leaving,
 				isOver: () => current.isOver || ending.isDone,
 				choose: (refused) =>
 					options.placeMove(admitted, target, new Set([...avoid, ...refused])),
--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -24,7 +24,6 @@
 
 /** A front daemon in a process of its own. */
 export type FrontProcess = {
-	readonly isRunning: boolean;
 	/** Last lines that it wrote, oldest first. */
 	readonly lines: readonly string[];
 	/** Starts the process, and again whenever it ends by itself. */
@@ -84,9 +83,6 @@
 
 	return {
 		lines,
-		get isRunning() {
-			return child !== undefined;
-		},
 		start,
 		signal(name) {
 			child?.kill(name);
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -40,6 +40,7 @@
 import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
 import {type StoreWatch, watchStore} from './store-watch.js';
+import {watchTargets} from './watch-targets.js';
 
 /** A running front daemon. */
 export type FrontDaemon = {
@@ -67,8 +68,6 @@
 };
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
-/** Descriptors kept for listeners, the store, pipes and files. */
-const connectionsPerTarget = 24;
 
 function splitAddress(address: string): {host: string; port: number} {
 	const [host, port] = address.split(':');
@@ -266,45 +265,8 @@
 			logger,
 		}),
 	);
-	const updateService = (service: string) => {
-		detector.update(
-			service,
-			directory.usable(service).map(({entry}) => entry.id),
-		);
-	};
-
-	owned.add(
-		directory.onArrived((entry) => {
-			logger.info('target arrived', {
-				target: entry.id,
-				service: entry.service,
-				address: entry.address,
-				availabilityZone: entry.availabilityZone,
-			});
-			link.setMaxConnections(entry.address, connectionsPerTarget);
-			updateService(entry.service);
-			capacities.arrived(entry);
-		}),
-	);
 	owned.add(
-		directory.onLeaving(({entry, reason}) => {
-			logger.info('target leaves', {
-				target: entry.id,
-				service: entry.service,
-				reason,
-			});
-			updateService(entry.service);
-			requests.engineLeaving(entry.id);
-		}),
-	);
-	owned.add(
-		directory.onUnreachable((entry) => {
-			logger.warn('target unreachable', {
-				target: entry.id,
-				service: entry.service,
-			});
-			requests.engineLeaving(entry.id);
-		}),
+		watchTargets({directory, link, detector, capacities, requests, logger}),
 	);
 	owned.add(
 		configuration.onChanged((current) => {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -176,6 +176,7 @@
 			place: (request, avoid) => view.placeStream(request, avoid),
 			placeMove: (request, from, avoid) => view.placeMove(request, from, avoid),
 			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
+			isPresent: (targetId) => directory.get(targetId) !== undefined,
 			isUsable: (targetId) =>
 				directory.get(targetId) !== undefined && !directory.isDown(targetId),
 			hearsOfLeaving: options.hearsOfLeaving,
