--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,14 +6,19 @@
 bash scripts/ensure-ready.sh
 node_modules/.bin/xo >&2 &
 lint=$!
+# These mostly wait, so that they run beside the linter.
+node dist/experiments/fault-soak/main.js --seed 1 --runs 3 --jobs 3 &
+fault_soak=$!
+node dist/experiments/fault-soak/main.js --regressions --jobs 3 &
+regressions=$!
 node_modules/.bin/prettier --check . >&2
 if [ -f dist/experiments/soak/main.js ]; then
 	node dist/experiments/soak/main.js --seed 1 --runs 10
 fi
-node dist/experiments/fault-soak/main.js --seed 1 --runs 3 --jobs 3
-node dist/experiments/fault-soak/main.js --regressions --jobs 3
 bash scripts/docs-check.sh
 wait "$lint"
+wait "$fault_soak"
+wait "$regressions"
 if [ -s KNOWN-RED.txt ]; then
 	echo "Known failures that this run does not repeat (KNOWN-RED.txt):"
 	cat KNOWN-RED.txt
