--- a/src/experiments/fault-soak/checks/at-most-once.ts
+++ b/src/experiments/fault-soak/checks/at-most-once.ts
@@ -1,4 +1,9 @@
-import {type Observations, type Work, attemptsById} from '../observations.js';
+import {
+	type Observations,
+	type Work,
+	attemptsById,
+	isInTouch,
+} from '../observations.js';
 import type {Violation} from './promise-check.js';
 
 /** Time in which an engine hears that its run goes on elsewhere. */
@@ -24,8 +29,14 @@
 
 	return [...byRequest].flatMap(([requestId, works]) => {
 		const starts = works.filter(({isContinuation}) => !isContinuation);
+		const vm = attempts.get(requestId)?.vm ?? 0;
+		// An engine that a VM cannot reach does not hear that its run goes on elsewhere.
 		const isTwice = works.some((first) =>
-			works.some((second) => overlap(first, second)),
+			works.some(
+				(second) =>
+					overlap(first, second) &&
+					isInTouch(observations, vm, [second.startMs, second.startMs]),
+			),
 		);
 		return starts.length > 1 || isTwice
 			? [
--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -1,5 +1,6 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {bootFileVariable} from '../../platform/index.js';
@@ -20,6 +21,8 @@
 	readonly isOwn: boolean;
 	/** Signal or exit code. */
 	readonly cause: string;
+	/** Processor time that it had used at its last signal, in milliseconds; 0 if there was none. */
+	readonly signalledCpuMs: number;
 };
 
 /** A front daemon in a process of its own. */
@@ -37,12 +40,27 @@
 /** The platform starts a process that ended after a short delay, in milliseconds. */
 const restartMs = 300;
 
+const millisecondsPerTick = 10;
+/** Fields of `/proc/PID/stat` after the name: user and system time, in ticks. */
+const cpuFields = [11, 12] as const;
+
+/** Processor time that a process has used, in milliseconds. */
+function cpuMsOf(pid: number): number {
+	const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+	return cpuFields.reduce(
+		(sum, field) => sum + Number(fields[field]) * millisecondsPerTick,
+		0,
+	);
+}
+
 /** Creates a daemon that is not running yet. */
 export function createFrontProcess(options: FrontProcessOptions): FrontProcess {
 	const lines: string[] = [];
 	const ending = new WeakSet<ChildProcess>();
 	let child: ChildProcess | undefined;
 	let restart: NodeJS.Timeout | undefined;
+	let signalledCpuMs = 0;
 
 	const note = (line: string) => {
 		lines.push(`${Math.round(performance.now())} ${line}`);
@@ -63,6 +81,7 @@
 			},
 		);
 		child = started;
+		signalledCpuMs = 0;
 		endWithThisProcess(started);
 		for (const output of [started.stdout, started.stderr]) {
 			createInterface({input: output}).on('line', note);
@@ -74,7 +93,7 @@
 			const cause = String(signal ?? code);
 			const isOwn = !ending.has(started);
 			note(`process ended with ${cause}`);
-			options.onEnd({isOwn, cause});
+			options.onEnd({isOwn, cause, signalledCpuMs});
 			if (isOwn) {
 				restart = setTimeout(start, restartMs);
 			}
@@ -85,7 +104,10 @@
 		lines,
 		start,
 		signal(name) {
-			child?.kill(name);
+			if (child?.pid !== undefined) {
+				signalledCpuMs = cpuMsOf(child.pid);
+				child.kill(name);
+			}
 		},
 		async end(name, graceMs) {
 			clearTimeout(restart);
--- a/src/experiments/fault-soak/observations.ts
+++ b/src/experiments/fault-soak/observations.ts
@@ -66,6 +66,8 @@
 	endMs: number;
 	/** Signal or exit code, if it ended by itself. */
 	ownEnd: string | undefined;
+	/** Processor time that it had used at its last signal, in milliseconds. */
+	signalledCpuMs: number;
 };
 
 /** Bounds that the checks hold the system to. */
--- a/src/experiments/fault-soak/regression-seeds.ts
+++ b/src/experiments/fault-soak/regression-seeds.ts
@@ -11,4 +11,14 @@
 		cause:
 			'a daemon ended at SIGHUP while it was starting, since it handled the signal too late',
 	},
+	{
+		seed: 166_317,
+		cause:
+			'the check took a run that went on elsewhere for a second one, though the connection to its first engine was silent',
+	},
+	{
+		seed: 166_331,
+		cause:
+			'the check took a connection that no process had accepted for one that a process had closed',
+	},
 ];
--- a/src/experiments/fault-soak/soak-fleet.ts
+++ b/src/experiments/fault-soak/soak-fleet.ts
@@ -113,13 +113,15 @@
 					startMs: performance.now(),
 					endMs: Infinity,
 					ownEnd: undefined,
+					signalledCpuMs: 0,
 				});
 			},
-			onEnd({isOwn, cause}) {
+			onEnd({isOwn, cause, signalledCpuMs}) {
 				const last = observations.incarnations.findLast(({vm}) => vm === index);
 				if (last) {
 					last.endMs = performance.now();
 					last.ownEnd = isOwn ? cause : undefined;
+					last.signalledCpuMs = signalledCpuMs;
 				}
 			},
 		}),
