--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -8,6 +8,7 @@
 import {
 	type CallerLimits,
 	type HeaderPair,
+	headerPairs,
 	ProblemError,
 	toProblem,
 } from '../../common/index.js';
@@ -54,15 +55,6 @@
 const bodyTooLargeStatus = 413;
 const bytesPerHeaderLine = 4;
 
-function headersOf(request: IncomingMessage): HeaderPair[] {
-	const pairs: HeaderPair[] = [];
-	for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
-		pairs.push([request.rawHeaders[index], request.rawHeaders[index + 1]]);
-	}
-
-	return pairs;
-}
-
 function headerBytes(request: IncomingMessage): number {
 	let size = 0;
 	for (const part of request.rawHeaders) {
@@ -136,7 +128,7 @@
 			{
 				method: request.method ?? 'GET',
 				path: request.url ?? '/',
-				headers: headersOf(request),
+				headers: headerPairs(request.rawHeaders),
 				body,
 			},
 			reply,
--- a/src/adapters/front/datagram-channel.ts
+++ b/src/adapters/front/datagram-socket.ts
@@ -13,15 +13,15 @@
 };
 
 /** Datagrams between VMs. They may be lost. */
-export type DatagramChannel = Disposable & {
+export type DatagramSocket = Disposable & {
 	readonly onDatagram: Event<Datagram>;
 	readonly onError: Event<Error>;
 	/** @param address - `address:port` */
 	send(address: string, text: string): void;
 };
 
-/** Opens a channel on an address and port. */
-export function openDatagramChannel(ip: string, port: number): DatagramChannel {
+/** Opens a socket on an address and port. */
+export function openDatagramSocket(ip: string, port: number): DatagramSocket {
 	const datagrams = createEmitter<Datagram>();
 	const errors = createEmitter<Error>();
 	const socket = createSocket('udp4');
--- a/src/adapters/front/index.ts
+++ b/src/adapters/front/index.ts
@@ -1,5 +1,5 @@
 export * from './caller-listener.js';
 export * from './caller-reply.js';
-export * from './datagram-channel.js';
+export * from './datagram-socket.js';
 export * from './peer-state-client.js';
 export * from './peer-state-server.js';
--- /dev/null
+++ b/src/common/deployment/default-limits.ts
@@ -0,0 +1,9 @@
+import type {CallerLimits} from './types.js';
+
+/** Limits in force where the operator has set none. */
+export const defaultCallerLimits: CallerLimits = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 4_194_304,
+	headerTimeoutMs: 10_000,
+	idleTimeoutMs: 60_000,
+};
--- a/src/common/deployment/index.ts
+++ b/src/common/deployment/index.ts
@@ -1,2 +1,3 @@
+export * from './default-limits.js';
 export * from './row-store.js';
 export type * from './types.js';
--- a/src/common/requests/index.ts
+++ b/src/common/requests/index.ts
@@ -1,2 +1,3 @@
+export * from './header-pairs.js';
 export * from './target-link.js';
 export type * from './types.js';
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -6,12 +6,7 @@
 } from '../../common/index.js';
 import type {CallSessionOptions} from './call-session-types.js';
 import {joined} from './joined-bytes.js';
-import {
-	isPromise,
-	ownStatus,
-	replyUnanswered,
-	unansweredStatus,
-} from './refusals.js';
+import {isPromise, misdirectedStatus} from './refusals.js';
 import {createSessionEnding} from './session-ending.js';
 import type {
 	AdmittedRequest,
@@ -35,7 +30,6 @@
 const minSendMs = 20;
 const retryAfterMs = 300;
 const firstErrorStatus = 500;
-const misdirectedStatus = 421;
 
 /**
  * Serves one call to a plain service. Calls that may not be repeated are sent again only if the
@@ -68,9 +62,11 @@
 	const ending = createSessionEnding({
 		event: 'call ended',
 		admitted,
+		reply,
 		clock,
 		timers,
 		log,
+		retryAfterMs,
 		release() {
 			hedge?.dispose();
 			for (const attempt of attempts) {
@@ -84,27 +80,11 @@
 			timedOut();
 		},
 	});
-	const {finish} = ending;
-
 	const giveUp = (reason: string) => {
-		const failure = lastFailure;
-		if (failure) {
-			finish(
-				() => {
-					reply.whole(failure.head, failure.body);
-				},
-				reason,
-				failure.head.status,
-			);
+		if (lastFailure) {
+			ending.whole(lastFailure.head, lastFailure.body, reason);
 		} else {
-			const mayHaveRun = mayHaveRunCount > 0;
-			finish(
-				() => {
-					replyUnanswered(reply, mayHaveRun, reason, retryAfterMs);
-				},
-				reason,
-				unansweredStatus(mayHaveRun),
-			);
+			ending.unanswered(mayHaveRunCount > 0, reason);
 		}
 	};
 
@@ -242,19 +222,13 @@
 		options.ended(target, isSuccess && isWhole, latencyMs);
 		mayHaveRunCount++;
 		if (!isWhole || isPromise(head.status)) {
-			retryOrGiveUp('answer without proof');
+			retryOrGiveUp('answer without the mark of a target');
 			return;
 		}
 
 		const body = joined(attempt.chunks);
 		if (isSuccess) {
-			finish(
-				() => {
-					reply.whole(head, body);
-				},
-				'answered',
-				head.status,
-			);
+			ending.whole(head, body, 'answered');
 			return;
 		}
 
@@ -264,13 +238,7 @@
 
 	const timedOut = () => {
 		if (mayHaveRunCount > 0 || attempts.size > 0) {
-			finish(
-				() => {
-					reply.own(ownStatus.timedOut, 'no answer in time');
-				},
-				'timed out',
-				ownStatus.timedOut,
-			);
+			ending.timedOut();
 		} else {
 			giveUp('no target in time');
 		}
@@ -292,9 +260,7 @@
 	return {
 		callerLeft() {
 			if (isIdempotent || attempts.size === 0) {
-				finish(() => {
-					reply.abort();
-				}, 'caller left');
+				ending.aborted('caller left');
 			}
 		},
 	};
--- a/src/decisions/serving/engine-placement.test.ts
+++ b/src/decisions/serving/engine-placement.test.ts
@@ -19,7 +19,6 @@
 	slotCount: 24,
 	capacityTokens: 34_000,
 	load: noLoad,
-	cachedTokens: 0,
 	suspect: false,
 	...changes,
 });
--- a/src/decisions/serving/engine-placement.ts
+++ b/src/decisions/serving/engine-placement.ts
@@ -8,8 +8,6 @@
 	readonly slotCount: number;
 	readonly capacityTokens: number;
 	readonly load: LoadShare;
-	/** Tokens of the prompt that the engine is expected to keep. */
-	readonly cachedTokens: number;
 	/** True if the engine failed of late. */
 	readonly suspect: boolean;
 };
@@ -74,10 +72,7 @@
 	speed: EngineSpeed,
 ): PlacementChoice {
 	const {load, capacityTokens} = candidate;
-	const promptTokens = Math.max(
-		0,
-		demand.promptTokens - candidate.cachedTokens,
-	);
+	const {promptTokens} = demand;
 	const rate =
 		speed.prefillTokensPerMs * (load.openCount > 0 ? busyPrefillPart : 1);
 	const firstTokenMs = (load.pendingPromptTokens + promptTokens) / rate;
--- a/src/decisions/serving/generation-wait.ts
+++ b/src/decisions/serving/generation-wait.ts
@@ -1,3 +1,6 @@
+import type {AdmittedRequest} from './session-types.js';
+import type {StreamPlacement} from './stream-session-types.js';
+
 /** What is known when a generation asks for its engine. */
 export type WaitInputs = {
 	/** Part of the best engine's memory that is expected to be in use at the peak. */
@@ -10,12 +13,28 @@
 	readonly objectiveMs: number;
 	/** Time that the request has in all, in milliseconds. */
 	readonly timeoutMs: number;
-	/** Prompt and expected output, in tokens. */
-	readonly neededTokens: number;
+	readonly promptTokens: number;
 	/** Memory of an engine, in tokens. */
 	readonly capacityTokens: number;
 };
 
+/** Inputs for a generation that would go to the engine of a placement now. */
+export function waitInputsOf(
+	{request, route, arrivedMs, deadlineMs}: AdmittedRequest,
+	placement: StreamPlacement,
+	nowMs: number,
+): WaitInputs {
+	return {
+		memoryPart: placement.memoryPart,
+		firstTokenMs: placement.firstTokenMs,
+		waitedMs: nowMs - arrivedMs,
+		objectiveMs: route.objectiveMs,
+		timeoutMs: deadlineMs - arrivedMs,
+		promptTokens: request.generation?.promptTokens ?? 0,
+		capacityTokens: placement.capacityTokens,
+	};
+}
+
 /** Send it now, ask again shortly, or refuse it for good. */
 export type WaitDecision = 'send' | 'wait' | 'refuse';
 
@@ -42,7 +61,7 @@
  * use, so that it is made where memory is to spare, or in any case while there is time for it.
  */
 export function decideWait(inputs: WaitInputs): WaitDecision {
-	if (inputs.neededTokens > inputs.capacityTokens) {
+	if (inputs.promptTokens > inputs.capacityTokens) {
 		// The engines reject what is larger than their memory.
 		return 'refuse';
 	}
--- a/src/decisions/serving/refusals.ts
+++ b/src/decisions/serving/refusals.ts
@@ -13,7 +13,15 @@
 	timedOut: 504,
 } as const;
 
-const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Another target than the expected one answers at the address. */
+export const misdirectedStatus = 421;
+
+const promises: ReadonlySet<number> = new Set([
+	408,
+	misdirectedStatus,
+	429,
+	503,
+]);
 
 /** True for statuses that promise a caller that its request has not run and never will. */
 export function isPromise(status: number): boolean {
--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -42,8 +42,8 @@
 export const copyRenewMs = {
 	/** The engine of the run leaves. */
 	leaving: 500,
-	/** The run goes on, and its backup is lost; what a copy lacks is read again in no time. */
-	guarding: 2500,
+	/** The run goes on, and its backup is lost; what a copy lacks is soon read again. */
+	running: 2500,
 } as const;
 
 /** Copies what the engine does not have yet; the run goes on meanwhile. */
--- a/src/decisions/serving/session-ending.ts
+++ b/src/decisions/serving/session-ending.ts
@@ -1,6 +1,8 @@
-import type {Clock, Timers} from '../../common/index.js';
+import type {AnswerHead, Clock, Timers} from '../../common/index.js';
+import {ownStatus, replyUnanswered, unansweredStatus} from './refusals.js';
 import type {
 	AdmittedRequest,
+	CallerReply,
 	DecisionLog,
 	DecisionRecord,
 } from './session-types.js';
@@ -10,9 +12,12 @@
 	/** Event of the log line. */
 	readonly event: string;
 	readonly admitted: AdmittedRequest;
+	readonly reply: CallerReply;
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly log: DecisionLog;
+	/** Time after which a caller whose request has not run may come back, in milliseconds. */
+	readonly retryAfterMs: number;
 	/**
 	 * Ends what is under way.
 	 * @returns what the log line says besides
@@ -22,47 +27,118 @@
 	readonly onTimeout: () => void;
 };
 
-/** The one end of a session, by whichever event comes first. */
+/** The one end of a session: the first of its answers counts, the others do nothing. */
 export type SessionEnding = {
 	readonly isDone: boolean;
+	/** Passes on a whole answer of a target. */
+	whole(head: AnswerHead, body: Uint8Array, outcome: string): void;
+	/** Ends a stream whole. */
+	streamed(status: number): void;
+	/** Closes the connection, so that nothing looks whole. */
+	aborted(outcome: string): void;
 	/**
-	 * Ends the session.
-	 * @param answer - gives the caller its final answer
+	 * Answers that no target has, and whether the request may have run. An answer that was begun is
+	 * broken off.
 	 */
-	finish(answer: () => void, outcome: string, status?: number): void;
+	unanswered(mayHaveRun: boolean, reason: string): void;
+	/** The same for a request that may have run and whose time is over. */
+	timedOut(): void;
 };
 
 /** Creates the end of a session that goes on until then, or until the time of its request is over. */
 export function createSessionEnding(
 	options: SessionEndingOptions,
 ): SessionEnding {
-	const {admitted, clock, timers, log} = options;
+	const {admitted, reply, clock, timers, log, retryAfterMs} = options;
 	let isDone = false;
 	const timeout = timers.after(
 		admitted.deadlineMs - clock.nowMs(),
 		options.onTimeout,
 	);
+
+	const finish = (
+		answer: () => void,
+		outcome: string,
+		status: number | undefined,
+	) => {
+		if (isDone) {
+			return;
+		}
+
+		isDone = true;
+		timeout.dispose();
+		const record = options.release();
+		answer();
+		log(options.event, {
+			request: admitted.request.id,
+			route: admitted.route.name,
+			outcome,
+			status,
+			...record,
+			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
+		});
+	};
+
+	const aborted = (outcome: string) => {
+		finish(
+			() => {
+				reply.abort();
+			},
+			outcome,
+			undefined,
+		);
+	};
+
 	return {
 		get isDone() {
 			return isDone;
 		},
-		finish(answer, outcome, status) {
-			if (isDone) {
+		whole(head, body, outcome) {
+			finish(
+				() => {
+					reply.whole(head, body);
+				},
+				outcome,
+				head.status,
+			);
+		},
+		streamed(status) {
+			finish(
+				() => {
+					reply.end();
+				},
+				'answered',
+				status,
+			);
+		},
+		aborted,
+		unanswered(mayHaveRun, reason) {
+			if (reply.hasHead) {
+				aborted(reason);
 				return;
 			}
 
-			isDone = true;
-			timeout.dispose();
-			const record = options.release();
-			answer();
-			log(options.event, {
-				request: admitted.request.id,
-				route: admitted.route.name,
-				outcome,
-				status,
-				...record,
-				durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
-			});
+			finish(
+				() => {
+					replyUnanswered(reply, mayHaveRun, reason, retryAfterMs);
+				},
+				reason,
+				unansweredStatus(mayHaveRun),
+			);
+		},
+		timedOut() {
+			if (reply.hasHead) {
+				aborted('timed out');
+				return;
+			}
+
+			finish(
+				() => {
+					reply.own(ownStatus.timedOut, 'no answer in time');
+				},
+				'timed out',
+				ownStatus.timedOut,
+			);
 		},
 	};
 }
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -1,8 +1,14 @@
-import type {Disposable, RunMemory} from '../../common/index.js';
+import type {
+	AnswerHead,
+	Disposable,
+	RunMemory,
+	SendFailure,
+} from '../../common/index.js';
+import type {StreamEvent} from './event-splitter.js';
 import type {RunCopy} from './run-copies.js';
 import type {AdmittedRequest} from './session-types.js';
 import type {StreamAnswer} from './stream-answer.js';
-import {sendStream, type StreamSendListener} from './stream-send.js';
+import {sendStream} from './stream-send.js';
 import type {
 	RunAccount,
 	StreamPlacement,
@@ -19,7 +25,7 @@
 	readonly continues: boolean;
 	readonly isOver: boolean;
 	/** True once copies of its memory are being made, since its engine leaves. */
-	isMoving: boolean;
+	isCopying: boolean;
 	/** Copy of the run's memory that was made because its engine leaves. */
 	copy: RunCopy | undefined;
 	/** Sends; the listener may hear of a failure at once. */
@@ -40,6 +46,16 @@
 	readonly reason: string;
 };
 
+/** Receives what becomes of a send, unless it was closed before. */
+export type StreamAttemptListener = {
+	forward(attempt: StreamAttempt, event: StreamEvent, head: AnswerHead): void;
+	/** The stream ended after a whole event. */
+	ended(attempt: StreamAttempt, head: AnswerHead): void;
+	/** The engine answered, but not with a stream. */
+	notServed(attempt: StreamAttempt, head: AnswerHead, body: Uint8Array): void;
+	failed(attempt: StreamAttempt, failure: SendFailure): void;
+};
+
 function lastEventIdOf({
 	admitted: {route, request},
 	answer,
@@ -49,14 +65,11 @@
 	return lastEventId === undefined ? undefined : String(lastEventId);
 }
 
-/**
- * Creates the send of a stream to the engine it was placed at.
- * @param listener - hears what becomes of the send, unless it was closed before
- */
+/** Creates the send of a stream to the engine it was placed at. */
 export function createStreamAttempt(
 	orders: StreamAttemptOrders,
 	{clock, link, log, opened}: StreamSessionOptions,
-	listener: (attempt: StreamAttempt) => StreamSendListener,
+	listener: StreamAttemptListener,
 ): StreamAttempt {
 	const {admitted, placement, continueFrom, answer} = orders;
 	const {request, route} = admitted;
@@ -79,7 +92,7 @@
 		get isOver() {
 			return isOver;
 		},
-		isMoving: false,
+		isCopying: false,
 		copy: undefined,
 		start() {
 			log('stream sent', {
@@ -96,18 +109,33 @@
 			});
 			handle = sendStream(
 				link,
-				target,
-				request,
 				{
-					expectedTargetId: target.id,
-					account: admitted.account,
-					timeoutMs: leftMs,
-					priority: orders.priority,
-					backupAddress: backup?.address,
-					continueFrom,
-					lastEventId: lastEventIdOf(orders),
+					target,
+					request,
+					orders: {
+						expectedTargetId: target.id,
+						account: admitted.account,
+						timeoutMs: leftMs,
+						priority: orders.priority,
+						backupAddress: backup?.address,
+						continueFrom,
+						lastEventId: lastEventIdOf(orders),
+					},
+				},
+				{
+					onEvent(event, head) {
+						listener.forward(attempt, event, head);
+					},
+					onWhole(head) {
+						listener.ended(attempt, head);
+					},
+					onOtherAnswer(head, body) {
+						listener.notServed(attempt, head, body);
+					},
+					onFailure(failure) {
+						listener.failed(attempt, failure);
+					},
 				},
-				listener(attempt),
 			);
 		},
 		close() {
--- /dev/null
+++ b/src/decisions/serving/stream-copies.ts
@@ -0,0 +1,98 @@
+import type {TargetEntry} from '../../common/index.js';
+import {copyRenewMs, keepCopy, type RunCopy} from './run-copies.js';
+import type {AdmittedRequest} from './session-types.js';
+import type {StreamAttempt} from './stream-attempt.js';
+import type {StreamSessionOptions} from './stream-session-types.js';
+
+/** Copies of the memory of one stream's run. */
+export type StreamCopies = {
+	/** True if the run can go on from a copy. */
+	areUsable(attempt: StreamAttempt): boolean;
+	/** Copies the run's memory elsewhere if no copy of it is safe. */
+	ensure(attempt: StreamAttempt): void;
+	/** The run's engine is lost; its copies are tried one after the other. */
+	lost(attempt: StreamAttempt): void;
+	/** Takes the next copy of a lost run; undefined once each was tried. */
+	next(): RunCopy | undefined;
+	/** Frees a copy that the run did not need; it would hold memory for some seconds. */
+	release(attempt: StreamAttempt): void;
+};
+
+function backupOf(
+	target: TargetEntry | undefined,
+	requestId: string,
+): RunCopy | undefined {
+	return (
+		target && {target, memory: {address: target.address, handle: requestId}}
+	);
+}
+
+/**
+ * Creates the copies of a run that has none.
+ * @param avoid - engines that have failed the run
+ * @param isDone - true once the caller has its final answer
+ */
+export function createStreamCopies(
+	admitted: AdmittedRequest,
+	options: StreamSessionOptions,
+	avoid: ReadonlySet<string>,
+	isDone: () => boolean,
+): StreamCopies {
+	const {link, timers, log} = options;
+	const requestId = admitted.request.id;
+	let untried: RunCopy[] = [];
+
+	const isUsable = (target: TargetEntry | undefined) =>
+		target !== undefined && options.isUsable(target.id);
+
+	return {
+		areUsable: ({copy, placement}) =>
+			copy !== undefined || isUsable(placement.backup),
+		ensure(attempt) {
+			if (attempt.isOver || attempt.isCopying || isDone()) {
+				return;
+			}
+
+			const {target, backup} = attempt.placement;
+			// A run at a sound engine can wait for notice of its leaving, if any would be heard.
+			const isPresent = options.isPresent(target.id);
+			const hasTime = isPresent && (!backup || options.hearsOfLeaving());
+			if (isUsable(backup) || hasTime) {
+				return;
+			}
+
+			attempt.isCopying = true;
+			void keepCopy(
+				{
+					requestId,
+					source: target,
+					renewMs: isPresent ? copyRenewMs.running : copyRenewMs.leaving,
+					isOver: () => attempt.isOver || isDone(),
+					choose: (refused) =>
+						options.placeCopy(
+							admitted,
+							target,
+							new Set([...avoid, ...refused]),
+						),
+					onCopy(copy) {
+						attempt.copy = copy;
+					},
+				},
+				{link, timers, log},
+			);
+		},
+		lost({copy, placement}) {
+			untried = [copy, backupOf(placement.backup, requestId)]
+				.filter((one) => one !== undefined)
+				.sort(
+					(a, b) => Number(isUsable(b.target)) - Number(isUsable(a.target)),
+				);
+		},
+		next: () => untried.shift(),
+		release({copy, placement}) {
+			if (copy) {
+				link.releaseCopy(placement.target.address, copy.memory.handle);
+			}
+		},
+	};
+}
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -21,6 +21,13 @@
 	onFailure(failure: SendFailure): void;
 };
 
+/** What is sent, and where to. */
+export type StreamSend = {
+	readonly target: TargetEntry;
+	readonly request: CallerRequest;
+	readonly orders: SendOrders;
+};
+
 const okStatus = 200;
 
 const isEventStream = (head: AnswerHead) =>
@@ -32,9 +39,7 @@
  */
 export function sendStream(
 	link: TargetLink,
-	target: TargetEntry,
-	request: CallerRequest,
-	orders: SendOrders,
+	{target, request, orders}: StreamSend,
 	listener: StreamSendListener,
 ): Disposable {
 	const splitter = createEventSplitter();
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -36,8 +36,8 @@
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
 	) => StreamPlacement | undefined;
-	/** Chooses an engine that takes over a run from one that leaves. */
-	readonly placeMove: (
+	/** Chooses an engine that keeps a copy of a run's memory. */
+	readonly placeCopy: (
 		admitted: AdmittedRequest,
 		from: TargetEntry,
 		avoid: ReadonlySet<string>,
@@ -63,8 +63,8 @@
 	/** True once the caller has its final answer. */
 	readonly isDone: boolean;
 	readonly run: StreamRun | undefined;
-	/** An engine is about to leave. */
-	engineLeaving(targetId: string): void;
+	/** An engine is about to leave, or accepts no connection. */
+	engineUnusable(targetId: string): void;
 	/** Checks for silence; called regularly. */
 	tick(): void;
 };
--- a/src/decisions/serving/target-load.ts
+++ b/src/decisions/serving/target-load.ts
@@ -17,14 +17,10 @@
 	add(targetId: string, change: LoadShare): void;
 	/** Sum over all VMs. */
 	of(targetId: string): LoadShare;
-	/** This VM's own share. */
-	own(targetId: string): LoadShare;
 	/** Own shares that are not zero. */
 	ownShares(): ReadonlyMap<string, LoadShare>;
 	/** Replaces the shares of a peer. */
 	heard(vm: string, shares: ReadonlyMap<string, LoadShare>): void;
-	/** Forgets a target. */
-	forget(targetId: string): void;
 };
 
 /** No load. */
@@ -98,17 +94,11 @@
 
 			return sum;
 		},
-		own(targetId) {
-			return own.get(targetId) ?? noLoad;
-		},
 		ownShares() {
 			return own;
 		},
 		heard(vm, shares) {
 			peers.set(vm, {heardMs: clock.nowMs(), shares});
 		},
-		forget(targetId) {
-			own.delete(targetId);
-		},
 	};
 }
--- a/src/decisions/serving/waiting.test.ts
+++ b/src/decisions/serving/waiting.test.ts
@@ -9,7 +9,7 @@
 	waitedMs: 0,
 	objectiveMs: 1800,
 	timeoutMs: 39_000,
-	neededTokens: 3000,
+	promptTokens: 3000,
 	capacityTokens: 34_000,
 };
 
@@ -33,7 +33,7 @@
 });
 
 test('guards against holding a request that no engine can ever run', () => {
-	assert.equal(decideWait({...inputs, neededTokens: 35_000}), 'refuse');
+	assert.equal(decideWait({...inputs, promptTokens: 35_000}), 'refuse');
 });
 
 test('replay "VMs stopped in turn": only what ends within the grace time is begun', () => {
--- /dev/null
+++ b/src/experiments/fakes/fake-stream.ts
@@ -0,0 +1,154 @@
+import type {TargetEntry} from '../../common/index.js';
+import {startStreamSession} from '../../decisions/serving/index.js';
+import {fakeAdmitted, fakeEntry} from './admitted-request.js';
+import {createFakeCallerReply} from './fake-caller-reply.js';
+import {fakeSessionServices} from './fake-session-services.js';
+import {fakeHead, type FakeSend, FakeTargetLink} from './fake-target-link.js';
+import {VirtualTime} from './virtual-time.js';
+
+/** Engines of a fake stream, in the order in which they are tried. */
+export const fakeEngines = [
+	fakeEntry('e1'),
+	fakeEntry('e2'),
+	fakeEntry('e3'),
+] as const;
+
+/** What a fake stream meets. */
+export type FakeStreamSetup = {
+	readonly backup?: TargetEntry;
+	readonly promptTokens?: number;
+	readonly memoryPart?: () => number;
+	readonly hearsOfLeaving?: boolean;
+};
+
+/** Starts a stream whose engines and time a test plays. */
+export function startFakeStream(setup: FakeStreamSetup = {}) {
+	const [firstEngine, secondEngine, thirdEngine] = fakeEngines;
+	const time = new VirtualTime();
+	const link = new FakeTargetLink();
+	const reply = createFakeCallerReply();
+	const log: Array<{event: string; record: Readonly<Record<string, unknown>>}> =
+		[];
+	const left = new Set<string>();
+	const down = new Set<string>();
+	const {memoryPart = () => 0.5, promptTokens = 3000} = setup;
+	const session = startStreamSession(
+		fakeAdmitted(
+			{kind: 'stream', timeoutMs: 39_000, objectiveMs: 1800, maxAttempts: 1},
+			{
+				generation: {
+					model: 'm',
+					promptTokens,
+					maxOutputTokens: 900,
+					promptParts: [],
+					lengthHintTokens: undefined,
+				},
+			},
+		),
+		reply,
+		{
+			...fakeSessionServices(time, link, (event, record) => {
+				log.push({event, record});
+			}),
+			place(_admitted, avoid) {
+				const target = [firstEngine, secondEngine, thirdEngine].find(
+					({id}) => !avoid.has(id),
+				);
+				return (
+					target && {
+						target,
+						backup: setup.backup,
+						firstTokenMs: 200,
+						memoryPart: memoryPart(),
+						capacityTokens: 34_000,
+					}
+				);
+			},
+			placeCopy: (_admitted, _from, avoid) =>
+				[thirdEngine, secondEngine].find(
+					({id}) => !avoid.has(id) && !left.has(id),
+				),
+			placeBackup: () => undefined,
+			isPresent: (id) => !left.has(id),
+			isUsable: (id) => !left.has(id) && !down.has(id),
+			hearsOfLeaving: () => setup.hearsOfLeaving ?? true,
+			opened: () => ({
+				progressed() {
+					// Load is not counted here.
+				},
+				dispose() {
+					// Load is not counted here.
+				},
+			}),
+			finished() {
+				// Lengths are not kept here.
+			},
+		},
+	);
+	const leave = (...ids: string[]) => {
+		for (const id of ids) {
+			left.add(id);
+			session.engineUnusable(id);
+		}
+	};
+
+	const refuse = (id: string) => {
+		down.add(id);
+		session.engineUnusable(id);
+	};
+
+	/** Has the link copy memory under a handle from now on. */
+	const copyAs = (handle: string) => {
+		link.copyResult = () => ({
+			outcome: 'copied',
+			memory: {address: firstEngine.address, handle},
+		});
+	};
+
+	/** Engines to which memory was copied. */
+	const copiedTo = () => link.copies.map(({toAddress}) => toAddress);
+
+	return {
+		time,
+		link,
+		reply,
+		log,
+		session,
+		leave,
+		refuse,
+		copyAs,
+		copiedTo,
+	};
+}
+
+/** Text of an event of a fake stream. */
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+/** Answers a send with events. */
+export function giveEvents({sink}: FakeSend, ...ids: number[]): void {
+	sink.onHead(fakeHead('q1'));
+	for (const id of ids) {
+		sink.onData(new TextEncoder().encode(event(id)));
+	}
+}
+
+/** Answers a send with the rest of its stream and ends it. */
+export function giveRest(send: FakeSend, ...ids: number[]): void {
+	giveEvents(send, ...ids);
+	send.sink.onEnd();
+}
+
+/** Refuses a send, which has not run. */
+export function refuseSend({sink}: FakeSend): void {
+	sink.onHead(fakeHead('q1', {status: 503, notExecuted: true}));
+	sink.onEnd();
+}
+
+/** Fails a send that may have run. */
+export function loseSend({sink}: FakeSend, reason = 'reset'): void {
+	sink.onFailure({unsent: false, reason});
+}
+
+/** Text of events of a fake stream. */
+export function eventsText(...ids: number[]): string {
+	return ids.map((id) => event(id)).join('');
+}
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -13,3 +13,4 @@
 export * from './fake-target-link.js';
 export * from './find-free-ports.js';
 export * from './fake-session-services.js';
+export * from './fake-stream.js';
--- a/src/experiments/fault-soak/caller.ts
+++ b/src/experiments/fault-soak/caller.ts
@@ -27,7 +27,7 @@
 	dispose(): void;
 };
 
-/** Callers give up this long after their time limit, in milliseconds. */
+/** Callers give up this long after their timeout, in milliseconds. */
 const patienceMs = 3000;
 
 function headersOf(
--- a/src/experiments/fault-soak/checks/at-most-once.ts
+++ b/src/experiments/fault-soak/checks/at-most-once.ts
@@ -2,7 +2,7 @@
 	type Observations,
 	type Work,
 	attemptsById,
-	isInTouch,
+	isUndisrupted,
 } from '../observations.js';
 import type {Violation} from './promise-check.js';
 
@@ -35,7 +35,7 @@
 			works.some(
 				(second) =>
 					overlap(first, second) &&
-					isInTouch(observations, vm, [second.startMs, second.startMs]),
+					isUndisrupted(observations, vm, [second.startMs, second.startMs]),
 			),
 		);
 		return starts.length > 1 || isTwice
--- a/src/experiments/fault-soak/checks/checks.test.ts
+++ b/src/experiments/fault-soak/checks/checks.test.ts
@@ -76,7 +76,7 @@
 		untilMs: 9600,
 	};
 	assert.deepEqual(
-		broken({attempts, works: both, disturbances: [silenced]}),
+		broken({attempts, works: both, disruptions: [silenced]}),
 		[],
 	);
 });
@@ -122,7 +122,7 @@
 	assert.deepEqual(repeated(2 * retryExtra), ['retry-budget']);
 });
 
-test('guards against checks of leaving targets and configurations that excuse a VM in touch', () => {
+test('guards against checks of leaving targets and configurations that excuse a VM without a fault', () => {
 	const attempts = [attempt('a')];
 	const arrivals = [arrival('a')];
 	const left = (atMs: number) => ({
@@ -134,7 +134,7 @@
 	assert.deepEqual(broken(left(10_001 - 2 * drainMs)), ['leaving-target']);
 	const cut = {vm: 0, kind: 'store-delay', fromMs: 9000, untilMs: 9500};
 	assert.deepEqual(
-		broken({...left(10_001 - 2 * drainMs), disturbances: [cut]}),
+		broken({...left(10_001 - 2 * drainMs), disruptions: [cut]}),
 		[],
 	);
 
@@ -211,9 +211,9 @@
 	assert.deepEqual(ended(9000), []);
 	assert.deepEqual(ended(Infinity), ['calm-service']);
 	const killed = {vm: 0, kind: 'vm-kill', fromMs: 9000, untilMs: 9500};
-	assert.deepEqual(broken({attempts: [failed], disturbances: [killed]}), []);
+	assert.deepEqual(broken({attempts: [failed], disruptions: [killed]}), []);
 	assert.deepEqual(
-		broken({attempts: [failed], disturbances: [killed], calmFromMs: 0}),
+		broken({attempts: [failed], disruptions: [killed], calmFromMs: 0}),
 		['recovery'],
 	);
 });
--- a/src/experiments/fault-soak/checks/configuration.ts
+++ b/src/experiments/fault-soak/checks/configuration.ts
@@ -2,7 +2,7 @@
 	type Arrival,
 	type Attempt,
 	attemptsById,
-	isInTouch,
+	isUndisrupted,
 	movingServicePrefix,
 	type Observations,
 } from '../observations.js';
@@ -68,7 +68,7 @@
 	});
 }
 
-/** VMs in touch act on a version soon after the store has it. */
+/** VMs without a fault act on a version soon after the store has it. */
 export function checkConfigurationApplied(
 	observations: Observations,
 ): Violation[] {
@@ -79,7 +79,7 @@
 			(ack) =>
 				ack.version > version &&
 				ack.atMs + bounds.configurationApplyMs < attempt.sentMs &&
-				isInTouch(observations, attempt.vm, [ack.atMs, attempt.sentMs]),
+				isUndisrupted(observations, attempt.vm, [ack.atMs, attempt.sentMs]),
 		);
 		return due
 			? [violation('configuration-applied', handling, due.version)]
--- a/src/experiments/fault-soak/checks/leaving-target.ts
+++ b/src/experiments/fault-soak/checks/leaving-target.ts
@@ -1,7 +1,11 @@
-import {type Observations, attemptsById, isInTouch} from '../observations.js';
+import {
+	type Observations,
+	attemptsById,
+	isUndisrupted,
+} from '../observations.js';
 import type {Violation} from './promise-check.js';
 
-/** VMs in touch send nothing new to a target that has said long enough ago that it leaves. */
+/** VMs without a fault send nothing new to a target that has said long enough ago that it leaves. */
 export function checkLeavingTargets(observations: Observations): Violation[] {
 	const {arrivals, leaves, bounds} = observations;
 	const attempts = attemptsById(observations);
@@ -10,7 +14,7 @@
 		const sinceMs = atMs - (left.get(targetId) ?? Infinity);
 		const vm = attempts.get(requestId)?.vm ?? 0;
 		return sinceMs > bounds.drainMs &&
-			isInTouch(observations, vm, [atMs - sinceMs, atMs])
+			isUndisrupted(observations, vm, [atMs - sinceMs, atMs])
 			? [
 					{
 						promise: 'leaving-target',
--- a/src/experiments/fault-soak/checks/prompt-answer.ts
+++ b/src/experiments/fault-soak/checks/prompt-answer.ts
@@ -1,17 +1,17 @@
-import {type Observations, isInTouch} from '../observations.js';
+import {type Observations, isUndisrupted} from '../observations.js';
 import type {Violation} from './promise-check.js';
 
 /** Time beyond the route's limit in which the answer reaches the caller. */
 const slackMs = 500;
 
-/** VMs in touch answer every request by the time limit of its route. */
+/** VMs without a fault answer every request by the timeout of its route. */
 export function checkPromptAnswers(observations: Observations): Violation[] {
 	return observations.attempts.flatMap((attempt): Violation[] => {
 		const {id, kind, vm, sentMs, endedMs, leftMs, routeTimeoutMs} = attempt;
 		const dueMs = sentMs + routeTimeoutMs + slackMs;
 		const isLate =
 			endedMs !== undefined && leftMs === undefined && endedMs > dueMs;
-		return isLate && isInTouch(observations, vm, [sentMs, endedMs])
+		return isLate && isUndisrupted(observations, vm, [sentMs, endedMs])
 			? [
 					{
 						promise: 'prompt-answer',
--- a/src/experiments/fault-soak/checks/service.ts
+++ b/src/experiments/fault-soak/checks/service.ts
@@ -1,7 +1,7 @@
 import {
 	type Attempt,
-	type Disturbance,
-	isInTouch,
+	type Disruption,
+	isUndisrupted,
 	type Observations,
 } from '../observations.js';
 import type {Violation} from './promise-check.js';
@@ -14,7 +14,7 @@
 const recoveredPart = 0.9;
 
 /** Planned work that must cut no request. */
-const isPlanned = ({kind}: Disturbance) =>
+const isPlanned = ({kind}: Disruption) =>
 	kind === 'vm-stop' || kind === 'vm-reload' || kind === 'start';
 
 const isServed = ({status, isWhole}: Attempt) => status === okStatus && isWhole;
@@ -27,7 +27,7 @@
 	observations: Observations,
 	{vm, sentMs, endedMs = sentMs}: Attempt,
 ): boolean {
-	const isStarted = isInTouch(
+	const isStarted = isUndisrupted(
 		observations,
 		vm,
 		[sentMs, endedMs],
@@ -53,7 +53,7 @@
 				kind !== 'report' && endedMs !== undefined && leftMs === undefined,
 		)
 		.filter(({vm, sentMs, endedMs}) =>
-			isInTouch(observations, vm, [sentMs, endedMs ?? sentMs], isPlanned),
+			isUndisrupted(observations, vm, [sentMs, endedMs ?? sentMs], isPlanned),
 		)
 		.filter((attempt) => !isServed(attempt) && attempt.status !== notRunStatus)
 		.filter(
--- a/src/experiments/fault-soak/checks/work-ends.ts
+++ b/src/experiments/fault-soak/checks/work-ends.ts
@@ -1,4 +1,8 @@
-import {type Observations, attemptsById, isInTouch} from '../observations.js';
+import {
+	type Observations,
+	attemptsById,
+	isUndisrupted,
+} from '../observations.js';
 import type {Violation} from './promise-check.js';
 
 /** Time in which an engine hears that the caller has left. */
@@ -16,7 +20,7 @@
 			}
 
 			return endMs > leftMs + noticeMs &&
-				isInTouch(observations, vm, [leftMs, endMs])
+				isUndisrupted(observations, vm, [leftMs, endMs])
 				? [
 						{
 							promise: 'work-ends',
--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as sleepFor} from 'node:timers/promises';
 import type {Disposable} from '../../common/index.js';
-import type {Disturbance, Observations} from './observations.js';
+import type {Disruption, Observations} from './observations.js';
 import type {Operator} from './operator.js';
 import {soakBounds} from './soak-bounds.js';
 import type {SoakFleet, SoakVm} from './soak-fleet.js';
@@ -38,24 +38,24 @@
 	const sleep = async (durationMs: number) =>
 		sleepFor(durationMs, undefined, {signal: stopping.signal});
 
-	const disturb = async (
+	const disrupt = async (
 		kind: string,
 		vm: number | undefined,
 		act: () => Promise<void>,
 	) => {
-		const disturbance: Disturbance = {
+		const disruption: Disruption = {
 			vm,
 			kind,
 			fromMs: performance.now(),
 			untilMs: Infinity,
 		};
-		observations.disturbances.push(disturbance);
+		observations.disruptions.push(disruption);
 		await act();
-		disturbance.untilMs = performance.now();
+		disruption.untilMs = performance.now();
 	};
 
 	const start = (vm: SoakVm) => {
-		void disturb('start', vm.index, async () => {
+		void disrupt('start', vm.index, async () => {
 			vm.process.start();
 		});
 	};
@@ -83,7 +83,7 @@
 		{where, forMs}: SoakStep,
 	) => {
 		const {vm, proxy} = proxyOf(name, where);
-		await disturb(`${name}-${fault}`, vm, async () => {
+		await disrupt(`${name}-${fault}`, vm, async () => {
 			proxy.setFault(fault);
 			await sleep(forMs);
 			proxy.setFault(undefined);
@@ -95,7 +95,7 @@
 		signal: 'SIGKILL' | 'SIGTERM',
 		forMs: number,
 	) =>
-		disturb(
+		disrupt(
 			signal === 'SIGKILL' ? 'vm-kill' : 'vm-stop',
 			vm.index,
 			async () => {
@@ -106,7 +106,7 @@
 		);
 
 	const pause = async (vm: SoakVm, forMs: number) =>
-		disturb('vm-pause', vm.index, async () => {
+		disrupt('vm-pause', vm.index, async () => {
 			vm.process.signal('SIGSTOP');
 			await sleep(forMs);
 			vm.process.signal('SIGCONT');
@@ -132,7 +132,7 @@
 			}
 
 			case 'reload': {
-				return disturb('vm-reload', vm.index, async () => {
+				return disrupt('vm-reload', vm.index, async () => {
 					vm.process.signal('SIGHUP');
 				});
 			}
@@ -144,7 +144,7 @@
 	};
 
 	const storeAction = async ({action}: ActionOf<'store'>, {forMs}: SoakStep) =>
-		disturb(`store-${action}`, undefined, async () => {
+		disrupt(`store-${action}`, undefined, async () => {
 			if (action === 'forget') {
 				store.forgetHistory();
 				return;
@@ -164,7 +164,7 @@
 		);
 		const chosen =
 			where % 2 === 0 ? services : services.slice(where % services.length);
-		await disturb(`service-${mode}`, undefined, async () => {
+		await disrupt(`service-${mode}`, undefined, async () => {
 			targets.setMode(chosen, mode);
 			await sleep(forMs);
 			targets.setMode(chosen, 'sound');
@@ -202,7 +202,7 @@
 			return;
 		}
 
-		await disturb('target-crash', undefined, async () => {
+		await disrupt('target-crash', undefined, async () => {
 			target.crash();
 			await sleep(lapseMs);
 			target.withdraw();
--- a/src/experiments/fault-soak/main.ts
+++ b/src/experiments/fault-soak/main.ts
@@ -72,7 +72,7 @@
 				);
 	const vms = checkNumber('vms', flags.vms, 0, maxVms);
 	const jobs = checkNumber('jobs', flags.jobs, 1, maxJobs);
-	const figures = {runs: 0, violations: 0, requests: 0, disturbances: 0};
+	const figures = {runs: 0, violations: 0, requests: 0, disruptions: 0};
 	const failed: number[] = [];
 	const work = async () => {
 		for (;;) {
@@ -90,7 +90,7 @@
 			figures.runs++;
 			figures.violations += outcome.violations.length;
 			figures.requests += outcome.observations.attempts.length;
-			figures.disturbances += outcome.observations.disturbances.length;
+			figures.disruptions += outcome.observations.disruptions.length;
 			if (outcome.violations.length > 0) {
 				failed.push(own);
 				const kept = keep(own, outcome);
--- a/src/experiments/fault-soak/observations.ts
+++ b/src/experiments/fault-soak/observations.ts
@@ -6,7 +6,7 @@
 	readonly id: string;
 	readonly vm: number;
 	readonly kind: AttemptKind;
-	/** Time limit that the route states. */
+	/** Timeout that the route states. */
 	readonly routeTimeoutMs: number;
 	/** Events that a whole answer has; 0 if it is no stream. */
 	readonly eventCount: number;
@@ -52,7 +52,7 @@
 export type LeaveAck = {readonly targetId: string; readonly atMs: number};
 
 /** A fault, on one VM or on all. */
-export type Disturbance = {
+export type Disruption = {
 	readonly vm: number | undefined;
 	readonly kind: string;
 	readonly fromMs: number;
@@ -75,7 +75,7 @@
 	readonly drainMs: number;
 	readonly stopGraceMs: number;
 	readonly configurationApplyMs: number;
-	readonly contactMs: number;
+	readonly settleMs: number;
 	readonly retryRatio: number;
 	readonly retryExtra: number;
 	readonly retryWindowMs: number;
@@ -90,7 +90,7 @@
 	readonly works: Work[];
 	readonly configurations: ConfigurationAck[];
 	readonly leaves: LeaveAck[];
-	readonly disturbances: Disturbance[];
+	readonly disruptions: Disruption[];
 	readonly incarnations: Incarnation[];
 	/** Start of the last phase, which has no faults; undefined before it. */
 	calmFromMs: number | undefined;
@@ -105,7 +105,7 @@
 		works: [],
 		configurations: [],
 		leaves: [],
-		disturbances: [],
+		disruptions: [],
 		incarnations: [],
 		calmFromMs: undefined,
 	};
@@ -114,18 +114,18 @@
 /** Prefix of the services that one version of the configuration alone names. */
 export const movingServicePrefix = 'moving-';
 
-/** True if no fault touched the VM from the contact time before the span to its end. */
-export function isInTouch(
-	{disturbances, bounds}: Observations,
+/** True if no fault touched the VM from the settling time before the span to its end. */
+export function isUndisrupted(
+	{disruptions, bounds}: Observations,
 	vm: number,
 	[fromMs, untilMs]: readonly [number, number],
-	except: (disturbance: Disturbance) => boolean = () => false,
+	except: (disruption: Disruption) => boolean = () => false,
 ): boolean {
-	return !disturbances.some(
+	return !disruptions.some(
 		(one) =>
 			(one.vm === undefined || one.vm === vm) &&
 			one.fromMs < untilMs &&
-			one.untilMs + bounds.contactMs > fromMs &&
+			one.untilMs + bounds.settleMs > fromMs &&
 			!except(one),
 	);
 }
--- a/src/experiments/fault-soak/soak-bounds.ts
+++ b/src/experiments/fault-soak/soak-bounds.ts
@@ -5,7 +5,7 @@
 	drainMs: 2000,
 	stopGraceMs: 4000,
 	configurationApplyMs: 2000,
-	contactMs: 2000,
+	settleMs: 2000,
 	retryRatio: 0.2,
 	retryExtra: 30,
 	retryWindowMs: 4000,
--- a/src/experiments/fault-soak/soak-run.ts
+++ b/src/experiments/fault-soak/soak-run.ts
@@ -44,12 +44,12 @@
 }
 
 /** Notes times in which the observer itself did not run, for which nothing can be judged. */
-function watchStalls({disturbances}: Observations): NodeJS.Timeout {
+function watchStalls({disruptions}: Observations): NodeJS.Timeout {
 	let lastMs = performance.now();
 	return setInterval(() => {
 		const nowMs = performance.now();
 		if (nowMs - lastMs > stallMs) {
-			disturbances.push({
+			disruptions.push({
 				vm: undefined,
 				kind: 'observer-stalled',
 				fromMs: lastMs,
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -1,9 +1,10 @@
 import * as z from 'zod';
-import type {
-	DeploymentConfiguration,
-	RouteKind,
-	RouteRule,
-	ServiceRule,
+import {
+	defaultCallerLimits,
+	type DeploymentConfiguration,
+	type RouteKind,
+	type RouteRule,
+	type ServiceRule,
 } from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 
@@ -60,13 +61,6 @@
 	stream: 'stream',
 };
 
-const defaultLimits = {
-	maxHeaderBytes: 16_384,
-	maxBodyBytes: 4_194_304,
-	headerTimeoutMs: 10_000,
-	idleTimeoutMs: 60_000,
-};
-
 function decodeRoute(route: z.infer<typeof routeSchema>): RouteRule {
 	const shares =
 		route.traffic_split ??
@@ -117,11 +111,13 @@
 		})),
 		limits: {
 			maxHeaderBytes:
-				raw.limits?.max_header_bytes ?? defaultLimits.maxHeaderBytes,
-			maxBodyBytes: raw.limits?.max_body_bytes ?? defaultLimits.maxBodyBytes,
+				raw.limits?.max_header_bytes ?? defaultCallerLimits.maxHeaderBytes,
+			maxBodyBytes:
+				raw.limits?.max_body_bytes ?? defaultCallerLimits.maxBodyBytes,
 			headerTimeoutMs:
-				raw.limits?.header_timeout_ms ?? defaultLimits.headerTimeoutMs,
-			idleTimeoutMs: raw.limits?.idle_timeout_ms ?? defaultLimits.idleTimeoutMs,
+				raw.limits?.header_timeout_ms ?? defaultCallerLimits.headerTimeoutMs,
+			idleTimeoutMs:
+				raw.limits?.idle_timeout_ms ?? defaultCallerLimits.idleTimeoutMs,
 		},
 	};
 }
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -1,13 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {ProblemError} from '../common/index.js';
+import {headerPairs, ProblemError} from '../common/index.js';
 import {decodeBootFile} from './boot-file.js';
 import {decodeConfiguration} from './configuration.js';
-import {
-	decodeRequest,
-	encodeRequestHeaders,
-	headerPairs,
-} from './request-headers.js';
+import {decodeRequest, encodeRequestHeaders} from './request-headers.js';
 import {decodeTargetEntry} from './target-entry.js';
 import {bootFile} from './testing/index.js';
 
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -7,6 +7,7 @@
 	type CopyResult,
 	type Disposable,
 	type EngineReport,
+	headerPairs,
 	ProblemError,
 	type SendOrders,
 	TargetLink,
@@ -17,7 +18,7 @@
 import {decode, parseJson} from './decode.js';
 import {makeHttpCall} from './http-call.js';
 import {targetCalls} from './names.js';
-import {encodeRequestHeaders, headerPairs} from './request-headers.js';
+import {encodeRequestHeaders} from './request-headers.js';
 
 const connectTimeoutMs = 800;
 /** Idle connections without a hint of the target are closed after this time, in milliseconds. */
--- a/src/platform/request-headers.ts
+++ b/src/platform/request-headers.ts
@@ -24,16 +24,6 @@
 /** Headers by name in lower case, each with its last value. */
 export type HeaderIndex = ReadonlyMap<string, string>;
 
-/** Pairs up the flat list of names and values that Node's parser gives. */
-export function headerPairs(flat: readonly string[]): HeaderPair[] {
-	const pairs: HeaderPair[] = [];
-	for (let index = 0; index + 1 < flat.length; index += 2) {
-		pairs.push([flat[index], flat[index + 1]]);
-	}
-
-	return pairs;
-}
-
 /** Indexes headers by name. */
 export function indexHeaders(pairs: readonly HeaderPair[]): HeaderIndex {
 	return new Map(pairs.map(([name, value]) => [name.toLowerCase(), value]));
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -2,8 +2,8 @@
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {headerNames} from '../names.js';
-import {decodeRequest, headerPairs, indexHeaders} from '../request-headers.js';
-import type {CallerRequest} from '../../common/index.js';
+import {decodeRequest, indexHeaders} from '../request-headers.js';
+import {type CallerRequest, headerPairs} from '../../common/index.js';
 import {resetSocket} from './reset-socket.js';
 
 /** A request as a modelled target has read it. */
@@ -49,8 +49,8 @@
 	control(path: string, body: string, response: ServerResponse): void;
 };
 
-const misdirectedStatus = 421;
 const refusedStatus = 503;
+const misdirectedStatus = 421;
 const defaultPriority = 5;
 
 /** Starts an answer that bears the mark of the target. */
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -11,35 +11,25 @@
 } from '../../adapters/system/index.js';
 import {
 	createDisposableStore,
+	defaultCallerLimits,
 	type Disposable,
 	SeededRandomSource,
 	toProblem,
 } from '../../common/index.js';
-import {createOutlierDetector} from '../../decisions/retries/index.js';
-import {createLengthStatistics} from '../../decisions/routing/index.js';
 import {
-	createConfigurationState,
-	createRetryShare,
 	createRouteTable,
-	createTargetDirectory,
-	createTargetLoad,
-	manyVms,
-	otherZoneCostMs,
 	type RouteTable,
 } from '../../decisions/serving/index.js';
-import {HttpTargetLink, StoreClient} from '../../platform/index.js';
+import {HttpTargetLink} from '../../platform/index.js';
 import {listen} from '../entry/listen.js';
 import {createCapacityReader} from './capacity-reader.js';
 import {startEngineWatch} from './engine-watch.js';
-import {createFleetView} from './fleet-view.js';
+import {startFleetState} from './fleet-state.js';
 import type {FrontSettings} from './front-settings.js';
 import {followBootFile} from './live-settings.js';
 import {createFrontPages} from './front-pages.js';
-import {createPeerRecovery} from './peer-recovery.js';
-import {type PeerLoads, startPeerLoads} from './peer-loads.js';
 import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
-import {type StoreWatch, watchStore} from './store-watch.js';
 import {watchTargets} from './watch-targets.js';
 
 /** A running front daemon. */
@@ -52,20 +42,7 @@
 	stop(): Promise<void>;
 };
 
-const lapseGraceMs = 2000;
-const longerWaitFactor = 2;
-/** Part of the time for leaving targets after which a VM reads the targets by itself. */
-const followerIntervalPart = 0.7;
-const unreachableMs = 1000;
-const lingerMs = 30_000;
-const peerTimeoutMs = 4500;
 const tickMs = 100;
-const defaultLimits = {
-	maxHeaderBytes: 16_384,
-	maxBodyBytes: 4_194_304,
-	headerTimeoutMs: 10_000,
-	idleTimeoutMs: 60_000,
-};
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
 
@@ -96,111 +73,21 @@
 	let stoppingMs = 0;
 	let stopAtMs: number | undefined;
 
-	const store = new StoreClient({
-		address: vm.storeAddress,
-		timeoutMs: settings.storeTimeoutMs,
-	});
-	const link = new HttpTargetLink();
-	const configuration = createConfigurationState();
-	const directory = createTargetDirectory({
-		clock,
-		lapseGraceMs,
-		unreachableMs,
-		lingerMs,
-	});
-	const load = createTargetLoad(clock, peerTimeoutMs);
-	const detector = createOutlierDetector({
-		clock,
-		maxFailures: 2,
-		slowFactor: 4,
-		slowMinMs: 250,
-		ejectionMs: 800,
-		maxEjectionMs: 4000,
-		maxEjectedShare: 0.6,
-		onEjected(targetId, untilMs) {
-			logger.warn('target ejected', {
-				target: targetId,
-				forMs: Math.round(untilMs - clock.nowMs()),
-			});
-		},
-	});
-	let table: RouteTable | undefined;
-	const peers: PeerLoads = owned.add(
-		startPeerLoads({
-			vm,
+	const fleet = owned.add(
+		startFleetState({
+			settings,
 			instanceId,
 			clock,
 			timers,
-			store,
-			load,
-			configuration,
-			intervalMs: settings.digestIntervalMs,
-			readsTargets: () => watch.readsTargets,
-			onRows(rows) {
-				for (const {targetId, entry, version} of rows) {
-					directory.set(targetId, entry, version);
-				}
-			},
-			onDigest(from, digest) {
-				recovery.heard(from, digest);
-			},
-			onNewerConfiguration() {
-				watch.readConfiguration();
-			},
-			logger,
-		}),
-	);
-	const recovery = createPeerRecovery({
-		clock,
-		configuration,
-		watch: () => watch,
-		logger,
-	});
-	const view = createFleetView({
-		availabilityZone: vm.availabilityZone,
-		directory,
-		load,
-		detector,
-		statistics: createLengthStatistics(),
-		random,
-		otherZoneCostMs: () => otherZoneCostMs(peers.vmCount),
-		onPlaced() {
-			peers.changed();
-		},
-	});
-	const retryShare = createRetryShare({
-		clock,
-		bounds() {
-			const {bounds} = live.current;
-			return {
-				ratio: bounds.retryRatio,
-				extra: bounds.retryExtra,
-				windowMs: bounds.retryWindowMs,
-			};
-		},
-		vmCount: () => peers.vmCount,
-	});
-	const watch: StoreWatch = owned.add(
-		watchStore({
-			store,
-			clock,
-			timers,
 			random,
-			waitMs: () =>
-				peers.vmCount < manyVms || peers.isRelay
-					? settings.storeWaitMs
-					: settings.storeWaitMs * longerWaitFactor,
-			followerIntervalMs: () =>
-				live.current.bounds.drainMs * followerIntervalPart,
-			isRelay: () => peers.isRelay,
-			onRows(rows) {
-				peers.relay(rows);
-			},
-			configuration,
-			directory,
+			bounds: () => live.current.bounds,
 			logger,
 		}),
 	);
+	const {configuration, directory, detector, view, watch} = fleet;
+	const link = new HttpTargetLink();
+	let table: RouteTable | undefined;
+
 	const requests = createRequestServer({
 		clock,
 		timers,
@@ -209,7 +96,7 @@
 		directory,
 		view,
 		detector,
-		retryShare,
+		retryShare: fleet.retryShare,
 		metrics,
 		logger,
 		table: () => table,
@@ -227,7 +114,7 @@
 				: clock.nowMs() - watch.configurationLostMs,
 	});
 	const listener = createCallerListener({
-		limits: () => configuration.current?.limits ?? defaultLimits,
+		limits: () => configuration.current?.limits ?? defaultCallerLimits,
 		isStopping: () => stopAtMs !== undefined,
 		serve: (received, reply) => requests.serve(received, reply),
 		onProblem(problem) {
@@ -333,7 +220,7 @@
 			server.closeAllConnections();
 		}
 
-		await store.close();
+		await fleet.close();
 	};
 
 	let stopped: Promise<void> | undefined;
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -33,7 +33,7 @@
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
 	): StreamPlacement | undefined;
-	placeMove(
+	placeCopy(
 		admitted: AdmittedRequest,
 		from: TargetEntry,
 		avoid: ReadonlySet<string>,
@@ -64,8 +64,8 @@
 
 /** Memory of an engine of both deployments, from their sheets, until one reports its own. */
 const defaultCapacityTokens = 34_000;
-/** Cost of a move between zones, which takes twice as long as one inside, in milliseconds. */
-const otherZoneMoveCostMs = 250;
+/** Cost of a copy between zones, which takes twice as long as one inside, in milliseconds. */
+const otherZoneCopyCostMs = 250;
 /** Tokens in one event of a stream, from the sheets. */
 const tokensPerEvent = 4;
 /** Generations shorter than this end before a copy of their memory would be of use. */
@@ -116,7 +116,6 @@
 				slotCount: entry.slotCount,
 				capacityTokens: capacities.get(service) ?? defaultCapacityTokens,
 				load: load.of(entry.id),
-				cachedTokens: 0,
 				suspect: excluded.has(entry.id),
 			}));
 	};
@@ -208,14 +207,14 @@
 					}
 				: undefined;
 		},
-		placeMove(admitted, from, avoid) {
+		placeCopy(admitted, from, avoid) {
 			const choice = chooseEngine(
 				keeperCandidates(admitted.service, avoid),
 				{
 					promptTokens: admitted.request.generation?.promptTokens ?? 0,
 					expectedOutputTokens: expectedOutputTokens(admitted),
 					nearZone: from.availabilityZone,
-					otherZoneCostMs: otherZoneMoveCostMs,
+					otherZoneCostMs: otherZoneCopyCostMs,
 				},
 				random,
 			);
--- a/src/programs/front/peer-loads.ts
+++ b/src/programs/front/peer-loads.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import {openDatagramChannel} from '../../adapters/front/index.js';
+import {openDatagramSocket} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
 import {
 	type Clock,
@@ -86,12 +86,12 @@
 	return success ? data : undefined;
 }
 
-/** Starts the exchange: registers this VM in the store, reads the others and opens a channel. */
+/** Starts the exchange: registers this VM in the store, reads the others and opens a socket. */
 export function startPeerLoads(options: PeerLoadsOptions): PeerLoads {
 	const {vm, clock, timers, store, load, logger, configuration} = options;
 	const port = vm.peerPorts[0];
 	const address = `${vm.ip}:${port}`;
-	const channel = openDatagramChannel(vm.ip, port);
+	const socket = openDatagramSocket(vm.ip, port);
 	const {availabilityZone} = vm;
 	const peers = createPeerList(
 		clock,
@@ -116,7 +116,7 @@
 		}
 	};
 
-	channel.onDatagram(({from, text}) => {
+	socket.onDatagram(({from, text}) => {
 		const value = parseOrUndefined(text);
 		const digest = decodeDigest(value);
 		const rows = digest ? undefined : decodeRelayedRows(value);
@@ -128,8 +128,8 @@
 			logger.warn('datagram refused', {from});
 		}
 	});
-	channel.onError((error) => {
-		logger.warn('peer channel failed', {detail: error.message});
+	socket.onError((error) => {
+		logger.warn('peer socket failed', {detail: error.message});
 	});
 
 	const digestNow = (): LoadDigest => ({
@@ -158,7 +158,7 @@
 			sequence++;
 			const numbered = encodeDigest({...digest, sequence});
 			for (const peer of peers.inZone(isOwnZone)) {
-				channel.send(peer, numbered);
+				socket.send(peer, numbered);
 			}
 		};
 	};
@@ -235,7 +235,7 @@
 
 			for (const message of encodeRelayedRows(rows)) {
 				for (const peer of peers.addresses) {
-					channel.send(peer, message);
+					socket.send(peer, message);
 				}
 			}
 		},
@@ -251,7 +251,7 @@
 		dispose() {
 			isDisposed = true;
 			soon?.dispose();
-			channel.dispose();
+			socket.dispose();
 		},
 	};
 }
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -63,7 +63,7 @@
 		received: ReceivedRequest,
 		reply: CallerReply,
 	): ServingSession | undefined;
-	engineLeaving(targetId: string): void;
+	engineUnusable(targetId: string): void;
 	/** Engines on which runs, or the copies of their memory, depend. */
 	engines(): readonly TargetEntry[];
 	tick(): void;
@@ -174,7 +174,7 @@
 		const session = startStreamSession(admitted, reply, {
 			...shared(admitted.service),
 			place: (request, avoid) => view.placeStream(request, avoid),
-			placeMove: (request, from, avoid) => view.placeMove(request, from, avoid),
+			placeCopy: (request, from, avoid) => view.placeCopy(request, from, avoid),
 			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
 			isPresent: (targetId) => directory.get(targetId) !== undefined,
 			isUsable: (targetId) =>
@@ -241,9 +241,9 @@
 
 			return [...engines.values()];
 		},
-		engineLeaving(targetId) {
+		engineUnusable(targetId) {
 			for (const session of streams) {
-				session.engineLeaving(targetId);
+				session.engineUnusable(targetId);
 			}
 		},
 		tick() {
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -61,6 +61,9 @@
 	readConfiguration(): void;
 };
 
+/** Whether a table was read, and can be read now. */
+type TableState = 'lost' | 'read' | 'unread';
+
 const minConfigurationIntervalMs = 20;
 /** Several targets change at once; their changes are read together. */
 const relayIntervalMs = 150;
@@ -70,8 +73,7 @@
 	const {configuration, directory, logger, clock} = options;
 	const decoder = new TextDecoder();
 	let hasTargets = false;
-	let readsTargets = false;
-	let areTargetsLost = false;
+	let targetsState: TableState = 'unread';
 	let configurationLostMs: number | undefined;
 	let configurationText: string | undefined;
 	let targetsVersion = 0;
@@ -165,7 +167,7 @@
 		{
 			onSnapshot({rows, version}) {
 				hasTargets = true;
-				readsTargets = true;
+				targetsState = 'read';
 				targetsVersion = version;
 				takeRows(rows, version);
 			},
@@ -184,8 +186,7 @@
 				options.onRows(rows);
 			},
 			onLost(problem) {
-				readsTargets = false;
-				areTargetsLost = true;
+				targetsState = 'lost';
 				directory.storeLost();
 				logger.warn('dependency lost', {
 					dependency: 'store, targets table',
@@ -194,8 +195,7 @@
 				});
 			},
 			onRegained() {
-				readsTargets = true;
-				areTargetsLost = false;
+				targetsState = 'read';
 				directory.storeRegained();
 				logger.info('dependency regained', {
 					dependency: 'store, targets table',
@@ -209,13 +209,13 @@
 			return hasTargets && configuration.current !== undefined;
 		},
 		get isStoreLost() {
-			return areTargetsLost || configurationLostMs !== undefined;
+			return targetsState === 'lost' || configurationLostMs !== undefined;
 		},
 		get hasTargets() {
 			return hasTargets;
 		},
 		get readsTargets() {
-			return readsTargets;
+			return targetsState === 'read';
 		},
 		get configurationLostMs() {
 			return configurationLostMs;
@@ -235,7 +235,7 @@
 		},
 		takeTables(tables) {
 			acceptConfiguration(tables.configuration, 'peer');
-			if (readsTargets) {
+			if (targetsState === 'read') {
 				return;
 			}
 
--- a/src/programs/front/watch-targets.ts
+++ b/src/programs/front/watch-targets.ts
@@ -15,7 +15,7 @@
 	readonly link: TargetLink;
 	readonly detector: OutlierDetector;
 	readonly capacities: CapacityReader;
-	readonly requests: Pick<RequestServer, 'engineLeaving'>;
+	readonly requests: Pick<RequestServer, 'engineUnusable'>;
 	readonly logger: Logger;
 };
 
@@ -53,7 +53,7 @@
 				reason,
 			});
 			updateService(entry.service);
-			requests.engineLeaving(entry.id);
+			requests.engineUnusable(entry.id);
 		}),
 	);
 	owned.add(
@@ -62,7 +62,7 @@
 				target: entry.id,
 				service: entry.service,
 			});
-			requests.engineLeaving(entry.id);
+			requests.engineUnusable(entry.id);
 		}),
 	);
 	return owned;
