--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -118,11 +118,11 @@
 			{
 				file: `${serving}/stream-session.js`,
 				original: "giveUp('the run was lost');",
-				replacement: "finish(() => { reply.end(); }, 'run lost', 200);",
+				replacement: 'ending.streamed(200);',
 			},
 			{
 				file: `${serving}/stream-session.js`,
-				original: "!continueLost(current, 'run lost')",
+				original: "!continueRun('run lost')",
 				replacement: 'true',
 			},
 		],
