Bound what answers, callers and the store may make a VM hold

Cause: a call's answer, the rest of an event, control answers and rows of the store were collected without a bound, and the rest of an event was copied and searched anew at each chunk.

Change: each kind of answer has a largest size, counted on the connection with its framing, so that interim answers, chunk extensions and trailers count as well; all requests of a VM share a book of held bytes, from whose bound on new requests are refused as not run. Past a bound the send is broken off, the target is charged a failure and the caller gets 502, or its stream ends without its end. Callers that do not read or send slowly are bounded likewise, the number of their connections too.

--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -12,9 +12,12 @@
 	ProblemError,
 	toProblem,
 } from '../../common/index.js';
-import type {
-	CallerReply,
-	ServingSession,
+import {
+	type CallerReply,
+	type HeldBytes,
+	type Holding,
+	refuseNotRun,
+	type ServingSession,
 } from '../../decisions/serving/index.js';
 import {createCallerReply} from './caller-reply.js';
 
@@ -30,6 +33,13 @@
 export type CallerListenerOptions = {
 	readonly limits: () => CallerLimits;
 	readonly isStopping: () => boolean;
+	readonly held: HeldBytes;
+	/** Bytes that may wait for a caller that does not read. */
+	readonly maxUnreadBytes: number;
+	/** Time in which a caller must have sent a whole request, in milliseconds. */
+	readonly maxReceiveMs: number;
+	/** Connections of callers at a time. */
+	readonly maxConnections: number;
 	/** Serves a request that was read whole. */
 	readonly serve: (
 		request: ReceivedRequest,
@@ -54,6 +64,8 @@
 const headerTooLargeStatus = 431;
 const bodyTooLargeStatus = 413;
 const bytesPerHeaderLine = 4;
+/** Other VMs have memory to spare, in milliseconds. */
+const retryAfterMs = 300;
 
 function headerBytes(request: IncomingMessage): number {
 	let size = 0;
@@ -66,21 +78,25 @@
 
 /**
  * Reads a whole body.
- * @throws ProblemError `too-large`
+ * @throws ProblemError `too-large`, or `not-run` if this VM has no memory for it
  */
 async function readBody(
 	request: IncomingMessage,
 	maxBytes: number,
+	holding: Holding,
 ): Promise<Uint8Array | undefined> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
 		size += chunk.length;
-		if (size > maxBytes) {
-			throw new ProblemError(
-				'too-large',
-				`the body is larger than ${maxBytes} bytes`,
-			);
+		const problem = holding.set(size);
+		if (problem) {
+			throw problem === 'too large'
+				? new ProblemError(
+						'too-large',
+						`the body is larger than ${maxBytes} bytes`,
+					)
+				: new ProblemError('not-run', problem);
 		}
 
 		chunks.push(chunk);
@@ -96,7 +112,18 @@
 	let openCount = 0;
 
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
-		const reply = createCallerReply(response);
+		const reply = createCallerReply(
+			response,
+			options.held.open(options.maxUnreadBytes),
+			(unreadBytes) => {
+				options.onProblem(
+					new ProblemError(
+						'too-large',
+						`a caller leaves ${unreadBytes} bytes unread`,
+					),
+				);
+			},
+		);
 		const limits = options.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes) {
 			response.shouldKeepAlive = false;
@@ -105,13 +132,20 @@
 		}
 
 		let body: Uint8Array | undefined;
+		const bodyHolding = options.held.open(limits.maxBodyBytes);
+		response.once('close', () => {
+			bodyHolding.dispose();
+		});
 		try {
-			body = await readBody(request, limits.maxBodyBytes);
+			body = await readBody(request, limits.maxBodyBytes, bodyHolding);
 		} catch (error) {
 			const problem = toProblem(error);
 			if (problem.type === 'too-large') {
 				response.shouldKeepAlive = false;
 				reply.own(bodyTooLargeStatus, problem.detail);
+			} else if (problem.type === 'not-run') {
+				response.shouldKeepAlive = false;
+				refuseNotRun(reply, problem.detail, retryAfterMs);
 			} else {
 				// The caller closed its connection before the request was whole.
 				response.destroy();
@@ -163,7 +197,8 @@
 			});
 		},
 	);
-	server.requestTimeout = 0;
+	server.requestTimeout = options.maxReceiveMs;
+	server.maxConnections = options.maxConnections;
 	return {
 		server,
 		get openCount() {
@@ -172,6 +207,10 @@
 		applyLimits(limits) {
 			server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
 			server.headersTimeout = limits.headerTimeoutMs;
+			server.requestTimeout = Math.max(
+				options.maxReceiveMs,
+				limits.headerTimeoutMs,
+			);
 		},
 	};
 }
--- a/src/adapters/front/caller-reply.ts
+++ b/src/adapters/front/caller-reply.ts
@@ -1,10 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, HeaderPair} from '../../common/index.js';
-import type {CallerReply} from '../../decisions/serving/index.js';
-
-/** Bytes that may wait for a caller that does not read. */
-const maxUnreadBytes = 4_194_304;
+import type {CallerReply, Holding} from '../../decisions/serving/index.js';
 
 const bodyless: ReadonlySet<number> = new Set([204, 304]);
 
@@ -12,12 +9,30 @@
 	return headers.filter(([name]) => name.toLowerCase() !== 'content-length');
 }
 
-/** Creates the way back to the caller of one request. */
-export function createCallerReply(response: ServerResponse): CallerReply {
+/**
+ * Creates the way back to the caller of one request.
+ * @param unread - what waits for the caller to read it
+ * @param onStalled - more waits than may
+ */
+export function createCallerReply(
+	response: ServerResponse,
+	unread: Holding,
+	onStalled: (unreadBytes: number) => void,
+): CallerReply {
 	const head = (status: number, headers: readonly HeaderPair[]) => {
 		response.writeHead(status, headers.flat());
 	};
 
+	const noteUnread = () => {
+		if (unread.set(response.writableLength)) {
+			onStalled(response.writableLength);
+			response.destroy();
+		}
+	};
+
+	response.once('close', () => {
+		unread.dispose();
+	});
 	return {
 		get hasHead() {
 			return response.headersSent;
@@ -26,10 +41,12 @@
 			head(answer.status, withoutLength(answer.headers));
 		},
 		data(bytes) {
-			response.write(bytes);
-			if (response.writableLength > maxUnreadBytes) {
-				response.destroy();
+			if (response.destroyed) {
+				return;
 			}
+
+			response.write(bytes);
+			noteUnread();
 		},
 		end() {
 			response.end();
@@ -42,6 +59,7 @@
 
 			head(answer.status, headers);
 			response.end(body);
+			noteUnread();
 		},
 		own(status, message, headers = []) {
 			const body = `${JSON.stringify({status, detail: message})}\n`;
--- a/src/adapters/targets/reset-aware-client.ts
+++ b/src/adapters/targets/reset-aware-client.ts
@@ -1,4 +1,6 @@
+import type {Socket} from 'node:net';
 import type {Client as UndiciClient} from 'undici';
+import {ProblemError} from '../../common/index.js';
 import {buildConnector, Client} from '../http-client/index.js';
 
 /** Options of a client that tells resets from orderly ends. */
@@ -11,6 +13,11 @@
 	 * @param request - options with which the request was dispatched
 	 */
 	readonly onReset: (request: object) => void;
+	/**
+	 * Bytes after which the connection is closed while a request is under way, whatever they are.
+	 * @param request - options with which the request was dispatched
+	 */
+	readonly maxAnswerBytes: (request: object) => number;
 };
 
 const keepAliveInitialDelayMs = 1000;
@@ -30,6 +37,8 @@
 		keepAliveInitialDelay: keepAliveInitialDelayMs,
 	});
 	let current: object | undefined;
+	let currentSocket: Socket | undefined;
+	let bytesBefore = 0;
 
 	const noteReset = (wasReset: boolean) => {
 		if (wasReset && current) {
@@ -37,6 +46,19 @@
 		}
 	};
 
+	/** The parser counts neither interim answers nor chunk extensions, so the bytes are counted here. */
+	const checkSize = (socket: Socket) => {
+		const answerBytes = socket.bytesRead - bytesBefore;
+		if (current && answerBytes > options.maxAnswerBytes(current)) {
+			socket.destroy(
+				new ProblemError(
+					'too-large',
+					`answer of ${answerBytes} bytes with its framing: too large`,
+				),
+			);
+		}
+	};
+
 	const client = new Client(origin, {
 		pipelining: 1,
 		keepAliveTimeout: options.idleTimeoutMs,
@@ -54,6 +76,11 @@
 				socket.prependListener('error', (failure: NodeJS.ErrnoException) => {
 					noteReset(failure.code === 'ECONNRESET');
 				});
+				socket.prependListener('readable', () => {
+					checkSize(socket);
+				});
+				currentSocket = socket;
+				bytesBefore = 0;
 				callback(null, socket);
 			});
 		},
@@ -62,6 +89,7 @@
 	client.dispatch = (request, handler) => {
 		// A pool gives a client its next request only after the one before has ended.
 		current = request;
+		bytesBefore = currentSocket?.bytesRead ?? 0;
 		return dispatch(request, handler);
 	};
 
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -58,6 +58,8 @@
 	/** Memory from which the run continues. */
 	readonly continueFrom: RunMemory | undefined;
 	readonly lastEventId: string | undefined;
+	/** Bytes after which the answer, its framing included, is broken off. */
+	readonly maxAnswerBytes: number;
 };
 
 /** Status and headers of a target's answer. */
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -5,6 +5,7 @@
 	TargetEntry,
 } from '../../common/index.js';
 import type {CallSessionOptions} from './call-session-types.js';
+import type {Holding} from './held-bytes.js';
 import {joined} from './joined-bytes.js';
 import {isPromise, misdirectedStatus} from './refusals.js';
 import {createSessionEnding} from './session-ending.js';
@@ -18,6 +19,7 @@
 	readonly target: TargetEntry;
 	readonly startedMs: number;
 	readonly chunks: Uint8Array[];
+	readonly holding: Holding;
 	readonly open: Disposable;
 	send: Disposable | undefined;
 	head: AnswerHead | undefined;
@@ -41,6 +43,7 @@
 	options: CallSessionOptions,
 ): ServingSession {
 	const {clock, timers, link, retryShare, log} = options;
+	const {maxAnswerBytes} = options.answerBounds;
 	const {request, route, service} = admitted;
 	const isIdempotent = route.kind === 'idempotent';
 	const tried = new Set<string>();
@@ -56,6 +59,7 @@
 	const close = (attempt: Attempt) => {
 		attempt.isOver = true;
 		attempts.delete(attempt);
+		attempt.holding.dispose();
 		attempt.open.dispose();
 	};
 
@@ -106,6 +110,7 @@
 			target,
 			startedMs: clock.nowMs(),
 			chunks: [],
+			holding: options.held.open(maxAnswerBytes),
 			open: options.opened(target),
 			send: undefined,
 			head: undefined,
@@ -130,13 +135,14 @@
 				backupAddress: undefined,
 				continueFrom: undefined,
 				lastEventId: undefined,
+				maxAnswerBytes,
 			},
 			{
 				onHead(head) {
 					attempt.head = head;
 				},
 				onData(chunk) {
-					attempt.chunks.push(chunk);
+					received(attempt, chunk);
 				},
 				onEnd() {
 					answered(attempt);
@@ -162,6 +168,20 @@
 		}
 	};
 
+	const received = (attempt: Attempt, chunk: Uint8Array) => {
+		if (attempt.isOver) {
+			return;
+		}
+
+		attempt.chunks.push(chunk);
+		const problem = attempt.holding.set(attempt.holding.bytes + chunk.length);
+		if (problem) {
+			const reason = `answer of ${attempt.holding.bytes} bytes: ${problem}`;
+			attempt.send?.dispose();
+			failed(attempt, {unsent: false, reason});
+		}
+	};
+
 	const failed = (attempt: Attempt, failure: SendFailure) => {
 		if (attempt.isOver) {
 			return;
--- a/src/decisions/serving/event-splitter.ts
+++ b/src/decisions/serving/event-splitter.ts
@@ -9,8 +9,8 @@
 
 /** Cuts a stream of bytes into whole events. */
 export type EventSplitter = {
-	/** True if part of an event was taken in. */
-	readonly hasRest: boolean;
+	/** Size of the event of which only part was taken in, in bytes. */
+	readonly restBytes: number;
 	/** Takes bytes in and returns the events that are whole now. */
 	push(chunk: Uint8Array): readonly StreamEvent[];
 };
@@ -24,46 +24,74 @@
 	return match ? Number(match[1]) : undefined;
 }
 
-/** Index after the blank line that ends the first event, or -1. */
-function eventEnd(bytes: Uint8Array): number {
-	let lineStart = 0;
-	for (;;) {
-		const end = bytes.indexOf(lineFeed, lineStart);
-		if (end === -1) {
-			return -1;
-		}
+/** Finds blank lines in a stream of chunks; each byte is looked at once. */
+function createBlankLineSearch() {
+	let lineBytes = 0;
+	let startsWithReturn = false;
+	return {
+		/** @returns index after the next blank line that ends in the chunk, or -1 */
+		next(chunk: Uint8Array, fromIndex: number): number {
+			let start = fromIndex;
+			for (;;) {
+				const end = chunk.indexOf(lineFeed, start);
+				const partBytes = (end === -1 ? chunk.length : end) - start;
+				if (lineBytes === 0 && partBytes > 0) {
+					startsWithReturn = chunk[start] === carriageReturn;
+				}
 
-		const isBlank =
-			end === lineStart ||
-			(end === lineStart + 1 && bytes[lineStart] === carriageReturn);
-		if (isBlank) {
-			return end + 1;
-		}
+				lineBytes += partBytes;
+				if (end === -1) {
+					return -1;
+				}
 
-		lineStart = end + 1;
-	}
+				const isBlank =
+					lineBytes === 0 || (lineBytes === 1 && startsWithReturn);
+				lineBytes = 0;
+				start = end + 1;
+				if (isBlank) {
+					return start;
+				}
+			}
+		},
+	};
 }
 
 /** Creates a splitter at the start of a stream. */
 export function createEventSplitter(): EventSplitter {
-	let rest: Uint8Array = new Uint8Array();
+	const blankLines = createBlankLineSearch();
+	let rest: Uint8Array[] = [];
+	let restBytes = 0;
+
+	const takeEvent = (lastPart: Uint8Array): StreamEvent => {
+		const bytes = rest.length === 0 ? lastPart : joined([...rest, lastPart]);
+		rest = [];
+		restBytes = 0;
+		return {id: idOf(bytes), bytes};
+	};
+
 	return {
-		get hasRest() {
-			return rest.length > 0;
+		get restBytes() {
+			return restBytes;
 		},
 		push(chunk) {
-			rest = rest.length === 0 ? chunk : joined([rest, chunk]);
 			const events: StreamEvent[] = [];
+			let start = 0;
 			for (;;) {
-				const end = eventEnd(rest);
+				const end = blankLines.next(chunk, start);
 				if (end === -1) {
-					return events;
+					break;
 				}
 
-				const bytes = rest.subarray(0, end);
-				rest = rest.subarray(end);
-				events.push({id: idOf(bytes), bytes});
+				events.push(takeEvent(chunk.subarray(start, end)));
+				start = end;
 			}
+
+			if (start < chunk.length) {
+				rest.push(chunk.subarray(start));
+				restBytes += chunk.length - start;
+			}
+
+			return events;
 		},
 	};
 }
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './held-bytes.js';
 export * from './call-session.js';
 export * from './configuration-state.js';
 export * from './engine-placement.js';
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -8,6 +8,7 @@
 	TargetLink,
 	Timers,
 } from '../../common/index.js';
+import type {HeldBytes} from './held-bytes.js';
 import type {RetryShare} from './retry-share.js';
 
 /** An attempt of a caller that was admitted to a route. */
@@ -48,12 +49,24 @@
 	callerLeft(): void;
 };
 
+/** Largest answers of sound targets, in bytes. */
+export type AnswerBounds = {
+	/** Answer to a call, or an answer that is no stream. */
+	readonly maxAnswerBytes: number;
+	/** One event of a stream. */
+	readonly maxEventBytes: number;
+	/** All events of a stream. */
+	readonly maxStreamBytes: number;
+};
+
 /** What sessions of both kinds work with. */
 export type SessionServices = {
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly link: TargetLink;
 	readonly retryShare: RetryShare;
+	readonly answerBounds: AnswerBounds;
+	readonly held: HeldBytes;
 	readonly log: DecisionLog;
 	/** A send ended. */
 	readonly ended: (
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -68,9 +68,10 @@
 /** Creates the send of a stream to the engine it was placed at. */
 export function createStreamAttempt(
 	orders: StreamAttemptOrders,
-	{clock, link, log, opened}: StreamSessionOptions,
+	options: StreamSessionOptions,
 	listener: StreamAttemptListener,
 ): StreamAttempt {
+	const {clock, log, opened} = options;
 	const {admitted, placement, continueFrom, answer} = orders;
 	const {request, route} = admitted;
 	const {target, backup} = placement;
@@ -108,7 +109,7 @@
 				leftMs: Math.round(leftMs),
 			});
 			handle = sendStream(
-				link,
+				options,
 				{
 					target,
 					request,
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -8,7 +8,9 @@
 	TargetLink,
 } from '../../common/index.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import type {HeldBytes, Holding} from './held-bytes.js';
 import {joined} from './joined-bytes.js';
+import type {AnswerBounds} from './session-types.js';
 
 /** Receives what becomes of one send of a stream. */
 export type StreamSendListener = {
@@ -25,7 +27,14 @@
 export type StreamSend = {
 	readonly target: TargetEntry;
 	readonly request: CallerRequest;
-	readonly orders: SendOrders;
+	readonly orders: Omit<SendOrders, 'maxAnswerBytes'>;
+};
+
+/** What a stream is received with. */
+export type StreamSendOptions = {
+	readonly link: TargetLink;
+	readonly answerBounds: AnswerBounds;
+	readonly held: HeldBytes;
 };
 
 const okStatus = 200;
@@ -38,7 +47,7 @@
  * the first of `onWhole`, `onOtherAnswer` and `onFailure`, or once disposed.
  */
 export function sendStream(
-	link: TargetLink,
+	{link, answerBounds, held}: StreamSendOptions,
 	{target, request, orders}: StreamSend,
 	listener: StreamSendListener,
 ): Disposable {
@@ -48,8 +57,16 @@
 	let hasEvents = false;
 	let isOver = false;
 
-	const fail = (failure: SendFailure) => {
+	const eventHolding = held.open(answerBounds.maxEventBytes);
+	const otherHolding = held.open(answerBounds.maxAnswerBytes);
+	const finish = () => {
 		isOver = true;
+		eventHolding.dispose();
+		otherHolding.dispose();
+	};
+
+	const fail = (failure: SendFailure) => {
+		finish();
 		listener.onFailure(failure);
 	};
 
@@ -65,9 +82,19 @@
 		return isForeign;
 	};
 
+	/** Breaks the send off if it holds more than it may. */
+	const hold = (holding: Holding, bytes: number) => {
+		const problem = holding.set(bytes);
+		if (problem) {
+			handle.dispose();
+			fail({unsent: false, reason: `${bytes} bytes held: ${problem}`});
+		}
+	};
+
 	const received = (answer: AnswerHead, chunk: Uint8Array) => {
 		if (!isEventStream(answer)) {
 			otherChunks.push(chunk);
+			hold(otherHolding, otherHolding.bytes + chunk.length);
 			return;
 		}
 
@@ -79,21 +106,26 @@
 			hasEvents = true;
 			listener.onEvent(event, answer);
 		}
+
+		if (!isOver) {
+			hold(eventHolding, splitter.restBytes);
+		}
 	};
 
 	const ended = (answer: AnswerHead) => {
 		if (!isEventStream(answer)) {
-			isOver = true;
+			finish();
 			listener.onOtherAnswer(answer, joined(otherChunks));
-		} else if (splitter.hasRest || !hasEvents) {
+		} else if (splitter.restBytes > 0 || !hasEvents) {
 			fail({unsent: false, reason: 'ended inside an event'});
 		} else {
-			isOver = true;
+			finish();
 			listener.onWhole(answer);
 		}
 	};
 
-	const handle = link.send(target.address, request, orders, {
+	const sendOrders = {...orders, maxAnswerBytes: answerBounds.maxStreamBytes};
+	const handle = link.send(target.address, request, sendOrders, {
 		onHead(answer) {
 			head = answer;
 		},
@@ -115,7 +147,7 @@
 	});
 	return {
 		dispose() {
-			isOver = true;
+			finish();
 			handle.dispose();
 		},
 	};
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -1,4 +1,5 @@
 import {
+	createHeldBytes,
 	createRetryShare,
 	type DecisionLog,
 	type SessionServices,
@@ -25,6 +26,12 @@
 			bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
 			vmCount: () => 1,
 		}),
+		answerBounds: {
+			maxAnswerBytes: 10_000,
+			maxEventBytes: 1000,
+			maxStreamBytes: 100_000,
+		},
+		held: createHeldBytes({admitBytes: 100_000, totalBytes: 200_000}),
 		log,
 		ended: ignore,
 		unreachable: ignore,
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -156,6 +156,7 @@
 			backupAddress: undefined,
 			continueFrom: undefined,
 			lastEventId: undefined,
+			maxAnswerBytes: 1000,
 		}),
 	);
 	assert.deepEqual(
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -1,5 +1,7 @@
+import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {request} from '../adapters/http-client/index.js';
+import {ProblemError} from '../common/index.js';
 
 /** A call with a JSON body, or none. */
 export type HttpCall = {
@@ -9,6 +11,8 @@
 	readonly path: string;
 	readonly body?: string;
 	readonly timeoutMs: number;
+	/** Size of the body from which on it is not read, in bytes. */
+	readonly maxAnswerBytes: number;
 };
 
 /** What was answered. */
@@ -16,11 +20,11 @@
 
 /**
  * Makes a call and reads its whole answer.
- * @throws if no answer comes in time
+ * @throws if no answer comes in time; ProblemError `too-large`
  */
 export async function makeHttpCall(
 	dispatcher: Dispatcher,
-	{origin, method, path, body, timeoutMs}: HttpCall,
+	{origin, method, path, body, timeoutMs, maxAnswerBytes}: HttpCall,
 ): Promise<HttpCallAnswer> {
 	const answer = await request(dispatcher, {
 		origin,
@@ -32,5 +36,21 @@
 		bodyTimeout: timeoutMs,
 		signal: AbortSignal.timeout(timeoutMs),
 	});
-	return {status: answer.statusCode, text: await answer.body.text()};
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > maxAnswerBytes) {
+			// Leaving the loop closes the connection.
+			throw new ProblemError(
+				'too-large',
+				`the answer is larger than ${maxAnswerBytes} bytes`,
+			);
+		}
+
+		chunks.push(chunk);
+	}
+
+	const text = Buffer.concat(chunks, size).toString('utf8');
+	return {status: answer.statusCode, text};
 }
--- a/src/platform/http-target-link.test.ts
+++ b/src/platform/http-target-link.test.ts
@@ -56,6 +56,7 @@
 				backupAddress: undefined,
 				continueFrom: undefined,
 				lastEventId: undefined,
+				maxAnswerBytes: 1_048_576,
 			},
 			{
 				onHead(head) {
--- a/src/platform/http-target-link.ts
+++ b/src/platform/http-target-link.ts
@@ -25,6 +25,8 @@
 const idleTimeoutMs = 4000;
 const defaultMaxConnections = 16;
 const releaseTimeoutMs = 1000;
+/** Reports name each run of an engine; this is many times the largest. */
+const maxControlAnswerBytes = 1_048_576;
 
 const reportSchema = z.object({
 	queued: z.number(),
@@ -89,6 +91,8 @@
 	/** Requests whose connection was reset, by the options they were dispatched with. */
 	private readonly resets = new WeakSet();
 	private readonly maxConnections = new Map<string, number>();
+	/** Largest answers to requests, by the options they were dispatched with. */
+	private readonly maxAnswerBytes = new WeakMap<object, number>();
 
 	override send(
 		address: string,
@@ -122,6 +126,7 @@
 			bodyTimeout: 0,
 		};
 		const {resets} = this;
+		this.maxAnswerBytes.set(dispatched, orders.maxAnswerBytes);
 		this.poolOf(address).dispatch(dispatched, {
 			onRequestStart(controller) {
 				if (settled) {
@@ -179,6 +184,7 @@
 				path: targetCalls.moveMemory,
 				body,
 				timeoutMs,
+				maxAnswerBytes: maxControlAnswerBytes,
 			});
 			return decodeCopyResult(address, status, text);
 		} catch (error) {
@@ -191,6 +197,7 @@
 			method: 'DELETE',
 			path: `${targetCalls.releaseCopy}/${handle}`,
 			timeoutMs: releaseTimeoutMs,
+			maxAnswerBytes: maxControlAnswerBytes,
 		}).catch(() => {
 			// The engine frees a copy by itself after some seconds.
 		});
@@ -204,6 +211,7 @@
 			method: 'GET',
 			path: targetCalls.report,
 			timeoutMs,
+			maxAnswerBytes: maxControlAnswerBytes,
 		});
 		const problem = 'target-protocol';
 		const what = 'the load report of an engine';
@@ -260,6 +268,8 @@
 						onReset: (request) => {
 							this.resets.add(request);
 						},
+						maxAnswerBytes: (request) =>
+							this.maxAnswerBytes.get(request) ?? maxControlAnswerBytes,
 					}),
 			});
 			this.pools.set(address, pool);
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import type {AddressInfo} from 'node:net';
 import {test, type TestContext} from 'node:test';
-import {ProblemError} from '../common/index.js';
+import {createEmitter, ProblemError} from '../common/index.js';
 import {StoreClient} from './store-client.js';
 import {createStoreStandin} from './testing/index.js';
 
@@ -72,3 +72,26 @@
 	standin.server.removeAllListeners('request');
 	await assert.rejects(client.snapshot('op'), isProblem('table-unavailable'));
 });
+
+test('guards against a store whose answer has no end filling the memory', async (context) => {
+	const {standin, client} = await start(context);
+	standin.server.removeAllListeners('request');
+	const closed = createEmitter<void>();
+	const isClosed = new Promise<void>((resolve) => {
+		closed.event(resolve);
+	});
+	standin.server.on('request', (_request, response) => {
+		response.once('close', () => {
+			closed.fire();
+		});
+		const block = 'x'.repeat(65_536);
+		const more = () => {
+			while (!response.destroyed && response.write(block));
+			response.once('drain', more);
+		};
+
+		more();
+	});
+	await assert.rejects(client.snapshot('op'), isProblem('table-unavailable'));
+	await isClosed;
+});
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -34,6 +34,8 @@
 });
 
 const goneStatus = 410;
+/** A page of rows, or a row of the largest size, has about 1 MB; in base64 and JSON a third more. */
+const maxAnswerBytes = 16_777_216;
 const okStatus = 200;
 /** Statuses with which the store promises that nothing was done. */
 const refusedStatuses: ReadonlySet<number> = new Set([403, 412, 429, 503, 507]);
@@ -161,6 +163,7 @@
 				path,
 				body,
 				timeoutMs,
+				maxAnswerBytes,
 			});
 		} catch (error) {
 			throw new ProblemError(
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -17,6 +17,7 @@
 	toProblem,
 } from '../../common/index.js';
 import {
+	createHeldBytes,
 	createRouteTable,
 	type RouteTable,
 } from '../../decisions/serving/index.js';
@@ -43,6 +44,11 @@
 };
 
 const tickMs = 100;
+const bytesPerMegabyte = 1_048_576;
+/** Requests under way may hold this multiple of what new ones are admitted up to. */
+const totalToAdmitted = 2;
+/** Part of the descriptors that callers' connections may take; targets and files need the others. */
+const callerDescriptorPart = 0.6;
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
 
@@ -86,6 +92,14 @@
 	);
 	const {configuration, directory, detector, view, watch} = fleet;
 	const link = new HttpTargetLink();
+	const admitBytes =
+		vm.limits.memoryMb *
+		bytesPerMegabyte *
+		(settings.requestMemoryPercent / 100);
+	const held = createHeldBytes({
+		admitBytes,
+		totalBytes: admitBytes * totalToAdmitted,
+	});
 	let table: RouteTable | undefined;
 
 	const requests = createRequestServer({
@@ -97,6 +111,8 @@
 		view,
 		detector,
 		retryShare: fleet.retryShare,
+		answerBounds: settings.answerBounds,
+		held,
 		metrics,
 		logger,
 		table: () => table,
@@ -116,6 +132,10 @@
 	const listener = createCallerListener({
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
 		isStopping: () => stopAtMs !== undefined,
+		held,
+		maxUnreadBytes: settings.maxUnreadBytes,
+		maxReceiveMs: settings.maxReceiveMs,
+		maxConnections: Math.floor(vm.limits.maxDescriptors * callerDescriptorPart),
 		serve: (received, reply) => requests.serve(received, reply),
 		onProblem(problem) {
 			logger.error('request failed unexpectedly', {
--- /dev/null
+++ b/src/programs/front/endless-answers.test.ts
@@ -0,0 +1,225 @@
+import assert from 'node:assert/strict';
+import {connect, type Socket} from 'node:net';
+import {test} from 'node:test';
+import {answerHead, type TargetScript} from '../../platform/testing/index.js';
+import {
+	call,
+	fixtureConfiguration,
+	fixtureHost,
+	fixtureKey,
+	startFixture,
+	statusOf,
+	until,
+} from './testing/index.js';
+
+/** More than the buffers of a loopback connection hold besides what the daemon reads. */
+const maxTakenBytes = 33_554_432;
+const blockBytes = 65_536;
+const routeTimeoutMs = 20_000;
+
+type Flood = {
+	/** Bytes before the first block. */
+	readonly head: (request: Parameters<TargetScript>[0]) => string;
+	readonly block: string;
+};
+
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const filler = 'x'.repeat(blockBytes);
+
+const floods: Readonly<Record<string, Flood>> = {
+	'a body without a length': {
+		head: (request) => answerHead(request, 'Connection: close'),
+		block: filler,
+	},
+	'a body with a length that is never reached': {
+		head: (request) => answerHead(request, 'Content-Length: 99999999999'),
+		block: filler,
+	},
+	'a head that never ends': {
+		head: () => 'HTTP/1.1 200 OK\r\nX-Long: ',
+		block: filler,
+	},
+	'header lines that never end': {
+		head: () => 'HTTP/1.1 200 OK\r\n',
+		block: 'X-Line: value\r\n'.repeat(4000),
+	},
+	'interim answers that never end': {
+		head: () => '',
+		block: 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(2500),
+	},
+	'a chunk extension that never ends': {
+		head: (request) =>
+			`${answerHead(request, 'Transfer-Encoding: chunked')}5;name=`,
+		block: filler,
+	},
+	'trailers that never end': {
+		head: (request) =>
+			`${answerHead(request, 'Transfer-Encoding: chunked')}0\r\nX-Long: `,
+		block: filler,
+	},
+};
+
+const eventFloods: Readonly<Record<string, Flood>> = {
+	'an event that never ends': {
+		head: (request) =>
+			`${answerHead(request, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked')}${chunk('id: 1\ndata: a\n\n')}${chunk('id: 2\ndata: ')}`,
+		block: chunk(filler),
+	},
+	'one line after the other without an event': {
+		head: (request) =>
+			`${answerHead(request, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked')}${chunk('id: 1\ndata: a\n\n')}`,
+		block: chunk('data: a\n'.repeat(8000)),
+	},
+};
+
+/** Sends blocks as long as the connection takes them. */
+function flood(
+	socket: Socket,
+	{block}: Flood,
+	onSent: (bytes: number) => void,
+) {
+	const more = () => {
+		while (!socket.destroyed) {
+			onSent(block.length);
+			if (!socket.write(block)) {
+				socket.once('drain', more);
+				return;
+			}
+		}
+	};
+
+	more();
+}
+
+const routes = [
+	{
+		name: 'stock',
+		prefix: '/stock/',
+		kind: 'idempotent',
+		service: 'desk',
+		timeoutMs: routeTimeoutMs,
+	},
+	{
+		name: 'book',
+		prefix: '/book/',
+		kind: 'non_idempotent',
+		service: 'desk',
+		timeoutMs: routeTimeoutMs,
+	},
+	{
+		name: 'report',
+		prefix: '/report/',
+		kind: 'stream',
+		service: 'model',
+		timeoutMs: routeTimeoutMs,
+	},
+] as const;
+
+const floodOf = (path: string): Flood | undefined => {
+	const name = decodeURIComponent(path);
+	return floods[name] ?? eventFloods[name];
+};
+
+test('guards against answers without end filling the memory of a VM and holding up sound requests', async (context) => {
+	const sentBytes = new Map<string, number>();
+	const closed = new Set<string>();
+	const {store, front, entry, isReady} = await startFixture(
+		context,
+		(request, socket) => {
+			const [, name = ''] = /^POST \/\w+\/(\S+) /.exec(request.head) ?? [];
+			const found = floodOf(name);
+			if (found) {
+				socket.once('close', () => closed.add(request.id));
+				socket.write(found.head(request));
+				flood(socket, found, (bytes) => {
+					sentBytes.set(request.id, (sentBytes.get(request.id) ?? 0) + bytes);
+				});
+			} else {
+				socket.write(answerHead(request, 'Content-Length: 2') + 'ok');
+			}
+		},
+	);
+	store.put('op', 'config', fixtureConfiguration(3, undefined, routes));
+	store.put('servers', 't1', entry('desk'));
+	store.put('servers', 'e1', entry('model'));
+	await until(isReady);
+	await until(async () => (await statusOf(front, '/stock/sound')) === 200);
+
+	for (const name of Object.keys({...floods, ...eventFloods})) {
+		const isStream = name in eventFloods;
+		await context.test(name, async () => {
+			const path = `/${isStream ? 'report' : 'book'}/${encodeURIComponent(name)}`;
+			const id = name.replaceAll(' ', '-');
+			const headers = {'Cowslipspread-Attempt-Id': id};
+			const endless = call(front, path, headers, 'POST');
+			const sound = await Promise.all(
+				Array.from({length: 5}, async () => statusOf(front, '/stock/sound')),
+			);
+			assert.deepEqual(sound, [200, 200, 200, 200, 200]);
+			const answer = await endless;
+			// Not the 504 of the route's time limit: the send is broken off at its bound.
+			assert.deepEqual(
+				[answer.status, answer.aborted],
+				isStream ? [200, true] : [502, false],
+			);
+			await until(() => closed.has(id));
+			assert.ok((sentBytes.get(id) ?? 0) < maxTakenBytes);
+		});
+	}
+});
+
+test('guards against a caller that does not read filling the memory of a VM', async (context) => {
+	let sentBytes = 0;
+	let isClosed = false;
+	const event = chunk(`id: 1\ndata: ${'x'.repeat(1000)}\n\n`);
+	const {store, front, entry, isReady} = await startFixture(
+		context,
+		(request, socket) => {
+			if (request.id !== 'unread') {
+				socket.write(answerHead(request, 'Content-Length: 2') + 'ok');
+				return;
+			}
+
+			socket.once('close', () => {
+				isClosed = true;
+			});
+			socket.write(
+				answerHead(
+					request,
+					'Content-Type: text/event-stream',
+					'Transfer-Encoding: chunked',
+				),
+			);
+			// Without numbers each event is new.
+			const block = event.replace('id: 1', 'xx: 1').repeat(50);
+			flood(socket, {head: () => '', block}, (bytes) => {
+				sentBytes += bytes;
+			});
+		},
+	);
+	store.put('op', 'config', fixtureConfiguration(3, undefined, routes));
+	store.put('servers', 't1', entry('desk'));
+	store.put('servers', 'e1', entry('model'));
+	await until(isReady);
+	await until(async () => (await statusOf(front, '/stock/sound')) === 200);
+	const caller = connect(front, '127.0.0.1');
+	context.after(() => caller.destroy());
+	caller.on('error', () => {
+		// The daemon resets the connection.
+	});
+	caller.pause();
+	caller.write(
+		[
+			'POST /report/1 HTTP/1.1',
+			`Host: ${fixtureHost}`,
+			`Api-Key: ${fixtureKey}`,
+			'Cowslipspread-Attempt-Id: unread',
+			'Content-Length: 0',
+			'',
+			'',
+		].join('\r\n'),
+	);
+	await until(() => isClosed);
+	assert.ok(sentBytes < maxTakenBytes, `${sentBytes} bytes were taken`);
+	assert.equal(await statusOf(front, '/stock/sound'), 200);
+});
--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import type {LogLevel} from '../../adapters/system/index.js';
 import {ProblemError, type VmSettings} from '../../common/index.js';
+import type {AnswerBounds} from '../../decisions/serving/index.js';
 import {bootFileVariable, decodeBootFile} from '../../platform/index.js';
 import {checkNumber, commandLine} from '../command-line.js';
 
@@ -20,6 +21,13 @@
 	readonly digestIntervalMs: number;
 	/** Log lines that may wait for a reader of the output, in bytes. */
 	readonly maxLogBacklogBytes: number;
+	readonly answerBounds: AnswerBounds;
+	/** Bytes that may wait for a caller that does not read. */
+	readonly maxUnreadBytes: number;
+	/** Time in which a caller must have sent a whole request, in milliseconds. */
+	readonly maxReceiveMs: number;
+	/** Part of the VM's memory that requests may hold before new ones are refused, in percent. */
+	readonly requestMemoryPercent: number;
 	readonly logLevel: LogLevel;
 	/** True to read the settings and end. */
 	readonly checkOnly: boolean;
@@ -85,6 +93,40 @@
 				default: 262_144,
 				describe: 'log output that may wait for its reader, in bytes',
 			},
+			'max-answer-bytes': {
+				type: 'number',
+				default: 1_048_576,
+				describe: 'largest answer to a call, in bytes (16384 to 67108864)',
+			},
+			'max-event-bytes': {
+				type: 'number',
+				default: 262_144,
+				describe: 'largest event of a stream, in bytes (4096 to 16777216)',
+			},
+			'max-stream-bytes': {
+				type: 'number',
+				default: 16_777_216,
+				describe:
+					'all events of a stream together, in bytes (65536 to 1073741824)',
+			},
+			'max-unread-bytes': {
+				type: 'number',
+				default: 1_048_576,
+				describe:
+					'bytes that may wait for a caller that does not read (16384 to 67108864)',
+			},
+			'max-receive-ms': {
+				type: 'number',
+				default: 30_000,
+				describe:
+					'time in which a caller must have sent a whole request, in ms (1000 to 600000)',
+			},
+			'request-memory-percent': {
+				type: 'number',
+				default: 15,
+				describe:
+					"part of the VM's memory that requests may hold before new ones are refused, in percent (1 to 50)",
+			},
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
@@ -126,6 +168,44 @@
 			1024,
 			16_777_216,
 		),
+		answerBounds: {
+			maxAnswerBytes: checkNumber(
+				'max-answer-bytes',
+				flags['max-answer-bytes'],
+				16_384,
+				67_108_864,
+			),
+			maxEventBytes: checkNumber(
+				'max-event-bytes',
+				flags['max-event-bytes'],
+				4096,
+				16_777_216,
+			),
+			maxStreamBytes: checkNumber(
+				'max-stream-bytes',
+				flags['max-stream-bytes'],
+				65_536,
+				1_073_741_824,
+			),
+		},
+		maxUnreadBytes: checkNumber(
+			'max-unread-bytes',
+			flags['max-unread-bytes'],
+			16_384,
+			67_108_864,
+		),
+		maxReceiveMs: checkNumber(
+			'max-receive-ms',
+			flags['max-receive-ms'],
+			1000,
+			600_000,
+		),
+		requestMemoryPercent: checkNumber(
+			'request-memory-percent',
+			flags['request-memory-percent'],
+			1,
+			50,
+		),
 		logLevel: flags['log-level'],
 		checkOnly: flags.check,
 	};
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -11,10 +11,13 @@
 import {
 	admit,
 	type AdmittedRequest,
+	type AnswerBounds,
 	type CallerReply,
 	type DecisionLog,
+	type HeldBytes,
 	mayCallWhileStopping,
 	mayStartWhileStopping,
+	ownStatus,
 	refuseNotRun,
 	type RetryShare,
 	type RouteTable,
@@ -46,6 +49,8 @@
 	readonly view: FleetView;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
+	readonly answerBounds: AnswerBounds;
+	readonly held: HeldBytes;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly table: () => RouteTable | undefined;
@@ -70,7 +75,7 @@
 };
 
 /** Other VMs can serve the request at once, in milliseconds. */
-const stoppingRetryAfterMs = 50;
+const elsewhereRetryAfterMs = 50;
 
 /** Creates a server without requests. */
 export function createRequestServer(
@@ -88,6 +93,8 @@
 		timers,
 		link,
 		retryShare: options.retryShare,
+		answerBounds: options.answerBounds,
+		held: options.held,
 		log,
 		ended(
 			target: {readonly id: string},
@@ -212,10 +219,18 @@
 
 			const {admitted} = admission;
 			const counted = measured(admitted, reply);
-			if (outlastsStop(admitted)) {
-				const reason = 'the VM is stopping';
-				log('request refused', {request: request.id, status: 503, reason});
-				refuseNotRun(counted, reason, stoppingRetryAfterMs);
+			const refusal = outlastsStop(admitted)
+				? 'the VM is stopping'
+				: options.held.isFull
+					? 'the memory of the VM is used up'
+					: undefined;
+			if (refusal) {
+				log('request refused', {
+					request: request.id,
+					status: ownStatus.notRun,
+					reason: refusal,
+				});
+				refuseNotRun(counted, refusal, elsewhereRetryAfterMs);
 				return undefined;
 			}
 
--- /dev/null
+++ b/src/programs/front/testing/front-fixture.ts
@@ -0,0 +1,190 @@
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import assert from 'node:assert/strict';
+import {
+	Agent,
+	request as httpRequest,
+	type IncomingHttpHeaders,
+} from 'node:http';
+import type {AddressInfo, Server} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import type {TestContext} from 'node:test';
+import {findFreePorts} from '../../../experiments/fakes/index.js';
+import {
+	bootFile,
+	configurationRow,
+	createStoreStandin,
+	createTargetStandin,
+	type OperatorRoute,
+	targetRow,
+	type TargetScript,
+} from '../../../platform/testing/index.js';
+import {createFront} from '../create-front.js';
+import {readBootFile} from '../front-settings.js';
+
+/** Host of the routes that the fixture's configuration has. */
+export const fixtureHost = 'a.example';
+/** API key that the fixture's configuration knows. */
+export const fixtureKey = 'key-1';
+
+/** Listens on a free port of the loopback address until the test ends. */
+export async function listenOn(
+	context: TestContext,
+	server: Server,
+): Promise<number> {
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		server.close();
+	});
+	return (server.address() as AddressInfo).port;
+}
+
+/** What a caller was answered. */
+export type FixtureAnswer = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: string;
+	/** True if the connection broke before the answer was whole. */
+	readonly aborted: boolean;
+};
+
+/** Calls a daemon as a caller does. */
+export async function call(
+	port: number,
+	requestPath: string,
+	headers: Readonly<Record<string, string>> = {},
+	method = 'GET',
+): Promise<FixtureAnswer> {
+	return new Promise((resolve, reject) => {
+		const request = httpRequest(
+			{
+				host: '127.0.0.1',
+				port,
+				path: requestPath,
+				method,
+				headers: {Host: fixtureHost, 'Api-Key': fixtureKey, ...headers},
+				agent: new Agent({keepAlive: false}),
+			},
+			(response) => {
+				let body = '';
+				const done = (aborted: boolean) => {
+					resolve({
+						status: response.statusCode ?? 0,
+						headers: response.headers,
+						body,
+						aborted,
+					});
+				};
+
+				response.on('data', (chunk: Uint8Array) => {
+					body += new TextDecoder().decode(chunk);
+				});
+				response.on('end', () => {
+					done(false);
+				});
+				response.on('error', () => {
+					done(true);
+				});
+			},
+		);
+		request.on('error', reject);
+		request.end();
+	});
+}
+
+/** Status of a call. */
+export async function statusOf(
+	...parameters: Parameters<typeof call>
+): Promise<number> {
+	const {status} = await call(...parameters);
+	return status;
+}
+
+const defaultRoutes: readonly OperatorRoute[] = [
+	{name: 'stock', prefix: '/stock/', kind: 'idempotent', service: 'desk'},
+	{name: 'book', prefix: '/book/', kind: 'non_idempotent', service: 'desk'},
+	{name: 'report', prefix: '/report/', kind: 'stream', service: 'model'},
+];
+
+/** A configuration with one route of each kind. */
+export function fixtureConfiguration(
+	version: number,
+	apiKeys: readonly string[] = [fixtureKey],
+	routes = defaultRoutes,
+): Readonly<Record<string, unknown>> {
+	return configurationRow({
+		version,
+		host: fixtureHost,
+		routes,
+		account: 'finishers',
+		apiKeys,
+	});
+}
+
+/** Waits for a condition; fails if it does not come about within some seconds. */
+export async function until(isTrue: () => Promise<boolean> | boolean) {
+	for (let tries = 0; tries < 200; tries++) {
+		if (await isTrue()) {
+			return;
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+	}
+
+	assert.fail('the condition did not come about');
+}
+
+/** Starts a daemon on ports for callers, for the readiness check and for peers. */
+export async function startDaemon(
+	context: TestContext,
+	storePort: number,
+	[front, ready, peer]: readonly number[],
+) {
+	const file = path.join(mkdtempSync(path.join(tmpdir(), 'front-')), 'boot');
+	const boot = bootFile({front, ready, peer, store: storePort});
+	writeFileSync(file, JSON.stringify(boot));
+	const daemon = await createFront({
+		bootFile: file,
+		vm: readBootFile(file),
+		metricsPort: 0,
+		storeTimeoutMs: 500,
+		storeWaitMs: 500,
+		digestIntervalMs: 200,
+		maxLogBacklogBytes: 65_536,
+		answerBounds: {
+			maxAnswerBytes: 1_048_576,
+			maxEventBytes: 262_144,
+			maxStreamBytes: 16_777_216,
+		},
+		maxUnreadBytes: 1_048_576,
+		maxReceiveMs: 30_000,
+		requestMemoryPercent: 15,
+		logLevel: 'error',
+		checkOnly: false,
+	});
+	context.after(async () => daemon.stop());
+	return {
+		daemon,
+		front,
+		async isReady() {
+			const {status} = await call(ready, '/-/readyz');
+			return status === 200;
+		},
+	};
+}
+
+/** Starts a store, a target that answers as a script says, and a daemon between them. */
+export async function startFixture(context: TestContext, script: TargetScript) {
+	const store = createStoreStandin();
+	const target = createTargetStandin(script);
+	const storePort = await listenOn(context, store.server);
+	const targetPort = await listenOn(context, target.server);
+	const daemon = await startDaemon(context, storePort, await findFreePorts(3));
+	const entry = (service: string, state?: 'draining' | 'ready') =>
+		targetRow(service, `127.0.0.1:${targetPort}`, state);
+	return {store, target, ...daemon, entry};
+}
--- /dev/null
+++ b/src/programs/front/testing/index.ts
@@ -0,0 +1,1 @@
+export * from './front-fixture.js';
