--- a/src/common/deployment/types.ts
+++ b/src/common/deployment/types.ts
@@ -88,6 +88,8 @@
 export type VmLimits = {
 	readonly memoryMb: number;
 	readonly maxDescriptors: number;
+	/** Processor time in a second, in milliseconds. */
+	readonly powerMs: number;
 };
 
 /** Bounds of the contract that a VM has to keep. */
@@ -120,6 +122,8 @@
 	readonly ip: string;
 	/** First and last free port for traffic between VMs. */
 	readonly peerPorts: readonly [number, number];
+	/** IP addresses of some VMs that may know others; they may be old or down. */
+	readonly seedIps: readonly string[];
 	/** `address:port` of the store. */
 	readonly storeAddress: string;
 	/** Interval at which targets renew their entries, in milliseconds. */
--- /dev/null
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as fc from 'fast-check';
+import {ProblemError} from '../../common/index.js';
+import {
+	decodeFleetMessage,
+	encodeFleetMessage,
+	type FleetMessage,
+} from './fleet-messages.js';
+
+const sender = {
+	address: '10.1.0.2:7200',
+	availabilityZone: 'zone-1',
+	instanceId: '0f3a',
+	powerMs: 324,
+	reading: 'reading',
+} as const;
+const run = {
+	id: 'q1.1',
+	targetId: 'e1',
+	copyTargetId: undefined,
+	promptTokens: 3000,
+	doneTokens: 40,
+	remainingTokens: 600,
+	priority: 1,
+};
+const table = {version: 40, changeVersion: 31, ageMs: 200};
+const demand = {
+	id: 'q2.1',
+	service: 'model',
+	purpose: 'run',
+	promptTokens: 2200,
+	expectedTokens: 12,
+	doneTokens: 0,
+	nearZone: 'zone-1',
+	avoid: ['e2'],
+	waitedMs: 10,
+	objectiveMs: 1800,
+	leftMs: 38_990,
+	priority: 0,
+} as const;
+
+const messages: readonly FleetMessage[] = [
+	{
+		kind: 'heartbeat',
+		sender,
+		sequence: 3,
+		configuration: table,
+		targets: table,
+		runs: [run, {...run, id: 'q3.1', copyTargetId: 'e2'}],
+	},
+	{
+		kind: 'beacon',
+		sender,
+		sequence: 4,
+		vmCount: 195,
+		members: [[{...sender, address: '10.1.0.3:7200', reading: 'lost'}, 300]],
+		configuration: table,
+		targets: table,
+	},
+	{kind: 'run-update', set: [run], ended: ['q9.1']},
+	{kind: 'place', demand},
+	{
+		kind: 'placed',
+		id: 'q2.1',
+		answer: {
+			outcome: 'placed',
+			placement: {
+				targetId: 'e1',
+				copyTargetId: 'e3',
+				firstTokenMs: 200,
+				memoryPart: 0.5,
+				isLate: true,
+			},
+		},
+	},
+	{kind: 'placed', id: 'q2.1', answer: {outcome: 'waiting', ahead: 2}},
+	{
+		kind: 'placed',
+		id: 'q2.1',
+		answer: {outcome: 'refused', reason: 'no memory', retryAfterMs: 900},
+	},
+	{kind: 'cancel', id: 'q2.1'},
+];
+
+for (const message of messages) {
+	test(`guards against a ${message.kind} message that changes on the way`, () => {
+		const text = encodeFleetMessage(message);
+		assert.deepEqual(decodeFleetMessage(JSON.parse(text)), message);
+	});
+}
+
+test('guards against a datagram of another form that ends a VM', () => {
+	fc.assert(
+		fc.property(
+			fc.oneof(
+				fc.jsonValue(),
+				fc.tuple(
+					fc.constantFrom('h', 'b', 'u', 'p', 'a', 'c'),
+					fc.jsonValue(),
+					fc.jsonValue(),
+					fc.jsonValue(),
+				),
+			),
+			(value) => {
+				try {
+					decodeFleetMessage(value);
+				} catch (error) {
+					assert.ok(error instanceof ProblemError);
+					assert.equal(error.type, 'peer-protocol');
+				}
+			},
+		),
+		{seed: 7, numRuns: 2000},
+	);
+});
--- /dev/null
+++ b/src/decisions/fleet/member-list.ts
@@ -0,0 +1,194 @@
+import type {Clock} from '../../common/index.js';
+import type {MemberMark, StoreReading} from './types.js';
+
+/** VMs that are heard of, in the order in which they take duties. */
+export type MemberList = {
+	/** Largest number of VMs that may be serving, this one included. */
+	readonly vmCount: number;
+	/** The first live member; it places the generations of all. */
+	readonly coordinator: MemberMark;
+	/** True once this VM has been the first long enough to know what the others run. */
+	readonly isCoordinator: boolean;
+	/** Live members, the strongest first, this VM among them. */
+	ranked(): readonly MemberMark[];
+	/** Addresses of all others that are heard of, suspected ones included. */
+	addresses(): Iterable<string>;
+	/** Members that keep account of all runs: the coordinator and the one that would follow it. */
+	accountants(): readonly MemberMark[];
+	/** True if this VM is one of the few that read the store for all. */
+	isReader(reading: StoreReading): boolean;
+	/**
+	 * A member was heard, or heard of.
+	 * @param ageMs - time since it was heard itself, in milliseconds
+	 */
+	heard(member: MemberMark, ageMs: number): void;
+	/** Another VM knows of this many. */
+	counted(vmCount: number): void;
+	/** Time since a VM was heard itself, in milliseconds; Infinity if it is not known. */
+	silentMs(address: string): number;
+	/** A member does not answer; it has no duties for a while. */
+	suspect(address: string): void;
+	/** This VM did not run for a while; what it knows of others may be old. */
+	paused(): void;
+};
+
+/** Time after which a silent member counts as gone, in milliseconds. */
+const memberTimeoutMs = 2500;
+/** Time for which a member that did not answer has no duties, in milliseconds. */
+const suspectMs = 1500;
+/** Time in which others tell a new coordinator of their runs, in milliseconds. */
+const settleMs = 1200;
+/** Time for which a count of VMs holds, in milliseconds; the retry budget is shared by it. */
+const countMs = 30_000;
+/** VMs that read the store for all; the loss of one goes unnoticed. */
+const readerCount = 2;
+/** First members among which readers are looked for; with the store away, no more VMs try it. */
+const readerCandidates = 8;
+const accountantCount = 2;
+/** Interval at which silent members are looked for, in milliseconds. */
+const checkMs = 50;
+
+type Known = {
+	readonly mark: MemberMark;
+	readonly heardMs: number;
+};
+
+function byDuty(first: MemberMark, second: MemberMark): number {
+	return (
+		second.powerMs - first.powerMs ||
+		(first.address < second.address
+			? -1
+			: first.address > second.address
+				? 1
+				: 0)
+	);
+}
+
+/** Creates a list with this VM alone. */
+export function createMemberList(clock: Clock, own: MemberMark): MemberList {
+	const others = new Map<string, Known>();
+	const suspected = new Map<string, number>();
+	let ranking: readonly MemberMark[] | undefined;
+	let rankedMs = -Infinity;
+	let firstSinceMs: number | undefined = clock.nowMs();
+	let largestCount = 1;
+	let countedMs = -Infinity;
+
+	const changed = () => {
+		ranking = undefined;
+	};
+
+	const dropSilent = (nowMs: number) => {
+		for (const [address, {heardMs}] of others) {
+			if (nowMs - heardMs > memberTimeoutMs) {
+				others.delete(address);
+				changed();
+			}
+		}
+
+		for (const [address, untilMs] of suspected) {
+			if (nowMs >= untilMs) {
+				suspected.delete(address);
+				changed();
+			}
+		}
+	};
+
+	const noteCount = (count: number) => {
+		const nowMs = clock.nowMs();
+		if (count >= largestCount || nowMs - countedMs > countMs) {
+			largestCount = count;
+			countedMs = nowMs;
+		}
+	};
+
+	const ranked = () => {
+		const nowMs = clock.nowMs();
+		if (nowMs - rankedMs >= checkMs) {
+			rankedMs = nowMs;
+			dropSilent(nowMs);
+		}
+
+		if (!ranking) {
+			ranking = [
+				own,
+				...[...others.values()]
+					.map(({mark}) => mark)
+					.filter(({address}) => !suspected.has(address)),
+			].sort(byDuty);
+			const isFirst = ranking[0].address === own.address;
+			firstSinceMs = isFirst ? (firstSinceMs ?? nowMs) : undefined;
+			noteCount(others.size + 1);
+		}
+
+		return ranking;
+	};
+
+	return {
+		ranked,
+		get vmCount() {
+			return Math.max(largestCount, others.size + 1);
+		},
+		addresses() {
+			ranked();
+			return others.keys();
+		},
+		get coordinator() {
+			return ranked()[0];
+		},
+		get isCoordinator() {
+			ranked();
+			return (
+				firstSinceMs !== undefined && clock.nowMs() - firstSinceMs >= settleMs
+			);
+		},
+		accountants: () => ranked().slice(0, accountantCount),
+		isReader(reading) {
+			const candidates = ranked().slice(0, readerCandidates);
+			const place = candidates.findIndex(
+				({address}) => address === own.address,
+			);
+			const able = candidates
+				.slice(0, Math.max(0, place))
+				.filter((member) => member.reading !== 'lost');
+			return place !== -1 && (reading === 'lost' || able.length < readerCount);
+		},
+		heard(mark, ageMs) {
+			if (mark.address === own.address) {
+				return;
+			}
+
+			const heardMs = clock.nowMs() - ageMs;
+			const before = others.get(mark.address);
+			if (before && before.heardMs >= heardMs) {
+				return;
+			}
+
+			others.set(mark.address, {mark, heardMs});
+			const isCleared = ageMs === 0 && suspected.delete(mark.address);
+			const isSame =
+				before?.mark.reading === mark.reading &&
+				before.mark.powerMs === mark.powerMs;
+			if (isCleared || !isSame) {
+				changed();
+			}
+		},
+		counted(vmCount) {
+			noteCount(vmCount);
+		},
+		silentMs(address) {
+			const known = others.get(address);
+			return known ? clock.nowMs() - known.heardMs : Infinity;
+		},
+		suspect(address) {
+			if (others.has(address)) {
+				suspected.set(address, clock.nowMs() + suspectMs);
+				changed();
+			}
+		},
+		paused() {
+			firstSinceMs = undefined;
+			changed();
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/fleet/place-client.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandomSource} from '../../common/index.js';
+import {VirtualTime} from '../../experiments/fakes/index.js';
+import {
+	createGenerationScheduler,
+	createRunBook,
+	type PlaceAnswer,
+	type PlaceDemand,
+} from '../scheduling/index.js';
+import type {FleetMessage} from './fleet-messages.js';
+import {createMemberList} from './member-list.js';
+import {createPlaceClient} from './place-client.js';
+import type {MemberMark} from './types.js';
+
+const member = (address: string): MemberMark => ({
+	address,
+	availabilityZone: 'zone-1',
+	instanceId: 'i',
+	powerMs: 324,
+	reading: 'idle',
+});
+
+const demand: PlaceDemand = {
+	id: 'q1.1',
+	service: 'model',
+	purpose: 'run',
+	promptTokens: 3000,
+	expectedTokens: 700,
+	doneTokens: 0,
+	nearZone: 'zone-1',
+	avoid: [],
+	waitedMs: 0,
+	objectiveMs: 1800,
+	leftMs: 39_000,
+	priority: 0,
+};
+
+const placedAt = (targetId: string): PlaceAnswer => ({
+	outcome: 'placed',
+	placement: {
+		targetId,
+		copyTargetId: undefined,
+		firstTokenMs: 200,
+		memoryPart: 0.5,
+		isLate: false,
+	},
+});
+
+function start(others: readonly string[]) {
+	const time = new VirtualTime();
+	const members = createMemberList(time, member('c'));
+	for (const address of others) {
+		members.heard(member(address), 0);
+	}
+
+	const sent: Array<readonly [string, FleetMessage['kind']]> = [];
+	const answers: string[] = [];
+	const client = createPlaceClient({
+		clock: time,
+		timers: time,
+		ownAddress: 'c',
+		members,
+		scheduler: createGenerationScheduler({
+			clock: time,
+			random: new SeededRandomSource(1),
+			book: createRunBook(time),
+			engines: () => [
+				{
+					targetId: 'own',
+					availabilityZone: 'zone-1',
+					slotCount: 24,
+					capacityTokens: 34_000,
+					isSuspect: false,
+				},
+			],
+			onAnswer() {
+				// Nothing waits.
+			},
+		}),
+		send(address, {kind}) {
+			sent.push([address, kind]);
+		},
+	});
+	const asking = client.ask(demand, {
+		onAnswer(answer, decidedBy) {
+			answers.push(
+				`${answer.outcome === 'placed' ? answer.placement.targetId : answer.outcome} by ${decidedBy}`,
+			);
+		},
+	});
+	return {time, members, client, sent, answers, asking};
+}
+
+test('guards against a placement that waits for a VM of which nobody hears', () => {
+	const {answers} = start([]);
+	assert.deepEqual(answers, ['own by c']);
+});
+
+test('replay "the coordinator is frozen": the next VM is asked within a fraction of the objective, and a late answer is withdrawn', async () => {
+	const {time, client, sent, answers} = start(['a', 'b']);
+	assert.deepEqual(sent, [['a', 'place']]);
+	await time.runUntil(200);
+	assert.deepEqual(sent, [
+		['a', 'place'],
+		['a', 'place'],
+		['a', 'cancel'],
+		['b', 'place'],
+	]);
+	client.answered('b', demand.id, placedAt('e2'));
+	assert.deepEqual(answers, ['e2 by b']);
+	client.answered('a', demand.id, placedAt('e1'));
+	assert.deepEqual(sent.at(-1), ['a', 'cancel']);
+	assert.deepEqual(answers, ['e2 by b']);
+});
+
+test('replay "a VM is cut off from all others": it decides by itself', async () => {
+	const {time, answers} = start(['a', 'b']);
+	await time.runUntil(400);
+	assert.deepEqual(answers, ['own by c']);
+});
+
+test('guards against a waiting generation that a new coordinator does not know', async () => {
+	const {time, members, client, sent, answers} = start(['b']);
+	client.answered('b', demand.id, {outcome: 'waiting', ahead: 3});
+	await time.runUntil(100);
+	members.heard(member('a'), 0);
+	await time.runUntil(500);
+	assert.deepEqual(sent.slice(0, 3), [
+		['b', 'place'],
+		['b', 'cancel'],
+		['a', 'place'],
+	]);
+	client.answered('a', demand.id, placedAt('e1'));
+	assert.deepEqual(answers, ['e1 by a']);
+});
+
+test('guards against memory kept for a caller that has left', () => {
+	const {client, sent, answers, asking} = start(['a']);
+	asking.dispose();
+	assert.deepEqual(sent.at(-1), ['a', 'cancel']);
+	client.answered('a', demand.id, placedAt('e1'));
+	assert.deepEqual(answers, []);
+});
--- /dev/null
+++ b/src/decisions/fleet/table-belief.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {VirtualTime} from '../../experiments/fakes/index.js';
+import {createTableBelief} from './table-belief.js';
+
+test('guards against a lost datagram leaving a leaving target in use', () => {
+	const belief = createTableBelief(new VirtualTime());
+	belief.read(10, 10);
+	assert.equal(belief.told(10, 12), true);
+	assert.equal(belief.told(14, 15), false);
+	assert.equal(belief.version, 12);
+	const ahead = {version: 20, changeVersion: 15, ageMs: 0};
+	assert.equal(belief.heard(ahead), false);
+});
+
+test('guards against a confirmation by a VM that knows less', async () => {
+	const time = new VirtualTime();
+	const belief = createTableBelief(time);
+	belief.read(10, 10);
+	await time.runUntil(1000);
+	assert.equal(belief.heard({version: 9, changeVersion: 9, ageMs: 0}), true);
+	assert.equal(belief.ageMs, 1000);
+	belief.heard({version: 30, changeVersion: 10, ageMs: 200});
+	assert.equal(belief.ageMs, 200);
+	assert.equal(belief.version, 30);
+});
+
+test('guards against an age that a VM without a read could take for fresh', () => {
+	const belief = createTableBelief(new VirtualTime());
+	assert.equal(belief.heard({version: 0, changeVersion: 0, ageMs: 0}), false);
+	belief.adopt(7);
+	assert.equal(belief.version, 7);
+	assert.equal(belief.ageMs, Infinity);
+});
--- /dev/null
+++ b/src/decisions/fleet/table-belief.ts
@@ -0,0 +1,85 @@
+import type {Clock} from '../../common/index.js';
+import type {TableMark} from './types.js';
+
+/** What this VM knows of a table of the store, and since when that is confirmed. */
+export type TableBelief = {
+	/** Version up to which every change is known; 0 before the first read. */
+	readonly version: number;
+	/** Time since the store, or a VM that reads it, confirmed this; Infinity before. */
+	readonly ageMs: number;
+	readonly mark: TableMark;
+	/**
+	 * This VM has read the store.
+	 * @param version - version up to which every change is known now
+	 * @param changeVersion - newest change, as far as the read tells
+	 */
+	read(version: number, changeVersion: number): void;
+	/**
+	 * A VM that reads the store has told of changes.
+	 * @param afterVersion - version up to which every change must be known already
+	 * @returns false if changes before them are missing
+	 */
+	told(afterVersion: number, version: number): boolean;
+	/**
+	 * A VM has told how far it is.
+	 * @returns false if changes are missing here
+	 */
+	heard(mark: TableMark): boolean;
+	/** Takes over what another VM knows, without a confirmation. */
+	adopt(version: number): void;
+};
+
+/** Creates a belief that knows nothing. */
+export function createTableBelief(clock: Clock): TableBelief {
+	let version = 0;
+	let changeVersion = 0;
+	let confirmedMs = -Infinity;
+
+	const confirm = (atMs: number) => {
+		confirmedMs = Math.max(confirmedMs, atMs);
+	};
+
+	return {
+		get version() {
+			return version;
+		},
+		get ageMs() {
+			return clock.nowMs() - confirmedMs;
+		},
+		get mark() {
+			return {version, changeVersion, ageMs: clock.nowMs() - confirmedMs};
+		},
+		read(readVersion, readChangeVersion) {
+			version = Math.max(version, readVersion);
+			changeVersion = Math.max(changeVersion, readChangeVersion);
+			confirm(clock.nowMs());
+		},
+		told(afterVersion, toldVersion) {
+			if (version < afterVersion) {
+				return false;
+			}
+
+			version = Math.max(version, toldVersion);
+			changeVersion = Math.max(changeVersion, toldVersion);
+			confirm(clock.nowMs());
+			return true;
+		},
+		heard(mark) {
+			if (version < mark.changeVersion || version === 0) {
+				return false;
+			}
+
+			// A VM that has not seen the newest change known here confirms nothing.
+			if (mark.version >= changeVersion) {
+				version = Math.max(version, mark.version);
+				confirm(clock.nowMs() - mark.ageMs);
+			}
+
+			return true;
+		},
+		adopt(adoptedVersion) {
+			version = Math.max(version, adoptedVersion);
+			changeVersion = Math.max(changeVersion, adoptedVersion);
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -0,0 +1,283 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandomSource} from '../../common/index.js';
+import {VirtualTime} from '../../experiments/fakes/index.js';
+import {
+	createGenerationScheduler,
+	type EngineEntry,
+} from './generation-scheduler.js';
+import {createRunBook} from './run-book.js';
+import type {PlaceAnswer, PlaceDemand} from './types.js';
+
+const engine = (
+	targetId: string,
+	changes: Partial<EngineEntry> = {},
+): EngineEntry => ({
+	targetId,
+	availabilityZone: 'zone-1',
+	slotCount: 24,
+	capacityTokens: 20_000,
+	isSuspect: false,
+	...changes,
+});
+
+const report = (
+	id: string,
+	changes: Partial<PlaceDemand> = {},
+): PlaceDemand => ({
+	id,
+	service: 'model',
+	purpose: 'run',
+	promptTokens: 3000,
+	expectedTokens: 700,
+	doneTokens: 0,
+	nearZone: 'zone-1',
+	avoid: [],
+	waitedMs: 0,
+	objectiveMs: 1800,
+	leftMs: 39_000,
+	priority: 0,
+	...changes,
+});
+
+function start(engines: EngineEntry[]) {
+	const time = new VirtualTime();
+	const book = createRunBook(time);
+	const answers: Array<{id: string; answer: PlaceAnswer}> = [];
+	const scheduler = createGenerationScheduler({
+		clock: time,
+		random: new SeededRandomSource(5),
+		book,
+		engines: () => engines,
+		onAnswer(_vm, {id}, answer) {
+			answers.push({id, answer});
+		},
+	});
+
+	/** Lets time pass while all VMs go on to tell of their runs. */
+	const pass = async (untilMs: number, ended: readonly string[] = []) => {
+		for (const id of ended) {
+			book.remove('vm-1', id);
+		}
+
+		for (let atMs = time.nowMs(); atMs < untilMs;) {
+			atMs = Math.min(untilMs, atMs + 25);
+			await time.runUntil(atMs);
+			scheduler.tick();
+		}
+	};
+
+	/** Places a demand and has its VM tell of the run. */
+	const place = (demand: PlaceDemand): PlaceAnswer => {
+		const answer = scheduler.place('vm-1', demand);
+		if (answer.outcome === 'placed') {
+			book.set('vm-1', {
+				id: demand.id,
+				targetId: answer.placement.targetId,
+				copyTargetId: answer.placement.copyTargetId,
+				promptTokens: demand.promptTokens,
+				doneTokens: 0,
+				remainingTokens: demand.expectedTokens,
+				priority: 0,
+			});
+		}
+
+		return answer;
+	};
+
+	return {time, book, scheduler, answers, place, pass};
+}
+
+const targetOf = (answer: PlaceAnswer) =>
+	answer.outcome === 'placed' ? answer.placement.targetId : answer.outcome;
+
+test('replay "ten generations in one second": no engine gets more than its share', () => {
+	const {place} = start(
+		['e1', 'e2', 'e3', 'e4', 'e5'].map((id) =>
+			engine(id, {capacityTokens: 34_000}),
+		),
+	);
+	const counts = new Map<string, number>();
+	for (let index = 0; index < 10; index++) {
+		const id = targetOf(place(report(`q${index}`)));
+		counts.set(id, (counts.get(id) ?? 0) + 1);
+	}
+
+	assert.deepEqual([...counts.values()], [2, 2, 2, 2, 2]);
+});
+
+test('replay "more generations than memory": the rest waits, and goes when memory is freed', async () => {
+	const {place, pass, answers, scheduler} = start([engine('e1')]);
+	const outcomes = Array.from({length: 6}, (_, index) =>
+		place(report(`q${index}`)),
+	).map(({outcome}) => outcome);
+	assert.deepEqual(outcomes, [
+		'placed',
+		'placed',
+		'placed',
+		'placed',
+		'waiting',
+		'waiting',
+	]);
+	await pass(500);
+	assert.equal(answers.length, 0);
+	await pass(600, ['q0']);
+	assert.deepEqual(
+		answers.map(({id, answer}) => [id, targetOf(answer)]),
+		[['q4', 'e1']],
+	);
+	assert.equal(scheduler.waitingCount, 1);
+});
+
+test('replay "a burst of short checks beside long reports": memory goes to what frees it soonest', async () => {
+	const {place, pass, answers} = start([engine('e1')]);
+	for (let index = 0; index < 4; index++) {
+		place(report(`q${index}`));
+	}
+
+	place(report('long'));
+	const check = {promptTokens: 3300, expectedTokens: 12};
+	assert.equal(place(report('first', check)).outcome, 'placed');
+	assert.equal(place(report('second', check)).outcome, 'waiting');
+	await pass(100, ['q0']);
+	assert.equal(answers[0]?.id, 'second');
+});
+
+test('guards against a long generation that short ones keep waiting until it is late', async () => {
+	const {place, pass, answers} = start([engine('e1')]);
+	for (let index = 0; index < 4; index++) {
+		place(report(`q${index}`));
+	}
+
+	place(report('long'));
+	await pass(1000);
+	for (let index = 0; index < 3; index++) {
+		place(report(`short${index}`, {promptTokens: 2200, expectedTokens: 400}));
+	}
+
+	await pass(1100, ['q0']);
+	assert.equal(answers[0]?.id, 'long');
+});
+
+test('replay "overload lasts": late generations leave memory to those that can be on time', async () => {
+	const {place} = start([engine('e1'), engine('e2')]);
+	for (let index = 0; index < 7; index++) {
+		place(report(`q${index}`, {promptTokens: 3650, expectedTokens: 50}));
+	}
+
+	const late = place(report('late', {waitedMs: 1700}));
+	assert.equal(late.outcome, 'waiting');
+	const timely = place(report('timely'));
+	assert.equal(timely.outcome, 'placed');
+});
+
+test('guards against holding a generation that will not be served, and against advice it cannot follow', async () => {
+	const {place, pass, answers} = start([engine('e1')]);
+	const tooLarge = place(report('large', {promptTokens: 25_000}));
+	assert.equal(tooLarge.outcome, 'refused');
+	for (let index = 0; index < 4; index++) {
+		place(report(`q${index}`));
+	}
+
+	place(report('q9'));
+	await pass(11_600);
+	assert.equal(answers.length, 0);
+	await pass(11_800);
+	const refused = answers.at(0)?.answer;
+	assert.ok(refused?.outcome === 'refused');
+	assert.ok(refused.retryAfterMs >= 300);
+	assert.ok(refused.retryAfterMs <= (39_000 - 11_700) / 3);
+});
+
+test('guards against a service without engines that keeps its callers waiting', () => {
+	const {place} = start([]);
+	assert.equal(place(report('q1')).outcome, 'refused');
+	const avoided = start([engine('e1')]);
+	assert.equal(avoided.place(report('q1', {avoid: ['e1']})).outcome, 'refused');
+});
+
+test('guards against a demand that is placed twice because its answer was lost', () => {
+	const {place, book, scheduler} = start([engine('e1'), engine('e2')]);
+	const first = targetOf(place(report('q1')));
+	const again = targetOf(scheduler.place('vm-1', report('q1')));
+	assert.equal(again, first);
+	assert.equal(book.use('e1').runCount + book.use('e2').runCount, 1);
+});
+
+test('guards against memory that stays taken for a demand that is of no use', () => {
+	const {book, scheduler} = start([engine('e1')]);
+	scheduler.place('vm-1', report('q1'));
+	assert.equal(book.use('e1').runCount, 1);
+	scheduler.cancel('vm-1', 'q1');
+	assert.equal(book.use('e1').runCount, 0);
+});
+
+test('replay "an engine leaves with its runs": each goes where it fits, and none displaces another', () => {
+	const {place} = start([engine('e1'), engine('e2')]);
+	for (let index = 0; index < 7; index++) {
+		place(report(`q${index}`));
+	}
+
+	const copy = (id: string) =>
+		targetOf(
+			place(
+				report(id, {
+					purpose: 'copy',
+					doneTokens: 200,
+					expectedTokens: 500,
+					avoid: ['e1'],
+				}),
+			),
+		);
+	assert.equal(copy('c1'), 'e2');
+	assert.equal(copy('c2'), 'refused');
+});
+
+test('replay "engines with memory to spare": runs get a copy from the start, and not once memory is short', () => {
+	const {place} = start(
+		['e1', 'e2', 'e3'].map((id) => engine(id, {capacityTokens: 21_000})),
+	);
+	let last: PlaceAnswer = place(report('q0'));
+	assert.ok(last.outcome === 'placed' && last.placement.copyTargetId);
+	for (let index = 1; index < 7; index++) {
+		last = place(report(`q${index}`));
+	}
+
+	assert.ok(last.outcome === 'placed');
+	assert.equal(last.placement.copyTargetId, undefined);
+	const short = start([engine('e1'), engine('e2')]).place(
+		report('q1', {expectedTokens: 12}),
+	);
+	assert.ok(short.outcome === 'placed' && !short.placement.copyTargetId);
+});
+
+test('replay "an engine turns slow": generations go elsewhere while others have room', async () => {
+	const {place, book, time} = start([engine('e1'), engine('e2')]);
+	const slow = {
+		id: 's1',
+		targetId: 'e1',
+		copyTargetId: undefined,
+		promptTokens: 100,
+		remainingTokens: 600,
+		priority: 0,
+	};
+	for (const [atMs, doneTokens] of [
+		[1000, 20],
+		[2000, 52],
+		[3000, 84],
+	] as const) {
+		await time.runUntil(atMs);
+		book.heard('vm-2', [{...slow, doneTokens}]);
+	}
+
+	assert.equal(targetOf(place(report('q1'))), 'e2');
+	assert.equal(targetOf(place(report('q2'))), 'e2');
+});
+
+test('guards against an engine that failed of late being chosen before a loaded one', () => {
+	const engines = [engine('e1', {isSuspect: true}), engine('e2')];
+	const {place} = start(engines);
+	place(report('q1'));
+	assert.equal(targetOf(place(report('q2'))), 'e2');
+	assert.equal(targetOf(start([engines[0]]).place(report('q1'))), 'e1');
+});
--- /dev/null
+++ b/src/decisions/scheduling/index.ts
@@ -0,0 +1,6 @@
+export * from './engine-placement.js';
+export * from './generation-queue.js';
+export * from './generation-scheduler.js';
+export * from './memory-forecast.js';
+export * from './run-book.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/decisions/scheduling/memory-forecast.test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {peakTokens, tokensUntilFree} from './memory-forecast.js';
+
+const held = (tokens: number, remainingTokens: number) => ({
+	tokens,
+	remainingTokens,
+});
+
+test('guards against a forecast in which all generations peak at the same time', () => {
+	assert.equal(peakTokens([]), 0);
+	assert.equal(peakTokens([held(3000, 500)]), 3500);
+	assert.equal(peakTokens([held(3000, 500), held(3000, 500)]), 7000);
+	// The first ends after 100 tokens each; only then does the second grow to its end.
+	assert.equal(peakTokens([held(3000, 100), held(3000, 1000)]), 6200);
+	assert.equal(peakTokens([held(100, 10), held(3000, 1000)]), 4000);
+});
+
+test('guards against advice to come back before memory is free, or never', () => {
+	const runs = [held(3000, 100), held(3000, 800)];
+	assert.equal(tokensUntilFree(runs, 3000, 10_000), 0);
+	assert.equal(tokensUntilFree(runs, 5000, 9000), 100);
+	assert.equal(tokensUntilFree(runs, 6000, 9000), 800);
+	assert.equal(tokensUntilFree(runs, 10_000, 9000), Infinity);
+});
--- /dev/null
+++ b/src/decisions/scheduling/memory-forecast.ts
@@ -0,0 +1,54 @@
+/** Memory that a run or a copy holds, and how it goes on. */
+export type HeldMemory = {
+	readonly tokens: number;
+	/** Tokens by which it grows until it ends and frees everything. */
+	readonly remainingTokens: number;
+};
+
+/**
+ * Largest memory that the runs of an engine are expected to hold at one time, in tokens. All runs of a
+ * batch grow at the same pace, so that the one with the fewest tokens left ends first and frees its
+ * memory for the others.
+ */
+export function peakTokens(held: readonly HeldMemory[]): number {
+	const byEnd = [...held].sort((a, b) => a.remainingTokens - b.remainingTokens);
+	let total = byEnd.reduce((sum, {tokens}) => sum + tokens, 0);
+	let peak = total;
+	let grown = 0;
+	for (const [index, {tokens, remainingTokens}] of byEnd.entries()) {
+		total += (remainingTokens - grown) * (byEnd.length - index);
+		grown = remainingTokens;
+		peak = Math.max(peak, total);
+		total -= tokens + remainingTokens;
+	}
+
+	return peak;
+}
+
+/**
+ * Tokens by which the runs of an engine must grow until a need fits beside them.
+ * @returns Infinity if it never fits
+ */
+export function tokensUntilFree(
+	held: readonly HeldMemory[],
+	neededTokens: number,
+	limitTokens: number,
+): number {
+	const byEnd = [...held].sort((a, b) => a.remainingTokens - b.remainingTokens);
+	if (neededTokens > limitTokens) {
+		return Infinity;
+	}
+
+	for (let ended = 0; ended <= byEnd.length; ended++) {
+		const grown = ended === 0 ? 0 : byEnd[ended - 1].remainingTokens;
+		const left = byEnd.slice(ended).map(({tokens, remainingTokens}) => ({
+			tokens: tokens + grown,
+			remainingTokens: remainingTokens - grown,
+		}));
+		if (peakTokens(left) + neededTokens <= limitTokens) {
+			return grown;
+		}
+	}
+
+	return Infinity;
+}
--- a/src/decisions/serving/admission.ts
+++ b/src/decisions/serving/admission.ts
@@ -20,15 +20,13 @@
 /** What a request is admitted by. */
 export type AdmissionInputs = {
 	readonly table: RouteTable | undefined;
-	/** Time for which the operator's table could not be read, in milliseconds; 0 if it can. */
-	readonly staleMs: number;
+	/** True while the configuration is confirmed to be the newest. */
+	readonly isConfirmed: boolean;
 	readonly nowMs: number;
 	readonly random: RandomSource;
 };
 
 const retryAfterMs = 500;
-/** Age from which an unknown route or key may be one that this VM has not heard of, in milliseconds. */
-const maxCertainStaleMs = 1000;
 
 function drawService(route: RouteRule, random: RandomSource): string {
 	const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
@@ -49,7 +47,7 @@
  */
 export function admit(
 	request: CallerRequest,
-	{table, staleMs, nowMs, random}: AdmissionInputs,
+	{table, isConfirmed, nowMs, random}: AdmissionInputs,
 ): Admission {
 	const refuse = (status: number, reason: string): Admission => ({
 		status,
@@ -61,21 +59,20 @@
 		return refuse(ownStatus.notRun, 'no configuration is known yet');
 	}
 
-	const isUncertain = staleMs > maxCertainStaleMs;
 	const route = table.match(request.host, request.path);
 	if (!route) {
-		return isUncertain
-			? refuse(ownStatus.notRun, 'the configuration may be out of date')
-			: refuse(ownStatus.notFound, 'no route for this host and path');
+		return isConfirmed
+			? refuse(ownStatus.notFound, 'no route for this host and path')
+			: refuse(ownStatus.notRun, 'the configuration may be out of date');
 	}
 
 	const account = table.accountOf(request.apiKey);
 	const needsKey =
 		table.configuration.accounts !== undefined && !route.anonymous;
 	if (needsKey && !account) {
-		return isUncertain
-			? refuse(ownStatus.notRun, 'the configuration may be out of date')
-			: refuse(ownStatus.unauthorized, 'the API key is not known');
+		return isConfirmed
+			? refuse(ownStatus.unauthorized, 'the API key is not known')
+			: refuse(ownStatus.notRun, 'the configuration may be out of date');
 	}
 
 	const timeoutMs = Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
--- a/src/decisions/serving/engine-wait.ts
+++ b/src/decisions/serving/engine-wait.ts
@@ -1,5 +1,4 @@
 import type {Disposable} from '../../common/index.js';
-import {decideWait, waitInputsOf} from './generation-wait.js';
 import type {AdmittedRequest} from './session-types.js';
 import type {
 	StreamPlacement,
@@ -9,8 +8,11 @@
 /** Receives the outcome of a wait for an engine. */
 export type EngineWaitListener = {
 	onPlaced(placement: StreamPlacement, reason: string): void;
-	/** No engine will have the generation. */
-	onGivenUp(reason: string): void;
+	/**
+	 * No engine will have the generation.
+	 * @param retryAfterMs - time after which one may, in milliseconds
+	 */
+	onGivenUp(reason: string, retryAfterMs?: number): void;
 };
 
 /** A generation that looks for an engine. */
@@ -22,9 +24,6 @@
 	start(reason: string, isRepeat: boolean): void;
 };
 
-/** Interval at which a waiting generation asks again for an engine, in milliseconds. */
-const waitStepMs = 30;
-
 /**
  * Creates a wait that has not started.
  * @param avoid - engines that have failed the generation
@@ -35,35 +34,26 @@
 	avoid: ReadonlySet<string>,
 	listener: EngineWaitListener,
 ): EngineWait {
-	const {clock, timers, retryShare} = options;
-	let waiting: Disposable | undefined;
+	let asking: Disposable | undefined;
 
-	const start = (reason: string, isRepeat: boolean) => {
-		const placement = options.place(admitted, avoid);
-		if (!placement) {
-			listener.onGivenUp('no engine of the service is usable');
-			return;
-		}
+	return {
+		start(reason, isRepeat) {
+			if (isRepeat && !options.retryShare.tryTake(admitted.service)) {
+				listener.onGivenUp('the retry budget is used up');
+				return;
+			}
 
-		const inputs = waitInputsOf(admitted, placement, clock.nowMs());
-		const decision = decideWait(inputs);
-		if (decision === 'refuse') {
-			listener.onGivenUp('the prompt is larger than the memory of an engine');
-		} else if (decision === 'wait') {
-			waiting = timers.after(waitStepMs, () => {
-				start(reason, isRepeat);
+			asking = options.place(admitted, avoid, {
+				onPlaced(placement) {
+					listener.onPlaced(placement, reason);
+				},
+				onRefused(refusal, retryAfterMs) {
+					listener.onGivenUp(refusal, retryAfterMs);
+				},
 			});
-		} else if (isRepeat && !retryShare.tryTake(admitted.service)) {
-			listener.onGivenUp('the retry budget is used up');
-		} else {
-			listener.onPlaced(placement, reason);
-		}
-	};
-
-	return {
-		start,
+		},
 		dispose() {
-			waiting?.dispose();
+			asking?.dispose();
 		},
 	};
 }
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -26,7 +26,20 @@
 	z.number(),
 	entrySchema.nullable(),
 ]);
-const rowsSchema = z.object({rows: z.array(relayedRowSchema)});
+const rowsSchema = z.object({
+	after: z.number(),
+	version: z.number(),
+	rows: z.array(relayedRowSchema),
+});
+
+/** Changes of the table of the targets, as a VM that reads the store tells others. */
+export type RelayedRows = {
+	/** Version up to which every change must be known already. */
+	readonly afterVersion: number;
+	/** Version up to which every change is known with these. */
+	readonly version: number;
+	readonly rows: readonly RelayedRow[];
+};
 
 /** Rows in one datagram; more would not fit the usual size of a packet train. */
 const maxRowsPerMessage = 30;
@@ -51,23 +64,36 @@
 	};
 }
 
-/** Encodes rows for datagrams. */
-export function encodeRelayedRows(rows: readonly RelayedRow[]): string[] {
+/** Encodes changes for datagrams. The rows are in the order of their versions. */
+export function encodeRelayedRows(changes: RelayedRows): string[] {
+	const {rows} = changes;
 	const messages: string[] = [];
+	let after = changes.afterVersion;
 	for (let start = 0; start < rows.length; start += maxRowsPerMessage) {
-		const part = rows
-			.slice(start, start + maxRowsPerMessage)
-			.map((row) => encodeRelayedRow(row));
-		messages.push(JSON.stringify({rows: part}));
+		const part = rows.slice(start, start + maxRowsPerMessage);
+		const isLast = start + maxRowsPerMessage >= rows.length;
+		const version = isLast ? changes.version : (part.at(-1)?.version ?? after);
+		messages.push(
+			JSON.stringify({
+				after,
+				version,
+				rows: part.map((row) => encodeRelayedRow(row)),
+			}),
+		);
+		after = version;
 	}
 
 	return messages;
 }
 
 /** @returns undefined if the value does not hold rows */
-export function decodeRelayedRows(
-	value: unknown,
-): readonly RelayedRow[] | undefined {
+export function decodeRelayedRows(value: unknown): RelayedRows | undefined {
 	const {success, data} = rowsSchema.safeParse(value);
-	return success ? data.rows.map((row) => decodeRelayedRow(row)) : undefined;
+	return success
+		? {
+				afterVersion: data.after,
+				version: data.version,
+				rows: data.rows.map((row) => decodeRelayedRow(row)),
+			}
+		: undefined;
 }
--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -21,9 +21,11 @@
 	/** True once the run has ended or goes on elsewhere. */
 	readonly isOver: () => boolean;
 	/** Chooses an engine to keep the copy. */
-	readonly choose: (refused: ReadonlySet<string>) => TargetEntry | undefined;
-	/** The newest copy; undefined once its engine refuses more. */
-	readonly onCopy: (copy: RunCopy | undefined) => void;
+	readonly choose: (
+		refused: ReadonlySet<string>,
+	) => Promise<TargetEntry | undefined>;
+	/** A copy was made or brought up to date. */
+	readonly onCopy: (copy: RunCopy) => void;
 };
 
 /** What copies are made with. */
@@ -80,7 +82,11 @@
 	const refused = new Set([run.source.id]);
 	let keeper: TargetEntry | undefined;
 	for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
-		const to = keeper ?? run.choose(refused);
+		const to = keeper ?? (await run.choose(refused));
+		if (run.isOver()) {
+			return;
+		}
+
 		if (!to) {
 			options.log('copy impossible', {
 				request: run.requestId,
@@ -101,9 +107,9 @@
 		} else if (result.outcome === 'unknown-run' || result.outcome === 'busy') {
 			await options.timers.sleep(copyRetryMs);
 		} else {
+			// A copy that cannot be brought up to date still holds what it has.
 			keeper = undefined;
 			refused.add(to.id);
-			run.onCopy(undefined);
 		}
 
 		if (run.isOver()) {
--- a/src/decisions/serving/session-ending.ts
+++ b/src/decisions/serving/session-ending.ts
@@ -39,8 +39,9 @@
 	/**
 	 * Answers that no target has, and whether the request may have run. An answer that was begun is
 	 * broken off.
+	 * @param retryAfterMs - replaces the usual time after which the caller may come back
 	 */
-	unanswered(mayHaveRun: boolean, reason: string): void;
+	unanswered(mayHaveRun: boolean, reason: string, retryAfterMs?: number): void;
 	/** The same for a request that may have run and whose time is over. */
 	timedOut(): void;
 };
@@ -112,7 +113,7 @@
 			);
 		},
 		aborted,
-		unanswered(mayHaveRun, reason) {
+		unanswered(mayHaveRun, reason, afterMs = retryAfterMs) {
 			if (reply.hasHead) {
 				aborted(reason);
 				return;
@@ -120,7 +121,7 @@
 
 			finish(
 				() => {
-					replyUnanswered(reply, mayHaveRun, reason, retryAfterMs);
+					replyUnanswered(reply, mayHaveRun, reason, afterMs);
 				},
 				reason,
 				unansweredStatus(mayHaveRun),
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -26,8 +26,8 @@
 	readonly isOver: boolean;
 	/** True once copies of its memory are being made, since its engine leaves. */
 	isCopying: boolean;
-	/** Copy of the run's memory that was made because its engine leaves. */
-	copy: RunCopy | undefined;
+	/** Copies of the run's memory that were made because its engine leaves, the newest first. */
+	readonly copies: RunCopy[];
 	/** Sends; the listener may hear of a failure at once. */
 	start(): void;
 	/** Breaks the send off; its listener hears no more. */
@@ -78,6 +78,7 @@
 	const nowMs = clock.nowMs();
 	const leftMs = admitted.deadlineMs - nowMs;
 	const account = opened({
+		id: placement.id,
 		admitted,
 		target,
 		backup,
@@ -94,7 +95,7 @@
 			return isOver;
 		},
 		isCopying: false,
-		copy: undefined,
+		copies: [],
 		start() {
 			log('stream sent', {
 				request: request.id,
@@ -104,6 +105,8 @@
 				continuesAt: continueFrom ? answer.lastEventId : undefined,
 				expectedFirstTokenMs: Math.round(placement.firstTokenMs),
 				expectedMemoryPart: Number(placement.memoryPart.toFixed(2)),
+				isLate: placement.isLate,
+				decidedBy: placement.decidedBy,
 				waitedMs: Math.round(nowMs - admitted.arrivedMs),
 				reason: orders.reason,
 				leftMs: Math.round(leftMs),
--- a/src/decisions/serving/stream-copies.test.ts
+++ b/src/decisions/serving/stream-copies.test.ts
@@ -138,3 +138,27 @@
 	link.sends[0].sink.onEnd();
 	assert.deepEqual(link.released, ['h1']);
 });
+
+test('replay "the engine ends while its copy is brought up to date" (andamio, scale-1): the copy made before serves', async () => {
+	const {time, link, reply, leave} = startFakeStream();
+	let calls = 0;
+	link.copyResult = () => {
+		calls++;
+		return calls === 1
+			? {
+					outcome: 'copied',
+					memory: {address: firstEngine.address, handle: 'h1'},
+				}
+			: {outcome: 'failed', reason: 'other side closed'};
+	};
+
+	giveEvents(link.sends[0], 1);
+	leave('e1');
+	await time.runUntil(600);
+	assert.equal(calls, 3);
+	loseSend(link.sends[0], 'gone');
+	assert.equal(link.sends[1].address, thirdEngine.address);
+	assert.equal(link.sends[1].orders.continueFrom?.handle, 'h1');
+	giveRest(link.sends[1], 2);
+	assert.equal(reply.text, eventsText(1, 2));
+});
--- a/src/decisions/serving/stream-copies.ts
+++ b/src/decisions/serving/stream-copies.ts
@@ -27,16 +27,23 @@
 	);
 }
 
+/** How far the answer of a stream is. */
+export type StreamProgress = {
+	/** Events that the caller has. */
+	readonly eventCount: number;
+	/** True once the caller has its final answer. */
+	readonly isDone: boolean;
+};
+
 /**
  * Creates the copies of a run that has none.
  * @param avoid - engines that have failed the run
- * @param isDone - true once the caller has its final answer
  */
 export function createStreamCopies(
 	admitted: AdmittedRequest,
 	options: StreamSessionOptions,
 	avoid: ReadonlySet<string>,
-	isDone: () => boolean,
+	progress: StreamProgress,
 ): StreamCopies {
 	const {link, timers, log} = options;
 	const requestId = admitted.request.id;
@@ -46,10 +53,10 @@
 		target !== undefined && options.isUsable(target.id);
 
 	return {
-		areUsable: ({copy, placement}) =>
-			copy !== undefined || isUsable(placement.backup),
+		areUsable: ({copies, placement}) =>
+			copies.length > 0 || isUsable(placement.backup),
 		ensure(attempt) {
-			if (attempt.isOver || attempt.isCopying || isDone()) {
+			if (attempt.isOver || attempt.isCopying || progress.isDone) {
 				return;
 			}
 
@@ -67,31 +74,39 @@
 					requestId,
 					source: target,
 					renewMs: isPresent ? copyRenewMs.running : copyRenewMs.leaving,
-					isOver: () => attempt.isOver || isDone(),
-					choose: (refused) =>
+					isOver: () => attempt.isOver || progress.isDone,
+					choose: async (refused) =>
 						options.placeCopy(
-							admitted,
-							target,
+							{
+								id: attempt.placement.id,
+								admitted,
+								target,
+								backup,
+								eventCount: progress.eventCount,
+							},
 							new Set([...avoid, ...refused]),
 						),
 					onCopy(copy) {
-						attempt.copy = copy;
+						const others = attempt.copies.filter(
+							({target: keeper}) => keeper.id !== copy.target.id,
+						);
+						attempt.copies.splice(0, Infinity, copy, ...others);
+						attempt.account.copied(copy.target);
 					},
 				},
 				{link, timers, log},
 			);
 		},
-		lost({copy, placement}) {
-			untried = [copy, backupOf(placement.backup, requestId)]
-				.filter((one) => one !== undefined)
-				.sort(
-					(a, b) => Number(isUsable(b.target)) - Number(isUsable(a.target)),
-				);
+		lost({copies, placement}) {
+			const backup = backupOf(placement.backup, requestId);
+			untried = [...copies, ...(backup ? [backup] : [])].sort(
+				(a, b) => Number(isUsable(b.target)) - Number(isUsable(a.target)),
+			);
 		},
 		next: () => untried.shift(),
-		release({copy, placement}) {
-			if (copy) {
-				link.releaseCopy(placement.target.address, copy.memory.handle);
+		release({copies, placement}) {
+			for (const {memory} of copies) {
+				link.releaseCopy(placement.target.address, memory.handle);
 			}
 		},
 	};
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -7,16 +7,30 @@
 
 /** Where a run goes, and where a copy of its memory is kept. */
 export type StreamPlacement = {
+	/** Names the placement towards the VM that keeps account of it. */
+	readonly id: string;
 	readonly target: TargetEntry;
 	readonly backup: TargetEntry | undefined;
 	readonly firstTokenMs: number;
 	/** Part of the engine's memory that is expected to be in use at the peak. */
 	readonly memoryPart: number;
-	readonly capacityTokens: number;
+	/** True if the first token is not expected in time, so that the run yields to others. */
+	readonly isLate: boolean;
+	/** Address of the VM that chose the engine. */
+	readonly decidedBy: string;
+};
+
+/** Receives what becomes of a wish for an engine. */
+export type PlacementListener = {
+	onPlaced(placement: StreamPlacement): void;
+	/** @param retryAfterMs - time after which there may be an engine, in milliseconds */
+	onRefused(reason: string, retryAfterMs: number): void;
 };
 
 /** A run as others see it. */
 export type StreamRun = {
+	/** Id of its placement. */
+	readonly id: string;
 	readonly admitted: AdmittedRequest;
 	readonly target: TargetEntry;
 	readonly backup: TargetEntry | undefined;
@@ -27,26 +41,26 @@
 export type RunAccount = Disposable & {
 	/** Another event has arrived. */
 	progressed(eventCount: number): void;
+	/** Another engine keeps a copy of its memory. */
+	copied(keeper: TargetEntry): void;
 };
 
 /** What streams work with. */
 export type StreamSessionOptions = SessionServices & {
-	/** Chooses an engine that is not to be avoided. */
+	/**
+	 * Looks for an engine that is not to be avoided; the listener may hear at once.
+	 * @returns disposing it ends the search
+	 */
 	readonly place: (
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
-	) => StreamPlacement | undefined;
-	/** Chooses an engine that keeps a copy of a run's memory. */
+		listener: PlacementListener,
+	) => Disposable;
+	/** Looks for an engine that keeps a copy of a run's memory; undefined if none has room. */
 	readonly placeCopy: (
-		admitted: AdmittedRequest,
-		from: TargetEntry,
+		run: StreamRun,
 		avoid: ReadonlySet<string>,
-	) => TargetEntry | undefined;
-	/** Chooses a backup for a run that goes on at a target. */
-	readonly placeBackup: (
-		admitted: AdmittedRequest,
-		targetId: string,
-	) => TargetEntry | undefined;
+	) => Promise<TargetEntry | undefined>;
 	/** True until a target leaves. */
 	readonly isPresent: (targetId: string) => boolean;
 	/** True while a target is present and accepted a connection when it was last tried. */
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,7 +1,6 @@
 import type {AnswerHead, RunMemory, SendFailure} from '../../common/index.js';
 import {createEngineWait} from './engine-wait.js';
 import type {StreamEvent} from './event-splitter.js';
-import {isLate, waitInputsOf} from './generation-wait.js';
 import {isPromise, misdirectedStatus} from './refusals.js';
 import {createSessionEnding} from './session-ending.js';
 import type {AdmittedRequest, CallerReply} from './session-types.js';
@@ -69,15 +68,17 @@
 			timedOut();
 		},
 	});
-	const copies = createStreamCopies(
-		admitted,
-		options,
-		avoid,
-		() => ending.isDone,
-	);
+	const copies = createStreamCopies(admitted, options, avoid, {
+		get eventCount() {
+			return answer.eventCount;
+		},
+		get isDone() {
+			return ending.isDone;
+		},
+	});
 
-	const giveUp = (reason: string) => {
-		ending.unanswered(mayHaveRun, reason);
+	const giveUp = (reason: string, afterMs?: number) => {
+		ending.unanswered(mayHaveRun, reason, afterMs);
 	};
 
 	const engineWait = createEngineWait(admitted, options, avoid, {
@@ -111,8 +112,7 @@
 
 	/** A late generation yields to those that can be on time. */
 	const priorityOf = (placement: StreamPlacement) =>
-		answer.eventCount === 0 &&
-		isLate(waitInputsOf(admitted, placement, clock.nowMs()))
+		answer.eventCount === 0 && placement.isLate
 			? latePriority
 			: admitted.priority;
 
@@ -134,11 +134,13 @@
 		moves++;
 		dispatch(
 			{
+				id: `${request.id}.m${moves}`,
 				target,
-				backup: options.placeBackup(admitted, target.id),
+				backup: undefined,
 				firstTokenMs: 0,
 				memoryPart: 0,
-				capacityTokens: 0,
+				isLate: false,
+				decidedBy: '',
 			},
 			memory,
 			reason,
@@ -268,6 +270,7 @@
 		get run() {
 			return send
 				? {
+						id: send.placement.id,
 						admitted,
 						target: send.placement.target,
 						backup: send.placement.backup,
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -9,12 +9,14 @@
 	toProblem,
 	type ProblemError,
 } from '../../common/index.js';
+import type {TableBelief} from '../fleet/index.js';
 
 /** Receives a table and its changes. */
 export type TableListener = {
 	/** The whole table, at first and whenever changes may have been missed. */
 	onSnapshot(snapshot: TableSnapshot): void;
-	onChanges(changes: readonly RowChange[]): void;
+	/** @param afterVersion - newest change that was known before */
+	onChanges(changes: readonly RowChange[], afterVersion: number): void;
 	/** The store gives no answers, or refuses them. */
 	onLost(problem: ProblemError): void;
 	onRegained(): void;
@@ -27,20 +29,29 @@
 	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly table: string;
-	/** Time after which the store answers without changes, in milliseconds. */
+	/** What is known of the table, by own reads and from other VMs. */
+	readonly belief: TableBelief;
+	/** True while this VM reads the store for others; otherwise it reads only what they do not tell. */
+	readonly isReader: () => boolean;
+	/** Time after which the store answers a reader without changes, in milliseconds. */
 	readonly waitMs: () => number;
+	/** Age from which on a VM that is no reader reads by itself, in milliseconds. */
+	readonly maxAgeMs: () => number;
 	/** Shortest time between the starts of two calls, in milliseconds. */
-	readonly minIntervalMs: () => number;
+	readonly minIntervalMs: number;
 };
 
 const minBackoffMs = 150;
 const maxBackoffMs = 1000;
-const minRefreshMs = 500;
+/** Interval at which a VM looks whether it has to read, in milliseconds. */
+const checkMs = 100;
 
 /** A table that is followed. */
 export type TableFollower = Disposable & {
-	/** Reads the whole table now, because something newer than the last read is known to exist. */
+	/** Reads now, because something newer than the last read is known to exist. */
 	refresh(): void;
+	/** Forgets the changes, so that the whole table is read next. */
+	reset(): void;
 };
 
 /** Follows a table until disposed. */
@@ -48,12 +59,12 @@
 	options: TableFollowerOptions,
 	listener: TableListener,
 ): TableFollower {
-	const {store, timers, random, clock, table} = options;
+	const {store, timers, random, clock, table, belief} = options;
 	let stopped = false;
 	let failures = 0;
-	let version: number | undefined;
-	let newestVersion = 0;
-	let refreshedMs = -Infinity;
+	let needsSnapshot = true;
+	let isWanted = false;
+	let wake: (() => void) | undefined;
 
 	const succeeded = () => {
 		if (failures > 0) {
@@ -64,30 +75,40 @@
 
 	const readAll = async () => {
 		const snapshot = await store.snapshot(table);
-		if (snapshot.version < newestVersion) {
-			// A stale read; what is known is newer.
+		if (stopped) {
 			return;
 		}
 
 		succeeded();
-		version = snapshot.version;
-		newestVersion = snapshot.version;
+		if (snapshot.version < belief.version) {
+			// A stale read; what is known is newer.
+			return;
+		}
+
+		needsSnapshot = false;
+		belief.read(snapshot.version, snapshot.version);
 		listener.onSnapshot(snapshot);
 	};
 
-	const readChanges = async (afterVersion: number) => {
-		const changes = await store.changes(table, afterVersion, options.waitMs());
+	const readChanges = async (waitMs: number) => {
+		const afterVersion = belief.version;
+		const knownChange = belief.mark.changeVersion;
+		const {changes, version} = await store.changes(table, afterVersion, waitMs);
+		if (stopped) {
+			return;
+		}
+
 		succeeded();
-		version = Math.max(afterVersion, changes.version);
-		newestVersion = Math.max(newestVersion, version);
-		if (!stopped && changes.changes.length > 0) {
-			listener.onChanges(changes.changes);
+		const newest = Math.max(0, ...changes.map((change) => change.version));
+		belief.read(Math.max(afterVersion, version), newest);
+		if (changes.length > 0) {
+			listener.onChanges(changes, knownChange);
 		}
 	};
 
 	const failed = (problem: ProblemError) => {
 		if (problem.type === 'table-history-lost') {
-			version = undefined;
+			needsSnapshot = true;
 			return;
 		}
 
@@ -97,26 +118,55 @@
 		}
 	};
 
+	const isDue = () =>
+		needsSnapshot ||
+		isWanted ||
+		options.isReader() ||
+		belief.ageMs > options.maxAgeMs();
+
+	const rest = async (restMs: number) =>
+		new Promise<void>((resolve) => {
+			const timer = timers.after(restMs, resolve);
+			wake = () => {
+				timer.dispose();
+				resolve();
+			};
+		});
+
+	const readOnce = async () => {
+		isWanted = false;
+		try {
+			await (needsSnapshot
+				? readAll()
+				: readChanges(options.isReader() ? options.waitMs() : 0));
+		} catch (error) {
+			failed(toProblem(error, 'table-unavailable'));
+		}
+	};
+
+	const backoffMs = () =>
+		failures === 0
+			? 0
+			: Math.min(maxBackoffMs, minBackoffMs * 2 ** (failures - 1)) *
+				(0.5 + random.nextUnit());
+
 	const run = async () => {
 		for (;;) {
 			if (stopped) {
 				return;
 			}
 
-			const startedMs = clock.nowMs();
-			try {
-				await (version === undefined ? readAll() : readChanges(version));
-			} catch (error) {
-				failed(toProblem(error, 'table-unavailable'));
+			if (!isDue()) {
+				// Other VMs tell what the store says.
+				succeeded();
+				await rest(checkMs);
+				continue;
 			}
 
-			const backoffMs =
-				failures === 0
-					? 0
-					: Math.min(maxBackoffMs, minBackoffMs * 2 ** (failures - 1)) *
-						(0.5 + random.nextUnit());
+			const startedMs = clock.nowMs();
+			await readOnce();
 			const spentMs = clock.nowMs() - startedMs;
-			const pauseMs = Math.max(backoffMs, options.minIntervalMs() - spentMs);
+			const pauseMs = Math.max(backoffMs(), options.minIntervalMs - spentMs);
 			if (pauseMs > 0 && !stopped) {
 				await timers.sleep(pauseMs);
 			}
@@ -126,19 +176,16 @@
 	void run();
 	return {
 		refresh() {
-			const nowMs = clock.nowMs();
-			if (nowMs - refreshedMs < minRefreshMs) {
-				return;
-			}
-
-			refreshedMs = nowMs;
-
-			readAll().catch((error: unknown) => {
-				failed(toProblem(error, 'table-unavailable'));
-			});
+			isWanted = true;
+			wake?.();
+		},
+		reset() {
+			needsSnapshot = true;
+			wake?.();
 		},
 		dispose() {
 			stopped = true;
+			wake?.();
 		},
 	};
 }
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -16,7 +16,13 @@
 	listen: z.object({front: address, ready: address}),
 	port_range: z.tuple([port, port]),
 	heartbeat_ms: positive,
-	limits: z.object({memory_mb: positive, max_fds: positive}),
+	seed_nodes: z.array(address).optional(),
+	limits: z.object({
+		memory_mb: positive,
+		max_fds: positive,
+		cpu_share: positive.optional(),
+		cores: positive.optional(),
+	}),
 	bounds: z.object({
 		drain_ms: positive,
 		grace_s: positive,
@@ -51,11 +57,16 @@
 		readyAddress: boot.listen.ready,
 		ip: boot.ip,
 		peerPorts: boot.port_range,
+		seedIps: (boot.seed_nodes ?? []).map((seed) => seed.split(':')[0]),
 		storeAddress: boot.platform.address,
 		heartbeatMs: boot.heartbeat_ms,
 		limits: {
 			memoryMb: boot.limits.memory_mb,
 			maxDescriptors: boot.limits.max_fds,
+			powerMs:
+				(boot.limits.cpu_share ?? 1) *
+				(boot.limits.cores ?? 1) *
+				millisecondsPerSecond,
 		},
 		bounds: {
 			drainMs: bounds.drain_ms,
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -32,9 +32,10 @@
 	max_conns: z.number().positive().optional(),
 });
 
+/** The configuration without its routes, which are checked one by one. */
 const configurationSchema = z.object({
 	version: z.number(),
-	routes: z.array(routeSchema),
+	routes: z.array(z.unknown()),
 	services: z.array(serviceSchema).optional(),
 	tenants: z
 		.array(
@@ -83,26 +84,67 @@
 	};
 }
 
+const what = 'the configuration';
+const problem = 'invalid-configuration';
+/** Routes that are decoded in one go; few enough that no stream beside them stalls. */
+const routesPerSlice = 40;
+
+/**
+ * Decodes a version of the operator's configuration in slices. Answers the pattern "the configuration
+ * grows by a thousand routes while streams are under way": decoded in one go it would hold up a small
+ * VM for longer than a stream may pause.
+ * @yields after each slice
+ * @returns undefined if the version is not newer than the one that is known
+ * @throws ProblemError `invalid-configuration` that names the field
+ */
+export function* decodeConfigurationInSlices(
+	text: string,
+	knownVersion: number,
+): Generator<void, DeploymentConfiguration | undefined> {
+	const value = parseJson(text, what, problem);
+	yield;
+	const raw = decode(configurationSchema, value, what, problem);
+	if (raw.version <= knownVersion) {
+		return undefined;
+	}
+
+	const routes: RouteRule[] = [];
+	for (const [index, route] of raw.routes.entries()) {
+		const part = {whole: what, path: ['routes', index]};
+		routes.push(decodeRoute(decode(routeSchema, route, part, problem)));
+		if (index % routesPerSlice === routesPerSlice - 1) {
+			yield;
+		}
+	}
+
+	return withRoutes(raw, routes);
+}
+
 /**
  * Decodes a version of the operator's configuration.
  * @throws ProblemError `invalid-configuration` that names the field
  */
 export function decodeConfiguration(text: string): DeploymentConfiguration {
-	const what = 'the configuration';
-	const problem = 'invalid-configuration';
-	const raw = decode(
-		configurationSchema,
-		parseJson(text, what, problem),
-		what,
-		problem,
-	);
+	const slices = decodeConfigurationInSlices(text, -Infinity);
+	for (;;) {
+		const {done, value} = slices.next();
+		if (done && value) {
+			return value;
+		}
+	}
+}
+
+function withRoutes(
+	raw: z.infer<typeof configurationSchema>,
+	routes: readonly RouteRule[],
+): DeploymentConfiguration {
 	const services = (raw.services ?? []).map((service): ServiceRule => ({
 		name: service.name,
 		maxConnections: service.max_conns,
 	}));
 	return {
 		version: raw.version,
-		routes: raw.routes.map((route) => decodeRoute(route)),
+		routes,
 		services: new Map(services.map((service) => [service.name, service])),
 		accounts: raw.tenants?.map((account) => ({
 			name: account.name,
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -1,27 +1,35 @@
 import type * as z from 'zod';
 import {ProblemError, type ProblemType} from '../common/index.js';
 
+/** Part of a value that is checked by itself. */
+export type ValuePart = {
+	readonly whole: string;
+	readonly path: ReadonlyArray<number | string>;
+};
+
 /**
  * Checks a value against a schema.
- * @param what - what the value is, for the message
+ * @param what - what the value is, for the message; a part of a larger value also names its path
  * @throws ProblemError of the given type that names the first bad field
  */
 export function decode<T>(
 	schema: z.ZodType<T>,
 	value: unknown,
-	what: string,
+	what: string | ValuePart,
 	problem: ProblemType,
 ): T {
+	const {whole, path} =
+		typeof what === 'string' ? {whole: what, path: []} : what;
 	const result = schema.safeParse(value);
 	if (result.success) {
 		return result.data;
 	}
 
 	const [issue] = result.error.issues;
-	const field = issue.path.join('.');
+	const field = [...path, ...issue.path].join('.');
 	throw new ProblemError(
 		problem,
-		`${what}: field "${field}" is invalid: ${issue.message}`,
+		`${whole}: field "${field}" is invalid: ${issue.message}`,
 		{field},
 	);
 }
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -2,7 +2,10 @@
 import {test} from 'node:test';
 import {headerPairs, ProblemError} from '../common/index.js';
 import {decodeBootFile} from './boot-file.js';
-import {decodeConfiguration} from './configuration.js';
+import {
+	decodeConfiguration,
+	decodeConfigurationInSlices,
+} from './configuration.js';
 import {decodeRequest, encodeRequestHeaders} from './request-headers.js';
 import {decodeTargetEntry} from './target-entry.js';
 import {bootFile} from './testing/index.js';
@@ -28,6 +31,32 @@
 	assert.equal(decodeBootFile(JSON.stringify(more)).name, settings.name);
 });
 
+test('replay "the configuration grows by many routes under load": it is decoded in small slices, and an old one not at all', () => {
+	const text = JSON.stringify({
+		version: 4,
+		routes: Array.from({length: 1500}, (_, index) => ({
+			name: `r${index}`,
+			hostname: 'a.example',
+			prefix: `/x${index}/`,
+			timeout_ms: 900,
+			kind: 'idempotent',
+			service: 's',
+		})),
+	});
+	const slices = decodeConfigurationInSlices(text, 3);
+	let count = 0;
+	let step = slices.next();
+	for (; !step.done; step = slices.next()) {
+		count++;
+	}
+
+	assert.ok(count > 30);
+	assert.deepEqual(step.value, decodeConfiguration(text));
+	const old = decodeConfigurationInSlices(text, 4);
+	old.next();
+	assert.deepEqual(old.next(), {done: true, value: undefined});
+});
+
 test('guards against a route that is repeated although its kind is not known', () => {
 	const route = {
 		name: 'r',
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -47,6 +47,8 @@
 const bytesPerMegabyte = 1_048_576;
 /** Requests under way may hold this multiple of what new ones are admitted up to. */
 const totalToAdmitted = 2;
+/** Part of the time for a configuration to be in force for which what is known of it is certain. */
+const certainPart = 0.8;
 /** Part of the descriptors that callers' connections may take; targets and files need the others. */
 const callerDescriptorPart = 0.6;
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
@@ -124,10 +126,9 @@
 						leftMs: stopAtMs - clock.nowMs(),
 					},
 		hearsOfLeaving: () => watch.readsTargets,
-		staleMs: () =>
-			watch.configurationLostMs === undefined
-				? 0
-				: clock.nowMs() - watch.configurationLostMs,
+		isConfirmed: () =>
+			watch.configurationBelief.ageMs <=
+			live.current.bounds.configurationApplyMs * certainPart,
 	});
 	const listener = createCallerListener({
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -11,22 +11,20 @@
 	createOutlierDetector,
 	type OutlierDetector,
 } from '../../decisions/retries/index.js';
+import type {TableMark} from '../../decisions/fleet/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
 import {
 	type ConfigurationState,
 	createConfigurationState,
 	createRetryShare,
 	createTargetDirectory,
-	createTargetLoad,
-	manyVms,
-	otherZoneCostMs,
 	type RetryShare,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {StoreClient} from '../../platform/index.js';
 import {createFleetView, type FleetView} from './fleet-view.js';
 import type {FrontSettings} from './front-settings.js';
-import {type PeerLoads, startPeerLoads} from './peer-loads.js';
+import {type FleetExchange, startFleetExchange} from './fleet-exchange.js';
 import {createPeerRecovery} from './peer-recovery.js';
 import {type StoreWatch, watchStore} from './store-watch.js';
 
@@ -56,18 +54,22 @@
 };
 
 const lapseGraceMs = 2000;
-const longerWaitFactor = 2;
-/** Part of the time for leaving targets after which a VM reads the targets by itself. */
-const followerIntervalPart = 0.7;
+/** Part of the time for leaving targets after which a VM reads by itself what it is not told. */
+const maxAgePart = 0.7;
+/** The same part for the waits of readers and for the beacons that pass on what they know. */
+const waitPart = 0.25;
 const unreachableMs = 1000;
 const lingerMs = 30_000;
-const peerTimeoutMs = 4500;
+
+const unknownTable: TableMark = {version: 0, changeVersion: 0, ageMs: Infinity};
 
 /** Starts to keep the state up to date. */
 export function startFleetState(options: FleetStateOptions): FleetState {
 	const {settings, instanceId, clock, timers, random, logger} = options;
 	const {vm} = settings;
 	const owned = createDisposableStore();
+	// The exchange and the watch need each other; nothing is heard before both exist.
+	const created: {watch?: StoreWatch} = {};
 	const store = new StoreClient({
 		address: vm.storeAddress,
 		timeoutMs: settings.storeTimeoutMs,
@@ -79,7 +81,6 @@
 		unreachableMs,
 		lingerMs,
 	});
-	const load = createTargetLoad(clock, peerTimeoutMs);
 	const detector = createOutlierDetector({
 		clock,
 		maxFailures: 2,
@@ -95,48 +96,40 @@
 			});
 		},
 	});
-	const peers: PeerLoads = owned.add(
-		startPeerLoads({
+	const waitMs = () =>
+		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitPart);
+	const fleet: FleetExchange = owned.add(
+		startFleetExchange({
 			vm,
 			instanceId,
 			clock,
 			timers,
+			random,
 			store,
-			load,
-			configuration,
-			intervalMs: settings.digestIntervalMs,
-			readsTargets: () => watch.readsTargets,
-			onRows(rows) {
-				for (const {targetId, entry, version} of rows) {
-					directory.set(targetId, entry, version);
-				}
-			},
-			onDigest(from, digest) {
-				recovery.heard(from, digest);
+			beaconIntervalMs: () => options.bounds().drainMs * waitPart,
+			engines: (service) => view.engines(service),
+			reading: () => created.watch?.reading ?? 'idle',
+			configurationMark: () =>
+				created.watch?.configurationBelief.mark ?? unknownTable,
+			targetsMark: () => created.watch?.targetsBelief.mark ?? unknownTable,
+			onMarks(from, configurationMark, targetsMark) {
+				recovery.heard(from, configurationMark, targetsMark);
 			},
-			onNewerConfiguration() {
-				watch.readConfiguration();
+			onRows(changes) {
+				created.watch?.takeRows(changes);
 			},
 			logger,
 		}),
 	);
-	const recovery = createPeerRecovery({
-		clock,
-		configuration,
-		watch: () => watch,
-		logger,
-	});
 	const view = createFleetView({
 		availabilityZone: vm.availabilityZone,
+		clock,
 		directory,
-		load,
 		detector,
 		statistics: createLengthStatistics(),
 		random,
-		otherZoneCostMs: () => otherZoneCostMs(peers.vmCount),
-		onPlaced() {
-			peers.changed();
-		},
+		placeClient: () => fleet.placeClient,
+		runs: () => fleet.runs,
 	});
 	const retryShare = createRetryShare({
 		clock,
@@ -148,28 +141,32 @@
 				windowMs: bounds.retryWindowMs,
 			};
 		},
-		vmCount: () => peers.vmCount,
+		vmCount: () => fleet.members.vmCount,
 	});
-	const watch: StoreWatch = owned.add(
+	const storeWatch = owned.add(
 		watchStore({
 			store,
 			clock,
 			timers,
 			random,
-			waitMs: () =>
-				peers.vmCount < manyVms || peers.isRelay
-					? settings.storeWaitMs
-					: settings.storeWaitMs * longerWaitFactor,
-			followerIntervalMs: () => options.bounds().drainMs * followerIntervalPart,
-			isRelay: () => peers.isRelay,
-			onRows(rows) {
-				peers.relay(rows);
+			waitMs,
+			maxAgeMs: () => options.bounds().drainMs * maxAgePart,
+			isReader: (reading) => fleet.members.isReader(reading),
+			onRows(changes) {
+				if (storeWatch.reading === 'reading') {
+					fleet.tellRows(changes);
+				}
+			},
+			onConfigurationRow() {
+				fleet.tellMarks();
 			},
 			configuration,
 			directory,
 			logger,
 		}),
 	);
+	created.watch = storeWatch;
+	const recovery = createPeerRecovery({clock, watch: storeWatch, logger});
 
 	return {
 		configuration,
@@ -177,7 +174,7 @@
 		detector,
 		view,
 		retryShare,
-		watch,
+		watch: storeWatch,
 		dispose() {
 			owned.dispose();
 		},
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -1,29 +1,34 @@
 import {
 	type AdmittedRequest,
-	type EngineCandidate,
-	type TargetDirectory,
-	type TargetLoad,
-	chooseBackup,
-	chooseEngine,
 	chooseServiceTarget,
-	type StreamPlacement,
-	type StreamRun,
+	type PlacementListener,
 	type RunAccount,
-	negateLoad,
-	type LoadShare,
+	type StreamRun,
+	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import type {PlaceClient} from '../../decisions/fleet/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {LengthStatistics} from '../../decisions/routing/index.js';
 import type {
+	EngineEntry,
+	PlaceAnswer,
+	PlaceDemand,
+	RunState,
+} from '../../decisions/scheduling/index.js';
+import type {
+	Clock,
 	Disposable,
 	RandomSource,
 	TargetEntry,
 } from '../../common/index.js';
+import type {RunReports} from './run-reports.js';
 
-/** Chooses targets from what this VM knows of them, and counts what it sends. */
+/** Chooses targets from what this VM knows of them, and tells what it sends. */
 export type FleetView = {
 	/** Sets the memory of the engines of a service, in tokens. */
 	setCapacity(service: string, capacityTokens: number): void;
+	/** Engines of a service that take requests now. */
+	engines(service: string): readonly EngineEntry[];
 	chooseTarget(
 		service: string,
 		avoid: ReadonlySet<string>,
@@ -32,16 +37,12 @@
 	placeStream(
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
-	): StreamPlacement | undefined;
+		listener: PlacementListener,
+	): Disposable;
 	placeCopy(
-		admitted: AdmittedRequest,
-		from: TargetEntry,
+		run: StreamRun,
 		avoid: ReadonlySet<string>,
-	): TargetEntry | undefined;
-	placeBackup(
-		admitted: AdmittedRequest,
-		targetId: string,
-	): TargetEntry | undefined;
+	): Promise<TargetEntry | undefined>;
 	openedStream(run: StreamRun): RunAccount;
 	finishedStream(admitted: AdmittedRequest, eventCount: number): void;
 	/** Expected length of an answer, in tokens. */
@@ -51,42 +52,37 @@
 /** What the view is made from. */
 export type FleetViewOptions = {
 	readonly availabilityZone: string;
+	readonly clock: Clock;
 	readonly directory: TargetDirectory;
-	readonly load: TargetLoad;
 	readonly detector: OutlierDetector;
 	readonly statistics: LengthStatistics;
 	readonly random: RandomSource;
-	/** Cost of an engine outside this VM's zone, in milliseconds. */
-	readonly otherZoneCostMs: () => number;
-	/** Called after a generation was placed. */
-	readonly onPlaced: () => void;
+	readonly placeClient: () => PlaceClient;
+	readonly runs: () => RunReports;
 };
 
-/** Memory of an engine of both deployments, from their sheets, until one reports its own. */
-const defaultCapacityTokens = 34_000;
-/** Cost of a copy between zones, which takes twice as long as one inside, in milliseconds. */
-const otherZoneCopyCostMs = 250;
+/** Memory of an engine until one reports its own, in tokens; a smaller guess loads it less. */
+const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, from the sheets. */
 const tokensPerEvent = 4;
-/** Generations shorter than this end before a copy of their memory would be of use. */
-const minBackupOutputTokens = 100;
 /** Weight of the caller's length hint against the lengths seen; its error is the larger one. */
 const hintWeight = 0.33;
-
-const call: LoadShare = {
-	openCount: 1,
-	memoryTokens: 0,
-	pendingPromptTokens: 0,
-	growthTokens: 0,
-};
+/** An engine whose suspicion this VM alone has is avoided unless most engines are suspected. */
+const maxSuspectPart = 0.5;
 
 /** Creates the view of a VM. */
 export function createFleetView(options: FleetViewOptions): FleetView {
-	const {directory, load, detector, random, availabilityZone, statistics} =
+	const {directory, detector, random, availabilityZone, statistics, clock} =
 		options;
 	const capacities = new Map<string, number>();
+	const openCalls = new Map<string, number>();
+	let nextDemand = 1;
 
-	const expectedOutputTokens = ({request, route, account}: AdmittedRequest) => {
+	/** Expected tokens after those produced. */
+	const expectedRemaining = (
+		{request, route, account}: AdmittedRequest,
+		producedTokens: number,
+	) => {
 		const demand = request.generation;
 		if (!demand) {
 			return 0;
@@ -95,65 +91,59 @@
 		const maxTokens = demand.maxOutputTokens || Infinity;
 		const seen = statistics
 			.distribution(account ?? '', route.name, demand.model)
-			.expectedRemaining(0, maxTokens);
-		const hint = demand.lengthHintTokens;
+			.expectedRemaining(producedTokens, maxTokens);
+		const hint = (demand.lengthHintTokens ?? 0) - producedTokens;
 		const mixed =
-			hint === undefined ? seen : seen ** (1 - hintWeight) * hint ** hintWeight;
-		return Math.min(maxTokens, mixed);
-	};
-
-	const engineCandidates = (
-		service: string,
-		avoid: ReadonlySet<string>,
-	): EngineCandidate[] => {
-		const excluded = detector.excluded(service);
-		return directory
-			.usable(service)
-			.filter(({entry}) => !avoid.has(entry.id))
-			.map(({entry}) => ({
-				targetId: entry.id,
-				availabilityZone: entry.availabilityZone,
-				slotCount: entry.slotCount,
-				capacityTokens: capacities.get(service) ?? defaultCapacityTokens,
-				load: load.of(entry.id),
-				suspect: excluded.has(entry.id),
-			}));
+			hint > 0 ? seen ** (1 - hintWeight) * hint ** hintWeight : seen;
+		return Math.min(Math.max(1, maxTokens - producedTokens), mixed);
 	};
 
-	/** Engines that can keep a copy of a run's memory now. */
-	const keeperCandidates = (service: string, avoid: ReadonlySet<string>) =>
-		engineCandidates(service, avoid).filter(
-			({targetId}) => !directory.isDown(targetId),
-		);
-
-	const neededTokens = (admitted: AdmittedRequest) =>
-		(admitted.request.generation?.promptTokens ?? 0) +
-		expectedOutputTokens(admitted);
+	const expectedOutputTokens = (admitted: AdmittedRequest) =>
+		expectedRemaining(admitted, 0);
 
 	const entryOf = (targetId: string | undefined) =>
 		targetId === undefined ? undefined : directory.get(targetId)?.entry;
 
-	const backupFor = (
-		admitted: AdmittedRequest,
-		targetId: string,
-		candidates: readonly EngineCandidate[],
-	) =>
-		expectedOutputTokens(admitted) < minBackupOutputTokens
-			? undefined
-			: entryOf(
-					chooseBackup(
-						candidates,
-						targetId,
-						neededTokens(admitted),
-						directory.get(targetId)?.entry.availabilityZone ?? '',
-					),
-				);
+	const suspectsOf = (service: string): string[] => {
+		const usable = directory.usable(service);
+		const excluded = detector.excluded(service);
+		return excluded.size > usable.length * maxSuspectPart ? [] : [...excluded];
+	};
+
+	const demandFor = (
+		{request, route, service, arrivedMs, deadlineMs, priority}: AdmittedRequest,
+		avoid: ReadonlySet<string>,
+	): Omit<PlaceDemand, 'doneTokens' | 'expectedTokens' | 'purpose'> => {
+		const nowMs = clock.nowMs();
+		return {
+			id: `${request.id}.${nextDemand++}`,
+			service,
+			promptTokens: request.generation?.promptTokens ?? 0,
+			nearZone: availabilityZone,
+			avoid: [...new Set([...avoid, ...suspectsOf(service)])],
+			waitedMs: nowMs - arrivedMs,
+			objectiveMs: route.objectiveMs,
+			leftMs: deadlineMs - nowMs,
+			priority,
+		};
+	};
 
 	return {
 		expectedOutputTokens,
 		setCapacity(service, capacityTokens) {
 			capacities.set(service, capacityTokens);
 		},
+		engines(service) {
+			const excluded = detector.excluded(service);
+			const capacityTokens = capacities.get(service) ?? defaultCapacityTokens;
+			return directory.usable(service).map(({entry}) => ({
+				targetId: entry.id,
+				availabilityZone: entry.availabilityZone,
+				slotCount: entry.slotCount,
+				capacityTokens,
+				isSuspect: excluded.has(entry.id),
+			}));
+		},
 		chooseTarget(service, avoid) {
 			const excluded = detector.excluded(service);
 			const chosen = chooseServiceTarget(
@@ -161,7 +151,7 @@
 					targetId: entry.id,
 					availabilityZone: entry.availabilityZone,
 					slotCount: entry.slotCount,
-					openCount: load.of(entry.id).openCount,
+					openCount: openCalls.get(entry.id) ?? 0,
 					suspect: excluded.has(entry.id),
 				})),
 				availabilityZone,
@@ -170,106 +160,125 @@
 			);
 			return entryOf(chosen?.targetId);
 		},
-		openedCall(target) {
-			load.add(target.id, call);
-			detector.sent(target.id);
+		openedCall({id}) {
+			const count = (change: number) => {
+				const open = (openCalls.get(id) ?? 0) + change;
+				if (open > 0) {
+					openCalls.set(id, open);
+				} else {
+					openCalls.delete(id);
+				}
+			};
+
+			count(1);
+			detector.sent(id);
 			return {
 				dispose() {
-					load.add(target.id, negateLoad(call));
+					count(-1);
 				},
 			};
 		},
-		placeStream(admitted, avoid) {
-			const candidates = engineCandidates(admitted.service, avoid);
-			const choice = chooseEngine(
-				candidates,
-				{
-					promptTokens: admitted.request.generation?.promptTokens ?? 0,
-					expectedOutputTokens: expectedOutputTokens(admitted),
-					nearZone: availabilityZone,
-					otherZoneCostMs: options.otherZoneCostMs(),
-				},
-				random,
-			);
-			const target = entryOf(choice?.targetId);
-			return choice && target
-				? {
-						target,
-						backup: backupFor(
-							admitted,
-							target.id,
-							keeperCandidates(admitted.service, avoid),
-						),
-						firstTokenMs: choice.firstTokenMs,
-						memoryPart: choice.memoryPart,
-						capacityTokens:
-							capacities.get(admitted.service) ?? defaultCapacityTokens,
-					}
-				: undefined;
-		},
-		placeCopy(admitted, from, avoid) {
-			const choice = chooseEngine(
-				keeperCandidates(admitted.service, avoid),
-				{
-					promptTokens: admitted.request.generation?.promptTokens ?? 0,
-					expectedOutputTokens: expectedOutputTokens(admitted),
-					nearZone: from.availabilityZone,
-					otherZoneCostMs: otherZoneCopyCostMs,
+		placeStream(admitted, avoid, listener) {
+			let asking: Disposable | undefined;
+			const ask = (avoided: ReadonlySet<string>) => {
+				const demand: PlaceDemand = {
+					...demandFor(admitted, avoided),
+					purpose: 'run',
+					expectedTokens: expectedOutputTokens(admitted),
+					doneTokens: 0,
+				};
+				asking = options.placeClient().ask(demand, {
+					onAnswer(answer, decidedBy) {
+						answered(demand.id, answer, decidedBy, avoided);
+					},
+				});
+			};
+
+			const answered = (
+				id: string,
+				answer: PlaceAnswer,
+				decidedBy: string,
+				avoided: ReadonlySet<string>,
+			) => {
+				if (answer.outcome === 'refused') {
+					listener.onRefused(answer.reason, answer.retryAfterMs);
+				}
+
+				if (answer.outcome !== 'placed') {
+					return;
+				}
+
+				const {placement} = answer;
+				const target = entryOf(placement.targetId);
+				if (target) {
+					const backup = entryOf(placement.copyTargetId);
+					listener.onPlaced({...placement, id, target, backup, decidedBy});
+				} else {
+					// The engine has left, or has not arrived yet by what this VM knows.
+					ask(new Set([...avoided, placement.targetId]));
+				}
+			};
+
+			ask(avoid);
+			return {
+				dispose() {
+					asking?.dispose();
 				},
-				random,
-			);
-			return entryOf(choice?.targetId);
-		},
-		placeBackup(admitted, targetId) {
-			return backupFor(
-				admitted,
-				targetId,
-				keeperCandidates(admitted.service, new Set()),
-			);
+			};
 		},
-		openedStream({admitted, target, backup, eventCount}) {
-			const promptTokens = admitted.request.generation?.promptTokens ?? 0;
-			const outputTokens = expectedOutputTokens(admitted);
-			const shareAt = (events: number): LoadShare => ({
-				openCount: 1,
-				memoryTokens: promptTokens + events * tokensPerEvent,
-				pendingPromptTokens: events === 0 ? promptTokens : 0,
-				growthTokens: Math.max(
-					outputTokens / 4,
-					outputTokens - events * tokensPerEvent,
-				),
-			});
-			const copyAt = (events: number): LoadShare => ({
-				openCount: 0,
-				memoryTokens: promptTokens + events * tokensPerEvent,
-				pendingPromptTokens: 0,
-				growthTokens: 0,
+		async placeCopy({admitted, eventCount, id}, avoid) {
+			const doneTokens = eventCount * tokensPerEvent;
+			const demand: PlaceDemand = {
+				...demandFor(admitted, avoid),
+				id: `${id}.c${nextDemand++}`,
+				purpose: 'copy',
+				expectedTokens: expectedRemaining(admitted, doneTokens),
+				doneTokens,
+			};
+			return new Promise((resolve) => {
+				options.placeClient().ask(demand, {
+					onAnswer(answer) {
+						resolve(
+							answer.outcome === 'placed'
+								? entryOf(answer.placement.targetId)
+								: undefined,
+						);
+					},
+				});
 			});
-			let share = shareAt(eventCount);
-			let copy = copyAt(eventCount);
-			load.add(target.id, share);
-			if (backup) {
-				load.add(backup.id, copy);
-			}
+		},
+		openedStream({id, admitted, target, backup, eventCount}) {
+			const runs = options.runs();
+			let keeper = backup;
+			let events = eventCount;
+			const tell = (isUrgent: boolean) => {
+				const doneTokens = events * tokensPerEvent;
+				const run: RunState = {
+					id,
+					targetId: target.id,
+					copyTargetId: keeper?.id,
+					promptTokens: admitted.request.generation?.promptTokens ?? 0,
+					doneTokens,
+					remainingTokens: expectedRemaining(admitted, doneTokens),
+					priority: admitted.priority,
+				};
+				runs.set(run, isUrgent);
+			};
 
 			detector.sent(target.id);
-			options.onPlaced();
+			tell(true);
 			return {
-				progressed(events) {
-					load.add(target.id, negateLoad(share));
-					share = shareAt(events);
-					load.add(target.id, share);
-					if (backup) {
-						load.add(backup.id, negateLoad(copy));
-						copy = copyAt(events);
-						load.add(backup.id, copy);
-					}
+				progressed(count) {
+					const isFirst = events === 0;
+					events = count;
+					tell(isFirst);
+				},
+				copied(target_) {
+					keeper = target_;
+					tell(true);
 				},
 				dispose() {
-					load.add(target.id, negateLoad(share));
-					if (backup) {
-						load.add(backup.id, negateLoad(copy));
-					}
+					runs.ended(id);
 				},
 			};
 		},
--- a/src/programs/front/peer-recovery.ts
+++ b/src/programs/front/peer-recovery.ts
@@ -1,39 +1,35 @@
 import {askPeerForTables} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
 import {type Clock, toProblem} from '../../common/index.js';
-import {
-	type ConfigurationState,
-	type LoadDigest,
-	shouldAskPeer,
-} from '../../decisions/serving/index.js';
+import type {TableMark} from '../../decisions/fleet/index.js';
+import {shouldAskPeer} from '../../decisions/serving/index.js';
 import type {StoreWatch} from './store-watch.js';
 
 /** What the recovery works with. */
 export type PeerRecoveryOptions = {
 	readonly clock: Clock;
-	readonly configuration: ConfigurationState;
-	readonly watch: () => StoreWatch;
+	readonly watch: StoreWatch;
 	readonly logger: Logger;
 };
 
-/** Learns from peers what the store does not tell. */
+/** Learns from other VMs what the store does not tell. */
 export type PeerRecovery = {
-	/** A digest of a peer arrived. */
-	heard(address: string, digest: LoadDigest): void;
+	/** A VM told how far it is with the tables. */
+	heard(address: string, configuration: TableMark, targets: TableMark): void;
 };
 
 const askTimeoutMs = 800;
 
 /** Creates a recovery that has asked nobody. */
 export function createPeerRecovery(options: PeerRecoveryOptions): PeerRecovery {
-	const {clock, configuration, logger} = options;
+	const {clock, logger, watch} = options;
 	let askedMs = -Infinity;
 
 	const ask = async (address: string) => {
 		try {
 			const tables = await askPeerForTables(address, askTimeoutMs);
 			if (tables) {
-				options.watch().takeTables(tables);
+				watch.takeTables(tables);
 			}
 
 			logger.info('tables read from a peer', {
@@ -52,13 +48,20 @@
 	};
 
 	return {
-		heard(address, digest) {
-			const watch = options.watch();
+		heard(address, configuration, targets) {
+			if (!watch.configurationBelief.heard(configuration)) {
+				watch.readConfiguration();
+			}
+
+			if (!watch.targetsBelief.heard(targets)) {
+				watch.readTargets();
+			}
+
 			const isDue = shouldAskPeer({
 				isStoreLost: watch.isStoreLost,
 				hasTargets: watch.hasTargets,
-				ownVersion: configuration.current?.version ?? 0,
-				peerVersion: digest.configurationVersion,
+				ownVersion: watch.configurationBelief.version,
+				peerVersion: configuration.changeVersion,
 				sinceAskedMs: clock.nowMs() - askedMs,
 			});
 			if (isDue) {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -58,8 +58,8 @@
 	readonly stop: () => StopTimes | undefined;
 	/** True while the store tells of targets that leave. */
 	readonly hearsOfLeaving: () => boolean;
-	/** Time for which the configuration could not be read, in milliseconds. */
-	readonly staleMs: () => number;
+	/** True while the configuration is confirmed to be the newest. */
+	readonly isConfirmed: () => boolean;
 };
 
 /** Serves requests that were read whole. */
@@ -180,9 +180,9 @@
 	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
 		const session = startStreamSession(admitted, reply, {
 			...shared(admitted.service),
-			place: (request, avoid) => view.placeStream(request, avoid),
-			placeCopy: (request, from, avoid) => view.placeCopy(request, from, avoid),
-			placeBackup: (request, targetId) => view.placeBackup(request, targetId),
+			place: (request, avoid, listener) =>
+				view.placeStream(request, avoid, listener),
+			placeCopy: async (run, avoid) => view.placeCopy(run, avoid),
 			isPresent: (targetId) => directory.get(targetId) !== undefined,
 			isUsable: (targetId) =>
 				directory.get(targetId) !== undefined && !directory.isDown(targetId),
@@ -201,7 +201,7 @@
 			const request = decodeRequest(received);
 			const admission = admit(request, {
 				table: options.table(),
-				staleMs: options.staleMs(),
+				isConfirmed: options.isConfirmed(),
 				nowMs: clock.nowMs(),
 				random,
 			});
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -2,6 +2,7 @@
 import {
 	type Clock,
 	type Disposable,
+	type ProblemError,
 	type RandomSource,
 	type RowStore,
 	type StoredRow,
@@ -9,18 +10,20 @@
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
+import {
+	createTableBelief,
+	type StoreReading,
+	type TableBelief,
+} from '../../decisions/fleet/index.js';
 import {
 	type ConfigurationState,
 	followTable,
-	type RelayedRow,
+	type RelayedRows,
 	type RelayedTables,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import {
-	decodeConfiguration,
-	decodeTargetEntry,
-	tableNames,
-} from '../../platform/index.js';
+import {decodeTargetEntry, tableNames} from '../../platform/index.js';
+import {createConfigurationLoader} from './configuration-loader.js';
 
 /** What is kept up with the store. */
 export type StoreWatchOptions = {
@@ -28,14 +31,16 @@
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly random: RandomSource;
-	/** Time after which the store answers a wait without changes, in milliseconds. */
+	/** Time after which the store answers a reader without changes, in milliseconds. */
 	readonly waitMs: () => number;
-	/** Interval at which a VM that hears of changes from a relay reads the targets itself, in milliseconds. */
-	readonly followerIntervalMs: () => number;
-	/** True if this VM follows the targets closely and relays their changes. */
-	readonly isRelay: () => boolean;
-	/** The store named these rows. */
-	readonly onRows: (rows: readonly RelayedRow[]) => void;
+	/** Age of what is known from which on a VM reads by itself, in milliseconds. */
+	readonly maxAgeMs: () => number;
+	/** True if this VM reads the store for others. */
+	readonly isReader: (reading: StoreReading) => boolean;
+	/** The store named these changes of the targets. */
+	readonly onRows: (changes: RelayedRows) => void;
+	/** The configuration has changed in the store. */
+	readonly onConfigurationRow: () => void;
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly logger: Logger;
@@ -45,59 +50,58 @@
 export type StoreWatch = Disposable & {
 	/** True once both tables have been read. */
 	readonly isComplete: boolean;
-	/** True while the table of the targets can be read. */
+	readonly reading: StoreReading;
+	/** True while what is known of the targets is confirmed. */
 	readonly readsTargets: boolean;
 	/** True while a table cannot be read. */
 	readonly isStoreLost: boolean;
 	/** True once the targets are known, from the store or from a peer. */
 	readonly hasTargets: boolean;
-	/** Monotonic time since which the operator's table cannot be read, or undefined if it can. */
-	readonly configurationLostMs: number | undefined;
+	readonly configurationBelief: TableBelief;
+	readonly targetsBelief: TableBelief;
 	/** What was read, for peers that cannot; undefined before. */
 	tables(): RelayedTables | undefined;
 	/** Takes over what a peer has read, since this VM cannot. */
 	takeTables(tables: RelayedTables): void;
-	/** Reads the configuration again, since a newer one is in force elsewhere. */
+	/** Takes over changes that a peer has read. */
+	takeRows(changes: RelayedRows): void;
 	readConfiguration(): void;
+	readTargets(): void;
 };
 
 /** Whether a table was read, and can be read now. */
 type TableState = 'lost' | 'read' | 'unread';
 
-const minConfigurationIntervalMs = 20;
+const minConfigurationIntervalMs = 100;
 /** Several targets change at once; their changes are read together. */
-const relayIntervalMs = 150;
+const minTargetsIntervalMs = 150;
 
 /** Starts to follow the operator's table and that of the targets. */
 export function watchStore(options: StoreWatchOptions): StoreWatch {
 	const {configuration, directory, logger, clock} = options;
 	const decoder = new TextDecoder();
+	const configurationBelief = createTableBelief(clock);
+	const targetsBelief = createTableBelief(clock);
 	let hasTargets = false;
+	let configurationState: TableState = 'unread';
 	let targetsState: TableState = 'unread';
-	let configurationLostMs: number | undefined;
-	let configurationText: string | undefined;
-	let targetsVersion = 0;
 
-	const acceptConfiguration = (text: string, rowVersion: number | 'peer') => {
-		try {
-			const decoded = decodeConfiguration(text);
-			const accepted = configuration.accept(decoded);
-			if (accepted) {
-				configurationText = text;
-			}
-
-			logger.info('configuration read', {
-				version: decoded.version,
-				rowVersion,
-				accepted,
-				routes: decoded.routes.length,
-			});
-		} catch (error) {
-			const {type, detail, field} = toProblem(error);
-			logger.warn('configuration refused', {type, detail, field, rowVersion});
+	const reading = (): StoreReading => {
+		if (targetsState === 'lost' || configurationState === 'lost') {
+			return 'lost';
 		}
+
+		return targetsState === 'read' && options.isReader('reading')
+			? 'reading'
+			: 'idle';
 	};
 
+	const loader = createConfigurationLoader({
+		timers: options.timers,
+		configuration,
+		logger,
+	});
+
 	const entryOf = (id: string, value: Uint8Array): TargetEntry | undefined => {
 		try {
 			return decodeTargetEntry(id, decoder.decode(value));
@@ -108,47 +112,67 @@
 		}
 	};
 
-	const follow = (table: string, minIntervalMs: () => number) => ({
+	const lost = (dependency: string, problem: ProblemError) => {
+		logger.warn('dependency lost', {
+			dependency,
+			type: problem.type,
+			detail: problem.message,
+		});
+	};
+
+	const regained = (dependency: string, belief: TableBelief) => {
+		logger.info('dependency regained', {
+			dependency,
+			version: belief.version,
+			ageMs: Math.round(belief.ageMs),
+		});
+	};
+
+	const follow = (table: string, belief: TableBelief) => ({
 		...options,
 		table,
-		minIntervalMs,
+		belief,
+		isReader: () => options.isReader(reading()),
 	});
 
+	const operatorTable = 'store, operator table';
 	const operator = followTable(
-		follow(tableNames.operator, () => minConfigurationIntervalMs),
+		{
+			...follow(tableNames.operator, configurationBelief),
+			minIntervalMs: minConfigurationIntervalMs,
+		},
 		{
 			onSnapshot({rows}) {
+				configurationState = 'read';
 				for (const row of rows) {
 					if (row.key === tableNames.configurationKey) {
-						acceptConfiguration(decoder.decode(row.value), row.version);
+						loader.load(decoder.decode(row.value), row.version);
 					}
 				}
+
+				options.onConfigurationRow();
 			},
 			onChanges(changes) {
 				for (const {key, value, version} of changes) {
 					if (key === tableNames.configurationKey && value) {
-						acceptConfiguration(decoder.decode(value), version);
+						loader.load(decoder.decode(value), version);
 					}
 				}
+
+				options.onConfigurationRow();
 			},
 			onLost(problem) {
-				configurationLostMs = clock.nowMs();
-				logger.warn('dependency lost', {
-					dependency: 'store, operator table',
-					type: problem.type,
-					detail: problem.message,
-				});
+				configurationState = 'lost';
+				lost(operatorTable, problem);
 			},
 			onRegained() {
-				configurationLostMs = undefined;
-				logger.info('dependency regained', {
-					dependency: 'store, operator table',
-				});
+				configurationState = 'read';
+				regained(operatorTable, configurationBelief);
 			},
 		},
 	);
 
-	const takeRows = (rows: readonly StoredRow[], version: number) => {
+	const takeSnapshot = (rows: readonly StoredRow[], version: number) => {
 		const entries = new Map<string, TargetEntry>();
 		for (const row of rows) {
 			const entry = entryOf(row.key, row.value);
@@ -160,18 +184,19 @@
 		directory.reset(entries, version);
 	};
 
+	const targetsTable = 'store, targets table';
 	const targets = followTable(
-		follow(tableNames.targets, () =>
-			options.isRelay() ? relayIntervalMs : options.followerIntervalMs(),
-		),
+		{
+			...follow(tableNames.targets, targetsBelief),
+			minIntervalMs: minTargetsIntervalMs,
+		},
 		{
 			onSnapshot({rows, version}) {
 				hasTargets = true;
 				targetsState = 'read';
-				targetsVersion = version;
-				takeRows(rows, version);
+				takeSnapshot(rows, version);
 			},
-			onChanges(changes) {
+			onChanges(changes, afterVersion) {
 				const rows = changes.map(({key, value, version}) => ({
 					targetId: key,
 					version,
@@ -180,26 +205,20 @@
 				}));
 				for (const {targetId, entry, version} of rows) {
 					directory.set(targetId, entry, version);
-					targetsVersion = Math.max(targetsVersion, version);
 				}
 
-				options.onRows(rows);
+				const {changeVersion} = targetsBelief.mark;
+				options.onRows({afterVersion, version: changeVersion, rows});
 			},
 			onLost(problem) {
 				targetsState = 'lost';
 				directory.storeLost();
-				logger.warn('dependency lost', {
-					dependency: 'store, targets table',
-					type: problem.type,
-					detail: problem.message,
-				});
+				lost(targetsTable, problem);
 			},
 			onRegained() {
 				targetsState = 'read';
 				directory.storeRegained();
-				logger.info('dependency regained', {
-					dependency: 'store, targets table',
-				});
+				regained(targetsTable, targetsBelief);
 			},
 		},
 	);
@@ -208,34 +227,42 @@
 		get isComplete() {
 			return hasTargets && configuration.current !== undefined;
 		},
+		get reading() {
+			return reading();
+		},
 		get isStoreLost() {
-			return targetsState === 'lost' || configurationLostMs !== undefined;
+			return targetsState === 'lost' || configurationState === 'lost';
 		},
 		get hasTargets() {
 			return hasTargets;
 		},
 		get readsTargets() {
-			return targetsState === 'read';
-		},
-		get configurationLostMs() {
-			return configurationLostMs;
+			return (
+				targetsState === 'read' && targetsBelief.ageMs <= options.maxAgeMs()
+			);
 		},
+		configurationBelief,
+		targetsBelief,
 		tables() {
-			return hasTargets && configurationText !== undefined
+			const {version} = targetsBelief;
+			return hasTargets && loader.text !== undefined
 				? {
-						configuration: configurationText,
+						configuration: loader.text,
 						targets: [...directory.all()].map(({entry}) => ({
 							targetId: entry.id,
-							version: targetsVersion,
+							version,
 							entry,
 						})),
-						targetsVersion,
+						targetsVersion: version,
 					}
 				: undefined;
 		},
 		takeTables(tables) {
-			acceptConfiguration(tables.configuration, 'peer');
-			if (targetsState === 'read') {
+			loader.load(tables.configuration, 'peer');
+			if (
+				targetsState === 'read' ||
+				tables.targetsVersion < targetsBelief.version
+			) {
 				return;
 			}
 
@@ -247,13 +274,26 @@
 			}
 
 			directory.reset(entries, tables.targetsVersion);
-			targetsVersion = Math.max(targetsVersion, tables.targetsVersion);
+			targetsBelief.adopt(tables.targetsVersion);
 			hasTargets = true;
 		},
+		takeRows(changes) {
+			for (const {targetId, entry, version} of changes.rows) {
+				directory.set(targetId, entry, version);
+			}
+
+			if (!targetsBelief.told(changes.afterVersion, changes.version)) {
+				targets.refresh();
+			}
+		},
 		readConfiguration() {
 			operator.refresh();
 		},
+		readTargets() {
+			targets.refresh();
+		},
 		dispose() {
+			loader.dispose();
 			operator.dispose();
 			targets.dispose();
 		},
