Start the front daemon from code that the build has compiled

A profile of the start: compiling the joined file and the functions that every start runs, and Node's HTTP/2, which undici loads for its header names.

Change: the build runs the joined daemon once against stand-ins and keeps V8's compiled code beside it; a small loader runs it from there. Code compiled by another version or with other flags is ignored by V8 and compiled anew.

Test: front.test.ts runs its four guards on the loader as well.

--- a/src/experiments/fault-soak/main.ts
+++ b/src/experiments/fault-soak/main.ts
@@ -15,7 +15,7 @@
 const seedStep = 7919;
 const maxVms = 120;
 const maxJobs = 16;
-const program = fileURLToPath(new URL('../../front.mjs', import.meta.url));
+const program = fileURLToPath(new URL('../../front.cjs', import.meta.url));
 
 /** Keeps what explains a failure. */
 function keep(seed: number, {violations, observations, logs}: SoakOutcome) {
--- a/src/programs/front.test.ts
+++ b/src/programs/front.test.ts
@@ -14,7 +14,7 @@
 import {bootFile} from '../platform/testing/index.js';
 import {exitCodes} from './exit-codes.js';
 
-const programs = ['front.js', '../front.mjs'].map((file) =>
+const programs = ['front.js', '../front.cjs'].map((file) =>
 	fileURLToPath(new URL(file, import.meta.url)),
 );
 
--- a/src/programs/front/run-front.ts
+++ b/src/programs/front/run-front.ts
@@ -6,7 +6,7 @@
 import {createFront} from './create-front.js';
 import {readFrontSettings} from './front-settings.js';
 
-await runProgram(async () => {
+async function start(): Promise<void> {
 	const settings = await readFrontSettings();
 	if (settings.checkOnly) {
 		return;
@@ -27,8 +27,15 @@
 	}
 
 	reloadSignal.handle(front.reload);
-});
-// A daemon that did not start must not stay half alive; the platform starts it again.
-if (process.exitCode) {
-	process.exit();
 }
+
+async function main(): Promise<void> {
+	await runProgram(start);
+	// A daemon that did not start must not stay half alive; the platform starts it again.
+	if (process.exitCode) {
+		process.exit();
+	}
+}
+
+// eslint-disable-next-line unicorn/prefer-top-level-await -- the joined file is a script
+void main();
