Take no answer for another's, and tell slow runs from stalled ones

Cause: calls of the store and of engines shared connections, and a late second answer on one would be read as the next: an empty answer to a feed of one table lets changes of another go unseen, and the answer to a copy could name the memory of another run. An answer without the id of its request was passed on. A run that paused for more than 0.9 s was moved each time, although it went on by itself, and comments counted as progress, so that a stalled run with a copy elsewhere was not moved.

Change: calls of the store and of engines get a connection each; an answer must name its request; a run that has ended a pause by itself may pause for twice as long; only numbered events are progress. Tests, each failing before: two scripted servers that send second answers late, answers with another id or none, a run with pauses of 0.85 to 1.6 s, and one that sends comments only.

--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -139,3 +139,18 @@
 	session.callerLeft();
 	assert.equal(link.sends[0].isDisposed, false);
 });
+
+test('guards against the answer of another request, or of none, reaching the caller', () => {
+	for (const requestId of ['q0', undefined]) {
+		const {link, reply} = start(unsafe);
+		const {sink, address} = link.sends[0];
+		sink.onHead(fakeHead('q1', {requestId}));
+		sink.onData(bytes('not yours'));
+		sink.onEnd();
+		assert.deepEqual(
+			[reply.status, reply.text.includes('yours')],
+			[502, false],
+		);
+		assert.deepEqual(link.renewed, [address]);
+	}
+});
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -212,7 +212,7 @@
 		}
 
 		const latencyMs = clock.nowMs() - attempt.startedMs;
-		if (head.requestId !== undefined && head.requestId !== request.id) {
+		if (head.requestId !== request.id) {
 			failed(attempt, {unsent: false, reason: 'answer of another request'});
 			link.renew(target.address);
 			return;
--- a/src/decisions/serving/stream-pauses.ts
+++ b/src/decisions/serving/stream-pauses.ts
@@ -2,6 +2,8 @@
 
 /** Measures when the events of a stream arrive. */
 export type StreamPauses = {
+	/** Longest pause between two events so far, in milliseconds. */
+	readonly longestMs: number;
 	/** An event was passed on. */
 	note(nowMs: number): void;
 	/** Time to the first event, and the longest pause with the event that ended it. */
@@ -19,6 +21,9 @@
 	let longestGapMs = 0;
 	let longestGapAt: number | undefined;
 	return {
+		get longestMs() {
+			return longestGapMs;
+		},
 		note(nowMs) {
 			count++;
 			if (firstEventMs === undefined) {
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -72,8 +72,7 @@
 
 	/** True, and the send has failed, if the answer belongs to another request. */
 	const failIfForeign = (answer: AnswerHead) => {
-		const isForeign =
-			answer.requestId !== undefined && answer.requestId !== request.id;
+		const isForeign = answer.requestId !== request.id;
 		if (isForeign) {
 			link.renew(target.address);
 			fail({unsent: false, reason: 'answer of another request'});
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -103,3 +103,43 @@
 		['q1', 'the run was lost', 2, 0],
 	);
 });
+
+test('guards against moving a slow but sound run again and again', async () => {
+	const {time, link, session} = startFakeStream({backup: secondEngine});
+	giveEvents(link.sends[0], 1);
+	for (const id of [2, 3, 4]) {
+		const beforeMs = time.nowMs();
+		await time.runUntil(beforeMs + 850);
+		session.tick();
+		giveEvents(link.sends[0], id);
+	}
+
+	await time.runUntil(time.nowMs() + 1600);
+	session.tick();
+	assert.equal(link.sends.length, 1);
+	await time.runUntil(time.nowMs() + 200);
+	session.tick();
+	assert.equal(link.sends.length, 2);
+});
+
+test('guards against a stalled run that sends comments being taken for one that goes on', async () => {
+	const {time, link, session, reply} = startFakeStream({backup: secondEngine});
+	giveEvents(link.sends[0], 1);
+	for (let count = 0; count < 4; count++) {
+		await time.runUntil(time.nowMs() + 300);
+		link.sends[0].sink.onData(new TextEncoder().encode(': wait\n\n'));
+		session.tick();
+	}
+
+	assert.equal(link.sends.length, 2);
+	const alone = startFakeStream();
+	giveEvents(alone.link.sends[0], 1);
+	for (let atMs = 1000; atMs <= 40_000; atMs += 1000) {
+		await alone.time.runUntil(atMs);
+		alone.link.sends[0].sink.onData(new TextEncoder().encode(':'));
+		alone.session.tick();
+	}
+
+	assert.equal(alone.reply.ending, 'aborted');
+	assert.equal(reply.ending, undefined);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -17,6 +17,8 @@
 const silenceMs = 900;
 /** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
 const firstEventSilenceMs = 4000;
+/** Multiple of the longest pause that a run has ended by itself, after which it counts as stalled. */
+const pauseFactor = 2;
 const retryAfterMs = 400;
 /** Below the default of the engines, which is 5. */
 const latePriority = 7;
@@ -155,7 +157,11 @@
 	) => {
 		const nowMs = clock.nowMs();
 		mayHaveRun = true;
-		lastProgressMs = nowMs;
+		if (event.id !== undefined) {
+			// A comment shows that the connection lives, not that the run goes on.
+			lastProgressMs = nowMs;
+		}
+
 		const isFirst = answer.eventCount === 0;
 		const outcome = answer.take(event, head, nowMs);
 		if (outcome === 'gap') {
@@ -293,7 +299,11 @@
 				return;
 			}
 
-			const limitMs = answer.eventCount > 0 ? silenceMs : firstEventSilenceMs;
+			// A run that has gone on after a pause may do so again.
+			const limitMs =
+				answer.eventCount > 0
+					? Math.max(silenceMs, answer.pauses.longestMs * pauseFactor)
+					: firstEventSilenceMs;
 			const isSilent = clock.nowMs() - lastProgressMs > limitMs;
 			if (isSilent && copies.areUsable(current)) {
 				failed(current, {unsent: false, reason: 'the engine is silent'});
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -35,6 +35,8 @@
 		headersTimeout: timeoutMs,
 		bodyTimeout: timeoutMs,
 		signal: AbortSignal.timeout(timeoutMs),
+		// A late second answer on a connection that was used before would be taken for this one.
+		reset: true,
 	});
 	const chunks: Uint8Array[] = [];
 	let size = 0;
--- a/src/platform/http-target-link.test.ts
+++ b/src/platform/http-target-link.test.ts
@@ -174,3 +174,27 @@
 		last: false,
 	});
 });
+
+test('guards against a late second answer to a control call being taken for the next one', async (context) => {
+	const {target, address} = await startTarget(context, (request, socket) => {
+		const isReport = request.head.startsWith('GET');
+		const body = isReport ? '{"handle":"of-another-run"}' : '{"handle":"own"}';
+		const answer = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+		socket.write(answer);
+		if (isReport) {
+			// The second copy arrives where the next answer is expected.
+			setTimeout(() => {
+				socket.write(answer);
+			}, 20);
+		}
+	});
+	const link = new HttpTargetLink();
+	link.setMaxConnections(address, 1);
+	await assert.rejects(link.report(address, 500), {type: 'target-protocol'});
+	const copied = await link.copyMemory(address, 'q1', '10.0.0.9:80', 500);
+	assert.deepEqual(copied, {
+		outcome: 'copied',
+		memory: {address, handle: 'own'},
+	});
+	assert.equal(target.requests.length, 2);
+});
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import type {AddressInfo} from 'node:net';
+import {type AddressInfo, createServer} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {createEmitter, ProblemError} from '../common/index.js';
 import {StoreClient} from './store-client.js';
@@ -95,3 +95,41 @@
 	await assert.rejects(client.snapshot('op'), isProblem('table-unavailable'));
 	await isClosed;
 });
+
+test('guards against a late second answer of the store being taken for the next one', async (context) => {
+	const answerOf = (version: number) => {
+		const body = JSON.stringify({rows: [], ver: version});
+		return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+	};
+
+	let requests = 0;
+	const server = createServer((socket) => {
+		socket.on('error', () => {
+			// The client closes connections as it likes.
+		});
+		socket.on('data', () => {
+			requests++;
+			const answer = answerOf(requests === 1 ? 90 : 7);
+			socket.write(answer);
+			setTimeout(() => {
+				socket.write(answer);
+			}, 20);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const client = new StoreClient({
+		address: `127.0.0.1:${port}`,
+		timeoutMs: 500,
+	});
+	context.after(async () => {
+		await client.close();
+		server.close();
+	});
+	const {version} = await client.changes('op', 3, 0);
+	assert.equal(version, 90);
+	const next = await client.changes('servers', 5, 0);
+	assert.equal(next.version, 7);
+});
