Queue generations by what frees memory, and refuse at once what finds none

A generation is placed if the forecast says that its first token is on time, short ones up to all of the memory, so that they need not wait for long ones; late ones only get memory to spare. What finds no memory within twice its objective by the forecast is refused at once, the rest after that time, with a Retry-After of 1.5 to 8 s within a third of the caller's time. Runs whose engine leaves may go beyond the limit, as a preemption is no worse than their loss. Callers whose time left shows that they come back count as late. A VM that was paused holds requests until what it knows of the targets is confirmed, which it notices by the time and not by a timer. The setting of the digests is gone with them.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,8 @@
 fault_soak=$!
 node dist/experiments/fault-soak/main.js --regressions --jobs 3 &
 regressions=$!
+node dist/experiments/fuzz/main.js --seed 1 --seconds 10 &
+fuzz=$!
 node_modules/.bin/prettier --check . >&2
 if [ -f dist/experiments/soak/main.js ]; then
 	node dist/experiments/soak/main.js --seed 1 --runs 10
@@ -19,6 +21,7 @@
 wait "$lint"
 wait "$fault_soak"
 wait "$regressions"
+wait "$fuzz"
 if [ -s KNOWN-RED.txt ]; then
 	echo "Known failures that this run does not repeat (KNOWN-RED.txt):"
 	cat KNOWN-RED.txt
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -34,6 +34,7 @@
 	doneTokens: 0,
 	nearZone: 'zone-1',
 	avoid: ['e2'],
+	elapsedMs: 0,
 	waitedMs: 10,
 	objectiveMs: 1800,
 	leftMs: 38_990,
--- a/src/decisions/fleet/place-client.test.ts
+++ b/src/decisions/fleet/place-client.test.ts
@@ -30,6 +30,7 @@
 	doneTokens: 0,
 	nearZone: 'zone-1',
 	avoid: [],
+	elapsedMs: 0,
 	waitedMs: 0,
 	objectiveMs: 1800,
 	leftMs: 39_000,
--- a/src/decisions/fleet/table-belief.ts
+++ b/src/decisions/fleet/table-belief.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../../common/index.js';
+import {type Clock, createEmitter, type Event} from '../../common/index.js';
 import type {TableMark} from './types.js';
 
 /** What this VM knows of a table of the store, and since when that is confirmed. */
@@ -8,6 +8,8 @@
 	/** Time since the store, or a VM that reads it, confirmed this; Infinity before. */
 	readonly ageMs: number;
 	readonly mark: TableMark;
+	/** What is known was confirmed anew. */
+	readonly onConfirmed: Event<void>;
 	/**
 	 * This VM has read the store.
 	 * @param version - version up to which every change is known now
@@ -35,11 +37,17 @@
 	let changeVersion = 0;
 	let confirmedMs = -Infinity;
 
+	const confirmed = createEmitter<void>();
+
 	const confirm = (atMs: number) => {
-		confirmedMs = Math.max(confirmedMs, atMs);
+		if (atMs > confirmedMs) {
+			confirmedMs = atMs;
+			confirmed.fire();
+		}
 	};
 
 	return {
+		onConfirmed: confirmed.event,
 		get version() {
 			return version;
 		},
--- a/src/decisions/scheduling/generation-queue.ts
+++ b/src/decisions/scheduling/generation-queue.ts
@@ -9,36 +9,46 @@
 	readonly sinceMs: number;
 };
 
-/** Time that the caller of a waiting generation has waited in all, in milliseconds. */
+/** Time that the caller of a waiting generation has waited in this attempt, in milliseconds. */
 export function waitedMs({demand, sinceMs}: Waiting, nowMs: number): number {
 	return demand.waitedMs + (nowMs - sinceMs);
 }
 
-/** Time in which an engine reads a prompt beside others at least, in milliseconds per token. */
-const promptMsPerToken = 0.1;
+/** Time in which an engine reads a prompt and one more beside others, in milliseconds per token. */
+const promptMsPerToken = 0.2;
 /** Part of the objective that waiting and the first token may use together. */
 const objectivePart = 0.9;
 
 /** Time that is left for waiting if the first token is to be on time, in milliseconds. */
 export function slackMs(waiting: Waiting, nowMs: number): number {
-	const {objectiveMs, promptTokens} = waiting.demand;
+	const {objectiveMs, promptTokens, elapsedMs} = waiting.demand;
 	return (
 		objectivePart * objectiveMs -
 		promptTokens * promptMsPerToken -
+		elapsedMs -
 		waitedMs(waiting, nowMs)
 	);
 }
 
+/** Memory that a generation needs at its end, in tokens. */
+export function neededTokens(demand: PlaceDemand): number {
+	return demand.promptTokens + demand.doneTokens + demand.expectedTokens;
+}
+
 /** Tokens of a usual answer; keeps short ones from being valued without bound. */
 const usualTokens = 200;
 /** Part of the objective after which a waiting generation goes ahead of younger ones. */
-const agedPart = 0.5;
+const agedPart = 0.35;
+/** An aged generation counts as this much cheaper. */
+const agedFactor = 0.25;
+/** Beyond the cost of any generation that can be on time. */
+const lateRank = 1e12;
 
 /**
  * Rank in the queue; the smallest goes first. Answers the pattern "more generations than the engines'
  * memory holds": memory goes where it serves most callers for the time that it is held, so that short
  * generations go ahead of long ones. One that has waited for a good part of its objective goes ahead
- * of all that have not, so that none starves; late ones come last, as they have lost their use.
+ * of all that have not, so that none starves; late ones come last, as they have lost most of their use.
  */
 export function queueRank(waiting: Waiting, nowMs: number): number {
 	const {demand} = waiting;
@@ -49,11 +59,6 @@
 		return lateRank + cost;
 	}
 
-	const isAged =
-		waitedMs(waiting, nowMs) > agedPart * demand.objectiveMs ? agedFactor : 1;
-	return cost * isAged;
+	const isAged = waitedMs(waiting, nowMs) > agedPart * demand.objectiveMs;
+	return cost * (isAged ? agedFactor : 1);
 }
-
-const lateRank = 1e12;
-/** An aged generation counts as this much cheaper. */
-const agedFactor = 0.25;
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -6,12 +6,13 @@
 	type EngineChoice,
 } from './engine-placement.js';
 import {
+	neededTokens,
 	queueRank,
 	slackMs,
 	type Waiting,
 	waitedMs,
 } from './generation-queue.js';
-import {peakTokens, tokensUntilFree} from './memory-forecast.js';
+import {freedTokens, peakTokens} from './memory-forecast.js';
 import type {RunBook} from './run-book.js';
 import type {PlaceAnswer, PlaceDemand, Placement} from './types.js';
 
@@ -45,27 +46,33 @@
 	tick(): void;
 };
 
-/** Part of an engine's memory that may be in use at the forecast peak. */
-const engineMemoryPart = 0.92;
-/** The same for runs whose engine leaves: a preemption is no worse than their loss. */
-const evacuationMemoryPart = 1;
+/** Part of an engine's memory that may be in use at the forecast peak, which many runs end before. */
+const engineMemoryPart = 1.02;
+/** The same with short generations, which free it soon. */
+const shortEngineMemoryPart = 1.06;
+/** The same for runs whose engine leaves: a possible preemption is no worse than their loss. */
+const evacuationMemoryPart = 1.2;
 /** Part of the memory of all engines up to which generations are begun; engines leave at any time. */
-const fleetMemoryPart = 0.86;
+const fleetMemoryPart = 0.93;
+/** The same for short generations, so that they need not wait for long ones to end. */
+const shortFleetMemoryPart = 1.03;
 /** The same for generations that are late already. */
-const lateFleetMemoryPart = 0.72;
+const lateFleetMemoryPart = 0.8;
 /** Part of the memory of all engines up to which runs get a copy from the start. */
 const copyFleetMemoryPart = 0.78;
-/** Generations shorter than this end before a copy of their memory would be of use. */
-const minCopyTokens = 100;
-/** Part of its whole time that a late generation waits; the rest is for the answer. */
-const latePart = 0.3;
+/** Shorter generations end before a copy of their memory would be of use. */
+const shortTokens = 100;
+/** Multiple of the objective that a generation waits at most; callers give up at about four. */
+const waitFactor = 2;
+/** Part of the objective in which a first token must be expected to count as timely. */
+const timelyPart = 0.95;
 /** After this many demands without room the others of the moment are not tried. */
 const maxMisses = 4;
 const minRetryAfterMs = 300;
+/** Time in which a shortage of memory may pass, in milliseconds; callers come back spread over it. */
+const shortageMs = {least: 1500, most: 8000} as const;
 /** Time for which a placement is repeated to a VM that asks again, in milliseconds. */
 const rememberMs = 1500;
-/** Callers that were refused together come back spread over this part of the time. */
-const retrySpread = 0.4;
 /** Part of the caller's time up to which it follows an advice. */
 const retryAfterPart = 0.33;
 
@@ -78,6 +85,14 @@
 	misses: number;
 };
 
+type Chosen = {
+	readonly choice: EngineChoice;
+	/** True if the first token is not expected in time. */
+	readonly isLate: boolean;
+};
+
+const isShort = ({expectedTokens}: PlaceDemand) => expectedTokens < shortTokens;
+
 /**
  * Creates a scheduler without demands. It keeps the only queue of all VMs that ask it, and counts each
  * placement at once, so that no two VMs take the same memory.
@@ -109,21 +124,17 @@
 
 	const hasRoom = (
 		{capacityTokens, peakTokens: peak}: Service,
-		{promptTokens, expectedTokens}: PlaceDemand,
+		tokens: number,
 		part: number,
-	) => peak + promptTokens + expectedTokens <= part * capacityTokens;
+	) => peak + tokens <= part * capacityTokens;
 
 	const copyFor = (
 		service: Service,
 		demand: PlaceDemand,
 		target: EngineEntry,
 	) =>
-		demand.expectedTokens < minCopyTokens ||
-		!hasRoom(
-			service,
-			{...demand, promptTokens: demand.promptTokens * 2},
-			copyFleetMemoryPart,
-		)
+		isShort(demand) ||
+		!hasRoom(service, 2 * neededTokens(demand), copyFleetMemoryPart)
 			? undefined
 			: chooseCopyEngine(
 					service.candidates,
@@ -135,8 +146,7 @@
 	const place = (
 		{vm, demand}: Waiting,
 		service: Service,
-		choice: EngineChoice,
-		isLate: boolean,
+		{choice, isLate}: Chosen,
 	): PlaceAnswer => {
 		const target = service.candidates.find(
 			({targetId}) => targetId === choice.targetId,
@@ -171,29 +181,49 @@
 			? service.candidates
 			: service.candidates.filter(({targetId}) => !avoid.includes(targetId));
 
-	/** Chooses an engine if one has room now. */
-	const tryChoose = (
-		demand: PlaceDemand,
+	/** Chooses the engine that keeps a copy of a run whose engine leaves. */
+	const chooseKeeper = (demand: PlaceDemand, service: Service) =>
+		chooseEngine(
+			notAvoided(service, demand),
+			demand,
+			evacuationMemoryPart,
+			random,
+		);
+
+	/** Chooses an engine for a run if one has room now; late ones only have what is to spare. */
+	const chooseNow = (
+		waiting: Waiting,
 		service: Service,
-		isLate: boolean,
-	): EngineChoice | undefined => {
-		const candidates = notAvoided(service, demand);
-		if (demand.purpose === 'copy') {
-			return chooseEngine(candidates, demand, evacuationMemoryPart, random);
+	): Chosen | undefined => {
+		const {demand} = waiting;
+		// A single engine has no others to fall back on; its own limit is enough.
+		const fits = (part: number) =>
+			service.candidates.length === 1 ||
+			hasRoom(service, neededTokens(demand), part);
+		const [enginePart, fleetPart] = isShort(demand)
+			? [shortEngineMemoryPart, shortFleetMemoryPart]
+			: [engineMemoryPart, fleetMemoryPart];
+		if (service.misses >= maxMisses || !fits(fleetPart)) {
+			return undefined;
 		}
 
-		const fleetPart = isLate ? lateFleetMemoryPart : fleetMemoryPart;
-		// A single engine has no others to fall back on; its own limit is enough.
-		const isFull =
-			service.misses >= maxMisses ||
-			(service.candidates.length > 1 && !hasRoom(service, demand, fleetPart));
-		if (isFull) {
+		const choice = chooseEngine(
+			notAvoided(service, demand),
+			demand,
+			enginePart,
+			random,
+		);
+		if (!choice) {
+			service.misses++;
 			return undefined;
 		}
 
-		const choice = chooseEngine(candidates, demand, engineMemoryPart, random);
-		service.misses += choice ? 0 : 1;
-		return choice;
+		const nowMs = clock.nowMs();
+		const dueMs =
+			demand.elapsedMs + waitedMs(waiting, nowMs) + choice.firstTokenMs;
+		const isLate =
+			slackMs(waiting, nowMs) <= 0 || dueMs > timelyPart * demand.objectiveMs;
+		return isLate && !fits(lateFleetMemoryPart) ? undefined : {choice, isLate};
 	};
 
 	const refused = (reason: string, retryAfterMs: number): PlaceAnswer => ({
@@ -202,21 +232,40 @@
 		retryAfterMs,
 	});
 
-	/** When memory for a demand is free by the forecast, as advice to its caller. */
-	const retryAfter = (demand: PlaceDemand, service: Service): number => {
-		let soonestMs = Infinity;
-		for (const {use, capacityTokens, tokenMs} of service.candidates) {
-			const tokens = tokensUntilFree(
-				use.held,
-				demand.promptTokens + demand.expectedTokens,
-				engineMemoryPart * capacityTokens,
-			);
-			soonestMs = Math.min(soonestMs, tokens * tokenMs);
+	/** When a caller may come back that finds no memory now. */
+	const retryAfter = (demand: PlaceDemand): number => {
+		const {least, most} = shortageMs;
+		const soonMs = least + (most - least) * random.nextUnit();
+		const mostMs = retryAfterPart * demand.leftMs;
+		// Callers with little time are spread over what they have.
+		return Math.max(
+			minRetryAfterMs,
+			soonMs > mostMs ? mostMs * (0.5 + random.nextUnit() / 2) : soonMs,
+		);
+	};
+
+	/** True if a demand finds memory by the forecast, behind those that go ahead of it. */
+	const isHopeful = (waiting: Waiting, service: Service): boolean => {
+		const nowMs = clock.nowMs();
+		const rank = queueRank(waiting, nowMs);
+		const withinMs = waitFactor * waiting.demand.objectiveMs;
+		let needed = neededTokens(waiting.demand);
+		for (const other of queue.values()) {
+			if (
+				other.demand.service === waiting.demand.service &&
+				other.demand.id !== waiting.demand.id &&
+				queueRank(other, nowMs) < rank
+			) {
+				needed += neededTokens(other.demand);
+			}
 		}
 
-		const mostMs = retryAfterPart * demand.leftMs;
-		const spread = 1 + (random.nextUnit() - 0.5) * retrySpread;
-		return Math.min(mostMs, Math.max(minRetryAfterMs, soonestMs * spread));
+		let free = fleetMemoryPart * service.capacityTokens - service.peakTokens;
+		for (const {use, tokenMs} of service.candidates) {
+			free += freedTokens(use.held, withinMs / tokenMs);
+		}
+
+		return needed <= free;
 	};
 
 	/** Why a demand can never be served, if it cannot. */
@@ -233,29 +282,60 @@
 	};
 
 	/** Answers a demand, or lets it wait. */
-	const decide = (waiting: Waiting, service: Service): PlaceAnswer => {
+	const decide = (
+		waiting: Waiting,
+		service: Service,
+		isNew: boolean,
+	): PlaceAnswer => {
 		const {demand} = waiting;
 		const nowMs = clock.nowMs();
-		const isLate = slackMs(waiting, nowMs) <= 0;
 		const reason = impossible(demand, service);
 		if (reason) {
-			return refused(reason, retryAfter(demand, service));
+			return refused(reason, minRetryAfterMs);
 		}
 
-		const choice = tryChoose(demand, service, isLate);
-		if (choice) {
-			return place(waiting, service, choice, isLate);
+		if (demand.purpose === 'copy') {
+			const choice = chooseKeeper(demand, service);
+			return choice
+				? place(waiting, service, {choice, isLate: false})
+				: refused('no engine has room for a copy', minRetryAfterMs);
 		}
 
-		if (demand.purpose === 'copy') {
-			return refused('no engine has room for a copy', minRetryAfterMs);
+		const chosen = chooseNow(waiting, service);
+		if (chosen) {
+			return place(waiting, service, chosen);
 		}
 
-		const mayWait =
-			waitedMs(waiting, nowMs) < latePart * (demand.leftMs + demand.waitedMs);
+		const mayWait = isNew
+			? isHopeful(waiting, service)
+			: waitedMs(waiting, nowMs) < waitFactor * demand.objectiveMs;
 		return mayWait
 			? {outcome: 'waiting', ahead: queue.size}
-			: refused('no engine has memory in time', retryAfter(demand, service));
+			: refused('no engine has memory in time', retryAfter(demand));
+	};
+
+	/** True if no generation of the service that waits goes ahead of this one. */
+	const isNext = (waiting: Waiting): boolean => {
+		const nowMs = clock.nowMs();
+		const rank = queueRank(waiting, nowMs);
+		return [...queue.values()].every(
+			(other) =>
+				other.demand.service !== waiting.demand.service ||
+				rank <= queueRank(other, nowMs),
+		);
+	};
+
+	/** Answers a demand that has just come, or was asked again. */
+	const admit = (waiting: Waiting, isNew: boolean): PlaceAnswer => {
+		const {demand} = waiting;
+		const service = serviceOf(demand.service);
+		if (demand.purpose === 'copy' || isNext(waiting)) {
+			return decide(waiting, service, isNew);
+		}
+
+		return !isNew || isHopeful(waiting, service)
+			? {outcome: 'waiting', ahead: queue.size}
+			: refused('no engine has memory in time', retryAfter(demand));
 	};
 
 	const byRank = () => {
@@ -291,7 +371,7 @@
 			const {demand, vm} = waiting;
 			const service = services.get(demand.service) ?? serviceOf(demand.service);
 			services.set(demand.service, service);
-			const answer = decide(waiting, service);
+			const answer = decide(waiting, service, false);
 			if (answer.outcome !== 'waiting') {
 				queue.delete(key);
 				options.onAnswer(vm, demand, answer);
@@ -315,16 +395,7 @@
 				return before.answer;
 			}
 
-			const isFirst = [...queue.values()].every(
-				(other) =>
-					other.demand.service !== demand.service ||
-					queueRank(waiting, clock.nowMs()) <= queueRank(other, clock.nowMs()),
-			);
-			// Those ahead have just been tried; one that fits beside them need not wait for them.
-			const answer =
-				isFirst || demand.purpose === 'copy'
-					? decide(waiting, serviceOf(demand.service))
-					: {outcome: 'waiting' as const, ahead: queue.size};
+			const answer = admit(waiting, !queue.has(key));
 			if (answer.outcome === 'waiting') {
 				queue.set(key, queue.get(key) ?? waiting);
 			}
--- a/src/decisions/scheduling/memory-forecast.ts
+++ b/src/decisions/scheduling/memory-forecast.ts
@@ -25,30 +25,15 @@
 	return peak;
 }
 
-/**
- * Tokens by which the runs of an engine must grow until a need fits beside them.
- * @returns Infinity if it never fits
- */
-export function tokensUntilFree(
+/** Memory that runs free which end within some further tokens, in tokens. */
+export function freedTokens(
 	held: readonly HeldMemory[],
-	neededTokens: number,
-	limitTokens: number,
+	withinTokens: number,
 ): number {
-	const byEnd = [...held].sort((a, b) => a.remainingTokens - b.remainingTokens);
-	if (neededTokens > limitTokens) {
-		return Infinity;
-	}
-
-	for (let ended = 0; ended <= byEnd.length; ended++) {
-		const grown = ended === 0 ? 0 : byEnd[ended - 1].remainingTokens;
-		const left = byEnd.slice(ended).map(({tokens, remainingTokens}) => ({
-			tokens: tokens + grown,
-			remainingTokens: remainingTokens - grown,
-		}));
-		if (peakTokens(left) + neededTokens <= limitTokens) {
-			return grown;
-		}
+	let freed = 0;
+	for (const {tokens, remainingTokens} of held) {
+		freed += remainingTokens <= withinTokens ? tokens + remainingTokens : 0;
 	}
 
-	return Infinity;
+	return freed;
 }
--- a/src/decisions/scheduling/types.ts
+++ b/src/decisions/scheduling/types.ts
@@ -30,7 +30,9 @@
 	readonly nearZone: string;
 	/** Engines that are not to be used. */
 	readonly avoid: readonly string[];
-	/** Time that the caller has waited, in milliseconds. */
+	/** Time that the caller has waited in earlier attempts, in milliseconds. */
+	readonly elapsedMs: number;
+	/** Time that it has waited in this one, in milliseconds. */
 	readonly waitedMs: number;
 	/** Time in which the first token is due, in milliseconds. */
 	readonly objectiveMs: number;
--- a/src/decisions/serving/admission.ts
+++ b/src/decisions/serving/admission.ts
@@ -3,6 +3,7 @@
 	RandomSource,
 	RouteRule,
 } from '../../common/index.js';
+import type {CallerPatience} from './caller-patience.js';
 import {ownStatus} from './refusals.js';
 import type {RouteTable} from './route-table.js';
 import type {AdmittedRequest} from './session-types.js';
@@ -23,6 +24,7 @@
 	/** True while the configuration is confirmed to be the newest. */
 	readonly isConfirmed: boolean;
 	readonly nowMs: number;
+	readonly patience: CallerPatience;
 	readonly random: RandomSource;
 };
 
@@ -47,7 +49,7 @@
  */
 export function admit(
 	request: CallerRequest,
-	{table, isConfirmed, nowMs, random}: AdmissionInputs,
+	{table, isConfirmed, nowMs, patience, random}: AdmissionInputs,
 ): Admission {
 	const refuse = (status: number, reason: string): Admission => ({
 		status,
@@ -84,6 +86,7 @@
 			account: account?.name,
 			priority: account?.priority ?? route.priority,
 			arrivedMs: nowMs,
+			elapsedMs: patience.arrived(route.name, request.timeoutMs),
 			deadlineMs: nowMs + timeoutMs,
 		},
 	};
--- /dev/null
+++ b/src/decisions/serving/fresh-gate.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {VirtualTime} from '../../experiments/fakes/index.js';
+import {createTableBelief} from '../fleet/index.js';
+import {createFreshGate} from './fresh-gate.js';
+
+const maxAgeMs = 1800;
+
+function start() {
+	const time = new VirtualTime();
+	const belief = createTableBelief(time);
+	let refreshes = 0;
+	const gate = createFreshGate({
+		timers: time,
+		isFresh: () => belief.ageMs <= maxAgeMs,
+		onConfirmed: belief.onConfirmed,
+		refresh() {
+			refreshes++;
+		},
+	});
+	const passed: number[] = [];
+	const pass = () =>
+		gate.pass(() => {
+			passed.push(time.nowMs());
+		});
+	return {time, belief, pass, passed, refreshes: () => refreshes};
+}
+
+for (const pausedMs of [1000, 3000, 8000]) {
+	test(`guards against a request that is sent on what was known before a pause of ${pausedMs} ms`, async () => {
+		const {time, belief, pass, passed, refreshes} = start();
+		belief.read(5, 5);
+		await time.runUntil(pausedMs);
+		pass();
+		if (pausedMs <= maxAgeMs) {
+			assert.deepEqual(passed, [pausedMs]);
+			return;
+		}
+
+		assert.deepEqual(passed, []);
+		assert.equal(refreshes(), 1);
+		await time.runUntil(pausedMs + 20);
+		belief.read(9, 9);
+		assert.deepEqual(passed, [pausedMs + 20]);
+		await time.runUntil(pausedMs + 1000);
+		assert.equal(passed.length, 1);
+	});
+}
+
+test('guards against holding requests for long while the store is away, and for callers that have left', async () => {
+	const {time, pass, passed} = start();
+	const left = pass();
+	pass();
+	left.dispose();
+	await time.runUntil(300);
+	assert.deepEqual(passed, [300]);
+});
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -1,3 +1,5 @@
+export * from './caller-patience.js';
+export * from './fresh-gate.js';
 export * from './held-bytes.js';
 export * from './call-session.js';
 export * from './configuration-state.js';
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -22,6 +22,8 @@
 	readonly priority: number;
 	/** Monotonic time of its arrival, in milliseconds. */
 	readonly arrivedMs: number;
+	/** Time that its caller has waited in earlier attempts, in milliseconds. */
+	readonly elapsedMs: number;
 	/** Monotonic time at which its final answer is due, in milliseconds. */
 	readonly deadlineMs: number;
 };
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -17,6 +17,7 @@
 	toProblem,
 } from '../../common/index.js';
 import {
+	createFreshGate,
 	createHeldBytes,
 	createRouteTable,
 	type RouteTable,
@@ -126,6 +127,16 @@
 						leftMs: stopAtMs - clock.nowMs(),
 					},
 		hearsOfLeaving: () => watch.readsTargets,
+		gate: createFreshGate({
+			timers,
+			isFresh: () =>
+				watch.isStoreLost ||
+				watch.targetsBelief.ageMs <= clock.nowMs() - fleet.resumedMs(),
+			onConfirmed: watch.targetsBelief.onConfirmed,
+			refresh() {
+				watch.readTargets();
+			},
+		}),
 		isConfirmed: () =>
 			watch.configurationBelief.ageMs <=
 			live.current.bounds.configurationApplyMs * certainPart,
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -69,6 +69,8 @@
 	readonly members: MemberList;
 	readonly placeClient: PlaceClient;
 	readonly runs: RunReports;
+	/** Monotonic time since which this VM has run without a pause, in milliseconds. */
+	resumedMs(): number;
 	/** Passes changes of the targets on to all VMs. */
 	tellRows(changes: RelayedRows): void;
 	/** Tells all VMs soon how far the store is. */
@@ -304,7 +306,25 @@
 		}
 	};
 
+	let tickedMs = clock.nowMs();
+	let resumedMs = -Infinity;
+
+	/** Whatever runs first after a pause notices it by the time, not by a timer that may run later. */
+	const noticePause = () => {
+		const nowMs = clock.nowMs();
+		if (nowMs - tickedMs > pauseMs) {
+			logger.warn('this VM did not run for a while', {
+				pausedMs: Math.round(nowMs - tickedMs),
+			});
+			members.paused();
+			resumedMs = nowMs;
+		}
+
+		tickedMs = nowMs;
+	};
+
 	socket.onDatagram(({from, text}) => {
+		noticePause();
 		try {
 			const value = parse(text);
 			const rows = Array.isArray(value) ? undefined : decodeRelayedRows(value);
@@ -333,18 +353,9 @@
 		});
 	};
 
-	let tickedMs = clock.nowMs();
 	let wasCoordinator = false;
 	const tick = () => {
-		const nowMs = clock.nowMs();
-		if (nowMs - tickedMs > pauseMs) {
-			logger.warn('this VM did not run for a while', {
-				pausedMs: Math.round(nowMs - tickedMs),
-			});
-			members.paused();
-		}
-
-		tickedMs = nowMs;
+		noticePause();
 		scheduler.tick();
 		const {isCoordinator} = members;
 		if (isCoordinator !== wasCoordinator) {
@@ -401,6 +412,10 @@
 		members,
 		placeClient,
 		runs,
+		resumedMs() {
+			noticePause();
+			return resumedMs;
+		},
 		tellRows(changes) {
 			for (const text of encodeRelayedRows(changes)) {
 				for (const to of members.addresses()) {
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -49,6 +49,8 @@
 	readonly view: FleetView;
 	readonly retryShare: RetryShare;
 	readonly watch: StoreWatch;
+	/** Monotonic time since which this VM has run without a pause, in milliseconds. */
+	resumedMs(): number;
 	/** Closes the connections to the store. */
 	close(): Promise<void>;
 };
@@ -175,6 +177,7 @@
 		view,
 		retryShare,
 		watch: storeWatch,
+		resumedMs: () => fleet.resumedMs(),
 		dispose() {
 			owned.dispose();
 		},
--- a/src/programs/front/fleet-view.ts
+++ b/src/programs/front/fleet-view.ts
@@ -111,9 +111,10 @@
 	};
 
 	const demandFor = (
-		{request, route, service, arrivedMs, deadlineMs, priority}: AdmittedRequest,
+		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
 	): Omit<PlaceDemand, 'doneTokens' | 'expectedTokens' | 'purpose'> => {
+		const {request, route, service, arrivedMs, deadlineMs} = admitted;
 		const nowMs = clock.nowMs();
 		return {
 			id: `${request.id}.${nextDemand++}`,
@@ -121,10 +122,11 @@
 			promptTokens: request.generation?.promptTokens ?? 0,
 			nearZone: availabilityZone,
 			avoid: [...new Set([...avoid, ...suspectsOf(service)])],
+			elapsedMs: admitted.elapsedMs,
 			waitedMs: nowMs - arrivedMs,
 			objectiveMs: route.objectiveMs,
 			leftMs: deadlineMs - nowMs,
-			priority,
+			priority: admitted.priority,
 		};
 	};
 
--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -17,8 +17,6 @@
 	readonly storeTimeoutMs: number;
 	/** Time after which the store answers a wait for changes, in milliseconds. */
 	readonly storeWaitMs: number;
-	/** Interval at which peers are told of changed load, in milliseconds. */
-	readonly digestIntervalMs: number;
 	/** Log lines that may wait for a reader of the output, in bytes. */
 	readonly maxLogBacklogBytes: number;
 	readonly answerBounds: AnswerBounds;
@@ -83,11 +81,6 @@
 				default: 4000,
 				describe: 'time after which a wait for changes is renewed, in ms',
 			},
-			'digest-interval-ms': {
-				type: 'number',
-				default: 200,
-				describe: 'interval at which peers are told of changed load, in ms',
-			},
 			'max-log-backlog-bytes': {
 				type: 'number',
 				default: 262_144,
@@ -156,12 +149,6 @@
 			100,
 			30_000,
 		),
-		digestIntervalMs: checkNumber(
-			'digest-interval-ms',
-			flags['digest-interval-ms'],
-			20,
-			5000,
-		),
 		maxLogBacklogBytes: checkNumber(
 			'max-log-backlog-bytes',
 			flags['max-log-backlog-bytes'],
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -10,10 +10,12 @@
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
 	admit,
+	createCallerPatience,
 	type AdmittedRequest,
 	type AnswerBounds,
 	type CallerReply,
 	type DecisionLog,
+	type FreshGate,
 	type HeldBytes,
 	mayCallWhileStopping,
 	mayStartWhileStopping,
@@ -58,6 +60,8 @@
 	readonly stop: () => StopTimes | undefined;
 	/** True while the store tells of targets that leave. */
 	readonly hearsOfLeaving: () => boolean;
+	/** Holds requests until what is known of the targets is confirmed. */
+	readonly gate: FreshGate;
 	/** True while the configuration is confirmed to be the newest. */
 	readonly isConfirmed: () => boolean;
 };
@@ -84,6 +88,7 @@
 	const {clock, timers, random, link, directory, view, detector, logger} =
 		options;
 	const streams = new Set<StreamSession>();
+	const patience = createCallerPatience(clock);
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
@@ -196,6 +201,33 @@
 		return session;
 	};
 
+	const startCall = (admitted: AdmittedRequest, reply: CallerReply) =>
+		startCallSession(admitted, reply, {
+			...shared(admitted.service),
+			choose: (service, avoid) => view.chooseTarget(service, avoid),
+			opened: (target) => view.openedCall(target),
+		});
+
+	/** Starts a session, at once or when what is known may be acted on. */
+	const startFresh = (
+		admitted: AdmittedRequest,
+		reply: CallerReply,
+	): ServingSession => {
+		let session: ServingSession | undefined;
+		const waiting = options.gate.pass(() => {
+			session =
+				admitted.route.kind === 'stream'
+					? startStream(admitted, reply)
+					: startCall(admitted, reply);
+		});
+		return {
+			callerLeft() {
+				waiting.dispose();
+				session?.callerLeft();
+			},
+		};
+	};
+
 	return {
 		serve(received, reply) {
 			const request = decodeRequest(received);
@@ -203,6 +235,7 @@
 				table: options.table(),
 				isConfirmed: options.isConfirmed(),
 				nowMs: clock.nowMs(),
+				patience,
 				random,
 			});
 			if (!('admitted' in admission)) {
@@ -234,15 +267,7 @@
 				return undefined;
 			}
 
-			if (admitted.route.kind === 'stream') {
-				return startStream(admitted, counted);
-			}
-
-			return startCallSession(admitted, counted, {
-				...shared(admitted.service),
-				choose: (service, avoid) => view.chooseTarget(service, avoid),
-				opened: (target) => view.openedCall(target),
-			});
+			return startFresh(admitted, counted);
 		},
 		engines() {
 			const engines = new Map<string, TargetEntry>();
