Judge memory up to a generation's own end, and let a VM at rest sleep

Change: an engine takes what fits until the end of the generation itself; short ones are weighed against the memory until then. The queue is looked at only while something waits; tables are looked at when they may get too old, streams and lapsed targets each 250 ms.

--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -58,7 +58,7 @@
 };
 
 const maxParsedHeaderBytes = 65_536;
-const checkIntervalMs = 500;
+const checkIntervalMs = 1000;
 /** Callers reuse a connection until close to the idle limit; it stays open a little longer. */
 const idleSlackMs = 1000;
 const headerTooLargeStatus = 431;
--- a/src/decisions/fleet/place-client.test.ts
+++ b/src/decisions/fleet/place-client.test.ts
@@ -82,6 +82,9 @@
 		send(address, {kind}) {
 			sent.push([address, kind]);
 		},
+		onWaiting() {
+			// The scheduler of this test has room.
+		},
 	});
 	const asking = client.ask(demand, {
 		onAnswer(answer, decidedBy) {
--- a/src/decisions/fleet/place-client.ts
+++ b/src/decisions/fleet/place-client.ts
@@ -32,6 +32,8 @@
 	/** Decides where no other VM does. */
 	readonly scheduler: GenerationScheduler;
 	readonly send: (address: string, message: FleetMessage) => void;
+	/** A demand waits in the scheduler of this VM. */
+	readonly onWaiting: () => void;
 };
 
 /** Time in which a coordinator answers, in milliseconds; longer than a VM with little of a core takes. */
@@ -100,6 +102,9 @@
 	const askSelf = (found: Open) => {
 		const {id} = found.demand;
 		finish(id, scheduler.place(ownAddress, renewed(found)), ownAddress);
+		if (scheduler.waitingCount > 0) {
+			options.onWaiting();
+		}
 	};
 
 	const askNow = (found: Open) => {
--- a/src/decisions/scheduling/engine-placement.ts
+++ b/src/decisions/scheduling/engine-placement.ts
@@ -19,7 +19,7 @@
 /** What was weighed for one engine. */
 export type EngineChoice = {
 	readonly targetId: string;
-	/** Part of the engine's memory that is expected to be in use at the peak. */
+	/** Part of the engine's memory that is expected to be in use at most until the generation ends. */
 	readonly memoryPart: number;
 	/** Part of its slots that is taken. */
 	readonly slotPart: number;
@@ -64,13 +64,17 @@
 		demand.expectedTokens * (tokenMs + stepPerRequestMs * use.runCount);
 	const othersMs =
 		(promptTokens / prefillTokensPerMs) * Math.min(1, use.runCount / slotCount);
-	const peak = peakTokens([
-		...use.held,
-		{
-			tokens: demand.promptTokens + demand.doneTokens,
-			remainingTokens: demand.expectedTokens,
-		},
-	]);
+	// What comes after its own end is no matter of this generation.
+	const peak = peakTokens(
+		[
+			...use.held,
+			{
+				tokens: demand.promptTokens + demand.doneTokens,
+				remainingTokens: demand.expectedTokens,
+			},
+		],
+		demand.expectedTokens,
+	);
 	const memoryPart = peak / capacityTokens;
 	const slotPart = (use.runCount + 1) / slotCount;
 	const pressure = Math.max(
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -49,15 +49,15 @@
 /** Part of an engine's memory that may be in use at the forecast peak, which many runs end before. */
 const engineMemoryPart = 1.02;
 /** The same with short generations, which free it soon. */
-const shortEngineMemoryPart = 1.06;
+const shortEngineMemoryPart = 1;
 /** The same for runs whose engine leaves: a possible preemption is no worse than their loss. */
 const evacuationMemoryPart = 1.2;
 /** Part of the memory of all engines up to which generations are begun; engines leave at any time. */
 const fleetMemoryPart = 0.93;
 /** The same for short generations, so that they need not wait for long ones to end. */
-const shortFleetMemoryPart = 1.03;
+const shortFleetMemoryPart = 0.97;
 /** The same for generations that are late already. */
-const lateFleetMemoryPart = 0.8;
+const lateFleetMemoryPart = 0.65;
 /** Part of the memory of all engines up to which runs get a copy from the start. */
 const copyFleetMemoryPart = 0.78;
 /** Shorter generations end before a copy of their memory would be of use. */
@@ -66,7 +66,7 @@
 const waitFactor = 2;
 /** Part of the objective in which a first token must be expected to count as timely. */
 const timelyPart = 0.95;
-/** After this many demands without room the others of the moment are not tried. */
+/** After this many long generations without room the others of the moment are not tried. */
 const maxMisses = 4;
 const minRetryAfterMs = 300;
 /** Time in which a shortage of memory may pass, in milliseconds; callers come back spread over it. */
@@ -81,7 +81,9 @@
 	readonly capacityTokens: number;
 	/** Sum of the forecast peaks. */
 	readonly peakTokens: number;
-	/** Demands for which no engine had room since this was worked out. */
+	/** The same until a short generation has ended. */
+	readonly soonTokens: number;
+	/** Long generations for which no engine had room since this was worked out. */
 	misses: number;
 };
 
@@ -93,6 +95,9 @@
 
 const isShort = ({expectedTokens}: PlaceDemand) => expectedTokens < shortTokens;
 
+const fleetPartOf = (demand: PlaceDemand) =>
+	isShort(demand) ? shortFleetMemoryPart : fleetMemoryPart;
+
 /**
  * Creates a scheduler without demands. It keeps the only queue of all VMs that ask it, and counts each
  * placement at once, so that no two VMs take the same memory.
@@ -114,19 +119,27 @@
 		}));
 		let capacityTokens = 0;
 		let peak = 0;
+		let soonTokens = 0;
 		for (const candidate of candidates) {
+			const {held} = candidate.use;
 			capacityTokens += candidate.capacityTokens;
-			peak += peakTokens(candidate.use.held);
+			peak += peakTokens(held);
+			soonTokens += peakTokens(held, shortTokens);
 		}
 
-		return {candidates, capacityTokens, peakTokens: peak, misses: 0};
+		return {
+			candidates,
+			capacityTokens,
+			peakTokens: peak,
+			soonTokens,
+			misses: 0,
+		};
 	};
 
-	const hasRoom = (
-		{capacityTokens, peakTokens: peak}: Service,
-		tokens: number,
-		part: number,
-	) => peak + tokens <= part * capacityTokens;
+	/** Memory that is free for a demand by the forecast, if all engines may be filled to a part. */
+	const freeFor = (demand: PlaceDemand, service: Service, part: number) =>
+		part * service.capacityTokens -
+		(isShort(demand) ? service.soonTokens : service.peakTokens);
 
 	const copyFor = (
 		service: Service,
@@ -134,7 +147,7 @@
 		target: EngineEntry,
 	) =>
 		isShort(demand) ||
-		!hasRoom(service, 2 * neededTokens(demand), copyFleetMemoryPart)
+		freeFor(demand, service, copyFleetMemoryPart) < 2 * neededTokens(demand)
 			? undefined
 			: chooseCopyEngine(
 					service.candidates,
@@ -199,11 +212,12 @@
 		// A single engine has no others to fall back on; its own limit is enough.
 		const fits = (part: number) =>
 			service.candidates.length === 1 ||
-			hasRoom(service, neededTokens(demand), part);
-		const [enginePart, fleetPart] = isShort(demand)
-			? [shortEngineMemoryPart, shortFleetMemoryPart]
-			: [engineMemoryPart, fleetMemoryPart];
-		if (service.misses >= maxMisses || !fits(fleetPart)) {
+			freeFor(demand, service, part) >= neededTokens(demand);
+		const enginePart = isShort(demand)
+			? shortEngineMemoryPart
+			: engineMemoryPart;
+		const isTried = isShort(demand) || service.misses < maxMisses;
+		if (!isTried || !fits(fleetPartOf(demand))) {
 			return undefined;
 		}
 
@@ -214,7 +228,7 @@
 			random,
 		);
 		if (!choice) {
-			service.misses++;
+			service.misses += isShort(demand) ? 0 : 1;
 			return undefined;
 		}
 
@@ -260,7 +274,7 @@
 			}
 		}
 
-		let free = fleetMemoryPart * service.capacityTokens - service.peakTokens;
+		let free = freeFor(waiting.demand, service, fleetPartOf(waiting.demand));
 		for (const {use, tokenMs} of service.candidates) {
 			free += freedTokens(use.held, withinMs / tokenMs);
 		}
--- a/src/decisions/scheduling/memory-forecast.ts
+++ b/src/decisions/scheduling/memory-forecast.ts
@@ -9,16 +9,25 @@
  * Largest memory that the runs of an engine are expected to hold at one time, in tokens. All runs of a
  * batch grow at the same pace, so that the one with the fewest tokens left ends first and frees its
  * memory for the others.
+ * @param withinTokens - growth up to which the memory counts
  */
-export function peakTokens(held: readonly HeldMemory[]): number {
+export function peakTokens(
+	held: readonly HeldMemory[],
+	withinTokens = Infinity,
+): number {
 	const byEnd = [...held].sort((a, b) => a.remainingTokens - b.remainingTokens);
 	let total = byEnd.reduce((sum, {tokens}) => sum + tokens, 0);
 	let peak = total;
 	let grown = 0;
 	for (const [index, {tokens, remainingTokens}] of byEnd.entries()) {
-		total += (remainingTokens - grown) * (byEnd.length - index);
-		grown = remainingTokens;
+		const growth = Math.min(remainingTokens, withinTokens) - grown;
+		total += growth * (byEnd.length - index);
+		grown += growth;
 		peak = Math.max(peak, total);
+		if (remainingTokens > withinTokens) {
+			break;
+		}
+
 		total -= tokens + remainingTokens;
 	}
 
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -43,8 +43,9 @@
 
 const minBackoffMs = 150;
 const maxBackoffMs = 1000;
-/** Interval at which a VM looks whether it has to read, in milliseconds. */
-const checkMs = 100;
+/** Longest time after which a VM looks whether it has to read, in milliseconds. */
+const maxRestMs = 1000;
+const minRestMs = 50;
 
 /** A table that is followed. */
 export type TableFollower = Disposable & {
@@ -159,7 +160,8 @@
 			if (!isDue()) {
 				// Other VMs tell what the store says.
 				succeeded();
-				await rest(checkMs);
+				const freshMs = options.maxAgeMs() - belief.ageMs;
+				await rest(Math.min(maxRestMs, Math.max(minRestMs, freshMs)));
 				continue;
 			}
 
--- a/src/programs/front/coordinator-registry.ts
+++ b/src/programs/front/coordinator-registry.ts
@@ -26,7 +26,7 @@
 };
 
 const table = 'cowslip-vms';
-const checkMs = 500;
+const checkMs = 2000;
 /** A VM that hears nobody looks for others at this interval, in milliseconds. */
 const aloneIntervalMs = 5000;
 /** Two groups of VMs that do not hear of each other are joined within this time, in milliseconds. */
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -44,7 +44,8 @@
 	stop(): Promise<void>;
 };
 
-const tickMs = 100;
+/** Interval at which streams are checked for silence and lapsed targets are settled, in milliseconds. */
+const tickMs = 250;
 const bytesPerMegabyte = 1_048_576;
 /** Requests under way may hold this multiple of what new ones are admitted up to. */
 const totalToAdmitted = 2;
--- a/src/programs/front/engine-watch.ts
+++ b/src/programs/front/engine-watch.ts
@@ -23,6 +23,8 @@
 /** An engine gives about two seconds of notice, and a copy takes most of one. */
 const intervalMs = 500;
 const timeoutMs = 400;
+/** Interval at which this VM looks whether the store is away, in milliseconds. */
+const restMs = 1000;
 
 /**
  * Asks engines themselves whether they leave, but only while the store cannot be read, since each
@@ -58,7 +60,7 @@
 			}
 		}
 
-		timers.after(intervalMs, askAll);
+		timers.after(options.readsTargets() ? restMs : intervalMs, askAll);
 	};
 
 	timers.after(intervalMs, askAll);
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -82,9 +82,10 @@
 const heartbeatIntervalMs = 1000;
 /** The same until another VM is heard, in milliseconds. */
 const searchIntervalMs = 250;
+/** Interval at which generations that wait are looked at, in milliseconds. */
 const schedulerTickMs = 25;
-/** A longer gap between two ticks shows that this VM did not run. */
-const pauseMs = 800;
+/** A longer gap between two heartbeats shows that this VM did not run. */
+const pauseMs = 1800;
 /** Interval at which one VM is told that another one coordinates, in milliseconds. */
 const redirectIntervalMs = 300;
 const listedMembers = 8;
@@ -143,6 +144,9 @@
 		members,
 		scheduler,
 		send,
+		onWaiting() {
+			tickWhileWaiting();
+		},
 	});
 	const runs = owned.add(
 		createRunReports(timers, (set, ended) => {
@@ -291,6 +295,7 @@
 				const {demand} = message;
 				const answer = scheduler.place(from, demand);
 				send(from, {kind: 'placed', id: demand.id, answer});
+				tickWhileWaiting();
 				break;
 			}
 
@@ -353,10 +358,20 @@
 		});
 	};
 
+	let ticking: Disposable | undefined;
+	/** Looks at what waits as long as something does; a VM at rest has nothing to wake up for. */
+	const tickWhileWaiting = () => {
+		if (scheduler.waitingCount > 0 && !isDisposed) {
+			ticking ??= timers.after(schedulerTickMs, () => {
+				ticking = undefined;
+				scheduler.tick();
+				tickWhileWaiting();
+			});
+		}
+	};
+
 	let wasCoordinator = false;
-	const tick = () => {
-		noticePause();
-		scheduler.tick();
+	const noticeDuty = () => {
 		const {isCoordinator} = members;
 		if (isCoordinator !== wasCoordinator) {
 			wasCoordinator = isCoordinator;
@@ -383,14 +398,20 @@
 
 	const isAlone = () => members.ranked().length === 1;
 	heartbeat();
-	repeat(heartbeat, () => (isAlone() ? searchIntervalMs : heartbeatIntervalMs));
+	repeat(
+		() => {
+			noticePause();
+			heartbeat();
+			noticeDuty();
+			sweep();
+		},
+		() => (isAlone() ? searchIntervalMs : heartbeatIntervalMs),
+	);
 	repeat(() => {
 		if (members.isCoordinator) {
 			tellBeacon();
 		}
 	}, options.beaconIntervalMs);
-	repeat(tick, () => schedulerTickMs);
-	repeat(sweep, () => heartbeatIntervalMs);
 	owned.add(
 		startCoordinatorRegistry({
 			clock,
@@ -430,6 +451,7 @@
 		},
 		dispose() {
 			isDisposed = true;
+			ticking?.dispose();
 			owned.dispose();
 		},
 	};
