Count and log why a VM reads a table from the store

Change: the follower names the reason of each read (a duty of a reader, the whole table, missing changes, age); reads that are no duty are logged, all are counted on the metrics address.

--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -52,6 +52,7 @@
 	const time = new VirtualTime();
 	const reads = {isReader: true};
 	const events: string[] = [];
+	const reasons: string[] = [];
 	const belief = createTableBelief(time);
 	const follower = followTable(
 		{
@@ -73,6 +74,9 @@
 			onChanges(changes) {
 				events.push(`changes ${changes.map(({key}) => key).join(' ')}`);
 			},
+			onRead(reason) {
+				reasons.push(reason);
+			},
 			onLost({type}) {
 				events.push(`lost ${type}`);
 			},
@@ -81,7 +85,7 @@
 			},
 		},
 	);
-	return {time, events, follower, belief, reads};
+	return {time, events, reasons, follower, belief, reads};
 }
 
 const row = (key: string, version: number) => ({
@@ -152,11 +156,12 @@
 	const store = new ScriptedStore();
 	store.snapshots = [{rows: [], version: 5}];
 	store.feeds = [{changes: [row('a', 8)], version: 8}];
-	const {time, reads, events} = follow(store);
+	const {time, reads, events, reasons} = follow(store);
 	reads.isReader = false;
 	await time.runUntil(1300);
 	assert.deepEqual(store.askedAfter, []);
 	await time.runUntil(1600);
 	assert.deepEqual(store.askedAfter, [5]);
 	assert.deepEqual(events, ['snapshot 5', 'changes a']);
+	assert.deepEqual(reasons, ['snapshot', 'age']);
 });
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -11,12 +11,17 @@
 } from '../../common/index.js';
 import type {TableBelief} from '../fleet/index.js';
 
+/** Why a table was read: as a duty, as a whole, because changes are missing, or because it got too old. */
+export type ReadReason = 'age' | 'missing' | 'reader' | 'snapshot';
+
 /** Receives a table and its changes. */
 export type TableListener = {
 	/** The whole table, at first and whenever changes may have been missed. */
 	onSnapshot(snapshot: TableSnapshot): void;
 	/** @param afterVersion - newest change that was known before */
 	onChanges(changes: readonly RowChange[], afterVersion: number): void;
+	/** The store has answered. */
+	onRead(reason: ReadReason): void;
 	/** The store gives no answers, or refuses them. */
 	onLost(problem: ProblemError): void;
 	onRegained(): void;
@@ -134,12 +139,26 @@
 			};
 		});
 
+	const reasonNow = (): ReadReason => {
+		if (needsSnapshot) {
+			return 'snapshot';
+		}
+
+		if (options.isReader()) {
+			return 'reader';
+		}
+
+		return isWanted ? 'missing' : 'age';
+	};
+
 	const readOnce = async () => {
+		const reason = reasonNow();
 		isWanted = false;
 		try {
-			await (needsSnapshot
+			await (reason === 'snapshot'
 				? readAll()
-				: readChanges(options.isReader() ? options.waitMs() : 0));
+				: readChanges(reason === 'reader' ? options.waitMs() : 0));
+			listener.onRead(reason);
 		} catch (error) {
 			failed(toProblem(error, 'table-unavailable'));
 		}
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -91,6 +91,9 @@
 			timers,
 			random,
 			bounds: () => live.current.bounds,
+			onStoreRead(table, reason) {
+				metrics.count('store_reads', {table, reason});
+			},
 			logger,
 		}),
 	);
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -18,6 +18,7 @@
 	createConfigurationState,
 	createRetryShare,
 	createTargetDirectory,
+	type ReadReason,
 	type RetryShare,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
@@ -38,6 +39,8 @@
 	readonly random: RandomSource;
 	/** Bounds in force; they may change. */
 	readonly bounds: () => ServingBounds;
+	/** A table was read from the store. */
+	readonly onStoreRead: (table: string, reason: ReadReason) => void;
 	readonly logger: Logger;
 };
 
@@ -159,6 +162,7 @@
 					fleet.tellRows(changes);
 				}
 			},
+			onRead: options.onStoreRead,
 			onConfigurationRow() {
 				fleet.tellMarks();
 			},
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -18,6 +18,7 @@
 import {
 	type ConfigurationState,
 	followTable,
+	type ReadReason,
 	type RelayedRows,
 	type RelayedTables,
 	type TargetDirectory,
@@ -41,6 +42,8 @@
 	readonly onRows: (changes: RelayedRows) => void;
 	/** The configuration has changed in the store. */
 	readonly onConfigurationRow: () => void;
+	/** A table was read from the store. */
+	readonly onRead: (table: string, reason: ReadReason) => void;
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly logger: Logger;
@@ -120,6 +123,16 @@
 		});
 	};
 
+	const readBy = (table: string, belief: TableBelief) => ({
+		onRead(reason: ReadReason) {
+			options.onRead(table, reason);
+			// What readers read tells itself by its changes.
+			if (reason !== 'reader') {
+				logger.info('table read', {table, reason, version: belief.version});
+			}
+		},
+	});
+
 	const regained = (dependency: string, belief: TableBelief) => {
 		logger.info('dependency regained', {
 			dependency,
@@ -142,6 +155,7 @@
 			minIntervalMs: minConfigurationIntervalMs,
 		},
 		{
+			...readBy(operatorTable, configurationBelief),
 			onSnapshot({rows}) {
 				configurationState = 'read';
 				for (const row of rows) {
@@ -191,6 +205,7 @@
 			minIntervalMs: minTargetsIntervalMs,
 		},
 		{
+			...readBy(targetsTable, targetsBelief),
 			onSnapshot({rows, version}) {
 				hasTargets = true;
 				targetsState = 'read';
