Read a table no more often than its changes ask for at the start

Cause: on the large site each VM reads the operator table up to four times and the targets table twice within the first four seconds: a table at version 0 counts as unread each time another VM tells of it, and changes that are told while the whole table is on its way ask for a second read. Change: a belief knows that it was read, also at version 0; a follower that waits for the whole table ignores what it is told.

--- a/src/decisions/fleet/table-belief.test.ts
+++ b/src/decisions/fleet/table-belief.test.ts
@@ -32,3 +32,13 @@
 	assert.equal(belief.version, 7);
 	assert.equal(belief.ageMs, Infinity);
 });
+
+test('guards against reads of a table that has never changed, each time a VM tells that it has not', () => {
+	const belief = createTableBelief(new VirtualTime());
+	assert.equal(belief.told(0, 3), false);
+	belief.read(0, 0);
+	assert.equal(belief.heard({version: 0, changeVersion: 0, ageMs: 0}), true);
+	assert.equal(belief.heard({version: 1, changeVersion: 1, ageMs: 0}), false);
+	assert.equal(belief.told(0, 1), true);
+	assert.equal(belief.version, 1);
+});
--- a/src/decisions/fleet/table-belief.ts
+++ b/src/decisions/fleet/table-belief.ts
@@ -36,6 +36,8 @@
 	let version = 0;
 	let changeVersion = 0;
 	let confirmedMs = -Infinity;
+	/** A table that was read and has never changed is at version 0, too. */
+	let isKnown = false;
 
 	const confirmed = createEmitter<void>();
 
@@ -60,10 +62,11 @@
 		read(readVersion, readChangeVersion) {
 			version = Math.max(version, readVersion);
 			changeVersion = Math.max(changeVersion, readChangeVersion);
+			isKnown = true;
 			confirm(clock.nowMs());
 		},
 		told(afterVersion, toldVersion) {
-			if (version < afterVersion) {
+			if (!isKnown || version < afterVersion) {
 				return false;
 			}
 
@@ -73,7 +76,7 @@
 			return true;
 		},
 		heard(mark) {
-			if (version < mark.changeVersion || version === 0) {
+			if (!isKnown || version < mark.changeVersion) {
 				return false;
 			}
 
@@ -88,6 +91,7 @@
 		adopt(adoptedVersion) {
 			version = Math.max(version, adoptedVersion);
 			changeVersion = Math.max(changeVersion, adoptedVersion);
+			isKnown = true;
 		},
 	};
 }
--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -165,3 +165,17 @@
 	assert.deepEqual(events, ['snapshot 5', 'changes a']);
 	assert.deepEqual(reasons, ['snapshot', 'age']);
 });
+
+test('guards against a second read at the start, for changes that the whole table shows', async () => {
+	const store = new ScriptedStore();
+	store.snapshots = [{rows: [], version: 5}];
+	store.feeds = [{changes: [], version: 5}];
+	const {time, reads, follower, reasons} = follow(store);
+	reads.isReader = false;
+	follower.refresh();
+	await time.runUntil(1000);
+	assert.deepEqual(reasons, ['snapshot']);
+	follower.refresh();
+	await time.runUntil(1200);
+	assert.deepEqual(reasons, ['snapshot', 'missing']);
+});
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -197,8 +197,11 @@
 	void run();
 	return {
 		refresh() {
-			isWanted = true;
-			wake?.();
+			// The whole table, which is asked for already, holds the changes or the next VM that tells of them.
+			if (!needsSnapshot) {
+				isWanted = true;
+				wake?.();
+			}
 		},
 		reset() {
 			needsSnapshot = true;
