--- a/src/adapters/front/peer-state-server.ts
+++ b/src/adapters/front/peer-state-server.ts
@@ -7,6 +7,8 @@
 } from '../../decisions/serving/index.js';
 
 const t = initTRPC.create();
+/** Peers only ask; no request of theirs has a body. */
+const maxRequestBytes = 4096;
 
 function createPeerStateRouter(read: () => RelayedTables | undefined) {
 	return t.router({
@@ -27,5 +29,8 @@
 export function createPeerStateServer(
 	read: () => RelayedTables | undefined,
 ): Server {
-	return createHTTPServer({router: createPeerStateRouter(read)});
+	return createHTTPServer({
+		router: createPeerStateRouter(read),
+		maxBodySize: maxRequestBytes,
+	});
 }
