Share a part of the retry budget where all VMs can use it

Cause: on the large site a VM's own share of the extra sends is less than two in ten seconds. A silent run is broken off even if it may not be continued. Change: a fifth of the extra sends is given out by the coordinator on demand; the VMs' own shares shrink to 0.55 of them. A silent run is broken off only once its continuation is granted.

--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -82,6 +82,8 @@
 		answer: {outcome: 'refused', reason: 'no memory', retryAfterMs: 900},
 	},
 	{kind: 'cancel', id: 'q2.1'},
+	{kind: 'retry', id: '7', service: 'model'},
+	{kind: 'retry-answer', id: '7', isGranted: true},
 ];
 
 for (const message of messages) {
@@ -97,7 +99,7 @@
 			fc.oneof(
 				fc.jsonValue(),
 				fc.tuple(
-					fc.constantFrom('h', 'b', 'u', 'p', 'a', 'c'),
+					fc.constantFrom('h', 'b', 'u', 'p', 'a', 'c', 't', 'g'),
 					fc.jsonValue(),
 					fc.jsonValue(),
 					fc.jsonValue(),
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -50,9 +50,30 @@
 	readonly id: string;
 };
 
-/** Messages between VMs about duties, runs and placements. */
+/** Asks for a repeated send beyond the share of the sender. */
+export type RetryAsk = {
+	readonly kind: 'retry';
+	readonly id: string;
+	readonly service: string;
+};
+
+/** Answer to it. */
+export type RetryReply = {
+	readonly kind: 'retry-answer';
+	readonly id: string;
+	readonly isGranted: boolean;
+};
+
+/** Messages between VMs about duties, runs, placements and repeated sends. */
 export type FleetMessage =
-	Beacon | Heartbeat | PlaceAsk | PlaceCancel | PlaceReply | RunUpdate;
+	| Beacon
+	| Heartbeat
+	| PlaceAsk
+	| PlaceCancel
+	| PlaceReply
+	| RetryAsk
+	| RetryReply
+	| RunUpdate;
 
 const readings: readonly StoreReading[] = ['idle', 'lost', 'reading'];
 
@@ -328,6 +349,14 @@
 		case 'cancel': {
 			return JSON.stringify(['c', message.id]);
 		}
+
+		case 'retry': {
+			return JSON.stringify(['t', message.id, message.service]);
+		}
+
+		case 'retry-answer': {
+			return JSON.stringify(['g', message.id, Number(message.isGranted)]);
+		}
 	}
 }
 
@@ -392,6 +421,18 @@
 			return {kind: 'cancel', id: fields.text()};
 		}
 
+		case 't': {
+			return {kind: 'retry', id: fields.text(), service: fields.text()};
+		}
+
+		case 'g': {
+			return {
+				kind: 'retry-answer',
+				id: fields.text(),
+				isGranted: fields.isTrue(),
+			};
+		}
+
 		default: {
 			throw new ProblemError('peer-protocol', `kind "${kind}" is not known`);
 		}
--- a/src/decisions/serving/engine-wait.ts
+++ b/src/decisions/serving/engine-wait.ts
@@ -36,21 +36,32 @@
 ): EngineWait {
 	let asking: Disposable | undefined;
 
+	const place = (reason: string) => {
+		asking = options.place(admitted, avoid, {
+			onPlaced(placement) {
+				listener.onPlaced(placement, reason);
+			},
+			onRefused(refusal, retryAfterMs) {
+				listener.onGivenUp(refusal, retryAfterMs);
+			},
+		});
+	};
+
 	return {
 		start(reason, isRepeat) {
-			if (isRepeat && !options.retryShare.tryTake(admitted.service)) {
-				listener.onGivenUp('the retry budget is used up');
+			if (!isRepeat) {
+				place(reason);
 				return;
 			}
 
-			asking = options.place(admitted, avoid, {
-				onPlaced(placement) {
-					listener.onPlaced(placement, reason);
-				},
-				onRefused(refusal, retryAfterMs) {
-					listener.onGivenUp(refusal, retryAfterMs);
-				},
+			const taking = options.retryShare.take(admitted.service, (isGranted) => {
+				if (isGranted) {
+					place(reason);
+				} else {
+					listener.onGivenUp('the retry budget is used up');
+				}
 			});
+			asking = taking ?? asking;
 		},
 		dispose() {
 			asking?.dispose();
--- a/src/decisions/serving/retry-share.test.ts
+++ b/src/decisions/serving/retry-share.test.ts
@@ -10,6 +10,11 @@
 			clock: time,
 			bounds: () => ({ratio: 0.2, extra: 56, windowMs: 10_000}),
 			vmCount: () => 8,
+			askPool: (service, onAnswer) => ({
+				dispose() {
+					onAnswer(service === '');
+				},
+			}),
 		}),
 	);
 	const taken: number[] = [];
--- a/src/decisions/serving/retry-share.ts
+++ b/src/decisions/serving/retry-share.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../../common/index.js';
+import type {Clock, Disposable} from '../../common/index.js';
 
 /** Bound on repeated sends, shared by the whole fleet. */
 export type RetryShareOptions = {
@@ -7,6 +7,11 @@
 	readonly bounds: () => RetryBounds;
 	/** Largest number of VMs that may be sending. */
 	readonly vmCount: () => number;
+	/** Asks for a send from what the fleet has in common. */
+	readonly askPool: (
+		service: string,
+		onAnswer: (isGranted: boolean) => void,
+	) => Disposable;
 };
 
 /** Bounds on the repeated sends of the whole fleet. */
@@ -24,10 +29,20 @@
 	noteRequest(service: string): void;
 	/** @returns false if no repeated send is left; then nothing is taken */
 	tryTake(service: string): boolean;
+	/**
+	 * Takes a repeated send from this VM's part or, if that is used up, from what the fleet has in common.
+	 * @param onAnswer - called once, at once if this VM's part suffices, unless disposed before
+	 */
+	take(
+		service: string,
+		onAnswer: (isGranted: boolean) => void,
+	): Disposable | undefined;
 };
 
 // Windows slide and VMs restart with an empty record, so that the whole share is never used up.
 const safetyPart = 0.8;
+/** The same for the extra sends, which the coordinator's pool shares. */
+const ownExtraPart = 0.55;
 
 type Record = {requests: number[]; repeats: number[]};
 
@@ -58,7 +73,7 @@
 		return record;
 	};
 
-	return {
+	const share: RetryShare = {
 		noteRequest(service) {
 			recordOf(service).requests.push(clock.nowMs());
 		},
@@ -66,7 +81,8 @@
 			const {ratio, extra} = bounds();
 			const {requests, repeats} = recordOf(service);
 			const allowed =
-				safetyPart * (ratio * requests.length + extra / Math.max(1, vmCount()));
+				safetyPart * ratio * requests.length +
+				(ownExtraPart * extra) / Math.max(1, vmCount());
 			if (repeats.length + 1 > allowed) {
 				return false;
 			}
@@ -74,5 +90,14 @@
 			repeats.push(clock.nowMs());
 			return true;
 		},
+		take(service, onAnswer) {
+			if (share.tryTake(service)) {
+				onAnswer(true);
+				return undefined;
+			}
+
+			return options.askPool(service, onAnswer);
+		},
 	};
+	return share;
 }
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -143,3 +143,73 @@
 	assert.equal(alone.reply.ending, 'aborted');
 	assert.equal(reply.ending, undefined);
 });
+
+/** A pool that a test answers. */
+function createScriptedPool() {
+	const questions: Array<(isGranted: boolean) => void> = [];
+	return {
+		questions,
+		ask(_service: string, onAnswer: (isGranted: boolean) => void) {
+			questions.push(onAnswer);
+			return {
+				dispose() {
+					questions.splice(questions.indexOf(onAnswer), 1);
+				},
+			};
+		},
+	};
+}
+
+test('guards against a run cut in a VM whose own retry budget is used up while the fleet has plenty', () => {
+	const pool = createScriptedPool();
+	const {link, reply} = startFakeStream({
+		backup: secondEngine,
+		askPool: pool.ask,
+	});
+	giveEvents(link.sends[0], 1);
+	loseSend(link.sends[0]);
+	assert.equal(reply.ending, undefined);
+	pool.questions[0](true);
+	assert.equal(link.sends[1].address, secondEngine.address);
+
+	const denied = startFakeStream({backup: secondEngine, askPool: pool.ask});
+	giveEvents(denied.link.sends[0], 1);
+	loseSend(denied.link.sends[0]);
+	pool.questions.at(-1)?.(false);
+	assert.equal(denied.reply.ending, 'aborted');
+	assert.equal(denied.link.sends.length, 1);
+});
+
+test('guards against breaking off a silent run that may not be continued', async () => {
+	const pool = createScriptedPool();
+	const {time, link, session, reply} = startFakeStream({
+		backup: secondEngine,
+		askPool: pool.ask,
+	});
+	giveEvents(link.sends[0], 1);
+	await time.runUntil(1000);
+	session.tick();
+	session.tick();
+	assert.equal(pool.questions.length, 1);
+	pool.questions[0](false);
+	session.tick();
+	assert.deepEqual([reply.ending, pool.questions.length], [undefined, 1]);
+	await time.runUntil(2100);
+	session.tick();
+	pool.questions[1](true);
+	assert.equal(link.sends[0].isDisposed, true);
+	assert.equal(link.sends[1].address, secondEngine.address);
+});
+
+test('guards against a send after the caller has left, when the leave for it arrives', () => {
+	const pool = createScriptedPool();
+	const {link, session} = startFakeStream({
+		backup: secondEngine,
+		askPool: pool.ask,
+	});
+	giveEvents(link.sends[0], 1);
+	loseSend(link.sends[0]);
+	session.callerLeft();
+	assert.equal(pool.questions.length, 0);
+	assert.equal(link.sends.length, 1);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,4 +1,9 @@
-import type {AnswerHead, RunMemory, SendFailure} from '../../common/index.js';
+import type {
+	AnswerHead,
+	Disposable,
+	RunMemory,
+	SendFailure,
+} from '../../common/index.js';
 import {createEngineWait} from './engine-wait.js';
 import type {StreamEvent} from './event-splitter.js';
 import {isPromise, misdirectedStatus} from './refusals.js';
@@ -6,6 +11,7 @@
 import type {AdmittedRequest, CallerReply} from './session-types.js';
 import {createStreamAnswer} from './stream-answer.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
+import type {RunCopy} from './run-copies.js';
 import {createStreamCopies} from './stream-copies.js';
 import type {
 	StreamPlacement,
@@ -20,6 +26,8 @@
 /** Multiple of the longest pause that a run has ended by itself, after which it counts as stalled. */
 const pauseFactor = 2;
 const retryAfterMs = 400;
+/** Time after which a silent run that may not be continued is looked at again, in milliseconds. */
+const askAgainMs = 1000;
 /** Below the default of the engines, which is 5. */
 const latePriority = 7;
 const minSendMs = 50;
@@ -40,6 +48,9 @@
 	let mayHaveRun = false;
 	let lastProgressMs = clock.nowMs();
 	let moves = 0;
+	/** A question for a repeated send that is not answered yet. */
+	let asking: Disposable | undefined;
+	let deniedMs = -Infinity;
 	const answer = createStreamAnswer(reply, admitted.arrivedMs);
 
 	const closeSend = () => {
@@ -57,6 +68,7 @@
 		retryAfterMs,
 		release() {
 			engineWait.dispose();
+			asking?.dispose();
 			const target = send?.placement.target.id;
 			closeSend();
 			return {
@@ -118,21 +130,55 @@
 			? latePriority
 			: admitted.priority;
 
+	/** Asks for leave to send once more; a run that has ended meanwhile needs none. */
+	const askForSend = (onAnswer: (isGranted: boolean) => void) => {
+		let isAnswered = false;
+		const taking = retryShare.take(service, (isGranted) => {
+			isAnswered = true;
+			asking = undefined;
+			if (!isGranted) {
+				deniedMs = clock.nowMs();
+				log('continuation denied', {
+					request: request.id,
+					reason: 'retry budget',
+				});
+			}
+
+			onAnswer(isGranted);
+		});
+		if (!isAnswered) {
+			asking = taking;
+		}
+	};
+
 	/** Continues a lost run from the next copy of its memory. */
-	const continueRun = (reason: string): boolean => {
+	const continueRun = (
+		reason: string,
+		orElse: () => void,
+		isGranted = false,
+	) => {
 		const copy = copies.next();
 		const leftMs = admitted.deadlineMs - clock.nowMs();
-		if (!copy || ending.isDone || leftMs < minSendMs) {
-			return false;
+		if (!copy || leftMs < minSendMs) {
+			orElse();
+			return;
 		}
 
-		const {target, memory} = copy;
-		if (!retryShare.tryTake(service)) {
-			log('continuation denied', {request: request.id, reason: 'retry budget'});
-			return false;
+		if (isGranted) {
+			continueAt(copy, reason);
+			return;
 		}
 
-		closeSend();
+		askForSend((isGrantedNow) => {
+			if (isGrantedNow) {
+				continueAt(copy, reason);
+			} else {
+				orElse();
+			}
+		});
+	};
+
+	const continueAt = ({target, memory}: RunCopy, reason: string) => {
 		moves++;
 		dispatch(
 			{
@@ -147,7 +193,6 @@
 			memory,
 			reason,
 		);
-		return true;
 	};
 
 	const forward = (
@@ -178,7 +223,12 @@
 		}
 	};
 
-	const failed = (current: StreamAttempt, failure: SendFailure) => {
+	/** @param isGranted - true if the send that continues the run was granted already */
+	const failed = (
+		current: StreamAttempt,
+		failure: SendFailure,
+		isGranted = false,
+	) => {
 		if (current.isOver || ending.isDone) {
 			return;
 		}
@@ -197,10 +247,12 @@
 		closeSend();
 		if (failure.unsent) {
 			options.unreachable(target);
-			if (!current.continues) {
+			if (current.continues) {
+				continueRun('copy unreachable', () => {
+					giveUp('the copy of the run is lost');
+				});
+			} else {
 				engineWait.start('target unreachable', false);
-			} else if (!continueRun('copy unreachable')) {
-				giveUp('the copy of the run is lost');
 			}
 
 			return;
@@ -208,9 +260,11 @@
 
 		mayHaveRun = true;
 		copies.lost(current);
-		if (!continueRun('run lost')) {
+		const cut = () => {
 			giveUp('the run was lost');
-		}
+		};
+
+		continueRun('run lost', cut, isGranted);
 	};
 
 	const ended = (current: StreamAttempt, head: AnswerHead) => {
@@ -245,10 +299,18 @@
 			return;
 		}
 
-		if (refused && continueRun('copy refused')) {
-			return;
+		const endHere = () => {
+			notContinued(head, body);
+		};
+
+		if (refused) {
+			continueRun('copy refused', endHere);
+		} else {
+			endHere();
 		}
+	};
 
+	const notContinued = (head: AnswerHead, body: Uint8Array) => {
 		mayHaveRun = true;
 		if (reply.hasHead || !head.stamped || isPromise(head.status)) {
 			giveUp('the run could not be continued');
@@ -304,9 +366,17 @@
 				answer.eventCount > 0
 					? Math.max(silenceMs, answer.pauses.longestMs * pauseFactor)
 					: firstEventSilenceMs;
-			const isSilent = clock.nowMs() - lastProgressMs > limitMs;
-			if (isSilent && copies.areUsable(current)) {
-				failed(current, {unsent: false, reason: 'the engine is silent'});
+			const nowMs = clock.nowMs();
+			const isSilent = nowMs - lastProgressMs > limitMs;
+			const mayAsk = !asking && nowMs - deniedMs > askAgainMs;
+			if (isSilent && mayAsk && copies.areUsable(current)) {
+				// A run that may not be continued is left alone; its engine may go on.
+				askForSend((isGranted) => {
+					if (isGranted && send === current) {
+						const reason = 'the engine is silent';
+						failed(current, {unsent: false, reason}, true);
+					}
+				});
 			}
 		},
 	};
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -2,16 +2,21 @@
 	createHeldBytes,
 	createRetryShare,
 	type DecisionLog,
+	type RetryShareOptions,
 	type SessionServices,
 } from '../../decisions/serving/index.js';
 import type {FakeTargetLink} from './fake-target-link.js';
 import type {VirtualTime} from './virtual-time.js';
 
-/** Services of a session on a VM that is alone, keeps no health and has no directory. */
+/**
+ * Services of a session on a VM that is alone, keeps no health and has no directory.
+ * @param askPool - answers where the VM's own retry budget is used up
+ */
 export function fakeSessionServices(
 	time: VirtualTime,
 	link: FakeTargetLink,
 	log: DecisionLog,
+	askPool: RetryShareOptions['askPool'] | undefined = undefined,
 ): SessionServices {
 	const ignore = () => {
 		// Neither health nor a directory is kept.
@@ -23,8 +28,19 @@
 		link,
 		retryShare: createRetryShare({
 			clock: time,
-			bounds: () => ({ratio: 0.2, extra: 50, windowMs: 10_000}),
+			// Where a test plays the pool, this VM has nothing itself.
+			bounds: () => ({
+				ratio: 0.2,
+				extra: askPool ? 0 : 50,
+				windowMs: 10_000,
+			}),
 			vmCount: () => 1,
+			askPool:
+				askPool ??
+				((_service, onAnswer) => {
+					onAnswer(false);
+					return {dispose: ignore};
+				}),
 		}),
 		answerBounds: {
 			maxAnswerBytes: 10_000,
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -1,5 +1,8 @@
 import type {TargetEntry} from '../../common/index.js';
-import {startStreamSession} from '../../decisions/serving/index.js';
+import {
+	type RetryShareOptions,
+	startStreamSession,
+} from '../../decisions/serving/index.js';
 import {fakeAdmitted, fakeEntry} from './admitted-request.js';
 import {createFakeCallerReply} from './fake-caller-reply.js';
 import {fakeSessionServices} from './fake-session-services.js';
@@ -19,6 +22,8 @@
 	readonly promptTokens?: number;
 	readonly isLate?: boolean;
 	readonly hearsOfLeaving?: boolean;
+	/** Answers questions for repeated sends, of which the VM has none itself then. */
+	readonly askPool?: RetryShareOptions['askPool'];
 };
 
 /** Starts a stream whose engines and time a test plays. */
@@ -47,9 +52,14 @@
 		),
 		reply,
 		{
-			...fakeSessionServices(time, link, (event, record) => {
-				log.push({event, record});
-			}),
+			...fakeSessionServices(
+				time,
+				link,
+				(event, record) => {
+					log.push({event, record});
+				},
+				setup.askPool,
+			),
 			place(_admitted, avoid, listener) {
 				const target = [firstEngine, secondEngine, thirdEngine].find(
 					({id}) => !avoid.has(id),
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -14,6 +14,8 @@
 	type Beacon,
 	createMemberList,
 	createPlaceClient,
+	createRetryClient,
+	createRetryPool,
 	decodeFleetMessage,
 	encodeFleetMessage,
 	type FleetMessage,
@@ -21,6 +23,7 @@
 	type MemberList,
 	type MemberMark,
 	type PlaceClient,
+	type RetryClient,
 	type StoreReading,
 	type TableMark,
 } from '../../decisions/fleet/index.js';
@@ -46,6 +49,11 @@
 	readonly timers: Timers;
 	readonly random: RandomSource;
 	readonly store: RowStore;
+	/** Extra repeated sends that the whole fleet has in a window. */
+	readonly retryBounds: () => {
+		readonly extra: number;
+		readonly windowMs: number;
+	};
 	/** Interval of beacons, in milliseconds. */
 	readonly beaconIntervalMs: () => number;
 	/** Engines of a service that take requests now. */
@@ -68,6 +76,7 @@
 export type FleetExchange = Disposable & {
 	readonly members: MemberList;
 	readonly placeClient: PlaceClient;
+	readonly retryClient: RetryClient;
 	readonly runs: RunReports;
 	/** Monotonic time since which this VM has run without a pause, in milliseconds. */
 	resumedMs(): number;
@@ -148,6 +157,19 @@
 			tickWhileWaiting();
 		},
 	});
+	let coordinatesSinceMs = Infinity;
+	const retryPool = createRetryPool({
+		clock,
+		bounds: options.retryBounds,
+		coordinatesSinceMs: () => coordinatesSinceMs,
+	});
+	const retryClient = createRetryClient({
+		timers,
+		ownAddress: address,
+		members,
+		pool: retryPool,
+		send,
+	});
 	const runs = owned.add(
 		createRunReports(timers, (set, ended) => {
 			for (const run of set) {
@@ -308,6 +330,17 @@
 				scheduler.cancel(from, message.id);
 				break;
 			}
+
+			case 'retry': {
+				const isGranted = retryPool.tryTake(message.service);
+				send(from, {kind: 'retry-answer', id: message.id, isGranted});
+				break;
+			}
+
+			case 'retry-answer': {
+				retryClient.answered(message.id, message.isGranted);
+				break;
+			}
 		}
 	};
 
@@ -375,6 +408,7 @@
 		const {isCoordinator} = members;
 		if (isCoordinator !== wasCoordinator) {
 			wasCoordinator = isCoordinator;
+			coordinatesSinceMs = isCoordinator ? clock.nowMs() : Infinity;
 			logger.info('coordinator changed', {
 				isCoordinator,
 				coordinator: members.coordinator.address,
@@ -432,6 +466,7 @@
 	return {
 		members,
 		placeClient,
+		retryClient,
 		runs,
 		resumedMs() {
 			noticePause();
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -103,6 +103,15 @@
 	});
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitPart);
+	const retryBounds = () => {
+		const bounds = options.bounds();
+		return {
+			ratio: bounds.retryRatio,
+			extra: bounds.retryExtra,
+			windowMs: bounds.retryWindowMs,
+		};
+	};
+
 	const fleet: FleetExchange = owned.add(
 		startFleetExchange({
 			vm,
@@ -111,6 +120,7 @@
 			timers,
 			random,
 			store,
+			retryBounds,
 			beaconIntervalMs: () => options.bounds().drainMs * waitPart,
 			engines: (service) => view.engines(service),
 			reading: () => created.watch?.reading ?? 'idle',
@@ -138,15 +148,9 @@
 	});
 	const retryShare = createRetryShare({
 		clock,
-		bounds() {
-			const bounds = options.bounds();
-			return {
-				ratio: bounds.retryRatio,
-				extra: bounds.retryExtra,
-				windowMs: bounds.retryWindowMs,
-			};
-		},
+		bounds: retryBounds,
 		vmCount: () => fleet.members.vmCount,
+		askPool: (service, onAnswer) => fleet.retryClient.ask(service, onAnswer),
 	});
 	const storeWatch = owned.add(
 		watchStore({
