Pass a new configuration on to all VMs, in place of a read by each

Change: the VMs that read the store pass the row on, packed, in one datagram where it fits; a configuration read from a peer brings its version along.

--- a/src/adapters/front/peer-state-client.test.ts
+++ b/src/adapters/front/peer-state-client.test.ts
@@ -53,6 +53,7 @@
 test('guards against tables that a peer does not get over the wire as they were read', async (context) => {
 	const tables = {
 		configuration: '{"version":3}',
+		configurationVersion: 9,
 		targets: [],
 		targetsVersion: 7,
 	};
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -13,6 +13,7 @@
 export * from './table-follower.js';
 export * from './target-directory.js';
 export * from './admission.js';
+export * from './relayed-configuration.js';
 export * from './relayed-rows.js';
 export * from './relayed-tables.js';
 export * from './stopping.js';
--- /dev/null
+++ b/src/decisions/serving/relayed-configuration.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	decodeRelayedConfiguration,
+	encodeRelayedConfiguration,
+} from './relayed-configuration.js';
+
+test('guards against a configuration that changes on the way, or that is taken from another message', () => {
+	const change = {afterVersion: 4, version: 9, packed: 'q1YqSy0qzszPAwA='};
+	const text = encodeRelayedConfiguration(change);
+	assert.ok(text);
+	assert.deepEqual(decodeRelayedConfiguration(JSON.parse(text)), change);
+	assert.equal(
+		decodeRelayedConfiguration({after: 1, version: 2, rows: []}),
+		undefined,
+	);
+});
+
+test('guards against a datagram of many fragments, which is often lost', () => {
+	const packed = 'x'.repeat(40_000);
+	const change = {afterVersion: 4, version: 9, packed};
+	assert.equal(encodeRelayedConfiguration(change), undefined);
+});
--- a/src/decisions/serving/relayed-tables.test.ts
+++ b/src/decisions/serving/relayed-tables.test.ts
@@ -28,6 +28,7 @@
 test('guards against tables that change on the way', () => {
 	const tables = {
 		configuration: '{"version":4}',
+		configurationVersion: 9,
 		targets: [{targetId: 't1', version: 7, entry: fakeEntry('t1')}],
 		targetsVersion: 7,
 	};
--- a/src/decisions/serving/relayed-tables.ts
+++ b/src/decisions/serving/relayed-tables.ts
@@ -11,6 +11,8 @@
 export type RelayedTables = {
 	/** The operator's row as the store has it. */
 	readonly configuration: string;
+	/** Version of the operator's table up to which every change is known with it. */
+	readonly configurationVersion: number;
 	readonly targets: readonly RelayedRow[];
 	/** Version of the targets' table. */
 	readonly targetsVersion: number;
@@ -18,6 +20,7 @@
 
 const tablesSchema = z.object({
 	configuration: z.string(),
+	configurationVersion: z.number(),
 	targets: z.array(relayedRowSchema),
 	targetsVersion: z.number(),
 });
--- a/src/programs/front/configuration-loader.ts
+++ b/src/programs/front/configuration-loader.ts
@@ -8,16 +8,19 @@
 import type {ConfigurationState} from '../../decisions/serving/index.js';
 import {decodeConfigurationInSlices} from '../../platform/index.js';
 
+/** Who has told of a configuration. */
+export type ConfigurationSource = 'peer' | 'store';
+
 /** Takes configurations over without holding up requests. */
 export type ConfigurationLoader = Disposable & {
-	/** Text of the configuration in force; undefined before the first. */
+	/** Newest text that arrived, in force or not; undefined before the first. */
 	readonly text: string | undefined;
 	/**
 	 * A configuration was read. If one is being decoded, it is finished first, and of those that come
 	 * meanwhile only the last is decoded.
-	 * @param source - version of the row, or `peer`
+	 * @param rowVersion - an older one than that of the newest text is left out
 	 */
-	load(text: string, source: number | 'peer'): void;
+	load(text: string, rowVersion: number, source: ConfigurationSource): void;
 };
 
 /** What a loader works with. */
@@ -27,38 +30,45 @@
 	readonly logger: Logger;
 };
 
-type Arrived = {readonly text: string; readonly source: number | 'peer'};
+type Arrived = {
+	readonly text: string;
+	readonly rowVersion: number;
+	readonly source: ConfigurationSource;
+};
 
 /** Creates a loader that has read nothing. */
 export function createConfigurationLoader(
 	options: ConfigurationLoaderOptions,
 ): ConfigurationLoader {
 	const {timers, configuration, logger} = options;
-	let textInForce: string | undefined;
+	let newest: Arrived | undefined;
 	let next: Arrived | undefined;
 	let isLoading = false;
 	let pause: Disposable | undefined;
 
 	const accept = (
-		{text, source}: Arrived,
+		{rowVersion, source}: Arrived,
 		decoded: DeploymentConfiguration | undefined,
 	) => {
 		const accepted = decoded !== undefined && configuration.accept(decoded);
-		if (accepted) {
-			textInForce = text;
-		}
-
 		logger.info('configuration read', {
 			version: decoded?.version ?? configuration.current?.version,
+			rowVersion,
 			source,
 			accepted,
 			routes: decoded?.routes.length,
 		});
 	};
 
-	const refuse = ({source}: Arrived, error: unknown) => {
+	const refuse = ({rowVersion, source}: Arrived, error: unknown) => {
 		const {type, detail, field} = toProblem(error);
-		logger.warn('configuration refused', {type, detail, field, source});
+		logger.warn('configuration refused', {
+			type,
+			detail,
+			field,
+			rowVersion,
+			source,
+		});
 	};
 
 	const loadNext = () => {
@@ -93,10 +103,15 @@
 
 	return {
 		get text() {
-			return textInForce;
+			return newest?.text;
 		},
-		load(text, source) {
-			next = {text, source};
+		load(text, rowVersion, source) {
+			if (newest && rowVersion < newest.rowVersion) {
+				return;
+			}
+
+			newest = {text, rowVersion, source};
+			next = newest;
 			if (!isLoading) {
 				loadNext();
 			}
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -1,9 +1,14 @@
-import {openDatagramSocket} from '../../adapters/front/index.js';
+import {
+	openDatagramSocket,
+	packText,
+	unpackText,
+} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
 import {
 	type Clock,
 	createDisposableStore,
 	type Disposable,
+	ProblemError,
 	type RandomSource,
 	type RowStore,
 	type Timers,
@@ -34,10 +39,13 @@
 	type GenerationScheduler,
 } from '../../decisions/scheduling/index.js';
 import {
+	decodeRelayedConfiguration,
 	decodeRelayedRows,
+	encodeRelayedConfiguration,
 	encodeRelayedRows,
 	type RelayedRows,
 } from '../../decisions/serving/index.js';
+import type {ConfigurationChange} from './store-watch.js';
 import {startCoordinatorRegistry} from './coordinator-registry.js';
 import {createRunReports, type RunReports} from './run-reports.js';
 
@@ -69,6 +77,8 @@
 	) => void;
 	/** A VM that reads the store told of changes of the targets. */
 	readonly onRows: (changes: RelayedRows) => void;
+	/** A VM that reads the store told of a configuration. */
+	readonly onConfiguration: (change: ConfigurationChange) => void;
 	readonly logger: Logger;
 };
 
@@ -82,6 +92,8 @@
 	resumedMs(): number;
 	/** Passes changes of the targets on to all VMs. */
 	tellRows(changes: RelayedRows): void;
+	/** Passes a configuration on to all VMs, unless it is large. */
+	tellConfiguration(change: ConfigurationChange): void;
 	/** Tells all VMs soon how far the store is. */
 	tellMarks(): void;
 };
@@ -129,6 +141,12 @@
 	let sequence = 0;
 	let isDisposed = false;
 
+	const sendToAll = (text: string) => {
+		for (const to of members.addresses()) {
+			socket.send(to, text);
+		}
+	};
+
 	const send = (to: string, message: FleetMessage) => {
 		socket.send(to, encodeFleetMessage(message));
 	};
@@ -206,10 +224,7 @@
 	};
 
 	const tellBeacon = () => {
-		const text = encodeFleetMessage(beacon());
-		for (const to of members.addresses()) {
-			socket.send(to, text);
-		}
+		sendToAll(encodeFleetMessage(beacon()));
 	};
 
 	const heartbeat = () => {
@@ -344,6 +359,27 @@
 		}
 	};
 
+	/** What a VM that reads the store passes on. */
+	const takeRelayed = (value: unknown) => {
+		const rows = decodeRelayedRows(value);
+		if (rows) {
+			options.onRows(rows);
+			return;
+		}
+
+		const configuration = decodeRelayedConfiguration(value);
+		if (!configuration) {
+			throw new ProblemError('peer-protocol', 'the form is not known');
+		}
+
+		const {afterVersion, version, packed} = configuration;
+		options.onConfiguration({
+			afterVersion,
+			version,
+			text: unpackText(packed),
+		});
+	};
+
 	let tickedMs = clock.nowMs();
 	let resumedMs = -Infinity;
 
@@ -365,11 +401,10 @@
 		noticePause();
 		try {
 			const value = parse(text);
-			const rows = Array.isArray(value) ? undefined : decodeRelayedRows(value);
-			if (rows) {
-				options.onRows(rows);
-			} else {
+			if (Array.isArray(value)) {
 				take(from, decodeFleetMessage(value));
+			} else {
+				takeRelayed(value);
 			}
 		} catch (error) {
 			logger.warn('datagram refused', {
@@ -474,9 +509,14 @@
 		},
 		tellRows(changes) {
 			for (const text of encodeRelayedRows(changes)) {
-				for (const to of members.addresses()) {
-					socket.send(to, text);
-				}
+				sendToAll(text);
+			}
+		},
+		tellConfiguration({text, ...change}) {
+			const packed = packText(text);
+			const message = encodeRelayedConfiguration({...change, packed});
+			if (message !== undefined) {
+				sendToAll(message);
 			}
 		},
 		tellMarks() {
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -133,6 +133,9 @@
 			onRows(changes) {
 				created.watch?.takeRows(changes);
 			},
+			onConfiguration(change) {
+				created.watch?.takeConfiguration(change);
+			},
 			logger,
 		}),
 	);
@@ -167,7 +170,11 @@
 				}
 			},
 			onRead: options.onStoreRead,
-			onConfigurationRow() {
+			onConfiguration(change) {
+				if (change && storeWatch.reading === 'reading') {
+					fleet.tellConfiguration(change);
+				}
+
 				fleet.tellMarks();
 			},
 			configuration,
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -19,6 +19,7 @@
 	type ConfigurationState,
 	followTable,
 	type ReadReason,
+	type RelayedConfiguration,
 	type RelayedRows,
 	type RelayedTables,
 	type TargetDirectory,
@@ -40,8 +41,8 @@
 	readonly isReader: (reading: StoreReading) => boolean;
 	/** The store named these changes of the targets. */
 	readonly onRows: (changes: RelayedRows) => void;
-	/** The configuration has changed in the store. */
-	readonly onConfigurationRow: () => void;
+	/** The configuration has changed in the store; other VMs may be told what it is now. */
+	readonly onConfiguration: (change: ConfigurationChange | undefined) => void;
 	/** A table was read from the store. */
 	readonly onRead: (table: string, reason: ReadReason) => void;
 	readonly configuration: ConfigurationState;
@@ -68,10 +69,17 @@
 	takeTables(tables: RelayedTables): void;
 	/** Takes over changes that a peer has read. */
 	takeRows(changes: RelayedRows): void;
+	/** Takes over a configuration that a peer has read. */
+	takeConfiguration(change: ConfigurationChange): void;
 	readConfiguration(): void;
 	readTargets(): void;
 };
 
+/** A change of the operator's row. */
+export type ConfigurationChange = Omit<RelayedConfiguration, 'packed'> & {
+	readonly text: string;
+};
+
 /** Whether a table was read, and can be read now. */
 type TableState = 'lost' | 'read' | 'unread';
 
@@ -160,20 +168,26 @@
 				configurationState = 'read';
 				for (const row of rows) {
 					if (row.key === tableNames.configurationKey) {
-						loader.load(decoder.decode(row.value), row.version);
+						loader.load(decoder.decode(row.value), row.version, 'store');
 					}
 				}
 
-				options.onConfigurationRow();
+				options.onConfiguration(undefined);
 			},
-			onChanges(changes) {
+			onChanges(changes, afterVersion) {
 				for (const {key, value, version} of changes) {
 					if (key === tableNames.configurationKey && value) {
-						loader.load(decoder.decode(value), version);
+						loader.load(decoder.decode(value), version, 'store');
 					}
 				}
 
-				options.onConfigurationRow();
+				const {changeVersion} = configurationBelief.mark;
+				const {text} = loader;
+				options.onConfiguration(
+					text === undefined
+						? undefined
+						: {afterVersion, version: changeVersion, text},
+				);
 			},
 			onLost(problem) {
 				configurationState = 'lost';
@@ -263,6 +277,7 @@
 			return hasTargets && loader.text !== undefined
 				? {
 						configuration: loader.text,
+						configurationVersion: configurationBelief.version,
 						targets: [...directory.all()].map(({entry}) => ({
 							targetId: entry.id,
 							version,
@@ -273,7 +288,12 @@
 				: undefined;
 		},
 		takeTables(tables) {
-			loader.load(tables.configuration, 'peer');
+			const {configurationVersion} = tables;
+			if (configurationVersion >= configurationBelief.version) {
+				loader.load(tables.configuration, configurationVersion, 'peer');
+				configurationBelief.adopt(configurationVersion);
+			}
+
 			if (
 				targetsState === 'read' ||
 				tables.targetsVersion < targetsBelief.version
@@ -301,6 +321,14 @@
 				targets.refresh();
 			}
 		},
+		takeConfiguration({afterVersion, version, text}) {
+			const isNew = version > configurationBelief.version;
+			if (!configurationBelief.told(afterVersion, version)) {
+				operator.refresh();
+			} else if (isNew) {
+				loader.load(text, version, 'peer');
+			}
+		},
 		readConfiguration() {
 			operator.refresh();
 		},
