Let a generation wait no longer than something can come of it

Change: a wait ends when what is left is shorter than the run takes, and a generation for which no memory is freed by then is refused at once.

--- a/src/decisions/scheduling/generation-queue.ts
+++ b/src/decisions/scheduling/generation-queue.ts
@@ -30,6 +30,22 @@
 	);
 }
 
+/** Multiple of the objective that a generation waits at most; callers give up at about four. */
+const waitFactor = 2;
+
+/**
+ * Time after which a generation that waits is of no use to its caller, in milliseconds of its wait.
+ * @param tokenMs - time between two tokens at the fastest engine
+ */
+export function waitLimitMs(demand: PlaceDemand, tokenMs: number): number {
+	const runMs =
+		demand.promptTokens * promptMsPerToken + demand.expectedTokens * tokenMs;
+	return Math.min(
+		waitFactor * demand.objectiveMs,
+		demand.waitedMs + demand.leftMs - runMs,
+	);
+}
+
 /** Memory that a generation needs at its end, in tokens. */
 export function neededTokens(demand: PlaceDemand): number {
 	return demand.promptTokens + demand.doneTokens + demand.expectedTokens;
--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -295,3 +295,21 @@
 	assert.equal(targetOf(place(report('q2'))), 'e2');
 	assert.equal(targetOf(start([engines[0]]).place(report('q1'))), 'e1');
 });
+
+test("guards against holding a generation to its caller's time limit, when nothing can come of it any more", async () => {
+	const {place, pass, answers} = start([small]);
+	for (let index = 0; index < 5; index++) {
+		place(brief(`q${index}`));
+	}
+
+	// The runs under way free memory after seven seconds, and this one takes some itself.
+	assert.equal(place(brief('late', {leftMs: 5000})).outcome, 'refused');
+	assert.equal(place(brief('later', {leftMs: 12_000})).outcome, 'waiting');
+	await pass(5000);
+	assert.equal(answers.length, 0);
+	await pass(9000);
+	assert.deepEqual(
+		answers.map(({id, answer}) => [id, answer.outcome]),
+		[['later', 'refused']],
+	);
+});
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -11,6 +11,7 @@
 	slackMs,
 	type Waiting,
 	waitedMs,
+	waitLimitMs,
 } from './generation-queue.js';
 import {freedTokens, peakTokens} from './memory-forecast.js';
 import type {RunBook} from './run-book.js';
@@ -62,8 +63,6 @@
 const copyFleetMemoryPart = 0.78;
 /** Shorter generations end before a copy of their memory would be of use. */
 const shortTokens = 100;
-/** Multiple of the objective that a generation waits at most; callers give up at about four. */
-const waitFactor = 2;
 /** Part of the objective in which a first token must be expected to count as timely. */
 const timelyPart = 0.95;
 /** After this many long generations without room the others of the moment are not tried. */
@@ -258,11 +257,25 @@
 		);
 	};
 
+	/** Time that a demand may go on to wait, in milliseconds. */
+	const leftForWaitMs = (waiting: Waiting, service: Service): number => {
+		const tokenMs = Math.min(
+			...service.candidates.map((candidate) => candidate.tokenMs),
+		);
+		return (
+			waitLimitMs(waiting.demand, tokenMs) - waitedMs(waiting, clock.nowMs())
+		);
+	};
+
 	/** True if a demand finds memory by the forecast, behind those that go ahead of it. */
 	const isHopeful = (waiting: Waiting, service: Service): boolean => {
 		const nowMs = clock.nowMs();
 		const rank = queueRank(waiting, nowMs);
-		const withinMs = waitFactor * waiting.demand.objectiveMs;
+		const withinMs = leftForWaitMs(waiting, service);
+		if (withinMs <= 0) {
+			return false;
+		}
+
 		let needed = neededTokens(waiting.demand);
 		for (const other of queue.values()) {
 			if (
@@ -302,7 +315,6 @@
 		isNew: boolean,
 	): PlaceAnswer => {
 		const {demand} = waiting;
-		const nowMs = clock.nowMs();
 		const reason = impossible(demand, service);
 		if (reason) {
 			return refused(reason, minRetryAfterMs);
@@ -322,7 +334,7 @@
 
 		const mayWait = isNew
 			? isHopeful(waiting, service)
-			: waitedMs(waiting, nowMs) < waitFactor * demand.objectiveMs;
+			: leftForWaitMs(waiting, service) > 0;
 		return mayWait
 			? {outcome: 'waiting', ahead: queue.size}
 			: refused('no engine has memory in time', retryAfter(demand));
