Split the exchange between VMs by what is told

Change: member-exchange, placement-desk, store-relay and pause-watch are files of their own; so are the messages' types and the reader of fields. No line of behaviour changes.

--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -5,8 +5,8 @@
 import {
 	decodeFleetMessage,
 	encodeFleetMessage,
-	type FleetMessage,
 } from './fleet-messages.js';
+import type {FleetMessage} from './fleet-message-types.js';
 
 const sender = {
 	address: '10.1.0.2:7200',
--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,3 +1,4 @@
+export type * from './fleet-message-types.js';
 export * from './fleet-messages.js';
 export * from './member-list.js';
 export * from './place-client.js';
--- a/src/decisions/fleet/place-client.test.ts
+++ b/src/decisions/fleet/place-client.test.ts
@@ -8,7 +8,7 @@
 	type PlaceAnswer,
 	type PlaceDemand,
 } from '../scheduling/index.js';
-import type {FleetMessage} from './fleet-messages.js';
+import type {FleetMessage} from './fleet-message-types.js';
 import {createMemberList} from './member-list.js';
 import {createPlaceClient} from './place-client.js';
 import type {MemberMark} from './types.js';
--- a/src/decisions/fleet/place-client.ts
+++ b/src/decisions/fleet/place-client.ts
@@ -4,7 +4,7 @@
 	PlaceAnswer,
 	PlaceDemand,
 } from '../scheduling/index.js';
-import type {FleetMessage} from './fleet-messages.js';
+import type {FleetMessage} from './fleet-message-types.js';
 import type {MemberList} from './member-list.js';
 
 /** Receives what becomes of a demand. */
--- a/src/decisions/fleet/retry-client.ts
+++ b/src/decisions/fleet/retry-client.ts
@@ -1,5 +1,5 @@
 import type {Disposable, Timers} from '../../common/index.js';
-import type {FleetMessage} from './fleet-messages.js';
+import type {FleetMessage} from './fleet-message-types.js';
 import type {MemberList} from './member-list.js';
 import type {RetryPool} from './retry-pool.js';
 
--- a/src/decisions/fleet/retry-pool.test.ts
+++ b/src/decisions/fleet/retry-pool.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {VirtualTime} from '../../experiments/fakes/index.js';
-import type {FleetMessage} from './fleet-messages.js';
+import type {FleetMessage} from './fleet-message-types.js';
 import {createMemberList} from './member-list.js';
 import {createRetryClient} from './retry-client.js';
 import {createRetryPool} from './retry-pool.js';
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -1,14 +1,9 @@
-import {
-	openDatagramSocket,
-	packText,
-	unpackText,
-} from '../../adapters/front/index.js';
+import {openDatagramSocket} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
 import {
 	type Clock,
 	createDisposableStore,
 	type Disposable,
-	ProblemError,
 	type RandomSource,
 	type RowStore,
 	type Timers,
@@ -16,15 +11,12 @@
 	type VmSettings,
 } from '../../common/index.js';
 import {
-	type Beacon,
 	createMemberList,
-	createPlaceClient,
 	createRetryClient,
 	createRetryPool,
 	decodeFleetMessage,
 	encodeFleetMessage,
 	type FleetMessage,
-	type Heartbeat,
 	type MemberList,
 	type MemberMark,
 	type PlaceClient,
@@ -32,22 +24,15 @@
 	type StoreReading,
 	type TableMark,
 } from '../../decisions/fleet/index.js';
-import {
-	createGenerationScheduler,
-	createRunBook,
-	type EngineEntry,
-	type GenerationScheduler,
-} from '../../decisions/scheduling/index.js';
-import {
-	decodeRelayedConfiguration,
-	decodeRelayedRows,
-	encodeRelayedConfiguration,
-	encodeRelayedRows,
-	type RelayedRows,
-} from '../../decisions/serving/index.js';
+import type {EngineEntry} from '../../decisions/scheduling/index.js';
+import type {RelayedRows} from '../../decisions/serving/index.js';
 import type {ConfigurationChange} from './store-watch.js';
+import {createMemberExchange} from './member-exchange.js';
+import {createPauseWatch} from './pause-watch.js';
+import {createStoreRelay, type StoreRelay} from './store-relay.js';
 import {startCoordinatorRegistry} from './coordinator-registry.js';
-import {createRunReports, type RunReports} from './run-reports.js';
+import {createPlacementDesk} from './placement-desk.js';
+import type {RunReports} from './run-reports.js';
 
 /** What the exchange works with. */
 export type FleetExchangeOptions = {
@@ -88,12 +73,10 @@
 	readonly placeClient: PlaceClient;
 	readonly retryClient: RetryClient;
 	readonly runs: RunReports;
+	/** What this VM reads from the store is passed on here. */
+	readonly relay: StoreRelay;
 	/** Monotonic time since which this VM has run without a pause, in milliseconds. */
 	resumedMs(): number;
-	/** Passes changes of the targets on to all VMs. */
-	tellRows(changes: RelayedRows): void;
-	/** Passes a configuration on to all VMs, unless it is large. */
-	tellConfiguration(change: ConfigurationChange): void;
 	/** Tells all VMs soon how far the store is. */
 	tellMarks(): void;
 };
@@ -103,17 +86,6 @@
 const heartbeatIntervalMs = 1000;
 /** The same until another VM is heard, in milliseconds. */
 const searchIntervalMs = 250;
-/** Interval at which generations that wait are looked at, in milliseconds. */
-const schedulerTickMs = 25;
-/** A longer gap between two heartbeats shows that this VM did not run. */
-const pauseMs = 1800;
-/** Interval at which one VM is told that another one coordinates, in milliseconds. */
-const redirectIntervalMs = 300;
-const listedMembers = 8;
-
-function parse(text: string): unknown {
-	return JSON.parse(text) as unknown;
-}
 
 /** Starts the exchange and opens its socket. */
 export function startFleetExchange(
@@ -132,13 +104,9 @@
 		reading: options.reading(),
 	});
 	const members = createMemberList(clock, ownMark());
-	const book = createRunBook(clock);
-	const newestSequence = new Map<string, string>();
-	const redirectedMs = new Map<string, number>();
 	const seeds = vm.seedIps
 		.map((ip) => `${ip}:${port}`)
 		.filter((seed) => seed !== address);
-	let sequence = 0;
 	let isDisposed = false;
 
 	const sendToAll = (text: string) => {
@@ -151,30 +119,6 @@
 		socket.send(to, encodeFleetMessage(message));
 	};
 
-	const scheduler: GenerationScheduler = createGenerationScheduler({
-		clock,
-		random: options.random,
-		book,
-		engines: options.engines,
-		onAnswer(to, {id}, answer) {
-			if (to === address) {
-				placeClient.decided(id, answer);
-			} else {
-				send(to, {kind: 'placed', id, answer});
-			}
-		},
-	});
-	const placeClient = createPlaceClient({
-		clock,
-		timers,
-		ownAddress: address,
-		members,
-		scheduler,
-		send,
-		onWaiting() {
-			tickWhileWaiting();
-		},
-	});
 	let coordinatesSinceMs = Infinity;
 	const retryPool = createRetryPool({
 		clock,
@@ -188,161 +132,48 @@
 		pool: retryPool,
 		send,
 	});
-	const runs = owned.add(
-		createRunReports(timers, (set, ended) => {
-			for (const run of set) {
-				book.set(address, run);
-			}
-
-			for (const id of ended) {
-				book.remove(address, id);
-			}
-
-			for (const accountant of members.accountants()) {
-				if (accountant.address !== address) {
-					send(accountant.address, {kind: 'run-update', set, ended});
-				}
-			}
+	const desk = owned.add(
+		createPlacementDesk({
+			clock,
+			timers,
+			random: options.random,
+			address,
+			members,
+			engines: options.engines,
+			send,
 		}),
 	);
-
-	const beacon = (): Beacon => {
-		sequence++;
-		return {
-			kind: 'beacon',
-			sender: ownMark(),
-			sequence,
-			vmCount: members.vmCount,
-			members: members
-				.ranked()
-				.slice(0, listedMembers)
-				.filter((member) => member.address !== address)
-				.map((member) => [member, members.silentMs(member.address)] as const),
-			configuration: options.configurationMark(),
-			targets: options.targetsMark(),
-		};
-	};
-
-	const tellBeacon = () => {
-		sendToAll(encodeFleetMessage(beacon()));
-	};
-
-	const heartbeat = () => {
-		sequence++;
-		const message: Heartbeat = {
-			kind: 'heartbeat',
-			sender: ownMark(),
-			sequence,
-			configuration: options.configurationMark(),
-			targets: options.targetsMark(),
-			runs: runs.all(),
-		};
-		book.heard(address, message.runs);
-		const known = new Set(members.addresses());
-		const to = members
-			.accountants()
-			.map((member) => member.address)
-			.filter((one) => one !== address);
-		// Seeds that are not heard may be back, or belong to another group of VMs.
-		const isSearching = members.coordinator.address === address;
-		const unheard = isSearching ? seeds.filter((seed) => !known.has(seed)) : [];
-		const text = encodeFleetMessage(message);
-		for (const one of [...to, ...unheard]) {
-			socket.send(one, text);
-		}
-	};
-
-	/** Tells a VM whom to turn to. */
-	const redirect = (to: string) => {
-		const nowMs = clock.nowMs();
-		if (nowMs - (redirectedMs.get(to) ?? -Infinity) >= redirectIntervalMs) {
-			redirectedMs.set(to, nowMs);
-			send(to, beacon());
-		}
-	};
-
-	const isNew = (from: string, {instanceId}: MemberMark, number: number) => {
-		const [knownInstance, knownNumber] =
-			newestSequence.get(from)?.split(' ') ?? [];
-		if (knownInstance === instanceId && Number(knownNumber) >= number) {
-			return false;
-		}
-
-		newestSequence.set(from, `${instanceId} ${number}`);
-		return true;
-	};
-
-	const takeHeartbeat = (from: string, message: Heartbeat) => {
-		if (!isNew(from, message.sender, message.sequence)) {
-			return;
-		}
-
-		const isKnown = members.silentMs(from) < Infinity;
-		members.heard({...message.sender, address: from}, 0);
-		book.heard(from, message.runs);
-		options.onMarks(from, message.configuration, message.targets);
-		const isAccountant = members
-			.accountants()
-			.some((member) => member.address === address);
-		if (!isKnown || !isAccountant) {
-			redirect(from);
-		}
-	};
-
-	const takeBeacon = (from: string, message: Beacon) => {
-		if (!isNew(from, message.sender, message.sequence)) {
-			return;
-		}
-
-		members.heard({...message.sender, address: from}, 0);
-		for (const [member, ageMs] of message.members) {
-			members.heard(member, ageMs);
-		}
-
-		members.counted(message.vmCount);
-		options.onMarks(from, message.configuration, message.targets);
-	};
+	const {book, runs, placeClient} = desk;
+	const exchange = createMemberExchange({
+		...options,
+		address,
+		seeds,
+		members,
+		book,
+		runs: () => runs.all(),
+		ownMark,
+		sendText: socket.send,
+		sendToAll,
+	});
+	const relay = createStoreRelay({...options, sendToAll});
 
 	const take = (from: string, message: FleetMessage) => {
 		switch (message.kind) {
 			case 'heartbeat': {
-				takeHeartbeat(from, message);
+				exchange.takeHeartbeat(from, message);
 				break;
 			}
 
 			case 'beacon': {
-				takeBeacon(from, message);
-				break;
-			}
-
-			case 'run-update': {
-				for (const run of message.set) {
-					book.set(from, run);
-				}
-
-				for (const id of message.ended) {
-					book.remove(from, id);
-				}
-
-				scheduler.tick();
-				break;
-			}
-
-			case 'place': {
-				const {demand} = message;
-				const answer = scheduler.place(from, demand);
-				send(from, {kind: 'placed', id: demand.id, answer});
-				tickWhileWaiting();
-				break;
-			}
-
-			case 'placed': {
-				placeClient.answered(from, message.id, message.answer);
+				exchange.takeBeacon(from, message);
 				break;
 			}
 
+			case 'run-update':
+			case 'place':
+			case 'placed':
 			case 'cancel': {
-				scheduler.cancel(from, message.id);
+				desk.take(from, message);
 				break;
 			}
 
@@ -359,52 +190,19 @@
 		}
 	};
 
-	/** What a VM that reads the store passes on. */
-	const takeRelayed = (value: unknown) => {
-		const rows = decodeRelayedRows(value);
-		if (rows) {
-			options.onRows(rows);
-			return;
-		}
-
-		const configuration = decodeRelayedConfiguration(value);
-		if (!configuration) {
-			throw new ProblemError('peer-protocol', 'the form is not known');
-		}
-
-		const {afterVersion, version, packed} = configuration;
-		options.onConfiguration({
-			afterVersion,
-			version,
-			text: unpackText(packed),
-		});
-	};
-
-	let tickedMs = clock.nowMs();
-	let resumedMs = -Infinity;
-
-	/** Whatever runs first after a pause notices it by the time, not by a timer that may run later. */
-	const noticePause = () => {
-		const nowMs = clock.nowMs();
-		if (nowMs - tickedMs > pauseMs) {
-			logger.warn('this VM did not run for a while', {
-				pausedMs: Math.round(nowMs - tickedMs),
-			});
-			members.paused();
-			resumedMs = nowMs;
-		}
-
-		tickedMs = nowMs;
-	};
+	const pauses = createPauseWatch(clock, (pausedMs) => {
+		logger.warn('this VM did not run for a while', {pausedMs});
+		members.paused();
+	});
 
 	socket.onDatagram(({from, text}) => {
-		noticePause();
+		pauses.notice();
 		try {
-			const value = parse(text);
+			const value: unknown = JSON.parse(text);
 			if (Array.isArray(value)) {
 				take(from, decodeFleetMessage(value));
 			} else {
-				takeRelayed(value);
+				relay.take(value);
 			}
 		} catch (error) {
 			logger.warn('datagram refused', {
@@ -426,18 +224,6 @@
 		});
 	};
 
-	let ticking: Disposable | undefined;
-	/** Looks at what waits as long as something does; a VM at rest has nothing to wake up for. */
-	const tickWhileWaiting = () => {
-		if (scheduler.waitingCount > 0 && !isDisposed) {
-			ticking ??= timers.after(schedulerTickMs, () => {
-				ticking = undefined;
-				scheduler.tick();
-				tickWhileWaiting();
-			});
-		}
-	};
-
 	let wasCoordinator = false;
 	const noticeDuty = () => {
 		const {isCoordinator} = members;
@@ -450,35 +236,26 @@
 				vmCount: members.vmCount,
 			});
 			if (isCoordinator) {
-				tellBeacon();
-			}
-		}
-	};
-
-	const sweep = () => {
-		book.tick();
-		for (const [from] of newestSequence) {
-			if (members.silentMs(from) === Infinity) {
-				newestSequence.delete(from);
-				redirectedMs.delete(from);
+				exchange.tellBeacon();
 			}
 		}
 	};
 
 	const isAlone = () => members.ranked().length === 1;
-	heartbeat();
+	exchange.tellHeartbeat();
 	repeat(
 		() => {
-			noticePause();
-			heartbeat();
+			pauses.notice();
+			exchange.tellHeartbeat();
 			noticeDuty();
-			sweep();
+			book.tick();
+			exchange.sweep();
 		},
 		() => (isAlone() ? searchIntervalMs : heartbeatIntervalMs),
 	);
 	repeat(() => {
 		if (members.isCoordinator) {
-			tellBeacon();
+			exchange.tellBeacon();
 		}
 	}, options.beaconIntervalMs);
 	owned.add(
@@ -492,7 +269,7 @@
 			isAlone,
 			onFound(found) {
 				if (members.silentMs(found) === Infinity) {
-					send(found, beacon());
+					exchange.tellMembers(found);
 				}
 			},
 			logger,
@@ -502,31 +279,19 @@
 		members,
 		placeClient,
 		retryClient,
+		relay,
 		runs,
 		resumedMs() {
-			noticePause();
-			return resumedMs;
-		},
-		tellRows(changes) {
-			for (const text of encodeRelayedRows(changes)) {
-				sendToAll(text);
-			}
-		},
-		tellConfiguration({text, ...change}) {
-			const packed = packText(text);
-			const message = encodeRelayedConfiguration({...change, packed});
-			if (message !== undefined) {
-				sendToAll(message);
-			}
+			pauses.notice();
+			return pauses.resumedMs;
 		},
 		tellMarks() {
 			if (members.isCoordinator) {
-				tellBeacon();
+				exchange.tellBeacon();
 			}
 		},
 		dispose() {
 			isDisposed = true;
-			ticking?.dispose();
 			owned.dispose();
 		},
 	};
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -166,13 +166,13 @@
 			isReader: (reading) => fleet.members.isReader(reading),
 			onRows(changes) {
 				if (storeWatch.reading === 'reading') {
-					fleet.tellRows(changes);
+					fleet.relay.tellRows(changes);
 				}
 			},
 			onRead: options.onStoreRead,
 			onConfiguration(change) {
 				if (change && storeWatch.reading === 'reading') {
-					fleet.tellConfiguration(change);
+					fleet.relay.tellConfiguration(change);
 				}
 
 				fleet.tellMarks();
--- /dev/null
+++ b/src/programs/front/member-exchange.ts
@@ -0,0 +1,178 @@
+import type {Clock} from '../../common/index.js';
+import {
+	type Beacon,
+	encodeFleetMessage,
+	type Heartbeat,
+	type MemberList,
+	type MemberMark,
+	type TableMark,
+} from '../../decisions/fleet/index.js';
+import type {RunBook, RunState} from '../../decisions/scheduling/index.js';
+
+/** What the exchange about members works with. */
+export type MemberExchangeOptions = {
+	readonly clock: Clock;
+	readonly address: string;
+	/** Addresses at which VMs are looked for that have not been heard. */
+	readonly seeds: readonly string[];
+	readonly members: MemberList;
+	readonly book: RunBook;
+	/** Runs of this VM. */
+	readonly runs: () => readonly RunState[];
+	readonly ownMark: () => MemberMark;
+	readonly configurationMark: () => TableMark;
+	readonly targetsMark: () => TableMark;
+	/** A VM told how far it is with the tables. */
+	readonly onMarks: (
+		from: string,
+		configuration: TableMark,
+		targets: TableMark,
+	) => void;
+	readonly sendText: (to: string, text: string) => void;
+	readonly sendToAll: (text: string) => void;
+};
+
+/** Heartbeats to the VMs that keep the account of all runs, and beacons of the coordinator to all. */
+export type MemberExchange = {
+	tellHeartbeat(): void;
+	tellBeacon(): void;
+	/** Tells one VM who the members are. */
+	tellMembers(to: string): void;
+	takeHeartbeat(from: string, message: Heartbeat): void;
+	takeBeacon(from: string, message: Beacon): void;
+	/** Forgets VMs that are not heard any more. */
+	sweep(): void;
+};
+
+/** Interval at which one VM is told that another one coordinates, in milliseconds. */
+const redirectIntervalMs = 300;
+const listedMembers = 8;
+
+/** Creates an exchange that has told nothing. */
+export function createMemberExchange(
+	options: MemberExchangeOptions,
+): MemberExchange {
+	const {clock, address, members, book, ownMark, seeds} = options;
+	const newestSequence = new Map<string, string>();
+	const redirectedMs = new Map<string, number>();
+	let sequence = 0;
+
+	const beacon = (): Beacon => {
+		sequence++;
+		return {
+			kind: 'beacon',
+			sender: ownMark(),
+			sequence,
+			vmCount: members.vmCount,
+			members: members
+				.ranked()
+				.slice(0, listedMembers)
+				.filter((member) => member.address !== address)
+				.map((member) => [member, members.silentMs(member.address)] as const),
+			configuration: options.configurationMark(),
+			targets: options.targetsMark(),
+		};
+	};
+
+	const tellBeacon = () => {
+		options.sendToAll(encodeFleetMessage(beacon()));
+	};
+
+	const tellHeartbeat = () => {
+		sequence++;
+		const message: Heartbeat = {
+			kind: 'heartbeat',
+			sender: ownMark(),
+			sequence,
+			configuration: options.configurationMark(),
+			targets: options.targetsMark(),
+			runs: options.runs(),
+		};
+		book.heard(address, message.runs);
+		const known = new Set(members.addresses());
+		const to = members
+			.accountants()
+			.map((member) => member.address)
+			.filter((one) => one !== address);
+		// Seeds that are not heard may be back, or belong to another group of VMs.
+		const isSearching = members.coordinator.address === address;
+		const unheard = isSearching ? seeds.filter((seed) => !known.has(seed)) : [];
+		const text = encodeFleetMessage(message);
+		for (const one of [...to, ...unheard]) {
+			options.sendText(one, text);
+		}
+	};
+
+	const tellMembers = (to: string) => {
+		options.sendText(to, encodeFleetMessage(beacon()));
+	};
+
+	/** Tells a VM whom to turn to. */
+	const redirect = (to: string) => {
+		const nowMs = clock.nowMs();
+		if (nowMs - (redirectedMs.get(to) ?? -Infinity) >= redirectIntervalMs) {
+			redirectedMs.set(to, nowMs);
+			tellMembers(to);
+		}
+	};
+
+	const isNew = (from: string, {instanceId}: MemberMark, number: number) => {
+		const [knownInstance, knownNumber] =
+			newestSequence.get(from)?.split(' ') ?? [];
+		if (knownInstance === instanceId && Number(knownNumber) >= number) {
+			return false;
+		}
+
+		newestSequence.set(from, `${instanceId} ${number}`);
+		return true;
+	};
+
+	const takeHeartbeat = (from: string, message: Heartbeat) => {
+		if (!isNew(from, message.sender, message.sequence)) {
+			return;
+		}
+
+		const isKnown = members.silentMs(from) < Infinity;
+		members.heard({...message.sender, address: from}, 0);
+		book.heard(from, message.runs);
+		options.onMarks(from, message.configuration, message.targets);
+		const isAccountant = members
+			.accountants()
+			.some((member) => member.address === address);
+		if (!isKnown || !isAccountant) {
+			redirect(from);
+		}
+	};
+
+	const takeBeacon = (from: string, message: Beacon) => {
+		if (!isNew(from, message.sender, message.sequence)) {
+			return;
+		}
+
+		members.heard({...message.sender, address: from}, 0);
+		for (const [member, ageMs] of message.members) {
+			members.heard(member, ageMs);
+		}
+
+		members.counted(message.vmCount);
+		options.onMarks(from, message.configuration, message.targets);
+	};
+
+	const sweep = () => {
+		for (const [from] of newestSequence) {
+			if (members.silentMs(from) === Infinity) {
+				newestSequence.delete(from);
+				redirectedMs.delete(from);
+			}
+		}
+	};
+
+	return {
+		tellHeartbeat,
+		tellBeacon,
+		tellMembers,
+		takeHeartbeat,
+		takeBeacon,
+		sweep,
+	};
+}
--- /dev/null
+++ b/src/programs/front/store-relay.ts
@@ -0,0 +1,69 @@
+import {packText, unpackText} from '../../adapters/front/index.js';
+import {ProblemError} from '../../common/index.js';
+import {
+	decodeRelayedConfiguration,
+	decodeRelayedRows,
+	encodeRelayedConfiguration,
+	encodeRelayedRows,
+	type RelayedRows,
+} from '../../decisions/serving/index.js';
+import type {ConfigurationChange} from './store-watch.js';
+
+/** What the relay works with. */
+export type StoreRelayOptions = {
+	readonly sendToAll: (text: string) => void;
+	/** A VM that reads the store told of changes of the targets. */
+	readonly onRows: (changes: RelayedRows) => void;
+	/** A VM that reads the store told of a configuration. */
+	readonly onConfiguration: (change: ConfigurationChange) => void;
+};
+
+/** Passes on what this VM has read from the store, and takes what others have. */
+export type StoreRelay = {
+	/** Passes changes of the targets on to all VMs. */
+	tellRows(changes: RelayedRows): void;
+	/** Passes a configuration on to all VMs, unless it is large. */
+	tellConfiguration(change: ConfigurationChange): void;
+	/**
+	 * Takes what another VM has passed on.
+	 * @throws ProblemError `peer-protocol`
+	 */
+	take(value: unknown): void;
+};
+
+/** Creates a relay. */
+export function createStoreRelay(options: StoreRelayOptions): StoreRelay {
+	return {
+		tellRows(changes) {
+			for (const text of encodeRelayedRows(changes)) {
+				options.sendToAll(text);
+			}
+		},
+		tellConfiguration({text, ...change}) {
+			const packed = packText(text);
+			const message = encodeRelayedConfiguration({...change, packed});
+			if (message !== undefined) {
+				options.sendToAll(message);
+			}
+		},
+		take(value) {
+			const rows = decodeRelayedRows(value);
+			if (rows) {
+				options.onRows(rows);
+				return;
+			}
+
+			const configuration = decodeRelayedConfiguration(value);
+			if (!configuration) {
+				throw new ProblemError('peer-protocol', 'the form is not known');
+			}
+
+			const {afterVersion, version, packed} = configuration;
+			options.onConfiguration({
+				afterVersion,
+				version,
+				text: unpackText(packed),
+			});
+		},
+	};
+}
