--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -1,92 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {SeededRandomSource} from '../../common/index.js';
-import {VirtualTime} from '../../experiments/fakes/index.js';
-import {createGenerationScheduler} from './generation-scheduler.js';
-import type {EngineEntry} from './service-memory.js';
-import {createRunBook} from './run-book.js';
+import {
+	fakeEngine as engine,
+	fakeReport as report,
+	startFakeScheduler as start,
+} from '../../experiments/fakes/index.js';
 import type {PlaceAnswer, PlaceDemand} from './types.js';
 
-const engine = (
-	targetId: string,
-	changes: Partial<EngineEntry> = {},
-): EngineEntry => ({
-	targetId,
-	availabilityZone: 'zone-1',
-	slotCount: 24,
-	capacityTokens: 20_000,
-	isSuspect: false,
-	...changes,
-});
-
-const report = (
-	id: string,
-	changes: Partial<PlaceDemand> = {},
-): PlaceDemand => ({
-	id,
-	service: 'model',
-	purpose: 'run',
-	promptTokens: 3000,
-	expectedTokens: 700,
-	doneTokens: 0,
-	nearZone: 'zone-1',
-	avoid: [],
-	elapsedMs: 0,
-	waitedMs: 0,
-	objectiveMs: 5000,
-	leftMs: 39_000,
-	priority: 0,
-	...changes,
-});
-
-function start(engines: EngineEntry[]) {
-	const time = new VirtualTime();
-	const book = createRunBook(time);
-	const answers: Array<{id: string; answer: PlaceAnswer}> = [];
-	const scheduler = createGenerationScheduler({
-		clock: time,
-		random: new SeededRandomSource(5),
-		book,
-		engines: () => engines,
-		onAnswer(_vm, {id}, answer) {
-			answers.push({id, answer});
-		},
-	});
-
-	/** Lets time pass while all VMs go on to tell of their runs. */
-	const pass = async (untilMs: number, ended: readonly string[] = []) => {
-		for (const id of ended) {
-			book.remove('vm-1', id);
-		}
-
-		for (let atMs = time.nowMs(); atMs < untilMs;) {
-			atMs = Math.min(untilMs, atMs + 25);
-			await time.runUntil(atMs);
-			scheduler.tick();
-		}
-	};
-
-	/** Places a demand and has its VM tell of the run. */
-	const place = (demand: PlaceDemand): PlaceAnswer => {
-		const answer = scheduler.place('vm-1', demand);
-		if (answer.outcome === 'placed') {
-			book.set('vm-1', {
-				id: demand.id,
-				targetId: answer.placement.targetId,
-				copyTargetId: answer.placement.copyTargetId,
-				promptTokens: demand.promptTokens,
-				doneTokens: 0,
-				remainingTokens: demand.expectedTokens,
-				priority: 0,
-			});
-		}
-
-		return answer;
-	};
-
-	return {time, book, scheduler, answers, place, pass};
-}
-
 const targetOf = (answer: PlaceAnswer) =>
 	answer.outcome === 'placed' ? answer.placement.targetId : answer.outcome;
 
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -12,5 +12,6 @@
 export * from './fake-caller-reply.js';
 export * from './fake-target-link.js';
 export * from './find-free-ports.js';
+export * from './fake-scheduler.js';
 export * from './fake-session-services.js';
 export * from './fake-stream.js';
