Let few VMs look for the end of an outage of the store

Change: a VM that is no reader waits 0.5 to 4 s between failed calls; it hears from the readers when the store answers again. One that becomes a reader waits as a reader does.

--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -179,3 +179,23 @@
 	await time.runUntil(1200);
 	assert.deepEqual(reasons, ['snapshot', 'missing']);
 });
+
+test('replay "the store is busy for 20 seconds": VMs that are no readers ask seldom, and hear of its end from readers', async () => {
+	const away = new ProblemError('table-unavailable', 'busy');
+	const store = new ScriptedStore();
+	store.snapshots = [{rows: [], version: 5}];
+	store.feeds = Array.from({length: 100}, () => away);
+	const {time, belief, reads, events} = follow(store);
+	reads.isReader = false;
+	await time.runUntil(20_000);
+	assert.ok(store.askedAfter.length <= 9, `${store.askedAfter.length} calls`);
+	belief.heard({version: 6, changeVersion: 5, ageMs: 0});
+	await time.runUntil(21_100);
+	assert.equal(events.at(-1), 'regained');
+
+	await time.runUntil(40_000);
+	const before = store.askedAfter.length;
+	reads.isReader = true;
+	await time.runUntil(43_000);
+	assert.ok(store.askedAfter.length >= before + 2);
+});
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -46,8 +46,9 @@
 	readonly minIntervalMs: number;
 };
 
-const minBackoffMs = 150;
-const maxBackoffMs = 1000;
+/** Waits after a failure, in milliseconds. The few readers find the end of an outage for all others. */
+const readerBackoffMs = {least: 150, most: 1000} as const;
+const othersBackoffMs = {least: 500, most: 4000} as const;
 /** Longest time after which a VM looks whether it has to read, in milliseconds. */
 const maxRestMs = 1000;
 const minRestMs = 50;
@@ -71,6 +72,9 @@
 	let needsSnapshot = true;
 	let isWanted = false;
 	let wake: (() => void) | undefined;
+	let readMs = -Infinity;
+	/** Monotonic time before which the store is not asked again, in milliseconds. */
+	let nextMs = -Infinity;
 
 	const succeeded = () => {
 		if (failures > 0) {
@@ -164,11 +168,18 @@
 		}
 	};
 
-	const backoffMs = () =>
-		failures === 0
-			? 0
-			: Math.min(maxBackoffMs, minBackoffMs * 2 ** (failures - 1)) *
-				(0.5 + random.nextUnit());
+	const backoffMs = () => {
+		if (failures === 0) {
+			return 0;
+		}
+
+		// A VM that knows nothing yet cannot be told of changes either.
+		const {least, most} =
+			needsSnapshot || options.isReader() ? readerBackoffMs : othersBackoffMs;
+		return (
+			Math.min(most, least * 2 ** (failures - 1)) * (0.5 + random.nextUnit())
+		);
+	};
 
 	const run = async () => {
 		for (;;) {
@@ -185,12 +196,21 @@
 			}
 
 			const startedMs = clock.nowMs();
-			await readOnce();
-			const spentMs = clock.nowMs() - startedMs;
-			const pauseMs = Math.max(backoffMs(), options.minIntervalMs - spentMs);
-			if (pauseMs > 0 && !stopped) {
-				await timers.sleep(pauseMs);
+			// A VM that becomes a reader does not wait as long as others do.
+			const dueMs = options.isReader()
+				? Math.min(nextMs, readMs + readerBackoffMs.most)
+				: nextMs;
+			if (startedMs < dueMs) {
+				await rest(Math.min(maxRestMs, dueMs - startedMs));
+				continue;
 			}
+
+			await readOnce();
+			readMs = clock.nowMs();
+			nextMs = Math.max(
+				readMs + backoffMs(),
+				startedMs + options.minIntervalMs,
+			);
 		}
 	};
 
