--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -5,6 +5,7 @@
 	Timers,
 } from '../../common/index.js';
 import type {DecisionLog} from './session-types.js';
+import type {StreamPlacement} from './stream-session-types.js';
 
 /** A copy of a run's memory. */
 export type RunCopy = {
@@ -12,6 +13,19 @@
 	readonly memory: RunMemory;
 };
 
+/** The placement of a run that goes on where its copy is, which needs no forecast. */
+export function continuedAt(target: TargetEntry, id: string): StreamPlacement {
+	return {
+		id,
+		target,
+		backup: undefined,
+		firstTokenMs: 0,
+		memoryPart: 0,
+		isLate: false,
+		decidedBy: '',
+	};
+}
+
 /** A run whose engine leaves. */
 export type LeavingRun = {
 	readonly requestId: string;
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,9 +1,4 @@
-import type {
-	AnswerHead,
-	Disposable,
-	RunMemory,
-	SendFailure,
-} from '../../common/index.js';
+import type {AnswerHead, RunMemory, SendFailure} from '../../common/index.js';
 import {createEngineWait} from './engine-wait.js';
 import type {StreamEvent} from './event-splitter.js';
 import {isPromise, misdirectedStatus} from './refusals.js';
@@ -11,7 +6,9 @@
 import type {AdmittedRequest, CallerReply} from './session-types.js';
 import {createStreamAnswer} from './stream-answer.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
-import type {RunCopy} from './run-copies.js';
+import {continuedAt, type RunCopy} from './run-copies.js';
+import {createRunSilence} from './run-silence.js';
+import {createSendLeave} from './send-leave.js';
 import {createStreamCopies} from './stream-copies.js';
 import type {
 	StreamPlacement,
@@ -19,15 +16,7 @@
 	StreamSessionOptions,
 } from './stream-session-types.js';
 
-/** Pause between events after which a run with a copy elsewhere is continued there, in milliseconds. */
-const silenceMs = 900;
-/** Time without a first event after which a run with a copy elsewhere is continued there, in milliseconds. */
-const firstEventSilenceMs = 4000;
-/** Multiple of the longest pause that a run has ended by itself, after which it counts as stalled. */
-const pauseFactor = 2;
 const retryAfterMs = 400;
-/** Time after which a silent run that may not be continued is looked at again, in milliseconds. */
-const askAgainMs = 1000;
 /** Below the default of the engines, which is 5. */
 const latePriority = 7;
 const minSendMs = 50;
@@ -46,12 +35,10 @@
 	const avoid = new Set<string>();
 	let send: StreamAttempt | undefined;
 	let mayHaveRun = false;
-	let lastProgressMs = clock.nowMs();
 	let moves = 0;
-	/** A question for a repeated send that is not answered yet. */
-	let asking: Disposable | undefined;
-	let deniedMs = -Infinity;
 	const answer = createStreamAnswer(reply, admitted.arrivedMs);
+	const silence = createRunSilence(clock, answer);
+	const leave = createSendLeave(admitted, options);
 
 	const closeSend = () => {
 		send?.close();
@@ -68,7 +55,7 @@
 		retryAfterMs,
 		release() {
 			engineWait.dispose();
-			asking?.dispose();
+			leave.dispose();
 			const target = send?.placement.target.id;
 			closeSend();
 			return {
@@ -107,7 +94,7 @@
 		continueFrom: RunMemory | undefined,
 		reason: string,
 	) => {
-		lastProgressMs = clock.nowMs();
+		silence.progressed();
 		const attempt = createStreamAttempt(
 			{
 				admitted,
@@ -130,27 +117,6 @@
 			? latePriority
 			: admitted.priority;
 
-	/** Asks for leave to send once more; a run that has ended meanwhile needs none. */
-	const askForSend = (onAnswer: (isGranted: boolean) => void) => {
-		let isAnswered = false;
-		const taking = retryShare.take(service, (isGranted) => {
-			isAnswered = true;
-			asking = undefined;
-			if (!isGranted) {
-				deniedMs = clock.nowMs();
-				log('continuation denied', {
-					request: request.id,
-					reason: 'retry budget',
-				});
-			}
-
-			onAnswer(isGranted);
-		});
-		if (!isAnswered) {
-			asking = taking;
-		}
-	};
-
 	/** Continues a lost run from the next copy of its memory. */
 	const continueRun = (
 		reason: string,
@@ -169,7 +135,7 @@
 			return;
 		}
 
-		askForSend((isGrantedNow) => {
+		leave.ask((isGrantedNow) => {
 			if (isGrantedNow) {
 				continueAt(copy, reason);
 			} else {
@@ -180,19 +146,7 @@
 
 	const continueAt = ({target, memory}: RunCopy, reason: string) => {
 		moves++;
-		dispatch(
-			{
-				id: `${request.id}.m${moves}`,
-				target,
-				backup: undefined,
-				firstTokenMs: 0,
-				memoryPart: 0,
-				isLate: false,
-				decidedBy: '',
-			},
-			memory,
-			reason,
-		);
+		dispatch(continuedAt(target, `${request.id}.m${moves}`), memory, reason);
 	};
 
 	const forward = (
@@ -204,7 +158,7 @@
 		mayHaveRun = true;
 		if (event.id !== undefined) {
 			// A comment shows that the connection lives, not that the run goes on.
-			lastProgressMs = nowMs;
+			silence.progressed();
 		}
 
 		const isFirst = answer.eventCount === 0;
@@ -240,7 +194,7 @@
 			unsent: failure.unsent,
 			reason: failure.reason,
 			events: answer.eventCount,
-			silentMs: Math.round(clock.nowMs() - lastProgressMs),
+			silentMs: Math.round(silence.silentMs),
 		});
 		options.ended(target, false, clock.nowMs() - current.startedMs);
 		avoid.add(target.id);
@@ -361,17 +315,9 @@
 				return;
 			}
 
-			// A run that has gone on after a pause may do so again.
-			const limitMs =
-				answer.eventCount > 0
-					? Math.max(silenceMs, answer.pauses.longestMs * pauseFactor)
-					: firstEventSilenceMs;
-			const nowMs = clock.nowMs();
-			const isSilent = nowMs - lastProgressMs > limitMs;
-			const mayAsk = !asking && nowMs - deniedMs > askAgainMs;
-			if (isSilent && mayAsk && copies.areUsable(current)) {
+			if (silence.isLong && leave.mayAsk && copies.areUsable(current)) {
 				// A run that may not be continued is left alone; its engine may go on.
-				askForSend((isGranted) => {
+				leave.ask((isGranted) => {
 					if (isGranted && send === current) {
 						const reason = 'the engine is silent';
 						failed(current, {unsent: false, reason}, true);
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -26,7 +26,7 @@
 } from '../../decisions/fleet/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
 import type {RelayedRows} from '../../decisions/serving/index.js';
-import type {ConfigurationChange} from './store-watch.js';
+import type {ConfigurationChange} from './store-watch-types.js';
 import {createMemberExchange} from './member-exchange.js';
 import {createPauseWatch} from './pause-watch.js';
 import {createStoreRelay, type StoreRelay} from './store-relay.js';
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -27,7 +27,8 @@
 import type {FrontSettings} from './front-settings.js';
 import {type FleetExchange, startFleetExchange} from './fleet-exchange.js';
 import {createPeerRecovery} from './peer-recovery.js';
-import {type StoreWatch, watchStore} from './store-watch.js';
+import {watchStore} from './store-watch.js';
+import type {StoreWatch} from './store-watch-types.js';
 
 /** What the state is kept with. */
 export type FleetStateOptions = {
--- a/src/programs/front/peer-recovery.ts
+++ b/src/programs/front/peer-recovery.ts
@@ -3,7 +3,7 @@
 import {type Clock, toProblem} from '../../common/index.js';
 import type {TableMark} from '../../decisions/fleet/index.js';
 import {shouldAskPeer} from '../../decisions/serving/index.js';
-import type {StoreWatch} from './store-watch.js';
+import type {StoreWatch} from './store-watch-types.js';
 
 /** What the recovery works with. */
 export type PeerRecoveryOptions = {
--- a/src/programs/front/store-relay.ts
+++ b/src/programs/front/store-relay.ts
@@ -7,7 +7,7 @@
 	encodeRelayedRows,
 	type RelayedRows,
 } from '../../decisions/serving/index.js';
-import type {ConfigurationChange} from './store-watch.js';
+import type {ConfigurationChange} from './store-watch-types.js';
 
 /** What the relay works with. */
 export type StoreRelayOptions = {
--- /dev/null
+++ b/src/programs/front/store-watch-types.ts
@@ -0,0 +1,70 @@
+import type {Logger} from '../../adapters/system/index.js';
+import type {
+	Clock,
+	Disposable,
+	RandomSource,
+	RowStore,
+	Timers,
+} from '../../common/index.js';
+import type {StoreReading, TableBelief} from '../../decisions/fleet/index.js';
+import type {
+	ConfigurationState,
+	ReadReason,
+	RelayedConfiguration,
+	RelayedRows,
+	RelayedTables,
+	TargetDirectory,
+} from '../../decisions/serving/index.js';
+
+/** What is kept up with the store. */
+export type StoreWatchOptions = {
+	readonly store: RowStore;
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly random: RandomSource;
+	/** Time after which the store answers a reader without changes, in milliseconds. */
+	readonly waitMs: () => number;
+	/** Age of what is known from which on a VM reads by itself, in milliseconds. */
+	readonly maxAgeMs: () => number;
+	/** True if this VM reads the store for others. */
+	readonly isReader: (reading: StoreReading) => boolean;
+	/** The store named these changes of the targets. */
+	readonly onRows: (changes: RelayedRows) => void;
+	/** The configuration has changed in the store; other VMs may be told what it is now. */
+	readonly onConfiguration: (change: ConfigurationChange | undefined) => void;
+	/** A table was read from the store. */
+	readonly onRead: (table: string, reason: ReadReason) => void;
+	readonly configuration: ConfigurationState;
+	readonly directory: TargetDirectory;
+	readonly logger: Logger;
+};
+
+/** Keeps configuration and targets up with the store. */
+export type StoreWatch = Disposable & {
+	/** True once both tables have been read. */
+	readonly isComplete: boolean;
+	readonly reading: StoreReading;
+	/** True while what is known of the targets is confirmed. */
+	readonly readsTargets: boolean;
+	/** True while a table cannot be read. */
+	readonly isStoreLost: boolean;
+	/** True once the targets are known, from the store or from a peer. */
+	readonly hasTargets: boolean;
+	readonly configurationBelief: TableBelief;
+	readonly targetsBelief: TableBelief;
+	/** What was read, for peers that cannot; undefined before. */
+	tables(): RelayedTables | undefined;
+	/** Takes over what a peer has read, since this VM cannot. */
+	takeTables(tables: RelayedTables): void;
+	/** Takes over changes that a peer has read. */
+	takeRows(changes: RelayedRows): void;
+	/** Takes over a configuration that a peer has read. */
+	takeConfiguration(change: ConfigurationChange): void;
+	readConfiguration(): void;
+	readTargets(): void;
+};
+
+/** A change of the operator's row. */
+export type ConfigurationChange = Omit<RelayedConfiguration, 'packed'> & {
+	readonly text: string;
+};
