Tell all VMs at once that the readers have lost the store

Cause: engines leave with two seconds of notice. Change: a reader that loses the store says so at once, the coordinator passes it on as soon as both have, and the others then ask the engines once a confirmation is older than the readers' interval.

--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -2,10 +2,7 @@
 import {test} from 'node:test';
 import * as fc from 'fast-check';
 import {ProblemError} from '../../common/index.js';
-import {
-	decodeFleetMessage,
-	encodeFleetMessage,
-} from './fleet-messages.js';
+import {decodeFleetMessage, encodeFleetMessage} from './fleet-messages.js';
 import type {FleetMessage} from './fleet-message-types.js';
 
 const sender = {
--- a/src/decisions/fleet/member-list.test.ts
+++ b/src/decisions/fleet/member-list.test.ts
@@ -99,6 +99,24 @@
 	assert.equal(last.isReader('lost'), false);
 });
 
+test('guards against an outage of the store that is taken for the trouble of one VM, and the other way round', () => {
+	const time = new VirtualTime();
+	const members = createMemberList(time, member('a'));
+	for (const address of ['b', 'c', 'd']) {
+		members.heard(member(address), 0);
+	}
+
+	assert.equal(members.areReadersLost('reading'), false);
+	assert.equal(members.areReadersLost('lost'), false);
+	members.heard(member('b', {reading: 'lost'}), -1);
+	assert.equal(members.areReadersLost('reading'), false);
+	assert.equal(members.areReadersLost('lost'), true);
+	assert.equal(
+		createMemberList(time, member('a')).areReadersLost('lost'),
+		true,
+	);
+});
+
 test('guards against a retry budget shared by too few VMs after most fell silent', async () => {
 	const time = new VirtualTime();
 	const members = createMemberList(time, member('a'));
--- a/src/decisions/fleet/member-list.ts
+++ b/src/decisions/fleet/member-list.ts
@@ -17,6 +17,11 @@
 	accountants(): readonly MemberMark[];
 	/** True if this VM is one of the few that read the store for all. */
 	isReader(reading: StoreReading): boolean;
+	/**
+	 * True if the VMs that read the store for all have lost it, so that nobody is told of changes.
+	 * @param reading - how this VM itself stands to the store
+	 */
+	areReadersLost(reading: StoreReading): boolean;
 	/**
 	 * A member was heard, or heard of.
 	 * @param ageMs - time since it was heard itself, in milliseconds
@@ -153,6 +158,15 @@
 				.filter((member) => member.reading !== 'lost');
 			return place !== -1 && (reading === 'lost' || able.length < readerCount);
 		},
+		areReadersLost(reading) {
+			const candidates = ranked().slice(0, readerCandidates);
+			const lostCount = candidates.filter(
+				(member) =>
+					(member.address === own.address ? reading : member.reading) ===
+					'lost',
+			).length;
+			return lostCount >= Math.min(readerCount, candidates.length);
+		},
 		heard(mark, ageMs) {
 			if (mark.address === own.address) {
 				return;
--- a/src/programs/front/engine-watch.ts
+++ b/src/programs/front/engine-watch.ts
@@ -23,8 +23,8 @@
 /** An engine gives about two seconds of notice, and a copy takes most of one. */
 const intervalMs = 500;
 const timeoutMs = 400;
-/** Interval at which this VM looks whether the store is away, in milliseconds. */
-const restMs = 1000;
+/** Interval at which this VM looks whether the store is away, in milliseconds; a part of the notice. */
+const restMs = 250;
 
 /**
  * Asks engines themselves whether they leave, but only while the store cannot be read, since each
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -1,15 +1,5 @@
 import {openDatagramSocket} from '../../adapters/front/index.js';
-import type {Logger} from '../../adapters/system/index.js';
-import {
-	type Clock,
-	createDisposableStore,
-	type Disposable,
-	type RandomSource,
-	type RowStore,
-	type Timers,
-	toProblem,
-	type VmSettings,
-} from '../../common/index.js';
+import {createDisposableStore, toProblem} from '../../common/index.js';
 import {
 	createMemberList,
 	createRetryClient,
@@ -17,69 +7,17 @@
 	decodeFleetMessage,
 	encodeFleetMessage,
 	type FleetMessage,
-	type MemberList,
 	type MemberMark,
-	type PlaceClient,
-	type RetryClient,
-	type StoreReading,
-	type TableMark,
 } from '../../decisions/fleet/index.js';
-import type {EngineEntry} from '../../decisions/scheduling/index.js';
-import type {RelayedRows} from '../../decisions/serving/index.js';
-import type {ConfigurationChange} from './store-watch-types.js';
+import {startCoordinatorRegistry} from './coordinator-registry.js';
+import type {
+	FleetExchange,
+	FleetExchangeOptions,
+} from './fleet-exchange-types.js';
 import {createMemberExchange} from './member-exchange.js';
 import {createPauseWatch} from './pause-watch.js';
-import {createStoreRelay, type StoreRelay} from './store-relay.js';
-import {startCoordinatorRegistry} from './coordinator-registry.js';
 import {createPlacementDesk} from './placement-desk.js';
-import type {RunReports} from './run-reports.js';
-
-/** What the exchange works with. */
-export type FleetExchangeOptions = {
-	readonly vm: VmSettings;
-	readonly instanceId: string;
-	readonly clock: Clock;
-	readonly timers: Timers;
-	readonly random: RandomSource;
-	readonly store: RowStore;
-	/** Extra repeated sends that the whole fleet has in a window. */
-	readonly retryBounds: () => {
-		readonly extra: number;
-		readonly windowMs: number;
-	};
-	/** Interval of beacons, in milliseconds. */
-	readonly beaconIntervalMs: () => number;
-	/** Engines of a service that take requests now. */
-	readonly engines: (service: string) => readonly EngineEntry[];
-	readonly reading: () => StoreReading;
-	readonly configurationMark: () => TableMark;
-	readonly targetsMark: () => TableMark;
-	/** A VM told how far it is with the tables. */
-	readonly onMarks: (
-		from: string,
-		configuration: TableMark,
-		targets: TableMark,
-	) => void;
-	/** A VM that reads the store told of changes of the targets. */
-	readonly onRows: (changes: RelayedRows) => void;
-	/** A VM that reads the store told of a configuration. */
-	readonly onConfiguration: (change: ConfigurationChange) => void;
-	readonly logger: Logger;
-};
-
-/** The other VMs: who has which duty, where generations go, and what the store says. */
-export type FleetExchange = Disposable & {
-	readonly members: MemberList;
-	readonly placeClient: PlaceClient;
-	readonly retryClient: RetryClient;
-	readonly runs: RunReports;
-	/** What this VM reads from the store is passed on here. */
-	readonly relay: StoreRelay;
-	/** Monotonic time since which this VM has run without a pause, in milliseconds. */
-	resumedMs(): number;
-	/** Tells all VMs soon how far the store is. */
-	tellMarks(): void;
-};
+import {createStoreRelay} from './store-relay.js';
 
 /** Identifiers are cut to what tells two lives of a VM apart. */
 const instanceIdLength = 8;
@@ -285,6 +223,14 @@
 			pauses.notice();
 			return pauses.resumedMs;
 		},
+		tellLost() {
+			if (members.isReader('lost')) {
+				exchange.tellHeartbeat();
+				if (members.isCoordinator) {
+					exchange.tellBeacon();
+				}
+			}
+		},
 		tellMarks() {
 			if (members.isCoordinator) {
 				exchange.tellBeacon();
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -25,7 +25,8 @@
 import {StoreClient} from '../../platform/index.js';
 import {createFleetView, type FleetView} from './fleet-view.js';
 import type {FrontSettings} from './front-settings.js';
-import {type FleetExchange, startFleetExchange} from './fleet-exchange.js';
+import {startFleetExchange} from './fleet-exchange.js';
+import type {FleetExchange} from './fleet-exchange-types.js';
 import {createPeerRecovery} from './peer-recovery.js';
 import {watchStore} from './store-watch.js';
 import type {StoreWatch} from './store-watch-types.js';
@@ -165,6 +166,10 @@
 			waitMs,
 			maxAgeMs: () => options.bounds().drainMs * maxAgePart,
 			isReader: (reading) => fleet.members.isReader(reading),
+			areReadersLost: (reading) => fleet.members.areReadersLost(reading),
+			onLost() {
+				fleet.tellLost();
+			},
 			onRows(changes) {
 				if (storeWatch.reading === 'reading') {
 					fleet.relay.tellRows(changes);
--- a/src/programs/front/member-exchange.ts
+++ b/src/programs/front/member-exchange.ts
@@ -127,12 +127,15 @@
 		return true;
 	};
 
+	const areReadersLost = () => members.areReadersLost(ownMark().reading);
+
 	const takeHeartbeat = (from: string, message: Heartbeat) => {
 		if (!isNew(from, message.sender, message.sequence)) {
 			return;
 		}
 
 		const isKnown = members.silentMs(from) < Infinity;
+		const wereLost = areReadersLost();
 		members.heard({...message.sender, address: from}, 0);
 		book.heard(from, message.runs);
 		options.onMarks(from, message.configuration, message.targets);
@@ -142,6 +145,11 @@
 		if (!isKnown || !isAccountant) {
 			redirect(from);
 		}
+
+		// Engines that leave give less notice than the time to the next beacon and to its effect.
+		if (members.isCoordinator && !wereLost && areReadersLost()) {
+			tellBeacon();
+		}
 	};
 
 	const takeBeacon = (from: string, message: Beacon) => {
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -28,6 +28,10 @@
 	readonly maxAgeMs: () => number;
 	/** True if this VM reads the store for others. */
 	readonly isReader: (reading: StoreReading) => boolean;
+	/** True if nobody reads the store for others, as far as is known; the same parameter. */
+	readonly areReadersLost: (reading: StoreReading) => boolean;
+	/** This VM can no longer read a table. */
+	readonly onLost: () => void;
 	/** The store named these changes of the targets. */
 	readonly onRows: (changes: RelayedRows) => void;
 	/** The configuration has changed in the store; other VMs may be told what it is now. */
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -101,6 +101,7 @@
 			},
 			onLost(problem) {
 				configurationState = 'lost';
+				options.onLost();
 				lost(operatorTable, problem);
 			},
 			onRegained() {
@@ -151,6 +152,7 @@
 			},
 			onLost(problem) {
 				targetsState = 'lost';
+				options.onLost();
 				directory.storeLost();
 				lost(targetsTable, problem);
 			},
@@ -176,9 +178,11 @@
 			return hasTargets;
 		},
 		get readsTargets() {
-			return (
-				targetsState === 'read' && targetsBelief.ageMs <= options.maxAgeMs()
-			);
+			// What readers confirmed shortly before they lost the store is still young then.
+			const limitMs = options.areReadersLost(reading())
+				? options.waitMs()
+				: options.maxAgeMs();
+			return targetsState === 'read' && targetsBelief.ageMs <= limitMs;
 		},
 		configurationBelief,
 		targetsBelief,
