--- a/src/decisions/fleet/place-client.test.ts
+++ b/src/decisions/fleet/place-client.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SeededRandomSource} from '../../common/index.js';
-import {VirtualTime} from '../../experiments/fakes/index.js';
+import {fakeReport, VirtualTime} from '../../experiments/fakes/index.js';
 import {
 	createGenerationScheduler,
 	createRunBook,
 	type PlaceAnswer,
-	type PlaceDemand,
 } from '../scheduling/index.js';
 import type {FleetMessage} from './fleet-message-types.js';
 import {createMemberList} from './member-list.js';
@@ -21,21 +20,7 @@
 	reading: 'idle',
 });
 
-const demand: PlaceDemand = {
-	id: 'q1.1',
-	service: 'model',
-	purpose: 'run',
-	promptTokens: 3000,
-	expectedTokens: 700,
-	doneTokens: 0,
-	nearZone: 'zone-1',
-	avoid: [],
-	elapsedMs: 0,
-	waitedMs: 0,
-	objectiveMs: 1800,
-	leftMs: 39_000,
-	priority: 0,
-};
+const demand = fakeReport('q1.1', {objectiveMs: 1800});
 
 const placedAt = (targetId: string): PlaceAnswer => ({
 	outcome: 'placed',
--- a/src/programs/front/endless-answers.test.ts
+++ b/src/programs/front/endless-answers.test.ts
@@ -5,8 +5,7 @@
 import {
 	call,
 	fixtureConfiguration,
-	fixtureHost,
-	fixtureKey,
+	requestHead,
 	startFixture,
 	statusOf,
 	until,
@@ -209,15 +208,11 @@
 	});
 	caller.pause();
 	caller.write(
-		[
-			'POST /report/1 HTTP/1.1',
-			`Host: ${fixtureHost}`,
-			`Api-Key: ${fixtureKey}`,
+		requestHead(
+			'/report/1',
 			'Cowslipspread-Attempt-Id: unread',
 			'Content-Length: 0',
-			'',
-			'',
-		].join('\r\n'),
+		),
 	);
 	await until(() => isClosed);
 	assert.ok(sentBytes < maxTakenBytes, `${sentBytes} bytes were taken`);
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -16,6 +16,7 @@
 } from '../../decisions/fleet/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
 import type {RelayedRows} from '../../decisions/serving/index.js';
+import type {MarksListener} from './member-exchange.js';
 import type {RunReports} from './run-reports.js';
 import type {ConfigurationChange} from './store-watch-types.js';
 import type {StoreRelay} from './store-relay.js';
@@ -41,11 +42,7 @@
 	readonly configurationMark: () => TableMark;
 	readonly targetsMark: () => TableMark;
 	/** A VM told how far it is with the tables. */
-	readonly onMarks: (
-		from: string,
-		configuration: TableMark,
-		targets: TableMark,
-	) => void;
+	readonly onMarks: MarksListener;
 	/** A VM that reads the store told of changes of the targets. */
 	readonly onRows: (changes: RelayedRows) => void;
 	/** A VM that reads the store told of a configuration. */
--- a/src/programs/front/member-exchange.ts
+++ b/src/programs/front/member-exchange.ts
@@ -9,6 +9,13 @@
 } from '../../decisions/fleet/index.js';
 import type {RunBook, RunState} from '../../decisions/scheduling/index.js';
 
+/** Receives how far a VM is with the tables. */
+export type MarksListener = (
+	from: string,
+	configuration: TableMark,
+	targets: TableMark,
+) => void;
+
 /** What the exchange about members works with. */
 export type MemberExchangeOptions = {
 	readonly clock: Clock;
@@ -23,11 +30,7 @@
 	readonly configurationMark: () => TableMark;
 	readonly targetsMark: () => TableMark;
 	/** A VM told how far it is with the tables. */
-	readonly onMarks: (
-		from: string,
-		configuration: TableMark,
-		targets: TableMark,
-	) => void;
+	readonly onMarks: MarksListener;
 	readonly sendText: (to: string, text: string) => void;
 	readonly sendToAll: (text: string) => void;
 };
--- a/src/programs/front/stop-under-load.test.ts
+++ b/src/programs/front/stop-under-load.test.ts
@@ -5,8 +5,8 @@
 import {
 	call,
 	fixtureConfiguration,
-	fixtureHost,
 	fixtureKey,
+	requestHead,
 	startFixture,
 	statusOf,
 	until,
@@ -54,17 +54,12 @@
 	return new Promise((resolve, reject) => {
 		let text = '';
 		const socket = connect(port, '127.0.0.1', () => {
-			socket.write(
-				[
-					'POST /book/late HTTP/1.1',
-					`Host: ${fixtureHost}`,
-					`Api-Key: ${fixtureKey}`,
-					'Content-Length: 10',
-					'Connection: close',
-					'',
-					'12345',
-				].join('\r\n'),
+			const head = requestHead(
+				'/book/late',
+				'Content-Length: 10',
+				'Connection: close',
 			);
+			socket.write(`${head}12345`);
 			setTimeout(() => {
 				socket.write('67890');
 			}, restOfBodyAfterMs);
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -102,6 +102,21 @@
 	return status;
 }
 
+/** Head of a request that a test writes to a connection itself. */
+export function requestHead(
+	requestPath: string,
+	...lines: readonly string[]
+): string {
+	return [
+		`POST ${requestPath} HTTP/1.1`,
+		`Host: ${fixtureHost}`,
+		`Api-Key: ${fixtureKey}`,
+		...lines,
+		'',
+		'',
+	].join('\r\n');
+}
+
 const defaultRoutes: readonly OperatorRoute[] = [
 	{name: 'stock', prefix: '/stock/', kind: 'idempotent', service: 'desk'},
 	{name: 'book', prefix: '/book/', kind: 'non_idempotent', service: 'desk'},
