--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -31,7 +31,7 @@
 		edits: [
 			{
 				file: `${serving}/retry-share.js`,
-				original: 'extra / Math.max(1, vmCount())',
+				original: '(ownExtraPart * extra) / Math.max(1, vmCount())',
 				replacement: 'extra * 2',
 			},
 		],
@@ -122,8 +122,8 @@
 			},
 			{
 				file: `${serving}/stream-session.js`,
-				original: "!continueRun('run lost')",
-				replacement: 'true',
+				original: "continueRun('run lost', cut, isGranted);",
+				replacement: 'cut();',
 			},
 		],
 		vmCount: 2,
