Withdraw a placement whose repeat was granted at once

Cause: read in the change: on the coordinator itself the common retry budget answers within the call, and the handle of the question then replaced that of the placement, so that a generation stayed in the queue after its caller had left. A coordinator that was paused gave repeated sends until its next heartbeat. Change: the handle is kept only while the question is open; a VM that is not coordinator by the time gives nothing.

--- a/src/decisions/serving/engine-wait.ts
+++ b/src/decisions/serving/engine-wait.ts
@@ -30,7 +30,7 @@
  */
 export function createEngineWait(
 	admitted: AdmittedRequest,
-	options: StreamSessionOptions,
+	options: Pick<StreamSessionOptions, 'place' | 'retryShare'>,
 	avoid: ReadonlySet<string>,
 	listener: EngineWaitListener,
 ): EngineWait {
@@ -54,14 +54,18 @@
 				return;
 			}
 
+			let isAnswered = false;
 			const taking = options.retryShare.take(admitted.service, (isGranted) => {
+				isAnswered = true;
 				if (isGranted) {
 					place(reason);
 				} else {
 					listener.onGivenUp('the retry budget is used up');
 				}
 			});
-			asking = taking ?? asking;
+			if (!isAnswered) {
+				asking = taking;
+			}
 		},
 		dispose() {
 			asking?.dispose();
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -61,7 +61,9 @@
 	const retryPool = createRetryPool({
 		clock,
 		bounds: options.retryBounds,
-		coordinatesSinceMs: () => coordinatesSinceMs,
+		// After a pause this VM may be told of its duty's end only later.
+		coordinatesSinceMs: () =>
+			members.isCoordinator ? coordinatesSinceMs : Infinity,
 	});
 	const retryClient = createRetryClient({
 		timers,
