Crash one engine at a time where the soak must find a gap

Cause: the plan crashed six targets 0.6 s apart, so that a run's engine and the engine with its copy could both be gone before any stream went on.

The plan now crashes the oldest engine every 2.2 s, after the one before has been replaced. The check and the planted fault are unchanged; a run still ends at the first violation.

--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -94,8 +94,9 @@
 			},
 		],
 		vmCount: 2,
-		steps: [2, 3, 4, 5, 6, 7].map((where) =>
-			step(where * 600, 500, {type: 'target', action: 'crash'}, where),
+		// One engine at a time, so that the copy's engine is there to go on.
+		steps: Array.from({length: 6}, (_, index) =>
+			step(1000 + index * 2200, 300, {type: 'target', action: 'crash'}, 2),
 		),
 		breaks: 'event-order',
 	},
