Answer what a planned stop would cut, and start less of it

Change: twice the expected length until balancers know of the stop (four times later, as before; never more than the caller's bound); requests that no target has are refused as not run once they would be cut; what is open at the end gets its final answer (502 or a broken stream) and a last line.

--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -84,11 +84,14 @@
 			timedOut();
 		},
 	});
-	const giveUp = (reason: string) => {
+	/** True once a target may have the request. */
+	const isSent = () => mayHaveRunCount > 0 || attempts.size > 0;
+
+	const giveUp = (reason: string, afterMs?: number) => {
 		if (lastFailure) {
 			ending.whole(lastFailure.head, lastFailure.body, reason);
 		} else {
-			ending.unanswered(mayHaveRunCount > 0, reason);
+			ending.unanswered(isSent(), reason, afterMs);
 		}
 	};
 
@@ -257,7 +260,7 @@
 	};
 
 	const timedOut = () => {
-		if (mayHaveRunCount > 0 || attempts.size > 0) {
+		if (isSent()) {
 			ending.timedOut();
 		} else {
 			giveUp('no target in time');
@@ -278,10 +281,17 @@
 	}
 
 	return {
+		get isDone() {
+			return ending.isDone;
+		},
+		get isSent() {
+			return isSent();
+		},
 		callerLeft() {
 			if (isIdempotent || attempts.size === 0) {
 				ending.aborted('caller left');
 			}
 		},
+		giveUp,
 	};
 }
--- /dev/null
+++ b/src/decisions/serving/fresh-session.ts
@@ -0,0 +1,47 @@
+import type {FreshGate} from './fresh-gate.js';
+import type {ServingSession} from './session-types.js';
+
+/** What a session that may have to wait for the gate works with. */
+export type FreshSessionOptions = {
+	readonly gate: FreshGate;
+	readonly start: () => ServingSession;
+	/** Refuses the request before its session has started. */
+	readonly refuse: (reason: string, retryAfterMs: number) => void;
+};
+
+/** Starts a session, at once or when what is known may be acted on. */
+export function startFreshSession({
+	gate,
+	start,
+	refuse,
+}: FreshSessionOptions): ServingSession {
+	let session: ServingSession | undefined;
+	let isEnded = false;
+	const waiting = gate.pass(() => {
+		session = start();
+	});
+
+	return {
+		get isDone() {
+			return session?.isDone ?? isEnded;
+		},
+		get isSent() {
+			return session?.isSent ?? false;
+		},
+		callerLeft() {
+			waiting.dispose();
+			isEnded = true;
+			session?.callerLeft();
+		},
+		giveUp(reason, retryAfterMs) {
+			waiting.dispose();
+			if (session) {
+				session.giveUp(reason, retryAfterMs);
+			} else if (!isEnded) {
+				refuse(reason, retryAfterMs);
+			}
+
+			isEnded = true;
+		},
+	};
+}
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -1,5 +1,6 @@
 export * from './caller-patience.js';
 export * from './fresh-gate.js';
+export * from './fresh-session.js';
 export * from './held-bytes.js';
 export * from './call-session.js';
 export * from './configuration-state.js';
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -47,8 +47,16 @@
 
 /** A request under way. */
 export type ServingSession = {
+	readonly isDone: boolean;
+	/** True once a target may have the request. */
+	readonly isSent: boolean;
 	/** The caller has closed its connection. */
 	callerLeft(): void;
+	/**
+	 * Gives the final answer now.
+	 * @param retryAfterMs - time after which the caller may come back if nothing has run
+	 */
+	giveUp(reason: string, retryAfterMs: number): void;
 };
 
 /** Largest answers of sound targets, in bytes. */
--- a/src/decisions/serving/stopping.ts
+++ b/src/decisions/serving/stopping.ts
@@ -5,24 +5,40 @@
 
 /** Time after the signal in which balancers still send new connections, in milliseconds. */
 const stillRoutedMs = 2500;
+/** Three in four generations stay below this multiple of their expected length. */
+const usualLongestFactor = 2;
 /** A generation rarely gets longer than this multiple of its expected length. */
 const longestFactor = 4;
 
+/** Times of a planned stop, in milliseconds. */
+export type StopTimes = {
+	/** Since the signal. */
+	readonly sinceMs: number;
+	/** Until this VM ends. */
+	readonly leftMs: number;
+};
+
+/** A generation that comes to a stopping VM. */
+export type ComingGeneration = {
+	/** Expected length of the answer. */
+	readonly expectedTokens: number;
+	/** Bound of its length. */
+	readonly maxTokens: number;
+};
+
 /**
  * Decides whether a stopping VM starts a generation. Answers the pattern "VMs are stopped one after
- * the other under load": what would outlast the grace time is cut off, while another VM could serve
- * it whole. Once balancers know of the stop, only what ends in time even if it gets long is started.
- * @param expectedOutputTokens - expected length of the answer
- * @param sinceMs - time since the signal, in milliseconds
- * @param leftMs - time until this VM ends, in milliseconds
+ * the other under load": what outlasts the grace time is cut off, while another VM could serve it
+ * whole. Until balancers know of the stop, a generation is started if it is more likely to end in time
+ * than its caller to find a VM that doesn't stop as well; then only if it ends even if it gets long.
  */
 export function mayStartWhileStopping(
-	expectedOutputTokens: number,
-	sinceMs: number,
-	leftMs: number,
+	{expectedTokens, maxTokens}: ComingGeneration,
+	{sinceMs, leftMs}: StopTimes,
 ): boolean {
-	const factor = sinceMs < stillRoutedMs ? 1 : longestFactor;
-	return firstTokenMs + factor * expectedOutputTokens * tokenMs <= leftMs;
+	const factor = sinceMs < stillRoutedMs ? usualLongestFactor : longestFactor;
+	const longestTokens = Math.min(factor * expectedTokens, maxTokens);
+	return firstTokenMs + longestTokens * tokenMs <= leftMs;
 }
 
 /** Time in which a call ends that no target holds up, in milliseconds. */
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -213,3 +213,26 @@
 	assert.equal(pool.questions.length, 0);
 	assert.equal(link.sends.length, 1);
 });
+
+test('guards against a stop that cuts generations without an answer, or that calls one not run that may have run', () => {
+	const waiting = startFakeStream({isFull: true});
+	assert.equal(waiting.session.isSent, false);
+	waiting.session.giveUp('the VM is stopping', 50);
+	assert.deepEqual(
+		[waiting.reply.status, waiting.reply.retryAfterS],
+		[503, 0.05],
+	);
+	const sent = startFakeStream();
+	assert.equal(sent.session.isSent, true);
+	sent.session.giveUp('the VM stopped', 50);
+	assert.deepEqual(
+		[sent.reply.status, sent.reply.retryAfterS],
+		[502, undefined],
+	);
+	assert.equal(sent.link.sends[0].isDisposed, true);
+	const begun = startFakeStream();
+	giveEvents(begun.link.sends[0], 1);
+	begun.session.giveUp('the VM stopped', 50);
+	assert.equal(begun.reply.ending, 'aborted');
+	assert.equal(begun.log.at(-1)?.record.outcome, 'the VM stopped');
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -78,8 +78,11 @@
 		},
 	});
 
+	/** True once an engine may have the request. */
+	const isSent = () => send !== undefined || mayHaveRun;
+
 	const giveUp = (reason: string, afterMs?: number) => {
-		ending.unanswered(mayHaveRun, reason, afterMs);
+		ending.unanswered(isSent(), reason, afterMs);
 	};
 
 	const engineWait = createEngineWait(admitted, options, avoid, {
@@ -275,7 +278,7 @@
 	};
 
 	const timedOut = () => {
-		if (send ?? mayHaveRun) {
+		if (isSent()) {
 			ending.timedOut();
 		} else {
 			giveUp('no engine in time');
@@ -300,9 +303,13 @@
 					}
 				: undefined;
 		},
+		get isSent() {
+			return isSent();
+		},
 		callerLeft() {
 			ending.aborted('caller left');
 		},
+		giveUp,
 		engineUnusable(targetId) {
 			const {target, backup} = send?.placement ?? {};
 			if (send && (target?.id === targetId || backup?.id === targetId)) {
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -22,6 +22,8 @@
 	readonly promptTokens?: number;
 	readonly isLate?: boolean;
 	readonly hearsOfLeaving?: boolean;
+	/** Every engine is full, so that the stream waits. */
+	readonly isFull?: boolean;
 	/** Answers questions for repeated sends, of which the VM has none itself then. */
 	readonly askPool?: RetryShareOptions['askPool'];
 };
@@ -64,7 +66,9 @@
 				const target = [firstEngine, secondEngine, thirdEngine].find(
 					({id}) => !avoid.has(id),
 				);
-				if (target) {
+				if (setup.isFull) {
+					// The scheduler answers once memory is freed.
+				} else if (target) {
 					listener.onPlaced({
 						id: 'q1.1',
 						target,
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -55,6 +55,8 @@
 const callerDescriptorPart = 0.6;
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
+/** Time in which the last answers leave this VM, in milliseconds. */
+const lastAnswersMs = 50;
 
 function splitAddress(address: string): {host: string; port: number} {
 	const [host, port] = address.split(':');
@@ -245,6 +247,8 @@
 		logger.info('stopping', {openRequests: listener.openCount});
 		await waitForRequests({clock, timers, listener, untilMs: stopAtMs});
 		logger.info('stopped', {openRequests: listener.openCount});
+		requests.giveUpAll('the VM stopped');
+		await timers.sleep(lastAnswersMs);
 		owned.dispose();
 		for (const server of [
 			listener.server,
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -26,21 +26,16 @@
 	retryAfterHeader,
 	type ServingSession,
 	startCallSession,
+	startFreshSession,
 	startStreamSession,
+	type StopTimes,
 	type StreamSession,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {decodeRequest} from '../../platform/index.js';
+import {createCountedReply} from './counted-reply.js';
 import type {FleetView} from './fleet-view.js';
 
-/** Times of a planned stop, in milliseconds. */
-export type StopTimes = {
-	/** Since the signal. */
-	readonly sinceMs: number;
-	/** Until this VM ends. */
-	readonly leftMs: number;
-};
-
 /** What requests are served with. */
 export type RequestServerOptions = {
 	readonly clock: Clock;
@@ -75,9 +70,12 @@
 	engineUnusable(targetId: string): void;
 	/** Engines on which runs, or the copies of their memory, depend. */
 	engines(): readonly TargetEntry[];
+	/** Gives all requests that are still open their final answer. */
+	giveUpAll(reason: string): void;
 	tick(): void;
 };
 
+const stoppingReason = 'the VM is stopping';
 /** Other VMs can serve the request at once, in milliseconds. */
 const elsewhereRetryAfterMs = 50;
 
@@ -87,7 +85,9 @@
 ): RequestServer {
 	const {clock, timers, random, link, directory, view, detector, logger} =
 		options;
+	const {metrics} = options;
 	const streams = new Set<StreamSession>();
+	const open = new Map<AdmittedRequest, ServingSession>();
 	const patience = createCallerPatience(clock);
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
@@ -119,67 +119,46 @@
 		},
 	});
 
-	/** Passes a reply on and counts how it ends. */
-	const measured = (
-		admitted: AdmittedRequest,
-		reply: CallerReply,
-	): CallerReply => {
-		const labels = {
-			account: admitted.account ?? 'anonymous',
-			route: admitted.route.name,
-		};
-		const durationMs = () => Math.round(clock.nowMs() - admitted.arrivedMs);
-		const count = (outcome: string) => {
-			options.metrics.count('requests', {...labels, outcome});
-		};
-
-		return {
-			get hasHead() {
-				return reply.hasHead;
-			},
-			begin(head) {
-				options.metrics
-					.histogram('first_event', labels)
-					.recordValue(durationMs());
-				reply.begin(head);
-			},
-			data(bytes) {
-				reply.data(bytes);
-			},
-			end() {
-				count('answered');
-				options.metrics.histogram('duration', labels).recordValue(durationMs());
-				reply.end();
-			},
-			whole(head, body) {
-				count(`status-${head.status}`);
-				options.metrics.histogram('duration', labels).recordValue(durationMs());
-				reply.whole(head, body);
-			},
-			own(status, message, headers) {
-				count(`own-${status}`);
-				reply.own(status, message, headers);
-			},
-			abort() {
-				count('aborted');
-				reply.abort();
-			},
-		};
-	};
-
 	const outlastsStop = (admitted: AdmittedRequest) => {
 		const stop = options.stop();
 		if (!stop) {
 			return false;
 		}
 
-		return admitted.route.kind === 'stream'
+		const {route, request} = admitted;
+		const maxTokens = request.generation?.maxOutputTokens ?? 0;
+		return route.kind === 'stream'
 			? !mayStartWhileStopping(
-					view.expectedOutputTokens(admitted),
-					stop.sinceMs,
-					stop.leftMs,
+					{
+						expectedTokens: view.expectedOutputTokens(admitted),
+						maxTokens: maxTokens > 0 ? maxTokens : Infinity,
+					},
+					stop,
 				)
-			: !mayCallWhileStopping(admitted.route.timeoutMs, stop.leftMs);
+			: !mayCallWhileStopping(route.timeoutMs, stop.leftMs);
+	};
+
+	/** While this VM stops, what no target has yet is refused if it would be cut off. */
+	const refuseOutlasting = () => {
+		for (const [admitted, session] of open) {
+			if (!session.isSent && outlastsStop(admitted)) {
+				session.giveUp(stoppingReason, elsewhereRetryAfterMs);
+			}
+		}
+	};
+
+	const refuse = (
+		admitted: AdmittedRequest,
+		reply: CallerReply,
+		reason: string,
+		retryAfterMs: number,
+	) => {
+		log('request refused', {
+			request: admitted.request.id,
+			status: ownStatus.notRun,
+			reason,
+		});
+		refuseNotRun(reply, reason, retryAfterMs);
 	};
 
 	const startStream = (admitted: AdmittedRequest, reply: CallerReply) => {
@@ -208,24 +187,22 @@
 			opened: (target) => view.openedCall(target),
 		});
 
-	/** Starts a session, at once or when what is known may be acted on. */
-	const startFresh = (
+	const start = (
 		admitted: AdmittedRequest,
 		reply: CallerReply,
 	): ServingSession => {
-		let session: ServingSession | undefined;
-		const waiting = options.gate.pass(() => {
-			session =
+		const session = startFreshSession({
+			gate: options.gate,
+			start: () =>
 				admitted.route.kind === 'stream'
 					? startStream(admitted, reply)
-					: startCall(admitted, reply);
-		});
-		return {
-			callerLeft() {
-				waiting.dispose();
-				session?.callerLeft();
+					: startCall(admitted, reply),
+			refuse(reason, retryAfterMs) {
+				refuse(admitted, reply, reason, retryAfterMs);
 			},
-		};
+		});
+		open.set(admitted, session);
+		return session;
 	};
 
 	return {
@@ -241,7 +218,7 @@
 			if (!('admitted' in admission)) {
 				const {status, reason, retryAfterMs} = admission;
 				log('request refused', {request: request.id, status, reason});
-				options.metrics.count('requests', {outcome: `own-${status}`});
+				metrics.count('requests', {outcome: `own-${status}`});
 				reply.own(
 					status,
 					reason,
@@ -251,23 +228,18 @@
 			}
 
 			const {admitted} = admission;
-			const counted = measured(admitted, reply);
+			const counted = createCountedReply(admitted, reply, {clock, metrics});
 			const refusal = outlastsStop(admitted)
-				? 'the VM is stopping'
+				? stoppingReason
 				: options.held.isFull
 					? 'the memory of the VM is used up'
 					: undefined;
 			if (refusal) {
-				log('request refused', {
-					request: request.id,
-					status: ownStatus.notRun,
-					reason: refusal,
-				});
-				refuseNotRun(counted, refusal, elsewhereRetryAfterMs);
+				refuse(admitted, counted, refusal, elsewhereRetryAfterMs);
 				return undefined;
 			}
 
-			return startFresh(admitted, counted);
+			return start(admitted, counted);
 		},
 		engines() {
 			const engines = new Map<string, TargetEntry>();
@@ -286,7 +258,19 @@
 				session.engineUnusable(targetId);
 			}
 		},
+		giveUpAll(reason) {
+			for (const session of open.values()) {
+				session.giveUp(reason, elsewhereRetryAfterMs);
+			}
+		},
 		tick() {
+			for (const [admitted, {isDone}] of open) {
+				if (isDone) {
+					open.delete(admitted);
+				}
+			}
+
+			refuseOutlasting();
 			for (const session of streams) {
 				if (session.isDone) {
 					streams.delete(session);
--- a/src/programs/front/stop-under-load.test.ts
+++ b/src/programs/front/stop-under-load.test.ts
@@ -122,3 +122,31 @@
 	assert.equal(bookings.length, paths.size);
 	assert.equal(bookings.length, 13);
 });
+
+test('guards against a stop whose grace time ends without an answer for what is still open', async (context) => {
+	const {store, daemon, front, entry, isReady} = await startFixture(
+		context,
+		(request, socket) => {
+			if (request.head.includes('/fast')) {
+				slowTarget(request, socket);
+			}
+		},
+		{grace_s: 4},
+	);
+	store.put('op', 'config', fixtureConfiguration(3, [fixtureKey], routes));
+	store.put('servers', 't1', entry('desk'));
+	store.put('servers', 'e1', entry('model'));
+	await until(isReady);
+	await until(async () => (await statusOf(front, '/stock/fast')) === 200);
+
+	const open = ['/stock/', '/book/', '/report/'].map(async (path) =>
+		call(front, `${path}1`, {}, path === '/stock/' ? 'GET' : 'POST'),
+	);
+	await new Promise((resolve) => {
+		setTimeout(resolve, pauseMs);
+	});
+	await daemon.stop();
+	for (const answer of await Promise.all(open)) {
+		assert.deepEqual([answer.status, answer.aborted], [502, false]);
+	}
+});
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -12,6 +12,7 @@
 import {findFreePorts} from '../../../experiments/fakes/index.js';
 import {
 	bootFile,
+	type BootFileOptions,
 	configurationRow,
 	createStoreStandin,
 	createTargetStandin,
@@ -158,9 +159,10 @@
 	context: TestContext,
 	storePort: number,
 	[front, ready, peer]: readonly number[],
+	bounds: BootFileOptions['bounds'] = {},
 ) {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'front-')), 'boot');
-	const boot = bootFile({front, ready, peer, store: storePort});
+	const boot = bootFile({front, ready, peer, store: storePort}, {bounds});
 	writeFileSync(file, JSON.stringify(boot));
 	const daemon = await createFront({
 		bootFile: file,
@@ -192,12 +194,21 @@
 }
 
 /** Starts a store, a target that answers as a script says, and a daemon between them. */
-export async function startFixture(context: TestContext, script: TargetScript) {
+export async function startFixture(
+	context: TestContext,
+	script: TargetScript,
+	bounds?: BootFileOptions['bounds'],
+) {
 	const store = createStoreStandin();
 	const target = createTargetStandin(script);
 	const storePort = await listenOn(context, store.server);
 	const targetPort = await listenOn(context, target.server);
-	const daemon = await startDaemon(context, storePort, await findFreePorts(3));
+	const daemon = await startDaemon(
+		context,
+		storePort,
+		await findFreePorts(3),
+		bounds,
+	);
 	const entry = (service: string, state?: 'draining' | 'ready') =>
 		targetRow(service, `127.0.0.1:${targetPort}`, state);
 	return {store, target, ...daemon, entry};
