Keep an unexpected error within its request, or within one run of its task

One error in a heartbeat, a beacon, the tick of streams and targets, the engine watch or the registry of coordinators ended that task for good; one in the listener of a table ended following it, or left rows marked as known that were never taken over; one stream's error in the tick kept the other streams from being looked at.

Tests that failed first: repeat.test.ts, table-follower.test.ts (two), unexpected-errors.test.ts, which plants one error in each of nine callbacks of a daemon process.

--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -48,7 +48,18 @@
 	}
 }
 
-function follow(store: RowStore) {
+type Callback = 'changes' | 'regained' | 'snapshot';
+
+/** @param failing - callbacks that fail, one time for each entry */
+function follow(store: RowStore, failing: Callback[] = []) {
+	const failIfPlanned = (callback: Callback) => {
+		const index = failing.indexOf(callback);
+		if (index !== -1) {
+			failing.splice(index, 1);
+			throw new Error(`planted in ${callback}`);
+		}
+	};
+
 	const time = new VirtualTime();
 	const reads = {isReader: true};
 	const events: string[] = [];
@@ -66,13 +77,18 @@
 			waitMs: () => 1000,
 			maxAgeMs: () => 1400,
 			minIntervalMs: 10,
+			onUnexpected(error) {
+				events.push(`unexpected ${(error as Error).message}`);
+			},
 		},
 		{
 			onSnapshot({version}) {
 				events.push(`snapshot ${version}`);
+				failIfPlanned('snapshot');
 			},
 			onChanges(changes) {
 				events.push(`changes ${changes.map(({key}) => key).join(' ')}`);
+				failIfPlanned('changes');
 			},
 			onRead(reason) {
 				reasons.push(reason);
@@ -82,6 +98,7 @@
 			},
 			onRegained() {
 				events.push('regained');
+				failIfPlanned('regained');
 			},
 		},
 	);
@@ -199,3 +216,39 @@
 	await time.runUntil(43_000);
 	assert.ok(store.askedAfter.length >= before + 2);
 });
+
+test('guards against a change or a table that is lost for good, because an unexpected error came while it was taken over', async () => {
+	const store = new ScriptedStore();
+	store.snapshots = [
+		{rows: [], version: 5},
+		{rows: [row('a', 6)], version: 6},
+		{rows: [row('a', 6)], version: 6},
+	];
+	store.feeds = [{changes: [row('a', 6)], version: 6}];
+	const {time, events} = follow(store, ['snapshot', 'changes']);
+	await time.runUntil(3000);
+	assert.deepEqual(
+		events.filter((event) => !/lost|regained/.test(event)),
+		['snapshot 5', 'snapshot 6', 'changes a', 'snapshot 6'],
+	);
+});
+
+test('guards against a table that is followed no more after an unexpected error', async () => {
+	const away = new ProblemError('table-unavailable', 'away');
+	const store = new ScriptedStore();
+	store.snapshots = [{rows: [], version: 5}];
+	store.feeds = [away, {changes: [row('a', 6)], version: 6}];
+	const {time, events, reads, belief} = follow(store, ['regained']);
+	await time.runUntil(10);
+	reads.isReader = false;
+	// Other VMs tell that the store is there again.
+	belief.adopt(5);
+	await time.runUntil(500);
+	reads.isReader = true;
+	await time.runUntil(4000);
+	assert.ok(
+		events.includes('unexpected planted in regained'),
+		events.join(', '),
+	);
+	assert.equal(events.at(-1), 'changes a');
+});
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -44,6 +44,8 @@
 	readonly maxAgeMs: () => number;
 	/** Shortest time between the starts of two calls, in milliseconds. */
 	readonly minIntervalMs: number;
+	/** An error that neither the store nor a read explains. */
+	readonly onUnexpected: (error: unknown) => void;
 };
 
 /** Waits after a failure, in milliseconds. The few readers find the end of an outage for all others. */
@@ -83,6 +85,16 @@
 		}
 	};
 
+	/** What a listener did not take over whole would never come again. */
+	const take = (tell: () => void) => {
+		try {
+			tell();
+		} catch (error) {
+			needsSnapshot = true;
+			throw error;
+		}
+	};
+
 	const readAll = async () => {
 		const snapshot = await store.snapshot(table);
 		if (stopped) {
@@ -97,7 +109,9 @@
 
 		needsSnapshot = false;
 		belief.read(snapshot.version, snapshot.version);
-		listener.onSnapshot(snapshot);
+		take(() => {
+			listener.onSnapshot(snapshot);
+		});
 	};
 
 	const readChanges = async (waitMs: number) => {
@@ -112,7 +126,9 @@
 		const newest = Math.max(0, ...changes.map((change) => change.version));
 		belief.read(Math.max(afterVersion, version), newest);
 		if (changes.length > 0) {
-			listener.onChanges(changes, knownChange);
+			take(() => {
+				listener.onChanges(changes, knownChange);
+			});
 		}
 	};
 
@@ -181,36 +197,43 @@
 		);
 	};
 
+	/** Reads if it is time to, or rests. */
+	const step = async () => {
+		if (!isDue()) {
+			// Other VMs tell what the store says.
+			succeeded();
+			const freshMs = options.maxAgeMs() - belief.ageMs;
+			await rest(Math.min(maxRestMs, Math.max(minRestMs, freshMs)));
+			return;
+		}
+
+		const startedMs = clock.nowMs();
+		// A VM that becomes a reader does not wait as long as others do.
+		const dueMs = options.isReader()
+			? Math.min(nextMs, readMs + readerBackoffMs.most)
+			: nextMs;
+		if (startedMs < dueMs) {
+			await rest(Math.min(maxRestMs, dueMs - startedMs));
+			return;
+		}
+
+		await readOnce();
+		readMs = clock.nowMs();
+		nextMs = Math.max(readMs + backoffMs(), startedMs + options.minIntervalMs);
+	};
+
 	const run = async () => {
 		for (;;) {
 			if (stopped) {
 				return;
 			}
 
-			if (!isDue()) {
-				// Other VMs tell what the store says.
-				succeeded();
-				const freshMs = options.maxAgeMs() - belief.ageMs;
-				await rest(Math.min(maxRestMs, Math.max(minRestMs, freshMs)));
-				continue;
-			}
-
-			const startedMs = clock.nowMs();
-			// A VM that becomes a reader does not wait as long as others do.
-			const dueMs = options.isReader()
-				? Math.min(nextMs, readMs + readerBackoffMs.most)
-				: nextMs;
-			if (startedMs < dueMs) {
-				await rest(Math.min(maxRestMs, dueMs - startedMs));
-				continue;
+			try {
+				await step();
+			} catch (error) {
+				options.onUnexpected(error);
+				await rest(readerBackoffMs.least);
 			}
-
-			await readOnce();
-			readMs = clock.nowMs();
-			nextMs = Math.max(
-				readMs + backoffMs(),
-				startedMs + options.minIntervalMs,
-			);
 		}
 	};
 
--- a/src/programs/front/coordinator-registry.ts
+++ b/src/programs/front/coordinator-registry.ts
@@ -2,10 +2,12 @@
 import {
 	type Clock,
 	type Disposable,
+	repeat,
 	type RowStore,
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
+import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** What the registry works with. */
 export type CoordinatorRegistryOptions = {
@@ -55,7 +57,7 @@
 	const {clock, timers, store, logger, address} = options;
 	let isWritten = false;
 	let dueMs = -Infinity;
-	let isDisposed = false;
+	let isExchanging = false;
 
 	const exchange = async () => {
 		if (!isWritten) {
@@ -73,32 +75,31 @@
 		}
 	};
 
-	const check = async () => {
-		if (isDisposed) {
-			return;
+	const exchangeOnce = async () => {
+		isExchanging = true;
+		try {
+			await exchange();
+		} catch (error) {
+			dueMs = clock.nowMs() + retryMs;
+			const {type, detail} = toProblem(error);
+			logger.warn('coordinators not read', {type, detail});
+		} finally {
+			isExchanging = false;
 		}
+	};
 
-		if (options.isCoordinator() && clock.nowMs() >= dueMs) {
+	const check = () => {
+		if (!isExchanging && options.isCoordinator() && clock.nowMs() >= dueMs) {
 			const intervalMs = options.isAlone() ? aloneIntervalMs : usualIntervalMs;
 			dueMs = clock.nowMs() + intervalMs;
-			try {
-				await exchange();
-			} catch (error) {
-				dueMs = clock.nowMs() + retryMs;
-				const {type, detail} = toProblem(error);
-				logger.warn('coordinators not read', {type, detail});
-			}
+			void exchangeOnce();
 		}
-
-		timers.after(checkMs, () => {
-			void check();
-		});
 	};
 
-	void check();
-	return {
-		dispose() {
-			isDisposed = true;
-		},
-	};
+	check();
+	return repeat(timers, {
+		intervalMs: () => checkMs,
+		run: check,
+		onError: createUnexpectedErrorLog(logger),
+	});
 }
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -12,9 +12,8 @@
 import {
 	createDisposableStore,
 	defaultCallerLimits,
-	type Disposable,
+	repeat,
 	SeededRandomSource,
-	toProblem,
 } from '../../common/index.js';
 import {
 	createFreshGate,
@@ -32,6 +31,7 @@
 import {createFrontPages} from './front-pages.js';
 import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
+import {createUnexpectedErrorLog} from './unexpected-errors.js';
 import {watchTargets} from './watch-targets.js';
 
 /** A running front daemon. */
@@ -73,6 +73,7 @@
 		settings.logLevel,
 		settings.maxLogBacklogBytes,
 	).child({vm: vm.name});
+	const reportUnexpected = createUnexpectedErrorLog(logger);
 	const metrics = createMetrics();
 	const clock = new SystemClock();
 	const timers = new SystemTimers();
@@ -133,6 +134,7 @@
 						leftMs: stopAtMs - clock.nowMs(),
 					},
 		hearsOfLeaving: () => watch.readsTargets,
+		onUnexpected: reportUnexpected,
 		gate: createFreshGate({
 			timers,
 			isFresh: () =>
@@ -205,24 +207,22 @@
 		}),
 	);
 
-	let ticking: Disposable | undefined;
-	owned.add({
-		dispose() {
-			ticking?.dispose();
-		},
-	});
-	const tick = () => {
-		directory.tick();
-		requests.tick();
-		link.retain(directory.addresses());
-		ticking = timers.after(tickMs, tick);
-	};
-
-	tick();
+	owned.add(
+		repeat(timers, {
+			intervalMs: () => tickMs,
+			run() {
+				directory.tick();
+				requests.tick();
+				link.retain(directory.addresses());
+			},
+			onError: reportUnexpected,
+		}),
+	);
 
 	const pages = createFrontPages({
 		isReady: () => stopAtMs === undefined && watch.isComplete,
 		metricsText: () => metrics.text(),
+		onUnexpected: reportUnexpected,
 	});
 	const peerState = createPeerStateServer(() => watch.tables());
 	const caller = splitAddress(vm.callerAddress);
@@ -265,13 +265,7 @@
 
 	let stopped: Promise<void> | undefined;
 	return {
-		reportUnexpected(error) {
-			const problem = toProblem(error);
-			logger.error('unexpected error', {
-				detail: problem.message,
-				stack: problem.stack,
-			});
-		},
+		reportUnexpected,
 		reload() {
 			live.reload();
 		},
--- a/src/programs/front/engine-watch.ts
+++ b/src/programs/front/engine-watch.ts
@@ -1,12 +1,14 @@
 import type {Logger} from '../../adapters/system/index.js';
 import {
 	type Disposable,
+	repeat,
 	type TargetEntry,
 	type TargetLink,
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
+import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** What the watch works with. */
 export type EngineWatchOptions = {
@@ -32,7 +34,6 @@
  */
 export function startEngineWatch(options: EngineWatchOptions): Disposable {
 	const {timers, link, directory, logger} = options;
-	let isDisposed = false;
 
 	const ask = async ({id, address}: TargetEntry) => {
 		try {
@@ -49,24 +50,15 @@
 		}
 	};
 
-	const askAll = () => {
-		if (isDisposed) {
-			return;
-		}
-
-		if (!options.readsTargets()) {
-			for (const engine of options.engines()) {
-				void ask(engine);
+	return repeat(timers, {
+		intervalMs: () => (options.readsTargets() ? restMs : intervalMs),
+		run() {
+			if (!options.readsTargets()) {
+				for (const engine of options.engines()) {
+					void ask(engine);
+				}
 			}
-		}
-
-		timers.after(options.readsTargets() ? restMs : intervalMs, askAll);
-	};
-
-	timers.after(intervalMs, askAll);
-	return {
-		dispose() {
-			isDisposed = true;
 		},
-	};
+		onError: createUnexpectedErrorLog(logger),
+	});
 }
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -1,5 +1,5 @@
 import {openDatagramSocket} from '../../adapters/front/index.js';
-import {createDisposableStore, toProblem} from '../../common/index.js';
+import {createDisposableStore, repeat, toProblem} from '../../common/index.js';
 import {
 	createMemberList,
 	createRetryClient,
@@ -18,6 +18,7 @@
 import {createPauseWatch} from './pause-watch.js';
 import {createPlacementDesk} from './placement-desk.js';
 import {createStoreRelay} from './store-relay.js';
+import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** Identifiers are cut to what tells two lives of a VM apart. */
 const instanceIdLength = 8;
@@ -45,7 +46,6 @@
 	const seeds = vm.seedIps
 		.map((ip) => `${ip}:${port}`)
 		.filter((seed) => seed !== address);
-	let isDisposed = false;
 
 	const sendToAll = (text: string) => {
 		for (const to of members.addresses()) {
@@ -155,13 +155,9 @@
 		logger.warn('peer socket failed', {detail: error.message});
 	});
 
-	const repeat = (run: () => void, intervalMs: () => number) => {
-		timers.after(intervalMs(), () => {
-			if (!isDisposed) {
-				run();
-				repeat(run, intervalMs);
-			}
-		});
+	const keepDoing = (intervalMs: () => number, run: () => void) => {
+		const onError = createUnexpectedErrorLog(logger);
+		owned.add(repeat(timers, {intervalMs, run, onError}));
 	};
 
 	let wasCoordinator = false;
@@ -183,7 +179,8 @@
 
 	const isAlone = () => members.ranked().length === 1;
 	exchange.tellHeartbeat();
-	repeat(
+	keepDoing(
+		() => (isAlone() ? searchIntervalMs : heartbeatIntervalMs),
 		() => {
 			pauses.notice();
 			exchange.tellHeartbeat();
@@ -191,13 +188,12 @@
 			book.tick();
 			exchange.sweep();
 		},
-		() => (isAlone() ? searchIntervalMs : heartbeatIntervalMs),
 	);
-	repeat(() => {
+	keepDoing(options.beaconIntervalMs, () => {
 		if (members.isCoordinator) {
 			exchange.tellBeacon();
 		}
-	}, options.beaconIntervalMs);
+	});
 	owned.add(
 		startCoordinatorRegistry({
 			clock,
@@ -239,7 +235,6 @@
 			}
 		},
 		dispose() {
-			isDisposed = true;
 			owned.dispose();
 		},
 	};
--- a/src/programs/front/placement-desk.ts
+++ b/src/programs/front/placement-desk.ts
@@ -109,8 +109,11 @@
 		if (scheduler.waitingCount > 0 && !isDisposed) {
 			ticking ??= timers.after(schedulerTickMs, () => {
 				ticking = undefined;
-				scheduler.tick();
-				tickWhileWaiting();
+				try {
+					scheduler.tick();
+				} finally {
+					tickWhileWaiting();
+				}
 			});
 		}
 	};
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -35,6 +35,7 @@
 import {decodeRequest} from '../../platform/index.js';
 import {createCountedReply} from './counted-reply.js';
 import type {FleetView} from './fleet-view.js';
+import type {UnexpectedErrorLog} from './unexpected-errors.js';
 
 /** What requests are served with. */
 export type RequestServerOptions = {
@@ -55,6 +56,7 @@
 	readonly stop: () => StopTimes | undefined;
 	/** True while the store tells of targets that leave. */
 	readonly hearsOfLeaving: () => boolean;
+	readonly onUnexpected: UnexpectedErrorLog;
 	/** Holds requests until what is known of the targets is confirmed. */
 	readonly gate: FreshGate;
 	/** True while the configuration is confirmed to be the newest. */
@@ -187,6 +189,16 @@
 			opened: (target) => view.openedCall(target),
 		});
 
+	/** Ends a session in which an unexpected error comes; the others go on. */
+	const within = (session: ServingSession, act: () => void) => {
+		try {
+			act();
+		} catch (error) {
+			options.onUnexpected(error);
+			session.giveUp('unexpected error', elsewhereRetryAfterMs);
+		}
+	};
+
 	const start = (
 		admitted: AdmittedRequest,
 		reply: CallerReply,
@@ -255,7 +267,9 @@
 		},
 		engineUnusable(targetId) {
 			for (const session of streams) {
-				session.engineUnusable(targetId);
+				within(session, () => {
+					session.engineUnusable(targetId);
+				});
 			}
 		},
 		giveUpAll(reason) {
@@ -275,7 +289,9 @@
 				if (session.isDone) {
 					streams.delete(session);
 				} else {
-					session.tick();
+					within(session, () => {
+						session.tick();
+					});
 				}
 			}
 		},
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -13,6 +13,7 @@
 import {createConfigurationLoader} from './configuration-loader.js';
 import type {StoreWatch, StoreWatchOptions} from './store-watch-types.js';
 import {createTableLog} from './table-log.js';
+import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** Whether a table was read, and can be read now. */
 type TableState = 'lost' | 'read' | 'unread';
@@ -64,6 +65,7 @@
 		table,
 		belief,
 		isReader: () => options.isReader(reading()),
+		onUnexpected: createUnexpectedErrorLog(logger),
 	});
 
 	const operatorTable = 'store, operator table';
