Charge what a resumed generation produces, and survive what fails there

Every sixteenth token and the end of the stream then threw inside the engine's link; the first was taken for a malformed event, the second left the stream open without reader, timer or end. Ruled out: the queue, the restart budget, a blocked caller (none was waiting).

Change: the ledger adopts such a generation; what the placer throws is logged and neither ends nor holds up the stream; the entry daemon logs an error that nothing handles and lives on, as the front daemon does.

Tests that failed first: generation-router.test.ts (a resumption charged by the real ledger), caller-server.test.ts (a placer that fails).

--- a/src/adapters/callers/caller-server.test.ts
+++ b/src/adapters/callers/caller-server.test.ts
@@ -38,6 +38,8 @@
 let baseUrl = '';
 let port = 0;
 let generationCount = 0;
+let isPlacerFaulty = false;
+const unexpected: unknown[] = [];
 
 const listen = async (server: Server): Promise<number> => {
 	servers.push(server);
@@ -112,7 +114,11 @@
 						return {dispose: () => undefined};
 					},
 					progressed: () => undefined,
-					ended: () => undefined,
+					ended() {
+						if (isPlacerFaulty) {
+							throw new Error('planted');
+						}
+					},
 					adopt: () => engine,
 				},
 				clock,
@@ -124,6 +130,9 @@
 				restartBudget: {tryTake: () => true},
 				cancellations: createPendingCancellations(timers),
 				onTargetLeaving: () => undefined,
+				onUnexpected(error) {
+					unexpected.push(error);
+				},
 			},
 		}),
 	});
@@ -258,3 +267,17 @@
 
 	assert.ok(cancelled.includes(`${path} "1"`));
 });
+
+test(
+	'guards against a caller that waits for good when an unexpected error comes while its stream ends',
+	{timeout: 5000},
+	async () => {
+		isPlacerFaulty = true;
+		engineBody = 'id: 0\ndata: {"choices"\n\n';
+		const answer = await ask(completion);
+		isPlacerFaulty = false;
+		assert.equal(answer.status, 502);
+		assert.match(answer.text, /"type":"target-protocol"/);
+		assert.equal(unexpected.length, 1);
+	},
+);
--- a/src/decisions/contracts/contract-ledger.ts
+++ b/src/decisions/contracts/contract-ledger.ts
@@ -167,6 +167,16 @@
 		return Math.max(0, contractOf(account).floorTokensPerMinute - used);
 	};
 
+	const open = (
+		account: string,
+		estimatedTokens: number,
+		state: AccountState,
+	): Reservation => {
+		state.reservedTokens += estimatedTokens;
+		state.openCount++;
+		return {account, estimatedTokens, released: false, state};
+	};
+
 	return {
 		standing(account, wallMs): AccountStanding {
 			const state = stateOf(account, wallMs);
@@ -194,16 +204,9 @@
 				throw refuse(account, wallMs);
 			}
 
-			state.reservedTokens += estimatedTokens;
-			state.openCount++;
-			const reservation: Reservation = {
-				account,
-				estimatedTokens,
-				released: false,
-				state,
-			};
-			return reservation;
+			return open(account, estimatedTokens, state);
 		},
+		adopt: (account, wallMs) => open(account, 0, stateOf(account, wallMs)),
 		charge(reservation, tokens, wallMs) {
 			const {state} = reservation as Reservation;
 			turn(state, wallMs);
--- a/src/decisions/contracts/types.ts
+++ b/src/decisions/contracts/types.ts
@@ -30,6 +30,8 @@
 		estimatedTokens: number,
 		wallMs: number,
 	): TokenReservation;
+	/** Takes over a generation that another VM has reserved tokens for; what it produces is charged here. */
+	adopt(account: string, wallMs: number): TokenReservation;
 	/** Charges tokens as they are produced and takes them off the reservation. */
 	charge(reservation: TokenReservation, tokens: number, wallMs: number): void;
 	/** Gives back what is left of a reservation. */
--- a/src/decisions/routing/generation-router.test.ts
+++ b/src/decisions/routing/generation-router.test.ts
@@ -6,7 +6,11 @@
 	SeededRandomSource,
 	type TargetDescription,
 } from '../../common/index.js';
-import type {ContractLedger} from '../contracts/index.js';
+import {
+	type ContractLedger,
+	createContractLedger,
+	createPeerUsage,
+} from '../contracts/index.js';
 import {createGenerationRouter} from './generation-router.js';
 import {createLengthStatistics} from './length-statistics.js';
 import type {Route} from './types.js';
@@ -31,6 +35,7 @@
 		shareWeight: 1,
 	}),
 	reserve: (account, estimatedTokens) => ({account, estimatedTokens}),
+	adopt: (account) => ({account, estimatedTokens: 0}),
 	charge() {
 		// The tests look at placement only.
 	},
@@ -39,7 +44,7 @@
 	},
 };
 
-function createFixture(engineCount: number) {
+function createFixture(engineCount: number, ledgerInUse = ledger) {
 	const clock = new ManualClock();
 	let nextId = 0;
 	const router = createGenerationRouter({
@@ -47,7 +52,7 @@
 		random: new SeededRandomSource(1),
 		fleet: () => ({vmCount: 1, rank: 0}),
 		availabilityZone: 'zone-1',
-		ledger,
+		ledger: ledgerInUse,
 		statistics: createLengthStatistics(),
 		settingsFor: () => ({
 			contract: {
@@ -205,3 +210,36 @@
 	);
 	assert.equal(submit(1000).routes[0].targetId, 'engine-1');
 });
+
+test('guards against a stream that hangs because what is produced after a resumption through another VM cannot be charged', () => {
+	const ledgerInUse = createContractLedger({
+		contractOf: () => ({
+			floorTokensPerMinute: 0,
+			ceilingTokensPerMinute: 1000,
+			shareWeight: 1,
+		}),
+		peerUsage: createPeerUsage(),
+		vmCount: () => 1,
+		connected: () => true,
+	});
+	const {router, clock} = createFixture(1, ledgerInUse);
+	router.adopt(
+		{
+			account: 'a',
+			requestClass: 'c',
+			model: 'm',
+			promptTokens: 100,
+			prefixHashes: [],
+			maxTokens: 1000,
+			delivery: 'whole',
+		},
+		'engine-0',
+		'resumed',
+		120,
+	);
+	router.progressed('resumed', 128);
+	router.ended('resumed', 'lost', 130);
+	assert.equal(router.openCount, 0);
+	const {ceilingTokensLeft} = ledgerInUse.standing('a', clock.wallMs());
+	assert.equal(ceilingTokensLeft, 990);
+});
--- a/src/decisions/routing/request-intake.ts
+++ b/src/decisions/routing/request-intake.ts
@@ -91,7 +91,7 @@
 				request,
 				targetId,
 				distribution,
-				reservation: {account: request.account, estimatedTokens: 0},
+				reservation: ledger.adopt(request.account, clock.wallMs()),
 				queuedTokens: position,
 				shareWeight: settings.contract.shareWeight,
 				forecast,
--- a/src/decisions/streams/relay-session-types.ts
+++ b/src/decisions/streams/relay-session-types.ts
@@ -31,6 +31,8 @@
 	readonly cancellations: PendingCancellations;
 	/** Called when a target refuses work because it is leaving. */
 	readonly onTargetLeaving: (targetId: string) => void;
+	/** The placer has failed; the stream goes on. */
+	readonly onUnexpected: (error: unknown) => void;
 };
 
 /** What a session needs. */
--- a/src/decisions/streams/relay-session.ts
+++ b/src/decisions/streams/relay-session.ts
@@ -43,10 +43,22 @@
 	let waiting: Disposable | undefined;
 	let ended = false;
 
+	/** Tells the placer; what fails there must not keep the caller from its answer. */
+	const tellPlacer = (tell: () => void) => {
+		try {
+			tell();
+		} catch (error) {
+			options.onUnexpected(error);
+		}
+	};
+
 	const release = (outcome: GenerationOutcome) => {
-		if (place) {
-			placer.ended(place.generationId, outcome, reader?.nextPosition ?? 0);
-			place = undefined;
+		const own = place;
+		place = undefined;
+		if (own) {
+			tellPlacer(() => {
+				placer.ended(own.generationId, outcome, reader?.nextPosition ?? 0);
+			});
 		}
 	};
 
@@ -164,7 +176,9 @@
 			}
 
 			if ((position + 1) % progressTokens === 0 && !delivery.isComplete) {
-				placer.progressed(own.generationId, position + 1);
+				tellPlacer(() => {
+					placer.progressed(own.generationId, position + 1);
+				});
 			}
 		},
 		onFinish(reason, tokenCount) {
--- a/src/experiments/bench/exact-ledger.ts
+++ b/src/experiments/bench/exact-ledger.ts
@@ -48,6 +48,7 @@
 
 			return {account, estimatedTokens};
 		},
+		adopt: (account) => ({account, estimatedTokens: 0}),
 		charge(reservation, tokens, wallMs) {
 			usageOf(reservation.account, wallMs).tokens += tokens;
 		},
--- a/src/experiments/capacity/relay-slopes-relay.ts
+++ b/src/experiments/capacity/relay-slopes-relay.ts
@@ -120,6 +120,9 @@
 		throw new Error('no services here');
 	},
 	onTargetLeaving: () => undefined,
+	onUnexpected(error) {
+		throw error;
+	},
 	explainLog: createExplainLog({maxRecords: 100}),
 });
 createCallerServer({
--- a/src/experiments/soak/streams/simulated-entry.ts
+++ b/src/experiments/soak/streams/simulated-entry.ts
@@ -156,6 +156,9 @@
 			maxSaved: 5,
 		}),
 		cancellations,
+		onUnexpected(error) {
+			throw error;
+		},
 		onTargetLeaving(targetId) {
 			left.add(targetId);
 			left.add(targetId);
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -6,6 +6,8 @@
 
 await runProgram(async () => {
 	const daemon = await createEntry(await readEntrySettings());
+	process.on('uncaughtException', daemon.reportUnexpected);
+	process.on('unhandledRejection', daemon.reportUnexpected);
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
 			void daemon.stop();
--- a/src/programs/entry/create-entry.ts
+++ b/src/programs/entry/create-entry.ts
@@ -18,6 +18,10 @@
 } from '../../decisions/configuration/index.js';
 import {createExplainLog} from '../../decisions/explain/index.js';
 import {createPlannedStop} from '../../decisions/streams/index.js';
+import {
+	createUnexpectedErrorLog,
+	type UnexpectedErrorLog,
+} from '../unexpected-errors.js';
 import {listen} from './listen.js';
 import {createOrderDuty} from './order-duty.js';
 import {createMembershipLoop} from './membership-loop.js';
@@ -33,6 +37,8 @@
 export type EntryDaemon = {
 	readonly callerPort: number;
 	readonly peerPort: number;
+	/** Logs an error that nothing handled; it must not end the process. */
+	readonly reportUnexpected: UnexpectedErrorLog;
 	/** Turns readiness off, waits for every open exchange, and closes. */
 	stop(): Promise<void>;
 };
@@ -44,6 +50,7 @@
 	settings: EntrySettings,
 ): Promise<EntryDaemon> {
 	const logger = createLogger('cowslip-entry', settings.logLevel);
+	const reportUnexpected = createUnexpectedErrorLog(logger);
 	const metrics = createMetrics();
 	const clock = new SystemClock();
 	const instanceId = randomUUID();
@@ -142,6 +149,7 @@
 		onTargetLeaving(targetId) {
 			membership.signLeaving(targetId);
 		},
+		onUnexpected: reportUnexpected,
 		explainLog,
 	});
 
@@ -248,6 +256,7 @@
 	return {
 		callerPort,
 		peerPort,
+		reportUnexpected,
 		async stop() {
 			if (!plannedStop.begin()) {
 				logger.warn('already stopping; open streams are finished first');
--- a/src/programs/entry/relay-wiring.ts
+++ b/src/programs/entry/relay-wiring.ts
@@ -48,6 +48,7 @@
 		avoid: ReadonlySet<string>,
 	) => PlainService;
 	readonly onTargetLeaving: (targetId: string) => void;
+	readonly onUnexpected: (error: unknown) => void;
 	readonly explainLog: ExplainLog;
 };
 
@@ -111,6 +112,7 @@
 			restartBudget: budget,
 			cancellations: createPendingCancellations(timers),
 			onTargetLeaving: options.onTargetLeaving,
+			onUnexpected: options.onUnexpected,
 		},
 		serviceCaller: createServiceCaller({
 			...callBackoff,
--- a/src/programs/front/coordinator-registry.ts
+++ b/src/programs/front/coordinator-registry.ts
@@ -7,7 +7,7 @@
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
-import {createUnexpectedErrorLog} from './unexpected-errors.js';
+import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 
 /** What the registry works with. */
 export type CoordinatorRegistryOptions = {
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -23,6 +23,7 @@
 } from '../../decisions/serving/index.js';
 import {HttpTargetLink} from '../../platform/index.js';
 import {listen} from '../entry/listen.js';
+import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {createCapacityReader} from './capacity-reader.js';
 import {startEngineWatch} from './engine-watch.js';
 import {startFleetState} from './fleet-state.js';
@@ -31,7 +32,6 @@
 import {createFrontPages} from './front-pages.js';
 import {waitForRequests} from './front-stop.js';
 import {createRequestServer} from './request-server.js';
-import {createUnexpectedErrorLog} from './unexpected-errors.js';
 import {watchTargets} from './watch-targets.js';
 
 /** A running front daemon. */
--- a/src/programs/front/engine-watch.ts
+++ b/src/programs/front/engine-watch.ts
@@ -8,7 +8,7 @@
 	toProblem,
 } from '../../common/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
-import {createUnexpectedErrorLog} from './unexpected-errors.js';
+import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 
 /** What the watch works with. */
 export type EngineWatchOptions = {
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -9,6 +9,7 @@
 	type FleetMessage,
 	type MemberMark,
 } from '../../decisions/fleet/index.js';
+import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {startCoordinatorRegistry} from './coordinator-registry.js';
 import type {
 	FleetExchange,
@@ -18,7 +19,6 @@
 import {createPauseWatch} from './pause-watch.js';
 import {createPlacementDesk} from './placement-desk.js';
 import {createStoreRelay} from './store-relay.js';
-import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** Identifiers are cut to what tells two lives of a VM apart. */
 const instanceIdLength = 8;
--- a/src/programs/front/front-pages.ts
+++ b/src/programs/front/front-pages.ts
@@ -5,7 +5,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {readyPath} from '../../platform/index.js';
-import type {UnexpectedErrorLog} from './unexpected-errors.js';
+import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 
 /** What the pages show. */
 export type FrontPagesOptions = {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -33,9 +33,9 @@
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {decodeRequest} from '../../platform/index.js';
+import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 import {createCountedReply} from './counted-reply.js';
 import type {FleetView} from './fleet-view.js';
-import type {UnexpectedErrorLog} from './unexpected-errors.js';
 
 /** What requests are served with. */
 export type RequestServerOptions = {
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -10,10 +10,10 @@
 } from '../../decisions/fleet/index.js';
 import {followTable} from '../../decisions/serving/index.js';
 import {decodeTargetEntry, tableNames} from '../../platform/index.js';
+import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {createConfigurationLoader} from './configuration-loader.js';
 import type {StoreWatch, StoreWatchOptions} from './store-watch-types.js';
 import {createTableLog} from './table-log.js';
-import {createUnexpectedErrorLog} from './unexpected-errors.js';
 
 /** Whether a table was read, and can be read now. */
 type TableState = 'lost' | 'read' | 'unread';
--- a/src/programs/front/unexpected-errors.ts
+++ b/src/programs/unexpected-errors.ts
@@ -1,5 +1,5 @@
-import type {Logger} from '../../adapters/system/index.js';
-import {toProblem} from '../../common/index.js';
+import type {Logger} from '../adapters/system/index.js';
+import {toProblem} from '../common/index.js';
 
 /** Logs an error that nothing expects; it must end neither the process nor what comes after it. */
 export type UnexpectedErrorLog = (error: unknown) => void;
