Read at once what a VM with the store back tells of

Cause: a VM that is no reader of the store waits 0.5 to 6 s after a failed read. Told by another VM that the store has a newer configuration, it still waited the rest of that time, and config_apply_ms runs from the store's answer.

Change: a mark or datagram that is younger than the own failure shows that the store answers; the VM reads within 0.15 s, spread at random. An older one changes nothing, so that an outage costs no more calls than before.

Test that failed first: table-follower.test.ts, 'the store is back, with a new configuration'.

--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -189,10 +189,10 @@
 	store.feeds = [{changes: [], version: 5}];
 	const {time, reads, follower, reasons} = follow(store);
 	reads.isReader = false;
-	follower.refresh();
+	follower.refresh(-Infinity);
 	await time.runUntil(1000);
 	assert.deepEqual(reasons, ['snapshot']);
-	follower.refresh();
+	follower.refresh(-Infinity);
 	await time.runUntil(1200);
 	assert.deepEqual(reasons, ['snapshot', 'missing']);
 });
@@ -252,3 +252,23 @@
 	);
 	assert.equal(events.at(-1), 'changes a');
 });
+
+test('replay "the store is back, with a new configuration": a VM that is told so by one that has read it does not wait as after a failure (andamio-grown, trouble-3, seed 75150400995)', async () => {
+	const away = new ProblemError('table-unavailable', 'away');
+	const store = new ScriptedStore();
+	store.snapshots = [{rows: [], version: 5}];
+	store.feeds = Array.from({length: 100}, () => away);
+	const {time, follower, reads, events} = follow(store);
+	reads.isReader = false;
+	for (let atMs = 500; atMs <= 20_000; atMs += 500) {
+		await time.runUntil(atMs);
+		// It was read before the store went away.
+		follower.refresh(0);
+	}
+
+	assert.ok(store.askedAfter.length <= 9, `${store.askedAfter.length} calls`);
+	store.feeds = [{changes: [row('a', 8)], version: 8}];
+	follower.refresh(19_900);
+	await time.runUntil(20_300);
+	assert.equal(events.at(-1), 'changes a');
+});
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -57,8 +57,11 @@
 
 /** A table that is followed. */
 export type TableFollower = Disposable & {
-	/** Reads now, because something newer than the last read is known to exist. */
-	refresh(): void;
+	/**
+	 * Reads soon, because something newer than the last read is known to exist.
+	 * @param answeredMs - monotonic time at which the store has answered the VM that tells of it
+	 */
+	refresh(answeredMs: number): void;
 	/** Forgets the changes, so that the whole table is read next. */
 	reset(): void;
 };
@@ -239,7 +242,16 @@
 
 	void run();
 	return {
-		refresh() {
+		refresh(answeredMs) {
+			if (answeredMs > readMs) {
+				// The store is there, if it was not before; not all VMs are to ask it at once.
+				const soonMs = Math.max(
+					clock.nowMs() + random.nextUnit() * readerBackoffMs.least,
+					readMs + options.minIntervalMs,
+				);
+				nextMs = Math.min(nextMs, soonMs);
+			}
+
 			// The whole table, which is asked for already, holds the changes or the next VM that tells of them.
 			if (!needsSnapshot) {
 				isWanted = true;
--- a/src/programs/front/peer-recovery.ts
+++ b/src/programs/front/peer-recovery.ts
@@ -50,11 +50,11 @@
 	return {
 		heard(address, configuration, targets) {
 			if (!watch.configurationBelief.heard(configuration)) {
-				watch.readConfiguration();
+				watch.readConfiguration(clock.nowMs() - configuration.ageMs);
 			}
 
 			if (!watch.targetsBelief.heard(targets)) {
-				watch.readTargets();
+				watch.readTargets(clock.nowMs() - targets.ageMs);
 			}
 
 			const isDue = shouldAskPeer({
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -64,8 +64,10 @@
 	takeRows(changes: RelayedRows): void;
 	/** Takes over a configuration that a peer has read. */
 	takeConfiguration(change: ConfigurationChange): void;
-	readConfiguration(): void;
-	readTargets(): void;
+	/** @param answeredMs - monotonic time at which the store has told another VM of something newer */
+	readConfiguration(answeredMs: number): void;
+	/** The same for the targets; without a time nobody has told of anything. */
+	readTargets(answeredMs?: number): void;
 };
 
 /** A change of the operator's row. */
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -234,22 +234,22 @@
 			}
 
 			if (!targetsBelief.told(changes.afterVersion, changes.version)) {
-				targets.refresh();
+				targets.refresh(clock.nowMs());
 			}
 		},
 		takeConfiguration({afterVersion, version, text}) {
 			const isNew = version > configurationBelief.version;
 			if (!configurationBelief.told(afterVersion, version)) {
-				operator.refresh();
+				operator.refresh(clock.nowMs());
 			} else if (isNew) {
 				loader.load(text, version, 'peer');
 			}
 		},
-		readConfiguration() {
-			operator.refresh();
+		readConfiguration(answeredMs) {
+			operator.refresh(answeredMs);
 		},
-		readTargets() {
-			targets.refresh();
+		readTargets(answeredMs = -Infinity) {
+			targets.refresh(answeredMs);
 		},
 		dispose() {
 			loader.dispose();
