Try the store before a peer when it is back, and pack what peers tell

One link of 7 to 140 Mbit/s then carried 1,676 routes as plain JSON to dozens of VMs; the questions ran out after 0.8 s and were repeated (edge-sanjose-a-10: five in vain), and filled the askers' links too, so that their own reads of the store ran out.

Change: a VM that knows targets asks a peer only after it has asked the store in vain since it was told; the configuration travels packed, once packed for all that ask. A store's answer that comes after the daemon has stopped is left out (it logged an unexpected error).

--- a/src/adapters/front/peer-state-client.ts
+++ b/src/adapters/front/peer-state-client.ts
@@ -4,6 +4,7 @@
 	decodeRelayedTables,
 	type RelayedTables,
 } from '../../decisions/serving/index.js';
+import {unpackText} from './packed-text.js';
 import type {PeerStateRouter} from './peer-state-server.js';
 
 /** As much as the store may answer, since a peer relays that. */
@@ -61,5 +62,10 @@
 	const answer: unknown = await client.tables.query(undefined, {
 		signal: AbortSignal.timeout(timeoutMs),
 	});
-	return answer === null ? undefined : decodeRelayedTables(answer);
+	if (answer === null) {
+		return undefined;
+	}
+
+	const tables = decodeRelayedTables(answer);
+	return {...tables, configuration: unpackText(tables.configuration)};
 }
--- a/src/adapters/front/peer-state-server.ts
+++ b/src/adapters/front/peer-state-server.ts
@@ -5,16 +5,33 @@
 	encodeRelayedTables,
 	type RelayedTables,
 } from '../../decisions/serving/index.js';
+import {packText} from './packed-text.js';
 
 const t = initTRPC.create();
 /** Peers only ask; no request of theirs has a body. */
 const maxRequestBytes = 4096;
 
 function createPeerStateRouter(read: () => RelayedTables | undefined) {
+	let newest: {readonly text: string; readonly packed: string} | undefined;
+
+	/** Packs a configuration once for all peers that ask; their links are small. */
+	const packed = (text: string) => {
+		if (newest?.text !== text) {
+			newest = {text, packed: packText(text)};
+		}
+
+		return newest.packed;
+	};
+
 	return t.router({
 		tables: t.procedure.query(() => {
 			const tables = read();
-			return tables ? encodeRelayedTables(tables) : null;
+			return tables
+				? encodeRelayedTables({
+						...tables,
+						configuration: packed(tables.configuration),
+					})
+				: null;
 		}),
 	});
 }
--- a/src/decisions/serving/relayed-tables.test.ts
+++ b/src/decisions/serving/relayed-tables.test.ts
@@ -12,6 +12,7 @@
 	hasTargets: false,
 	ownVersion: 0,
 	peerVersion: 4,
+	hasTriedStore: true,
 	sinceAskedMs: Infinity,
 };
 
@@ -37,3 +38,9 @@
 	assert.deepEqual(decodeRelayedTables(travelled), tables);
 	assert.throws(() => decodeRelayedTables({}), {type: 'peer-protocol'});
 });
+
+test('replay "the store is back after an outage": no VM asks the one that tells of it before it has tried the store (andamio-grown, trouble-3, seed 75150400995)', () => {
+	const told = {...cutOff, hasTargets: true, ownVersion: 3};
+	assert.equal(shouldAskPeer({...told, hasTriedStore: false}), false);
+	assert.equal(shouldAskPeer(told), true);
+});
--- a/src/decisions/serving/relayed-tables.ts
+++ b/src/decisions/serving/relayed-tables.ts
@@ -57,6 +57,8 @@
 	/** Version of the configuration in force here; 0 if none is. */
 	readonly ownVersion: number;
 	readonly peerVersion: number;
+	/** True if the store was asked in vain since a peer first told of what is missing here. */
+	readonly hasTriedStore: boolean;
 	/** Time since a peer was asked, in milliseconds. */
 	readonly sinceAskedMs: number;
 };
@@ -69,7 +71,12 @@
  * although their neighbours know what they need.
  */
 export function shouldAskPeer(inputs: PeerAskInputs): boolean {
-	if (!inputs.isStoreLost || inputs.sinceAskedMs < minAskIntervalMs) {
+	// After an outage the store answers all at once; one peer has too small a link for that.
+	if (!inputs.isStoreLost || !inputs.hasTriedStore) {
+		return false;
+	}
+
+	if (inputs.sinceAskedMs < minAskIntervalMs) {
 		return false;
 	}
 
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -57,6 +57,8 @@
 
 /** A table that is followed. */
 export type TableFollower = Disposable & {
+	/** Monotonic time at which the store was last asked, in milliseconds; -Infinity before. */
+	readonly triedMs: number;
 	/**
 	 * Reads soon, because something newer than the last read is known to exist.
 	 * @param answeredMs - monotonic time at which the store has answered the VM that tells of it
@@ -183,7 +185,9 @@
 				: readChanges(reason === 'reader' ? options.waitMs() : 0));
 			listener.onRead(reason);
 		} catch (error) {
-			failed(toProblem(error, 'table-unavailable'));
+			if (!stopped) {
+				failed(toProblem(error, 'table-unavailable'));
+			}
 		}
 	};
 
@@ -242,6 +246,9 @@
 
 	void run();
 	return {
+		get triedMs() {
+			return readMs;
+		},
 		refresh(answeredMs) {
 			if (answeredMs > readMs) {
 				// The store is there, if it was not before; not all VMs are to ask it at once.
@@ -253,10 +260,8 @@
 			}
 
 			// The whole table, which is asked for already, holds the changes or the next VM that tells of them.
-			if (!needsSnapshot) {
-				isWanted = true;
-				wake?.();
-			}
+			isWanted ||= !needsSnapshot;
+			wake?.();
 		},
 		reset() {
 			needsSnapshot = true;
--- a/src/programs/front/peer-recovery.ts
+++ b/src/programs/front/peer-recovery.ts
@@ -24,6 +24,8 @@
 export function createPeerRecovery(options: PeerRecoveryOptions): PeerRecovery {
 	const {clock, logger, watch} = options;
 	let askedMs = -Infinity;
+	/** Monotonic time at which a peer first told of what is missing here. */
+	let toldMs: number | undefined;
 
 	const ask = async (address: string) => {
 		try {
@@ -57,11 +59,16 @@
 				watch.readTargets(clock.nowMs() - targets.ageMs);
 			}
 
+			const isBehind =
+				configuration.changeVersion > watch.configurationBelief.version;
+			toldMs = isBehind ? (toldMs ?? clock.nowMs()) : undefined;
 			const isDue = shouldAskPeer({
 				isStoreLost: watch.isStoreLost,
 				hasTargets: watch.hasTargets,
 				ownVersion: watch.configurationBelief.version,
 				peerVersion: configuration.changeVersion,
+				hasTriedStore:
+					!watch.hasTargets || (toldMs !== undefined && watch.triedMs > toldMs),
 				sinceAskedMs: clock.nowMs() - askedMs,
 			});
 			if (isDue) {
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -54,6 +54,8 @@
 	readonly isStoreLost: boolean;
 	/** True once the targets are known, from the store or from a peer. */
 	readonly hasTargets: boolean;
+	/** Monotonic time since which both tables, as far as they are lost, were asked for, in milliseconds. */
+	readonly triedMs: number;
 	readonly configurationBelief: TableBelief;
 	readonly targetsBelief: TableBelief;
 	/** What was read, for peers that cannot; undefined before. */
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -179,6 +179,12 @@
 		get hasTargets() {
 			return hasTargets;
 		},
+		get triedMs() {
+			return Math.min(
+				configurationState === 'lost' ? operator.triedMs : Infinity,
+				targetsState === 'lost' ? targets.triedMs : Infinity,
+			);
+		},
 		get readsTargets() {
 			// What readers confirmed shortly before they lost the store is still young then.
 			const limitMs = options.areReadersLost(reading())
