Close a stopping VM in the turn in which it has counted no request

Change: only a stop that gives requests up waits for its last answers. Test: front-stop.test.ts (a stop that has counted none resolves in that turn; one at the end of its grace time answers what is open, then waits 50 ms).

--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -55,8 +55,6 @@
 const callerDescriptorPart = 0.6;
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const stopMarginMs = 400;
-/** Time in which the last answers leave this VM, in milliseconds. */
-const lastAnswersMs = 50;
 
 function splitAddress(address: string): {host: string; port: number} {
 	const [host, port] = address.split(':');
@@ -245,10 +243,17 @@
 		stoppingMs = clock.nowMs();
 		stopAtMs = stoppingMs + live.current.bounds.stopGraceMs - stopMarginMs;
 		logger.info('stopping', {openRequests: listener.openCount});
-		await waitForRequests({clock, timers, listener, untilMs: stopAtMs});
+		await waitForRequests({
+			clock,
+			timers,
+			listener,
+			untilMs: stopAtMs,
+			giveUpAll() {
+				logger.warn('stop cuts requests', {openRequests: listener.openCount});
+				requests.giveUpAll('the VM stopped');
+			},
+		});
 		logger.info('stopped', {openRequests: listener.openCount});
-		requests.giveUpAll('the VM stopped');
-		await timers.sleep(lastAnswersMs);
 		owned.dispose();
 		for (const server of [
 			listener.server,
--- a/src/programs/front/front-stop.ts
+++ b/src/programs/front/front-stop.ts
@@ -5,16 +5,25 @@
 export type StopOptions = {
 	readonly clock: Clock;
 	readonly timers: Timers;
-	readonly listener: CallerListener;
+	readonly listener: Pick<CallerListener, 'openCount'> & {
+		readonly server: Pick<CallerListener['server'], 'closeIdleConnections'>;
+	};
 	/** Monotonic time at which the stop ends in any case, in milliseconds. */
 	readonly untilMs: number;
+	/** Gives what is still open then its final answer. */
+	readonly giveUpAll: () => void;
 };
 
 /** The balancer needs two checks, one second apart, to notice that a VM is not ready. */
 const minStopMs = 2500;
 const stopCheckMs = 100;
+/** Time in which the last answers leave this VM, in milliseconds. */
+const lastAnswersMs = 50;
 
-/** Waits until every open request has its answer; new connections are served meanwhile. */
+/**
+ * Waits until every open request has its answer; new connections are served meanwhile. Once none is
+ * open it resolves in the same turn, so that none is accepted before the connections are closed.
+ */
 export async function waitForRequests(options: StopOptions): Promise<void> {
 	const {clock, timers, listener, untilMs} = options;
 	const startedMs = clock.nowMs();
@@ -26,7 +35,13 @@
 			listener.server.closeIdleConnections();
 		}
 
-		if ((mayEnd && listener.openCount === 0) || nowMs > untilMs) {
+		if (mayEnd && listener.openCount === 0) {
+			return;
+		}
+
+		if (nowMs > untilMs) {
+			options.giveUpAll();
+			await timers.sleep(lastAnswersMs);
 			return;
 		}
 	}
