Take no extra repeated sends before it is known who shares them

Cause: a VM that has just started and hears nobody counted itself as the only one and took 0.55 of the fleet's extra sends; three VMs without a live seed, which meet in the store after two seconds, sent 40 repeats where 30 and a fifth of the requests are allowed.

Change: the count of VMs holds once this VM has had the time to hear of all: 1.5 s after its start if it hears others, 8 s if it hears nobody. Before that it has the part that its own requests allow.

--- a/src/decisions/fleet/member-list.test.ts
+++ b/src/decisions/fleet/member-list.test.ts
@@ -129,3 +129,21 @@
 	members.counted(3);
 	assert.equal(members.vmCount, 3);
 });
+
+test('guards against VMs that have just started, hear nobody yet, and each take the whole share of repeated sends (fault soak, run 166317)', async () => {
+	const time = new VirtualTime();
+	const members = createMemberList(time, member('a'));
+	await time.runUntil(2000);
+	assert.equal(members.settledCount, undefined);
+	members.heard(member('b'), 0);
+	members.counted(3);
+	assert.equal(members.settledCount, 3);
+	const alone = createMemberList(time, member('c'));
+	await time.runUntil(9000);
+	assert.equal(alone.settledCount, undefined);
+	await time.runUntil(10_500);
+	assert.equal(alone.settledCount, 1);
+	const found = createMemberList(time, member('d'));
+	found.heard(member('b'), 0);
+	assert.equal(found.settledCount, undefined);
+});
--- a/src/decisions/fleet/member-list.ts
+++ b/src/decisions/fleet/member-list.ts
@@ -5,6 +5,8 @@
 export type MemberList = {
 	/** Largest number of VMs that may be serving, this one included. */
 	readonly vmCount: number;
+	/** The same, once this VM has had the time to hear of all; undefined before. */
+	readonly settledCount: number | undefined;
 	/** The first live member; it places the generations of all. */
 	readonly coordinator: MemberMark;
 	/** True once this VM has been the first long enough to know what the others run. */
@@ -43,6 +45,10 @@
 const suspectMs = 1500;
 /** Time in which others tell a new coordinator of their runs, in milliseconds. */
 const settleMs = 1200;
+/** Time in which a VM that hears others hears of all, in milliseconds. */
+const countedAfterMs = 1500;
+/** Time in which VMs whose seeds are all gone find each other through the store, in milliseconds. */
+const foundAfterMs = 8000;
 /** Time for which a count of VMs holds, in milliseconds; the retry budget is shared by it. */
 const countMs = 30_000;
 /** VMs that read the store for all; the loss of one goes unnoticed. */
@@ -71,6 +77,7 @@
 
 /** Creates a list with this VM alone. */
 export function createMemberList(clock: Clock, own: MemberMark): MemberList {
+	const createdMs = clock.nowMs();
 	const others = new Map<string, Known>();
 	const suspected = new Map<string, number>();
 	let ranking: readonly MemberMark[] | undefined;
@@ -129,10 +136,16 @@
 		return ranking;
 	};
 
+	const vmCount = () => Math.max(largestCount, others.size + 1);
+
 	return {
 		ranked,
 		get vmCount() {
-			return Math.max(largestCount, others.size + 1);
+			return vmCount();
+		},
+		get settledCount() {
+			const afterMs = vmCount() > 1 ? countedAfterMs : foundAfterMs;
+			return clock.nowMs() - createdMs >= afterMs ? vmCount() : undefined;
 		},
 		addresses() {
 			ranked();
--- a/src/decisions/serving/retry-share.ts
+++ b/src/decisions/serving/retry-share.ts
@@ -5,8 +5,8 @@
 	readonly clock: Clock;
 	/** Bounds in force; they may change. */
 	readonly bounds: () => RetryBounds;
-	/** Largest number of VMs that may be sending. */
-	readonly vmCount: () => number;
+	/** Largest number of VMs that may be sending; undefined while that is not known. */
+	readonly vmCount: () => number | undefined;
 	/** Asks for a send from what the fleet has in common. */
 	readonly askPool: (
 		service: string,
@@ -44,6 +44,10 @@
 /** The same for the extra sends, which the coordinator's pool shares. */
 const ownExtraPart = 0.55;
 
+/** Extra sends of one VM; none while it does not know with how many others it shares them. */
+const ownExtra = (extra: number, vmCount: number | undefined) =>
+	vmCount === undefined ? 0 : (ownExtraPart * extra) / Math.max(1, vmCount);
+
 type Record = {requests: number[]; repeats: number[]};
 
 function dropBefore(times: number[], startMs: number) {
@@ -81,8 +85,7 @@
 			const {ratio, extra} = bounds();
 			const {requests, repeats} = recordOf(service);
 			const allowed =
-				safetyPart * ratio * requests.length +
-				(ownExtraPart * extra) / Math.max(1, vmCount());
+				safetyPart * ratio * requests.length + ownExtra(extra, vmCount());
 			if (repeats.length + 1 > allowed) {
 				return false;
 			}
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -31,7 +31,7 @@
 		edits: [
 			{
 				file: `${serving}/retry-share.js`,
-				original: '(ownExtraPart * extra) / Math.max(1, vmCount())',
+				original: 'ownExtra(extra, vmCount())',
 				replacement: 'extra * 2',
 			},
 		],
--- a/src/programs/front/fleet-state.ts
+++ b/src/programs/front/fleet-state.ts
@@ -154,7 +154,7 @@
 	const retryShare = createRetryShare({
 		clock,
 		bounds: retryBounds,
-		vmCount: () => fleet.members.vmCount,
+		vmCount: () => fleet.members.settledCount,
 		askPool: (service, onAnswer) => fleet.retryClient.ask(service, onAnswer),
 	});
 	const storeWatch = owned.add(
