Log and count the rate limits that targets name

Change: the response head carries the limit as decoded; a table keeps the newest observation of each target and reports changes, logged as `rate limit set` and `rate limit lifted` and counted; an unreadable limit is logged with the value and what is allowed; cowslip-explain prints the limits that were in force at a request's targets. No decision uses the table yet.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -64,6 +64,13 @@
 	readonly maxAnswerBytes: number;
 };
 
+/** What a target's response says about the rate of requests that the target accepts from all VMs together. */
+export type StatedRateLimit =
+	| {readonly state: 'unlimited'}
+	| {readonly state: 'limited'; readonly requestsPerSecond: number}
+	/** The limit could not be read; `detail` says why. */
+	| {readonly state: 'malformed'; readonly detail: string};
+
 /** Status and headers of a target's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -76,6 +83,7 @@
 	readonly notExecuted: boolean;
 	/** True if the body has a content encoding, although none was requested. */
 	readonly hasContentEncoding: boolean;
+	readonly rateLimit: StatedRateLimit;
 };
 
 /** Why a request got no complete response. */
--- a/src/decisions/explain/explain-request.test.ts
+++ b/src/decisions/explain/explain-request.test.ts
@@ -27,3 +27,18 @@
 	);
 	assert.deepEqual(explainRequest(log, 'q9'), []);
 });
+
+test('the explanation of a request has the rate limit of its target that was set long before', () => {
+	const limits = parseLog(
+		[
+			line(1, {message: 'rate limit set', target: 't1', requestsPerSecond: 9}),
+			line(2, {message: 'rate limit set', target: 't1', requestsPerSecond: 4}),
+			line(3, {message: 'rate limit set', target: 't2', requestsPerSecond: 4}),
+			line(60, {message: 'call sent', request: 'q1', target: 't1'}),
+		].join('\n'),
+	);
+	assert.deepEqual(
+		explainRequest(limits, 'q1').map((record) => record.requestsPerSecond),
+		[4, undefined],
+	);
+});
--- a/src/decisions/explain/explain-request.ts
+++ b/src/decisions/explain/explain-request.ts
@@ -23,6 +23,12 @@
 	'tables not read from a peer',
 ]);
 
+/** Log messages about the rate limit of a target, which holds until the next of them. */
+const rateLimitMessages: ReadonlySet<string> = new Set([
+	'rate limit set',
+	'rate limit lifted',
+]);
+
 const timeOf = (record: LogRecord) => Date.parse(record.timestamp);
 
 function isLogRecord(value: unknown): value is LogRecord {
@@ -44,9 +50,24 @@
 	});
 }
 
+/** Selects the last record of each VM about each target's rate limit before a time. */
+function rateLimitsBefore(
+	records: readonly LogRecord[],
+	startMs: number,
+): ReadonlySet<LogRecord> {
+	const last = new Map<string, LogRecord>();
+	for (const record of records) {
+		if (rateLimitMessages.has(record.message) && timeOf(record) < startMs) {
+			last.set(`${record.vm} ${record.target}`, record);
+		}
+	}
+
+	return new Set(last.values());
+}
+
 /**
  * Selects the records that explain the outcome of one request: its own records, and those of its VMs
- * about its targets and the VMs' dependencies around that time.
+ * about its targets and the VMs' dependencies around that time, with the rate limits in force before.
  * @returns records ordered by time; empty if the request is not in the log
  */
 export function explainRequest(
@@ -66,13 +87,16 @@
 	const times = own.map((record) => timeOf(record));
 	const startMs = Math.min(...times) - contextMs;
 	const endMs = Math.max(...times) + contextMs;
+	const earlierRateLimits = rateLimitsBefore(records, startMs);
 	return records
 		.filter((record) => {
 			if (record.request !== undefined) {
 				return record.request === requestId;
 			}
 
-			const isNear = timeOf(record) >= startMs && timeOf(record) <= endMs;
+			const isNear =
+				(timeOf(record) >= startMs && timeOf(record) <= endMs) ||
+				earlierRateLimits.has(record);
 			const isRelated =
 				vmMessages.has(record.message) || targets.has(record.target);
 			return vms.has(record.vm) && isNear && isRelated;
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -154,6 +154,9 @@
 			{
 				onHead(head) {
 					attempt.head = head;
+					if (head.requestId === request.id) {
+						options.onResponseHead(target, head, attempt.startedMs);
+					}
 				},
 				onData(chunk) {
 					handleData(attempt, chunk);
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -93,6 +93,15 @@
 		succeeded: boolean,
 		latencyMs: number,
 	) => void;
+	/**
+	 * Called with the status and headers of each response that a target makes to the request.
+	 * @param sentMs - monotonic time at which the request was sent, in milliseconds
+	 */
+	readonly onResponseHead: (
+		target: TargetEntry,
+		head: ResponseHead,
+		sentMs: number,
+	) => void;
 	/** Called when the target's address accepts no connection. */
 	readonly onUnreachable: (target: TargetEntry) => void;
 	/** Called when a different target responds at the address. */
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -1,6 +1,7 @@
 import type {
 	ResponseHead,
 	CallerRequest,
+	Clock,
 	Disposable,
 	SendFailure,
 	SendOptions,
@@ -10,7 +11,7 @@
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import type {BufferBudget, BufferUsage} from './buffer-budget.js';
 import {concatBytes} from './concat-bytes.js';
-import type {ResponseLimits} from './session-types.js';
+import type {ResponseLimits, SessionServices} from './session-types.js';
 
 /** Receives the events of one send of a stream. */
 export type StreamSendListener = {
@@ -35,6 +36,8 @@
 	readonly targetClient: TargetClient;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
+	readonly clock: Clock;
+	readonly onResponseHead: SessionServices['onResponseHead'];
 };
 
 const okStatus = 200;
@@ -48,10 +51,12 @@
  * @returns disposing it cancels the send
  */
 export function sendStream(
-	{targetClient, responseLimits, bufferBudget}: StreamSendOptions,
+	options: StreamSendOptions,
 	{target, request, sendOptions}: StreamSendRequest,
 	listener: StreamSendListener,
 ): Disposable {
+	const {targetClient, responseLimits, bufferBudget} = options;
+	const sentMs = options.clock.nowMs();
 	const splitter = createEventSplitter();
 	const bodyChunks: Uint8Array[] = [];
 	let head: ResponseHead | undefined;
@@ -138,6 +143,9 @@
 		{
 			onHead(responseHead) {
 				head = responseHead;
+				if (responseHead.requestId === request.id) {
+					options.onResponseHead(target, responseHead, sentMs);
+				}
 			},
 			onData(chunk) {
 				if (!isOver && head && !failIfForeign(head)) {
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -55,6 +55,7 @@
 		}),
 		log,
 		onSendResult: ignore,
+		onResponseHead: ignore,
 		onUnreachable: ignore,
 		onMisdirected: ignore,
 	};
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -31,6 +31,7 @@
 		isFromTarget: true,
 		notExecuted: false,
 		hasContentEncoding: false,
+		rateLimit: {state: 'unlimited'},
 		...changes,
 	};
 }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -16,6 +16,8 @@
 	backup: 'Cowslipspread-Kv-Backup',
 	continueFrom: 'Kv-From',
 	apiKey: 'Api-Key',
+	/** Requests per second that the responding target accepts from all VMs together. */
+	rateLimit: 'Server-Limit',
 } as const;
 
 /** Headers of callers' requests that are not forwarded, in lower case; some are set anew for the target. */
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -31,6 +31,7 @@
 import {watchBootFile} from './live-settings.js';
 import {createFrontPages} from './front-pages.js';
 import {waitForRequests} from './wait-for-requests.js';
+import {logRateLimitChanges} from './rate-limit-log.js';
 import {createRequestServer} from './request-server.js';
 import {handleTargetEvents} from './handle-target-events.js';
 
@@ -104,8 +105,15 @@
 			logger,
 		}),
 	);
-	const {configuration, directory, detector, targetSelector, storeWatch} =
-		deployment;
+	const {
+		configuration,
+		directory,
+		detector,
+		rateLimits,
+		targetSelector,
+		storeWatch,
+	} = deployment;
+	owned.add(logRateLimitChanges(rateLimits, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const admissionLimitBytes =
 		vm.limits.memoryMb *
@@ -126,6 +134,7 @@
 		targetSelector,
 		detector,
 		retryShare: deployment.retryShare,
+		rateLimits,
 		responseLimits: settings.responseLimits,
 		bufferBudget,
 		metrics,
@@ -206,6 +215,7 @@
 			targetClient,
 			detector,
 			capacityReader,
+			rateLimits,
 			requests,
 			logger,
 		}),
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -12,6 +12,10 @@
 	type OutlierDetector,
 } from '../../decisions/retries/index.js';
 import type {TableSyncState} from '../../decisions/fleet/index.js';
+import {
+	createRateLimitTable,
+	type RateLimitTable,
+} from '../../decisions/rate-limits/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
 import {
 	type ConfigurationState,
@@ -52,6 +56,7 @@
 	readonly detector: OutlierDetector;
 	readonly targetSelector: TargetSelector;
 	readonly retryShare: RetryShare;
+	readonly rateLimits: RateLimitTable;
 	readonly storeWatch: StoreWatch;
 	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
 	resumedMs(): number;
@@ -114,6 +119,7 @@
 			});
 		},
 	});
+	const rateLimits = createRateLimitTable(clock);
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
 	const retryBounds = () => {
@@ -216,6 +222,7 @@
 		detector,
 		targetSelector,
 		retryShare,
+		rateLimits,
 		storeWatch,
 		resumedMs: () => fleetExchange.resumedMs(),
 		dispose() {
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -4,6 +4,7 @@
 	type Disposable,
 	type TargetClient,
 } from '../../common/index.js';
+import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
 import type {CapacityReader} from './capacity-reader.js';
@@ -15,6 +16,7 @@
 	readonly targetClient: TargetClient;
 	readonly detector: OutlierDetector;
 	readonly capacityReader: CapacityReader;
+	readonly rateLimits: Pick<RateLimitTable, 'forget'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
 };
@@ -26,8 +28,8 @@
  * or become unreachable.
  */
 export function handleTargetEvents(options: TargetEventOptions): Disposable {
-	const {directory, targetClient, detector, capacityReader, requests, logger} =
-		options;
+	const {directory, targetClient, detector, requests, logger} = options;
+	const {capacityReader, rateLimits} = options;
 	const owned = createDisposableStore();
 	const updateDetector = (service: string) => {
 		detector.setTargets(
@@ -57,6 +59,7 @@
 				reason,
 			});
 			updateDetector(entry.service);
+			rateLimits.forget(entry.id);
 			requests.targetUnusable(entry.id);
 		}),
 	);
--- /dev/null
+++ b/src/programs/front/rate-limit-log.ts
@@ -0,0 +1,27 @@
+import type {Logger, Metrics} from '../../adapters/system/index.js';
+import type {Disposable} from '../../common/index.js';
+import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
+
+/** Logs and counts the changes of the targets' rate limits. */
+export function logRateLimitChanges(
+	table: RateLimitTable,
+	logger: Logger,
+	metrics: Metrics,
+): Disposable {
+	return table.onChanged((change) => {
+		const {targetId, requestsPerSecond, previousPerSecond, source} = change;
+		const isLifted = requestsPerSecond === undefined;
+		metrics.count('rate_limit_changes', {
+			target: targetId,
+			change: isLifted ? 'lifted' : 'set',
+			source,
+		});
+		logger.info(isLifted ? 'rate limit lifted' : 'rate limit set', {
+			target: targetId,
+			requestsPerSecond,
+			previousPerSecond,
+			source,
+			ageMs: Math.round(change.ageMs),
+		});
+	});
+}
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -3,10 +3,12 @@
 import type {
 	Clock,
 	RandomSource,
+	ResponseHead,
 	TargetEntry,
 	TargetClient,
 	Timers,
 } from '../../common/index.js';
+import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
 	admit,
@@ -46,6 +48,7 @@
 	readonly targetSelector: TargetSelector;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
+	readonly rateLimits: RateLimitTable;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
 	readonly metrics: Metrics;
@@ -112,6 +115,21 @@
 		logger.info(event, record);
 	};
 
+	const recordRateLimit = (
+		targetId: string,
+		{rateLimit, isFromTarget, notExecuted}: ResponseHead,
+		sentMs: number,
+	) => {
+		if (rateLimit.state === 'malformed') {
+			logger.warn('rate limit refused', {
+				target: targetId,
+				detail: rateLimit.detail,
+			});
+		} else if (isFromTarget || notExecuted) {
+			options.rateLimits.recordResponse(targetId, rateLimit, sentMs);
+		}
+	};
+
 	const sessionServices = (service: string) => ({
 		clock,
 		timers,
@@ -130,6 +148,13 @@
 				directory.markReachable(target.id);
 			}
 		},
+		onResponseHead(
+			target: {readonly id: string},
+			head: ResponseHead,
+			sentMs: number,
+		) {
+			recordRateLimit(target.id, head, sentMs);
+		},
 		onUnreachable(target: {readonly id: string}) {
 			directory.markUnreachable(target.id);
 		},
