--- a/src/platform/testing/boot-file.ts
+++ b/src/platform/testing/boot-file.ts
@@ -19,6 +19,8 @@
 	readonly name?: string;
 	/** Address that the VM listens on. */
 	readonly ip?: string;
+	/** Addresses at which other VMs may be found. */
+	readonly seedIps?: readonly string[];
 	/** Bounds that replace the defaults, by their names in the file. */
 	readonly bounds?: Readonly<Record<string, number>>;
 };
@@ -26,8 +28,14 @@
 /** @returns the content of a boot file in the format of the platform */
 export function bootFile(
 	ports: VmPorts = defaultPorts,
-	{name = 'edge-1', ip = '127.0.0.1', bounds = {}}: BootFileOptions = {},
+	options: BootFileOptions = {},
 ): Readonly<Record<string, unknown>> {
+	const {
+		name = 'edge-1',
+		ip = '127.0.0.1',
+		seedIps = [],
+		bounds = {},
+	} = options;
 	return {
 		node: name,
 		ip,
@@ -38,6 +46,7 @@
 			ready: `${ip}:${ports.ready}`,
 		},
 		port_range: [ports.peer, ports.peer + 1],
+		seed_nodes: seedIps.map((seedIp) => `${seedIp}:${ports.peer}`),
 		heartbeat_ms: 1200,
 		limits: {memory_mb: 200, max_fds: 4100},
 		bounds: {
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -51,17 +51,23 @@
 	readonly aborted: boolean;
 };
 
+/** Port on 127.0.0.1, or host and port, at which a daemon listens. */
+export type DaemonAddress =
+	number | {readonly host: string; readonly port: number};
+
 /** Sends a request to a daemon as a caller does. */
 export async function call(
-	port: number,
+	address: DaemonAddress,
 	requestPath: string,
 	headers: Readonly<Record<string, string>> = {},
 	method = 'GET',
 ): Promise<FixtureResponse> {
+	const {host, port} =
+		typeof address === 'number' ? {host: '127.0.0.1', port: address} : address;
 	return new Promise((resolve, reject) => {
 		const request = httpRequest(
 			{
-				host: '127.0.0.1',
+				host,
 				port,
 				path: requestPath,
 				method,
@@ -159,10 +165,10 @@
 	context: TestContext,
 	storePort: number,
 	[front, ready, peer]: readonly number[],
-	bounds: BootFileOptions['bounds'] = {},
+	options: BootFileOptions = {},
 ) {
 	const file = path.join(mkdtempSync(path.join(tmpdir(), 'front-')), 'boot');
-	const boot = bootFile({front, ready, peer, store: storePort}, {bounds});
+	const boot = bootFile({front, ready, peer, store: storePort}, options);
 	writeFileSync(file, JSON.stringify(boot));
 	const daemon = await createFront({
 		bootFile: file,
@@ -187,7 +193,10 @@
 		daemon,
 		front,
 		async isReady() {
-			const {status} = await call(ready, '/-/readyz');
+			const {status} = await call(
+				{host: options.ip ?? '127.0.0.1', port: ready},
+				'/-/readyz',
+			);
 			return status === 200;
 		},
 	};
@@ -203,12 +212,9 @@
 	const target = createScriptedTarget(script);
 	const storePort = await listenOn(context, store.server);
 	const targetPort = await listenOn(context, target.server);
-	const daemon = await startDaemon(
-		context,
-		storePort,
-		await findFreePorts(3),
+	const daemon = await startDaemon(context, storePort, await findFreePorts(3), {
 		bounds,
-	);
+	});
 	const entry = (service: string, state?: 'draining' | 'ready') =>
 		targetRow(service, `127.0.0.1:${targetPort}`, state);
 	return {store, target, ...daemon, entry};
