--- a/src/decisions/fleet/field-reader.ts
+++ b/src/decisions/fleet/field-reader.ts
@@ -55,6 +55,19 @@
 		return value;
 	}
 
+	/** @returns undefined for null */
+	optionalNumber(): number | undefined {
+		const value = this.value();
+		if (
+			value !== null &&
+			(typeof value !== 'number' || !Number.isFinite(value))
+		) {
+			throw this.problem('a finite number or null');
+		}
+
+		return value ?? undefined;
+	}
+
 	/** @returns false for 0, true for any other number */
 	boolean(): boolean {
 		return this.number() !== 0;
--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -3,6 +3,11 @@
 	PlacementRequest,
 	RunState,
 } from '../scheduling/index.js';
+import type {
+	PermitDecision,
+	PermitRequest,
+	RateLimitReport,
+} from '../rate-limits/index.js';
 import type {MemberInfo, TableSyncState} from './types.js';
 
 /**
@@ -79,10 +84,34 @@
 	readonly isGranted: boolean;
 };
 
-/** Messages between VMs about membership, runs, placements and retries. */
+/** Rate limits of targets that the sender knows. */
+export type RateLimitsMessage = {
+	readonly kind: 'rate-limits';
+	readonly reports: readonly RateLimitReport[];
+};
+
+/** Requests the permit to send a request to a target with a rate limit. */
+export type PermitRequestMessage = {
+	readonly kind: 'permit';
+	readonly id: string;
+	readonly request: PermitRequest;
+};
+
+/** Decision on the permit request with this id. */
+export type PermitDecisionMessage = {
+	readonly kind: 'permit-answer';
+	readonly id: string;
+	/** Undefined if the sender does not hand out permits; the receiver then uses its own share. */
+	readonly decision: PermitDecision | undefined;
+};
+
+/** Messages between VMs about membership, runs, placements, retries and rate limits. */
 export type FleetMessage =
 	| Beacon
 	| Heartbeat
+	| PermitRequestMessage
+	| PermitDecisionMessage
+	| RateLimitsMessage
 	| PlacementRequestMessage
 	| PlacementCancelMessage
 	| PlacementDecisionMessage
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -83,6 +83,33 @@
 	{kind: 'cancel', id: 'q2.1'},
 	{kind: 'retry', id: '7', service: 'model'},
 	{kind: 'retry-answer', id: '7', isGranted: true},
+	{
+		kind: 'rate-limits',
+		reports: [
+			{targetId: 't1', requestsPerSecond: 3.6, ageMs: 20},
+			{targetId: 't2', requestsPerSecond: undefined, ageMs: 900},
+		],
+	},
+	{
+		kind: 'permit',
+		id: '8',
+		request: {
+			targets: [{targetId: 't1', requestsPerSecond: 3.6}],
+			maxWaitMs: 90,
+			isUrgent: true,
+		},
+	},
+	{
+		kind: 'permit-answer',
+		id: '8',
+		decision: {outcome: 'granted', targetId: 't1', waitMs: 40},
+	},
+	{
+		kind: 'permit-answer',
+		id: '8',
+		decision: {outcome: 'denied', waitMs: 400, retryAfterMs: 900},
+	},
+	{kind: 'permit-answer', id: '8', decision: undefined},
 ];
 
 for (const message of messages) {
@@ -98,7 +125,19 @@
 			fc.oneof(
 				fc.jsonValue(),
 				fc.tuple(
-					fc.constantFrom('h', 'b', 'u', 'p', 'a', 'c', 't', 'g'),
+					fc.constantFrom(
+						'h',
+						'b',
+						'u',
+						'p',
+						'a',
+						'c',
+						't',
+						'g',
+						'l',
+						'm',
+						'd',
+					),
 					fc.jsonValue(),
 					fc.jsonValue(),
 					fc.jsonValue(),
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -6,6 +6,14 @@
 } from '../scheduling/index.js';
 import {FieldReader} from './field-reader.js';
 import type {FleetMessage} from './fleet-message-types.js';
+import {
+	decodePermitDecision,
+	decodePermitRequest,
+	decodeRateLimitReport,
+	encodePermitDecision,
+	encodePermitRequest,
+	encodeRateLimitReport,
+} from './rate-limit-messages.js';
 import type {MemberInfo, StoreReadState, TableSyncState} from './types.js';
 
 /** The index of a state is its value on the wire. */
@@ -223,6 +231,29 @@
 		case 'retry-answer': {
 			return JSON.stringify(['g', message.id, Number(message.isGranted)]);
 		}
+
+		case 'rate-limits': {
+			return JSON.stringify([
+				'l',
+				message.reports.map((report) => encodeRateLimitReport(report)),
+			]);
+		}
+
+		case 'permit': {
+			return JSON.stringify([
+				'm',
+				message.id,
+				encodePermitRequest(message.request),
+			]);
+		}
+
+		case 'permit-answer': {
+			return JSON.stringify([
+				'd',
+				message.id,
+				encodePermitDecision(message.decision),
+			]);
+		}
 	}
 }
 
@@ -299,10 +330,33 @@
 			};
 		}
 
+		case 'l': {
+			return {
+				kind: 'rate-limits',
+				reports: fields.list(decodeRateLimitReport),
+			};
+		}
+
+		case 'm': {
+			return {
+				kind: 'permit',
+				id: fields.string(),
+				request: decodePermitRequest(FieldReader.of(fields.value())),
+			};
+		}
+
+		case 'd': {
+			return {
+				kind: 'permit-answer',
+				id: fields.string(),
+				decision: decodePermitDecision(FieldReader.of(fields.value())),
+			};
+		}
+
 		default: {
 			throw new ProblemError(
 				'peer-protocol',
-				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t and g`,
+				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, l, m and d`,
 			);
 		}
 	}
--- a/src/decisions/fleet/member-list.ts
+++ b/src/decisions/fleet/member-list.ts
@@ -10,6 +10,11 @@
 	readonly vmCount: number;
 	/** `vmCount` once this VM has run long enough to discover all others; undefined before. */
 	readonly settledVmCount: number | undefined;
+	/**
+	 * Fraction of `vmCount` that is live by this VM's knowledge, this VM included. In a network partition the
+	 * fractions of all sides add up to 1.
+	 */
+	readonly liveFraction: number;
 	/**
 	 * Highest-ranked live member, to which requests go; it places the generations of all VMs. If it is this
 	 * VM, `isCoordinator` says whether its takeover is complete.
@@ -162,6 +167,10 @@
 		get vmCount() {
 			return vmCount();
 		},
+		get liveFraction() {
+			rankedMembers();
+			return (peers.size + 1) / vmCount();
+		},
 		get settledVmCount() {
 			const settledAfterMs = vmCount() > 1 ? discoveryMs : discoveryByStoreMs;
 			return clock.nowMs() - createdMs >= settledAfterMs
--- a/src/decisions/fleet/placement-client.test.ts
+++ b/src/decisions/fleet/placement-client.test.ts
@@ -61,8 +61,12 @@
 					slotCount: 24,
 					capacityTokens: 34_000,
 					isOutlier: false,
+					turns: undefined,
 				},
 			],
+			takeTurn() {
+				// The engine has no rate limit.
+			},
 			onDecision() {
 				// Nothing is queued.
 			},
--- a/src/decisions/rate-limits/index.ts
+++ b/src/decisions/rate-limits/index.ts
@@ -1,2 +1,3 @@
-export {createRateLimitTable, type RateLimitTable} from './rate-limit-table.js';
-export type {RateLimitChange, RateLimitReport} from './types.js';
+export * from './permit-pool.js';
+export * from './rate-limit-table.js';
+export type * from './types.js';
--- a/src/decisions/rate-limits/rate-limit-table.ts
+++ b/src/decisions/rate-limits/rate-limit-table.ts
@@ -25,6 +25,11 @@
 	recordReport(report: RateLimitReport): void;
 	/** What this VM knows of limits in force and recently lifted, for other VMs. */
 	reports(): readonly RateLimitReport[];
+	/**
+	 * The part of `reports` that responses to requests of this VM have shown or confirmed.
+	 * @param sinceMs - monotonic time from which on, in milliseconds
+	 */
+	ownReports(sinceMs: number): readonly RateLimitReport[];
 	/** Removes the limit of a target that has left or restarted. */
 	forget(targetId: string): void;
 };
@@ -39,6 +44,9 @@
 	readonly requestsPerSecond: number | undefined;
 	/** Monotonic time, in milliseconds; of two observations the later one holds. */
 	readonly observedMs: number;
+	/** Monotonic time at which this VM recorded it, in milliseconds. */
+	readonly recordedMs: number;
+	readonly source: RateLimitChange['source'];
 };
 
 /** Creates a table without limits. */
@@ -48,11 +56,11 @@
 
 	const record = (
 		targetId: string,
-		observation: Observation,
+		requestsPerSecond: number | undefined,
+		observedMs: number,
 		source: RateLimitChange['source'],
 	) => {
 		const previous = observations.get(targetId);
-		const {requestsPerSecond, observedMs} = observation;
 		const isNews = previous
 			? observedMs > previous.observedMs
 			: requestsPerSecond !== undefined;
@@ -60,20 +68,39 @@
 			return;
 		}
 
-		observations.set(targetId, observation);
+		const nowMs = clock.nowMs();
+		observations.set(targetId, {
+			requestsPerSecond,
+			observedMs,
+			recordedMs: nowMs,
+			source,
+		});
 		const previousPerSecond = previous?.requestsPerSecond;
 		if (requestsPerSecond !== previousPerSecond) {
-			const ageMs = clock.nowMs() - observedMs;
 			changed.fire({
 				targetId,
 				requestsPerSecond,
 				previousPerSecond,
 				source,
-				ageMs,
+				ageMs: nowMs - observedMs,
 			});
 		}
 	};
 
+	const selectReports = (
+		isSelected: (observation: Observation) => boolean,
+	): RateLimitReport[] => {
+		removeOldLifted();
+		const nowMs = clock.nowMs();
+		return [...observations]
+			.filter(([, observation]) => isSelected(observation))
+			.map(([targetId, {requestsPerSecond, observedMs}]) => ({
+				targetId,
+				requestsPerSecond,
+				ageMs: nowMs - observedMs,
+			}));
+	};
+
 	const removeOldLifted = () => {
 		const nowMs = clock.nowMs();
 		for (const [targetId, observation] of observations) {
@@ -91,44 +118,30 @@
 		recordResponse(targetId, stated, sentMs) {
 			if (stated.state === 'limited') {
 				const {requestsPerSecond} = stated;
-				record(
-					targetId,
-					{requestsPerSecond, observedMs: clock.nowMs()},
-					'response',
-				);
+				record(targetId, requestsPerSecond, clock.nowMs(), 'response');
 			} else if (stated.state === 'unlimited') {
 				// Responses may overtake each other. Only one to a request that was sent after the target had
 				// named the limit shows that the limit is lifted.
-				record(
-					targetId,
-					{requestsPerSecond: undefined, observedMs: sentMs},
-					'response',
-				);
+				record(targetId, undefined, sentMs, 'response');
 			}
 		},
 		recordReport({targetId, requestsPerSecond, ageMs}) {
-			record(
-				targetId,
-				{requestsPerSecond, observedMs: clock.nowMs() - ageMs},
-				'peer',
-			);
-		},
-		reports() {
-			removeOldLifted();
-			const nowMs = clock.nowMs();
-			return [...observations].map(
-				([targetId, {requestsPerSecond, observedMs}]) => ({
-					targetId,
-					requestsPerSecond,
-					ageMs: nowMs - observedMs,
-				}),
-			);
+			record(targetId, requestsPerSecond, clock.nowMs() - ageMs, 'peer');
 		},
+		reports: () => selectReports(() => true),
+		ownReports: (sinceMs) =>
+			selectReports(
+				({source, recordedMs}) =>
+					source === 'response' && recordedMs >= sinceMs,
+			),
 		forget(targetId) {
+			const nowMs = clock.nowMs();
 			if (observations.has(targetId)) {
 				observations.set(targetId, {
 					requestsPerSecond: undefined,
-					observedMs: clock.nowMs(),
+					observedMs: nowMs,
+					recordedMs: nowMs,
+					source: 'peer',
 				});
 			}
 		},
--- a/src/decisions/rate-limits/types.ts
+++ b/src/decisions/rate-limits/types.ts
@@ -19,3 +19,35 @@
 	/** Time since the response that showed the change, in milliseconds. */
 	readonly ageMs: number;
 };
+
+/** A target and the requests per second that it accepts from all VMs together. */
+export type LimitedTarget = {
+	readonly targetId: string;
+	readonly requestsPerSecond: number;
+};
+
+/** Request for the permit to send one request to one of several targets with a rate limit. */
+export type PermitRequest = {
+	/** In the order of preference, for equal waits. */
+	readonly targets: readonly LimitedTarget[];
+	/** Longest time that the request may wait for its turn, in milliseconds. */
+	readonly maxWaitMs: number;
+	/** True if the request continues a run; it may go ahead of the turn of new requests. */
+	readonly isUrgent: boolean;
+};
+
+/** Decision on a permit request. */
+export type PermitDecision =
+	| {
+			readonly outcome: 'granted';
+			readonly targetId: string;
+			/** Time after which the request may be sent, in milliseconds. */
+			readonly waitMs: number;
+	  }
+	| {
+			readonly outcome: 'denied';
+			/** Time until the next turn at any of the targets, in milliseconds. */
+			readonly waitMs: number;
+			/** Time after which the caller may try again, behind the callers that were denied before, in milliseconds. */
+			readonly retryAfterMs: number;
+	  };
--- a/src/decisions/scheduling/engine-placement.ts
+++ b/src/decisions/scheduling/engine-placement.ts
@@ -3,6 +3,14 @@
 import type {EngineUsage} from './run-registry.js';
 import type {PlacementRequest} from './types.js';
 
+/** Turns of new requests at an engine that limits its request rate. */
+export type EngineTurns = {
+	/** Time until the next turn, in milliseconds. */
+	readonly waitMs: number;
+	/** Time between two turns, in milliseconds. */
+	readonly intervalMs: number;
+};
+
 /** An engine that may run a generation. Memory is the KV cache, counted in tokens. */
 export type EngineCandidate = {
 	readonly targetId: string;
@@ -15,6 +23,8 @@
 	readonly interTokenMs: number;
 	/** True if outlier detection advises against the engine. */
 	readonly isOutlier: boolean;
+	/** Undefined if the engine does not limit its request rate. */
+	readonly turns: EngineTurns | undefined;
 };
 
 /** Expected cost of a generation on one engine. */
@@ -110,8 +120,13 @@
 	};
 }
 
+/** True if a request may be sent to the engine now; a copy of a run needs no turn. */
+const isTurn = ({turns}: EngineCandidate, {purpose}: PlacementRequest) =>
+	purpose === 'copy' || turns === undefined || turns.waitMs <= 0;
+
 /**
- * Chooses the engine with the lowest cost for a generation among those with enough memory and a slot.
+ * Chooses the engine with the lowest cost for a generation among those with enough memory and a slot whose
+ * rate limit permits a request now.
  * @param maxMemoryFraction - fraction of an engine's memory that may be in use at the peak
  * @returns undefined if no engine has room
  */
@@ -127,7 +142,8 @@
 		const evaluation = evaluateEngine(candidate, request);
 		if (
 			evaluation.memoryFraction > maxMemoryFraction ||
-			evaluation.slotFraction > 1
+			evaluation.slotFraction > 1 ||
+			!isTurn(candidate, request)
 		) {
 			continue;
 		}
@@ -169,7 +185,9 @@
 	let best: string | undefined;
 	let bestFraction = maxMemoryFraction;
 	for (const candidate of candidates) {
-		if (candidate.targetId === source.targetId || candidate.isOutlier) {
+		// A run may have to wait for its turn at an engine that limits its request rate.
+		const isUnsuitable = candidate.isOutlier || candidate.turns !== undefined;
+		if (candidate.targetId === source.targetId || isUnsuitable) {
 			continue;
 		}
 
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -19,6 +19,8 @@
 	readonly registry: RunRegistry;
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
+	/** Takes the turn of a new request at an engine that limits its request rate. */
+	readonly takeTurn: (targetId: string) => void;
 	/** Called with the final decision on a request that was queued. */
 	readonly onDecision: (
 		vm: string,
@@ -28,8 +30,8 @@
 };
 
 /**
- * Places generations on engines, queues those that have to wait for memory, and refuses those that would
- * not find any in time. VMs are named by their address.
+ * Places generations on engines, queues those that have to wait for memory or for their turn at engines
+ * that limit their request rate, and refuses those that would not find any in time. VMs are named by their address.
  */
 export type GenerationScheduler = {
 	/** Number of requests in the queue. */
@@ -95,6 +97,10 @@
 			remainingTokens: request.expectedTokens,
 			priority: request.priority,
 		});
+		if (request.purpose === 'run') {
+			options.takeTurn(engine.targetId);
+		}
+
 		const placement: Placement = {
 			targetId: engine.targetId,
 			copyTargetId,
@@ -133,11 +139,12 @@
 		);
 	};
 
-	/** Memory needed by queued generations of the same service that precede this one, in tokens. */
-	const aheadTokens = (generation: PendingGeneration): number => {
+	/** Queued generations of the same service that precede a new one: their number and the memory they need. */
+	const aheadOf = (generation: PendingGeneration) => {
 		const nowMs = clock.nowMs();
 		const rank = queueRank(generation, nowMs);
 		let tokens = 0;
+		let count = 0;
 		for (const other of queue.values()) {
 			if (
 				other.request.service === generation.request.service &&
@@ -145,10 +152,28 @@
 				queueRank(other, nowMs) < rank
 			) {
 				tokens += neededTokens(other.request);
+				count++;
 			}
 		}
 
-		return tokens;
+		return {tokens, count};
+	};
+
+	/** Queues a new generation, or refuses one that would find no engine before its longest wait is over. */
+	const waitOrRefuse = (
+		generation: PendingGeneration,
+		memory: ServiceMemory,
+	): PlacementDecision => {
+		const {request} = generation;
+		const ahead = aheadOf(generation);
+		const turnDelayMs = memory.turnDelayMs(request, ahead.count);
+		if (turnDelayMs > memory.remainingWaitMs(generation)) {
+			return refused('the engines limit their request rate', turnDelayMs);
+		}
+
+		return memory.fitsInTime(generation, ahead.tokens)
+			? {outcome: 'waiting', waitingCount: queue.size}
+			: refused('no engine has memory in time', shortageRetryAfterMs(request));
 	};
 
 	/** Decides without regard to the order of the queue, which the callers keep. */
@@ -175,10 +200,11 @@
 			return place(generation, memory, selection);
 		}
 
-		const mayWait = isNew
-			? memory.fitsInTime(generation, aheadTokens(generation))
-			: memory.remainingWaitMs(generation) > 0;
-		return mayWait
+		if (isNew) {
+			return waitOrRefuse(generation, memory);
+		}
+
+		return memory.remainingWaitMs(generation) > 0
 			? {outcome: 'waiting', waitingCount: queue.size}
 			: refused('no engine has memory in time', shortageRetryAfterMs(request));
 	};
@@ -205,9 +231,9 @@
 			return decide(generation, memory, isNew);
 		}
 
-		return !isNew || memory.fitsInTime(generation, aheadTokens(generation))
-			? {outcome: 'waiting', waitingCount: queue.size}
-			: refused('no engine has memory in time', shortageRetryAfterMs(request));
+		return isNew
+			? waitOrRefuse(generation, memory)
+			: {outcome: 'waiting', waitingCount: queue.size};
 	};
 
 	const queueByRank = () => {
--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -61,6 +61,11 @@
 	 * @param aheadTokens - memory that goes to generations ahead in the queue
 	 */
 	fitsInTime(generation: PendingGeneration, aheadTokens: number): boolean;
+	/**
+	 * Time until the engines' rate limits permit a generation, in milliseconds; 0 if one of them has no limit.
+	 * @param aheadCount - number of generations that precede it in the queue
+	 */
+	turnDelayMs(request: PlacementRequest, aheadCount: number): number;
 };
 
 export type ServiceMemoryOptions = {
@@ -253,6 +258,20 @@
 				random,
 			),
 		remainingWaitMs,
+		turnDelayMs(request, aheadCount) {
+			let firstMs = Infinity;
+			let turnsPerMs = 0;
+			for (const {turns} of notExcluded(request)) {
+				if (!turns) {
+					return 0;
+				}
+
+				firstMs = Math.min(firstMs, turns.waitMs);
+				turnsPerMs += 1 / turns.intervalMs;
+			}
+
+			return firstMs + aheadCount / turnsPerMs;
+		},
 		fitsInTime(generation, aheadTokens) {
 			const {request} = generation;
 			const withinMs = remainingWaitMs(generation);
--- /dev/null
+++ b/src/decisions/serving/call-attempt.ts
@@ -0,0 +1,127 @@
+import type {
+	ResponseHead,
+	SendFailure,
+	TargetEntry,
+	Disposable,
+} from '../../common/index.js';
+import type {CallSessionOptions} from './call-session-types.js';
+import {concatBytes} from './concat-bytes.js';
+import type {AdmittedRequest} from './session-types.js';
+
+/** One send of a call to a target. */
+export type CallAttempt = {
+	readonly target: TargetEntry;
+	/** Monotonic time at which the attempt was created, in milliseconds. */
+	readonly startedMs: number;
+	/** Sends the request; the listener may be called before this returns. */
+	start(): void;
+	/** Aborts the send; the listener is not called any more. */
+	cancel(): void;
+};
+
+/** Receives the outcome of an attempt; exactly one method is called, unless the attempt is cancelled. */
+export type CallAttemptListener = {
+	/** The target has responded to the request completely. */
+	onResponse(attempt: CallAttempt, head: ResponseHead, body: Uint8Array): void;
+	/** The send failed, the response was cut off or too large, or it belongs to another request. */
+	onFailure(attempt: CallAttempt, failure: SendFailure): void;
+};
+
+/** Creates the attempt to send a call to a target and to collect its response. */
+export function createCallAttempt(
+	{request, account, priority, deadlineMs}: AdmittedRequest,
+	target: TargetEntry,
+	options: CallSessionOptions,
+	listener: CallAttemptListener,
+): CallAttempt {
+	const {targetClient} = options;
+	const {maxResponseBytes} = options.responseLimits;
+	const startedMs = options.clock.nowMs();
+	const bufferUsage = options.bufferBudget.track(maxResponseBytes);
+	const openCall = options.trackCall(target);
+	const chunks: Uint8Array[] = [];
+	let head: ResponseHead | undefined;
+	let send: Disposable | undefined;
+	let isOver = false;
+
+	const close = () => {
+		isOver = true;
+		bufferUsage.dispose();
+		openCall.dispose();
+	};
+
+	const fail = (failure: SendFailure) => {
+		if (!isOver) {
+			close();
+			listener.onFailure(attempt, failure);
+		}
+	};
+
+	const handleData = (chunk: Uint8Array) => {
+		if (isOver) {
+			return;
+		}
+
+		chunks.push(chunk);
+		const limitReason = bufferUsage.set(bufferUsage.bytes + chunk.length);
+		if (limitReason) {
+			const reason = `response of ${bufferUsage.bytes} bytes: ${limitReason}`;
+			send?.dispose();
+			fail({unsent: false, reason});
+		}
+	};
+
+	const handleEnd = () => {
+		if (isOver || !head) {
+			return;
+		}
+
+		if (head.requestId === request.id) {
+			close();
+			listener.onResponse(attempt, head, concatBytes(chunks));
+			return;
+		}
+
+		fail({unsent: false, reason: 'answer of another request'});
+		targetClient.closeConnections(target.address);
+	};
+
+	const attempt: CallAttempt = {
+		target,
+		startedMs,
+		start() {
+			send = targetClient.send(
+				target.address,
+				request,
+				{
+					expectedTargetId: target.id,
+					account,
+					timeoutMs: deadlineMs - startedMs,
+					priority,
+					backupAddress: undefined,
+					continueFrom: undefined,
+					lastEventId: undefined,
+					maxAnswerBytes: maxResponseBytes,
+				},
+				{
+					onHead(responseHead) {
+						head = responseHead;
+						if (responseHead.requestId === request.id) {
+							options.onResponseHead(target, responseHead, startedMs);
+						}
+					},
+					onData: handleData,
+					onEnd: handleEnd,
+					onFailure: fail,
+				},
+			);
+		},
+		cancel() {
+			if (!isOver) {
+				close();
+				send?.dispose();
+			}
+		},
+	};
+	return attempt;
+}
--- a/src/decisions/serving/call-session-types.ts
+++ b/src/decisions/serving/call-session-types.ts
@@ -1,16 +1,11 @@
 import type {Disposable, TargetEntry} from '../../common/index.js';
+import type {CallTargetSearch} from './call-target-search.js';
 import type {SessionServices} from './session-types.js';
 
 /** Dependencies of a session for a call to a plain service. */
 export type CallSessionOptions = SessionServices & {
-	/**
-	 * Chooses a target of the service.
-	 * @param avoid - ids of targets that were already tried
-	 */
-	readonly chooseTarget: (
-		service: string,
-		avoid: ReadonlySet<string>,
-	) => TargetEntry | undefined;
+	/** Finds a target of the service; one with a rate limit only with a permit. */
+	readonly findTarget: CallTargetSearch['find'];
 	/** Counts an open call to the target until the result is disposed. */
 	readonly trackCall: (target: TargetEntry) => Disposable;
 };
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {CallerRequest, RouteRule} from '../../common/index.js';
+import {
+	type CallerRequest,
+	createDisposableStore,
+	type RouteRule,
+} from '../../common/index.js';
 import {
 	createFakeCallerResponse,
 	fakeAdmittedRequest,
@@ -11,12 +15,17 @@
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
 import {startCallSession} from './call-session.js';
+import type {
+	CallTargetListener,
+	CallTargetSearch,
+} from './call-target-search.js';
 
 const bytes = (text: string) => new TextEncoder().encode(text);
 
 function start(
 	route: Partial<RouteRule> = {},
 	request: Partial<CallerRequest> = {},
+	findTarget?: CallTargetSearch['find'],
 ) {
 	const time = new VirtualTime();
 	const targetClient = new FakeTargetClient();
@@ -34,7 +43,18 @@
 			...fakeSessionServices(time, targetClient, (event, record) => {
 				log.push(`${event} ${String(record.outcome ?? record.reason ?? '')}`);
 			}),
-			chooseTarget: (_service, avoid) => targets.find(({id}) => !avoid.has(id)),
+			findTarget:
+				findTarget ??
+				(({avoid}, listener) => {
+					const target = targets.find(({id}) => !avoid.has(id));
+					if (target) {
+						listener.onFound(target, undefined);
+					} else {
+						listener.onNone('no target of the service is usable');
+					}
+
+					return createDisposableStore();
+				}),
 			trackCall: () => ({
 				dispose() {
 					// Open calls are not counted here.
@@ -168,3 +188,48 @@
 		assert.deepEqual(targetClient.closedAddresses, [address]);
 	}
 });
+
+test('refuses a call at once as not run, with the time of the next turn, when the targets limit their request rate', () => {
+	const {response, session} = start(unsafe, {}, (_query, listener) => {
+		listener.onNone('the targets limit their request rate', 1250);
+		return createDisposableStore();
+	});
+	assert.deepEqual(
+		[response.status, response.retryAfterS, session.isDone],
+		[503, 1.25, true],
+	);
+});
+
+test('responds with the error of the first target when the hedge that awaits its turn gets none', async () => {
+	const searches: CallTargetListener[] = [];
+	const {time, targetClient, response, respond} = start(
+		{},
+		{},
+		(_query, listener) => {
+			searches.push(listener);
+			return createDisposableStore();
+		},
+	);
+	searches[0].onFound(fakeTargetEntry('t1'), undefined);
+	await time.runUntil(300);
+	assert.equal(searches.length, 2);
+	respond(0, 500, 'broken');
+	assert.deepEqual(
+		[targetClient.sends.length, response.ending],
+		[1, undefined],
+	);
+	searches[1].onNone('the targets limit their request rate', 400);
+	assert.deepEqual([response.status, response.text], [500, 'broken']);
+});
+
+test('does not send a call that has ended while it awaited its turn', async () => {
+	const searches: CallTargetListener[] = [];
+	const {time, targetClient, response} = start({}, {}, (_query, listener) => {
+		searches.push(listener);
+		return createDisposableStore();
+	});
+	await time.runUntil(1001);
+	assert.equal(response.status, 503);
+	searches[0].onFound(fakeTargetEntry('t1'), undefined);
+	assert.equal(targetClient.sends.length, 0);
+});
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -1,12 +1,12 @@
 import type {
-	ResponseHead,
 	Disposable,
+	ResponseHead,
 	SendFailure,
 	TargetEntry,
 } from '../../common/index.js';
+import {createCallAttempt, type CallAttempt} from './call-attempt.js';
 import type {CallSessionOptions} from './call-session-types.js';
-import type {BufferUsage} from './buffer-budget.js';
-import {concatBytes} from './concat-bytes.js';
+import type {TargetPermit} from './call-target-search.js';
 import {promisesNotRun, misdirectedStatus} from './refusals.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {
@@ -15,18 +15,6 @@
 	ServingSession,
 } from './session-types.js';
 
-type Attempt = {
-	readonly target: TargetEntry;
-	readonly startedMs: number;
-	readonly chunks: Uint8Array[];
-	readonly bufferUsage: BufferUsage;
-	/** Open call in the load count of the target. */
-	readonly openCall: Disposable;
-	send: Disposable | undefined;
-	head: ResponseHead | undefined;
-	isOver: boolean;
-};
-
 /** Time without a response after which an idempotent request is hedged at a second target, in milliseconds. */
 const hedgeAfterMs = 250;
 /** Time left below which a request is not sent, since it could not succeed, in milliseconds. */
@@ -34,6 +22,11 @@
 /** `Retry-After` for a call that no target has run, in milliseconds. */
 const retryAfterMs = 300;
 const firstServerErrorStatus = 500;
+/**
+ * Fraction of the objective that a call may wait for its turn at a target with a rate limit; the rest is
+ * left for the target, so that the answer is on time.
+ */
+const turnWaitFraction = 0.5;
 
 /**
  * Serves one call to a plain service. A non-idempotent call is retried only if the target certainly
@@ -44,12 +37,11 @@
 	callerResponse: CallerResponse,
 	options: CallSessionOptions,
 ): ServingSession {
-	const {clock, timers, targetClient, retryShare, log} = options;
-	const {maxResponseBytes} = options.responseLimits;
+	const {clock, timers, retryShare, log} = options;
 	const {request, route, service} = admitted;
 	const isIdempotent = route.kind === 'idempotent';
 	const tried = new Set<string>();
-	const attempts = new Set<Attempt>();
+	const attempts = new Set<CallAttempt>();
 	/** Sends, except those that failed before the request was sent. */
 	let sendCount = 0;
 	/** Ended sends after which the target may have run the request. */
@@ -57,16 +49,11 @@
 	/** Last 5xx response of a target; forwarded if the request is not sent again. */
 	let lastErrorResponse: {head: ResponseHead; body: Uint8Array} | undefined;
 	let hedge: Disposable | undefined;
+	let search: Disposable | undefined;
+	let isSearching = false;
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
 
-	const closeAttempt = (attempt: Attempt) => {
-		attempt.isOver = true;
-		attempts.delete(attempt);
-		attempt.bufferUsage.dispose();
-		attempt.openCall.dispose();
-	};
-
 	const completion = createSessionCompletion({
 		logMessage: 'call ended',
 		admitted,
@@ -77,11 +64,12 @@
 		retryAfterMs,
 		release() {
 			hedge?.dispose();
+			search?.dispose();
 			for (const attempt of attempts) {
-				attempt.send?.dispose();
-				closeAttempt(attempt);
+				attempt.cancel();
 			}
 
+			attempts.clear();
 			return {targetsTried: tried.size};
 		},
 		onTimeout() {
@@ -91,6 +79,10 @@
 	/** True while a target may have run, or may still run, the request; false again after a refusal. */
 	const mayHaveRun = () => mayHaveRunCount > 0 || attempts.size > 0;
 
+	const maySendAgain = () =>
+		mayHaveRunCount === 0 ||
+		(isIdempotent && mayHaveRunCount < route.maxAttempts);
+
 	const giveUp = (reason: string, afterMs?: number) => {
 		if (lastErrorResponse) {
 			completion.sendResponse(
@@ -103,124 +95,111 @@
 		}
 	};
 
-	/**
-	 * Sends the request to a target that has not received it yet.
-	 * @returns false if the time, the targets or the retry budget are used up
-	 */
-	const sendToNextTarget = (reason: string): boolean => {
-		if (leftMs() < minSendMs) {
-			return false;
-		}
-
-		const isRetry = sendCount > 0;
-		const target = options.chooseTarget(service, tried);
-		if (!target || (isRetry && !retryShare.tryTake(service))) {
-			return false;
+	/** Gives up unless a send is still open. */
+	const giveUpIfIdle = (reason: string, afterMs?: number) => {
+		if (!completion.isDone && attempts.size === 0) {
+			giveUp(reason, afterMs);
 		}
+	};
 
+	const send = (
+		target: TargetEntry,
+		permit: TargetPermit | undefined,
+		reason: string,
+	) => {
 		tried.add(target.id);
 		sendCount++;
-		const attempt: Attempt = {
-			target,
-			startedMs: clock.nowMs(),
-			chunks: [],
-			bufferUsage: options.bufferBudget.track(maxResponseBytes),
-			openCall: options.trackCall(target),
-			send: undefined,
-			head: undefined,
-			isOver: false,
-		};
-		attempts.add(attempt);
 		log('call sent', {
 			request: request.id,
 			route: route.name,
 			target: target.id,
 			reason,
 			leftMs: Math.round(leftMs()),
+			...(permit && {
+				limitPerSecond: permit.requestsPerSecond,
+				turnWaitMs: Math.round(permit.waitMs),
+				permitBy: permit.decidedBy,
+			}),
 		});
-		attempt.send = targetClient.send(
-			target.address,
-			request,
-			{
-				expectedTargetId: target.id,
-				account: admitted.account,
-				timeoutMs: leftMs(),
-				priority: admitted.priority,
-				backupAddress: undefined,
-				continueFrom: undefined,
-				lastEventId: undefined,
-				maxAnswerBytes: maxResponseBytes,
-			},
+		const attempt = createCallAttempt(admitted, target, options, {
+			onResponse: handleResponse,
+			onFailure: handleFailure,
+		});
+		attempts.add(attempt);
+		attempt.start();
+	};
+
+	/** Sends the request to a target that has not received it yet, at once or when its turn comes. */
+	const sendToNextTarget = (reason: string, maxWaitMs: number) => {
+		if (leftMs() < minSendMs) {
+			giveUpIfIdle(reason);
+			return;
+		}
+
+		isSearching = true;
+		search = options.findTarget(
+			{service, avoid: tried, maxWaitMs},
 			{
-				onHead(head) {
-					attempt.head = head;
-					if (head.requestId === request.id) {
-						options.onResponseHead(target, head, attempt.startedMs);
+				onFound(target, permit) {
+					isSearching = false;
+					if (completion.isDone) {
+						return;
+					}
+
+					const isRetry = sendCount > 0;
+					if (maySendAgain() && (!isRetry || retryShare.tryTake(service))) {
+						send(target, permit, reason);
+					} else {
+						giveUpIfIdle(reason);
 					}
 				},
-				onData(chunk) {
-					handleData(attempt, chunk);
-				},
-				onEnd() {
-					handleResponse(attempt);
+				onNone(searchReason, afterMs) {
+					isSearching = false;
+					const isLimited = afterMs !== undefined;
+					const isFirst = tried.size === 0;
+					giveUpIfIdle(isLimited || isFirst ? searchReason : reason, afterMs);
 				},
-				onFailure(failure) {
-					handleFailure(attempt, failure);
+				onPermitDenied(targets, waitMs, decidedBy) {
+					log('permit denied', {
+						request: request.id,
+						target: targets.map(({targetId}) => targetId).join(' '),
+						limitPerSecond: targets[0].requestsPerSecond,
+						turnWaitMs: Math.round(waitMs),
+						permitBy: decidedBy,
+					});
 				},
 			},
 		);
-		return true;
 	};
 
+	const maxTurnWaitMs = () =>
+		Math.min(route.objectiveMs, leftMs()) * turnWaitFraction;
+
 	const retryOrGiveUp = (reason: string) => {
-		if (completion.isDone || attempts.size > 0) {
+		if (completion.isDone || attempts.size > 0 || isSearching) {
 			return;
 		}
 
-		const mayRepeat =
-			mayHaveRunCount === 0 ||
-			(isIdempotent && mayHaveRunCount < route.maxAttempts);
-		if (!mayRepeat || !sendToNextTarget(reason)) {
+		if (maySendAgain()) {
+			sendToNextTarget(reason, maxTurnWaitMs());
+		} else {
 			giveUp(reason);
 		}
 	};
 
-	const handleData = (attempt: Attempt, chunk: Uint8Array) => {
-		if (attempt.isOver) {
-			return;
-		}
-
-		attempt.chunks.push(chunk);
-		const limitReason = attempt.bufferUsage.set(
-			attempt.bufferUsage.bytes + chunk.length,
-		);
-		if (limitReason) {
-			const reason = `response of ${attempt.bufferUsage.bytes} bytes: ${limitReason}`;
-			attempt.send?.dispose();
-			handleFailure(attempt, {unsent: false, reason});
-		}
-	};
-
-	const handleFailure = (attempt: Attempt, failure: SendFailure) => {
-		if (attempt.isOver) {
-			return;
-		}
-
-		closeAttempt(attempt);
-		options.onSendResult(
-			attempt.target,
-			false,
-			clock.nowMs() - attempt.startedMs,
-		);
+	const handleFailure = (attempt: CallAttempt, failure: SendFailure) => {
+		const {target} = attempt;
+		attempts.delete(attempt);
+		options.onSendResult(target, false, clock.nowMs() - attempt.startedMs);
 		log('call attempt failed', {
 			request: request.id,
-			target: attempt.target.id,
+			target: target.id,
 			unsent: failure.unsent,
 			reason: failure.reason,
 		});
 		if (failure.unsent) {
 			sendCount--;
-			options.onUnreachable(attempt.target);
+			options.onUnreachable(target);
 		} else {
 			mayHaveRunCount++;
 		}
@@ -228,23 +207,14 @@
 		retryOrGiveUp(failure.unsent ? 'target unreachable' : 'answer lost');
 	};
 
-	const handleResponse = (attempt: Attempt) => {
-		const {head, target} = attempt;
-		if (attempt.isOver || !head) {
-			return;
-		}
-
+	const handleResponse = (
+		attempt: CallAttempt,
+		head: ResponseHead,
+		body: Uint8Array,
+	) => {
+		const {target} = attempt;
 		const latencyMs = clock.nowMs() - attempt.startedMs;
-		if (head.requestId !== request.id) {
-			handleFailure(attempt, {
-				unsent: false,
-				reason: 'answer of another request',
-			});
-			targetClient.closeConnections(target.address);
-			return;
-		}
-
-		closeAttempt(attempt);
+		attempts.delete(attempt);
 		if (
 			head.notExecuted ||
 			(head.status === misdirectedStatus && !head.isFromTarget)
@@ -276,7 +246,6 @@
 			return;
 		}
 
-		const body = concatBytes(attempt.chunks);
 		if (isSuccess) {
 			completion.sendResponse(head, body, 'answered');
 			return;
@@ -296,16 +265,15 @@
 
 	if (isIdempotent && route.maxAttempts > 1) {
 		hedge = timers.after(hedgeAfterMs, () => {
-			if (!completion.isDone && attempts.size === 1 && mayHaveRunCount === 0) {
-				sendToNextTarget('first target is slow');
+			const isHedgeable = attempts.size === 1 && mayHaveRunCount === 0;
+			if (!completion.isDone && !isSearching && isHedgeable) {
+				sendToNextTarget('first target is slow', 0);
 			}
 		});
 	}
 
 	retryShare.recordRequest(service);
-	if (!sendToNextTarget('first send')) {
-		giveUp('no target of the service is usable');
-	}
+	sendToNextTarget('first send', maxTurnWaitMs());
 
 	return {
 		get isDone() {
--- /dev/null
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
+import {fakeTargetEntry, VirtualTime} from '../../experiments/fakes/index.js';
+import {createOutlierDetector} from '../retries/index.js';
+import {
+	createRateLimitTable,
+	type PermitDecision,
+	type PermitRequest,
+} from '../rate-limits/index.js';
+import {createCallTargetSearch} from './call-target-search.js';
+import {createTargetDirectory} from './target-directory.js';
+
+/** Starts a search among targets; those with a limit name it before the test begins. */
+async function start(
+	limits: Readonly<Record<string, number | undefined>>,
+	decide: (request: PermitRequest) => PermitDecision,
+) {
+	const time = new VirtualTime();
+	const random = new SeededRandomSource(4);
+	const directory = createTargetDirectory({
+		clock: time,
+		lapseGraceMs: 2000,
+		unreachableMs: 1000,
+		lingerMs: 30_000,
+	});
+	const rateLimits = createRateLimitTable(time);
+	await time.runUntil(1);
+	for (const [id, requestsPerSecond] of Object.entries(limits)) {
+		directory.set(id, fakeTargetEntry(id), 1);
+		if (requestsPerSecond !== undefined) {
+			const stated = {state: 'limited', requestsPerSecond} as const;
+			rateLimits.recordResponse(id, stated, 0);
+		}
+	}
+
+	const permitRequests: PermitRequest[] = [];
+	const outcomes: string[] = [];
+	const search = createCallTargetSearch({
+		availabilityZone: 'zone-1',
+		clock: time,
+		timers: time,
+		random,
+		directory,
+		detector: createOutlierDetector({
+			clock: time,
+			maxFailures: 3,
+			slowFactor: 5,
+			slowMinMs: 20,
+			ejectionMs: 2000,
+			maxEjectionMs: 30_000,
+			maxEjectedFraction: 0.5,
+			onEjected() {
+				// No target fails in these tests.
+			},
+		}),
+		rateLimits,
+		requestPermit(request, onDecision) {
+			permitRequests.push(request);
+			onDecision(decide(request), 'vm-1');
+			return createDisposableStore();
+		},
+	});
+	const find = (maxWaitMs = 100, avoid: readonly string[] = []) =>
+		search.find(
+			{service: 'desk', avoid: new Set(avoid), maxWaitMs},
+			{
+				onFound(target, permit) {
+					const waitText = permit ? ` after ${permit.waitMs}` : '';
+					outcomes.push(`${target.id}${waitText}`);
+				},
+				onNone(reason, retryAfterMs) {
+					outcomes.push(`${reason}, ${retryAfterMs}`);
+				},
+				onPermitDenied(targets, waitMs) {
+					outcomes.push(`denied ${targets.length} for ${waitMs}`);
+				},
+			},
+		);
+	return {time, directory, rateLimits, permitRequests, outcomes, find};
+}
+
+const grant =
+	(waitMs: number) =>
+	({targets}: PermitRequest): PermitDecision => ({
+		outcome: 'granted',
+		targetId: targets[0].targetId,
+		waitMs,
+	});
+
+const deny =
+	(waitMs: number, retryAfterMs = waitMs) =>
+	(): PermitDecision => ({outcome: 'denied', waitMs, retryAfterMs});
+
+test('asks for no permit while no target has a rate limit', async () => {
+	const {find, permitRequests, outcomes} = await start(
+		{t1: undefined},
+		deny(100),
+	);
+	find();
+	assert.deepEqual([permitRequests.length, outcomes], [0, ['t1']]);
+});
+
+test('uses a target without a limit at once when a limited one has no turn', async () => {
+	const limits = {t1: 4, t2: undefined};
+	const {find, permitRequests, outcomes} = await start(limits, deny(250));
+	for (let index = 0; index < 20; index++) {
+		find();
+	}
+
+	assert.deepEqual(
+		permitRequests.map(({maxWaitMs}) => maxWaitMs),
+		[0],
+	);
+	assert.equal(outcomes.filter((outcome) => outcome === 't2').length, 20);
+});
+
+test('refuses at once, with the time of the next turn, when every target is limited and has no turn in time', async () => {
+	const limits = {t1: 4, t2: 4};
+	const {time, find, permitRequests, outcomes} = await start(
+		limits,
+		deny(400, 700),
+	);
+	find();
+	assert.equal(permitRequests[0].targets.length, 2);
+	assert.deepEqual(outcomes, [
+		'denied 2 for 400',
+		'the targets limit their request rate, 700',
+	]);
+	find();
+	assert.equal(permitRequests.length, 1);
+	const refusal = outcomes[2];
+	const retryAfterMs = Number(refusal.split(', ')[1]);
+	assert.ok(retryAfterMs >= 400 && retryAfterMs <= 800, refusal);
+	await time.runUntil(350);
+	find();
+	assert.equal(permitRequests.length, 2);
+});
+
+test('waits for the turn that it was granted', async () => {
+	const {time, find, outcomes} = await start({t1: 4}, grant(80));
+	find();
+	await time.runUntil(80);
+	assert.deepEqual(outcomes, []);
+	await time.runUntil(82);
+	assert.deepEqual(outcomes, ['t1 after 80']);
+});
+
+test('a search that was ended does not use its turn', async () => {
+	const {time, find, outcomes} = await start({t1: 4}, grant(80));
+	find().dispose();
+	await time.runUntil(1000);
+	assert.deepEqual(outcomes, []);
+});
+
+test('looks for another target when the one whose turn it awaited leaves', async () => {
+	const limits = {t1: 4, t2: 4};
+	const {time, directory, find, permitRequests, outcomes} = await start(
+		limits,
+		grant(80),
+	);
+	find();
+	const [{targets}] = permitRequests;
+	directory.markLeaving(targets[0].targetId);
+	await time.runUntil(500);
+	assert.deepEqual(outcomes, [`${targets[1].targetId} after 80`]);
+	assert.equal(permitRequests[1].maxWaitMs, 20);
+});
+
+test('sends to a target freely again once it has lifted its limit', async () => {
+	const {time, rateLimits, find, permitRequests, outcomes} = await start(
+		{t1: 4},
+		grant(0),
+	);
+	find();
+	await time.runUntil(50);
+	rateLimits.recordResponse('t1', {state: 'unlimited'}, 40);
+	find();
+	assert.equal(permitRequests.length, 1);
+	assert.deepEqual(outcomes, ['t1 after 0', 't1']);
+});
--- /dev/null
+++ b/src/decisions/serving/call-target-search.ts
@@ -0,0 +1,251 @@
+import {
+	type Clock,
+	createDisposableStore,
+	type Disposable,
+	type RandomSource,
+	type TargetEntry,
+	type Timers,
+} from '../../common/index.js';
+import type {OutlierDetector} from '../retries/index.js';
+import type {
+	LimitedTarget,
+	PermitDecision,
+	PermitRequest,
+	RateLimitTable,
+} from '../rate-limits/index.js';
+import {chooseServiceTarget} from './service-placement.js';
+import type {TargetDirectory} from './target-directory.js';
+
+/** Permit under which a request is sent to a target with a rate limit. */
+export type TargetPermit = {
+	/** Limit of the target as this VM knows it, in requests per second; undefined if it was lifted meanwhile. */
+	readonly requestsPerSecond: number | undefined;
+	/** Time that the request has waited for its turn, in milliseconds. */
+	readonly waitMs: number;
+	/** Address of the VM that granted the permit. */
+	readonly decidedBy: string;
+};
+
+/** Receives the outcome of a search for the target of a call. */
+export type CallTargetListener = {
+	/** @param permit - undefined if the target has no rate limit */
+	onFound(target: TargetEntry, permit: TargetPermit | undefined): void;
+	/** @param retryAfterMs - time after which the caller may try again, in milliseconds, if it is known */
+	onNone(reason: string, retryAfterMs?: number): void;
+	/** Called when targets are passed over because of their rate limits. */
+	onPermitDenied(
+		targets: readonly LimitedTarget[],
+		waitMs: number,
+		decidedBy: string,
+	): void;
+};
+
+/** What a call needs of its target. */
+export type CallTargetQuery = {
+	readonly service: string;
+	/** Ids of targets that were already tried. */
+	readonly avoid: ReadonlySet<string>;
+	/** Longest time that the call may wait for its turn at a target, in milliseconds. */
+	readonly maxWaitMs: number;
+};
+
+/** Chooses targets for calls to plain services from the state of this VM, and counts its open calls. */
+export type CallTargetSearch = {
+	/**
+	 * Finds a target; one with a rate limit only with a permit. The listener may be called before this returns.
+	 * @returns disposing it ends the search
+	 */
+	find(query: CallTargetQuery, listener: CallTargetListener): Disposable;
+	/** Counts an open call to a target until disposed. */
+	track(target: TargetEntry): Disposable;
+};
+
+export type CallTargetSearchOptions = {
+	readonly availabilityZone: string;
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly random: RandomSource;
+	readonly directory: TargetDirectory;
+	readonly detector: OutlierDetector;
+	readonly rateLimits: RateLimitTable;
+	readonly requestPermit: (
+		request: PermitRequest,
+		onDecision: (decision: PermitDecision, decidedBy: string) => void,
+	) => Disposable;
+};
+
+const limitReason = 'the targets limit their request rate';
+
+/** Targets among which a search chooses, in the order of preference. */
+type Choice = {
+	/** Targets with a rate limit that rank before `unlimited`. */
+	readonly limited: readonly LimitedTarget[];
+	/** Best target without a rate limit. */
+	readonly unlimited: TargetEntry | undefined;
+};
+
+export function createCallTargetSearch(
+	options: CallTargetSearchOptions,
+): CallTargetSearch {
+	const {clock, timers, random, directory, detector, rateLimits} = options;
+	const openCalls = new Map<string, number>();
+	/** Monotonic times before which limited targets have no turn for this VM, in milliseconds. */
+	const nextTurnMs = new Map<string, number>();
+
+	const entryOf = (targetId: string) => directory.get(targetId)?.entry;
+
+	const choose = ({service, avoid}: CallTargetQuery): Choice => {
+		const excluded = detector.excluded(service);
+		const candidates = directory.usable(service).map(({entry}) => ({
+			targetId: entry.id,
+			availabilityZone: entry.availabilityZone,
+			slotCount: entry.slotCount,
+			openCount: openCalls.get(entry.id) ?? 0,
+			isSuspect: excluded.has(entry.id),
+		}));
+		const passed = new Set(avoid);
+		const limited: LimitedTarget[] = [];
+		for (;;) {
+			const chosen = chooseServiceTarget(
+				candidates,
+				options.availabilityZone,
+				passed,
+				random,
+			);
+			if (!chosen) {
+				return {limited, unlimited: undefined};
+			}
+
+			const {targetId} = chosen;
+			const requestsPerSecond = rateLimits.limitOf(targetId);
+			if (requestsPerSecond === undefined) {
+				return {limited, unlimited: entryOf(targetId)};
+			}
+
+			passed.add(targetId);
+			limited.push({targetId, requestsPerSecond});
+		}
+	};
+
+	const waitMsOf = ({targetId}: LimitedTarget) =>
+		Math.max(0, (nextTurnMs.get(targetId) ?? -Infinity) - clock.nowMs());
+
+	/**
+	 * Time after which a caller that is refused without a request to the coordinator may try again, in
+	 * milliseconds; callers are spread over the time of one more turn.
+	 */
+	const refusalMs = (limited: readonly LimitedTarget[]) =>
+		Math.min(...limited.map((target) => waitMsOf(target))) *
+		(1 + random.nextUnit());
+
+	/** Records that targets have no turn for this VM before a time. */
+	const recordDenial = (targets: readonly LimitedTarget[], waitMs: number) => {
+		const nowMs = clock.nowMs();
+		for (const [targetId, turnMs] of nextTurnMs) {
+			if (turnMs <= nowMs) {
+				nextTurnMs.delete(targetId);
+			}
+		}
+
+		for (const {targetId} of targets) {
+			nextTurnMs.set(targetId, nowMs + waitMs);
+		}
+	};
+
+	/** Uses the best target without a limit, or reports that there is none. */
+	const useUnlimited = (
+		{unlimited, limited}: Choice,
+		listener: CallTargetListener,
+		refuse: () => void,
+	) => {
+		if (unlimited && directory.get(unlimited.id)) {
+			listener.onFound(unlimited, undefined);
+		} else if (limited.length > 0) {
+			refuse();
+		} else {
+			listener.onNone('no target of the service is usable');
+		}
+	};
+
+	const find = (
+		query: CallTargetQuery,
+		listener: CallTargetListener,
+	): Disposable => {
+		const owned = createDisposableStore();
+		const startedMs = clock.nowMs();
+		const choice = choose(query);
+		const maxWaitMs = choice.unlimited ? 0 : query.maxWaitMs;
+		const targets = choice.limited.filter(
+			(target) => waitMsOf(target) <= maxWaitMs,
+		);
+		if (targets.length === 0) {
+			useUnlimited(choice, listener, () => {
+				listener.onNone(limitReason, refusalMs(choice.limited));
+			});
+			return owned;
+		}
+
+		const handleGrant = (targetId: string, decidedBy: string) => {
+			const target = entryOf(targetId);
+			const waitMs = clock.nowMs() - startedMs;
+			if (target) {
+				const requestsPerSecond = rateLimits.limitOf(targetId);
+				listener.onFound(target, {requestsPerSecond, waitMs, decidedBy});
+				return;
+			}
+
+			// The target has left meanwhile.
+			const remainingQuery = {
+				...query,
+				avoid: new Set([...query.avoid, targetId]),
+				maxWaitMs: Math.max(0, query.maxWaitMs - waitMs),
+			};
+			owned.add(find(remainingQuery, listener));
+		};
+
+		const request: PermitRequest = {targets, maxWaitMs, isUrgent: false};
+		owned.add(
+			options.requestPermit(request, (decision, decidedBy) => {
+				const {waitMs} = decision;
+				if (decision.outcome === 'denied') {
+					recordDenial(targets, waitMs);
+					listener.onPermitDenied(targets, waitMs, decidedBy);
+					useUnlimited(choice, listener, () => {
+						listener.onNone(limitReason, decision.retryAfterMs);
+					});
+				} else if (waitMs > 0) {
+					owned.add(
+						timers.after(waitMs, () => {
+							handleGrant(decision.targetId, decidedBy);
+						}),
+					);
+				} else {
+					handleGrant(decision.targetId, decidedBy);
+				}
+			}),
+		);
+		return owned;
+	};
+
+	return {
+		find,
+		track({id}) {
+			const changeCount = (change: number) => {
+				const openCount = (openCalls.get(id) ?? 0) + change;
+				if (openCount > 0) {
+					openCalls.set(id, openCount);
+				} else {
+					openCalls.delete(id);
+				}
+			};
+
+			changeCount(1);
+			detector.recordSent(id);
+			return {
+				dispose() {
+					changeCount(-1);
+				},
+			};
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/serving/run-continuation.ts
@@ -0,0 +1,112 @@
+import type {Disposable, KvCacheCopy} from '../../common/index.js';
+import type {ContinuationRetries} from './continuation-retries.js';
+import {continuationPlacement, type RunCopy} from './run-copies.js';
+import type {AdmittedRequest} from './session-types.js';
+import type {StreamCopies} from './stream-copies.js';
+import type {
+	StreamPlacement,
+	StreamSessionOptions,
+} from './stream-session-types.js';
+
+/** Continues the run of one stream from copies of its KV cache. */
+export type RunContinuation = Disposable & {
+	/** Number of times that the run was sent to an engine with a copy. */
+	readonly count: number;
+	/**
+	 * Continues a lost run from the next copy of its KV cache.
+	 * @param orElse - called if no copy, too little time, no retry budget or no turn at an engine is left
+	 * @param isGranted - true if the retry budget has already been charged
+	 */
+	start(reason: string, orElse: () => void, isGranted?: boolean): void;
+};
+
+export type RunContinuationOptions = {
+	readonly admitted: AdmittedRequest;
+	readonly session: StreamSessionOptions;
+	readonly copies: StreamCopies;
+	readonly retries: ContinuationRetries;
+	/** Sends the request to the engine of the placement, to continue there from the copy. */
+	readonly dispatch: (
+		placement: StreamPlacement,
+		continueFrom: KvCacheCopy,
+		reason: string,
+	) => void;
+};
+
+/** Time left below which a run is not continued, in milliseconds. */
+const minSendMs = 50;
+
+/** Creates the continuation of a run that has not been lost. */
+export function createRunContinuation(
+	options: RunContinuationOptions,
+): RunContinuation {
+	const {admitted, copies, retries} = options;
+	const {clock, log, requestContinuationTurn} = options.session;
+	const {request} = admitted;
+	let count = 0;
+	let pendingTurn: Disposable | undefined;
+
+	const send = ({target, kvCache}: RunCopy, reason: string) => {
+		count++;
+		options.dispatch(
+			continuationPlacement(target, `${request.id}.m${count}`),
+			kvCache,
+			reason,
+		);
+	};
+
+	/** Sends the request when its turn comes at the engine; without a turn in time, the next copy is tried. */
+	const sendInTurn = (copy: RunCopy, reason: string, orElse: () => void) => {
+		let isDecided = false;
+		const turn = requestContinuationTurn(copy.target, (isGranted) => {
+			isDecided = true;
+			pendingTurn = undefined;
+			if (isGranted) {
+				send(copy, reason);
+				return;
+			}
+
+			log('continuation denied', {
+				request: request.id,
+				target: copy.target.id,
+				reason: 'rate limit',
+			});
+			start(reason, orElse, true);
+		});
+		if (!isDecided) {
+			pendingTurn = turn;
+		}
+	};
+
+	const start = (reason: string, orElse: () => void, isGranted = false) => {
+		const copy = copies.nextCopy();
+		const leftMs = admitted.deadlineMs - clock.nowMs();
+		if (!copy || leftMs < minSendMs) {
+			orElse();
+			return;
+		}
+
+		if (isGranted) {
+			sendInTurn(copy, reason, orElse);
+			return;
+		}
+
+		retries.request((isGrantedNow) => {
+			if (isGrantedNow) {
+				sendInTurn(copy, reason, orElse);
+			} else {
+				orElse();
+			}
+		});
+	};
+
+	return {
+		get count() {
+			return count;
+		},
+		start,
+		dispose() {
+			pendingTurn?.dispose();
+		},
+	};
+}
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -1,4 +1,5 @@
 import type {Disposable, TargetEntry} from '../../common/index.js';
+import type {RequestContinuationTurn} from './continuation-turn.js';
 import type {
 	AdmittedRequest,
 	ServingSession,
@@ -69,6 +70,7 @@
 		run: StreamRun,
 		avoid: ReadonlySet<string>,
 	) => Promise<TargetEntry | undefined>;
+	readonly requestContinuationTurn: RequestContinuationTurn;
 	/** True while the target is known and not leaving. */
 	readonly isPresent: (targetId: string) => boolean;
 	/** True while the target is present and its last connection attempt did not fail. */
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -245,3 +245,49 @@
 	assert.equal(begun.response.ending, 'aborted');
 	assert.equal(begun.log.at(-1)?.record.outcome, 'the VM stopped');
 });
+
+test('a lost run waits for its turn at the engine of its copy when that limits its request rate', async () => {
+	const {time, targetClient, response} = startTestStream({
+		backup: secondEngine,
+		decideTurn: (targetId, {isUrgent}) => ({
+			outcome: 'granted',
+			targetId,
+			waitMs: isUrgent ? 300 : 0,
+		}),
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	failSend(targetClient.sends[0]);
+	await time.runUntil(299);
+	assert.equal(targetClient.sends.length, 1);
+	await time.runUntil(301);
+	assert.equal(targetClient.sends[1].address, secondEngine.address);
+	assert.equal(response.ending, undefined);
+});
+
+test('a lost run without a turn at the engine of its copy is not sent there', () => {
+	const {targetClient, response, log} = startTestStream({
+		backup: secondEngine,
+		decideTurn: () => ({outcome: 'denied', waitMs: 4000, retryAfterMs: 4000}),
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	failSend(targetClient.sends[0]);
+	assert.equal(targetClient.sends.length, 1);
+	assert.equal(response.ending, 'aborted');
+	const denial = log.find(({event}) => event === 'continuation denied');
+	assert.deepEqual(
+		[denial?.record.target, denial?.record.reason],
+		[secondEngine.id, 'rate limit'],
+	);
+});
+
+test('a caller that leaves while a lost run waits for its turn costs no further send', async () => {
+	const {time, targetClient, session} = startTestStream({
+		backup: secondEngine,
+		decideTurn: (targetId) => ({outcome: 'granted', targetId, waitMs: 300}),
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	failSend(targetClient.sends[0]);
+	session.callerDisconnected();
+	await time.runUntil(1000);
+	assert.equal(targetClient.sends.length, 1);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -10,7 +10,7 @@
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import {createStreamResponse} from './stream-answer.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
-import {continuationPlacement, type RunCopy} from './run-copies.js';
+import {createRunContinuation} from './run-continuation.js';
 import {createStallDetector} from './stall-detector.js';
 import {createContinuationRetries} from './continuation-retries.js';
 import {createStreamCopies} from './stream-copies.js';
@@ -24,8 +24,6 @@
 const retryAfterMs = 400;
 /** Priority of a late generation; less urgent than the engines' default, which is 5. */
 const latePriority = 7;
-/** Time left below which a run is not continued, in milliseconds. */
-const minSendMs = 50;
 
 /**
  * Serves one stream. A generation that may have started is never started again. It continues at
@@ -42,7 +40,6 @@
 	const avoid = new Set<string>();
 	let send: StreamAttempt | undefined;
 	let mayHaveRunEarlier = false;
-	let continuationCount = 0;
 	const response = createStreamResponse(callerResponse, admitted.arrivedMs);
 	const stallDetector = createStallDetector(clock, response);
 	const continuationRetries = createContinuationRetries(admitted, options);
@@ -63,12 +60,13 @@
 		release() {
 			engineSearch.dispose();
 			continuationRetries.dispose();
+			continuation.dispose();
 			const target = send?.placement.target.id;
 			closeSend();
 			return {
 				target,
 				events: response.eventCount,
-				moves: continuationCount,
+				moves: continuation.count,
 				...response.eventTiming.logFields(),
 			};
 		},
@@ -121,52 +119,20 @@
 		attempt.start();
 	};
 
+	const continuation = createRunContinuation({
+		admitted,
+		session: options,
+		copies,
+		retries: continuationRetries,
+		dispatch,
+	});
+
 	/** Lowers the priority of a late generation, so that it does not delay those that can be on time. */
 	const priorityOf = (placement: StreamPlacement) =>
 		response.eventCount === 0 && placement.isLate
 			? latePriority
 			: admitted.priority;
 
-	/**
-	 * Continues a lost run from the next copy of its KV cache.
-	 * @param orElse - called if no copy, too little time or no retry budget is left
-	 * @param isGranted - true if the retry budget has already been charged
-	 */
-	const continueRun = (
-		reason: string,
-		orElse: () => void,
-		isGranted = false,
-	) => {
-		const copy = copies.nextCopy();
-		const leftMs = admitted.deadlineMs - clock.nowMs();
-		if (!copy || leftMs < minSendMs) {
-			orElse();
-			return;
-		}
-
-		if (isGranted) {
-			continueAt(copy, reason);
-			return;
-		}
-
-		continuationRetries.request((isGrantedNow) => {
-			if (isGrantedNow) {
-				continueAt(copy, reason);
-			} else {
-				orElse();
-			}
-		});
-	};
-
-	const continueAt = ({target, kvCache}: RunCopy, reason: string) => {
-		continuationCount++;
-		dispatch(
-			continuationPlacement(target, `${request.id}.m${continuationCount}`),
-			kvCache,
-			reason,
-		);
-	};
-
 	const onEvent = (
 		current: StreamAttempt,
 		event: StreamEvent,
@@ -220,7 +186,7 @@
 		if (failure.unsent) {
 			options.onUnreachable(target);
 			if (current.isContinuation) {
-				continueRun('copy unreachable', () => {
+				continuation.start('copy unreachable', () => {
 					giveUp('the copy of the run is lost');
 				});
 			} else {
@@ -236,7 +202,7 @@
 			giveUp('the run was lost');
 		};
 
-		continueRun('run lost', giveUpLostRun, isGranted);
+		continuation.start('run lost', giveUpLostRun, isGranted);
 	};
 
 	const onEnd = (current: StreamAttempt, head: ResponseHead) => {
@@ -276,7 +242,7 @@
 		};
 
 		if (isRefused) {
-			continueRun('copy refused', endHere);
+			continuation.start('copy refused', endHere);
 		} else {
 			endHere();
 		}
--- a/src/experiments/fakes/fake-scheduler.ts
+++ b/src/experiments/fakes/fake-scheduler.ts
@@ -18,6 +18,7 @@
 	slotCount: 24,
 	capacityTokens: 20_000,
 	isOutlier: false,
+	turns: undefined,
 	...changes,
 });
 
@@ -45,8 +46,12 @@
 /**
  * Starts a generation scheduler in virtual time. All placement requests come from one VM, `vm-1`.
  * @param engines - engines of the service; the array may be changed later
+ * @param takeTurn - called when a run is placed
  */
-export function startTestScheduler(engines: EngineEntry[]) {
+export function startTestScheduler(
+	engines: EngineEntry[],
+	takeTurn: (targetId: string) => void = () => undefined,
+) {
 	const time = new VirtualTime();
 	const registry = createRunRegistry(time);
 	/** Decisions on requests that had been queued. */
@@ -56,6 +61,7 @@
 		random: new SeededRandomSource(5),
 		registry,
 		engines: () => engines,
+		takeTurn,
 		onDecision(_vm, {id}, decision) {
 			decisions.push({id, decision});
 		},
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -1,5 +1,10 @@
-import type {TargetEntry} from '../../common/index.js';
+import {createDisposableStore, type TargetEntry} from '../../common/index.js';
+import type {
+	PermitDecision,
+	PermitRequest,
+} from '../../decisions/rate-limits/index.js';
 import {
+	createContinuationTurns,
 	type RetryShareOptions,
 	startStreamSession,
 } from '../../decisions/serving/index.js';
@@ -33,6 +38,11 @@
 	readonly areEnginesFull?: boolean;
 	/** Retry pool of the fleet; see `fakeSessionServices`. */
 	readonly askPool?: RetryShareOptions['askPool'];
+	/** Decides on the turns of continued runs; if given, all engines limit their request rate. */
+	readonly decideTurn?: (
+		targetId: string,
+		request: PermitRequest,
+	) => PermitDecision;
 };
 
 /**
@@ -102,6 +112,21 @@
 				[thirdEngine, secondEngine].find(
 					({id}) => !avoid.has(id) && !leavingIds.has(id),
 				),
+			requestContinuationTurn: createContinuationTurns({
+				timers: time,
+				rateLimits: {limitOf: () => (options.decideTurn ? 1 : undefined)},
+				requestPermit(request, onDecision) {
+					const [{targetId}] = request.targets;
+					onDecision(
+						options.decideTurn?.(targetId, request) ?? {
+							outcome: 'denied',
+							waitMs: 0,
+							retryAfterMs: 0,
+						},
+					);
+					return createDisposableStore();
+				},
+			}),
 			isPresent: (id) => !leavingIds.has(id),
 			isReachable: (id) => !leavingIds.has(id) && !unreachableIds.has(id),
 			areDeparturesReported: () => options.areDeparturesReported ?? true,
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -127,7 +127,7 @@
 			},
 			{
 				file: `${serving}/stream-session.js`,
-				original: "continueRun('run lost', giveUpLostRun, isGranted);",
+				original: "continuation.start('run lost', giveUpLostRun, isGranted);",
 				replacement: 'giveUpLostRun();',
 			},
 		],
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -110,7 +110,8 @@
 		directory,
 		detector,
 		rateLimits,
-		targetSelector,
+		callTargets,
+		engineSelector,
 		storeWatch,
 	} = deployment;
 	owned.add(logRateLimitChanges(rateLimits, logger, metrics));
@@ -131,7 +132,9 @@
 		random,
 		targetClient,
 		directory,
-		targetSelector,
+		engineSelector,
+		callTargets,
+		requestContinuationTurn: deployment.requestContinuationTurn,
 		detector,
 		retryShare: deployment.retryShare,
 		rateLimits,
@@ -194,7 +197,7 @@
 			timers,
 			isEngineService,
 			onCapacity(service, tokens) {
-				targetSelector.setCapacity(service, tokens);
+				engineSelector.setCapacity(service, tokens);
 			},
 			logger,
 		}),
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -11,23 +11,30 @@
 	createOutlierDetector,
 	type OutlierDetector,
 } from '../../decisions/retries/index.js';
-import type {TableSyncState} from '../../decisions/fleet/index.js';
+import type {
+	PermitClient,
+	TableSyncState,
+} from '../../decisions/fleet/index.js';
 import {
 	createRateLimitTable,
 	type RateLimitTable,
 } from '../../decisions/rate-limits/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
 import {
+	type CallTargetSearch,
 	type ConfigurationState,
+	createCallTargetSearch,
 	createConfigurationState,
+	createContinuationTurns,
 	createRetryShare,
 	createTargetDirectory,
 	type ReadReason,
+	type RequestContinuationTurn,
 	type RetryShare,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {StoreClient} from '../../platform/index.js';
-import {createTargetSelector, type TargetSelector} from './target-selector.js';
+import {createEngineSelector, type EngineSelector} from './engine-selector.js';
 import type {FrontSettings} from './front-settings.js';
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
@@ -54,9 +61,11 @@
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
-	readonly targetSelector: TargetSelector;
+	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly rateLimits: RateLimitTable;
+	readonly callTargets: CallTargetSearch;
+	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
 	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
 	resumedMs(): number;
@@ -140,8 +149,9 @@
 			random,
 			store,
 			retryBounds,
+			rateLimits,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
-			engines: (service) => targetSelector.engines(service),
+			engines: (service) => engineSelector.engines(service),
 			storeReadState: () => late.storeWatch?.readState ?? 'idle',
 			configurationSyncState: () =>
 				late.storeWatch?.configurationSync.state ?? unsyncedTable,
@@ -163,16 +173,33 @@
 			logger,
 		}),
 	);
-	const targetSelector = createTargetSelector({
+	const engineSelector = createEngineSelector({
 		availabilityZone: vm.availabilityZone,
 		clock,
 		directory,
 		detector,
 		statistics: createLengthStatistics(),
-		random,
 		placementClient: () => fleetExchange.placementClient,
+		permitClient: () => fleetExchange.permitClient,
 		runReporter: () => fleetExchange.runReporter,
 	});
+	const requestPermit: PermitClient['request'] = (request, onDecision) =>
+		fleetExchange.permitClient.request(request, onDecision);
+	const requestContinuationTurn = createContinuationTurns({
+		timers,
+		rateLimits,
+		requestPermit,
+	});
+	const callTargets = createCallTargetSearch({
+		availabilityZone: vm.availabilityZone,
+		clock,
+		timers,
+		random,
+		directory,
+		detector,
+		rateLimits,
+		requestPermit,
+	});
 	const retryShare = createRetryShare({
 		clock,
 		bounds: retryBounds,
@@ -220,9 +247,11 @@
 		configuration,
 		directory,
 		detector,
-		targetSelector,
+		engineSelector,
 		retryShare,
 		rateLimits,
+		callTargets,
+		requestContinuationTurn,
 		storeWatch,
 		resumedMs: () => fleetExchange.resumedMs(),
 		dispose() {
--- a/src/programs/front/target-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -1,12 +1,14 @@
 import {
 	type AdmittedRequest,
-	chooseServiceTarget,
 	type PlacementListener,
 	type RunTracker,
 	type StreamRun,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import type {PlacementClient} from '../../decisions/fleet/index.js';
+import type {
+	PermitClient,
+	PlacementClient,
+} from '../../decisions/fleet/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {LengthStatistics} from '../../decisions/routing/index.js';
 import type {
@@ -15,30 +17,18 @@
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
-import type {
-	Clock,
-	Disposable,
-	RandomSource,
-	TargetEntry,
-} from '../../common/index.js';
+import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
 import type {RunReporter} from './run-reporter.js';
 
 /**
- * Chooses targets for calls from the state of this VM, requests engines for generations from the
- * coordinator, and tracks the requests sent to them. A run is a generation on its engine.
+ * Requests engines for generations from the coordinator, and tracks the requests sent to them. A run is a
+ * generation on its engine.
  */
-export type TargetSelector = {
+export type EngineSelector = {
 	/** Sets the KV cache capacity of the engines of a service, in tokens. */
 	setCapacity(service: string, capacityTokens: number): void;
 	/** Engines of a service that accept requests now. */
 	engines(service: string): readonly EngineEntry[];
-	/** Chooses a target of a plain service; undefined if none is usable. */
-	chooseTarget(
-		service: string,
-		avoid: ReadonlySet<string>,
-	): TargetEntry | undefined;
-	/** Counts an open call to a target until disposed. */
-	trackCall(target: TargetEntry): Disposable;
 	/**
 	 * Requests an engine for a generation.
 	 * @returns disposing it cancels the request
@@ -64,14 +54,14 @@
 	expectedOutputTokens(admitted: AdmittedRequest): number;
 };
 
-export type TargetSelectorOptions = {
+export type EngineSelectorOptions = {
 	readonly availabilityZone: string;
 	readonly clock: Clock;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly statistics: LengthStatistics;
-	readonly random: RandomSource;
 	readonly placementClient: () => PlacementClient;
+	readonly permitClient: () => Pick<PermitClient, 'turnsOf'>;
 	readonly runReporter: () => RunReporter;
 };
 
@@ -90,13 +80,11 @@
  */
 const maxExcludedFraction = 0.5;
 
-export function createTargetSelector(
-	options: TargetSelectorOptions,
-): TargetSelector {
-	const {directory, detector, random, availabilityZone, statistics, clock} =
-		options;
+export function createEngineSelector(
+	options: EngineSelectorOptions,
+): EngineSelector {
+	const {directory, detector, availabilityZone, statistics, clock} = options;
 	const capacities = new Map<string, number>();
-	const openCalls = new Map<string, number>();
 	let nextRequestNumber = 1;
 
 	/** Expected number of tokens after those already produced. */
@@ -170,42 +158,9 @@
 				slotCount: entry.slotCount,
 				capacityTokens,
 				isOutlier: excluded.has(entry.id),
+				turns: options.permitClient().turnsOf(entry.id),
 			}));
 		},
-		chooseTarget(service, avoid) {
-			const excluded = detector.excluded(service);
-			const chosen = chooseServiceTarget(
-				directory.usable(service).map(({entry}) => ({
-					targetId: entry.id,
-					availabilityZone: entry.availabilityZone,
-					slotCount: entry.slotCount,
-					openCount: openCalls.get(entry.id) ?? 0,
-					isSuspect: excluded.has(entry.id),
-				})),
-				availabilityZone,
-				avoid,
-				random,
-			);
-			return entryOf(chosen?.targetId);
-		},
-		trackCall({id}) {
-			const changeCount = (change: number) => {
-				const openCount = (openCalls.get(id) ?? 0) + change;
-				if (openCount > 0) {
-					openCalls.set(id, openCount);
-				} else {
-					openCalls.delete(id);
-				}
-			};
-
-			changeCount(1);
-			detector.recordSent(id);
-			return {
-				dispose() {
-					changeCount(-1);
-				},
-			};
-		},
 		placeRun(admitted, avoid, listener) {
 			let pendingRequest: Disposable | undefined;
 			const requestPlacement = (avoidedTargets: ReadonlySet<string>) => {
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -9,11 +9,13 @@
 } from '../../common/index.js';
 import type {
 	MemberList,
+	PermitClient,
 	PlacementClient,
 	RetryClient,
 	StoreReadState,
 	TableSyncState,
 } from '../../decisions/fleet/index.js';
+import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
 import type {RelayedRows} from '../../decisions/serving/index.js';
 import type {PeerSyncStateListener} from './membership-protocol.js';
@@ -36,6 +38,8 @@
 	};
 	/** Interval of the coordinator's beacons, in milliseconds. */
 	readonly beaconIntervalMs: () => number;
+	/** Rate limits of targets, exchanged with the other VMs. */
+	readonly rateLimits: RateLimitTable;
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
 	readonly storeReadState: () => StoreReadState;
@@ -58,6 +62,7 @@
 	readonly members: MemberList;
 	readonly placementClient: PlacementClient;
 	readonly retryClient: RetryClient;
+	readonly permitClient: PermitClient;
 	readonly runReporter: RunReporter;
 	/** Sends what this VM reads from the store to the other VMs. */
 	readonly relay: StoreRelay;
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -18,6 +18,7 @@
 import {createMembershipProtocol} from './membership-protocol.js';
 import {createPauseDetector} from './pause-detector.js';
 import {createPlacementHandler} from './placement-handler.js';
+import {createRateLimitHandler} from './rate-limit-handler.js';
 import {createStoreRelay} from './store-relay.js';
 
 /** Length to which instance ids are cut in messages; enough to distinguish restarts of one VM. */
@@ -58,12 +59,13 @@
 	};
 
 	let coordinatorSinceMs = Infinity;
+	/** After a pause this VM may not know yet that another one has become the coordinator. */
+	const settledSinceMs = () =>
+		members.isCoordinator ? coordinatorSinceMs : Infinity;
 	const retryPool = createRetryPool({
 		clock,
 		bounds: options.retryBounds,
-		// After a pause this VM may not know yet that another one has become the coordinator.
-		coordinatorSinceMs: () =>
-			members.isCoordinator ? coordinatorSinceMs : Infinity,
+		coordinatorSinceMs: settledSinceMs,
 	});
 	const retryClient = createRetryClient({
 		timers,
@@ -72,6 +74,19 @@
 		pool: retryPool,
 		send,
 	});
+	const rateLimitHandler = owned.add(
+		createRateLimitHandler({
+			clock,
+			timers,
+			random: options.random,
+			address,
+			members,
+			coordinatorSinceMs: settledSinceMs,
+			table: options.rateLimits,
+			send,
+		}),
+	);
+	const {permitClient} = rateLimitHandler;
 	const placementHandler = owned.add(
 		createPlacementHandler({
 			clock,
@@ -80,6 +95,7 @@
 			address,
 			members,
 			engines: options.engines,
+			takeTurn: permitClient.takeTurn,
 			send,
 		}),
 	);
@@ -92,6 +108,7 @@
 		runRegistry,
 		runs: () => runReporter.all(),
 		ownInfo,
+		onMemberArrived: rateLimitHandler.sendTo,
 		sendText: socket.send,
 		sendToAll,
 	});
@@ -127,6 +144,13 @@
 				retryClient.handleDecision(message.id, message.isGranted);
 				break;
 			}
+
+			case 'rate-limits':
+			case 'permit':
+			case 'permit-answer': {
+				rateLimitHandler.handle(from, message);
+				break;
+			}
 		}
 	};
 
@@ -187,6 +211,7 @@
 			updateCoordinatorRole();
 			runRegistry.removeExpired();
 			membership.sweep();
+			rateLimitHandler.tick();
 		},
 	);
 	repeatUntilDisposed(options.beaconIntervalMs, () => {
@@ -215,6 +240,7 @@
 		members,
 		placementClient,
 		retryClient,
+		permitClient,
 		relay,
 		runReporter,
 		resumedMs() {
--- a/src/programs/front/membership-protocol.test.ts
+++ b/src/programs/front/membership-protocol.test.ts
@@ -41,6 +41,9 @@
 		onPeerSyncState() {
 			// Irrelevant here.
 		},
+		onMemberArrived() {
+			// Irrelevant here.
+		},
 		sendText() {
 			// Only broadcasts are examined.
 		},
--- a/src/programs/front/membership-protocol.ts
+++ b/src/programs/front/membership-protocol.ts
@@ -31,6 +31,8 @@
 	readonly targetsSyncState: () => TableSyncState;
 	/** Called with the table state in each heartbeat or beacon of another VM. */
 	readonly onPeerSyncState: PeerSyncStateListener;
+	/** Called after the first heartbeat of a VM that this one did not know. */
+	readonly onMemberArrived: (from: string) => void;
 	readonly sendText: (to: string, text: string) => void;
 	readonly sendToAll: (text: string) => void;
 };
@@ -164,6 +166,10 @@
 			sendBeaconRateLimited(from);
 		}
 
+		if (!isKnown) {
+			options.onMemberArrived(from);
+		}
+
 		// Tells the VMs at once that the readers no longer report leaving engines, so that they poll them:
 		// engines give less notice than the time until the next beacon is sent and takes effect.
 		if (members.isCoordinator && !wereLost && haveReadersLostStore()) {
--- a/src/programs/front/placement-handler.ts
+++ b/src/programs/front/placement-handler.ts
@@ -32,6 +32,8 @@
 	readonly members: MemberList;
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
+	/** Takes the turn of a new request at an engine that limits its request rate. */
+	readonly takeTurn: (targetId: string) => void;
 	readonly send: (to: string, message: FleetMessage) => void;
 };
 
@@ -68,6 +70,7 @@
 		random: options.random,
 		registry: runRegistry,
 		engines: options.engines,
+		takeTurn: options.takeTurn,
 		onDecision(to, {id}, decision) {
 			if (to === address) {
 				placementClient.handleLocalDecision(id, decision);
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -16,6 +16,7 @@
 	type AdmittedRequest,
 	type ResponseLimits,
 	type CallerResponse,
+	type CallTargetSearch,
 	type DecisionLog,
 	type FreshnessGate,
 	type BufferBudget,
@@ -23,6 +24,7 @@
 	mayStartGenerationWhileStopping,
 	localResponseStatus,
 	refuseNotRun,
+	type RequestContinuationTurn,
 	type RetryShare,
 	type RouteTable,
 	retryAfterHeader,
@@ -37,7 +39,7 @@
 import {decodeRequest} from '../../platform/index.js';
 import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 import {createMeteredResponse} from './metered-response.js';
-import type {TargetSelector} from './target-selector.js';
+import type {EngineSelector} from './engine-selector.js';
 
 export type RequestServerOptions = {
 	readonly clock: Clock;
@@ -45,7 +47,9 @@
 	readonly random: RandomSource;
 	readonly targetClient: TargetClient;
 	readonly directory: TargetDirectory;
-	readonly targetSelector: TargetSelector;
+	readonly engineSelector: EngineSelector;
+	readonly callTargets: CallTargetSearch;
+	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
 	readonly rateLimits: RateLimitTable;
@@ -103,7 +107,7 @@
 		random,
 		targetClient,
 		directory,
-		targetSelector,
+		engineSelector,
 		detector,
 		logger,
 	} = options;
@@ -174,7 +178,7 @@
 		return route.kind === 'stream'
 			? !mayStartGenerationWhileStopping(
 					{
-						expectedTokens: targetSelector.expectedOutputTokens(admitted),
+						expectedTokens: engineSelector.expectedOutputTokens(admitted),
 						maxTokens: maxTokens > 0 ? maxTokens : Infinity,
 					},
 					stop,
@@ -209,16 +213,17 @@
 		const session = startStreamSession(admitted, response, {
 			...sessionServices(admitted.service),
 			place: (request, avoid, listener) =>
-				targetSelector.placeRun(request, avoid, listener),
-			placeCopy: async (run, avoid) => targetSelector.placeCopy(run, avoid),
+				engineSelector.placeRun(request, avoid, listener),
+			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
+			requestContinuationTurn: options.requestContinuationTurn,
 			isPresent: (targetId) => directory.get(targetId) !== undefined,
 			isReachable: (targetId) =>
 				directory.get(targetId) !== undefined &&
 				!directory.isUnreachable(targetId),
 			areDeparturesReported: options.areTargetsCurrent,
-			trackRun: (run) => targetSelector.trackRun(run),
+			trackRun: (run) => engineSelector.trackRun(run),
 			onFinished(request, eventCount) {
-				targetSelector.recordOutputLength(request, eventCount);
+				engineSelector.recordOutputLength(request, eventCount);
 			},
 		});
 		streams.add(session);
@@ -228,9 +233,8 @@
 	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startCallSession(admitted, response, {
 			...sessionServices(admitted.service),
-			chooseTarget: (service, avoid) =>
-				targetSelector.chooseTarget(service, avoid),
-			trackCall: (target) => targetSelector.trackCall(target),
+			findTarget: options.callTargets.find,
+			trackCall: options.callTargets.track,
 		});
 
 	/** Runs an action on a session; an unexpected error ends this session only. */
