Let VMs that have just started take a small share of a target's rate limit

Callers would have seen refusals for 10 s, and a target 13 to 19 requests a second with a limit of 6, in the first two seconds after all VMs had started: VMs that do not know of each other yet each used the share of a single VM, or coordinated themselves. Change: a VM that has not had the time to discover the others hands out no permits and takes the share of one VM in 32; a denial by a VM's own share holds for 1 s at most, since a coordinator may decide by then. The new test passes, as do the others of the permit client.

--- a/src/decisions/fleet/permit-client.test.ts
+++ b/src/decisions/fleet/permit-client.test.ts
@@ -206,3 +206,10 @@
 
 	assert.ok(fleet.mostInWindow() <= tolerated, `${fleet.mostInWindow()}`);
 });
+
+test('VMs that start at the same time and do not know of each other yet hold back', async () => {
+	const fleet = createFleet(6);
+	fleet.state.isLinked = (from, to) => from === to;
+	await fleet.runUntil(4000);
+	assert.ok(fleet.mostInWindow() <= tolerated, `${fleet.mostInWindow()}`);
+});
--- a/src/decisions/fleet/permit-client.ts
+++ b/src/decisions/fleet/permit-client.ts
@@ -74,6 +74,10 @@
  * still hands out the whole rate to the others.
  */
 const ownShareFraction = 0.5;
+/** Longest time for which a denial by a VM's own share holds, in milliseconds. */
+const maxOwnDenialMs = 1000;
+/** Number of VMs that share a target's rate, as assumed by a VM that has not had the time to discover the others. */
+const assumedVmCount = 32;
 /** Turns that the fleet's pool lets requests use ahead of their time. */
 const fleetAheadTurns = {usual: 1, urgent: 3} as const;
 /** A VM's own share has none, since all VMs may have been idle and begin at the same time. */
@@ -86,6 +90,17 @@
 	readonly timeout: Disposable;
 };
 
+/** Shortens the times of a denial by a VM's own share: a coordinator may decide before the share has a turn. */
+function untilCoordinated(
+	decision: Extract<PermitDecision, {outcome: 'denied'}>,
+): PermitDecision {
+	return {
+		...decision,
+		waitMs: Math.min(decision.waitMs, maxOwnDenialMs),
+		retryAfterMs: Math.min(decision.retryAfterMs, maxOwnDenialMs),
+	};
+}
+
 export function createPermitClient(options: PermitClientOptions): PermitClient {
 	const {clock, timers, random, members, ownAddress, send} = options;
 	const pending = new Map<string, PendingPermit>();
@@ -94,7 +109,11 @@
 	let ownShareSinceMs: number | undefined;
 	let unresponsiveUntilMs = -Infinity;
 
-	const isCoordinating = () => Number.isFinite(options.coordinatorSinceMs());
+	const isCoordinating = () =>
+		members.settledVmCount !== undefined &&
+		Number.isFinite(options.coordinatorSinceMs());
+	const sharingVmCount = () =>
+		members.settledVmCount ?? Math.max(members.vmCount, assumedVmCount);
 	const fleetPool = createPermitPool({
 		clock,
 		random,
@@ -105,7 +124,7 @@
 	const ownPool = createPermitPool({
 		clock,
 		random,
-		rateFraction: () => ownShareFraction / members.vmCount,
+		rateFraction: () => ownShareFraction / sharingVmCount(),
 		startedMs() {
 			ownShareSinceMs ??= clock.nowMs();
 			return ownShareSinceMs;
@@ -144,7 +163,13 @@
 		request: PermitRequest,
 		onDecision: PermitListener,
 	) => {
-		onDecision(localPool().take(withKnownLimits(request)), ownAddress);
+		const decision = localPool().take(withKnownLimits(request));
+		onDecision(
+			decision.outcome === 'denied' && !isCoordinating()
+				? untilCoordinated(decision)
+				: decision,
+			ownAddress,
+		);
 	};
 
 	const settle = (id: string): PendingPermit | undefined => {
