Check in the fault soak that targets' rate limits are kept

Targets of the soak name limits of 1 to 8 requests a second for some seconds, drawn apart from the other steps so that the plans of known seeds stay. A VM that was restarted, paused or cut from its targets is excused, as on the platform.

--- a/src/experiments/fault-soak/checks/checks.test.ts
+++ b/src/experiments/fault-soak/checks/checks.test.ts
@@ -271,3 +271,30 @@
 		['recovery'],
 	);
 });
+
+test('reports a target that gets more requests than the rate limit that it names, unless the VM that sends them was disrupted', () => {
+	const attempts = Array.from({length: 30}, (_, index) =>
+		request(`a${index}`, {vm: index % 2}),
+	);
+	const arrivals = attempts.map(({id}, index) =>
+		arrival(id, {atMs: 10_000 + index * 100}),
+	);
+	const limit = {targetId: 't1', fromMs: 7000, untilMs: 20_000};
+	const limitOf = (requestsPerSecond: number) => ({
+		attempts,
+		arrivals,
+		rateLimits: [{...limit, requestsPerSecond}],
+	});
+	const pause = {vm: 0, kind: 'vm-pause', fromMs: 10_000, untilMs: 13_000};
+	assert.deepEqual(violatedInvariants(limitOf(5)), []);
+	assert.deepEqual(violatedInvariants(limitOf(4)), ['rate-limit']);
+	assert.deepEqual(
+		violatedInvariants({...limitOf(4), disruptions: [pause]}),
+		[],
+	);
+	const storeOutage = {...pause, vm: undefined, kind: 'store-refuse'};
+	assert.deepEqual(
+		violatedInvariants({...limitOf(4), disruptions: [storeOutage]}),
+		['rate-limit'],
+	);
+});
--- a/src/experiments/fault-soak/checks/index.ts
+++ b/src/experiments/fault-soak/checks/index.ts
@@ -7,6 +7,7 @@
 import {checkLeavingTargets} from './leaving-target.js';
 import type {InvariantCheck, Violation} from './invariant-check.js';
 import {checkPromptAnswers} from './prompt-answer.js';
+import {checkRateLimits} from './rate-limit.js';
 import {checkRetryBudget} from './retry-budget.js';
 import {checkCalmService, checkRecovery} from './service.js';
 import {checkStaysUp} from './stays-up.js';
@@ -21,6 +22,7 @@
 	checkTrueRefusals,
 	checkWholeAnswers,
 	checkEventOrder,
+	checkRateLimits,
 	checkRetryBudget,
 	checkLeavingTargets,
 	checkConfigurationForward,
--- a/src/experiments/fault-soak/checks/invariant-check.ts
+++ b/src/experiments/fault-soak/checks/invariant-check.ts
@@ -9,6 +9,7 @@
 	| 'event-order'
 	| 'leaving-target'
 	| 'prompt-answer'
+	| 'rate-limit'
 	| 'recovery'
 	| 'retry-budget'
 	| 'stays-up'
--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -223,6 +223,25 @@
 		});
 	};
 
+	const applyRateLimit = async (
+		{requestsPerSecond}: ActionOf<'rate-limit'>,
+		{selector, forMs}: SoakStep,
+	) => {
+		const {active} = targets;
+		const target = active[selector % active.length];
+		const limit = {
+			targetId: target.id,
+			requestsPerSecond,
+			fromMs: performance.now(),
+			untilMs: Infinity,
+		};
+		observations.rateLimits.push(limit);
+		target.setRateLimit(requestsPerSecond);
+		await sleep(forMs);
+		limit.untilMs = performance.now();
+		target.setRateLimit(undefined);
+	};
+
 	const performStep = async (step: SoakStep) => {
 		const {action} = step;
 		await sleep(step.atMs);
@@ -250,6 +269,10 @@
 			case 'configuration': {
 				return operator.writeVersions(action.versions);
 			}
+
+			case 'rate-limit': {
+				return applyRateLimit(action, step);
+			}
 		}
 	};
 
--- a/src/experiments/fault-soak/observations.ts
+++ b/src/experiments/fault-soak/observations.ts
@@ -61,6 +61,16 @@
 	readonly atMs: number;
 };
 
+/** Rate limit that a target names in its responses for some time. */
+export type NamedRateLimit = {
+	readonly targetId: string;
+	/** Requests per second that it accepts from all VMs together. */
+	readonly requestsPerSecond: number;
+	readonly fromMs: number;
+	/** Infinity while it is named. */
+	untilMs: number;
+};
+
 /** A fault or a planned restart, with the time that it lasted. */
 export type Disruption = {
 	/** Index of the VM affected; undefined if all may be. */
@@ -87,8 +97,8 @@
 export type Lateness = {readonly atMs: number; readonly lateMs: number};
 
 /**
- * Bounds that the checks apply. The daemons run with the same values, except for `settleMs` and
- * `recoveryMs`, which only the checks use.
+ * Bounds that the checks apply. The daemons run with the same values, except for `settleMs`, `recoveryMs`
+ * and `rateLimitSettleMs`, which only the checks use.
  */
 export type SoakBounds = {
 	/** Time after which a leaving target gets no new requests. */
@@ -104,6 +114,8 @@
 	/** Retries in a window beyond the ratio. */
 	readonly retryExtra: number;
 	readonly retryWindowMs: number;
+	/** Time in which all VMs know of a rate limit that a target names. */
+	readonly rateLimitSettleMs: number;
 	/** Time after the last fault in which service recovers. */
 	readonly recoveryMs: number;
 };
@@ -119,6 +131,7 @@
 	readonly works: Execution[];
 	readonly configurations: ConfigurationWrite[];
 	readonly leaves: LeaveAnnouncement[];
+	readonly rateLimits: NamedRateLimit[];
 	readonly disruptions: Disruption[];
 	readonly incarnations: Incarnation[];
 	readonly lateness: Lateness[];
@@ -135,6 +148,7 @@
 		works: [],
 		configurations: [],
 		leaves: [],
+		rateLimits: [],
 		disruptions: [],
 		incarnations: [],
 		lateness: [],
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -41,6 +41,24 @@
 		steps: [step(1500, 3500, {type: 'service', mode: 'refusing'})],
 		violates: 'retry-budget',
 	},
+	{
+		name: 'a rate limit that each VM keeps to by itself',
+		edits: [
+			{
+				file: 'decisions/fleet/permit-client.js',
+				original: 'const isAsked = address',
+				replacement: 'const isAsked = false && address',
+			},
+			{
+				file: 'decisions/fleet/permit-client.js',
+				original: 'ownShareFraction / sharingVmCount()',
+				replacement: '1',
+			},
+		],
+		vmCount: 4,
+		steps: [step(500, 12_000, {type: 'rate-limit', requestsPerSecond: 6})],
+		violates: 'rate-limit',
+	},
 	{
 		name: 'a booking that is retried after its response was lost',
 		edits: [
@@ -165,7 +183,7 @@
 }
 
 // Shows that the checks fail when a daemon is faulty: each test plants one fault.
-suite('the fault soak', {concurrency: 4}, () => {
+suite('the fault soak', {concurrency: 5}, () => {
 	for (const fault of faults) {
 		test(`finds ${fault.name}`, async () => {
 			const violated = await findViolated(fault);
--- a/src/experiments/fault-soak/soak-bounds.ts
+++ b/src/experiments/fault-soak/soak-bounds.ts
@@ -9,6 +9,7 @@
 	retryRatio: 0.2,
 	retryExtra: 30,
 	retryWindowMs: 4000,
+	rateLimitSettleMs: 3000,
 	recoveryMs: 5000,
 };
 
--- a/src/experiments/fault-soak/soak-plan.ts
+++ b/src/experiments/fault-soak/soak-plan.ts
@@ -21,7 +21,9 @@
 			readonly mode: 'failing' | 'losing-answers' | 'refusing' | 'slow';
 	  }
 	| {readonly type: 'target'; readonly action: 'crash' | 'leave'}
-	| {readonly type: 'configuration'; readonly versions: number};
+	| {readonly type: 'configuration'; readonly versions: number}
+	/** A target names a rate limit. */
+	| {readonly type: 'rate-limit'; readonly requestsPerSecond: number};
 
 /** A fault or change with its time and place. */
 export type SoakStep = {
@@ -132,7 +134,26 @@
 	),
 });
 
-/** Derives the plan of a run from its seed. */
+/** Generates the steps in which targets name rate limits; long enough for all VMs to learn of them. */
+const rateLimitSteps: fc.Arbitrary<readonly SoakStep[]> = fc.array(
+	fc.record({
+		atMs: fc.integer({min: 0, max: 2500}),
+		forMs: fc.integer({min: 4500, max: faultPhaseMs}),
+		selector: fc.nat({max: maxSelector}),
+		action: fc.record({
+			type: fc.constant('rate-limit' as const),
+			requestsPerSecond: fc.integer({min: 1, max: 8}),
+		}),
+	}),
+	{maxLength: 2},
+);
+
+/**
+ * Derives the plan of a run from its seed. The steps with rate limits are drawn apart, so that the other
+ * steps of a seed remain as they were.
+ */
 export function planOf(seed: number): SoakPlan {
-	return fc.sample(soakPlans, {seed, numRuns: 1})[0];
+	const [plan] = fc.sample(soakPlans, {seed, numRuns: 1});
+	const [limits] = fc.sample(rateLimitSteps, {seed, numRuns: 1});
+	return {...plan, steps: [...plan.steps, ...limits]};
 }
--- a/src/experiments/fault-soak/soak-targets.ts
+++ b/src/experiments/fault-soak/soak-targets.ts
@@ -25,6 +25,8 @@
 	announceLeaving(): void;
 	/** Closes the listener and resets all connections. */
 	closeAbruptly(): void;
+	/** Sets the rate limit that the target names in its responses; undefined for none. */
+	setRateLimit(requestsPerSecond: number | undefined): void;
 	/** Removes the target's entry from the store. */
 	removeEntry(): void;
 };
@@ -109,6 +111,7 @@
 					standin.resetConnections();
 				}
 			},
+			setRateLimit: standin.setRateLimit,
 			removeEntry() {
 				put(undefined);
 			},
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -38,6 +38,8 @@
 	readonly server: Server;
 	/** Resets all connections without a response, as a crash does. */
 	resetConnections(): void;
+	/** Sets the rate limit that the responses to later requests name, in requests per second; undefined for none. */
+	setRateLimit(requestsPerSecond: number | undefined): void;
 };
 
 /** The parts of a target server that depend on the kind of target. */
@@ -87,6 +89,7 @@
 	observer: TargetObserver,
 ): TargetServer {
 	const sockets = new Set<Socket>();
+	let rateLimit: number | undefined;
 	const server = createServer((incoming, response) => {
 		const chunks: Uint8Array[] = [];
 		incoming.on('data', (chunk: Uint8Array) => {
@@ -131,6 +134,10 @@
 				return;
 			}
 
+			if (rateLimit !== undefined) {
+				response.setHeader(headerNames.rateLimit, rateLimit);
+			}
+
 			observer.arrived(arrival);
 			handler.serve(arrival, response);
 		});
@@ -143,6 +150,9 @@
 	});
 	return {
 		server,
+		setRateLimit(requestsPerSecond) {
+			rateLimit = requestsPerSecond;
+		},
 		resetConnections() {
 			for (const socket of sockets) {
 				resetSocket(socket);
