Count permits and turn waits, and give refused callers 50 ms at least

cowslip_rate_permits_total by outcome and cowslip_turn_wait_ms show how many requests wait for, or are denied, a turn at a target with a rate limit. A report of another VM with a negative age can no longer outlast what targets say later. A refusal for the rate limit names at least 50 ms, so that callers do not return at once.

--- a/src/decisions/rate-limits/rate-limit-table.ts
+++ b/src/decisions/rate-limits/rate-limit-table.ts
@@ -126,7 +126,8 @@
 			}
 		},
 		recordReport({targetId, requestsPerSecond, ageMs}) {
-			record(targetId, requestsPerSecond, clock.nowMs() - ageMs, 'peer');
+			const observedMs = clock.nowMs() - Math.max(0, ageMs);
+			record(targetId, requestsPerSecond, observedMs, 'peer');
 		},
 		reports: () => selectReports(() => true),
 		ownReports: (sinceMs) =>
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -74,6 +74,8 @@
 	) => Disposable;
 };
 
+/** Shortest time after which a caller that is refused may try again, in milliseconds. */
+const minRetryAfterMs = 50;
 const limitReason = 'the targets limit their request rate';
 
 /** Targets among which a search chooses, in the order of preference. */
@@ -130,6 +132,10 @@
 	const waitMsOf = ({targetId}: LimitedTarget) =>
 		Math.max(0, (nextTurnMs.get(targetId) ?? -Infinity) - clock.nowMs());
 
+	const refuse = (listener: CallTargetListener, retryAfterMs: number) => {
+		listener.onNone(limitReason, Math.max(minRetryAfterMs, retryAfterMs));
+	};
+
 	/**
 	 * Time after which a caller that is refused without a request to the coordinator may try again, in
 	 * milliseconds; callers are spread over the time of one more turn.
@@ -152,16 +158,16 @@
 		}
 	};
 
-	/** Uses the best target without a limit, or reports that there is none. */
+	/** Uses the best target without a limit; if there is none, the caller is refused. */
 	const useUnlimited = (
 		{unlimited, limited}: Choice,
 		listener: CallTargetListener,
-		refuse: () => void,
+		retryAfterMs: number,
 	) => {
 		if (unlimited && directory.get(unlimited.id)) {
 			listener.onFound(unlimited, undefined);
 		} else if (limited.length > 0) {
-			refuse();
+			refuse(listener, retryAfterMs);
 		} else {
 			listener.onNone('no target of the service is usable');
 		}
@@ -179,9 +185,7 @@
 			(target) => waitMsOf(target) <= maxWaitMs,
 		);
 		if (targets.length === 0) {
-			useUnlimited(choice, listener, () => {
-				listener.onNone(limitReason, refusalMs(choice.limited));
-			});
+			useUnlimited(choice, listener, refusalMs(choice.limited));
 			return owned;
 		}
 
@@ -210,9 +214,7 @@
 				if (decision.outcome === 'denied') {
 					recordDenial(targets, waitMs);
 					listener.onPermitDenied(targets, waitMs, decidedBy);
-					useUnlimited(choice, listener, () => {
-						listener.onNone(limitReason, decision.retryAfterMs);
-					});
+					useUnlimited(choice, listener, decision.retryAfterMs);
 				} else if (waitMs > 0) {
 					owned.add(
 						timers.after(waitMs, () => {
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -31,7 +31,7 @@
 import {watchBootFile} from './live-settings.js';
 import {createFrontPages} from './front-pages.js';
 import {waitForRequests} from './wait-for-requests.js';
-import {logRateLimitChanges} from './rate-limit-log.js';
+import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
 import {createRequestServer} from './request-server.js';
 import {handleTargetEvents} from './handle-target-events.js';
 
@@ -99,6 +99,9 @@
 			timers,
 			random,
 			bounds: () => liveSettings.current.bounds,
+			onPermitDecision(decision) {
+				countPermitDecision(metrics, decision);
+			},
 			onTableRead(table, reason) {
 				metrics.count('store_reads', {table, reason});
 			},
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -17,6 +17,7 @@
 } from '../../decisions/fleet/index.js';
 import {
 	createRateLimitTable,
+	type PermitDecision,
 	type RateLimitTable,
 } from '../../decisions/rate-limits/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
@@ -53,6 +54,8 @@
 	readonly bounds: () => ServingBounds;
 	/** Called after each read of a table from the store. */
 	readonly onTableRead: (table: string, reason: ReadReason) => void;
+	/** Called after each decision on a permit to send a request to a target with a rate limit. */
+	readonly onPermitDecision: (decision: PermitDecision) => void;
 	readonly logger: Logger;
 };
 
@@ -184,7 +187,10 @@
 		runReporter: () => fleetExchange.runReporter,
 	});
 	const requestPermit: PermitClient['request'] = (request, onDecision) =>
-		fleetExchange.permitClient.request(request, onDecision);
+		fleetExchange.permitClient.request(request, (decision, decidedBy) => {
+			options.onPermitDecision(decision);
+			onDecision(decision, decidedBy);
+		});
 	const requestContinuationTurn = createContinuationTurns({
 		timers,
 		rateLimits,
--- a/src/programs/front/rate-limit-log.ts
+++ b/src/programs/front/rate-limit-log.ts
@@ -1,6 +1,9 @@
 import type {Logger, Metrics} from '../../adapters/system/index.js';
 import type {Disposable} from '../../common/index.js';
-import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
+import type {
+	PermitDecision,
+	RateLimitTable,
+} from '../../decisions/rate-limits/index.js';
 
 /** Logs and counts the changes of the targets' rate limits. */
 export function logRateLimitChanges(
@@ -25,3 +28,14 @@
 		});
 	});
 }
+
+/** Counts a decision on a permit and, if it was granted, measures the wait for the turn. */
+export function countPermitDecision(
+	metrics: Metrics,
+	{outcome, waitMs}: PermitDecision,
+): void {
+	metrics.count('rate_permits', {outcome});
+	if (outcome === 'granted') {
+		metrics.histogram('turn_wait', {}).recordValue(Math.round(waitMs));
+	}
+}
