Separate starting a session from admitting its request

request-server.ts had grown to 350 lines: admission and the list of open requests on one side, what sessions need of the VM's state on the other. The latter is session-starter.ts now. No change of behaviour; 271 tests pass.

--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -1,68 +1,39 @@
 import type {ReceivedRequest} from '../../adapters/front/index.js';
-import type {Logger, Metrics} from '../../adapters/system/index.js';
-import type {
-	Clock,
-	RandomSource,
-	ResponseHead,
-	TargetEntry,
-	TargetClient,
-	Timers,
-} from '../../common/index.js';
-import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
-import type {OutlierDetector} from '../../decisions/retries/index.js';
+import type {Metrics} from '../../adapters/system/index.js';
+import type {RandomSource, TargetEntry} from '../../common/index.js';
 import {
 	admit,
 	createPreviousWaitEstimator,
 	type AdmittedRequest,
-	type ResponseLimits,
 	type CallerResponse,
-	type CallTargetSearch,
 	type DecisionLog,
 	type FreshnessGate,
-	type BufferBudget,
 	mayStartCallWhileStopping,
 	mayStartGenerationWhileStopping,
 	localResponseStatus,
 	refuseNotRun,
-	type RequestContinuationTurn,
-	type RetryShare,
 	type RouteTable,
 	retryAfterHeader,
 	type ServingSession,
-	startCallSession,
 	startGatedSession,
-	startStreamSession,
 	type StopTimes,
 	type StreamSession,
-	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {decodeRequest} from '../../platform/index.js';
 import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 import {createMeteredResponse} from './metered-response.js';
-import type {EngineSelector} from './engine-selector.js';
+import {
+	createSessionStarter,
+	type SessionStarterOptions,
+} from './session-starter.js';
 
-export type RequestServerOptions = {
-	readonly clock: Clock;
-	readonly timers: Timers;
+export type RequestServerOptions = SessionStarterOptions & {
 	readonly random: RandomSource;
-	readonly targetClient: TargetClient;
-	readonly directory: TargetDirectory;
-	readonly engineSelector: EngineSelector;
-	readonly callTargets: CallTargetSearch;
-	readonly requestContinuationTurn: RequestContinuationTurn;
-	readonly detector: OutlierDetector;
-	readonly retryShare: RetryShare;
-	readonly rateLimits: RateLimitTable;
-	readonly responseLimits: ResponseLimits;
-	readonly bufferBudget: BufferBudget;
 	readonly metrics: Metrics;
-	readonly logger: Logger;
 	/** Routes of the configuration in force; undefined before the first configuration. */
 	readonly routeTable: () => RouteTable | undefined;
 	/** Undefined unless this VM is stopping. */
 	readonly stopTimes: () => StopTimes | undefined;
-	/** True while this VM learns of leaving targets from the store in time. */
-	readonly areTargetsCurrent: () => boolean;
 	readonly onUnexpected: UnexpectedErrorLog;
 	/** Delays requests until the list of targets is confirmed to be current. */
 	readonly freshnessGate: FreshnessGate;
@@ -101,17 +72,8 @@
 export function createRequestServer(
 	options: RequestServerOptions,
 ): RequestServer {
-	const {
-		clock,
-		timers,
-		random,
-		targetClient,
-		directory,
-		engineSelector,
-		detector,
-		logger,
-	} = options;
-	const {metrics} = options;
+	const {clock, random, directory, engineSelector, logger, metrics} = options;
+	const sessionStarter = createSessionStarter(options);
 	const streams = new Set<StreamSession>();
 	const openSessions = new Map<AdmittedRequest, ServingSession>();
 	const previousWaitEstimator = createPreviousWaitEstimator(clock);
@@ -119,54 +81,6 @@
 		logger.info(event, record);
 	};
 
-	const recordRateLimit = (
-		targetId: string,
-		{rateLimit, isFromTarget, notExecuted}: ResponseHead,
-		sentMs: number,
-	) => {
-		if (rateLimit.state === 'malformed') {
-			logger.warn('rate limit refused', {
-				target: targetId,
-				detail: rateLimit.detail,
-			});
-		} else if (isFromTarget || notExecuted) {
-			options.rateLimits.recordResponse(targetId, rateLimit, sentMs);
-		}
-	};
-
-	const sessionServices = (service: string) => ({
-		clock,
-		timers,
-		targetClient,
-		retryShare: options.retryShare,
-		responseLimits: options.responseLimits,
-		bufferBudget: options.bufferBudget,
-		log,
-		onSendResult(
-			target: {readonly id: string},
-			succeeded: boolean,
-			latencyMs: number,
-		) {
-			detector.recordResult(service, target.id, succeeded, latencyMs);
-			if (succeeded) {
-				directory.markReachable(target.id);
-			}
-		},
-		onResponseHead(
-			target: {readonly id: string},
-			head: ResponseHead,
-			sentMs: number,
-		) {
-			recordRateLimit(target.id, head, sentMs);
-		},
-		onUnreachable(target: {readonly id: string}) {
-			directory.markUnreachable(target.id);
-		},
-		onMisdirected(target: {readonly id: string}) {
-			directory.markReplaced(target.id);
-		},
-	});
-
 	const outlastsStop = (admitted: AdmittedRequest) => {
 		const stop = options.stopTimes();
 		if (!stop) {
@@ -209,34 +123,6 @@
 		refuseNotRun(response, reason, retryAfterMs);
 	};
 
-	const startStream = (admitted: AdmittedRequest, response: CallerResponse) => {
-		const session = startStreamSession(admitted, response, {
-			...sessionServices(admitted.service),
-			place: (request, avoid, listener) =>
-				engineSelector.placeRun(request, avoid, listener),
-			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
-			requestContinuationTurn: options.requestContinuationTurn,
-			isPresent: (targetId) => directory.get(targetId) !== undefined,
-			isReachable: (targetId) =>
-				directory.get(targetId) !== undefined &&
-				!directory.isUnreachable(targetId),
-			areDeparturesReported: options.areTargetsCurrent,
-			trackRun: (run) => engineSelector.trackRun(run),
-			onFinished(request, eventCount) {
-				engineSelector.recordOutputLength(request, eventCount);
-			},
-		});
-		streams.add(session);
-		return session;
-	};
-
-	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
-		startCallSession(admitted, response, {
-			...sessionServices(admitted.service),
-			findTarget: options.callTargets.find,
-			trackCall: options.callTargets.track,
-		});
-
 	/** Runs an action on a session; an unexpected error ends this session only. */
 	const runGuarded = (session: ServingSession, act: () => void) => {
 		try {
@@ -247,16 +133,26 @@
 		}
 	};
 
+	const startSession = (
+		admitted: AdmittedRequest,
+		response: CallerResponse,
+	): ServingSession => {
+		if (admitted.route.kind !== 'stream') {
+			return sessionStarter.startCall(admitted, response);
+		}
+
+		const session = sessionStarter.startStream(admitted, response);
+		streams.add(session);
+		return session;
+	};
+
 	const start = (
 		admitted: AdmittedRequest,
 		response: CallerResponse,
 	): ServingSession => {
 		const session = startGatedSession({
 			gate: options.freshnessGate,
-			start: () =>
-				admitted.route.kind === 'stream'
-					? startStream(admitted, response)
-					: startCall(admitted, response),
+			start: () => startSession(admitted, response),
 			refuse(reason, retryAfterMs) {
 				refuse(admitted, response, reason, retryAfterMs);
 			},
--- /dev/null
+++ b/src/programs/front/session-starter.ts
@@ -0,0 +1,139 @@
+import type {Logger} from '../../adapters/system/index.js';
+import type {
+	Clock,
+	ResponseHead,
+	TargetClient,
+	Timers,
+} from '../../common/index.js';
+import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
+import type {OutlierDetector} from '../../decisions/retries/index.js';
+import {
+	type AdmittedRequest,
+	type BufferBudget,
+	type CallerResponse,
+	type CallTargetSearch,
+	type DecisionLog,
+	type RequestContinuationTurn,
+	type ResponseLimits,
+	type RetryShare,
+	type ServingSession,
+	startCallSession,
+	startStreamSession,
+	type StreamSession,
+	type TargetDirectory,
+} from '../../decisions/serving/index.js';
+import type {EngineSelector} from './engine-selector.js';
+
+export type SessionStarterOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly targetClient: TargetClient;
+	readonly directory: TargetDirectory;
+	readonly engineSelector: EngineSelector;
+	readonly callTargets: CallTargetSearch;
+	readonly requestContinuationTurn: RequestContinuationTurn;
+	readonly detector: OutlierDetector;
+	readonly retryShare: RetryShare;
+	readonly rateLimits: RateLimitTable;
+	readonly responseLimits: ResponseLimits;
+	readonly bufferBudget: BufferBudget;
+	readonly logger: Logger;
+	/** True while this VM learns of leaving targets from the store in time. */
+	readonly areTargetsCurrent: () => boolean;
+};
+
+/** Starts the sessions of admitted requests, with what they need of the state of this VM. */
+export type SessionStarter = {
+	startStream(
+		admitted: AdmittedRequest,
+		response: CallerResponse,
+	): StreamSession;
+	startCall(
+		admitted: AdmittedRequest,
+		response: CallerResponse,
+	): ServingSession;
+};
+
+export function createSessionStarter(
+	options: SessionStarterOptions,
+): SessionStarter {
+	const {clock, directory, engineSelector, detector, logger} = options;
+	const log: DecisionLog = (event, record) => {
+		logger.info(event, record);
+	};
+
+	const recordRateLimit = (
+		targetId: string,
+		{rateLimit, isFromTarget, notExecuted}: ResponseHead,
+		sentMs: number,
+	) => {
+		if (rateLimit.state === 'malformed') {
+			logger.warn('rate limit refused', {
+				target: targetId,
+				detail: rateLimit.detail,
+			});
+		} else if (isFromTarget || notExecuted) {
+			options.rateLimits.recordResponse(targetId, rateLimit, sentMs);
+		}
+	};
+
+	const sessionServices = (service: string) => ({
+		clock,
+		timers: options.timers,
+		targetClient: options.targetClient,
+		retryShare: options.retryShare,
+		responseLimits: options.responseLimits,
+		bufferBudget: options.bufferBudget,
+		log,
+		onSendResult(
+			target: {readonly id: string},
+			succeeded: boolean,
+			latencyMs: number,
+		) {
+			detector.recordResult(service, target.id, succeeded, latencyMs);
+			if (succeeded) {
+				directory.markReachable(target.id);
+			}
+		},
+		onResponseHead(
+			target: {readonly id: string},
+			head: ResponseHead,
+			sentMs: number,
+		) {
+			recordRateLimit(target.id, head, sentMs);
+		},
+		onUnreachable(target: {readonly id: string}) {
+			directory.markUnreachable(target.id);
+		},
+		onMisdirected(target: {readonly id: string}) {
+			directory.markReplaced(target.id);
+		},
+	});
+
+	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
+		startStreamSession(admitted, response, {
+			...sessionServices(admitted.service),
+			place: (request, avoid, listener) =>
+				engineSelector.placeRun(request, avoid, listener),
+			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
+			requestContinuationTurn: options.requestContinuationTurn,
+			isPresent: (targetId) => directory.get(targetId) !== undefined,
+			isReachable: (targetId) =>
+				directory.get(targetId) !== undefined &&
+				!directory.isUnreachable(targetId),
+			areDeparturesReported: options.areTargetsCurrent,
+			trackRun: (run) => engineSelector.trackRun(run),
+			onFinished(request, eventCount) {
+				engineSelector.recordOutputLength(request, eventCount);
+			},
+		});
+
+	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
+		startCallSession(admitted, response, {
+			...sessionServices(admitted.service),
+			findTarget: options.callTargets.find,
+			trackCall: options.callTargets.track,
+		});
+
+	return {startStream, startCall};
+}
