--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -22,32 +22,20 @@
 	type RouteTable,
 } from '../../decisions/serving/index.js';
 import {HttpTargetClient} from '../../platform/index.js';
-import {listen} from '../entry/listen.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {createCapacityReader} from './capacity-reader.js';
 import {startEnginePolling} from './engine-polling.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
 import {watchBootFile} from './live-settings.js';
+import type {FrontDaemon} from './front-daemon.js';
 import {createFrontPages} from './front-pages.js';
+import {openFrontServers} from './front-servers.js';
 import {waitForRequests} from './wait-for-requests.js';
 import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
 import {createRequestServer} from './request-server.js';
 import {handleTargetEvents} from './handle-target-events.js';
 
-/** A running front daemon. */
-export type FrontDaemon = {
-	/** Reads the boot file again. */
-	reload(): void;
-	/** Logs an unhandled error; the process goes on. */
-	reportUnexpected(error: unknown): void;
-	/**
-	 * Reports this VM as not ready, waits for the open requests within the grace time, and closes all
-	 * servers.
-	 */
-	stop(): Promise<void>;
-};
-
 /** Interval at which streams are checked for stalls and lapsed targets are removed, in milliseconds. */
 const tickMs = 250;
 const bytesPerMegabyte = 1_048_576;
@@ -63,11 +51,6 @@
 /** Time at the end of the grace time that is reserved for the exit of the process, in milliseconds. */
 const stopMarginMs = 400;
 
-function splitAddress(address: string): {host: string; port: number} {
-	const [host, port] = address.split(':');
-	return {host, port: Number(port)};
-}
-
 /** Creates the components of a front daemon, connects them and starts to listen. */
 export async function createFront(
 	settings: FrontSettings,
@@ -255,15 +238,15 @@
 		metricsText: () => metrics.text(),
 		onUnexpected: reportUnexpected,
 	});
-	const peerTablesServer = createPeerTablesServer(() => storeWatch.tables());
-	const caller = splitAddress(vm.callerAddress);
-	const ready = splitAddress(vm.readyAddress);
-	await listen(listener.server, caller.port, caller.host);
-	await listen(pages.ready, ready.port, ready.host);
-	await listen(peerTablesServer, vm.peerPorts[0], vm.ip);
-	if (settings.metricsPort > 0) {
-		await listen(pages.metrics, settings.metricsPort, vm.ip);
-	}
+	const servers = await openFrontServers(
+		{
+			callers: listener.server,
+			ready: pages.ready,
+			metrics: pages.metrics,
+			peerTables: createPeerTablesServer(() => storeWatch.tables()),
+		},
+		settings,
+	);
 
 	logger.info('started', {
 		vm: vm.name,
@@ -291,16 +274,7 @@
 		});
 		logger.info('stopped', {openRequests: listener.openRequestCount});
 		owned.dispose();
-		for (const server of [
-			listener.server,
-			pages.ready,
-			pages.metrics,
-			peerTablesServer,
-		]) {
-			server.close();
-			server.closeAllConnections();
-		}
-
+		servers.dispose();
 		await deployment.closeStore();
 	};
 
--- /dev/null
+++ b/src/programs/front/front-daemon.ts
@@ -0,0 +1,12 @@
+/** A running front daemon. */
+export type FrontDaemon = {
+	/** Reads the boot file again. */
+	reload(): void;
+	/** Logs an unhandled error; the process goes on. */
+	reportUnexpected(error: unknown): void;
+	/**
+	 * Reports this VM as not ready, waits for the open requests within the grace time, and closes all
+	 * servers.
+	 */
+	stop(): Promise<void>;
+};
