Measure what rate limits of targets cost the VMs

npm run capacity gives the processor time of a permit at the coordinator, and of the message that tells a VM the limits, for 1, 10 and 100 targets.

--- a/src/experiments/capacity/main.ts
+++ b/src/experiments/capacity/main.ts
@@ -5,6 +5,7 @@
 import {measureMembershipSlopes} from './membership-slopes.js';
 import {measureOrderSlopes} from './order-slopes.js';
 import {measurePlacementSlopes} from './placement-slopes.js';
+import {rateLimitFigures} from './rate-limit-slopes.js';
 import type {Figure} from './types.js';
 
 const bookingRates = [10, 100, 600];
@@ -175,6 +176,7 @@
 		...processFigures(),
 		...(engineUrl === undefined ? [] : await loadReportFigures(engineUrl)),
 		...placementFigures(),
+		...rateLimitFigures(),
 		...(await bookingFigures()),
 		...(await pollingFigures()),
 		...(await orderFigures()),
