Take a target's rate limit only from its own responses

A 421 comes from another target at the same address, and an answer without the stamp may come from a proxy; neither says anything of the limit of the target that was addressed. The table of limits decides this now, with a test; the status has one constant.

--- a/src/common/requests/index.ts
+++ b/src/common/requests/index.ts
@@ -1,3 +1,4 @@
 export * from './header-pairs.js';
+export * from './misdirected-status.js';
 export * from './target-client.js';
 export type * from './types.js';
--- /dev/null
+++ b/src/common/requests/misdirected-status.ts
@@ -0,0 +1,2 @@
+/** Status with which a target refuses a request that was meant for another target. */
+export const misdirectedStatus = 421;
--- a/src/decisions/rate-limits/rate-limit-table.test.ts
+++ b/src/decisions/rate-limits/rate-limit-table.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {VirtualTime} from '../../experiments/fakes/index.js';
+import {fakeResponseHead, VirtualTime} from '../../experiments/fakes/index.js';
 import {createRateLimitTable} from './rate-limit-table.js';
 import type {RateLimitChange} from './types.js';
 
 const limited = (requestsPerSecond: number) =>
-	({state: 'limited', requestsPerSecond}) as const;
-const unlimited = {state: 'unlimited'} as const;
+	fakeResponseHead('q1', {rateLimit: {state: 'limited', requestsPerSecond}});
+const unlimited = fakeResponseHead('q1');
+const malformed = fakeResponseHead('q1', {
+	rateLimit: {state: 'malformed', detail: ''},
+});
 
 function createTable() {
 	const time = new VirtualTime();
@@ -47,7 +50,7 @@
 	await time.runUntil(10);
 	table.recordResponse('t1', limited(2), 0);
 	await time.runUntil(30);
-	table.recordResponse('t1', {state: 'malformed', detail: ''}, 20);
+	table.recordResponse('t1', malformed, 20);
 	assert.equal(table.limitOf('t1'), 2);
 });
 
@@ -78,3 +81,16 @@
 	await time.runUntil(20_000);
 	assert.deepEqual(table.reports(), []);
 });
+
+test('a response that another target or a proxy made neither sets nor lifts a limit', async () => {
+	const {time, table} = createTable();
+	await time.runUntil(10);
+	table.recordResponse('t1', limited(2), 0);
+	await time.runUntil(30);
+	table.recordResponse('t1', {...unlimited, isFromTarget: false}, 20);
+	table.recordResponse('t1', {...limited(9), status: 421}, 20);
+	assert.equal(table.limitOf('t1'), 2);
+	const refusal = {status: 503, isFromTarget: false, notExecuted: true};
+	table.recordResponse('t1', {...unlimited, ...refusal}, 20);
+	assert.equal(table.limitOf('t1'), undefined);
+});
--- a/src/decisions/rate-limits/rate-limit-table.ts
+++ b/src/decisions/rate-limits/rate-limit-table.ts
@@ -2,7 +2,8 @@
 	type Clock,
 	createEmitter,
 	type Event,
-	type StatedRateLimit,
+	misdirectedStatus,
+	type ResponseHead,
 } from '../../common/index.js';
 import type {RateLimitChange, RateLimitReport} from './types.js';
 
@@ -13,14 +14,11 @@
 	/** Returns the requests per second that a target accepts from all VMs; undefined without a limit. */
 	limitOf(targetId: string): number | undefined;
 	/**
-	 * Records what a response to a request of this VM says.
+	 * Records what a response to a request of this VM says. One that the target itself did not make says
+	 * nothing about its limit.
 	 * @param sentMs - monotonic time at which the request was sent, in milliseconds
 	 */
-	recordResponse(
-		targetId: string,
-		stated: StatedRateLimit,
-		sentMs: number,
-	): void;
+	recordResponse(targetId: string, head: ResponseHead, sentMs: number): void;
 	/** Records what another VM knows. */
 	recordReport(report: RateLimitReport): void;
 	/** What this VM knows of limits in force and recently lifted, for other VMs. */
@@ -49,6 +47,10 @@
 	readonly source: RateLimitChange['source'];
 };
 
+/** True if the target to which the request was addressed has made the response. */
+const isOfTarget = ({status, isFromTarget, notExecuted}: ResponseHead) =>
+	status !== misdirectedStatus && (isFromTarget || notExecuted);
+
 /** Creates a table without limits. */
 export function createRateLimitTable(clock: Clock): RateLimitTable {
 	const changed = createEmitter<RateLimitChange>();
@@ -115,11 +117,16 @@
 	return {
 		onChanged: changed.event,
 		limitOf: (targetId) => observations.get(targetId)?.requestsPerSecond,
-		recordResponse(targetId, stated, sentMs) {
-			if (stated.state === 'limited') {
-				const {requestsPerSecond} = stated;
+		recordResponse(targetId, head, sentMs) {
+			const {rateLimit} = head;
+			if (!isOfTarget(head)) {
+				return;
+			}
+
+			if (rateLimit.state === 'limited') {
+				const {requestsPerSecond} = rateLimit;
 				record(targetId, requestsPerSecond, clock.nowMs(), 'response');
-			} else if (stated.state === 'unlimited') {
+			} else if (rateLimit.state === 'unlimited') {
 				// Responses may overtake each other. Only one to a request that was sent after the target had
 				// named the limit shows that the limit is lifted.
 				record(targetId, undefined, sentMs, 'response');
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -1,13 +1,14 @@
-import type {
-	Disposable,
-	ResponseHead,
-	SendFailure,
-	TargetEntry,
+import {
+	misdirectedStatus,
+	type Disposable,
+	type ResponseHead,
+	type SendFailure,
+	type TargetEntry,
 } from '../../common/index.js';
 import {createCallAttempt, type CallAttempt} from './call-attempt.js';
 import type {CallSessionOptions} from './call-session-types.js';
 import type {TargetPermit} from './call-target-search.js';
-import {promisesNotRun, misdirectedStatus} from './refusals.js';
+import {promisesNotRun} from './refusals.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {
 	AdmittedRequest,
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
-import {fakeTargetEntry, VirtualTime} from '../../experiments/fakes/index.js';
+import {
+	fakeResponseHead,
+	fakeTargetEntry,
+	VirtualTime,
+} from '../../experiments/fakes/index.js';
 import {createOutlierDetector} from '../retries/index.js';
 import {
 	createRateLimitTable,
@@ -29,8 +33,8 @@
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
 		directory.set(id, fakeTargetEntry(id), 1);
 		if (requestsPerSecond !== undefined) {
-			const stated = {state: 'limited', requestsPerSecond} as const;
-			rateLimits.recordResponse(id, stated, 0);
+			const rateLimit = {state: 'limited', requestsPerSecond} as const;
+			rateLimits.recordResponse(id, fakeResponseHead('q1', {rateLimit}), 0);
 		}
 	}
 
@@ -174,7 +178,7 @@
 	);
 	find();
 	await time.runUntil(50);
-	rateLimits.recordResponse('t1', {state: 'unlimited'}, 40);
+	rateLimits.recordResponse('t1', fakeResponseHead('q2'), 40);
 	find();
 	assert.equal(permitRequests.length, 1);
 	assert.deepEqual(outcomes, ['t1 after 0', 't1']);
--- a/src/decisions/serving/refusals.ts
+++ b/src/decisions/serving/refusals.ts
@@ -1,4 +1,4 @@
-import type {HeaderPair} from '../../common/index.js';
+import {type HeaderPair, misdirectedStatus} from '../../common/index.js';
 import type {CallerResponse} from './session-types.js';
 
 /** Statuses of the responses that a VM generates itself. */
@@ -13,9 +13,6 @@
 	timedOut: 504,
 } as const;
 
-/** Status with which a target refuses a request that was meant for another target. */
-export const misdirectedStatus = 421;
-
 const notRunStatuses: ReadonlySet<number> = new Set([
 	408,
 	misdirectedStatus,
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,11 +1,12 @@
-import type {
-	ResponseHead,
-	KvCacheCopy,
-	SendFailure,
+import {
+	misdirectedStatus,
+	type ResponseHead,
+	type KvCacheCopy,
+	type SendFailure,
 } from '../../common/index.js';
 import {createEngineSearch} from './engine-search.js';
 import type {StreamEvent} from './event-splitter.js';
-import {promisesNotRun, misdirectedStatus} from './refusals.js';
+import {promisesNotRun} from './refusals.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import {createStreamResponse} from './stream-answer.js';
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -3,7 +3,11 @@
 import type {Socket} from 'node:net';
 import {headerNames} from '../wire-names.js';
 import {decodeRequest, indexHeaders} from '../request-headers.js';
-import {type CallerRequest, headerPairs} from '../../common/index.js';
+import {
+	type CallerRequest,
+	headerPairs,
+	misdirectedStatus,
+} from '../../common/index.js';
 import {resetSocket} from './reset-socket.js';
 
 /** A request received by a simulated target, decoded. */
@@ -53,7 +57,6 @@
 };
 
 const refusedStatus = 503;
-const misdirectedStatus = 421;
 const defaultPriority = 5;
 
 /** Writes the head of a response, with the header that only targets set. */
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -64,17 +64,18 @@
 
 	const recordRateLimit = (
 		targetId: string,
-		{rateLimit, isFromTarget, notExecuted}: ResponseHead,
+		head: ResponseHead,
 		sentMs: number,
 	) => {
+		const {rateLimit} = head;
 		if (rateLimit.state === 'malformed') {
 			logger.warn('rate limit refused', {
 				target: targetId,
 				detail: rateLimit.detail,
 			});
-		} else if (isFromTarget || notExecuted) {
-			options.rateLimits.recordResponse(targetId, rateLimit, sentMs);
 		}
+
+		options.rateLimits.recordResponse(targetId, head, sentMs);
 	};
 
 	const sessionServices = (service: string) => ({
