Explain refusals for rate limits from the id of a request

A call that was refused because an earlier denial still held left only its outcome: neither the targets, the time of the next turn nor what its caller was told. It logs `permit denied` as one does that was denied by the coordinator, and the last line of a refused request carries `retryAfterMs`. cowslip-explain prints the limits that the VM knew for such a request, also where it was sent to no target.

--- a/src/decisions/explain/explain-request.test.ts
+++ b/src/decisions/explain/explain-request.test.ts
@@ -42,3 +42,21 @@
 		[4, undefined],
 	);
 });
+
+test('the explanation of a request that was refused because of rate limits has the limits that its VM knew', () => {
+	const records = parseLog(
+		[
+			line(1, {message: 'rate limit set', target: 't1', requestsPerSecond: 9}),
+			line(2, {message: 'rate limit set', target: 't2', requestsPerSecond: 4}),
+			line(60, {
+				message: 'call ended',
+				request: 'q1',
+				outcome: 'the targets limit their request rate',
+			}),
+		].join('\n'),
+	);
+	assert.deepEqual(
+		explainRequest(records, 'q1').map((record) => record.requestsPerSecond),
+		[9, 4, undefined],
+	);
+});
--- a/src/decisions/explain/explain-request.ts
+++ b/src/decisions/explain/explain-request.ts
@@ -65,6 +65,9 @@
 	return new Set(last.values());
 }
 
+/** Ends the outcome of a request that was refused because of rate limits, whichever targets have them. */
+const rateLimitOutcome = 'limit their request rate';
+
 /**
  * Selects the records that explain the outcome of one request: its own records, and those of its VMs
  * about its targets and the VMs' dependencies around that time, with the rate limits in force before.
@@ -84,6 +87,9 @@
 		own.flatMap((record) => [record.target, record.backup, record.to]),
 	);
 	targets.delete(undefined);
+	const isRateLimited = own.some(({outcome}) =>
+		String(outcome).endsWith(rateLimitOutcome),
+	);
 	const times = own.map((record) => timeOf(record));
 	const startMs = Math.min(...times) - contextMs;
 	const endMs = Math.max(...times) + contextMs;
@@ -98,7 +104,9 @@
 				(timeOf(record) >= startMs && timeOf(record) <= endMs) ||
 				earlierRateLimits.has(record);
 			const isRelated =
-				vmMessages.has(record.message) || targets.has(record.target);
+				vmMessages.has(record.message) ||
+				targets.has(record.target) ||
+				(isRateLimited && rateLimitMessages.has(record.message));
 			return vms.has(record.vm) && isNear && isRelated;
 		})
 		.sort((first, second) => timeOf(first) - timeOf(second));
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -133,7 +133,8 @@
 	]);
 	find();
 	assert.equal(permitRequests.length, 1);
-	const refusal = outcomes[2];
+	const [denial, refusal] = outcomes.slice(2);
+	assert.equal(denial, 'denied 2 for 400');
 	const retryAfterMs = Number(refusal.split(', ')[1]);
 	assert.ok(retryAfterMs >= 400 && retryAfterMs <= 800, refusal);
 	await time.runUntil(350);
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -32,11 +32,15 @@
 	onFound(target: TargetEntry, permit: TargetPermit | undefined): void;
 	/** @param retryAfterMs - time after which the caller may try again, in milliseconds, if it is known */
 	onNone(reason: string, retryAfterMs?: number): void;
-	/** Called when targets are passed over because of their rate limits. */
+	/**
+	 * Called when targets are passed over because of their rate limits.
+	 * @param waitMs - time until the next turn at any of them, in milliseconds
+	 * @param decidedBy - address of the VM that decided; undefined if an earlier denial still holds
+	 */
 	onPermitDenied(
 		targets: readonly LimitedTarget[],
 		waitMs: number,
-		decidedBy: string,
+		decidedBy: string | undefined,
 	): void;
 };
 
@@ -137,12 +141,16 @@
 	};
 
 	/**
-	 * Time after which a caller that is refused without a request to the coordinator may try again, in
-	 * milliseconds; callers are spread over the time of one more turn.
+	 * Refuses without a request to the coordinator; callers are spread over the time of one more turn.
 	 */
-	const refusalMs = (limited: readonly LimitedTarget[]) =>
-		Math.min(...limited.map((target) => waitMsOf(target))) *
-		(1 + random.nextUnit());
+	const refuseByEarlierDenial = (
+		limited: readonly LimitedTarget[],
+		listener: CallTargetListener,
+	) => {
+		const waitMs = Math.min(...limited.map((target) => waitMsOf(target)));
+		listener.onPermitDenied(limited, waitMs, undefined);
+		refuse(listener, waitMs * (1 + random.nextUnit()));
+	};
 
 	/** Records that targets have no turn for this VM before a time. */
 	const recordDenial = (targets: readonly LimitedTarget[], waitMs: number) => {
@@ -162,12 +170,12 @@
 	const useUnlimited = (
 		{unlimited, limited}: Choice,
 		listener: CallTargetListener,
-		retryAfterMs: number,
+		refuseLimited: () => void,
 	) => {
 		if (unlimited && directory.get(unlimited.id)) {
 			listener.onFound(unlimited, undefined);
 		} else if (limited.length > 0) {
-			refuse(listener, retryAfterMs);
+			refuseLimited();
 		} else {
 			listener.onNone('no target of the service is usable');
 		}
@@ -185,7 +193,9 @@
 			(target) => waitMsOf(target) <= maxWaitMs,
 		);
 		if (targets.length === 0) {
-			useUnlimited(choice, listener, refusalMs(choice.limited));
+			useUnlimited(choice, listener, () => {
+				refuseByEarlierDenial(choice.limited, listener);
+			});
 			return owned;
 		}
 
@@ -214,7 +224,9 @@
 				if (decision.outcome === 'denied') {
 					recordDenial(targets, waitMs);
 					listener.onPermitDenied(targets, waitMs, decidedBy);
-					useUnlimited(choice, listener, decision.retryAfterMs);
+					useUnlimited(choice, listener, () => {
+						refuse(listener, decision.retryAfterMs);
+					});
 				} else if (waitMs > 0) {
 					owned.add(
 						timers.after(waitMs, () => {
--- a/src/decisions/serving/session-completion.ts
+++ b/src/decisions/serving/session-completion.ts
@@ -69,6 +69,7 @@
 		respond: () => void,
 		outcome: string,
 		status: number | undefined,
+		adviceMs?: number,
 	) => {
 		if (isDone) {
 			return;
@@ -83,6 +84,7 @@
 			route: admitted.route.name,
 			outcome,
 			status,
+			retryAfterMs: adviceMs === undefined ? undefined : Math.round(adviceMs),
 			...sessionFields,
 			durationMs: Math.round(clock.nowMs() - admitted.arrivedMs),
 		});
@@ -133,6 +135,7 @@
 				},
 				reason,
 				unansweredStatus(mayHaveRun),
+				mayHaveRun ? undefined : afterMs,
 			);
 		},
 		sendTimeout() {
