--- a/src/experiments/fakes/fake-scheduler.ts
+++ b/src/experiments/fakes/fake-scheduler.ts
@@ -43,6 +43,19 @@
 	...changes,
 });
 
+/** Creates a request for a generation that ends, and frees its memory, within the time that others may wait. */
+export const fakeMediumRequest = (
+	id: string,
+	changes: Partial<PlacementRequest> = {},
+): PlacementRequest =>
+	fakePlacementRequest(id, {expectedTokens: 300, ...changes});
+
+/** Returns the id of the engine of a placement, or the other outcome of the decision. */
+export const targetOfDecision = (decision: PlacementDecision): string =>
+	decision.outcome === 'placed'
+		? decision.placement.targetId
+		: decision.outcome;
+
 /**
  * Starts a generation scheduler in virtual time. All placement requests come from one VM, `vm-1`.
  * @param engines - engines of the service; the array may be changed later
