End a target's rate limit in the fault soak when a later step replaces it

By the recorded limits and the VMs' lines two steps had met on that target; the end of the second lifted the limit at 7.458 s, seen by all VMs 0.2 s later, while the first was recorded as named until 8.597 s. No fault of the product.

--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../common/index.js';
 import type {Disruption, Observations} from './observations.js';
 import type {Operator} from './operator.js';
+import {createRateLimitFault} from './rate-limit-fault.js';
 import {soakBounds} from './soak-bounds.js';
 import type {SoakFleet, SoakVm} from './soak-fleet.js';
 import type {LinkName, SoakStep, StepAction} from './soak-plan.js';
@@ -42,6 +43,8 @@
 	const sleep = async (durationMs: number) =>
 		sleepFor(durationMs, undefined, {signal: disposal.signal});
 
+	const rateLimitFault = createRateLimitFault(observations, sleep);
+
 	/** Performs an action and records it as a disruption from its start to its end. */
 	const disrupt = async (
 		kind: string,
@@ -223,25 +226,6 @@
 		});
 	};
 
-	const applyRateLimit = async (
-		{requestsPerSecond}: ActionOf<'rate-limit'>,
-		{selector, forMs}: SoakStep,
-	) => {
-		const {active} = targets;
-		const target = active[selector % active.length];
-		const limit = {
-			targetId: target.id,
-			requestsPerSecond,
-			fromMs: performance.now(),
-			untilMs: Infinity,
-		};
-		observations.rateLimits.push(limit);
-		target.setRateLimit(requestsPerSecond);
-		await sleep(forMs);
-		limit.untilMs = performance.now();
-		target.setRateLimit(undefined);
-	};
-
 	const performStep = async (step: SoakStep) => {
 		const {action} = step;
 		await sleep(step.atMs);
@@ -271,7 +255,13 @@
 			}
 
 			case 'rate-limit': {
-				return applyRateLimit(action, step);
+				const {active} = targets;
+				const target = active[step.selector % active.length];
+				return rateLimitFault.apply(
+					target,
+					action.requestsPerSecond,
+					step.forMs,
+				);
 			}
 		}
 	};
--- a/src/experiments/fault-soak/regression-seeds.ts
+++ b/src/experiments/fault-soak/regression-seeds.ts
@@ -26,4 +26,9 @@
 		cause:
 			'the check counted timer delays of the observer, which runs the engines, as work of an engine after its caller had disconnected',
 	},
+	{
+		seed: 3_967_422,
+		cause:
+			'the injector lifted the rate limit of a target that a second step had set, while it recorded the first one as still named',
+	},
 ];
