Log the prompt parts of sent streams and how a lost run ended

Change: 'stream sent' names the prompt parts; 'stream attempt failed' names the status of the incomplete response and whether the connection ended; the counter cowslip_runs_lost_total has the stage. A send failure says whether the connection ended, in contrast to bytes that can't be parsed. No decision changes.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -90,6 +90,8 @@
 export type SendFailure = {
 	/** True if certainly no byte of the request has reached the target. */
 	readonly unsent: boolean;
+	/** True if the target, or the network, ended the connection before the response was complete. */
+	readonly connectionEnded: boolean;
 	readonly reason: string;
 };
 
--- a/src/decisions/serving/call-attempt.ts
+++ b/src/decisions/serving/call-attempt.ts
@@ -67,7 +67,7 @@
 		if (limitReason) {
 			const reason = `response of ${bufferUsage.bytes} bytes: ${limitReason}`;
 			send?.dispose();
-			fail({unsent: false, reason});
+			fail({unsent: false, connectionEnded: false, reason});
 		}
 	};
 
@@ -82,7 +82,11 @@
 			return;
 		}
 
-		fail({unsent: false, reason: 'answer of another request'});
+		fail({
+			unsent: false,
+			connectionEnded: false,
+			reason: 'answer of another request',
+		});
 		targetClient.closeConnections(target.address);
 	};
 
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -93,7 +93,11 @@
 
 test('does not retry a non-idempotent call after its response was lost', () => {
 	const {targetClient, response} = start(unsafe);
-	targetClient.sends[0].listener.onFailure({unsent: false, reason: 'reset'});
+	targetClient.sends[0].listener.onFailure({
+		unsent: false,
+		connectionEnded: true,
+		reason: 'reset',
+	});
 	assert.equal(targetClient.sends.length, 1);
 	assert.deepEqual([response.status, response.ending], [502, 'own']);
 	assert.equal(response.retryAfterS, undefined);
@@ -101,7 +105,11 @@
 
 test('retries a non-idempotent call that no target has run', () => {
 	const {targetClient, response, respond} = start(unsafe);
-	targetClient.sends[0].listener.onFailure({unsent: true, reason: 'refused'});
+	targetClient.sends[0].listener.onFailure({
+		unsent: true,
+		connectionEnded: false,
+		reason: 'refused',
+	});
 	targetClient.sends[1].listener.onHead(
 		fakeResponseHead('q1', {status: 503, notExecuted: true}),
 	);
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -1,4 +1,5 @@
 import type {
+	CallerRequest,
 	ResponseHead,
 	Disposable,
 	KvCacheCopy,
@@ -25,6 +26,8 @@
 	readonly isContinuation: boolean;
 	/** True once the send has been closed. */
 	readonly isOver: boolean;
+	/** Status of the response if it has failed before its end; undefined if none had arrived. */
+	readonly failedStatus: number | undefined;
 	/** True once copying the run's KV cache has been started; it is started only once. */
 	hasStartedCopying: boolean;
 	/** Copies of the run's KV cache besides the backup, newest first. */
@@ -71,6 +74,9 @@
 	return lastEventId === undefined ? undefined : String(lastEventId);
 }
 
+const promptPartIds = ({generation}: CallerRequest) =>
+	(generation?.promptParts ?? []).map(({id}) => id);
+
 /** Creates the attempt to run a stream at the engine where it was placed. */
 export function createStreamAttempt(
 	parameters: StreamAttemptParameters,
@@ -92,6 +98,7 @@
 	});
 	let sendHandle: Disposable | undefined;
 	let isOver = false;
+	let failedStatus: number | undefined;
 	const attempt: StreamAttempt = {
 		placement,
 		startedMs: nowMs,
@@ -100,6 +107,9 @@
 		get isOver() {
 			return isOver;
 		},
+		get failedStatus() {
+			return failedStatus;
+		},
 		hasStartedCopying: false,
 		copies: [],
 		start() {
@@ -107,6 +117,7 @@
 				request: request.id,
 				route: route.name,
 				target: target.id,
+				promptParts: promptPartIds(request).join(' '),
 				backup: backup?.id,
 				continuesAt: continueFrom ? response.lastEventId : undefined,
 				expectedFirstTokenMs: Math.round(placement.firstTokenMs),
@@ -142,7 +153,8 @@
 					onOtherResponse(head, body) {
 						listener.onOtherResponse(attempt, head, body);
 					},
-					onFailure(failure) {
+					onFailure(failure, status) {
+						failedStatus = status;
 						listener.onFailure(attempt, failure);
 					},
 				},
--- a/src/decisions/serving/stream-copies.test.ts
+++ b/src/decisions/serving/stream-copies.test.ts
@@ -118,7 +118,11 @@
 	failSend(targetClient.sends[0], 'crashed');
 	refuseSend(targetClient.sends[1]);
 	assert.equal(targetClient.sends[2].address, secondEngine.address);
-	targetClient.sends[2].listener.onFailure({unsent: true, reason: 'refused'});
+	targetClient.sends[2].listener.onFailure({
+		unsent: true,
+		connectionEnded: false,
+		reason: 'refused',
+	});
 	assert.equal(response.ending, 'aborted');
 });
 
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -20,8 +20,11 @@
 	onEnd(head: ResponseHead): void;
 	/** The response is not an unencoded 200 with the stamp of a target. */
 	onOtherResponse(head: ResponseHead, body: Uint8Array): void;
-	/** The send failed, the response was cut off or too large, or it belongs to another request. */
-	onFailure(failure: SendFailure): void;
+	/**
+	 * The send failed, the response was cut off or too large, or it belongs to another request.
+	 * @param status - status of the incomplete response; undefined if none has arrived
+	 */
+	onFailure(failure: SendFailure, status: number | undefined): void;
 };
 
 /** A request for a stream and the target that receives it. */
@@ -73,7 +76,7 @@
 
 	const fail = (failure: SendFailure) => {
 		finish();
-		listener.onFailure(failure);
+		listener.onFailure(failure, head?.status);
 	};
 
 	/**
@@ -84,7 +87,11 @@
 		const isForeign = responseHead.requestId !== request.id;
 		if (isForeign) {
 			targetClient.closeConnections(target.address);
-			fail({unsent: false, reason: 'answer of another request'});
+			fail({
+				unsent: false,
+				connectionEnded: false,
+				reason: 'answer of another request',
+			});
 		}
 
 		return isForeign;
@@ -95,7 +102,11 @@
 		const limitReason = usage.set(bytes);
 		if (limitReason) {
 			handle.dispose();
-			fail({unsent: false, reason: `${bytes} bytes buffered: ${limitReason}`});
+			fail({
+				unsent: false,
+				connectionEnded: false,
+				reason: `${bytes} bytes buffered: ${limitReason}`,
+			});
 		}
 	};
 
@@ -125,7 +136,11 @@
 			finish();
 			listener.onOtherResponse(responseHead, concatBytes(bodyChunks));
 		} else if (splitter.pendingBytes > 0 || !hasEvents) {
-			fail({unsent: false, reason: 'ended inside an event'});
+			fail({
+				unsent: false,
+				connectionEnded: true,
+				reason: 'ended inside an event',
+			});
 		} else {
 			finish();
 			listener.onEnd(responseHead);
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -1,4 +1,8 @@
-import type {Disposable, TargetEntry} from '../../common/index.js';
+import type {
+	CallerRequest,
+	Disposable,
+	TargetEntry,
+} from '../../common/index.js';
 import type {RequestContinuationTurn} from './continuation-turn.js';
 import type {
 	AdmittedRequest,
@@ -41,6 +45,20 @@
 	readonly eventCount: number;
 };
 
+/** A run whose send failed, after its engine had received the request, before the response was complete. */
+export type LostRun = {
+	readonly request: CallerRequest;
+	readonly target: TargetEntry;
+	/** Monotonic time at which the request was sent to the engine, in milliseconds. */
+	readonly sentMs: number;
+	/** Status of the incomplete response; undefined if none had arrived. */
+	readonly status: number | undefined;
+	/** Number of events that the caller has received. */
+	readonly eventCount: number;
+	/** True if the engine, or the network, ended the connection. */
+	readonly connectionEnded: boolean;
+};
+
 /** Tracks the load that a run causes at its engine, until disposed. */
 export type RunTracker = Disposable & {
 	/** @param eventCount - number of events that the caller has received */
@@ -79,6 +97,8 @@
 	readonly areDeparturesReported: () => boolean;
 	/** Starts to count the load of a run. */
 	readonly trackRun: (run: StreamRun) => RunTracker;
+	/** Called when a run is lost, before it continues elsewhere. */
+	readonly onRunLost: (run: LostRun) => void;
 	/** Called when a stream has ended normally. */
 	readonly onFinished: (admitted: AdmittedRequest, eventCount: number) => void;
 };
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -43,7 +43,11 @@
 
 test('does not give up a stream that no engine has started: tries the others, then responds with 503', () => {
 	const {targetClient, response} = startTestStream();
-	targetClient.sends[0].listener.onFailure({unsent: true, reason: 'refused'});
+	targetClient.sends[0].listener.onFailure({
+		unsent: true,
+		connectionEnded: false,
+		reason: 'refused',
+	});
 	refuseSend(targetClient.sends[1]);
 	assert.equal(targetClient.sends.length, 3);
 	refuseSend(targetClient.sends[2]);
@@ -291,3 +295,19 @@
 	await time.runUntil(1000);
 	assert.equal(targetClient.sends.length, 1);
 });
+
+test('a lost run is reported with the status of its broken response and the events that the caller has', () => {
+	const {targetClient, lostRuns, log} = startTestStream();
+	respondWithEvents(targetClient.sends[0]);
+	failSend(targetClient.sends[0]);
+	const [{status, eventCount, connectionEnded, target}] = lostRuns;
+	assert.deepEqual(
+		{status, eventCount, connectionEnded, target: target.id},
+		{status: 200, eventCount: 0, connectionEnded: true, target: 'e1'},
+	);
+	const failed = log.find(({event}) => event === 'stream attempt failed');
+	assert.equal(failed?.record.status, 200);
+	const waiting = startTestStream();
+	failSend(waiting.targetClient.sends[0]);
+	assert.equal(waiting.lostRuns[0].status, undefined);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -151,6 +151,7 @@
 		if (outcome === 'gap') {
 			onFailure(current, {
 				unsent: false,
+				connectionEnded: false,
 				reason: `event ${event.id} follows event ${response.lastEventId}`,
 			});
 		} else if (outcome === 'forwarded') {
@@ -177,7 +178,9 @@
 			request: request.id,
 			target: target.id,
 			unsent: failure.unsent,
+			connectionEnded: failure.connectionEnded,
 			reason: failure.reason,
+			status: current.failedStatus,
 			events: response.eventCount,
 			silentMs: Math.round(stallDetector.silentMs),
 		});
@@ -198,6 +201,14 @@
 		}
 
 		mayHaveRunEarlier = true;
+		options.onRunLost({
+			request,
+			target,
+			sentMs: current.startedMs,
+			status: current.failedStatus,
+			eventCount: response.eventCount,
+			connectionEnded: failure.connectionEnded,
+		});
 		copies.runLost(current);
 		const giveUpLostRun = () => {
 			giveUp('the run was lost');
@@ -316,8 +327,12 @@
 				// Without retry budget the stalled run is kept, since its engine may still resume it.
 				continuationRetries.request((isGranted) => {
 					if (isGranted && send === current) {
-						const reason = 'the engine is silent';
-						onFailure(current, {unsent: false, reason}, true);
+						const failure = {
+							unsent: false,
+							connectionEnded: false,
+							reason: 'the engine is silent',
+						};
+						onFailure(current, failure, true);
 					}
 				});
 			}
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -5,6 +5,7 @@
 } from '../../decisions/rate-limits/index.js';
 import {
 	createContinuationTurns,
+	type LostRun,
 	type RetryShareOptions,
 	startStreamSession,
 } from '../../decisions/serving/index.js';
@@ -56,6 +57,7 @@
 	const response = createFakeCallerResponse();
 	const log: Array<{event: string; record: Readonly<Record<string, unknown>>}> =
 		[];
+	const lostRuns: LostRun[] = [];
 	const leavingIds = new Set<string>();
 	const unreachableIds = new Set<string>();
 	const {promptTokens = 3000} = options;
@@ -141,6 +143,9 @@
 					// Load is not counted in these tests.
 				},
 			}),
+			onRunLost(run) {
+				lostRuns.push(run);
+			},
 			onFinished() {
 				// Lengths are not recorded in these tests.
 			},
@@ -177,6 +182,7 @@
 		targetClient,
 		response,
 		log,
+		lostRuns,
 		session,
 		markLeaving,
 		markUnreachable,
@@ -212,7 +218,7 @@
 
 /** Fails a send whose request may have been executed. */
 export function failSend({listener}: FakeSend, reason = 'reset'): void {
-	listener.onFailure({unsent: false, reason});
+	listener.onFailure({unsent: false, connectionEnded: true, reason});
 }
 
 /** Returns the text of the events with these ids. */
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -107,6 +107,32 @@
 	assert.equal(result.isEnded, false);
 });
 
+test('a response that is cut off by the end of its connection is told from one that cannot be parsed', async (context) => {
+	const scripts: readonly TargetScript[] = [
+		(request, socket) => {
+			const head = responseHead(request, 'Transfer-Encoding: chunked');
+			socket.end(`${head}9\r\nhalf`);
+		},
+		(_request, socket) => {
+			socket.end();
+		},
+		(_request, socket) => {
+			socket.resetAndDestroy();
+		},
+		(_request, socket) => {
+			socket.end('no response\r\n\r\n');
+		},
+	];
+	const ended: Array<boolean | undefined> = [];
+	for (const script of scripts) {
+		const {address} = await startTarget(context, script);
+		const {failure} = await send(new HttpTargetClient(), address);
+		ended.push(failure?.connectionEnded);
+	}
+
+	assert.deepEqual(ended, [true, true, true, false]);
+});
+
 test('surplus bytes after a response are not taken for the next response', async (context) => {
 	const {address, target} = await startTarget(context, (request, socket) => {
 		const response = `${responseHead(request, 'Content-Length: 2')}ok`;
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -70,6 +70,17 @@
 	}
 }
 
+/** Codes of the errors with which undici reports that a connection ended during a response. */
+const connectionEndCodes: ReadonlySet<string | undefined> = new Set([
+	'ECONNRESET',
+	'EPIPE',
+	'HPE_INVALID_EOF_STATE',
+	'UND_ERR_SOCKET',
+]);
+
+const endsConnection = ({code}: NodeJS.ErrnoException) =>
+	connectionEndCodes.has(code);
+
 type RawHeaders = {readonly rawHeaders?: readonly Buffer[]};
 
 function rawHeaderPairs(
@@ -159,6 +170,7 @@
 					if (resetRequests.has(dispatchOptions)) {
 						listener.onFailure({
 							unsent: false,
+							connectionEnded: true,
 							reason: 'the connection was reset',
 						});
 					} else {
@@ -168,7 +180,11 @@
 			},
 			onResponseError(_controller, error) {
 				settle(() => {
-					listener.onFailure({unsent: !started, reason: error.message});
+					listener.onFailure({
+						unsent: !started,
+						connectionEnded: started && endsConnection(error),
+						reason: error.message,
+					});
 				});
 			},
 		});
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -1,5 +1,4 @@
 import type {ReceivedRequest} from '../../adapters/front/index.js';
-import type {Metrics} from '../../adapters/system/index.js';
 import type {RandomSource, TargetEntry} from '../../common/index.js';
 import {
 	admit,
@@ -29,7 +28,6 @@
 
 export type RequestServerOptions = SessionStarterOptions & {
 	readonly random: RandomSource;
-	readonly metrics: Metrics;
 	/** Routes of the configuration in force; undefined before the first configuration. */
 	readonly routeTable: () => RouteTable | undefined;
 	/** Undefined unless this VM is stopping. */
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -1,4 +1,4 @@
-import type {Logger} from '../../adapters/system/index.js';
+import type {Logger, Metrics} from '../../adapters/system/index.js';
 import type {
 	Clock,
 	ResponseHead,
@@ -13,6 +13,7 @@
 	type CallerResponse,
 	type CallTargetSearch,
 	type DecisionLog,
+	type LostRun,
 	type RequestContinuationTurn,
 	type ResponseLimits,
 	type RetryShare,
@@ -38,6 +39,7 @@
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
 	readonly logger: Logger;
+	readonly metrics: Metrics;
 	/** True while this VM learns of leaving targets from the store in time. */
 	readonly areTargetsCurrent: () => boolean;
 };
@@ -111,6 +113,14 @@
 		},
 	});
 
+	const countLostRun = ({eventCount, status}: LostRun) => {
+		const startedStage =
+			status === undefined ? 'before-status' : 'before-event';
+		options.metrics.count('runs_lost', {
+			stage: eventCount > 0 ? 'streaming' : startedStage,
+		});
+	};
+
 	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startStreamSession(admitted, response, {
 			...sessionServices(admitted.service),
@@ -124,6 +134,7 @@
 				!directory.isUnreachable(targetId),
 			areDeparturesReported: options.areTargetsCurrent,
 			trackRun: (run) => engineSelector.trackRun(run),
+			onRunLost: countLostRun,
 			onFinished(request, eventCount) {
 				engineSelector.recordOutputLength(request, eventCount);
 			},
