--- a/src/programs/front/testing/index.ts
+++ b/src/programs/front/testing/index.ts
@@ -1,1 +1,2 @@
+export * from './crashing-engines.js';
 export * from './front-fixture.js';
