--- a/src/programs/front/crashing-prompt.test.ts
+++ b/src/programs/front/crashing-prompt.test.ts
@@ -96,7 +96,7 @@
 		await sleep(requestIntervalMs);
 	}
 
-	await Promise.all(requests.map(({response}) => response));
+	await Promise.all(requests.map(async (request) => request.response));
 	const boundMs = (engines.crashesMs[crashCount - 1] ?? Infinity) + contactMs;
 	const later = engines.arrivalsMs.filter((atMs) => atMs > boundMs).length;
 	assert.ok(
@@ -108,7 +108,7 @@
 		({sentMs, isCrashing}) => !isCrashing && sentMs > sinceMs,
 	);
 	const responses = await Promise.all(
-		laterSound.map(async ({response}) => response),
+		laterSound.map(async (request) => request.response),
 	);
 	const served = responses.filter(({status}) => status === 200).length;
 	assert.ok(
