Hold requests whose prompts have parts under which engines end

Cause: nothing related the end of an engine to what the requests on it have in common, on one VM or between VMs. Each request was judged by itself, and the next one with the same part went to the next engine.

Change: when a run breaks before its first event, the VM asks the engine whether it still runs. If it has ended, the parts of the prompts of the runs that waited there are recorded, told to the coordinator and its standby, and by both to all VMs. A first event clears the parts of its request. A part under which three engines have ended one after the other (five, if their requests were sent before the first end) is suspected; a request is refused at once, as not run, if it has a suspected part whose crashes no suspected part outside the request explains, so that parts that sound requests share hold nobody up. Requests under way that have no event are ended. After the hold time, two minutes or twice the time over which the crashes came, the VMs try again one after the other. A run that was lost at two engines before its first event is not continued.

--- a/src/common/requests/target-client.ts
+++ b/src/common/requests/target-client.ts
@@ -1,10 +1,12 @@
 import type {Disposable} from '../base/index.js';
+import type {TargetEntry} from '../deployment/index.js';
 import type {
 	ResponseListener,
 	CallerRequest,
 	CopyResult,
 	EngineReport,
 	SendOptions,
+	TargetLiveness,
 } from './types.js';
 
 /** Sends requests to targets and owns the connections to them. */
@@ -45,6 +47,12 @@
 	/** Requests the load report of an engine. */
 	abstract report(address: string, timeoutMs: number): Promise<EngineReport>;
 
+	/** Finds out whether an engine has ended since it registered; never rejects. */
+	abstract checkLiveness(
+		target: TargetEntry,
+		timeoutMs: number,
+	): Promise<TargetLiveness>;
+
 	/**
 	 * Closes the connections to a target once their requests have ended. Later requests open new ones.
 	 */
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -128,4 +128,12 @@
 	readonly capacityTokens: number;
 	/** True if the engine is draining or has announced when it stops; it gets no new requests. */
 	readonly leaving: boolean;
+	/** Unix time of the engine's start in milliseconds, if the report has it. */
+	readonly bornMs: number | undefined;
 };
+
+/**
+ * Whether a target still runs. `ended`: its address accepts no connections, or another incarnation responds
+ * there; `unknown`: no response in time, or one that says neither.
+ */
+export type TargetLiveness = 'alive' | 'ended' | 'unknown';
--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -8,6 +8,7 @@
 	PermitRequest,
 	RateLimitReport,
 } from '../rate-limits/index.js';
+import type {PartReport} from '../quarantine/index.js';
 import type {MemberInfo, TableSyncState} from './types.js';
 
 /**
@@ -105,9 +106,16 @@
 	readonly decision: PermitDecision | undefined;
 };
 
-/** Messages between VMs about membership, runs, placements, retries and rate limits. */
+/** Crashes under prompt parts that the sender knows of. */
+export type CrashEvidenceMessage = {
+	readonly kind: 'crash-evidence';
+	readonly reports: readonly PartReport[];
+};
+
+/** Messages between VMs about membership, runs, placements, retries, rate limits and crashes of engines. */
 export type FleetMessage =
 	| Beacon
+	| CrashEvidenceMessage
 	| Heartbeat
 	| PermitRequestMessage
 	| PermitDecisionMessage
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -4,6 +4,7 @@
 	PlacementRequest,
 	RunState,
 } from '../scheduling/index.js';
+import {decodePartReport, encodePartReport} from './crash-evidence-messages.js';
 import {FieldReader} from './field-reader.js';
 import type {FleetMessage} from './fleet-message-types.js';
 import {
@@ -254,6 +255,13 @@
 				encodePermitDecision(message.decision),
 			]);
 		}
+
+		case 'crash-evidence': {
+			return JSON.stringify([
+				'e',
+				message.reports.map((report) => encodePartReport(report)),
+			]);
+		}
 	}
 }
 
@@ -353,10 +361,17 @@
 			};
 		}
 
+		case 'e': {
+			return {
+				kind: 'crash-evidence',
+				reports: fields.list(decodePartReport),
+			};
+		}
+
 		default: {
 			throw new ProblemError(
 				'peer-protocol',
-				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, l, m and d`,
+				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, l, m, d and e`,
 			);
 		}
 	}
--- /dev/null
+++ b/src/decisions/quarantine/crash-observer.ts
@@ -0,0 +1,143 @@
+import type {
+	CallerRequest,
+	Clock,
+	TargetEntry,
+	TargetLiveness,
+} from '../../common/index.js';
+import type {CrashEvidence} from './crash-evidence.js';
+import type {SentPart} from './types.js';
+
+/** A run whose connection ended before its first event. */
+export type BrokenRun = {
+	readonly request: CallerRequest;
+	readonly target: TargetEntry;
+	/** Monotonic time at which the request was sent to the engine, in milliseconds. */
+	readonly sentMs: number;
+};
+
+export type CrashObserverOptions = {
+	readonly clock: Clock;
+	readonly evidence: CrashEvidence;
+	/** Finds out whether an engine has ended. */
+	readonly checkLiveness: (target: TargetEntry) => Promise<TargetLiveness>;
+	/** Called when an engine has been found to have ended. */
+	readonly onEnded: (
+		target: TargetEntry,
+		requestIds: readonly string[],
+	) => void;
+};
+
+/**
+ * Finds out whether an engine has ended when a run breaks there before its first event. Connections break
+ * for other reasons too, such as a fault of the network or of this VM.
+ */
+export type CrashObserver = {
+	runBroken(run: BrokenRun): void;
+	/** Called when an engine refuses connections, or has left without notice. */
+	engineGone(targetId: string): void;
+};
+
+/** Time for which broken runs wait for the engine's end to be confirmed, in milliseconds. */
+const confirmationMs = 5000;
+/** Only so many parts of a prompt are recorded. */
+const maxPartsPerPrompt = 64;
+
+type PendingCrash = {
+	readonly target: TargetEntry;
+	/** Monotonic time at which the first of the runs broke, in milliseconds. */
+	readonly brokenMs: number;
+	readonly runs: BrokenRun[];
+};
+
+/** Ids of the parts of a request's prompt; empty for other requests. */
+export function promptPartIds({generation}: CallerRequest): readonly string[] {
+	return (generation?.promptParts ?? [])
+		.slice(0, maxPartsPerPrompt)
+		.map(({id}) => id);
+}
+
+const sentPartsOf = (runs: readonly BrokenRun[]): SentPart[] =>
+	runs
+		.flatMap(({request, sentMs}) =>
+			promptPartIds(request).map((partId) => ({partId, sentMs})),
+		)
+		.sort((first, second) => second.sentMs - first.sentMs);
+
+const incarnationOf = ({id, bornMs}: TargetEntry) =>
+	bornMs === undefined ? id : `${id}@${bornMs}`;
+
+export function createCrashObserver({
+	clock,
+	evidence,
+	checkLiveness,
+	onEnded,
+}: CrashObserverOptions): CrashObserver {
+	const pending = new Map<string, PendingCrash>();
+	/** Engines that have ended, with the monotonic time of their end in milliseconds. */
+	const ended = new Map<string, number>();
+
+	const removeOld = () => {
+		const nowMs = clock.nowMs();
+		for (const [targetId, {brokenMs}] of pending) {
+			if (nowMs - brokenMs > confirmationMs) {
+				pending.delete(targetId);
+			}
+		}
+
+		for (const [incarnation, endedMs] of ended) {
+			if (nowMs - endedMs > confirmationMs) {
+				ended.delete(incarnation);
+			}
+		}
+	};
+
+	const confirm = (targetId: string) => {
+		const crash = pending.get(targetId);
+		if (!crash) {
+			return;
+		}
+
+		pending.delete(targetId);
+		const {target, brokenMs, runs} = crash;
+		const incarnation = incarnationOf(target);
+		const endedMs = ended.get(incarnation) ?? brokenMs;
+		ended.set(incarnation, endedMs);
+		onEnded(
+			target,
+			runs.map(({request}) => request.id),
+		);
+		evidence.recordCrash(incarnation, sentPartsOf(runs), endedMs);
+	};
+
+	const check = async (target: TargetEntry) => {
+		const liveness = await checkLiveness(target);
+		if (liveness === 'ended') {
+			confirm(target.id);
+		} else if (liveness === 'alive') {
+			pending.delete(target.id);
+		}
+	};
+
+	return {
+		runBroken(run) {
+			removeOld();
+			const {target} = run;
+			const known = pending.get(target.id);
+			if (known) {
+				known.runs.push(run);
+				return;
+			}
+
+			pending.set(target.id, {target, brokenMs: clock.nowMs(), runs: [run]});
+			if (ended.has(incarnationOf(target))) {
+				confirm(target.id);
+			} else {
+				void check(target);
+			}
+		},
+		engineGone(targetId) {
+			removeOld();
+			confirm(targetId);
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/quarantine/index.ts
@@ -0,0 +1,4 @@
+export * from './crash-evidence.js';
+export * from './crash-observer.js';
+export * from './prompt-quarantine.js';
+export type * from './types.js';
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -97,6 +97,8 @@
 	readonly areDeparturesReported: () => boolean;
 	/** Starts to count the load of a run. */
 	readonly trackRun: (run: StreamRun) => RunTracker;
+	/** Called when the caller has received the first event. */
+	readonly onFirstEvent: (request: CallerRequest) => void;
 	/** Called when a run is lost, before it continues elsewhere. */
 	readonly onRunLost: (run: LostRun) => void;
 	/** Called when a stream has ended normally. */
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -311,3 +311,18 @@
 	failSend(waiting.targetClient.sends[0]);
 	assert.equal(waiting.lostRuns[0].status, undefined);
 });
+
+test('a run that was lost at two engines before its first event does not go on at a third', async () => {
+	const {time, targetClient, response, session, acceptCopies, markLeaving} =
+		startTestStream({backup: secondEngine});
+	acceptCopies('m1');
+	failSend(targetClient.sends[0]);
+	assert.equal(targetClient.sends.length, 2);
+	markLeaving(secondEngine.id);
+	await time.runUntil(100);
+	session.tick();
+	failSend(targetClient.sends[1]);
+	await time.runUntil(200);
+	assert.equal(targetClient.sends.length, 2);
+	assert.equal(response.status, 502);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -23,6 +23,8 @@
 
 /** `Retry-After` for a stream that no engine has run, in milliseconds. */
 const retryAfterMs = 400;
+/** Engines lost before the first event after which a run is not continued: the request may have ended them. */
+const maxLostBeforeEvent = 2;
 /** Priority of a late generation; less urgent than the engines' default, which is 5. */
 const latePriority = 7;
 
@@ -41,6 +43,7 @@
 	const avoid = new Set<string>();
 	let send: StreamAttempt | undefined;
 	let mayHaveRunEarlier = false;
+	let lostBeforeEventCount = 0;
 	const response = createStreamResponse(callerResponse, admitted.arrivedMs);
 	const stallDetector = createStallDetector(clock, response);
 	const continuationRetries = createContinuationRetries(admitted, options);
@@ -159,6 +162,7 @@
 			if (isFirst) {
 				const {target} = current.placement;
 				options.onSendResult(target, true, nowMs - current.startedMs);
+				options.onFirstEvent(request);
 			}
 		}
 	};
@@ -214,7 +218,15 @@
 			giveUp('the run was lost');
 		};
 
-		continuation.start('run lost', giveUpLostRun, isGranted);
+		if (response.eventCount === 0 && failure.connectionEnded) {
+			lostBeforeEventCount++;
+		}
+
+		if (lostBeforeEventCount < maxLostBeforeEvent) {
+			continuation.start('run lost', giveUpLostRun, isGranted);
+		} else {
+			giveUpLostRun();
+		}
 	};
 
 	const onEnd = (current: StreamAttempt, head: ResponseHead) => {
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -143,6 +143,9 @@
 					// Load is not counted in these tests.
 				},
 			}),
+			onFirstEvent() {
+				// The evidence of crashes is not kept in these tests.
+			},
 			onRunLost(run) {
 				lostRuns.push(run);
 			},
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -7,6 +7,7 @@
 	type EngineReport,
 	type SendOptions,
 	TargetClient,
+	type TargetLiveness,
 } from '../../common/index.js';
 
 /** Request that a session sent to a target; the test responds through `listener`. */
@@ -95,9 +96,14 @@
 			usedTokens: 0,
 			capacityTokens: 34_000,
 			leaving: false,
+			bornMs: undefined,
 		};
 	}
 
+	override async checkLiveness(): Promise<TargetLiveness> {
+		return 'unknown';
+	}
+
 	override closeConnections(address: string): void {
 		this.closedAddresses.push(address);
 	}
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -2,7 +2,10 @@
 import type {AddressInfo} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import type {ResponseHead, SendFailure} from '../common/index.js';
-import {fakeCallerRequest} from '../experiments/fakes/index.js';
+import {
+	fakeCallerRequest,
+	fakeTargetEntry,
+} from '../experiments/fakes/index.js';
 import {HttpTargetClient} from './http-target-client.js';
 import {
 	responseHead,
@@ -224,3 +227,39 @@
 	});
 	assert.equal(target.requests.length, 2);
 });
+
+test('an engine counts as ended if its address refuses connections or another incarnation responds, not if it is silent', async (context) => {
+	const client = new HttpTargetClient();
+	const {address} = await startTarget(context, (request, socket) => {
+		const body = JSON.stringify({
+			queued: 0,
+			running: 0,
+			kv_used: 0,
+			kv_total: 9,
+			born: 1000,
+		});
+		if (request.head.startsWith('GET /-/report')) {
+			socket.write(
+				`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+			);
+		}
+	});
+	const silent = await startTarget(context, () => {
+		// Does not respond.
+	});
+	const livenessOf = async (engineAddress: string, bornMs?: number) =>
+		client.checkLiveness(
+			{...fakeTargetEntry('e1'), address: engineAddress, bornMs},
+			200,
+		);
+	assert.deepEqual(
+		[
+			await livenessOf('127.0.0.1:1', 1000),
+			await livenessOf(address, 1000),
+			await livenessOf(address),
+			await livenessOf(address, 999),
+			await livenessOf(silent.address, 1000),
+		],
+		['ended', 'alive', 'alive', 'ended', 'unknown'],
+	);
+});
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -11,6 +11,8 @@
 	ProblemError,
 	type SendOptions,
 	TargetClient,
+	type TargetEntry,
+	type TargetLiveness,
 } from '../common/index.js';
 import {Pool} from '../adapters/http-client/index.js';
 import {createResetAwareClient} from '../adapters/targets/index.js';
@@ -35,6 +37,7 @@
 	kv_total: z.number(),
 	state: z.string().optional(),
 	leaves_ms: z.number().nullish(),
+	born: z.number().nullish(),
 });
 const copyResponseSchema = z.object({handle: z.string()});
 
@@ -258,9 +261,27 @@
 			usedTokens: raw.kv_used,
 			capacityTokens: raw.kv_total,
 			leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
+			bornMs: raw.born ?? undefined,
 		};
 	}
 
+	override async checkLiveness(
+		{address, bornMs}: TargetEntry,
+		timeoutMs: number,
+	): Promise<TargetLiveness> {
+		try {
+			const report = await this.report(address, timeoutMs);
+			const isOther =
+				bornMs !== undefined &&
+				report.bornMs !== undefined &&
+				report.bornMs !== bornMs;
+			return isOther ? 'ended' : 'alive';
+		} catch (error) {
+			const {code} = error as NodeJS.ErrnoException;
+			return code === 'ECONNREFUSED' ? 'ended' : 'unknown';
+		}
+	}
+
 	override closeConnections(address: string): void {
 		const pool = this.pools.get(address);
 		this.pools.delete(address);
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -24,6 +24,7 @@
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {createCapacityReader} from './capacity-reader.js';
+import {startCrashGuard} from './crash-guard.js';
 import {startEnginePolling} from './engine-polling.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
@@ -111,6 +112,20 @@
 		hardLimitBytes: admissionLimitBytes * hardLimitFactor,
 	});
 	let routeTable: RouteTable | undefined;
+	const crashGuard = owned.add(
+		startCrashGuard({
+			clock,
+			timers,
+			random,
+			evidence: deployment.crashEvidence,
+			vmCount: deployment.vmCount,
+			targetClient,
+			directory,
+			logger,
+			metrics,
+		}),
+	);
+	const {quarantine, observer: crashObserver} = crashGuard;
 
 	const requests = createRequestServer({
 		clock,
@@ -124,6 +139,9 @@
 		detector,
 		retryShare: deployment.retryShare,
 		rateLimits,
+		crashEvidence: deployment.crashEvidence,
+		crashObserver,
+		quarantine,
 		responseLimits: settings.responseLimits,
 		bufferBudget,
 		metrics,
@@ -153,6 +171,13 @@
 			liveSettings.current.bounds.configurationApplyMs *
 				maxConfigurationAgeFraction,
 	});
+	owned.add(
+		quarantine.onChanged(({isSuspected}) => {
+			if (isSuspected) {
+				requests.endQuarantined();
+			}
+		}),
+	);
 	const listener = createCallerListener({
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
 		isStopping: () => stopAtMs !== undefined,
@@ -205,6 +230,7 @@
 			detector,
 			capacityReader,
 			rateLimits,
+			crashObserver,
 			requests,
 			logger,
 		}),
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -20,6 +20,10 @@
 	type PermitDecision,
 	type RateLimitTable,
 } from '../../decisions/rate-limits/index.js';
+import {
+	type CrashEvidence,
+	createCrashEvidence,
+} from '../../decisions/quarantine/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
 import {
 	type CallTargetSearch,
@@ -67,9 +71,12 @@
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly rateLimits: RateLimitTable;
+	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
+	/** Largest number of VMs that may be serving, this one included. */
+	vmCount(): number;
 	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
 	resumedMs(): number;
 	/** Closes the connections to the store. */
@@ -132,6 +139,7 @@
 		},
 	});
 	const rateLimits = createRateLimitTable(clock);
+	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
 	const retryBounds = () => {
@@ -153,6 +161,7 @@
 			store,
 			retryBounds,
 			rateLimits,
+			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
 			storeReadState: () => late.storeWatch?.readState ?? 'idle',
@@ -256,6 +265,8 @@
 		engineSelector,
 		retryShare,
 		rateLimits,
+		crashEvidence,
+		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
 		requestContinuationTurn,
 		storeWatch,
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -15,6 +15,7 @@
 	StoreReadState,
 	TableSyncState,
 } from '../../decisions/fleet/index.js';
+import type {CrashEvidence} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
 import type {RelayedRows} from '../../decisions/serving/index.js';
@@ -40,6 +41,8 @@
 	readonly beaconIntervalMs: () => number;
 	/** Rate limits of targets, exchanged with the other VMs. */
 	readonly rateLimits: RateLimitTable;
+	/** Crashes of engines under prompt parts, exchanged with the other VMs. */
+	readonly crashEvidence: CrashEvidence;
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
 	readonly storeReadState: () => StoreReadState;
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -15,6 +15,7 @@
 	FleetExchange,
 	FleetExchangeOptions,
 } from './fleet-exchange-types.js';
+import {createCrashEvidenceExchange} from './crash-evidence-exchange.js';
 import {createMembershipProtocol} from './membership-protocol.js';
 import {createPauseDetector} from './pause-detector.js';
 import {createPlacementHandler} from './placement-handler.js';
@@ -87,6 +88,16 @@
 		}),
 	);
 	const {permitClient} = rateLimitHandler;
+	const evidenceExchange = owned.add(
+		createCrashEvidenceExchange({
+			clock,
+			timers,
+			address,
+			members,
+			evidence: options.crashEvidence,
+			send,
+		}),
+	);
 	const placementHandler = owned.add(
 		createPlacementHandler({
 			clock,
@@ -108,7 +119,10 @@
 		runRegistry,
 		runs: () => runReporter.all(),
 		ownInfo,
-		onMemberArrived: rateLimitHandler.sendTo,
+		onMemberArrived(from) {
+			rateLimitHandler.sendTo(from);
+			evidenceExchange.sendTo(from);
+		},
 		sendText: socket.send,
 		sendToAll,
 	});
@@ -151,6 +165,11 @@
 				rateLimitHandler.handle(from, message);
 				break;
 			}
+
+			case 'crash-evidence': {
+				evidenceExchange.handle(message);
+				break;
+			}
 		}
 	};
 
@@ -212,6 +231,7 @@
 			runRegistry.removeExpired();
 			membership.sweep();
 			rateLimitHandler.tick();
+			evidenceExchange.tick();
 		},
 	);
 	repeatUntilDisposed(options.beaconIntervalMs, () => {
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -4,6 +4,7 @@
 	type Disposable,
 	type TargetClient,
 } from '../../common/index.js';
+import type {CrashObserver} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
@@ -17,6 +18,7 @@
 	readonly detector: OutlierDetector;
 	readonly capacityReader: CapacityReader;
 	readonly rateLimits: Pick<RateLimitTable, 'forget'>;
+	readonly crashObserver: Pick<CrashObserver, 'engineGone'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
 };
@@ -29,7 +31,7 @@
  */
 export function handleTargetEvents(options: TargetEventOptions): Disposable {
 	const {directory, targetClient, detector, requests, logger} = options;
-	const {capacityReader, rateLimits} = options;
+	const {capacityReader, rateLimits, crashObserver} = options;
 	const owned = createDisposableStore();
 	const updateDetector = (service: string) => {
 		detector.setTargets(
@@ -60,6 +62,10 @@
 			});
 			updateDetector(entry.service);
 			rateLimits.forget(entry.id);
+			if (reason !== 'draining') {
+				crashObserver.engineGone(entry.id);
+			}
+
 			requests.targetUnusable(entry.id);
 		}),
 	);
@@ -69,6 +75,7 @@
 				target: entry.id,
 				service: entry.service,
 			});
+			crashObserver.engineGone(entry.id);
 			requests.targetUnusable(entry.id);
 		}),
 	);
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -18,6 +18,10 @@
 	type StopTimes,
 	type StreamSession,
 } from '../../decisions/serving/index.js';
+import {
+	type PromptQuarantine,
+	promptPartIds,
+} from '../../decisions/quarantine/index.js';
 import {decodeRequest} from '../../platform/index.js';
 import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 import {createMeteredResponse} from './metered-response.js';
@@ -33,6 +37,7 @@
 	/** Undefined unless this VM is stopping. */
 	readonly stopTimes: () => StopTimes | undefined;
 	readonly onUnexpected: UnexpectedErrorLog;
+	readonly quarantine: PromptQuarantine;
 	/** Delays requests until the list of targets is confirmed to be current. */
 	readonly freshnessGate: FreshnessGate;
 	/** True while the configuration is confirmed to be the newest. */
@@ -53,6 +58,8 @@
 	targetUnusable(targetId: string): void;
 	/** Present engines that run a stream of this VM or hold its KV cache copy. */
 	enginesInUse(): readonly TargetEntry[];
+	/** Ends the requests without a response whose prompts have parts under which engines end. */
+	endQuarantined(): void;
 	/** Sends the final response to every admitted request without one. */
 	giveUpAll(reason: string): void;
 	/**
@@ -62,18 +69,25 @@
 	tick(): void;
 };
 
+const quarantineReason = 'engines end under parts of this prompt';
 const stoppingReason = 'the VM is stopping';
 /** `Retry-After` of a refusal, in milliseconds; short, because other VMs can serve the request now. */
 const elsewhereRetryAfterMs = 50;
 
+type OpenSession = {
+	readonly session: ServingSession;
+	readonly response: CallerResponse;
+};
+
 /** Creates the server of the requests that this VM has received whole. */
 export function createRequestServer(
 	options: RequestServerOptions,
 ): RequestServer {
 	const {clock, random, directory, engineSelector, logger, metrics} = options;
+	const {quarantine} = options;
 	const sessionStarter = createSessionStarter(options);
 	const streams = new Set<StreamSession>();
-	const openSessions = new Map<AdmittedRequest, ServingSession>();
+	const openSessions = new Map<AdmittedRequest, OpenSession>();
 	const previousWaitEstimator = createPreviousWaitEstimator(clock);
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
@@ -100,7 +114,7 @@
 
 	/** Refuses requests that no target has received yet and that would outlast the stop of this VM. */
 	const refuseOutlastingRequests = () => {
-		for (const [admitted, session] of openSessions) {
+		for (const [admitted, {session}] of openSessions) {
 			if (!session.mayHaveRun && outlastsStop(admitted)) {
 				session.giveUp(stoppingReason, elsewhereRetryAfterMs);
 			}
@@ -121,6 +135,34 @@
 		refuseNotRun(response, reason, retryAfterMs);
 	};
 
+	/** @returns true if the request was refused because engines end under parts of its prompt */
+	const isRefusedForCrashes = (
+		admitted: AdmittedRequest,
+		response: CallerResponse,
+	): boolean => {
+		const {request} = admitted;
+		const decision = quarantine.decide(promptPartIds(request));
+		if (decision.outcome === 'free') {
+			return false;
+		}
+
+		const {outcome, partIds} = decision;
+		metrics.count('quarantine_decisions', {outcome});
+		log(outcome === 'trial' ? 'quarantine trial' : 'request held', {
+			request: request.id,
+			promptParts: partIds.join(' '),
+			crashes: outcome === 'held' ? decision.crashCount : undefined,
+			retryAfterMs:
+				outcome === 'held' ? Math.round(decision.retryAfterMs) : undefined,
+		});
+		if (outcome === 'trial') {
+			return false;
+		}
+
+		refuse(admitted, response, quarantineReason, decision.retryAfterMs);
+		return true;
+	};
+
 	/** Runs an action on a session; an unexpected error ends this session only. */
 	const runGuarded = (session: ServingSession, act: () => void) => {
 		try {
@@ -155,11 +197,23 @@
 				refuse(admitted, response, reason, retryAfterMs);
 			},
 		});
-		openSessions.set(admitted, session);
+		openSessions.set(admitted, {session, response});
 		return session;
 	};
 
+	const endQuarantined = () => {
+		for (const [{request}, {session, response}] of openSessions) {
+			const held = quarantine.held(promptPartIds(request));
+			if (held && !session.isDone && !response.isHeadSent) {
+				runGuarded(session, () => {
+					session.giveUp(quarantineReason, held.retryAfterMs);
+				});
+			}
+		}
+	};
+
 	return {
+		endQuarantined,
 		serve(received, response) {
 			const request = decodeRequest(received);
 			const admission = admit(request, {
@@ -196,6 +250,10 @@
 				return undefined;
 			}
 
+			if (isRefusedForCrashes(admitted, meteredResponse)) {
+				return undefined;
+			}
+
 			return start(admitted, meteredResponse);
 		},
 		enginesInUse() {
@@ -218,13 +276,13 @@
 			}
 		},
 		giveUpAll(reason) {
-			for (const session of openSessions.values()) {
+			for (const {session} of openSessions.values()) {
 				session.giveUp(reason, elsewhereRetryAfterMs);
 			}
 		},
 		tick() {
-			for (const [admitted, {isDone}] of openSessions) {
-				if (isDone) {
+			for (const [admitted, {session}] of openSessions) {
+				if (session.isDone) {
 					openSessions.delete(admitted);
 				}
 			}
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -5,6 +5,11 @@
 	TargetClient,
 	Timers,
 } from '../../common/index.js';
+import {
+	type CrashEvidence,
+	type CrashObserver,
+	promptPartIds,
+} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
@@ -40,6 +45,8 @@
 	readonly bufferBudget: BufferBudget;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
+	readonly crashEvidence: Pick<CrashEvidence, 'recordFirstEvent'>;
+	readonly crashObserver: Pick<CrashObserver, 'runBroken'>;
 	/** True while this VM learns of leaving targets from the store in time. */
 	readonly areTargetsCurrent: () => boolean;
 };
@@ -121,6 +128,14 @@
 		});
 	};
 
+	/** Engines that leave close connections too; the end of one that is known to leave is no crash. */
+	const observeCrash = (run: LostRun) => {
+		const isPresent = directory.get(run.target.id) !== undefined;
+		if (run.connectionEnded && run.eventCount === 0 && isPresent) {
+			options.crashObserver.runBroken(run);
+		}
+	};
+
 	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startStreamSession(admitted, response, {
 			...sessionServices(admitted.service),
@@ -134,7 +149,13 @@
 				!directory.isUnreachable(targetId),
 			areDeparturesReported: options.areTargetsCurrent,
 			trackRun: (run) => engineSelector.trackRun(run),
-			onRunLost: countLostRun,
+			onFirstEvent(request) {
+				options.crashEvidence.recordFirstEvent(promptPartIds(request));
+			},
+			onRunLost(run) {
+				countLostRun(run);
+				observeCrash(run);
+			},
 			onFinished(request, eventCount) {
 				engineSelector.recordOutputLength(request, eventCount);
 			},
