Recognize the end of an engine whose connection closes after each response

Cause: whether a connection had ended was read from the code of undici's error.

Change: the client reports the end of a connection from its socket, whatever error the response fails with.

Evidence: the engines of crashing-prompt.test.ts now answer as the platform's do; with it fails as before (20 requests too late, 40 engines ended), and so does the target client's test with both kinds of response; both pass now.

--- a/src/adapters/targets/reset-aware-client.ts
+++ b/src/adapters/targets/reset-aware-client.ts
@@ -8,10 +8,11 @@
 	/** Time after which an idle connection is closed, in milliseconds. */
 	readonly idleTimeoutMs: number;
 	/**
-	 * Called if the connection is reset; possibly more than once.
+	 * Called if the target, or the network, ends the connection; possibly more than once.
 	 * @param request - dispatch options of the latest request on the connection, which may have ended before
+	 * @param wasReset - false if the connection was closed in an orderly way
 	 */
-	readonly onReset: (request: object) => void;
+	readonly onConnectionEnd: (request: object, wasReset: boolean) => void;
 	/**
 	 * Returns the largest size of the response to a request, including interim responses and framing, in
 	 * bytes; the connection is closed when more bytes are received.
@@ -20,6 +21,12 @@
 	readonly maxResponseBytes: (request: object) => number;
 };
 
+/** Errors of a socket whose connection is gone, as opposed to those that this process raises. */
+const connectionLossCodes: ReadonlySet<string | undefined> = new Set([
+	'ECONNRESET',
+	'EPIPE',
+	'ETIMEDOUT',
+]);
 const keepAliveInitialDelayMs = 1000;
 
 /**
@@ -41,9 +48,9 @@
 	/** Bytes that the socket had received when the latest request was dispatched. */
 	let bytesReadBefore = 0;
 
-	const reportIfReset = (wasReset: boolean) => {
-		if (wasReset && latestRequest) {
-			options.onReset(latestRequest);
+	const reportEnd = (wasReset: boolean) => {
+		if (latestRequest) {
+			options.onConnectionEnd(latestRequest, wasReset);
 		}
 	};
 
@@ -75,10 +82,12 @@
 				}
 
 				socket.prependListener('end', () => {
-					reportIfReset(socket.remoteAddress === undefined);
+					reportEnd(socket.remoteAddress === undefined);
 				});
 				socket.prependListener('error', (failure: NodeJS.ErrnoException) => {
-					reportIfReset(failure.code === 'ECONNRESET');
+					if (connectionLossCodes.has(failure.code)) {
+						reportEnd(failure.code === 'ECONNRESET');
+					}
 				});
 				socket.prependListener('readable', () => {
 					checkResponseSize(socket);
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -116,6 +116,17 @@
 			const head = responseHead(request, 'Transfer-Encoding: chunked');
 			socket.end(`${head}9\r\nhalf`);
 		},
+		(request, socket) => {
+			const head = responseHead(
+				request,
+				'Transfer-Encoding: chunked',
+				'Connection: close',
+			);
+			socket.end(`${head}9\r\nhalf`);
+		},
+		(request, socket) => {
+			socket.end(`${responseHead(request, 'Content-Length: 9')}half`);
+		},
 		(_request, socket) => {
 			socket.end();
 		},
@@ -133,7 +144,7 @@
 		ended.push(failure?.connectionEnded);
 	}
 
-	assert.deepEqual(ended, [true, true, true, false]);
+	assert.deepEqual(ended, [true, true, true, true, true, false]);
 });
 
 test('surplus bytes after a response are not taken for the next response', async (context) => {
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -73,17 +73,6 @@
 	}
 }
 
-/** Codes of the errors with which undici reports that a connection ended during a response. */
-const connectionEndCodes: ReadonlySet<string | undefined> = new Set([
-	'ECONNRESET',
-	'EPIPE',
-	'HPE_INVALID_EOF_STATE',
-	'UND_ERR_SOCKET',
-]);
-
-const endsConnection = ({code}: NodeJS.ErrnoException) =>
-	connectionEndCodes.has(code);
-
 type RawHeaders = {readonly rawHeaders?: readonly Buffer[]};
 
 function rawHeaderPairs(
@@ -107,6 +96,8 @@
 	private readonly pools = new Map<string, UndiciPool>();
 	/** Dispatch options of the requests whose connection was reset. */
 	private readonly resetRequests = new WeakSet();
+	/** Dispatch options of the requests whose connection was ended from outside, by a reset or not. */
+	private readonly endedRequests = new WeakSet();
 	private readonly maxConnections = new Map<string, number>();
 	/** Response size limits of requests, by dispatch options. */
 	private readonly maxResponseBytes = new WeakMap<object, number>();
@@ -142,7 +133,7 @@
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		};
-		const {resetRequests} = this;
+		const {resetRequests, endedRequests} = this;
 		this.maxResponseBytes.set(dispatchOptions, options.maxAnswerBytes);
 		this.poolFor(address).dispatch(dispatchOptions, {
 			onRequestStart(controller) {
@@ -185,7 +176,7 @@
 				settle(() => {
 					listener.onFailure({
 						unsent: !started,
-						connectionEnded: started && endsConnection(error),
+						connectionEnded: endedRequests.has(dispatchOptions),
 						reason: error.message,
 					});
 				});
@@ -313,8 +304,11 @@
 					createResetAwareClient(origin, {
 						connectTimeoutMs,
 						idleTimeoutMs,
-						onReset: (request) => {
-							this.resetRequests.add(request);
+						onConnectionEnd: (request, wasReset) => {
+							this.endedRequests.add(request);
+							if (wasReset) {
+								this.resetRequests.add(request);
+							}
 						},
 						maxResponseBytes: (request) =>
 							this.maxResponseBytes.get(request) ?? maxControlResponseBytes,
--- a/src/programs/front/testing/crashing-engines.ts
+++ b/src/programs/front/testing/crashing-engines.ts
@@ -86,6 +86,7 @@
 					request,
 					'Content-Type: text/event-stream',
 					'Transfer-Encoding: chunked',
+					'Connection: close',
 				);
 				if (crashes) {
 					socket.write(`${head}9\r\nid: 1\nda`, crash);
