Refuse entries of targets that name no usable address or have absurd numbers

An address of that kind among the coordinators in the store ended each update of the registry before the rows behind it.

Change: an address must be an IPv4 address and port in their ranges, wherever one is read: entries, relayed rows, boot file, coordinators, and before a datagram is sent. Slots, warm-up, birth, sequence and version of an entry are checked for type and size, and its key must be usable as a header value.

Deep nesting and numbers beyond the range of a double did no harm before.

--- a/src/adapters/front/datagram-socket.ts
+++ b/src/adapters/front/datagram-socket.ts
@@ -3,6 +3,8 @@
 	createEmitter,
 	type Disposable,
 	type Event,
+	isSocketAddress,
+	ProblemError,
 } from '../../common/index.js';
 
 /** A received datagram. */
@@ -42,6 +44,16 @@
 		onDatagram: datagrams.event,
 		onError: errors.event,
 		send(address, text) {
+			if (!isSocketAddress(address)) {
+				errors.fire(
+					new ProblemError(
+						'peer-protocol',
+						`"${address}" is not an IPv4 address and port`,
+					),
+				);
+				return;
+			}
+
 			const [host, toPort] = address.split(':');
 			socket.send(text, Number(toPort), host, (error) => {
 				if (error) {
--- a/src/common/deployment/index.ts
+++ b/src/common/deployment/index.ts
@@ -1,3 +1,4 @@
 export * from './default-limits.js';
 export * from './row-store.js';
+export * from './socket-address.js';
 export type * from './types.js';
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type {TargetEntry} from '../../common/index.js';
+import {isSocketAddress, type TargetEntry} from '../../common/index.js';
 
 /** A row of the targets table as another VM read it from the store. */
 export type RelayedRow = {
@@ -60,7 +60,10 @@
 	return {
 		targetId,
 		version,
-		entry: entry ? {...entry, bornMs: entry.bornMs} : undefined,
+		entry:
+			entry && isSocketAddress(entry.address)
+				? {...entry, bornMs: entry.bornMs}
+				: undefined,
 	};
 }
 
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -1,8 +1,10 @@
 import * as z from 'zod';
-import type {VmSettings} from '../common/index.js';
+import {isSocketAddress, type VmSettings} from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 
-const address = z.string().regex(/^\d+(\.\d+){3}:\d{1,5}$/);
+const address = z
+	.string()
+	.refine(isSocketAddress, 'not an IPv4 address and port');
 const positive = z.number().positive();
 const notNegative = z.number().nonnegative();
 const port = z.number().int().min(1).max(65_535);
--- a/src/platform/target-entry.ts
+++ b/src/platform/target-entry.ts
@@ -1,15 +1,25 @@
 import * as z from 'zod';
-import type {TargetEntry} from '../common/index.js';
+import {isSocketAddress, type TargetEntry} from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 
+/** Far more than any target has; an entry with more was not written by a target. */
+const maxSlotCount = 100_000;
+/** Longest warm-up that a target may announce, in milliseconds: one day. */
+const maxWarmingMs = 86_400_000;
+/** Ids become header values. */
+const idSchema = z.string().regex(/^[!-~]{1,200}$/);
+
 const entrySchema = z.object({
+	id: idSchema,
 	service: z.string().min(1),
-	address: z.string().regex(/^\d+(\.\d+){3}:\d{1,5}$/),
+	address: z.string().refine(isSocketAddress, 'not an IPv4 address and port'),
 	zone: z.string(),
-	slots: z.number().positive(),
+	version: z.string().optional(),
+	slots: z.number().int().positive().max(maxSlotCount),
 	state: z.enum(['ready', 'draining']),
-	cold_left_ms: z.number().nonnegative().optional(),
-	born: z.number().int().optional(),
+	cold_left_ms: z.number().nonnegative().max(maxWarmingMs).optional(),
+	seq: z.number().nonnegative().optional(),
+	born: z.number().int().nonnegative().optional(),
 });
 
 /**
@@ -20,9 +30,10 @@
 export function decodeTargetEntry(id: string, text: string): TargetEntry {
 	const label = `the entry of target "${id}"`;
 	const problemType = 'table-corrupt-row';
+	const value = parseJson(text, label, problemType);
 	const raw = decode(
 		entrySchema,
-		parseJson(text, label, problemType),
+		typeof value === 'object' ? {...value, id} : value,
 		label,
 		problemType,
 	);
--- a/src/platform/testing/store-standin.ts
+++ b/src/platform/testing/store-standin.ts
@@ -8,6 +8,8 @@
 	readonly rows: ReadonlyMap<string, string>;
 	/** Writes a row as the operator or a target would; undefined removes it. */
 	put(table: string, key: string, value: unknown): void;
+	/** Writes a row with this text, which need not be JSON. */
+	putText(table: string, key: string, text: string): void;
 	/** Responds to all requests with this status until it is reset to undefined. */
 	respondWith(status: number | undefined): void;
 	/** Drops all changes, so that clients must read a new snapshot. */
@@ -135,6 +137,7 @@
 				value === undefined ? undefined : JSON.stringify(value),
 			);
 		},
+		putText: record,
 		respondWith(status) {
 			forcedStatus = status;
 		},
--- a/src/programs/front/coordinator-registry.ts
+++ b/src/programs/front/coordinator-registry.ts
@@ -2,6 +2,7 @@
 import {
 	type Clock,
 	type Disposable,
+	isSocketAddress,
 	repeat,
 	type RowStore,
 	type Timers,
@@ -34,12 +35,14 @@
 const usualIntervalMs = 30_000;
 const retryMs = 1500;
 
-/** Reads the address from a row; undefined if the row is malformed. */
+/** Reads the address from a row; undefined if the row is malformed or names no address. */
 function decodeAddress(value: Uint8Array): string | undefined {
 	try {
 		const row = JSON.parse(new TextDecoder().decode(value)) as unknown;
 		const {address} = (row ?? {}) as {address?: unknown};
-		return typeof address === 'string' ? address : undefined;
+		return typeof address === 'string' && isSocketAddress(address)
+			? address
+			: undefined;
 	} catch {
 		// The row was written by another program, or by another version of this one.
 		return undefined;
