Close the connection to a plain service after each call of the entry daemon

Cause: responses of a plain service name no request, and connections were kept, so that a response that a service repeats (reported by another operator) was taken for the answer to the next call: a booking that had run was reported as refused.

Evidence: http-plain-service.test.ts failed before (503 in place of 200) and passes now. The cost is one connection a call; the front daemon is not concerned, since it checks the id of the request.

--- a/src/adapters/targets/http-plain-service.ts
+++ b/src/adapters/targets/http-plain-service.ts
@@ -83,6 +83,9 @@
 			},
 			body: hasBody ? call.body : undefined,
 			signal: AbortSignal.timeout(call.timeoutMs),
+			// Responses name no request. Closing the connection keeps a repeated one from being read as the
+			// response to a later call.
+			reset: true,
 		});
 		return {
 			status: response.statusCode,
