--- a/src/adapters/targets/http-plain-service.test.ts
+++ b/src/adapters/targets/http-plain-service.test.ts
@@ -59,9 +59,10 @@
 			idempotencyKey: 'k',
 			timeoutMs: 2000,
 		});
-	assert.equal((await book()).status, 503);
+	const first = await book();
 	await new Promise((resolve) => {
 		setTimeout(resolve, 30);
 	});
-	assert.equal((await book()).status, 200);
+	const second = await book();
+	assert.deepEqual([first.status, second.status], [503, 200]);
 });
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -30,9 +30,9 @@
 import type {FrontSettings} from './front-settings.js';
 import {watchBootFile} from './live-settings.js';
 import type {FrontDaemon} from './front-daemon.js';
+import {createGracefulStop} from './graceful-stop.js';
 import {createFrontPages} from './front-pages.js';
 import {openFrontServers} from './front-servers.js';
-import {waitForRequests} from './wait-for-requests.js';
 import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
 import {createRequestServer} from './request-server.js';
 import {handleTargetEvents} from './handle-target-events.js';
@@ -49,8 +49,6 @@
 const maxConfigurationAgeFraction = 0.8;
 /** Fraction of the file descriptors for callers' connections; targets and files need the rest. */
 const callerDescriptorFraction = 0.6;
-/** Time at the end of the grace time that is reserved for the exit of the process, in milliseconds. */
-const stopMarginMs = 400;
 
 /** Creates the components of a front daemon, connects them and starts to listen. */
 export async function createFront(
@@ -72,8 +70,12 @@
 	);
 	const owned = createDisposableStore();
 	const liveSettings = owned.add(watchBootFile(settings.bootFile, vm, logger));
-	let stopStartedMs = 0;
-	let stopAtMs: number | undefined;
+	const gracefulStop = createGracefulStop({
+		clock,
+		timers,
+		graceMs: () => liveSettings.current.bounds.stopGraceMs,
+		logger,
+	});
 
 	const deployment = owned.add(
 		startDeploymentState({
@@ -147,13 +149,7 @@
 		metrics,
 		logger,
 		routeTable: () => routeTable,
-		stopTimes: () =>
-			stopAtMs === undefined
-				? undefined
-				: {
-						sinceSignalMs: clock.nowMs() - stopStartedMs,
-						leftMs: stopAtMs - clock.nowMs(),
-					},
+		stopTimes: () => gracefulStop.times,
 		areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 		onUnexpected: reportUnexpected,
 		freshnessGate: createFreshnessGate({
@@ -180,7 +176,7 @@
 	);
 	const listener = createCallerListener({
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
-		isStopping: () => stopAtMs !== undefined,
+		isStopping: () => gracefulStop.times !== undefined,
 		bufferBudget,
 		maxUnreadBytes: settings.maxUnreadBytes,
 		maxReceiveMs: settings.maxReceiveMs,
@@ -260,7 +256,7 @@
 	);
 
 	const pages = createFrontPages({
-		isReady: () => stopAtMs === undefined && storeWatch.isLoaded,
+		isReady: () => gracefulStop.times === undefined && storeWatch.isLoaded,
 		metricsText: () => metrics.text(),
 		onUnexpected: reportUnexpected,
 	});
@@ -281,38 +277,23 @@
 		callerAddress: vm.callerAddress,
 	});
 
-	const stopGracefully = async () => {
-		stopStartedMs = clock.nowMs();
-		stopAtMs =
-			stopStartedMs + liveSettings.current.bounds.stopGraceMs - stopMarginMs;
-		logger.info('stopping', {openRequests: listener.openRequestCount});
-		await waitForRequests({
-			clock,
-			timers,
-			listener,
-			deadlineMs: stopAtMs,
-			giveUpAll() {
-				logger.warn('stop cuts requests', {
-					openRequests: listener.openRequestCount,
-				});
-				requests.giveUpAll('the VM stopped');
-			},
-		});
-		logger.info('stopped', {openRequests: listener.openRequestCount});
-		owned.dispose();
-		servers.dispose();
-		await deployment.closeStore();
-	};
-
-	let stopped: Promise<void> | undefined;
 	return {
 		reportUnexpected,
 		reload() {
 			liveSettings.reload();
 		},
 		async stop() {
-			stopped ??= stopGracefully();
-			return stopped;
+			return gracefulStop.run({
+				listener,
+				giveUpAll() {
+					requests.giveUpAll('the VM stopped');
+				},
+				async close() {
+					owned.dispose();
+					servers.dispose();
+					await deployment.closeStore();
+				},
+			});
 		},
 	};
 }
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -18,13 +18,11 @@
 	type StopTimes,
 	type StreamSession,
 } from '../../decisions/serving/index.js';
-import {
-	type PromptQuarantine,
-	promptPartIds,
-} from '../../decisions/quarantine/index.js';
+import type {PromptQuarantine} from '../../decisions/quarantine/index.js';
 import {decodeRequest} from '../../platform/index.js';
 import type {UnexpectedErrorLog} from '../unexpected-errors.js';
 import {createMeteredResponse} from './metered-response.js';
+import {createQuarantineGate} from './quarantine-gate.js';
 import {
 	createSessionStarter,
 	type SessionStarterOptions,
@@ -69,7 +67,6 @@
 	tick(): void;
 };
 
-const quarantineReason = 'engines end under parts of this prompt';
 const stoppingReason = 'the VM is stopping';
 /** `Retry-After` of a refusal, in milliseconds; short, because other VMs can serve the request now. */
 const elsewhereRetryAfterMs = 50;
@@ -84,7 +81,6 @@
 	options: RequestServerOptions,
 ): RequestServer {
 	const {clock, random, directory, engineSelector, logger, metrics} = options;
-	const {quarantine} = options;
 	const sessionStarter = createSessionStarter(options);
 	const streams = new Set<StreamSession>();
 	const openSessions = new Map<AdmittedRequest, OpenSession>();
@@ -93,6 +89,8 @@
 		logger.info(event, record);
 	};
 
+	const quarantineGate = createQuarantineGate(options.quarantine, metrics, log);
+
 	const outlastsStop = (admitted: AdmittedRequest) => {
 		const stop = options.stopTimes();
 		if (!stop) {
@@ -135,34 +133,6 @@
 		refuseNotRun(response, reason, retryAfterMs);
 	};
 
-	/** @returns true if the request was refused because engines end under parts of its prompt */
-	const isRefusedForCrashes = (
-		admitted: AdmittedRequest,
-		response: CallerResponse,
-	): boolean => {
-		const {request} = admitted;
-		const decision = quarantine.decide(promptPartIds(request));
-		if (decision.outcome === 'free') {
-			return false;
-		}
-
-		const {outcome, partIds} = decision;
-		metrics.count('quarantine_decisions', {outcome});
-		log(outcome === 'trial' ? 'quarantine trial' : 'request held', {
-			request: request.id,
-			promptParts: partIds.join(' '),
-			crashes: outcome === 'held' ? decision.crashCount : undefined,
-			retryAfterMs:
-				outcome === 'held' ? Math.round(decision.retryAfterMs) : undefined,
-		});
-		if (outcome === 'trial') {
-			return false;
-		}
-
-		refuse(admitted, response, quarantineReason, decision.retryAfterMs);
-		return true;
-	};
-
 	/** Runs an action on a session; an unexpected error ends this session only. */
 	const runGuarded = (session: ServingSession, act: () => void) => {
 		try {
@@ -203,10 +173,11 @@
 
 	const endQuarantined = () => {
 		for (const [{request}, {session, response}] of openSessions) {
-			const held = quarantine.held(promptPartIds(request));
-			if (held && !session.isDone && !response.isHeadSent) {
+			const isUnanswered = !session.isDone && !response.isHeadSent;
+			const held = isUnanswered ? quarantineGate.recheck(request) : undefined;
+			if (held) {
 				runGuarded(session, () => {
-					session.giveUp(quarantineReason, held.retryAfterMs);
+					session.giveUp(held.reason, held.retryAfterMs);
 				});
 			}
 		}
@@ -250,7 +221,9 @@
 				return undefined;
 			}
 
-			if (isRefusedForCrashes(admitted, meteredResponse)) {
+			const held = quarantineGate.check(request);
+			if (held) {
+				refuse(admitted, meteredResponse, held.reason, held.retryAfterMs);
 				return undefined;
 			}
 
