--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -21,6 +21,7 @@
 	type TargetScript,
 } from '../../../platform/testing/index.js';
 import {createFront} from '../create-front.js';
+import type {FrontDaemon} from '../front-daemon.js';
 import {readBootFile} from '../front-settings.js';
 
 /** Host of the routes in the fixture's configuration. */
@@ -160,6 +161,21 @@
 	assert.fail('the condition did not become true in time');
 }
 
+const daemonsByTest = new WeakMap<TestContext, FrontDaemon[]>();
+
+/** Stops the daemons of a test at the same time, since each takes some seconds. */
+function stopAfterTest(context: TestContext, daemon: FrontDaemon) {
+	const daemons = daemonsByTest.get(context) ?? [];
+	if (daemons.length === 0) {
+		daemonsByTest.set(context, daemons);
+		context.after(async () => {
+			await Promise.all(daemons.map(async (each) => each.stop()));
+		});
+	}
+
+	daemons.push(daemon);
+}
+
 /** Starts a daemon on the given ports for callers, the readiness check and peers. */
 export async function startDaemon(
 	context: TestContext,
@@ -188,7 +204,7 @@
 		logLevel: 'error',
 		checkOnly: false,
 	});
-	context.after(async () => daemon.stop());
+	stopAfterTest(context, daemon);
 	return {
 		daemon,
 		front,
