Heed what targets say of themselves: that they leave, and for how long they want no requests

Cause: no VM read Server-Leaving, nor Retry-After of a target that turns requests away.

Change: TargetStatements holds what targets say (rate limits, leaving, back-off); standingOf is the one question that the choice of a target asks: for calls, repeats and hedges, for placements (by the requesting VM, before it asks the coordinator and again when it gets its answer), copies and continued runs. A leaving target is the last resort for half of the time for leaving targets, then gets nothing. A back-off ends with its time. Both end with another incarnation, or with a response to a later request that does not say so; late responses of an earlier incarnation say nothing. Values that cannot be read are logged once for each target. A request that no target takes is refused at once with the time at which the first takes requests again, spread over up to 2 s. The load report's word that an engine leaves is kept there too: before, the next change of the engine's row brought it back.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -71,6 +71,19 @@
 	/** The limit could not be read; `detail` says why. */
 	| {readonly state: 'malformed'; readonly detail: string};
 
+/** Whether a target's response says that the target leaves. */
+export type StatedLeaving =
+	| {readonly state: 'leaving' | 'staying'}
+	/** The statement could not be read; `detail` says why. */
+	| {readonly state: 'malformed'; readonly detail: string};
+
+/** For how long a target that turns a request away wants no others from this VM. */
+export type StatedBackOff =
+	| {readonly state: 'none'}
+	| {readonly state: 'backing-off'; readonly durationMs: number}
+	/** The duration could not be read; `detail` says why. */
+	| {readonly state: 'malformed'; readonly detail: string};
+
 /** Status and headers of a target's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -84,6 +97,8 @@
 	/** True if the body has a content encoding, although none was requested. */
 	readonly hasContentEncoding: boolean;
 	readonly rateLimit: StatedRateLimit;
+	readonly leaving: StatedLeaving;
+	readonly backOff: StatedBackOff;
 };
 
 /** Why a request got no complete response. */
--- a/src/decisions/explain/explain-request.test.ts
+++ b/src/decisions/explain/explain-request.test.ts
@@ -60,3 +60,43 @@
 		[9, 4, undefined],
 	);
 });
+
+test('the explanation of a held request has the suspicion of its prompt part, and that of no other', () => {
+	const begins = 'suspicion of a prompt part begins';
+	const records = parseLog(
+		[
+			line(1, {message: begins, part: 'x', crashes: 3}),
+			line(2, {message: begins, part: 'y', crashes: 4}),
+			line(60, {message: 'request held', request: 'q1', promptParts: 'a x'}),
+		].join('\n'),
+	);
+	assert.deepEqual(
+		explainRequest(records, 'q1').map(({part}) => part),
+		['x', undefined],
+	);
+});
+
+test('the explanation of a refused request has what the targets of its VM had said long before', () => {
+	const records = parseLog(
+		[
+			line(1, {message: 'leaving of a target begins', target: 't1'}),
+			line(2, {message: 'leaving of a target ends', target: 't1'}),
+			line(3, {message: 'back-off of a target begins', target: 't1'}),
+			line(4, {message: 'leaving of a target begins', target: 't2'}),
+			line(60, {
+				message: 'call ended',
+				request: 'q1',
+				outcome: 'all targets want no requests for a time',
+			}),
+		].join('\n'),
+	);
+	assert.deepEqual(
+		explainRequest(records, 'q1').map(({message}) => message),
+		[
+			'leaving of a target ends',
+			'back-off of a target begins',
+			'leaving of a target begins',
+			'call ended',
+		],
+	);
+});
--- a/src/decisions/explain/explain-request.ts
+++ b/src/decisions/explain/explain-request.ts
@@ -5,6 +5,10 @@
 	readonly vm?: string;
 	readonly request?: string;
 	readonly target?: string;
+	/** Id of a prompt part. */
+	readonly part?: string;
+	/** Ids of the prompt parts of a request. */
+	readonly promptParts?: string;
 };
 
 /** Time before and after a request whose events count as related to it, in milliseconds. */
@@ -23,10 +27,20 @@
 	'tables not read from a peer',
 ]);
 
-/** Log messages about the rate limit of a target, which holds until the next of them. */
-const rateLimitMessages: ReadonlySet<string> = new Set([
-	'rate limit set',
-	'rate limit lifted',
+/** Log messages about what a target says of itself, by the statement; each holds until the next of them. */
+const statementKinds: ReadonlyMap<string, string> = new Map([
+	['rate limit set', 'rate limit'],
+	['rate limit lifted', 'rate limit'],
+	['leaving of a target begins', 'leaving'],
+	['leaving of a target ends', 'leaving'],
+	['back-off of a target begins', 'back-off'],
+	['back-off of a target ends', 'back-off'],
+]);
+
+/** Log messages about prompt parts, whose suspicion holds until the next of them. */
+const suspicionMessages: ReadonlySet<string> = new Set([
+	'suspicion of a prompt part begins',
+	'suspicion of a prompt part ends',
 ]);
 
 const timeOf = (record: LogRecord) => Date.parse(record.timestamp);
@@ -50,27 +64,48 @@
 	});
 }
 
-/** Selects the last record of each VM about each target's rate limit before a time. */
-function rateLimitsBefore(
+/** Names the state that a record is about, if it holds until the next record of the same state. */
+function lastingStateOf({
+	message,
+	vm,
+	target,
+	part,
+}: LogRecord): string | undefined {
+	const kind = statementKinds.get(message);
+	if (kind !== undefined) {
+		return `${vm} ${target} ${kind}`;
+	}
+
+	return suspicionMessages.has(message) ? `${vm} ${part}` : undefined;
+}
+
+/** Selects the last record about each lasting state before a time. */
+function lastingStatesBefore(
 	records: readonly LogRecord[],
 	startMs: number,
 ): ReadonlySet<LogRecord> {
 	const last = new Map<string, LogRecord>();
 	for (const record of records) {
-		if (rateLimitMessages.has(record.message) && timeOf(record) < startMs) {
-			last.set(`${record.vm} ${record.target}`, record);
+		const state = lastingStateOf(record);
+		if (state !== undefined && timeOf(record) < startMs) {
+			last.set(state, record);
 		}
 	}
 
 	return new Set(last.values());
 }
 
-/** Ends the outcome of a request that was refused because of rate limits, whichever targets have them. */
-const rateLimitOutcome = 'limit their request rate';
+/** Ends of the outcomes of requests that were refused because of what targets said, whichever targets they are. */
+const statementOutcomes = [
+	'limit their request rate',
+	'all targets leave',
+	'want no requests for a time',
+];
 
 /**
  * Selects the records that explain the outcome of one request: its own records, and those of its VMs
- * about its targets and the VMs' dependencies around that time, with the rate limits in force before.
+ * about its targets, its prompt parts and the VMs' dependencies around that time, with what its targets had said
+ * and which parts were suspected before.
  * @returns records ordered by time; empty if the request is not in the log
  */
 export function explainRequest(
@@ -87,13 +122,16 @@
 		own.flatMap((record) => [record.target, record.backup, record.to]),
 	);
 	targets.delete(undefined);
-	const isRateLimited = own.some(({outcome}) =>
-		String(outcome).endsWith(rateLimitOutcome),
+	const parts = new Set(
+		own.flatMap(({promptParts}) => promptParts?.split(' ') ?? []),
+	);
+	const isRefusedForStatements = own.some(({outcome}) =>
+		statementOutcomes.some((end) => String(outcome).endsWith(end)),
 	);
 	const times = own.map((record) => timeOf(record));
 	const startMs = Math.min(...times) - contextMs;
 	const endMs = Math.max(...times) + contextMs;
-	const earlierRateLimits = rateLimitsBefore(records, startMs);
+	const earlierStates = lastingStatesBefore(records, startMs);
 	return records
 		.filter((record) => {
 			if (record.request !== undefined) {
@@ -102,11 +140,12 @@
 
 			const isNear =
 				(timeOf(record) >= startMs && timeOf(record) <= endMs) ||
-				earlierRateLimits.has(record);
+				earlierStates.has(record);
 			const isRelated =
 				vmMessages.has(record.message) ||
 				targets.has(record.target) ||
-				(isRateLimited && rateLimitMessages.has(record.message));
+				(record.part !== undefined && parts.has(record.part)) ||
+				(isRefusedForStatements && statementKinds.has(record.message));
 			return vms.has(record.vm) && isNear && isRelated;
 		})
 		.sort((first, second) => timeOf(first) - timeOf(second));
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -115,6 +115,7 @@
 			route: route.name,
 			target: target.id,
 			reason,
+			restricted: options.restrictedTargets(service),
 			leftMs: Math.round(leftMs()),
 			...(permit && {
 				limitPerSecond: permit.requestsPerSecond,
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -7,11 +7,8 @@
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
 import {createOutlierDetector} from '../retries/index.js';
-import {
-	createRateLimitTable,
-	type PermitDecision,
-	type PermitRequest,
-} from '../rate-limits/index.js';
+import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
+import {createTargetStatements} from '../target-statements/index.js';
 import {createCallTargetSearch} from './call-target-search.js';
 import {createTargetDirectory} from './target-directory.js';
 
@@ -28,13 +25,16 @@
 		unreachableMs: 1000,
 		lingerMs: 30_000,
 	});
-	const rateLimits = createRateLimitTable(time);
+	const statements = createTargetStatements({
+		clock: time,
+		lastResortMs: () => 1000,
+	});
 	await time.runUntil(1);
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
 		directory.set(id, fakeTargetEntry(id), 1);
 		if (requestsPerSecond !== undefined) {
 			const rateLimit = {state: 'limited', requestsPerSecond} as const;
-			rateLimits.recordResponse(id, fakeResponseHead('q1', {rateLimit}), 0);
+			statements.recordResponse(id, fakeResponseHead('q1', {rateLimit}), 0);
 		}
 	}
 
@@ -58,7 +58,7 @@
 				// No target fails in these tests.
 			},
 		}),
-		rateLimits,
+		statements,
 		requestPermit(request, onDecision) {
 			permitRequests.push(request);
 			onDecision(decide(request), 'vm-1');
@@ -81,7 +81,7 @@
 				},
 			},
 		);
-	return {time, directory, rateLimits, permitRequests, outcomes, find};
+	return {time, directory, statements, permitRequests, outcomes, find};
 }
 
 const grant =
@@ -166,21 +166,77 @@
 	);
 	find();
 	const [{targets}] = permitRequests;
-	directory.markLeaving(targets[0].targetId);
+	directory.set(targets[0].targetId, undefined, 2);
 	await time.runUntil(500);
 	assert.deepEqual(outcomes, [`${targets[1].targetId} after 80`]);
 	assert.equal(permitRequests[1].maxWaitMs, 20);
 });
 
 test('sends to a target freely again once it has lifted its limit', async () => {
-	const {time, rateLimits, find, permitRequests, outcomes} = await start(
+	const {time, statements, find, permitRequests, outcomes} = await start(
 		{t1: 4},
 		grant(0),
 	);
 	find();
 	await time.runUntil(50);
-	rateLimits.recordResponse('t1', fakeResponseHead('q2'), 40);
+	statements.recordResponse('t1', fakeResponseHead('q2'), 40);
 	find();
 	assert.equal(permitRequests.length, 1);
 	assert.deepEqual(outcomes, ['t1 after 0', 't1']);
 });
+
+const leavingHead = fakeResponseHead('q1', {leaving: {state: 'leaving'}});
+const backOffHead = (durationMs: number) =>
+	fakeResponseHead('q1', {
+		status: 503,
+		isFromTarget: false,
+		notExecuted: true,
+		backOff: {state: 'backing-off', durationMs},
+	});
+
+test('uses a target that says that it leaves only if there is no other, and only for a time', async () => {
+	const limits = {t1: undefined, t2: undefined};
+	const {time, statements, find, outcomes} = await start(limits, grant(0));
+	statements.recordResponse('t1', leavingHead, 0);
+	for (let index = 0; index < 10; index++) {
+		find();
+	}
+
+	assert.deepEqual(new Set(outcomes), new Set(['t2']));
+	statements.recordResponse('t2', leavingHead, 0);
+	find();
+	assert.match(outcomes.at(-1) ?? '', /^t[12]$/);
+	await time.runUntil(1500);
+	find();
+	assert.equal(outcomes.at(-1), 'all targets leave, undefined');
+});
+
+test('a target that wants no requests for a time gets none, and callers without another target learn when to return', async () => {
+	const limits = {t1: undefined, t2: undefined};
+	const {time, statements, find, outcomes} = await start(limits, grant(0));
+	statements.recordResponse('t1', backOffHead(3000), 0);
+	find();
+	assert.equal(outcomes.at(-1), 't2');
+	statements.recordResponse('t2', backOffHead(5000), 0);
+	find();
+	const [, retryAfterMs] =
+		/^all targets want no requests for a time, ([\d.]+)$/.exec(
+			outcomes.at(-1) ?? '',
+		) ?? [];
+	assert.ok(Number(retryAfterMs) >= 3000 && Number(retryAfterMs) <= 5000);
+	await time.runUntil(3100);
+	find();
+	assert.equal(outcomes.at(-1), 't1');
+});
+
+test('a target that wants no requests any more when the turn comes does not get the call', async () => {
+	const {time, statements, find, outcomes} = await start(
+		{t1: 4, t2: undefined},
+		grant(80),
+	);
+	find(100, ['t2']);
+	await time.runUntil(40);
+	statements.recordResponse('t1', backOffHead(3000), 0);
+	await time.runUntil(200);
+	assert.deepEqual(outcomes, ['no target of the service is usable, undefined']);
+});
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -11,8 +11,12 @@
 	LimitedTarget,
 	PermitDecision,
 	PermitRequest,
-	RateLimitTable,
 } from '../rate-limits/index.js';
+import {
+	closedRefusal,
+	type TargetStatements,
+	type TargetUse,
+} from '../target-statements/index.js';
 import {chooseServiceTarget} from './service-placement.js';
 import type {TargetDirectory} from './target-directory.js';
 
@@ -71,7 +75,7 @@
 	readonly random: RandomSource;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
-	readonly rateLimits: RateLimitTable;
+	readonly statements: Pick<TargetStatements, 'standingOf'>;
 	readonly requestPermit: (
 		request: PermitRequest,
 		onDecision: (decision: PermitDecision, decidedBy: string) => void,
@@ -93,22 +97,32 @@
 export function createCallTargetSearch(
 	options: CallTargetSearchOptions,
 ): CallTargetSearch {
-	const {clock, timers, random, directory, detector, rateLimits} = options;
+	const {clock, timers, random, directory, detector, statements} = options;
 	const openCalls = new Map<string, number>();
 	/** Monotonic times before which limited targets have no turn for this VM, in milliseconds. */
 	const nextTurnMs = new Map<string, number>();
 
 	const entryOf = (targetId: string) => directory.get(targetId)?.entry;
 
-	const choose = ({service, avoid}: CallTargetQuery): Choice => {
+	const candidatesOf = (service: string, use: TargetUse) => {
 		const excluded = detector.excluded(service);
-		const candidates = directory.usable(service).map(({entry}) => ({
-			targetId: entry.id,
-			availabilityZone: entry.availabilityZone,
-			slotCount: entry.slotCount,
-			openCount: openCalls.get(entry.id) ?? 0,
-			isSuspect: excluded.has(entry.id),
-		}));
+		return directory
+			.usable(service)
+			.filter(({entry}) => statements.standingOf(entry.id).use === use)
+			.map(({entry}) => ({
+				targetId: entry.id,
+				availabilityZone: entry.availabilityZone,
+				slotCount: entry.slotCount,
+				openCount: openCalls.get(entry.id) ?? 0,
+				isSuspect: excluded.has(entry.id),
+			}));
+	};
+
+	const chooseAmong = (
+		{service, avoid}: CallTargetQuery,
+		use: TargetUse,
+	): Choice => {
+		const candidates = candidatesOf(service, use);
 		const passed = new Set(avoid);
 		const limited: LimitedTarget[] = [];
 		for (;;) {
@@ -123,7 +137,7 @@
 			}
 
 			const {targetId} = chosen;
-			const requestsPerSecond = rateLimits.limitOf(targetId);
+			const {requestsPerSecond} = statements.standingOf(targetId);
 			if (requestsPerSecond === undefined) {
 				return {limited, unlimited: entryOf(targetId)};
 			}
@@ -133,6 +147,14 @@
 		}
 	};
 
+	/** Targets that leave are used only if the service has no other. */
+	const choose = (query: CallTargetQuery): Choice => {
+		const choice = chooseAmong(query, 'normal');
+		const isEmpty =
+			choice.unlimited === undefined && choice.limited.length === 0;
+		return isEmpty ? chooseAmong(query, 'last-resort') : choice;
+	};
+
 	const waitMsOf = ({targetId}: LimitedTarget) =>
 		Math.max(0, (nextTurnMs.get(targetId) ?? -Infinity) - clock.nowMs());
 
@@ -166,9 +188,24 @@
 		}
 	};
 
+	const refuseWithoutTarget = (
+		service: string,
+		listener: CallTargetListener,
+	) => {
+		const standings = directory
+			.usable(service)
+			.map(({entry}) => statements.standingOf(entry.id));
+		const closed = closedRefusal(standings, random);
+		listener.onNone(
+			closed?.reason ?? 'no target of the service is usable',
+			closed?.retryAfterMs,
+		);
+	};
+
 	/** Uses the best target without a limit; if there is none, the caller is refused. */
 	const useUnlimited = (
 		{unlimited, limited}: Choice,
+		service: string,
 		listener: CallTargetListener,
 		refuseLimited: () => void,
 	) => {
@@ -177,7 +214,7 @@
 		} else if (limited.length > 0) {
 			refuseLimited();
 		} else {
-			listener.onNone('no target of the service is usable');
+			refuseWithoutTarget(service, listener);
 		}
 	};
 
@@ -193,7 +230,7 @@
 			(target) => waitMsOf(target) <= maxWaitMs,
 		);
 		if (targets.length === 0) {
-			useUnlimited(choice, listener, () => {
+			useUnlimited(choice, query.service, listener, () => {
 				refuseByEarlierDenial(choice.limited, listener);
 			});
 			return owned;
@@ -202,13 +239,13 @@
 		const handleGrant = (targetId: string, decidedBy: string) => {
 			const target = entryOf(targetId);
 			const waitMs = clock.nowMs() - startedMs;
-			if (target) {
-				const requestsPerSecond = rateLimits.limitOf(targetId);
+			const {use, requestsPerSecond} = statements.standingOf(targetId);
+			if (target && use !== 'none') {
 				listener.onFound(target, {requestsPerSecond, waitMs, decidedBy});
 				return;
 			}
 
-			// The target has left meanwhile.
+			// The target has left meanwhile, or wants no requests any more.
 			const remainingQuery = {
 				...query,
 				avoid: new Set([...query.avoid, targetId]),
@@ -224,7 +261,7 @@
 				if (decision.outcome === 'denied') {
 					recordDenial(targets, waitMs);
 					listener.onPermitDenied(targets, waitMs, decidedBy);
-					useUnlimited(choice, listener, () => {
+					useUnlimited(choice, query.service, listener, () => {
 						refuse(listener, decision.retryAfterMs);
 					});
 				} else if (waitMs > 0) {
--- a/src/decisions/serving/continuation-turn.ts
+++ b/src/decisions/serving/continuation-turn.ts
@@ -4,25 +4,25 @@
 	type TargetEntry,
 	type Timers,
 } from '../../common/index.js';
-import type {
-	PermitDecision,
-	PermitRequest,
-	RateLimitTable,
-} from '../rate-limits/index.js';
+import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
+import type {TargetStatements} from '../target-statements/index.js';
+
+/** Why a run does not continue at an engine. */
+export type ContinuationDenial = 'back-off' | 'leaving' | 'rate limit';
 
 /**
  * Waits for the turn of a run that is to continue at an engine.
- * @param onDecision - called once unless disposed before, with false if the engine's rate limit leaves no turn
- *   in time; called before this returns if the engine has no limit
+ * @param onDecision - called once unless disposed before, with the reason if the engine takes the run not at
+ *   all or not in time; called before this returns if the engine takes requests without a limit
  */
 export type RequestContinuationTurn = (
 	target: TargetEntry,
-	onDecision: (isGranted: boolean) => void,
+	onDecision: (denial: ContinuationDenial | undefined) => void,
 ) => Disposable;
 
 export type ContinuationTurnOptions = {
 	readonly timers: Timers;
-	readonly rateLimits: Pick<RateLimitTable, 'limitOf'>;
+	readonly statements: Pick<TargetStatements, 'standingOf'>;
 	readonly requestPermit: (
 		request: PermitRequest,
 		onDecision: (decision: PermitDecision) => void,
@@ -35,14 +35,35 @@
 /** Runs that continue go ahead of new requests: what their callers have received would be lost. */
 export function createContinuationTurns({
 	timers,
-	rateLimits,
+	statements,
 	requestPermit,
 }: ContinuationTurnOptions): RequestContinuationTurn {
 	return (target, onDecision) => {
 		const owned = createDisposableStore();
-		const requestsPerSecond = rateLimits.limitOf(target.id);
-		if (requestsPerSecond === undefined) {
-			onDecision(true);
+
+		/** Decides by what the engine says now. */
+		const decide = (mayWait: boolean) => {
+			const {use, cause, waitMs} = statements.standingOf(target.id);
+			if (use !== 'none') {
+				onDecision(undefined);
+			} else if (mayWait && waitMs <= maxWaitMs) {
+				decideAfter(waitMs);
+			} else {
+				onDecision(cause);
+			}
+		};
+
+		const decideAfter = (waitMs: number) => {
+			owned.add(
+				timers.after(waitMs, () => {
+					decide(false);
+				}),
+			);
+		};
+
+		const {use, requestsPerSecond} = statements.standingOf(target.id);
+		if (use === 'none' || requestsPerSecond === undefined) {
+			decide(true);
 			return owned;
 		}
 
@@ -53,15 +74,12 @@
 		};
 		owned.add(
 			requestPermit(request, (decision) => {
-				const isGranted = decision.outcome === 'granted';
-				if (isGranted && decision.waitMs > 0) {
-					owned.add(
-						timers.after(decision.waitMs, () => {
-							onDecision(true);
-						}),
-					);
+				if (decision.outcome === 'denied') {
+					onDecision('rate limit');
+				} else if (decision.waitMs > 0) {
+					decideAfter(decision.waitMs);
 				} else {
-					onDecision(isGranted);
+					onDecision(undefined);
 				}
 			}),
 		);
--- a/src/decisions/serving/engine-search.test.ts
+++ b/src/decisions/serving/engine-search.test.ts
@@ -35,8 +35,12 @@
 			};
 		},
 	);
-	const options: Pick<StreamSessionOptions, 'place' | 'retryShare'> = {
+	const options: Pick<
+		StreamSessionOptions,
+		'closedRefusal' | 'place' | 'retryShare'
+	> = {
 		...services,
+		closedRefusal: () => undefined,
 		place: () => ({
 			dispose() {
 				withdrawn.push('placement');
--- a/src/decisions/serving/engine-search.ts
+++ b/src/decisions/serving/engine-search.ts
@@ -32,7 +32,7 @@
  */
 export function createEngineSearch(
 	admitted: AdmittedRequest,
-	options: Pick<StreamSessionOptions, 'place' | 'retryShare'>,
+	options: Pick<StreamSessionOptions, 'closedRefusal' | 'place' | 'retryShare'>,
 	avoid: ReadonlySet<string>,
 	listener: EngineSearchListener,
 ): EngineSearch {
@@ -51,6 +51,12 @@
 
 	return {
 		start(sendReason, isRetry) {
+			const closed = options.closedRefusal(admitted.service);
+			if (closed) {
+				listener.onRefused(closed.reason, closed.retryAfterMs);
+				return;
+			}
+
 			if (!isRetry) {
 				place(sendReason);
 				return;
--- a/src/decisions/serving/run-continuation.ts
+++ b/src/decisions/serving/run-continuation.ts
@@ -58,10 +58,10 @@
 	/** Sends the request when its turn comes at the engine; without a turn in time, the next copy is tried. */
 	const sendInTurn = (copy: RunCopy, reason: string, orElse: () => void) => {
 		let isDecided = false;
-		const turn = requestContinuationTurn(copy.target, (isGranted) => {
+		const turn = requestContinuationTurn(copy.target, (denial) => {
 			isDecided = true;
 			pendingTurn = undefined;
-			if (isGranted) {
+			if (denial === undefined) {
 				send(copy, reason);
 				return;
 			}
@@ -69,7 +69,7 @@
 			log('continuation denied', {
 				request: request.id,
 				target: copy.target.id,
-				reason: 'rate limit',
+				reason: denial,
 			});
 			start(reason, orElse, true);
 		});
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -102,6 +102,11 @@
 		head: ResponseHead,
 		sentMs: number,
 	) => void;
+	/**
+	 * Describes for the log which targets of a service are left out, or used as the last resort, because of what
+	 * they have said of themselves; undefined if there are none.
+	 */
+	readonly restrictedTargets: (service: string) => string | undefined;
 	/** Called when the target's address accepts no connection. */
 	readonly onUnreachable: (target: TargetEntry) => void;
 	/** Called when a different target responds at the address. */
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -126,6 +126,7 @@
 				decidedBy: placement.decidedBy,
 				waitedMs: Math.round(nowMs - admitted.arrivedMs),
 				reason: parameters.reason,
+				restricted: options.restrictedTargets(admitted.service),
 				leftMs: Math.round(leftMs),
 			});
 			sendHandle = sendStream(
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -3,6 +3,7 @@
 	Disposable,
 	TargetEntry,
 } from '../../common/index.js';
+import type {ClosedRefusal} from '../target-statements/index.js';
 import type {RequestContinuationTurn} from './continuation-turn.js';
 import type {
 	AdmittedRequest,
@@ -30,8 +31,8 @@
 /** Receives the outcome of a search for an engine. */
 export type PlacementListener = {
 	onPlaced(placement: StreamPlacement): void;
-	/** @param retryAfterMs - time after which an engine may have room, in milliseconds */
-	onRefused(reason: string, retryAfterMs: number): void;
+	/** @param retryAfterMs - time after which an engine may have room, in milliseconds, if it is known */
+	onRefused(reason: string, retryAfterMs?: number): void;
 };
 
 /** A run in progress: the execution of a generation at one engine. */
@@ -69,6 +70,8 @@
 
 /** Dependencies of a stream session. */
 export type StreamSessionOptions = SessionServices & {
+	/** Refusal of a request if every engine of the service says that it takes none. */
+	readonly closedRefusal: (service: string) => ClosedRefusal | undefined;
 	/**
 	 * Searches for an engine; the listener may be called before this returns.
 	 * @param avoid - ids of targets that are not chosen
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {ClosedRefusal} from '../target-statements/index.js';
 import {
 	eventsText,
 	testEngines,
@@ -326,3 +327,48 @@
 	assert.equal(targetClient.sends.length, 2);
 	assert.equal(response.status, 502);
 });
+
+const closedFor = (waitMs: number) =>
+	new Map([
+		[secondEngine.id, {use: 'none', cause: 'back-off', waitMs} as const],
+	]);
+
+test('a lost run does not go on at an engine that wants no requests for a time', async () => {
+	const {time, targetClient, response} = startTestStream({
+		backup: secondEngine,
+		standings: closedFor(3000),
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	failSend(targetClient.sends[0]);
+	await time.runUntil(2000);
+	assert.equal(targetClient.sends.length, 1);
+	assert.equal(response.ending, 'aborted');
+});
+
+test('a lost run waits for the end of a short back-off at the engine of its copy', async () => {
+	const standings = new Map<string, {use: 'none'; waitMs: number}>([
+		[secondEngine.id, {use: 'none', waitMs: 400}],
+	]);
+	const {time, targetClient} = startTestStream({
+		backup: secondEngine,
+		standings,
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	failSend(targetClient.sends[0]);
+	await time.runUntil(350);
+	assert.equal(targetClient.sends.length, 1);
+	standings.clear();
+	await time.runUntil(450);
+	assert.equal(targetClient.sends.length, 2);
+});
+
+test('a stream that an engine turns away is refused at once when no other engine takes requests', () => {
+	const state: {closed?: ClosedRefusal} = {};
+	const {targetClient, response} = startTestStream({
+		closedRefusal: () => state.closed,
+	});
+	state.closed = {reason: 'closed', retryAfterMs: 2500};
+	refuseSend(targetClient.sends[0]);
+	assert.equal(targetClient.sends.length, 1);
+	assert.deepEqual([response.status, response.retryAfterS], [503, 2.5]);
+});
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -55,8 +55,6 @@
 	markReachable(targetId: string): void;
 	/** True if the target refused the last connection attempt. */
 	isUnreachable(targetId: string): boolean;
-	/** Called when the target itself reports that it is leaving. */
-	markLeaving(targetId: string): void;
 	/** Called when a different target responds at the target's address. */
 	markReplaced(targetId: string): void;
 	/** Removes expired targets and addresses of targets that left; called at regular intervals. */
@@ -242,9 +240,6 @@
 		isUnreachable(targetId) {
 			return unreachableUntilMs.has(targetId);
 		},
-		markLeaving(targetId) {
-			depart(targetId, 'draining');
-		},
 		markReplaced(targetId) {
 			depart(targetId, 'misdirected');
 		},
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -9,6 +9,10 @@
 	type RetryShareOptions,
 	startStreamSession,
 } from '../../decisions/serving/index.js';
+import type {
+	ClosedRefusal,
+	TargetStanding,
+} from '../../decisions/target-statements/index.js';
 import {fakeAdmittedRequest, fakeTargetEntry} from './admitted-request.js';
 import {createFakeCallerResponse} from './fake-caller-response.js';
 import {fakeSessionServices} from './fake-session-services.js';
@@ -19,6 +23,13 @@
 } from './fake-target-client.js';
 import {VirtualTime} from './virtual-time.js';
 
+const openStanding: TargetStanding = {
+	use: 'normal',
+	cause: undefined,
+	waitMs: 0,
+	requestsPerSecond: undefined,
+};
+
 /** Targets of the engines of a test stream, in the order in which they are chosen. */
 export const testEngines = [
 	fakeTargetEntry('e1'),
@@ -39,6 +50,10 @@
 	readonly areEnginesFull?: boolean;
 	/** Retry pool of the fleet; see `fakeSessionServices`. */
 	readonly askPool?: RetryShareOptions['askPool'];
+	/** What engines say of themselves, where it restricts their use. */
+	readonly standings?: ReadonlyMap<string, Partial<TargetStanding>>;
+	/** Refusal while every engine says that it takes no requests. */
+	readonly closedRefusal?: () => ClosedRefusal | undefined;
 	/** Decides on the turns of continued runs; if given, all engines limit their request rate. */
 	readonly decideTurn?: (
 		targetId: string,
@@ -84,6 +99,7 @@
 				},
 				options.askPool,
 			),
+			closedRefusal: () => options.closedRefusal?.(),
 			place(_admitted, avoid, listener) {
 				const target = [firstEngine, secondEngine, thirdEngine].find(
 					({id}) => !avoid.has(id),
@@ -116,7 +132,13 @@
 				),
 			requestContinuationTurn: createContinuationTurns({
 				timers: time,
-				rateLimits: {limitOf: () => (options.decideTurn ? 1 : undefined)},
+				statements: {
+					standingOf: (id) => ({
+						...openStanding,
+						...options.standings?.get(id),
+						requestsPerSecond: options.decideTurn ? 1 : undefined,
+					}),
+				},
 				requestPermit(request, onDecision) {
 					const [{targetId}] = request.targets;
 					onDecision(
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -33,6 +33,8 @@
 		notExecuted: false,
 		hasContentEncoding: false,
 		rateLimit: {state: 'unlimited'},
+		leaving: {state: 'staying'},
+		backOff: {state: 'none'},
 		...changes,
 	};
 }
--- a/src/platform/response-head.test.ts
+++ b/src/platform/response-head.test.ts
@@ -24,3 +24,46 @@
 		);
 	}
 });
+
+test('reads whether a target leaves', () => {
+	const leavingOf = (value: string) =>
+		decodeResponseHead(200, [['SERVER-LEAVING', value]]).leaving;
+	assert.deepEqual(decodeResponseHead(200, []).leaving, {state: 'staying'});
+	assert.deepEqual(leavingOf('1'), {state: 'leaving'});
+	assert.deepEqual(leavingOf('0'), {state: 'staying'});
+	for (const text of ['', 'yes', '2', '-1', '1, 1']) {
+		assert.equal(leavingOf(text).state, 'malformed');
+	}
+});
+
+test('reads for how long a target that turns a request away wants no others, and only then', () => {
+	const backOffOf = (value: string, status = 503) =>
+		decodeResponseHead(status, [['Retry-After', value]]).backOff;
+	for (const [text, durationMs] of [
+		['3', 3000],
+		['0.25', 250],
+		['600', 600_000],
+	] as const) {
+		assert.deepEqual(backOffOf(text), {state: 'backing-off', durationMs});
+		assert.deepEqual(backOffOf(text, 429), {state: 'backing-off', durationMs});
+		assert.deepEqual(backOffOf(text, 200), {state: 'none'});
+		assert.deepEqual(backOffOf(text, 500), {state: 'none'});
+	}
+
+	assert.deepEqual(backOffOf('0'), {state: 'none'});
+	for (const text of [
+		'',
+		'-3',
+		'601',
+		'1e9',
+		'99999999999999999999',
+		'soon',
+		'Fri, 04 Dec 2026 10:00:00 GMT',
+	]) {
+		const backOff = backOffOf(text);
+		assert.ok(
+			backOff.state === 'malformed' && backOff.detail.length < 200,
+			text,
+		);
+	}
+});
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -18,6 +18,10 @@
 	apiKey: 'Api-Key',
 	/** Requests per second that the responding target accepts from all VMs together. */
 	rateLimit: 'Server-Limit',
+	/** `1` in all responses of a target that leaves. */
+	leaving: 'Server-Leaving',
+	/** Seconds for which a target that turns a request away wants no others from this VM. */
+	retryAfter: 'Retry-After',
 } as const;
 
 /** Headers of callers' requests that are not forwarded, in lower case; some are set anew for the target. */
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -34,6 +34,7 @@
 import {createFrontPages} from './front-pages.js';
 import {openFrontServers} from './front-servers.js';
 import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
+import {logTargetStatements} from './target-statement-log.js';
 import {createRequestServer} from './request-server.js';
 import {handleTargetEvents} from './handle-target-events.js';
 
@@ -98,12 +99,13 @@
 		configuration,
 		directory,
 		detector,
-		rateLimits,
+		statements,
 		callTargets,
 		engineSelector,
 		storeWatch,
 	} = deployment;
-	owned.add(logRateLimitChanges(rateLimits, logger, metrics));
+	owned.add(logRateLimitChanges(statements.rateLimits, logger, metrics));
+	owned.add(logTargetStatements(statements, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const admissionLimitBytes =
 		vm.limits.memoryMb *
@@ -140,7 +142,7 @@
 		requestContinuationTurn: deployment.requestContinuationTurn,
 		detector,
 		retryShare: deployment.retryShare,
-		rateLimits,
+		statements,
 		crashEvidence: deployment.crashEvidence,
 		crashObserver,
 		quarantine,
@@ -213,7 +215,7 @@
 		startEnginePolling({
 			timers,
 			targetClient,
-			directory,
+			statements,
 			areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 			enginesInUse: () => requests.enginesInUse(),
 			logger,
@@ -225,7 +227,7 @@
 			targetClient,
 			detector,
 			capacityReader,
-			rateLimits,
+			statements,
 			crashObserver,
 			requests,
 			logger,
@@ -248,6 +250,7 @@
 			intervalMs: () => tickMs,
 			run() {
 				directory.tick();
+				statements.sweep();
 				requests.tick();
 				targetClient.retainOnly(directory.addresses());
 			},
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -15,11 +15,7 @@
 	PermitClient,
 	TableSyncState,
 } from '../../decisions/fleet/index.js';
-import {
-	createRateLimitTable,
-	type PermitDecision,
-	type RateLimitTable,
-} from '../../decisions/rate-limits/index.js';
+import type {PermitDecision} from '../../decisions/rate-limits/index.js';
 import {
 	type CrashEvidence,
 	createCrashEvidence,
@@ -38,6 +34,10 @@
 	type RetryShare,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import {
+	createTargetStatements,
+	type TargetStatements,
+} from '../../decisions/target-statements/index.js';
 import {StoreClient} from '../../platform/index.js';
 import {createEngineSelector, type EngineSelector} from './engine-selector.js';
 import type {FrontSettings} from './front-settings.js';
@@ -70,7 +70,7 @@
 	readonly detector: OutlierDetector;
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
-	readonly rateLimits: RateLimitTable;
+	readonly statements: TargetStatements;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
@@ -94,6 +94,11 @@
 const waitFraction = 0.25;
 /** Time for which a target that refused a connection gets no requests, in milliseconds. */
 const unreachableMs = 1000;
+/**
+ * Time for which a target that says that it leaves is still used if its service has no other, as a fraction of
+ * `drainMs`; the rest covers requests that have waited.
+ */
+const lastResortFraction = 0.5;
 /** Time for which the connections to a target that has left are kept, in milliseconds. */
 const lingerMs = 30_000;
 
@@ -138,7 +143,13 @@
 			});
 		},
 	});
-	const rateLimits = createRateLimitTable(clock);
+	const statements = owned.add(
+		createTargetStatements({
+			clock,
+			lastResortMs: () => options.bounds().drainMs * lastResortFraction,
+		}),
+	);
+	const {rateLimits} = statements;
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -188,8 +199,10 @@
 	const engineSelector = createEngineSelector({
 		availabilityZone: vm.availabilityZone,
 		clock,
+		random,
 		directory,
 		detector,
+		statements,
 		statistics: createLengthStatistics(),
 		placementClient: () => fleetExchange.placementClient,
 		permitClient: () => fleetExchange.permitClient,
@@ -202,7 +215,7 @@
 		});
 	const requestContinuationTurn = createContinuationTurns({
 		timers,
-		rateLimits,
+		statements,
 		requestPermit,
 	});
 	const callTargets = createCallTargetSearch({
@@ -212,7 +225,7 @@
 		random,
 		directory,
 		detector,
-		rateLimits,
+		statements,
 		requestPermit,
 	});
 	const retryShare = createRetryShare({
@@ -264,7 +277,7 @@
 		detector,
 		engineSelector,
 		retryShare,
-		rateLimits,
+		statements,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
--- a/src/programs/front/engine-polling.ts
+++ b/src/programs/front/engine-polling.ts
@@ -7,13 +7,16 @@
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
-import type {TargetDirectory} from '../../decisions/serving/index.js';
+import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 
 export type EnginePollingOptions = {
 	readonly timers: Timers;
 	readonly targetClient: TargetClient;
-	readonly directory: TargetDirectory;
+	readonly statements: Pick<
+		TargetStatements,
+		'recordLeavingReport' | 'standingOf'
+	>;
 	/** True while this VM learns of leaving engines from the store in time. */
 	readonly areTargetsCurrent: () => boolean;
 	/** Engines that run generations of this VM or hold their KV cache copies. */
@@ -35,14 +38,13 @@
  * since each poll delays the engine's work.
  */
 export function startEnginePolling(options: EnginePollingOptions): Disposable {
-	const {timers, targetClient, directory, logger} = options;
+	const {timers, targetClient, statements, logger} = options;
 
 	const poll = async ({id, address}: TargetEntry) => {
 		try {
 			const report = await targetClient.report(address, pollTimeoutMs);
 			if (report.leaving) {
-				logger.info('engine says that it leaves', {target: id});
-				directory.markLeaving(id);
+				statements.recordLeavingReport(id);
 			}
 		} catch (error) {
 			logger.debug('engine poll failed', {
@@ -58,7 +60,9 @@
 		run() {
 			if (!options.areTargetsCurrent()) {
 				for (const engine of options.enginesInUse()) {
-					void poll(engine);
+					if (statements.standingOf(engine.id).use === 'normal') {
+						void poll(engine);
+					}
 				}
 			}
 		},
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -17,7 +17,17 @@
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
-import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
+import type {
+	Clock,
+	Disposable,
+	RandomSource,
+	TargetEntry,
+} from '../../common/index.js';
+import {
+	type ClosedRefusal,
+	closedRefusal,
+	type TargetStatements,
+} from '../../decisions/target-statements/index.js';
 import type {RunReporter} from './run-reporter.js';
 
 /**
@@ -27,8 +37,10 @@
 export type EngineSelector = {
 	/** Sets the KV cache capacity of the engines of a service, in tokens. */
 	setCapacity(service: string, capacityTokens: number): void;
-	/** Engines of a service that accept requests now. */
+	/** Engines of a service that accept requests now, those that leave only if there is no other. */
 	engines(service: string): readonly EngineEntry[];
+	/** Refusal of a request if every engine of the service says that it takes none. */
+	closedRefusal(service: string): ClosedRefusal | undefined;
 	/**
 	 * Requests an engine for a generation.
 	 * @returns disposing it cancels the request
@@ -59,6 +71,8 @@
 	readonly clock: Clock;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
+	readonly statements: Pick<TargetStatements, 'isLeaving' | 'standingOf'>;
+	readonly random: RandomSource;
 	readonly statistics: LengthStatistics;
 	readonly placementClient: () => PlacementClient;
 	readonly permitClient: () => Pick<PermitClient, 'turnsOf'>;
@@ -84,6 +98,7 @@
 	options: EngineSelectorOptions,
 ): EngineSelector {
 	const {directory, detector, availabilityZone, statistics, clock} = options;
+	const {statements, random} = options;
 	const capacities = new Map<string, number>();
 	let nextRequestNumber = 1;
 
@@ -116,14 +131,36 @@
 	const entryOf = (targetId: string | undefined) =>
 		targetId === undefined ? undefined : directory.get(targetId)?.entry;
 
+	/** Engines that want no requests from this VM, and those that leave unless there is no other. */
+	const closedTargets = (service: string): string[] => {
+		const uses = directory
+			.usable(service)
+			.map(({entry}) => [entry.id, statements.standingOf(entry.id).use]);
+		const isAnyNormal = uses.some(([, use]) => use === 'normal');
+		return uses
+			.filter(
+				([, use]) => use === 'none' || (use === 'last-resort' && isAnyNormal),
+			)
+			.map(([targetId]) => targetId);
+	};
+
 	const targetsToAvoid = (service: string): string[] => {
 		const usable = directory.usable(service);
 		const excluded = detector.excluded(service);
+		const closed = closedTargets(service);
 		return excluded.size > usable.length * maxExcludedFraction
-			? []
-			: [...excluded];
+			? closed
+			: [...excluded, ...closed];
 	};
 
+	const closedRefusalOf = (service: string) =>
+		closedRefusal(
+			directory
+				.usable(service)
+				.map(({entry}) => statements.standingOf(entry.id)),
+			random,
+		);
+
 	const placementRequestFor = (
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
@@ -146,13 +183,18 @@
 
 	return {
 		expectedOutputTokens,
+		closedRefusal: closedRefusalOf,
 		setCapacity(service, capacityTokens) {
 			capacities.set(service, capacityTokens);
 		},
 		engines(service) {
 			const excluded = detector.excluded(service);
 			const capacityTokens = capacities.get(service) ?? defaultCapacityTokens;
-			return directory.usable(service).map(({entry}) => ({
+			const usable = directory.usable(service);
+			const staying = usable.filter(
+				({entry}) => !statements.isLeaving(entry.id),
+			);
+			return (staying.length > 0 ? staying : usable).map(({entry}) => ({
 				targetId: entry.id,
 				availabilityZone: entry.availabilityZone,
 				slotCount: entry.slotCount,
@@ -198,11 +240,18 @@
 
 				const {placement} = decision;
 				const target = entryOf(placement.targetId);
-				if (target) {
+				const {use} = statements.standingOf(placement.targetId);
+				if (target && use !== 'none') {
 					const backup = entryOf(placement.copyTargetId);
 					listener.onPlaced({...placement, id, target, backup, decidedBy});
+					return;
+				}
+
+				const closed = closedRefusalOf(admitted.service);
+				if (closed) {
+					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
-					// By the state of this VM the engine has left, or has not arrived yet.
+					// By the state of this VM the engine has left, has not arrived yet, or wants no requests.
 					requestPlacement(new Set([...avoidedTargets, placement.targetId]));
 				}
 			};
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -5,9 +5,9 @@
 	type TargetClient,
 } from '../../common/index.js';
 import type {CrashObserver} from '../../decisions/quarantine/index.js';
-import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
+import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {CapacityReader} from './capacity-reader.js';
 import type {RequestServer} from './request-server.js';
 
@@ -17,7 +17,7 @@
 	readonly targetClient: TargetClient;
 	readonly detector: OutlierDetector;
 	readonly capacityReader: CapacityReader;
-	readonly rateLimits: Pick<RateLimitTable, 'forget'>;
+	readonly statements: Pick<TargetStatements, 'forget' | 'onChanged'>;
 	readonly crashObserver: Pick<CrashObserver, 'engineGone'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
@@ -31,7 +31,7 @@
  */
 export function handleTargetEvents(options: TargetEventOptions): Disposable {
 	const {directory, targetClient, detector, requests, logger} = options;
-	const {capacityReader, rateLimits, crashObserver} = options;
+	const {capacityReader, statements, crashObserver} = options;
 	const owned = createDisposableStore();
 	const updateDetector = (service: string) => {
 		detector.setTargets(
@@ -61,7 +61,7 @@
 				reason,
 			});
 			updateDetector(entry.service);
-			rateLimits.forget(entry.id);
+			statements.forget(entry.id);
 			if (reason !== 'draining') {
 				crashObserver.engineGone(entry.id);
 			}
@@ -79,5 +79,12 @@
 			requests.targetUnusable(entry.id);
 		}),
 	);
+	owned.add(
+		statements.onChanged(({targetId, kind, change}) => {
+			if (kind === 'leaving' && change === 'begins') {
+				requests.targetUnusable(targetId);
+			}
+		}),
+	);
 	return owned;
 }
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -10,7 +10,6 @@
 	type CrashObserver,
 	promptPartIds,
 } from '../../decisions/quarantine/index.js';
-import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
 	type AdmittedRequest,
@@ -28,6 +27,7 @@
 	type StreamSession,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {EngineSelector} from './engine-selector.js';
 
 export type SessionStarterOptions = {
@@ -40,7 +40,7 @@
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
-	readonly rateLimits: RateLimitTable;
+	readonly statements: TargetStatements;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
 	readonly logger: Logger;
@@ -67,24 +67,18 @@
 	options: SessionStarterOptions,
 ): SessionStarter {
 	const {clock, directory, engineSelector, detector, logger} = options;
+	const {statements} = options;
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
 
-	const recordRateLimit = (
-		targetId: string,
-		head: ResponseHead,
-		sentMs: number,
-	) => {
-		const {rateLimit} = head;
-		if (rateLimit.state === 'malformed') {
-			logger.warn('rate limit refused', {
-				target: targetId,
-				detail: rateLimit.detail,
-			});
-		}
-
-		options.rateLimits.recordResponse(targetId, head, sentMs);
+	const restrictedTargets = (service: string) => {
+		const restricted = directory
+			.usable(service)
+			.map(({entry}) => [entry.id, statements.standingOf(entry.id)] as const)
+			.filter(([, {use}]) => use !== 'normal')
+			.map(([targetId, {cause}]) => `${targetId}: ${cause}`);
+		return restricted.length > 0 ? restricted.join(', ') : undefined;
 	};
 
 	const sessionServices = (service: string) => ({
@@ -110,8 +104,9 @@
 			head: ResponseHead,
 			sentMs: number,
 		) {
-			recordRateLimit(target.id, head, sentMs);
+			statements.recordResponse(target.id, head, sentMs);
 		},
+		restrictedTargets,
 		onUnreachable(target: {readonly id: string}) {
 			directory.markUnreachable(target.id);
 		},
@@ -120,6 +115,9 @@
 		},
 	});
 
+	const isPresent = (targetId: string) =>
+		directory.get(targetId) !== undefined && !statements.isLeaving(targetId);
+
 	const countLostRun = ({eventCount, status}: LostRun) => {
 		const startedStage =
 			status === undefined ? 'before-status' : 'before-event';
@@ -130,8 +128,8 @@
 
 	/** Engines that leave close connections too; the end of one that is known to leave is no crash. */
 	const observeCrash = (run: LostRun) => {
-		const isPresent = directory.get(run.target.id) !== undefined;
-		if (run.connectionEnded && run.eventCount === 0 && isPresent) {
+		const isBeforeEvent = run.connectionEnded && run.eventCount === 0;
+		if (isBeforeEvent && isPresent(run.target.id)) {
 			options.crashObserver.runBroken(run);
 		}
 	};
@@ -139,14 +137,16 @@
 	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startStreamSession(admitted, response, {
 			...sessionServices(admitted.service),
+			closedRefusal: engineSelector.closedRefusal,
 			place: (request, avoid, listener) =>
 				engineSelector.placeRun(request, avoid, listener),
 			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
 			requestContinuationTurn: options.requestContinuationTurn,
-			isPresent: (targetId) => directory.get(targetId) !== undefined,
+			isPresent,
 			isReachable: (targetId) =>
-				directory.get(targetId) !== undefined &&
-				!directory.isUnreachable(targetId),
+				isPresent(targetId) &&
+				!directory.isUnreachable(targetId) &&
+				statements.standingOf(targetId).use === 'normal',
 			areDeparturesReported: options.areTargetsCurrent,
 			trackRun: (run) => engineSelector.trackRun(run),
 			onFirstEvent(request) {
--- a/src/programs/front/testing/index.ts
+++ b/src/programs/front/testing/index.ts
@@ -1,2 +1,4 @@
 export * from './crashing-engines.js';
 export * from './front-fixture.js';
+export * from './statement-checks.js';
+export * from './stating-targets.js';
