Keep what a target has said by its incarnation, and withhold sends that wait for a connection

Change: statements are kept for an incarnation (id and time of birth), and for a minute after its entry has gone. When a connection becomes free, the send asks again whether the target may be used; if not, it fails as unsent and goes elsewhere.

--- a/src/common/deployment/index.ts
+++ b/src/common/deployment/index.ts
@@ -1,4 +1,5 @@
 export * from './default-limits.js';
+export * from './incarnation.js';
 export * from './row-store.js';
 export * from './socket-address.js';
 export type * from './types.js';
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -60,6 +60,11 @@
 	readonly continueFrom: KvCacheCopy | undefined;
 	/** Id of the last event of the stream that is continued. */
 	readonly lastEventId: string | undefined;
+	/**
+	 * Asked when a connection is free for the request, which may be long after `send` was called; if it
+	 * returns false, the send fails as unsent.
+	 */
+	readonly mayStart: () => boolean;
 	/** Largest size of the response, including its framing, in bytes; a larger one is aborted. */
 	readonly maxAnswerBytes: number;
 };
--- a/src/decisions/quarantine/crash-observer.ts
+++ b/src/decisions/quarantine/crash-observer.ts
@@ -1,8 +1,9 @@
-import type {
-	CallerRequest,
-	Clock,
-	TargetEntry,
-	TargetLiveness,
+import {
+	type CallerRequest,
+	type Clock,
+	incarnationOf,
+	type TargetEntry,
+	type TargetLiveness,
 } from '../../common/index.js';
 import type {CrashEvidence} from './crash-evidence.js';
 import type {SentPart} from './types.js';
@@ -63,9 +64,6 @@
 		)
 		.sort((first, second) => second.sentMs - first.sentMs);
 
-const incarnationOf = ({id, bornMs}: TargetEntry) =>
-	bornMs === undefined ? id : `${id}@${bornMs}`;
-
 export function createCrashObserver({
 	clock,
 	evidence,
--- a/src/decisions/serving/call-attempt.ts
+++ b/src/decisions/serving/call-attempt.ts
@@ -105,6 +105,7 @@
 					backupAddress: undefined,
 					continueFrom: undefined,
 					lastEventId: undefined,
+					mayStart: () => options.mayUse(target),
 					maxAnswerBytes: maxResponseBytes,
 				},
 				{
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -108,7 +108,7 @@
 		const excluded = detector.excluded(service);
 		return directory
 			.usable(service)
-			.filter(({entry}) => statements.standingOf(entry.id).use === use)
+			.filter(({entry}) => statements.standingOf(entry).use === use)
 			.map(({entry}) => ({
 				targetId: entry.id,
 				availabilityZone: entry.availabilityZone,
@@ -137,9 +137,11 @@
 			}
 
 			const {targetId} = chosen;
-			const {requestsPerSecond} = statements.standingOf(targetId);
+			const entry = entryOf(targetId);
+			const requestsPerSecond =
+				entry && statements.standingOf(entry).requestsPerSecond;
 			if (requestsPerSecond === undefined) {
-				return {limited, unlimited: entryOf(targetId)};
+				return {limited, unlimited: entry};
 			}
 
 			passed.add(targetId);
@@ -194,7 +196,7 @@
 	) => {
 		const standings = directory
 			.usable(service)
-			.map(({entry}) => statements.standingOf(entry.id));
+			.map(({entry}) => statements.standingOf(entry));
 		const closed = closedRefusal(standings, random);
 		listener.onNone(
 			closed?.reason ?? 'no target of the service is usable',
@@ -239,8 +241,9 @@
 		const handleGrant = (targetId: string, decidedBy: string) => {
 			const target = entryOf(targetId);
 			const waitMs = clock.nowMs() - startedMs;
-			const {use, requestsPerSecond} = statements.standingOf(targetId);
-			if (target && use !== 'none') {
+			const standing = target && statements.standingOf(target);
+			if (target && standing && standing.use !== 'none') {
+				const {requestsPerSecond} = standing;
 				listener.onFound(target, {requestsPerSecond, waitMs, decidedBy});
 				return;
 			}
--- a/src/decisions/serving/continuation-turn.ts
+++ b/src/decisions/serving/continuation-turn.ts
@@ -43,7 +43,7 @@
 
 		/** Decides by what the engine says now. */
 		const decide = (mayWait: boolean) => {
-			const {use, cause, waitMs} = statements.standingOf(target.id);
+			const {use, cause, waitMs} = statements.standingOf(target);
 			if (use !== 'none') {
 				onDecision(undefined);
 			} else if (mayWait && waitMs <= maxWaitMs) {
@@ -61,7 +61,7 @@
 			);
 		};
 
-		const {use, requestsPerSecond} = statements.standingOf(target.id);
+		const {use, requestsPerSecond} = statements.standingOf(target);
 		if (use === 'none' || requestsPerSecond === undefined) {
 			decide(true);
 			return owned;
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -102,6 +102,8 @@
 		head: ResponseHead,
 		sentMs: number,
 	) => void;
+	/** True while the target may get requests, by what it has said of itself. */
+	readonly mayUse: (target: TargetEntry) => boolean;
 	/**
 	 * Describes for the log which targets of a service are left out, or used as the last resort, because of what
 	 * they have said of themselves; undefined if there are none.
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -142,6 +142,7 @@
 						backupAddress: backup?.address,
 						continueFrom,
 						lastEventId: lastEventIdOf(parameters),
+						mayStart: () => options.mayUse(target),
 					},
 				},
 				{
--- a/src/decisions/target-statements/observation.ts
+++ b/src/decisions/target-statements/observation.ts
@@ -8,49 +8,46 @@
 	readonly observedMs: number;
 };
 
-/** Observations of one kind, by target. Responses may overtake each other on different connections. */
+/** Observations of one kind, by incarnation of the target. Responses may overtake each other on different connections. */
 export type Observations<T> = {
-	get(targetId: string): T | undefined;
+	get(incarnation: string): T | undefined;
 	/**
 	 * Records that a target says something, as of now.
 	 * @returns the value that held before
 	 */
-	set(targetId: string, value: T): T | undefined;
+	set(incarnation: string, value: T): T | undefined;
 	/**
 	 * Records that a target does not say it in its response to a request. Only a response to a request that
 	 * was sent after the target had said it shows that it no longer holds.
 	 * @param sentMs - monotonic time at which the request was sent, in milliseconds
 	 * @returns the value that held before, if it ends
 	 */
-	end(targetId: string, sentMs: number): T | undefined;
-	/** @returns the value that held before */
-	remove(targetId: string): T | undefined;
+	end(incarnation: string, sentMs: number): T | undefined;
+	remove(incarnation: string): void;
 };
 
 export function createObservations<T>(clock: Clock): Observations<T> {
 	const latest = new Map<string, Observation<T>>();
-	const get = (targetId: string) => latest.get(targetId)?.value;
+	const get = (incarnation: string) => latest.get(incarnation)?.value;
 
 	return {
 		get,
-		set(targetId, value) {
-			const previous = get(targetId);
-			latest.set(targetId, {value, observedMs: clock.nowMs()});
+		set(incarnation, value) {
+			const previous = get(incarnation);
+			latest.set(incarnation, {value, observedMs: clock.nowMs()});
 			return previous;
 		},
-		end(targetId, sentMs) {
-			const previous = latest.get(targetId);
+		end(incarnation, sentMs) {
+			const previous = latest.get(incarnation);
 			if (previous?.value === undefined || sentMs <= previous.observedMs) {
 				return undefined;
 			}
 
-			latest.delete(targetId);
+			latest.delete(incarnation);
 			return previous.value;
 		},
-		remove(targetId) {
-			const previous = get(targetId);
-			latest.delete(targetId);
-			return previous;
+		remove(incarnation) {
+			latest.delete(incarnation);
 		},
 	};
 }
--- a/src/decisions/target-statements/target-statements.ts
+++ b/src/decisions/target-statements/target-statements.ts
@@ -3,8 +3,10 @@
 	createEmitter,
 	type Disposable,
 	type Event,
+	incarnationOf,
 	misdirectedStatus,
 	type ResponseHead,
+	type TargetIdentity,
 } from '../../common/index.js';
 import {
 	createRateLimitTable,
@@ -14,6 +16,7 @@
 import type {
 	MalformedStatement,
 	StandingChange,
+	StatementKind,
 	TargetStanding,
 } from './types.js';
 
@@ -29,19 +32,28 @@
 	readonly onMalformed: Event<MalformedStatement>;
 	/** Rate limits of targets, which the VMs tell each other. */
 	readonly rateLimits: RateLimitTable;
-	standingOf(targetId: string): TargetStanding;
+	standingOf(target: TargetIdentity): TargetStanding;
 	/** True if the target has said that it leaves. */
-	isLeaving(targetId: string): boolean;
+	isLeaving(target: TargetIdentity): boolean;
 	/**
 	 * Records what a response to a request of this VM says.
 	 * @param sentMs - monotonic time at which the request was sent, in milliseconds
 	 */
-	recordResponse(targetId: string, head: ResponseHead, sentMs: number): void;
+	recordResponse(
+		target: TargetIdentity,
+		head: ResponseHead,
+		sentMs: number,
+	): void;
 	/** Records that the load report of an engine says that it leaves. */
-	recordLeavingReport(targetId: string): void;
-	/** Removes what a target has said that has left or restarted; responses under way say nothing any more. */
-	forget(targetId: string): void;
-	/** Removes what is no longer needed; called at regular intervals. */
+	recordLeavingReport(target: TargetIdentity): void;
+	/** Called when an incarnation has arrived, for the first time or again. */
+	recordArrival(target: TargetIdentity): void;
+	/**
+	 * Called when an incarnation has left. What it has said of leaving and of back-offs is kept for some time,
+	 * since its entry may come back.
+	 */
+	recordDeparture(target: TargetIdentity): void;
+	/** Removes what departed incarnations have said; called at regular intervals. */
 	sweep(): void;
 };
 
@@ -51,8 +63,8 @@
 	readonly lastResortMs: () => number;
 };
 
-/** Time for which responses of an earlier incarnation are recognized, in milliseconds. */
-const forgottenRetentionMs = 60_000;
+/** Time for which the statements of a target that has left are kept, in milliseconds. */
+const departedRetentionMs = 60_000;
 
 /** True if the target itself, and not a proxy before it, has made the response. */
 const isOfTarget = ({isFromTarget, notExecuted}: ResponseHead) =>
@@ -70,83 +82,92 @@
 	const leaving = createObservations<{readonly sinceMs: number}>(clock);
 	/** Monotonic times until which targets want no requests, in milliseconds. */
 	const backOffs = createObservations<{readonly untilMs: number}>(clock);
-	/** Monotonic times at which targets have left or restarted, in milliseconds. */
-	const forgottenMs = new Map<string, number>();
-	/** Statements that were reported as malformed, by target. */
+	/** Statements that were reported as malformed, by incarnation. */
 	const reportedMalformed = new Map<string, Set<string>>();
+	/** Monotonic times at which incarnations have left, in milliseconds. */
+	const departedMs = new Map<string, number>();
 
 	const reportMalformed = (
-		targetId: string,
+		target: TargetIdentity,
 		statement: string,
 		detail: string,
 	) => {
-		const reported = reportedMalformed.get(targetId) ?? new Set();
-		reportedMalformed.set(targetId, reported);
+		const incarnation = incarnationOf(target);
+		const reported = reportedMalformed.get(incarnation) ?? new Set();
+		reportedMalformed.set(incarnation, reported);
 		if (!reported.has(statement)) {
 			reported.add(statement);
-			malformed.fire({targetId, detail});
+			malformed.fire({targetId: target.id, detail});
 		}
 	};
 
-	const fire = (change: Omit<StandingChange, 'forMs'>, forMs?: number) => {
-		changed.fire({...change, forMs});
+	const setLeaving = (
+		target: TargetIdentity,
+		source: StandingChange['source'],
+	) => {
+		const incarnation = incarnationOf(target);
+		const sinceMs = leaving.get(incarnation)?.sinceMs ?? clock.nowMs();
+		if (!leaving.set(incarnation, {sinceMs})) {
+			const change = {kind: 'leaving', change: 'begins', source} as const;
+			changed.fire({...change, targetId: target.id});
+		}
 	};
 
-	const setLeaving = (targetId: string, source: StandingChange['source']) => {
-		const sinceMs = leaving.get(targetId)?.sinceMs ?? clock.nowMs();
-		if (!leaving.set(targetId, {sinceMs})) {
-			fire({targetId, kind: 'leaving', change: 'begins', source});
-		}
+	const fireEnd = ({id}: TargetIdentity, kind: StatementKind) => {
+		const source = 'response';
+		changed.fire({targetId: id, kind, change: 'ends', source});
 	};
 
 	const recordLeaving = (
-		targetId: string,
+		target: TargetIdentity,
 		head: ResponseHead,
 		sentMs: number,
 	) => {
 		const {leaving: stated} = head;
 		if (stated.state === 'malformed') {
-			reportMalformed(targetId, 'leaving', stated.detail);
+			reportMalformed(target, 'leaving', stated.detail);
 		} else if (stated.state === 'leaving') {
-			setLeaving(targetId, 'response');
-		} else if (isOfTarget(head) && leaving.end(targetId, sentMs)) {
-			fire({targetId, kind: 'leaving', change: 'ends', source: 'response'});
+			setLeaving(target, 'response');
+		} else if (isOfTarget(head) && leaving.end(incarnationOf(target), sentMs)) {
+			fireEnd(target, 'leaving');
 		}
 	};
 
 	const recordBackOff = (
-		targetId: string,
+		target: TargetIdentity,
 		head: ResponseHead,
 		sentMs: number,
 	) => {
 		const {backOff: stated} = head;
 		if (stated.state === 'malformed') {
-			reportMalformed(targetId, 'back-off', stated.detail);
+			reportMalformed(target, 'back-off', stated.detail);
 		} else if (stated.state === 'backing-off') {
-			const {durationMs} = stated;
-			backOffs.set(targetId, {untilMs: clock.nowMs() + durationMs});
-			fire(
-				{targetId, kind: 'back-off', change: 'begins', source: 'response'},
-				durationMs,
-			);
-		} else if (isOfTarget(head) && backOffs.end(targetId, sentMs)) {
-			fire({targetId, kind: 'back-off', change: 'ends', source: 'response'});
+			const {durationMs: forMs} = stated;
+			const untilMs = clock.nowMs() + forMs;
+			backOffs.set(incarnationOf(target), {untilMs});
+			const kind = 'back-off';
+			const source = 'response';
+			const change = 'begins';
+			changed.fire({targetId: target.id, kind, change, source, forMs});
+		} else if (
+			isOfTarget(head) &&
+			backOffs.end(incarnationOf(target), sentMs)
+		) {
+			fireEnd(target, 'back-off');
 		}
 	};
 
-	/** True for responses that an earlier incarnation of the target may have made. */
-	const isOutdated = (targetId: string, sentMs: number) =>
-		sentMs <= (forgottenMs.get(targetId) ?? -Infinity);
-
 	return {
 		onChanged: changed.event,
 		onMalformed: malformed.event,
 		rateLimits,
-		standingOf(targetId) {
+		standingOf(target) {
 			const nowMs = clock.nowMs();
-			const requestsPerSecond = rateLimits.limitOf(targetId);
-			const leavingSinceMs = leaving.get(targetId)?.sinceMs;
-			const backOffMs = (backOffs.get(targetId)?.untilMs ?? -Infinity) - nowMs;
+			const incarnation = incarnationOf(target);
+			const requestsPerSecond = rateLimits.limitOf(target.id);
+			const leavingSinceMs = leaving.get(incarnation)?.sinceMs;
+			const untilMs = backOffs.get(incarnation)?.untilMs ?? -Infinity;
+			const backOffMs = untilMs - nowMs;
 			if (leavingSinceMs !== undefined) {
 				const isFresh = nowMs - leavingSinceMs < lastResortMs();
 				const isLastResort = isFresh && backOffMs <= 0;
@@ -167,42 +188,39 @@
 					}
 				: {use: 'normal', cause: undefined, waitMs: 0, requestsPerSecond};
 		},
-		isLeaving: (targetId) => leaving.get(targetId) !== undefined,
-		recordResponse(targetId, head, sentMs) {
-			// Another target has responded, or this one before it restarted.
-			if (head.status === misdirectedStatus || isOutdated(targetId, sentMs)) {
+		isLeaving: (target) => leaving.get(incarnationOf(target)) !== undefined,
+		recordResponse(target, head, sentMs) {
+			if (head.status === misdirectedStatus) {
 				return;
 			}
 
 			const {rateLimit} = head;
 			if (rateLimit.state === 'malformed') {
-				reportMalformed(targetId, 'rate-limit', rateLimit.detail);
+				reportMalformed(target, 'rate-limit', rateLimit.detail);
 			}
 
-			rateLimits.recordResponse(targetId, head, sentMs);
-			recordLeaving(targetId, head, sentMs);
-			recordBackOff(targetId, head, sentMs);
+			rateLimits.recordResponse(target.id, head, sentMs);
+			recordLeaving(target, head, sentMs);
+			recordBackOff(target, head, sentMs);
 		},
-		recordLeavingReport(targetId) {
-			setLeaving(targetId, 'report');
+		recordLeavingReport(target) {
+			setLeaving(target, 'report');
 		},
-		forget(targetId) {
-			forgottenMs.set(targetId, clock.nowMs());
-			reportedMalformed.delete(targetId);
-			rateLimits.forget(targetId);
-			if (leaving.remove(targetId)) {
-				fire({targetId, kind: 'leaving', change: 'ends', source: 'departure'});
-			}
-
-			if (backOffs.remove(targetId)) {
-				fire({targetId, kind: 'back-off', change: 'ends', source: 'departure'});
-			}
+		recordArrival(target) {
+			departedMs.delete(incarnationOf(target));
+		},
+		recordDeparture(target) {
+			departedMs.set(incarnationOf(target), clock.nowMs());
+			rateLimits.forget(target.id);
 		},
 		sweep() {
 			const nowMs = clock.nowMs();
-			for (const [targetId, atMs] of forgottenMs) {
-				if (nowMs - atMs > forgottenRetentionMs) {
-					forgottenMs.delete(targetId);
+			for (const [incarnation, atMs] of departedMs) {
+				if (nowMs - atMs > departedRetentionMs) {
+					departedMs.delete(incarnation);
+					leaving.remove(incarnation);
+					backOffs.remove(incarnation);
+					reportedMalformed.delete(incarnation);
 				}
 			}
 		},
--- a/src/decisions/target-statements/types.ts
+++ b/src/decisions/target-statements/types.ts
@@ -23,10 +23,10 @@
 	readonly targetId: string;
 	readonly kind: StatementKind;
 	readonly change: 'begins' | 'ends';
-	/** What shows the change: a response to a request, a load report, or that the target has left or restarted. */
-	readonly source: 'departure' | 'report' | 'response';
+	/** What shows the change: a response to a request, or a load report. */
+	readonly source: 'report' | 'response';
 	/** Duration of a back-off that begins, in milliseconds. */
-	readonly forMs: number | undefined;
+	readonly forMs?: number;
 };
 
 /** A statement of a target that cannot be read. */
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -56,6 +56,7 @@
 		log,
 		onSendResult: ignore,
 		onResponseHead: ignore,
+		mayUse: () => true,
 		restrictedTargets: () => undefined,
 		onUnreachable: ignore,
 		onMisdirected: ignore,
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -133,7 +133,7 @@
 			requestContinuationTurn: createContinuationTurns({
 				timers: time,
 				statements: {
-					standingOf: (id) => ({
+					standingOf: ({id}) => ({
 						...openStanding,
 						...options.standings?.get(id),
 						requestsPerSecond: options.decideTurn ? 1 : undefined,
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -189,6 +189,7 @@
 			backupAddress: undefined,
 			continueFrom: undefined,
 			lastEventId: undefined,
+			mayStart: () => true,
 			maxAnswerBytes: 1000,
 		}),
 	);
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -142,6 +142,11 @@
 					return;
 				}
 
+				if (!options.mayStart()) {
+					controller.abort(new Error('the target wants no requests any more'));
+					return;
+				}
+
 				started = true;
 				abort = (reason) => {
 					controller.abort(reason);
--- a/src/programs/front/engine-polling.ts
+++ b/src/programs/front/engine-polling.ts
@@ -40,11 +40,12 @@
 export function startEnginePolling(options: EnginePollingOptions): Disposable {
 	const {timers, targetClient, statements, logger} = options;
 
-	const poll = async ({id, address}: TargetEntry) => {
+	const poll = async (engine: TargetEntry) => {
+		const {id, address} = engine;
 		try {
 			const report = await targetClient.report(address, pollTimeoutMs);
 			if (report.leaving) {
-				statements.recordLeavingReport(id);
+				statements.recordLeavingReport(engine);
 			}
 		} catch (error) {
 			logger.debug('engine poll failed', {
@@ -60,7 +61,7 @@
 		run() {
 			if (!options.areTargetsCurrent()) {
 				for (const engine of options.enginesInUse()) {
-					if (statements.standingOf(engine.id).use === 'normal') {
+					if (statements.standingOf(engine).use === 'normal') {
 						void poll(engine);
 					}
 				}
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -135,7 +135,7 @@
 	const closedTargets = (service: string): string[] => {
 		const uses = directory
 			.usable(service)
-			.map(({entry}) => [entry.id, statements.standingOf(entry.id).use]);
+			.map(({entry}) => [entry.id, statements.standingOf(entry).use]);
 		const isAnyNormal = uses.some(([, use]) => use === 'normal');
 		return uses
 			.filter(
@@ -155,9 +155,7 @@
 
 	const closedRefusalOf = (service: string) =>
 		closedRefusal(
-			directory
-				.usable(service)
-				.map(({entry}) => statements.standingOf(entry.id)),
+			directory.usable(service).map(({entry}) => statements.standingOf(entry)),
 			random,
 		);
 
@@ -191,9 +189,7 @@
 			const excluded = detector.excluded(service);
 			const capacityTokens = capacities.get(service) ?? defaultCapacityTokens;
 			const usable = directory.usable(service);
-			const staying = usable.filter(
-				({entry}) => !statements.isLeaving(entry.id),
-			);
+			const staying = usable.filter(({entry}) => !statements.isLeaving(entry));
 			return (staying.length > 0 ? staying : usable).map(({entry}) => ({
 				targetId: entry.id,
 				availabilityZone: entry.availabilityZone,
@@ -240,8 +236,7 @@
 
 				const {placement} = decision;
 				const target = entryOf(placement.targetId);
-				const {use} = statements.standingOf(placement.targetId);
-				if (target && use !== 'none') {
+				if (target && statements.standingOf(target).use !== 'none') {
 					const backup = entryOf(placement.copyTargetId);
 					listener.onPlaced({...placement, id, target, backup, decidedBy});
 					return;
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -17,7 +17,10 @@
 	readonly targetClient: TargetClient;
 	readonly detector: OutlierDetector;
 	readonly capacityReader: CapacityReader;
-	readonly statements: Pick<TargetStatements, 'forget' | 'onChanged'>;
+	readonly statements: Pick<
+		TargetStatements,
+		'onChanged' | 'recordArrival' | 'recordDeparture'
+	>;
 	readonly crashObserver: Pick<CrashObserver, 'engineGone'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
@@ -49,6 +52,7 @@
 				availabilityZone: entry.availabilityZone,
 			});
 			targetClient.setMaxConnections(entry.address, maxConnectionsPerTarget);
+			statements.recordArrival(entry);
 			updateDetector(entry.service);
 			capacityReader.readIfMissing(entry);
 		}),
@@ -61,7 +65,7 @@
 				reason,
 			});
 			updateDetector(entry.service);
-			statements.forget(entry.id);
+			statements.recordDeparture(entry);
 			if (reason !== 'draining') {
 				crashObserver.engineGone(entry.id);
 			}
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -3,6 +3,7 @@
 	Clock,
 	ResponseHead,
 	TargetClient,
+	TargetEntry,
 	Timers,
 } from '../../common/index.js';
 import {
@@ -72,10 +73,13 @@
 		logger.info(event, record);
 	};
 
+	const mayUse = (target: TargetEntry) =>
+		statements.standingOf(target).use !== 'none';
+
 	const restrictedTargets = (service: string) => {
 		const restricted = directory
 			.usable(service)
-			.map(({entry}) => [entry.id, statements.standingOf(entry.id)] as const)
+			.map(({entry}) => [entry.id, statements.standingOf(entry)] as const)
 			.filter(([, {use}]) => use !== 'normal')
 			.map(([targetId, {cause}]) => `${targetId}: ${cause}`);
 		return restricted.length > 0 ? restricted.join(', ') : undefined;
@@ -99,24 +103,35 @@
 				directory.markReachable(target.id);
 			}
 		},
-		onResponseHead(
-			target: {readonly id: string},
-			head: ResponseHead,
-			sentMs: number,
-		) {
-			statements.recordResponse(target.id, head, sentMs);
+		onResponseHead(target: TargetEntry, head: ResponseHead, sentMs: number) {
+			statements.recordResponse(target, head, sentMs);
 		},
+		mayUse,
 		restrictedTargets,
-		onUnreachable(target: {readonly id: string}) {
-			directory.markUnreachable(target.id);
+		onUnreachable(target: TargetEntry) {
+			// A send that was withheld says nothing of the target's address.
+			if (mayUse(target)) {
+				directory.markUnreachable(target.id);
+			}
 		},
 		onMisdirected(target: {readonly id: string}) {
 			directory.markReplaced(target.id);
 		},
 	});
 
-	const isPresent = (targetId: string) =>
-		directory.get(targetId) !== undefined && !statements.isLeaving(targetId);
+	const isPresent = (targetId: string) => {
+		const entry = directory.get(targetId)?.entry;
+		return entry !== undefined && !statements.isLeaving(entry);
+	};
+
+	const isReachable = (targetId: string) => {
+		const entry = directory.get(targetId)?.entry;
+		return (
+			entry !== undefined &&
+			!directory.isUnreachable(targetId) &&
+			statements.standingOf(entry).use === 'normal'
+		);
+	};
 
 	const countLostRun = ({eventCount, status}: LostRun) => {
 		const startedStage =
@@ -143,10 +158,7 @@
 			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
 			requestContinuationTurn: options.requestContinuationTurn,
 			isPresent,
-			isReachable: (targetId) =>
-				isPresent(targetId) &&
-				!directory.isUnreachable(targetId) &&
-				statements.standingOf(targetId).use === 'normal',
+			isReachable,
 			areDeparturesReported: options.areTargetsCurrent,
 			trackRun: (run) => engineSelector.trackRun(run),
 			onFirstEvent(request) {
