--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -1,12 +1,21 @@
 import {ProblemError} from '../../common/index.js';
-import type {
-	PlacementDecision,
-	PlacementRequest,
-	RunState,
-} from '../scheduling/index.js';
 import {decodePartReport, encodePartReport} from './crash-evidence-messages.js';
 import {FieldReader} from './field-reader.js';
 import type {FleetMessage} from './fleet-message-types.js';
+import {
+	decodeMember,
+	decodeTableState,
+	encodeMember,
+	encodeTableState,
+} from './membership-messages.js';
+import {
+	decodeDecision,
+	decodeRequest,
+	decodeRun,
+	encodeDecision,
+	encodeRequest,
+	encodeRun,
+} from './placement-messages.js';
 import {
 	decodePermitDecision,
 	decodePermitRequest,
@@ -15,162 +24,6 @@
 	encodePermitRequest,
 	encodeRateLimitReport,
 } from './rate-limit-messages.js';
-import type {MemberInfo, StoreReadState, TableSyncState} from './types.js';
-
-/** The index of a state is its value on the wire. */
-const storeReadStates: readonly StoreReadState[] = ['idle', 'lost', 'reading'];
-
-const encodeMember = (member: MemberInfo) => [
-	member.address,
-	member.availabilityZone,
-	member.instanceId,
-	Math.round(member.cpuMsPerSecond),
-	storeReadStates.indexOf(member.storeReadState),
-];
-
-function decodeMember(fields: FieldReader): MemberInfo {
-	return {
-		address: fields.string(),
-		availabilityZone: fields.string(),
-		instanceId: fields.string(),
-		cpuMsPerSecond: fields.number(),
-		storeReadState: storeReadStates[fields.number()] ?? 'lost',
-	};
-}
-
-const encodeTableState = ({version, changeVersion, ageMs}: TableSyncState) => [
-	version,
-	changeVersion,
-	Math.round(Math.min(ageMs, maxAgeMs)),
-];
-
-/** Sent for larger ages, since JSON cannot hold Infinity. */
-const maxAgeMs = 1e9;
-
-function decodeTableState(fields: FieldReader): TableSyncState {
-	return {
-		version: fields.number(),
-		changeVersion: fields.number(),
-		ageMs: fields.number(),
-	};
-}
-
-const encodeRun = (run: RunState) => [
-	run.id,
-	run.targetId,
-	run.copyTargetId ?? null,
-	run.promptTokens,
-	Math.round(run.doneTokens),
-	Math.round(run.remainingTokens),
-	run.priority,
-];
-
-function decodeRun(fields: FieldReader): RunState {
-	return {
-		id: fields.string(),
-		targetId: fields.string(),
-		copyTargetId: fields.optionalString(),
-		promptTokens: fields.number(),
-		doneTokens: fields.number(),
-		remainingTokens: fields.number(),
-		priority: fields.number(),
-	};
-}
-
-const encodeRequest = (request: PlacementRequest) => [
-	request.id,
-	request.service,
-	request.purpose === 'run' ? 1 : 0,
-	request.promptTokens,
-	Math.round(request.expectedTokens),
-	Math.round(request.doneTokens),
-	request.preferredZone,
-	request.excludedTargetIds,
-	Math.round(request.previousWaitMs),
-	Math.round(request.waitedMs),
-	Math.round(request.objectiveMs),
-	Math.round(request.remainingMs),
-	request.priority,
-];
-
-function decodeRequest(fields: FieldReader): PlacementRequest {
-	return {
-		id: fields.string(),
-		service: fields.string(),
-		purpose: fields.boolean() ? 'run' : 'copy',
-		promptTokens: fields.number(),
-		expectedTokens: fields.number(),
-		doneTokens: fields.number(),
-		preferredZone: fields.string(),
-		excludedTargetIds: fields.strings(),
-		previousWaitMs: fields.number(),
-		waitedMs: fields.number(),
-		objectiveMs: fields.number(),
-		remainingMs: fields.number(),
-		priority: fields.number(),
-	};
-}
-
-const encodeDecision = (decision: PlacementDecision) => {
-	switch (decision.outcome) {
-		case 'placed': {
-			const {placement} = decision;
-			return [
-				'p',
-				placement.targetId,
-				placement.copyTargetId ?? null,
-				Math.round(placement.firstTokenMs),
-				Number(placement.memoryFraction.toFixed(2)),
-				placement.isLate ? 1 : 0,
-			];
-		}
-
-		case 'waiting': {
-			return ['w', decision.waitingCount];
-		}
-
-		case 'refused': {
-			return ['r', decision.reason, Math.round(decision.retryAfterMs)];
-		}
-	}
-};
-
-function decodeDecision(fields: FieldReader): PlacementDecision {
-	const outcome = fields.string();
-	switch (outcome) {
-		case 'p': {
-			return {
-				outcome: 'placed',
-				placement: {
-					targetId: fields.string(),
-					copyTargetId: fields.optionalString(),
-					firstTokenMs: fields.number(),
-					memoryFraction: fields.number(),
-					isLate: fields.boolean(),
-				},
-			};
-		}
-
-		case 'w': {
-			return {outcome: 'waiting', waitingCount: fields.number()};
-		}
-
-		case 'r': {
-			return {
-				outcome: 'refused',
-				reason: fields.string(),
-				retryAfterMs: fields.number(),
-			};
-		}
-
-		default: {
-			throw new ProblemError(
-				'peer-protocol',
-				'the outcome of a placement decision must be "p", "w" or "r"',
-			);
-		}
-	}
-}
 
 /** Encodes a message as a JSON array of positional fields that starts with a one-letter kind. */
 export function encodeFleetMessage(message: FleetMessage): string {
