Separate the recovery of lost runs, output forecasts and the standings of a service's targets

No behaviour changes. Three planted faults quote code that has moved; they plant the same faults at the new places and are found.

--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -110,6 +110,17 @@
 		decision: {outcome: 'denied', waitMs: 400, retryAfterMs: 900},
 	},
 	{kind: 'permit-answer', id: '8', decision: undefined},
+	{
+		kind: 'crash-evidence',
+		reports: [
+			{
+				partId: '5c1e07a2',
+				crashes: [{engine: 'e1@17', ageMs: 900, sentAgeMs: 1300}],
+				clearedAgeMs: undefined,
+			},
+			{partId: '91bd3f06', crashes: [], clearedAgeMs: 40},
+		],
+	},
 ];
 
 for (const message of messages) {
@@ -137,6 +148,7 @@
 						'l',
 						'm',
 						'd',
+						'e',
 					),
 					fc.jsonValue(),
 					fc.jsonValue(),
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -10,6 +10,7 @@
 import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
 import {createTargetStatements} from '../target-statements/index.js';
 import {createCallTargetSearch} from './call-target-search.js';
+import {createServiceStandings} from './service-standings.js';
 import {createTargetDirectory} from './target-directory.js';
 
 /** Starts a search among targets; those with a limit name it before the test begins. */
@@ -63,6 +64,7 @@
 			},
 		}),
 		statements,
+		standings: createServiceStandings({directory, statements, random}),
 		requestPermit(request, onDecision) {
 			permitRequests.push(request);
 			onDecision(decide(request), 'vm-1');
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -12,12 +12,9 @@
 	PermitDecision,
 	PermitRequest,
 } from '../rate-limits/index.js';
-import {
-	closedRefusal,
-	type TargetStatements,
-	type TargetUse,
-} from '../target-statements/index.js';
+import type {TargetStatements, TargetUse} from '../target-statements/index.js';
 import {chooseServiceTarget} from './service-placement.js';
+import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
 
 /** Permit under which a request is sent to a target with a rate limit. */
@@ -76,6 +73,7 @@
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly statements: Pick<TargetStatements, 'standingOf'>;
+	readonly standings: ServiceStandings;
 	readonly requestPermit: (
 		request: PermitRequest,
 		onDecision: (decision: PermitDecision, decidedBy: string) => void,
@@ -97,7 +95,8 @@
 export function createCallTargetSearch(
 	options: CallTargetSearchOptions,
 ): CallTargetSearch {
-	const {clock, timers, random, directory, detector, statements} = options;
+	const {clock, timers, random, directory, detector} = options;
+	const {statements, standings} = options;
 	const openCalls = new Map<string, number>();
 	/** Monotonic times before which limited targets have no turn for this VM, in milliseconds. */
 	const nextTurnMs = new Map<string, number>();
@@ -106,16 +105,13 @@
 
 	const candidatesOf = (service: string, use: TargetUse) => {
 		const excluded = detector.excluded(service);
-		return directory
-			.usable(service)
-			.filter(({entry}) => statements.standingOf(entry).use === use)
-			.map(({entry}) => ({
-				targetId: entry.id,
-				availabilityZone: entry.availabilityZone,
-				slotCount: entry.slotCount,
-				openCount: openCalls.get(entry.id) ?? 0,
-				isSuspect: excluded.has(entry.id),
-			}));
+		return standings.withUse(service, use).map((entry) => ({
+			targetId: entry.id,
+			availabilityZone: entry.availabilityZone,
+			slotCount: entry.slotCount,
+			openCount: openCalls.get(entry.id) ?? 0,
+			isSuspect: excluded.has(entry.id),
+		}));
 	};
 
 	const chooseAmong = (
@@ -194,10 +190,7 @@
 		service: string,
 		listener: CallTargetListener,
 	) => {
-		const standings = directory
-			.usable(service)
-			.map(({entry}) => statements.standingOf(entry));
-		const closed = closedRefusal(standings, random);
+		const closed = standings.refusal(service);
 		listener.onNone(
 			closed?.reason ?? 'no target of the service is usable',
 			closed?.retryAfterMs,
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -11,6 +11,7 @@
 export * from './retry-share.js';
 export * from './route-table.js';
 export * from './service-placement.js';
+export * from './service-standings.js';
 export type * from './session-types.js';
 export * from './stream-session.js';
 export * from './table-follower.js';
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -11,7 +11,9 @@
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import {createStreamResponse} from './stream-answer.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
+import {createLostRunRecovery} from './lost-run-recovery.js';
 import {createRunContinuation} from './run-continuation.js';
+import {createStalledRunCheck} from './stalled-run-check.js';
 import {createStallDetector} from './stall-detector.js';
 import {createContinuationRetries} from './continuation-retries.js';
 import {createStreamCopies} from './stream-copies.js';
@@ -23,8 +25,6 @@
 
 /** `Retry-After` for a stream that no engine has run, in milliseconds. */
 const retryAfterMs = 400;
-/** Engines lost before the first event after which a run is not continued: the request may have ended them. */
-const maxLostBeforeEvent = 2;
 /** Priority of a late generation; less urgent than the engines' default, which is 5. */
 const latePriority = 7;
 
@@ -43,7 +43,6 @@
 	const avoid = new Set<string>();
 	let send: StreamAttempt | undefined;
 	let mayHaveRunEarlier = false;
-	let lostBeforeEventCount = 0;
 	const response = createStreamResponse(callerResponse, admitted.arrivedMs);
 	const stallDetector = createStallDetector(clock, response);
 	const continuationRetries = createContinuationRetries(admitted, options);
@@ -131,6 +130,24 @@
 		dispatch,
 	});
 
+	const lostRunRecovery = createLostRunRecovery({
+		admitted,
+		session: options,
+		copies,
+		continuation,
+		response,
+		giveUp,
+	});
+	const stalledRunCheck = createStalledRunCheck({
+		stallDetector,
+		retries: continuationRetries,
+		copies,
+		isCurrent: (attempt) => send === attempt,
+		onGranted(attempt, failure) {
+			onFailure(attempt, failure, true);
+		},
+	});
+
 	/** Lowers the priority of a late generation, so that it does not delay those that can be on time. */
 	const priorityOf = (placement: StreamPlacement) =>
 		response.eventCount === 0 && placement.isLate
@@ -205,28 +222,7 @@
 		}
 
 		mayHaveRunEarlier = true;
-		options.onRunLost({
-			request,
-			target,
-			sentMs: current.startedMs,
-			status: current.failedStatus,
-			eventCount: response.eventCount,
-			connectionEnded: failure.connectionEnded,
-		});
-		copies.runLost(current);
-		const giveUpLostRun = () => {
-			giveUp('the run was lost');
-		};
-
-		if (response.eventCount === 0 && failure.connectionEnded) {
-			lostBeforeEventCount++;
-		}
-
-		if (lostBeforeEventCount < maxLostBeforeEvent) {
-			continuation.start('run lost', giveUpLostRun, isGranted);
-		} else {
-			giveUpLostRun();
-		}
+		lostRunRecovery.recover(current, failure, isGranted);
 	};
 
 	const onEnd = (current: StreamAttempt, head: ResponseHead) => {
@@ -326,27 +322,8 @@
 			}
 		},
 		tick() {
-			const current = send;
-			if (!current || current.isOver) {
-				return;
-			}
-
-			if (
-				stallDetector.isStalled &&
-				continuationRetries.mayRequest &&
-				copies.hasUsableCopy(current)
-			) {
-				// Without retry budget the stalled run is kept, since its engine may still resume it.
-				continuationRetries.request((isGranted) => {
-					if (isGranted && send === current) {
-						const failure = {
-							unsent: false,
-							connectionEnded: false,
-							reason: 'the engine is silent',
-						};
-						onFailure(current, failure, true);
-					}
-				});
+			if (send && !send.isOver) {
+				stalledRunCheck.check(send);
 			}
 		},
 	};
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -140,11 +140,12 @@
 		edits: [
 			{
 				file: `${serving}/stream-session.js`,
-				original: "giveUp('the run was lost');",
-				replacement: 'completion.endStream(200);',
+				original: 'completion.sendUnanswered(mayHaveRun(), reason, afterMs);',
+				replacement:
+					"if (reason === 'the run was lost') { completion.endStream(200); } else { completion.sendUnanswered(mayHaveRun(), reason, afterMs); }",
 			},
 			{
-				file: `${serving}/stream-session.js`,
+				file: `${serving}/lost-run-recovery.js`,
 				original: "continuation.start('run lost', giveUpLostRun, isGranted);",
 				replacement: 'giveUpLostRun();',
 			},
@@ -158,7 +159,7 @@
 		name: 'a daemon that cuts off its requests when it is stopped',
 		edits: [
 			{
-				file: 'programs/front/create-front.js',
+				file: 'programs/front/graceful-stop.js',
 				original: 'await waitForRequests(',
 				replacement: 'void (',
 			},
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -116,7 +116,7 @@
 		hardLimitBytes: admissionLimitBytes * hardLimitFactor,
 	});
 	let routeTable: RouteTable | undefined;
-	const crashGuard = owned.add(
+	const {quarantine, observer: crashObserver} = owned.add(
 		startCrashGuard({
 			clock,
 			timers,
@@ -129,7 +129,6 @@
 			metrics,
 		}),
 	);
-	const {quarantine, observer: crashObserver} = crashGuard;
 
 	const requests = createRequestServer({
 		clock,
@@ -143,6 +142,7 @@
 		detector,
 		retryShare: deployment.retryShare,
 		statements,
+		standings: deployment.standings,
 		crashEvidence: deployment.crashEvidence,
 		crashObserver,
 		quarantine,
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -28,10 +28,12 @@
 	createConfigurationState,
 	createContinuationTurns,
 	createRetryShare,
+	createServiceStandings,
 	createTargetDirectory,
 	type ReadReason,
 	type RequestContinuationTurn,
 	type RetryShare,
+	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
 import {
@@ -71,6 +73,7 @@
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly statements: TargetStatements;
+	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
@@ -150,6 +153,7 @@
 		}),
 	);
 	const {rateLimits} = statements;
+	const standings = createServiceStandings({directory, statements, random});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -199,10 +203,10 @@
 	const engineSelector = createEngineSelector({
 		availabilityZone: vm.availabilityZone,
 		clock,
-		random,
 		directory,
 		detector,
 		statements,
+		standings,
 		statistics: createLengthStatistics(),
 		placementClient: () => fleetExchange.placementClient,
 		permitClient: () => fleetExchange.permitClient,
@@ -226,6 +230,7 @@
 		directory,
 		detector,
 		statements,
+		standings,
 		requestPermit,
 	});
 	const retryShare = createRetryShare({
@@ -278,6 +283,7 @@
 		engineSelector,
 		retryShare,
 		statements,
+		standings,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -2,6 +2,7 @@
 	type AdmittedRequest,
 	type PlacementListener,
 	type RunTracker,
+	type ServiceStandings,
 	type StreamRun,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
@@ -17,17 +18,12 @@
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
+import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
 import type {
-	Clock,
-	Disposable,
-	RandomSource,
-	TargetEntry,
-} from '../../common/index.js';
-import {
-	type ClosedRefusal,
-	closedRefusal,
-	type TargetStatements,
+	ClosedRefusal,
+	TargetStatements,
 } from '../../decisions/target-statements/index.js';
+import {createOutputForecast} from './output-forecast.js';
 import type {RunReporter} from './run-reporter.js';
 
 /**
@@ -72,7 +68,7 @@
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly statements: Pick<TargetStatements, 'isLeaving' | 'standingOf'>;
-	readonly random: RandomSource;
+	readonly standings: ServiceStandings;
 	readonly statistics: LengthStatistics;
 	readonly placementClient: () => PlacementClient;
 	readonly permitClient: () => Pick<PermitClient, 'turnsOf'>;
@@ -86,8 +82,6 @@
 const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, according to the data sheets of the engines. */
 const tokensPerEvent = 4;
-/** Weight of the caller's length hint against the measured lengths, whose error is smaller. */
-const hintWeight = 0.33;
 /**
  * Largest fraction of a service's engines that are avoided because the outlier detector excludes them.
  * The detector sees only the requests of this VM; if it excludes more engines, none is avoided.
@@ -97,68 +91,24 @@
 export function createEngineSelector(
 	options: EngineSelectorOptions,
 ): EngineSelector {
-	const {directory, detector, availabilityZone, statistics, clock} = options;
-	const {statements, random} = options;
+	const {directory, detector, availabilityZone, clock} = options;
+	const {statements, standings} = options;
+	const forecast = createOutputForecast(options.statistics);
 	const capacities = new Map<string, number>();
 	let nextRequestNumber = 1;
 
-	/** Expected number of tokens after those already produced. */
-	const expectedRemaining = (
-		{request, route, account}: AdmittedRequest,
-		producedTokens: number,
-	) => {
-		const generationRequest = request.generation;
-		if (!generationRequest) {
-			return 0;
-		}
-
-		const maxTokens = generationRequest.maxOutputTokens || Infinity;
-		const measuredTokens = statistics
-			.distribution(account ?? '', route.name, generationRequest.model)
-			.expectedRemaining(producedTokens, maxTokens);
-		const hintTokens =
-			(generationRequest.lengthHintTokens ?? 0) - producedTokens;
-		const blendedTokens =
-			hintTokens > 0
-				? measuredTokens ** (1 - hintWeight) * hintTokens ** hintWeight
-				: measuredTokens;
-		return Math.min(Math.max(1, maxTokens - producedTokens), blendedTokens);
-	};
-
-	const expectedOutputTokens = (admitted: AdmittedRequest) =>
-		expectedRemaining(admitted, 0);
-
 	const entryOf = (targetId: string | undefined) =>
 		targetId === undefined ? undefined : directory.get(targetId)?.entry;
 
-	/** Engines that want no requests from this VM, and those that leave unless there is no other. */
-	const closedTargets = (service: string): string[] => {
-		const uses = directory
-			.usable(service)
-			.map(({entry}) => [entry.id, statements.standingOf(entry).use]);
-		const isAnyNormal = uses.some(([, use]) => use === 'normal');
-		return uses
-			.filter(
-				([, use]) => use === 'none' || (use === 'last-resort' && isAnyNormal),
-			)
-			.map(([targetId]) => targetId);
-	};
-
-	const targetsToAvoid = (service: string): string[] => {
+	const targetsToAvoid = (service: string): readonly string[] => {
 		const usable = directory.usable(service);
 		const excluded = detector.excluded(service);
-		const closed = closedTargets(service);
+		const leftOutIds = standings.leftOutIds(service);
 		return excluded.size > usable.length * maxExcludedFraction
-			? closed
-			: [...excluded, ...closed];
+			? leftOutIds
+			: [...excluded, ...leftOutIds];
 	};
 
-	const closedRefusalOf = (service: string) =>
-		closedRefusal(
-			directory.usable(service).map(({entry}) => statements.standingOf(entry)),
-			random,
-		);
-
 	const placementRequestFor = (
 		admitted: AdmittedRequest,
 		avoid: ReadonlySet<string>,
@@ -180,8 +130,8 @@
 	};
 
 	return {
-		expectedOutputTokens,
-		closedRefusal: closedRefusalOf,
+		expectedOutputTokens: (admitted) => forecast.expectedRemaining(admitted, 0),
+		closedRefusal: standings.refusal,
 		setCapacity(service, capacityTokens) {
 			capacities.set(service, capacityTokens);
 		},
@@ -205,7 +155,7 @@
 				const placementRequest: PlacementRequest = {
 					...placementRequestFor(admitted, avoidedTargets),
 					purpose: 'run',
-					expectedTokens: expectedOutputTokens(admitted),
+					expectedTokens: forecast.expectedRemaining(admitted, 0),
 					doneTokens: 0,
 				};
 				pendingRequest = options.placementClient().request(placementRequest, {
@@ -242,7 +192,7 @@
 					return;
 				}
 
-				const closed = closedRefusalOf(admitted.service);
+				const closed = standings.refusal(admitted.service);
 				if (closed) {
 					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
@@ -264,7 +214,7 @@
 				...placementRequestFor(admitted, avoid),
 				id: `${placementId}.c${nextRequestNumber++}`,
 				purpose: 'copy',
-				expectedTokens: expectedRemaining(admitted, doneTokens),
+				expectedTokens: forecast.expectedRemaining(admitted, doneTokens),
 				doneTokens,
 			};
 			return new Promise((resolve) => {
@@ -291,7 +241,7 @@
 					copyTargetId: copyEngine?.id,
 					promptTokens: admitted.request.generation?.promptTokens ?? 0,
 					doneTokens,
-					remainingTokens: expectedRemaining(admitted, doneTokens),
+					remainingTokens: forecast.expectedRemaining(admitted, doneTokens),
 					priority: admitted.priority,
 				};
 				runs.set(run, isUrgent);
@@ -314,15 +264,8 @@
 				},
 			};
 		},
-		recordOutputLength({request, route, account}, eventCount) {
-			if (request.generation) {
-				statistics.record(
-					account ?? '',
-					route.name,
-					request.generation.model,
-					eventCount * tokensPerEvent,
-				);
-			}
+		recordOutputLength(admitted, eventCount) {
+			forecast.record(admitted, eventCount * tokensPerEvent);
 		},
 	};
 }
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -22,6 +22,7 @@
 	type RequestContinuationTurn,
 	type ResponseLimits,
 	type RetryShare,
+	type ServiceStandings,
 	type ServingSession,
 	startCallSession,
 	startStreamSession,
@@ -42,6 +43,7 @@
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
 	readonly statements: TargetStatements;
+	readonly standings: Pick<ServiceStandings, 'description'>;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
 	readonly logger: Logger;
@@ -76,15 +78,6 @@
 	const mayUse = (target: TargetEntry) =>
 		statements.standingOf(target).use !== 'none';
 
-	const restrictedTargets = (service: string) => {
-		const restricted = directory
-			.usable(service)
-			.map(({entry}) => [entry.id, statements.standingOf(entry)] as const)
-			.filter(([, {use}]) => use !== 'normal')
-			.map(([targetId, {cause}]) => `${targetId}: ${cause}`);
-		return restricted.length > 0 ? restricted.join(', ') : undefined;
-	};
-
 	const sessionServices = (service: string) => ({
 		clock,
 		timers: options.timers,
@@ -107,7 +100,7 @@
 			statements.recordResponse(target, head, sentMs);
 		},
 		mayUse,
-		restrictedTargets,
+		restrictedTargets: options.standings.description,
 		onUnreachable(target: TargetEntry) {
 			// A send that was withheld says nothing of the target's address.
 			if (mayUse(target)) {
