--- a/src/programs/front/broken-answers.test.ts
+++ b/src/programs/front/broken-answers.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {test, type TestContext} from 'node:test';
+import {suite, test, type TestContext} from 'node:test';
 import {
 	type ReceivedRequest,
 	responseHead,
@@ -61,31 +61,6 @@
 		'',
 	].join('\r\n');
 
-for (const kind of ['call', 'booking', 'stream'] as const) {
-	test(`a refusal that a target repeats on a kept connection is not taken for the answer to the next ${kind}`, async (context) => {
-		let refused: ReceivedRequest | undefined;
-		const executed: string[] = [];
-		const {send} = await startOneTarget(context, (request, socket) => {
-			if (!refused) {
-				refused = request;
-				socket.write(refusal(request));
-				return;
-			}
-
-			executed.push(request.id);
-			socket.write(refusal(refused));
-			setTimeout(() => {
-				socket.write(whole(request));
-			}, 30);
-		});
-		const first = await send('call', 'q1');
-		assert.equal(first.status, 503);
-		const {status} = await send(kind, 'q2');
-		assert.ok(![503, 429, 408, 421].includes(status), `status ${status}`);
-		assert.deepEqual(executed, ['q2']);
-	});
-}
-
 const headLines = (request: ReceivedRequest, ...lines: readonly string[]) =>
 	responseHead(request, ...lines).slice(0, -2);
 
@@ -101,29 +76,56 @@
 	(request) => `HTTP/1.1 103 Early Hints\r\n\r\n${headLines(request)}`,
 ];
 
-for (const kind of ['call', 'booking', 'stream'] as const) {
-	test(`an answer that ends inside its head is no success of a ${kind}, on a new and on a kept connection`, async (context) => {
-		let answer = whole;
-		const {send} = await startOneTarget(context, (request, socket) => {
-			const text = answer(request);
-			if (answer === whole) {
-				socket.write(text);
-			} else {
-				socket.end(text);
-			}
+suite('broken answers', {concurrency: true}, () => {
+	for (const kind of ['call', 'booking', 'stream'] as const) {
+		test(`a refusal that a target repeats on a kept connection is not taken for the answer to the next ${kind}`, async (context) => {
+			let refused: ReceivedRequest | undefined;
+			const executed: string[] = [];
+			const {send} = await startOneTarget(context, (request, socket) => {
+				if (!refused) {
+					refused = request;
+					socket.write(refusal(request));
+					return;
+				}
+
+				executed.push(request.id);
+				socket.write(refusal(refused));
+				setTimeout(() => {
+					socket.write(whole(request));
+				}, 30);
+			});
+			const first = await send('call', 'q1');
+			assert.equal(first.status, 503);
+			const {status} = await send(kind, 'q2');
+			assert.ok(![503, 429, 408, 421].includes(status), `status ${status}`);
+			assert.deepEqual(executed, ['q2']);
 		});
-		const statuses: number[] = [];
-		for (const [index, brokenHead] of brokenHeads.entries()) {
-			answer = whole;
-			await send('call', `kept-${index}`);
-			answer = brokenHead;
-			const response = await send(kind, `broken-${index}`);
-			statuses.push(response.status);
-		}
+	}
 
-		assert.deepEqual(
-			statuses.filter((status) => status !== 502),
-			[],
-		);
-	});
-}
+	for (const kind of ['call', 'booking', 'stream'] as const) {
+		test(`an answer that ends inside its head is no success of a ${kind}, on a new and on a kept connection`, async (context) => {
+			let answer = whole;
+			const {send} = await startOneTarget(context, (request, socket) => {
+				const text = answer(request);
+				if (answer === whole) {
+					socket.write(text);
+				} else {
+					socket.end(text);
+				}
+			});
+			const statuses: number[] = [];
+			for (const [index, brokenHead] of brokenHeads.entries()) {
+				answer = whole;
+				await send('call', `kept-${index}`);
+				answer = brokenHead;
+				const response = await send(kind, `broken-${index}`);
+				statuses.push(response.status);
+			}
+
+			assert.deepEqual(
+				statuses.filter((status) => status !== 502),
+				[],
+			);
+		});
+	}
+});
--- a/src/programs/front/stating-engines.test.ts
+++ b/src/programs/front/stating-engines.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {test, type TestContext} from 'node:test';
+import {suite, test, type TestContext} from 'node:test';
 import {
 	backOffMs,
 	countAfterLeaving,
@@ -39,37 +39,43 @@
 	return targets;
 }
 
-test('a target that says that it leaves gets no stream later than the time for leaving targets, also while the store is down', async (context) => {
-	const targets = await start(context, 40);
-	targets.state(leaving);
-	targets.store.respondWith(503);
-	const requests = await targets.sendFor(scenarioMs);
-	assert.ok(targets.arrivals.some(({isStated}) => isStated));
-	assert.equal(countAfterLeaving(targets.arrivals), 0);
-	assert.ok(servedFraction(requests) >= minServedFraction);
-});
+suite(
+	'what targets say of themselves holds for streams',
+	{concurrency: true},
+	() => {
+		test('a target that says that it leaves gets no stream later than the time for leaving targets, also while the store is down', async (context) => {
+			const targets = await start(context, 40);
+			targets.state(leaving);
+			targets.store.respondWith(503);
+			const requests = await targets.sendFor(scenarioMs);
+			assert.ok(targets.arrivals.some(({isStated}) => isStated));
+			assert.equal(countAfterLeaving(targets.arrivals), 0);
+			assert.ok(servedFraction(requests) >= minServedFraction);
+		});
 
-test('a target that turns streams away for a time is left alone, and a free one serves them', async (context) => {
-	const targets = await start(context, 41);
-	targets.state(backingOff);
-	const requests = await targets.sendFor(scenarioMs);
-	assert.ok(targets.arrivals.some(({isStated}) => isStated));
-	const most = mostDuringBackOff(targets.arrivals);
-	assert.ok(most <= maxDuringBackOff, `${most} during a back-off`);
-	const served = servedFraction(requests);
-	assert.ok(served >= minServedFraction, `${served} were served`);
-});
+		test('a target that turns streams away for a time is left alone, and a free one serves them', async (context) => {
+			const targets = await start(context, 41);
+			targets.state(backingOff);
+			const requests = await targets.sendFor(scenarioMs);
+			assert.ok(targets.arrivals.some(({isStated}) => isStated));
+			const most = mostDuringBackOff(targets.arrivals);
+			assert.ok(most <= maxDuringBackOff, `${most} during a back-off`);
+			const served = servedFraction(requests);
+			assert.ok(served >= minServedFraction, `${served} were served`);
+		});
 
-test('without another target each stream is refused at once with the time at which the target takes requests again', async (context) => {
-	const targets = await start(context, 42, false);
-	targets.state(backingOff);
-	const requests = await targets.sendFor(scenarioMs);
-	const most = mostDuringBackOff(targets.arrivals);
-	assert.ok(most <= maxDuringBackOff, `${most} during a back-off`);
-	const p95Ms = durationP95Ms(requests);
-	assert.ok(p95Ms <= maxRefusalP95Ms, `refused after ${p95Ms} ms`);
-	const returnsMs = returnsAfterBackOff(requests, targets.arrivals);
-	assert.ok(returnsMs.length > 20);
-	assert.ok(Math.min(...returnsMs) >= 0);
-	assert.ok(Math.max(...returnsMs) - Math.min(...returnsMs) > 500);
-});
+		test('without another target each stream is refused at once with the time at which the target takes requests again', async (context) => {
+			const targets = await start(context, 42, false);
+			targets.state(backingOff);
+			const requests = await targets.sendFor(scenarioMs);
+			const most = mostDuringBackOff(targets.arrivals);
+			assert.ok(most <= maxDuringBackOff, `${most} during a back-off`);
+			const p95Ms = durationP95Ms(requests);
+			assert.ok(p95Ms <= maxRefusalP95Ms, `refused after ${p95Ms} ms`);
+			const returnsMs = returnsAfterBackOff(requests, targets.arrivals);
+			assert.ok(returnsMs.length > 20);
+			assert.ok(Math.min(...returnsMs) >= 0);
+			assert.ok(Math.max(...returnsMs) - Math.min(...returnsMs) > 500);
+		});
+	},
+);
