Let targets of the fault soak say things of themselves, engines end under a prompt part, and entries be odd

Three checks are new (stated-leaving, back-off, crashing-part), and four planted faults, each of which the soak finds: a suspicion that never comes up, Server-Leaving and Retry-After that are not read, an address that is not checked. The steps are drawn apart, so that those of the seeds so far remain.

--- a/src/experiments/fault-soak/caller.ts
+++ b/src/experiments/fault-soak/caller.ts
@@ -33,6 +33,21 @@
 /** Time after the request timeout at which a caller gives up, in milliseconds. */
 const giveUpSlackMs = 3000;
 
+/** Tokens of the part that all prompts share, and of one under which engines end. */
+const sharedTokens = 100;
+
+function promptPartsOf(
+	{id, crashingPart}: ObservedRequest,
+	promptTokens: number,
+): string {
+	const parts = ['shared', ...(crashingPart ? [crashingPart] : [])];
+	const ownTokens = promptTokens - parts.length * sharedTokens;
+	return [
+		...parts.map((part) => `${part}:${sharedTokens}`),
+		`${id}:${ownTokens}`,
+	].join(',');
+}
+
 function headersOf(
 	{record, timeoutMs, promptTokens, outputTokens}: PlannedRequest,
 	{host, apiKey}: FrontEndpoint,
@@ -46,7 +61,7 @@
 			? {
 					[headerNames.model]: 'm',
 					[headerNames.tokenCounts]: `${promptTokens},${outputTokens}`,
-					[headerNames.promptParts]: `${record.id}:${promptTokens}`,
+					[headerNames.promptParts]: promptPartsOf(record, promptTokens),
 				}
 			: {}),
 	};
--- a/src/experiments/fault-soak/checks/checks.test.ts
+++ b/src/experiments/fault-soak/checks/checks.test.ts
@@ -19,6 +19,7 @@
 	id,
 	vm: 0,
 	kind: 'booking',
+	crashingPart: undefined,
 	routeTimeoutMs: 1500,
 	eventCount: 0,
 	sentMs: 10_000,
@@ -298,3 +299,79 @@
 		['rate-limit'],
 	);
 });
+
+test('reports requests with a crashing part that reach engines after the fifth end, unless their VM was disrupted', () => {
+	const attempts = Array.from({length: 8}, (_, index) =>
+		request(`a${index}`, {kind: 'report', crashingPart: 'x', vm: index % 2}),
+	);
+	const arrivalsFrom = (startMs: number) =>
+		attempts.map(({id}, index) => arrival(id, {atMs: startMs + index * 10}));
+	const partCrashes = [1, 2, 3, 4, 5].map((index) => ({
+		part: 'x',
+		atMs: 10_000 + index * 100,
+	}));
+	const knownMs = 10_500 + soakBounds.contactMs;
+	const observed = {attempts, partCrashes, arrivals: arrivalsFrom(knownMs + 1)};
+	assert.deepEqual(violatedInvariants(observed), ['crashing-part']);
+	assert.deepEqual(
+		violatedInvariants({...observed, arrivals: arrivalsFrom(knownMs - 100)}),
+		[],
+	);
+	assert.deepEqual(
+		violatedInvariants({...observed, partCrashes: partCrashes.slice(1)}),
+		[],
+	);
+	const pause = {vm: 0, kind: 'vm-pause', fromMs: 11_000, untilMs: 12_000};
+	assert.deepEqual(
+		violatedInvariants({
+			...observed,
+			disruptions: [pause, {...pause, vm: 1}],
+		}),
+		[],
+	);
+});
+
+test('reports requests that reach a target against what it has said to their VM, and those of no other VM', () => {
+	const attempts = ['a0', 'a1', 'a2', 'a3'].map((id) => request(id));
+	const other = request('b0', {vm: 1});
+	const arrivalsAt = (atMs: number) =>
+		attempts.slice(1).map(({id}, index) => arrival(id, {atMs: atMs + index}));
+	const stated = {targetId: 't1', requestId: 'a0', atMs: 10_000};
+	const leaving = {
+		attempts,
+		statements: [{...stated, statement: {kind: 'leaving' as const}}],
+	};
+	assert.deepEqual(
+		violatedInvariants({...leaving, arrivals: arrivalsAt(10_000 + drainMs)}),
+		['stated-leaving'],
+	);
+	assert.deepEqual(
+		violatedInvariants({...leaving, arrivals: arrivalsAt(9990 + drainMs)}),
+		[],
+	);
+	assert.deepEqual(
+		violatedInvariants({
+			...leaving,
+			attempts: [...attempts, other],
+			arrivals: [arrival('b0', {atMs: 20_000})],
+		}),
+		[],
+	);
+	const statement = {kind: 'back-off' as const, forMs: 1500};
+	const backOff = {attempts, statements: [{...stated, statement}]};
+	assert.deepEqual(
+		violatedInvariants({...backOff, arrivals: arrivalsAt(10_600)}),
+		['back-off'],
+	);
+	assert.deepEqual(
+		violatedInvariants({
+			...backOff,
+			arrivals: arrivalsAt(10_600).slice(1),
+		}),
+		[],
+	);
+	assert.deepEqual(
+		violatedInvariants({...backOff, arrivals: arrivalsAt(11_600)}),
+		[],
+	);
+});
--- a/src/experiments/fault-soak/checks/index.ts
+++ b/src/experiments/fault-soak/checks/index.ts
@@ -4,12 +4,14 @@
 	checkConfigurationApplied,
 	checkConfigurationForward,
 } from './configuration.js';
+import {checkCrashingParts} from './crashing-part.js';
 import {checkLeavingTargets} from './leaving-target.js';
 import type {InvariantCheck, Violation} from './invariant-check.js';
 import {checkPromptAnswers} from './prompt-answer.js';
 import {checkRateLimits} from './rate-limit.js';
 import {checkRetryBudget} from './retry-budget.js';
 import {checkCalmService, checkRecovery} from './service.js';
+import {checkBackOffs, checkStatedLeaving} from './statements.js';
 import {checkStaysUp} from './stays-up.js';
 import {checkTrueRefusals} from './true-refusal.js';
 import {checkEventOrder, checkWholeAnswers} from './whole-answer.js';
@@ -25,6 +27,9 @@
 	checkRateLimits,
 	checkRetryBudget,
 	checkLeavingTargets,
+	checkStatedLeaving,
+	checkBackOffs,
+	checkCrashingParts,
 	checkConfigurationForward,
 	checkConfigurationApplied,
 	checkPromptAnswers,
--- a/src/experiments/fault-soak/checks/invariant-check.ts
+++ b/src/experiments/fault-soak/checks/invariant-check.ts
@@ -3,15 +3,18 @@
 /** Names of the invariants that the soak checks, as reported and kept in `observations.json`. */
 export type InvariantName =
 	| 'at-most-once'
+	| 'back-off'
 	| 'calm-service'
 	| 'configuration-applied'
 	| 'configuration-forward'
+	| 'crashing-part'
 	| 'event-order'
 	| 'leaving-target'
 	| 'prompt-answer'
 	| 'rate-limit'
 	| 'recovery'
 	| 'retry-budget'
+	| 'stated-leaving'
 	| 'stays-up'
 	| 'true-refusal'
 	| 'whole-answer'
--- a/src/experiments/fault-soak/checks/rate-limit.ts
+++ b/src/experiments/fault-soak/checks/rate-limit.ts
@@ -5,6 +5,7 @@
 	type Observations,
 	requestsById,
 } from '../observations.js';
+import {leavesVmInTouch} from './excuses.js';
 import type {Violation} from './invariant-check.js';
 
 const windowMs = 4000;
@@ -12,12 +13,6 @@
 const tolerance = {factor: 1.5, extra: 5} as const;
 const millisecondsPerSecond = 1000;
 
-/** Faults that do not excuse a VM: they leave its links to the targets and the other VMs as they are. */
-const isNoExcuse = ({kind}: {readonly kind: string}) =>
-	kind === 'vm-reload' ||
-	kind === 'target-crash' ||
-	['caller-', 'store-', 'service-'].some((prefix) => kind.startsWith(prefix));
-
 /** Times at which a target got requests that count, while it named its limit and all VMs knew of it. */
 function countedTimes(
 	{targetId, fromMs, untilMs}: NamedRateLimit,
@@ -33,7 +28,7 @@
 			atMs >= settledMs &&
 			atMs < untilMs &&
 			vm !== undefined &&
-			isUndisrupted(observations, vm, [atMs, atMs], isNoExcuse)
+			isUndisrupted(observations, vm, [atMs, atMs], leavesVmInTouch)
 		);
 	};
 
--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -7,7 +7,8 @@
 import {soakBounds} from './soak-bounds.js';
 import type {SoakFleet, SoakVm} from './soak-fleet.js';
 import type {LinkName, SoakStep, StepAction} from './soak-plan.js';
-import {soakServices} from './soak-targets.js';
+import {soakServices, type SoakTarget} from './soak-targets.js';
+import {createTargetFaults} from './target-faults.js';
 
 /**
  * Applies the steps of a plan. Disposal cuts steps short with their faults left in place; only a
@@ -43,6 +44,17 @@
 	const sleep = async (durationMs: number) =>
 		sleepFor(durationMs, undefined, {signal: disposal.signal});
 
+	/** Performs something that disposal cuts short. */
+	const untilDisposed = async (perform: () => Promise<void>) => {
+		try {
+			await perform();
+		} catch (error) {
+			if (!disposal.signal.aborted) {
+				throw error;
+			}
+		}
+	};
+
 	const rateLimitFault = createRateLimitFault(observations, sleep);
 
 	/** Performs an action and records it as a disruption from its start to its end. */
@@ -191,6 +203,15 @@
 			? targets.addEngine()
 			: targets.addService(service);
 
+	const crash = async (target: SoakTarget, forMs: number) =>
+		disrupt('target-crash', undefined, async () => {
+			target.closeAbruptly();
+			await sleep(entryRemovalDelayMs);
+			target.removeEntry();
+			await sleep(forMs);
+			await addReplacement(target.service);
+		});
+
 	const applyTargetAction = async (
 		{action}: ActionOf<'target'>,
 		{selector, forMs}: SoakStep,
@@ -217,15 +238,21 @@
 			return;
 		}
 
-		await disrupt('target-crash', undefined, async () => {
-			target.closeAbruptly();
-			await sleep(entryRemovalDelayMs);
-			target.removeEntry();
-			await sleep(forMs);
-			await addReplacement(target.service);
-		});
+		await crash(target, forMs);
 	};
 
+	const targetFaults = createTargetFaults({
+		store,
+		targets,
+		observations,
+		sleep,
+		addReplacement,
+		async crash(target, forMs) {
+			targets.deactivate(target);
+			await untilDisposed(async () => crash(target, forMs));
+		},
+	});
+
 	const performStep = async (step: SoakStep) => {
 		const {action} = step;
 		await sleep(step.atMs);
@@ -263,19 +290,30 @@
 					step.forMs,
 				);
 			}
+
+			case 'statement': {
+				const {statement} = action;
+				return targetFaults.applyStatement(
+					statement,
+					step.selector,
+					step.forMs,
+				);
+			}
+
+			case 'crashing-part': {
+				return targetFaults.applyCrashingPart(step.forMs);
+			}
+
+			case 'odd-entries': {
+				targetFaults.addOddEntries();
+			}
 		}
 	};
 
 	return {
 		start,
 		async apply(step) {
-			try {
-				await performStep(step);
-			} catch (error) {
-				if (!disposal.signal.aborted) {
-					throw error;
-				}
-			}
+			await untilDisposed(async () => performStep(step));
 		},
 		dispose() {
 			disposal.abort();
--- a/src/experiments/fault-soak/observations.ts
+++ b/src/experiments/fault-soak/observations.ts
@@ -1,3 +1,5 @@
+import type {TargetStatement} from '../../platform/testing/index.js';
+
 /**
  * Kinds of requests that callers send. `lookup` is idempotent, `booking` and `moving` are not;
  * `report` is a stream and counts as not idempotent either. The service of `moving` changes with
@@ -13,6 +15,8 @@
 	readonly kind: RequestKind;
 	/** Timeout configured for the route. */
 	readonly routeTimeoutMs: number;
+	/** Part of the prompt under which engines end; undefined for sound requests. */
+	readonly crashingPart: string | undefined;
 	/** Number of events in a complete response; 0 if the response is not a stream. */
 	readonly eventCount: number;
 	readonly sentMs: number;
@@ -71,6 +75,17 @@
 	untilMs: number;
 };
 
+/** What a target has said of itself in its response to a request. */
+export type ObservedStatement = {
+	readonly targetId: string;
+	readonly requestId: string;
+	readonly statement: TargetStatement;
+	readonly atMs: number;
+};
+
+/** An engine that ended under a prompt part. */
+export type PartCrash = {readonly part: string; readonly atMs: number};
+
 /** A fault or a planned restart, with the time that it lasted. */
 export type Disruption = {
 	/** Index of the VM affected; undefined if all may be. */
@@ -97,8 +112,8 @@
 export type Lateness = {readonly atMs: number; readonly lateMs: number};
 
 /**
- * Bounds that the checks apply. The daemons run with the same values, except for `settleMs`, `recoveryMs`
- * and `rateLimitSettleMs`, which only the checks use.
+ * Bounds that the checks apply. The daemons run with the same values, except for `settleMs`, `recoveryMs`,
+ * `rateLimitSettleMs` and `contactMs`, which only the checks use.
  */
 export type SoakBounds = {
 	/** Time after which a leaving target gets no new requests. */
@@ -116,6 +131,8 @@
 	readonly retryWindowMs: number;
 	/** Time in which all VMs know of a rate limit that a target names. */
 	readonly rateLimitSettleMs: number;
+	/** Time after the fifth end of an engine under a prompt part in which all VMs know of the part. */
+	readonly contactMs: number;
 	/** Time after the last fault in which service recovers. */
 	readonly recoveryMs: number;
 };
@@ -132,6 +149,10 @@
 	readonly configurations: ConfigurationWrite[];
 	readonly leaves: LeaveAnnouncement[];
 	readonly rateLimits: NamedRateLimit[];
+	readonly statements: ObservedStatement[];
+	readonly partCrashes: PartCrash[];
+	/** Part of the prompts of some reports under which engines end; undefined while there is none. */
+	crashingPart: string | undefined;
 	readonly disruptions: Disruption[];
 	readonly incarnations: Incarnation[];
 	readonly lateness: Lateness[];
@@ -149,6 +170,9 @@
 		configurations: [],
 		leaves: [],
 		rateLimits: [],
+		statements: [],
+		partCrashes: [],
+		crashingPart: undefined,
 		disruptions: [],
 		incarnations: [],
 		lateness: [],
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -25,6 +25,12 @@
 
 const leave: StepAction = {type: 'target', action: 'leave'};
 const losingAnswers: StepAction = {type: 'service', mode: 'losing-answers'};
+const stating = (
+	statement: 'back-off' | 'leaving',
+	atMs: number,
+	selector: number,
+) => step(atMs, 4000, {type: 'statement', statement}, selector);
+
 const serving = 'decisions/serving';
 
 const faults: readonly PlantedFault[] = [
@@ -171,6 +177,58 @@
 		),
 		violates: 'calm-service',
 	},
+	{
+		name: 'requests with a prompt part under which engines end one after the other',
+		edits: [
+			{
+				file: 'decisions/quarantine/suspicion.js',
+				original: 'return (sequentialCount',
+				replacement: 'return false && (sequentialCount',
+			},
+		],
+		vmCount: 3,
+		steps: [step(500, 12_000, {type: 'crashing-part'})],
+		violates: 'crashing-part',
+	},
+	{
+		name: 'requests to a target that says in its responses that it leaves',
+		edits: [
+			{
+				file: 'platform/response-head.js',
+				original: "case '1':",
+				replacement: "case 'one':",
+			},
+		],
+		vmCount: 2,
+		steps: [stating('leaving', 2500, 0), stating('leaving', 5000, 1)],
+		violates: 'stated-leaving',
+	},
+	{
+		name: 'requests to a target that turns them away for a time',
+		edits: [
+			{
+				file: 'platform/response-head.js',
+				original: 'new Set([429, 503])',
+				replacement: 'new Set()',
+			},
+		],
+		vmCount: 2,
+		steps: [stating('back-off', 2500, 0)],
+		violates: 'back-off',
+	},
+	{
+		name: 'requests to an address that cannot exist',
+		edits: [
+			{
+				file: 'common/deployment/socket-address.js',
+				original: 'port <= maxPort',
+				replacement: 'port <= Infinity',
+			},
+		],
+		vmCount: 2,
+		steps: [step(2500, 0, {type: 'odd-entries'})],
+		violates: 'calm-service',
+	},
 ];
 
 async function findViolated({edits, vmCount, steps}: PlantedFault) {
--- a/src/experiments/fault-soak/soak-bounds.ts
+++ b/src/experiments/fault-soak/soak-bounds.ts
@@ -10,6 +10,7 @@
 	retryExtra: 30,
 	retryWindowMs: 4000,
 	rateLimitSettleMs: 3000,
+	contactMs: 3000,
 	recoveryMs: 5000,
 };
 
--- a/src/experiments/fault-soak/soak-fleet.ts
+++ b/src/experiments/fault-soak/soak-fleet.ts
@@ -76,6 +76,11 @@
 			running.set(arrival, execution);
 			observations.works.push(execution);
 		},
+		stated(arrival, statement) {
+			const {requestId, targetId} = describe(arrival);
+			const atMs = performance.now();
+			observations.statements.push({requestId, targetId, statement, atMs});
+		},
 		stopped(arrival) {
 			const execution = running.get(arrival);
 			running.delete(arrival);
--- a/src/experiments/fault-soak/soak-plan.ts
+++ b/src/experiments/fault-soak/soak-plan.ts
@@ -23,7 +23,13 @@
 	| {readonly type: 'target'; readonly action: 'crash' | 'leave'}
 	| {readonly type: 'configuration'; readonly versions: number}
 	/** A target names a rate limit. */
-	| {readonly type: 'rate-limit'; readonly requestsPerSecond: number};
+	| {readonly type: 'rate-limit'; readonly requestsPerSecond: number}
+	/** A target says in its responses that it leaves, or turns requests away for a time. */
+	| {readonly type: 'statement'; readonly statement: 'back-off' | 'leaving'}
+	/** Engines end under a part of some prompts. */
+	| {readonly type: 'crashing-part'}
+	/** Another writer leaves entries among those of the targets that name none. */
+	| {readonly type: 'odd-entries'};
 
 /** A fault or change with its time and place. */
 export type SoakStep = {
@@ -148,12 +154,31 @@
 	{maxLength: 2},
 );
 
+/** Generates the steps in which targets say something of themselves, engines end under a part, or entries are odd. */
+const targetSteps: fc.Arbitrary<readonly SoakStep[]> = fc.array(
+	fc.record({
+		atMs: fc.integer({min: 1000, max: 4000}),
+		forMs: fc.integer({min: 1500, max: faultPhaseMs}),
+		selector: fc.nat({max: maxSelector}),
+		action: fc.oneof(
+			fc.record({
+				type: fc.constant('statement' as const),
+				statement: fc.constantFrom('back-off' as const, 'leaving' as const),
+			}),
+			fc.constant({type: 'crashing-part' as const}),
+			fc.constant({type: 'odd-entries' as const}),
+		),
+	}),
+	{maxLength: 2},
+);
+
 /**
- * Derives the plan of a run from its seed. The steps with rate limits are drawn apart, so that the other
- * steps of a seed remain as they were.
+ * Derives the plan of a run from its seed. The kinds of steps that were added later are drawn apart, so that
+ * the other steps of a seed remain as they were.
  */
 export function planOf(seed: number): SoakPlan {
 	const [plan] = fc.sample(soakPlans, {seed, numRuns: 1});
 	const [limits] = fc.sample(rateLimitSteps, {seed, numRuns: 1});
-	return {...plan, steps: [...plan.steps, ...limits]};
+	const [others] = fc.sample(targetSteps, {seed, numRuns: 1});
+	return {...plan, steps: [...plan.steps, ...limits, ...others]};
 }
--- a/src/experiments/fault-soak/soak-targets.ts
+++ b/src/experiments/fault-soak/soak-targets.ts
@@ -10,6 +10,7 @@
 	type ServiceStandin,
 	type StoreStandin,
 	type TargetObserver,
+	type TargetStatement,
 	targetRow,
 } from '../../platform/testing/index.js';
 import {createLoopbackProxy, type LoopbackProxy} from './loopback-proxy.js';
@@ -27,6 +28,8 @@
 	closeAbruptly(): void;
 	/** Sets the rate limit that the target names in its responses; undefined for none. */
 	setRateLimit(requestsPerSecond: number | undefined): void;
+	/** Sets what the target says of itself in its responses; undefined for nothing. */
+	setStatement(statement: TargetStatement | undefined): void;
 	/** Removes the target's entry from the store. */
 	removeEntry(): void;
 };
@@ -41,6 +44,14 @@
 	addService(service: string): Promise<void>;
 	/** Removes a target from `active`. */
 	deactivate(target: SoakTarget): void;
+	/**
+	 * Sets the prompt part under which all engines end, those added later included.
+	 * @param onCrash - called with the engine, which goes on until it is closed
+	 */
+	setCrashingPart(
+		partId: string | undefined,
+		onCrash: (target: SoakTarget) => void,
+	): void;
 	/** Sets the mode of the plain services among some targets. */
 	setMode(targets: readonly SoakTarget[], mode: ServiceMode): void;
 };
@@ -75,7 +86,16 @@
 	const all = new Set<SoakTarget>();
 	const activeTargets = new Set<SoakTarget>();
 	const enginesByAddress: EnginesByAddress = new Map();
+	const engines = new Map<SoakTarget, EngineStandin>();
 	let nextNumber = 1;
+	let crashingPart: string | undefined;
+	let onCrashingPart: ((target: SoakTarget) => void) | undefined;
+
+	const applyCrashingPart = (target: SoakTarget, standin: EngineStandin) => {
+		standin.setCrashingPart(crashingPart, () => {
+			onCrashingPart?.(target);
+		});
+	};
 
 	const register = (
 		id: string,
@@ -112,11 +132,17 @@
 				}
 			},
 			setRateLimit: standin.setRateLimit,
+			setStatement: standin.setStatement,
 			removeEntry() {
 				put(undefined);
 			},
 		};
 		all.add(target);
+		if ('crash' in standin) {
+			engines.set(target, standin);
+			applyCrashingPart(target, standin);
+		}
+
 		activeTargets.add(target);
 		put('ready');
 	};
@@ -149,6 +175,13 @@
 			const port = await listen(standin);
 			register(id, service, standin, await createLoopbackProxy(port));
 		},
+		setCrashingPart(partId, onCrash) {
+			crashingPart = partId;
+			onCrashingPart = onCrash;
+			for (const [target, standin] of engines) {
+				applyCrashingPart(target, standin);
+			}
+		},
 		deactivate(target) {
 			activeTargets.delete(target);
 		},
--- a/src/experiments/fault-soak/traffic.ts
+++ b/src/experiments/fault-soak/traffic.ts
@@ -27,6 +27,8 @@
 const disconnectFraction = 0.1;
 const minDisconnectMs = 80;
 const disconnectSpreadMs = 400;
+/** While engines end under a prompt part, the reports among every so many requests have it. */
+const crashingInterval = 3;
 const kindFractions: ReadonlyArray<readonly [RequestKind, number]> = [
 	['lookup', 0.55],
 	['booking', 0.3],
@@ -62,10 +64,13 @@
 		const isReport = kind === 'report';
 		const outputTokens =
 			minOutputTokens + Math.floor(random.nextUnit() * outputSpreadTokens);
+		const number = nextId++;
+		const hasCrashingPart = isReport && number % crashingInterval === 0;
 		const record: ObservedRequest = {
-			id: `${vm}-${nextId++}`,
+			id: `${vm}-${number}`,
 			vm,
 			kind,
+			crashingPart: hasCrashingPart ? observations.crashingPart : undefined,
 			routeTimeoutMs: timeoutMs[kind],
 			eventCount: isReport ? eventCountOf(outputTokens) : 0,
 			sentMs: performance.now(),
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -39,6 +39,11 @@
 	storeKvCacheCopy(handle: string, copy: StoredCopy): boolean;
 	/** Simulates a crash: ends all runs, resets all connections and stores no further copies. */
 	crash(): void;
+	/**
+	 * Sets the prompt part under which this engine ends.
+	 * @param onCrash - called in place of the first event of a run with the part
+	 */
+	setCrashingPart(partId: string | undefined, onCrash: () => void): void;
 	/** Makes the load reports state that the engine is draining. */
 	setLeaving(): void;
 };
@@ -83,6 +88,12 @@
 	let nextHandle = 1;
 	let hasCrashed = false;
 	let isLeaving = false;
+	let crashingPart: string | undefined;
+	let onCrashingPart: (() => void) | undefined;
+
+	const hasCrashingPart = ({arrival: {request}}: Run) =>
+		request.generation?.promptParts.some(({id}) => id === crashingPart) ??
+		false;
 
 	const lastEventOf = (run: Run) => {
 		const scheduled = [...simulation.running, ...simulation.waiting].find(
@@ -104,6 +115,11 @@
 	const step = () => {
 		stepTimer = undefined;
 		const {durationMs, produced, finished} = simulation.step();
+		if (produced.some(({generation}) => hasCrashingPart(generation))) {
+			onCrashingPart?.();
+			return;
+		}
+
 		for (const {generation, producedTokens} of produced) {
 			if (producedTokens % tokensPerEvent === 0) {
 				const event =
@@ -258,6 +274,10 @@
 
 			server.resetConnections();
 		},
+		setCrashingPart(partId, onCrash) {
+			crashingPart = partId;
+			onCrashingPart = onCrash;
+		},
 		setLeaving() {
 			isLeaving = true;
 		},
--- a/src/platform/testing/target-server.ts
+++ b/src/platform/testing/target-server.ts
@@ -27,12 +27,19 @@
 	readonly lastEventId: number | undefined;
 };
 
+/** What a simulated target says of itself: that it leaves, or that it wants no requests for a time. */
+export type TargetStatement =
+	| {readonly kind: 'leaving'}
+	| {readonly kind: 'back-off'; readonly forMs: number};
+
 /** Is called when simulated targets receive, start and stop executing requests. */
 export type TargetObserver = {
 	/** A target received a request. */
 	arrived(arrival: TargetArrival): void;
 	/** A target started to execute a request. */
 	started(arrival: TargetArrival): void;
+	/** A target has said something of itself in its response to a request. */
+	stated(arrival: TargetArrival, statement: TargetStatement): void;
 	/** A target stopped executing a request; `isFinished` is false if it was aborted. */
 	stopped(arrival: TargetArrival, isFinished: boolean): void;
 };
@@ -42,6 +49,8 @@
 	readonly server: Server;
 	/** Resets all connections without a response, as a crash does. */
 	resetConnections(): void;
+	/** Sets what the responses to later requests say; while it wants no requests, the target refuses them. */
+	setStatement(statement: TargetStatement | undefined): void;
 	/** Sets the rate limit that the responses to later requests name, in requests per second; undefined for none. */
 	setRateLimit(requestsPerSecond: number | undefined): void;
 };
@@ -57,6 +66,7 @@
 };
 
 const refusedStatus = 503;
+const millisecondsPerSecond = 1000;
 const defaultPriority = 5;
 
 /** Writes the head of a response, with the header that only targets set. */
@@ -93,6 +103,42 @@
 ): TargetServer {
 	const sockets = new Set<Socket>();
 	let rateLimit: number | undefined;
+	let statement: TargetStatement | undefined;
+
+	/** Reports a statement once the head of its response has been written. */
+	const reportStatement = (
+		arrival: TargetArrival,
+		response: ServerResponse,
+		stated: TargetStatement,
+	) => {
+		if (response.headersSent) {
+			observer.stated(arrival, stated);
+		} else {
+			response.on('finish', () => {
+				observer.stated(arrival, stated);
+			});
+		}
+	};
+
+	const serve = (arrival: TargetArrival, response: ServerResponse) => {
+		const stated = statement;
+		if (stated?.kind === 'back-off') {
+			const seconds = stated.forMs / millisecondsPerSecond;
+			response.setHeader(headerNames.retryAfter, seconds);
+			refuse(arrival, response);
+		} else {
+			if (stated) {
+				response.setHeader(headerNames.leaving, 1);
+			}
+
+			handler.serve(arrival, response);
+		}
+
+		if (stated) {
+			reportStatement(arrival, response, stated);
+		}
+	};
+
 	const server = createServer((incoming, response) => {
 		const chunks: Uint8Array[] = [];
 		incoming.on('data', (chunk: Uint8Array) => {
@@ -142,7 +188,7 @@
 			}
 
 			observer.arrived(arrival);
-			handler.serve(arrival, response);
+			serve(arrival, response);
 		});
 	});
 	server.on('connection', (socket) => {
@@ -153,6 +199,9 @@
 	});
 	return {
 		server,
+		setStatement(next) {
+			statement = next;
+		},
 		setRateLimit(requestsPerSecond) {
 			rateLimit = requestsPerSecond;
 		},
