Send nothing for a stream that was given up while its engine was found unreachable

A send failed unsent; that its engine accepts no connections confirmed an earlier end of it, whose prompt parts became suspected, which ended this very session; the failed send then went on to search another engine.

Change: a search for an engine and a continuation do nothing once their session has ended, and nothing is sent.

Evidence: stream-session.test.ts has the order of the calls; it failed before (two sends, one expected).

--- a/src/decisions/serving/engine-search.ts
+++ b/src/decisions/serving/engine-search.ts
@@ -19,7 +19,7 @@
 /** Search of one generation for an engine. */
 export type EngineSearch = Disposable & {
 	/**
-	 * Places the generation at once or as soon as an engine has room.
+	 * Places the generation at once or as soon as an engine has room; not once the search is disposed.
 	 * @param sendReason - why the generation is sent, for the log
 	 * @param isRetry - true if an engine has refused the generation, so that the retry budget is charged
 	 */
@@ -37,6 +37,7 @@
 	listener: EngineSearchListener,
 ): EngineSearch {
 	let pending: Disposable | undefined;
+	let isDisposed = false;
 
 	const place = (sendReason: string) => {
 		pending = options.place(admitted, avoid, {
@@ -51,6 +52,10 @@
 
 	return {
 		start(sendReason, isRetry) {
+			if (isDisposed) {
+				return;
+			}
+
 			const closed = options.closedRefusal(admitted.service);
 			if (closed) {
 				listener.onRefused(closed.reason, closed.retryAfterMs);
@@ -79,6 +84,7 @@
 			}
 		},
 		dispose() {
+			isDisposed = true;
 			pending?.dispose();
 		},
 	};
--- a/src/decisions/serving/run-continuation.ts
+++ b/src/decisions/serving/run-continuation.ts
@@ -45,6 +45,7 @@
 	const {request} = admitted;
 	let count = 0;
 	let pendingTurn: Disposable | undefined;
+	let isDisposed = false;
 
 	const send = ({target, kvCache}: RunCopy, reason: string) => {
 		count++;
@@ -79,6 +80,10 @@
 	};
 
 	const start = (reason: string, orElse: () => void, isGranted = false) => {
+		if (isDisposed) {
+			return;
+		}
+
 		const copy = copies.nextCopy();
 		const leftMs = admitted.deadlineMs - clock.nowMs();
 		if (!copy || leftMs < minSendMs) {
@@ -106,6 +111,7 @@
 		},
 		start,
 		dispose() {
+			isDisposed = true;
 			pendingTurn?.dispose();
 		},
 	};
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -372,3 +372,20 @@
 	assert.equal(targetClient.sends.length, 1);
 	assert.deepEqual([response.status, response.retryAfterS], [503, 2.5]);
 });
+
+test('a stream that is given up while its engine is found unreachable is not sent to another one', () => {
+	const given: {up?: () => void} = {};
+	const {targetClient, response, session} = startTestStream({
+		onUnreachable: () => given.up?.(),
+	});
+	given.up = () => {
+		session.giveUp('engines end under parts of this prompt', 500);
+	};
+	targetClient.sends[0].listener.onFailure({
+		unsent: true,
+		connectionEnded: false,
+		reason: 'refused',
+	});
+	assert.equal(response.status, 503);
+	assert.equal(targetClient.sends.length, 1);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -105,6 +105,11 @@
 		continueFrom: KvCacheCopy | undefined,
 		reason: string,
 	) => {
+		// A callback of the last send may have ended the session.
+		if (completion.isDone) {
+			return;
+		}
+
 		stallDetector.progressed();
 		const attempt = createStreamAttempt(
 			{
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -54,6 +54,8 @@
 	readonly standings?: ReadonlyMap<string, Partial<TargetStanding>>;
 	/** Refusal while every engine says that it takes no requests. */
 	readonly closedRefusal?: () => ClosedRefusal | undefined;
+	/** Called when an engine accepts no connection. */
+	readonly onUnreachable?: () => void;
 	/** Decides on the turns of continued runs; if given, all engines limit their request rate. */
 	readonly decideTurn?: (
 		targetId: string,
@@ -99,6 +101,9 @@
 				},
 				options.askPool,
 			),
+			onUnreachable() {
+				options.onUnreachable?.();
+			},
 			closedRefusal: () => options.closedRefusal?.(),
 			place(_admitted, avoid, listener) {
 				const target = [firstEngine, secondEngine, thirdEngine].find(
