--- a/src/decisions/quarantine/crash-evidence.ts
+++ b/src/decisions/quarantine/crash-evidence.ts
@@ -1,3 +1,4 @@
+import {LRUCache} from 'lru-cache';
 import {
 	type Clock,
 	createEmitter,
@@ -20,6 +21,11 @@
 	readonly onChanged: Event<PartChange>;
 	/** Ids of the parts with crashes. */
 	partIds(): readonly string[];
+	/**
+	 * Monotonic time of the last known first event of a request with a part that has crashes, in milliseconds;
+	 * -Infinity if there is none.
+	 */
+	lastFirstEventMs(partId: string): number;
 	/** Crashes under a part since the last first event of a request with it, in the order of time. */
 	crashesOf(partId: string): readonly PartCrash[];
 	/**
@@ -72,6 +78,8 @@
 export function createCrashEvidence(clock: Clock): CrashEvidence {
 	const changed = createEmitter<PartChange>();
 	const records = new Map<string, PartRecord>();
+	/** Monotonic times of the last first events of own requests, by part, in milliseconds. */
+	const firstEventsMs = new LRUCache<string, number>({max: maxPartCount});
 
 	const recordOf = (partId: string): PartRecord | undefined => {
 		const known = records.get(partId);
@@ -91,7 +99,7 @@
 
 		const record: PartRecord = {
 			crashes: new Map(),
-			clearedMs: -Infinity,
+			clearedMs: firstEventsMs.get(partId) ?? -Infinity,
 			newsMs: {any: -Infinity, own: -Infinity},
 			touchedMs: clock.nowMs(),
 		};
@@ -171,6 +179,7 @@
 			[...records]
 				.filter(([, {crashes}]) => crashes.size > 0)
 				.map(([partId]) => partId),
+		lastFirstEventMs: (partId) => records.get(partId)?.clearedMs ?? -Infinity,
 		crashesOf: (partId) =>
 			[...(records.get(partId)?.crashes.values() ?? [])].sort(byTime),
 		recordCrash(engine, parts, atMs) {
@@ -182,9 +191,11 @@
 			}
 		},
 		recordFirstEvent(partIds) {
+			const nowMs = clock.nowMs();
 			for (const partId of partIds) {
+				firstEventsMs.set(partId, nowMs);
 				const record = records.get(partId);
-				if (record && clear(record, clock.nowMs())) {
+				if (record && clear(record, nowMs)) {
 					announce(partId, record, 'first-event', 'own');
 				}
 			}
--- a/src/decisions/quarantine/prompt-quarantine.ts
+++ b/src/decisions/quarantine/prompt-quarantine.ts
@@ -80,9 +80,12 @@
 	/** Monotonic times until which no other trial with a part is made, in milliseconds. */
 	const nextTrialMs = new Map<string, number>();
 
+	const isSuspicious = (partId: string, crashes: readonly PartCrash[]) =>
+		areSuspicious(crashes, evidence.lastFirstEventMs(partId));
+
 	const updateSuspect = (partId: string) => {
 		const crashes = evidence.crashesOf(partId);
-		const isSuspected = areSuspicious(crashes);
+		const isSuspected = isSuspicious(partId, crashes);
 		const wasSuspected = suspects.has(partId);
 		if (isSuspected) {
 			suspects.set(partId, crashes);
@@ -124,7 +127,7 @@
 		for (const partId of partIds) {
 			const crashes = unexplainedCrashes(suspects.get(partId) ?? [], partIds);
 			const hasMore = crashes.length > (most?.length ?? 0);
-			if (hasMore && areSuspicious(crashes)) {
+			if (hasMore && isSuspicious(partId, crashes)) {
 				most = crashes;
 			}
 		}
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -381,6 +381,7 @@
 	given.up = () => {
 		session.giveUp('engines end under parts of this prompt', 500);
 	};
+
 	targetClient.sends[0].listener.onFailure({
 		unsent: true,
 		connectionEnded: false,
