--- a/src/experiments/capacity/main.ts
+++ b/src/experiments/capacity/main.ts
@@ -5,6 +5,7 @@
 import {measureMembershipSlopes} from './membership-slopes.js';
 import {measureOrderSlopes} from './order-slopes.js';
 import {measurePlacementSlopes} from './placement-slopes.js';
+import {promptPartFigures} from './prompt-part-slopes.js';
 import {rateLimitFigures} from './rate-limit-slopes.js';
 import type {Figure} from './types.js';
 
@@ -177,6 +178,7 @@
 		...(engineUrl === undefined ? [] : await loadReportFigures(engineUrl)),
 		...placementFigures(),
 		...rateLimitFigures(),
+		...promptPartFigures(),
 		...(await bookingFigures()),
 		...(await pollingFigures()),
 		...(await orderFigures()),
--- a/src/experiments/capacity/rate-limit-slopes.ts
+++ b/src/experiments/capacity/rate-limit-slopes.ts
@@ -1,5 +1,4 @@
-import process from 'node:process';
-import {Clock, SeededRandomSource} from '../../common/index.js';
+import {SeededRandomSource} from '../../common/index.js';
 import {
 	createMemberList,
 	createPermitClient,
@@ -8,11 +7,10 @@
 	type FleetMessage,
 } from '../../decisions/fleet/index.js';
 import {createRateLimitTable} from '../../decisions/rate-limits/index.js';
+import {measureMicros, SteppedClock} from './measure-micros.js';
 import type {Figure} from './types.js';
 
 const targetCounts = [1, 10, 100];
-const warmUpCount = 5000;
-const measuredCount = 50_000;
 const requestsPerSecond = 4;
 /** Virtual time between two messages, in milliseconds. */
 const messageGapMs = 1;
@@ -20,33 +18,6 @@
 const startMs = 60_000;
 const microsecondsPerMillisecond = 1000;
 
-class SteppedClock extends Clock {
-	timeMs = 0;
-
-	override nowMs(): number {
-		return this.timeMs;
-	}
-
-	override wallMs(): number {
-		return this.timeMs;
-	}
-}
-
-/** Measures the processor time of an action after a warm-up, in microseconds. */
-function measureMicros(run: () => void): number {
-	for (let count = 0; count < warmUpCount; count++) {
-		run();
-	}
-
-	const before = process.cpuUsage();
-	for (let count = 0; count < measuredCount; count++) {
-		run();
-	}
-
-	const {user, system} = process.cpuUsage(before);
-	return (user + system) / measuredCount;
-}
-
 /** Creates the permits of a coordinator in virtual time. */
 function createCoordinator(clock: SteppedClock) {
 	const address = '10.1.0.1:7200';
