--- a/src/decisions/quarantine/crash-evidence.test.ts
+++ b/src/decisions/quarantine/crash-evidence.test.ts
@@ -124,6 +124,7 @@
 	}
 
 	assert.ok(evidence.partIds().length <= 2000);
-	assert.ok(enginesOf('a').length <= 32);
+	// Parts with several crashes are kept longest.
+	assert.equal(enginesOf('a').length, 32);
 	assert.deepEqual(enginesOf('x'.repeat(100)), []);
 });
--- a/src/decisions/quarantine/crash-evidence.ts
+++ b/src/decisions/quarantine/crash-evidence.ts
@@ -81,6 +81,31 @@
 	/** Monotonic times of the last first events of own requests, by part, in milliseconds. */
 	const firstEventsMs = new LRUCache<string, number>({max: maxPartCount});
 
+	const forget = (partId: string) => {
+		const record = records.get(partId);
+		if (record && record.crashes.size > 0) {
+			record.crashes.clear();
+			changed.fire({partId, cause: 'expiry', source: 'own', crashCount: 0});
+		}
+	};
+
+	/** Removes the oldest part with at most one crash; if all have more, the oldest. */
+	const removeLeastTelling = () => {
+		let removedId: string | undefined;
+		for (const [partId, {crashes}] of records) {
+			removedId ??= partId;
+			if (crashes.size <= 1) {
+				removedId = partId;
+				break;
+			}
+		}
+
+		if (removedId !== undefined) {
+			forget(removedId);
+			records.delete(removedId);
+		}
+	};
+
 	const recordOf = (partId: string): PartRecord | undefined => {
 		const known = records.get(partId);
 		if (known) {
@@ -93,8 +118,7 @@
 		}
 
 		if (records.size >= maxPartCount) {
-			const [oldestId] = records.keys();
-			records.delete(oldestId);
+			removeLeastTelling();
 		}
 
 		const record: PartRecord = {
@@ -107,7 +131,7 @@
 		return record;
 	};
 
-	const announce = (
+	const fireChange = (
 		partId: string,
 		record: PartRecord,
 		cause: PartChange['cause'],
@@ -186,7 +210,7 @@
 			for (const {partId, sentMs} of parts) {
 				const record = recordOf(partId);
 				if (record && addCrash(record, {engine, atMs, sentMs})) {
-					announce(partId, record, 'crash', 'own');
+					fireChange(partId, record, 'crash', 'own');
 				}
 			}
 		},
@@ -196,7 +220,7 @@
 				firstEventsMs.set(partId, nowMs);
 				const record = records.get(partId);
 				if (record && clear(record, nowMs)) {
-					announce(partId, record, 'first-event', 'own');
+					fireChange(partId, record, 'first-event', 'own');
 				}
 			}
 		},
@@ -211,7 +235,7 @@
 				clearedAgeMs !== undefined &&
 				clear(record, nowMs - Math.max(0, clearedAgeMs));
 			if (isCleared) {
-				announce(partId, record, 'first-event', 'peer');
+				fireChange(partId, record, 'first-event', 'peer');
 			}
 
 			let hasNews = false;
@@ -222,7 +246,7 @@
 			}
 
 			if (hasNews) {
-				announce(partId, record, 'crash', 'peer');
+				fireChange(partId, record, 'crash', 'peer');
 			}
 		},
 		reports(sinceMs, source) {
@@ -231,13 +255,7 @@
 				.filter(([, {newsMs}]) => newsMs[newsKind] >= sinceMs)
 				.map(([partId, record]) => toReport(partId, record));
 		},
-		forget(partId) {
-			const record = records.get(partId);
-			if (record && record.crashes.size > 0) {
-				record.crashes.clear();
-				changed.fire({partId, cause: 'expiry', source: 'own', crashCount: 0});
-			}
-		},
+		forget,
 		sweep() {
 			const nowMs = clock.nowMs();
 			for (const [partId, {crashes, touchedMs}] of records) {
--- a/src/decisions/quarantine/crash-observer.ts
+++ b/src/decisions/quarantine/crash-observer.ts
@@ -2,6 +2,7 @@
 	type CallerRequest,
 	type Clock,
 	incarnationOf,
+	promptPartIds,
 	type TargetEntry,
 	type TargetLiveness,
 } from '../../common/index.js';
@@ -40,8 +41,6 @@
 
 /** Time for which broken runs wait for the engine's end to be confirmed, in milliseconds. */
 const confirmationMs = 5000;
-/** Only so many parts of a prompt are recorded. */
-const maxPartsPerPrompt = 64;
 
 type PendingCrash = {
 	readonly target: TargetEntry;
@@ -50,13 +49,6 @@
 	readonly runs: BrokenRun[];
 };
 
-/** Ids of the parts of a request's prompt; empty for other requests. */
-export function promptPartIds({generation}: CallerRequest): readonly string[] {
-	return (generation?.promptParts ?? [])
-		.slice(0, maxPartsPerPrompt)
-		.map(({id}) => id);
-}
-
 const sentPartsOf = (runs: readonly BrokenRun[]): SentPart[] =>
 	runs
 		.flatMap(({request, sentMs}) =>
--- a/src/decisions/quarantine/prompt-quarantine.ts
+++ b/src/decisions/quarantine/prompt-quarantine.ts
@@ -103,29 +103,35 @@
 		updateSuspect(partId);
 	});
 
+	const suspectedOf = (partIds: readonly string[]) =>
+		partIds.filter((partId) => suspects.has(partId));
+
 	/**
-	 * Crashes under a request's part that no suspected part outside the request explains. Parts that many
-	 * requests share are in the same crashes as the part that causes them.
+	 * Engines whose ends a suspected part outside the request explains. Parts that many requests share are in
+	 * the same crashes as the part that causes them.
 	 */
-	const unexplainedCrashes = (
-		crashes: readonly PartCrash[],
-		partIds: readonly string[],
-	): readonly PartCrash[] => {
-		const explained = new Set(
+	const explainedEngines = (partIds: readonly string[]): ReadonlySet<string> =>
+		new Set(
 			[...suspects]
 				.filter(([partId]) => !partIds.includes(partId))
-				.flatMap(([, others]) => others.map(({engine}) => engine)),
+				.flatMap(([, crashes]) => crashes.map(({engine}) => engine)),
 		);
-		return crashes.filter(({engine}) => !explained.has(engine));
-	};
 
 	/** Crashes for which the request must be held; undefined if there are too few. */
 	const crashesAgainst = (
 		partIds: readonly string[],
 	): readonly PartCrash[] | undefined => {
+		const suspected = suspectedOf(partIds);
+		if (suspected.length === 0) {
+			return undefined;
+		}
+
+		const explained = explainedEngines(partIds);
 		let most: readonly PartCrash[] | undefined;
-		for (const partId of partIds) {
-			const crashes = unexplainedCrashes(suspects.get(partId) ?? [], partIds);
+		for (const partId of suspected) {
+			const crashes = (suspects.get(partId) ?? []).filter(
+				({engine}) => !explained.has(engine),
+			);
 			const hasMore = crashes.length > (most?.length ?? 0);
 			if (hasMore && isSuspicious(partId, crashes)) {
 				most = crashes;
@@ -135,9 +141,6 @@
 		return most;
 	};
 
-	const suspectedOf = (partIds: readonly string[]) =>
-		partIds.filter((partId) => suspects.has(partId));
-
 	const holdUntil = (
 		partIds: readonly string[],
 		crashes: readonly PartCrash[],
@@ -152,7 +155,7 @@
 	return {
 		onChanged: changed.event,
 		decide(partIds) {
-			const crashes = suspects.size === 0 ? undefined : crashesAgainst(partIds);
+			const crashes = crashesAgainst(partIds);
 			if (!crashes) {
 				return {outcome: 'free'};
 			}
@@ -178,7 +181,7 @@
 			return {outcome: 'trial', partIds: suspected};
 		},
 		held(partIds) {
-			const crashes = suspects.size === 0 ? undefined : crashesAgainst(partIds);
+			const crashes = crashesAgainst(partIds);
 			const holdEndMs = crashes && lastOf(crashes) + holdMs(crashes);
 			return crashes && holdEndMs !== undefined && clock.nowMs() < holdEndMs
 				? holdUntil(partIds, crashes, holdEndMs)
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -1,9 +1,9 @@
-import type {
-	CallerRequest,
-	ResponseHead,
-	Disposable,
-	KvCacheCopy,
-	SendFailure,
+import {
+	type Disposable,
+	type KvCacheCopy,
+	promptPartIds,
+	type ResponseHead,
+	type SendFailure,
 } from '../../common/index.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {RunCopy} from './run-copies.js';
@@ -74,9 +74,6 @@
 	return lastEventId === undefined ? undefined : String(lastEventId);
 }
 
-const promptPartIds = ({generation}: CallerRequest) =>
-	(generation?.promptParts ?? []).map(({id}) => id);
-
 /** Creates the attempt to run a stream at the engine where it was placed. */
 export function createStreamAttempt(
 	parameters: StreamAttemptParameters,
--- a/src/programs/front/crash-guard.ts
+++ b/src/programs/front/crash-guard.ts
@@ -57,7 +57,7 @@
 		checkLiveness: async (target) =>
 			options.targetClient.checkLiveness(target, livenessTimeoutMs),
 		onEnded(target, requestIds) {
-			metrics.count('engine_crashes', {target: target.id});
+			metrics.count('engine_crashes', {service: target.service});
 			logger.warn('engine ended', {
 				target: target.id,
 				service: target.service,
--- a/src/programs/front/quarantine-gate.ts
+++ b/src/programs/front/quarantine-gate.ts
@@ -1,9 +1,8 @@
 import type {Metrics} from '../../adapters/system/index.js';
-import type {CallerRequest} from '../../common/index.js';
-import {
-	type PromptQuarantine,
-	promptPartIds,
-	type QuarantineDecision,
+import {type CallerRequest, promptPartIds} from '../../common/index.js';
+import type {
+	PromptQuarantine,
+	QuarantineDecision,
 } from '../../decisions/quarantine/index.js';
 import type {DecisionLog} from '../../decisions/serving/index.js';
 
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -1,15 +1,15 @@
 import type {Logger, Metrics} from '../../adapters/system/index.js';
-import type {
-	Clock,
-	ResponseHead,
-	TargetClient,
-	TargetEntry,
-	Timers,
-} from '../../common/index.js';
 import {
-	type CrashEvidence,
-	type CrashObserver,
+	type Clock,
 	promptPartIds,
+	type ResponseHead,
+	type TargetClient,
+	type TargetEntry,
+	type Timers,
+} from '../../common/index.js';
+import type {
+	CrashEvidence,
+	CrashObserver,
 } from '../../decisions/quarantine/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
--- a/src/programs/front/target-statement-log.ts
+++ b/src/programs/front/target-statement-log.ts
@@ -11,7 +11,7 @@
 	const owned = createDisposableStore();
 	owned.add(
 		statements.onChanged(({targetId, kind, change, source, forMs}) => {
-			metrics.count('target_statements', {target: targetId, kind, change});
+			metrics.count('target_statements', {kind, change});
 			logger.info(`${kind} of a target ${change}`, {
 				target: targetId,
 				source,
