--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -241,3 +241,23 @@
 	searches[0].onFound(fakeTargetEntry('t1'), undefined);
 	assert.equal(targetClient.sends.length, 0);
 });
+
+test('sends a call to another target when a different one responds at the address', () => {
+	const {targetClient, response, respond} = start(unsafe);
+	targetClient.sends[0].listener.onHead(
+		fakeResponseHead('q1', {status: 421, isFromTarget: false}),
+	);
+	targetClient.sends[0].listener.onEnd();
+	respond(1, 200, 'slot 7');
+	assert.deepEqual([response.status, response.text], [200, 'slot 7']);
+});
+
+test('does not take an encoded response for that of a target', () => {
+	const {targetClient, response} = start(unsafe);
+	targetClient.sends[0].listener.onHead(
+		fakeResponseHead('q1', {hasContentEncoding: true}),
+	);
+	targetClient.sends[0].listener.onData(bytes('packed'));
+	targetClient.sends[0].listener.onEnd();
+	assert.equal(response.status, 502);
+});
--- a/src/decisions/serving/target-directory.test.ts
+++ b/src/decisions/serving/target-directory.test.ts
@@ -84,3 +84,11 @@
 	directory.markReachable('t1');
 	assert.equal(directory.isUnreachable('t1'), false);
 });
+
+test('a target is not usable once a different one has responded at its address', () => {
+	const {directory, departures, usable} = create();
+	directory.set('t1', fakeTargetEntry('t1'), 1);
+	directory.markReplaced('t1');
+	assert.deepEqual(usable(), []);
+	assert.deepEqual(departures, [['t1', 'misdirected']]);
+});
