--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,6 +1,5 @@
-// A VM that is being stopped gets a second SIGTERM: signals come in series and overlap. The requests that it
-// has passed on before must still get their answers within the grace time.
-import {Agent} from 'node:http';
+// Requests with one part in their prompts end each engine that begins to write an answer on it. The front
+// daemons must keep such requests from the engines once five have ended.
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
@@ -8,7 +7,6 @@
 	answerHead,
 	configuration,
 	createDeployment,
-	generationHeaders,
 	hasTrouble,
 	runCase,
 	send,
@@ -16,109 +14,167 @@
 } from '../lib/harness.mjs';
 
 const folder = path.dirname(fileURLToPath(import.meta.url));
-const reportCount = 6;
-const bookingCount = 4;
-/** A report takes 3 s: it ends long before the last sixth of `grace_s` (8 s). */
-const eventCount = 30;
-const eventIntervalMs = 100;
-/** The longest work of a booking in the site's file. */
-const bookingMs = 220;
-const secondSignalMs = 1000;
+const engineCount = 8;
+const playMs = 30_000;
+const badIntervalMs = 700;
+const soundIntervalMs = 200;
+const backAfterMs = 4000;
+const contactMs = 3000;
+/** Pieces of the answer that an engine writes before it ends. */
+const piecesBeforeEnd = 1;
+const badPart = 'bad0';
 
 const chunk = (text) => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 await runCase(folder, async (record) => {
 	const deployment = createDeployment({record, vmCount: 2});
-	const runIds = new Set();
-	const serveCall = async (request, socket) => {
-		record(`a runner runs ${request.id}`);
-		runIds.add(request.id);
-		await sleep(request.id.startsWith('book') ? bookingMs : 20);
-		socket.write(
-			`${answerHead(request, 200, 'Content-Length: 2', 'Keep-Alive: timeout=10')}ok`,
-		);
+	const {store} = deployment;
+	const crashes = [];
+	const late = [];
+	const down = new Set();
+	const engines = new Map();
+	const sentAt = new Map();
+
+	const row = (name, born) => ({
+		service: 'arvioija',
+		address: `127.0.0.1:${engines.get(name).port}`,
+		zone: 'pirk-a',
+		version: '1',
+		slots: 24,
+		state: 'ready',
+		cold_left_ms: 0,
+		seq: 1,
+		born,
+	});
+
+	const crash = (name) => {
+		crashes.push(performance.now());
+		record(`${name} ends (${crashes.length})`);
+		down.add(name);
+		const {server, sockets, port} = engines.get(name);
+		server.close();
+		for (const socket of sockets) {
+			socket.resetAndDestroy();
+		}
+
+		setTimeout(() => {
+			server.listen(port, '127.0.0.1', () => {
+				down.delete(name);
+				store.put('servers', name, row(name, Date.now()));
+				record(`${name} is back`);
+			});
+		}, backAfterMs).unref();
 	};
 
-	const serveStream = async (request, socket) => {
+	const serve = (name) => async (request, socket) => {
 		if (answerControl(request, socket)) {
 			return;
 		}
 
-		record(`an engine runs ${request.id}`);
-		runIds.add(request.id);
+		const isBad = (
+			request.headers.get('cowslipspread-prompt-prefix') ?? ''
+		).includes(badPart);
+		if (isBad && hasTrouble) {
+			record(`${name} gets ${request.id}`);
+			if (
+				crashes.length >= 5 &&
+				sentAt.get(request.id) > crashes[4] + contactMs
+			) {
+				late.push(request.id);
+			}
+		}
+
+		await sleep(60);
+		if (socket.destroyed) {
+			return;
+		}
+
 		socket.write(
 			answerHead(
 				request,
 				200,
 				'Content-Type: text/event-stream',
 				'Transfer-Encoding: chunked',
+				'Connection: close',
 			),
 		);
-		for (let index = 1; index <= eventCount && !socket.destroyed; index++) {
+		for (let index = 1; index <= 4; index++) {
+			if (isBad && hasTrouble && index > piecesBeforeEnd) {
+				await sleep(20);
+				if (!socket.destroyed) {
+					crash(name);
+				}
+
+				return;
+			}
+
 			socket.write(chunk(`id: ${index}\ndata: piece ${index}\n\n`));
-			await sleep(eventIntervalMs);
+			await sleep(100);
+			if (socket.destroyed) {
+				return;
+			}
 		}
 
 		socket.end('0\r\n\r\n');
 	};
 
 	try {
-		for (const name of ['t1', 't2', 't3', 't4']) {
-			await deployment.addTarget(name, 'tilauspoyta', serveCall);
-		}
-
-		for (const name of ['e1', 'e2', 'e3']) {
-			await deployment.addTarget(name, 'arvioija', serveStream);
+		for (let index = 1; index <= engineCount; index++) {
+			const name = `e${index}`;
+			engines.set(
+				name,
+				await deployment.addTarget(name, 'arvioija', serve(name)),
+			);
 		}
 
 		await deployment.start(configuration(3));
-		const [vm] = deployment.vms;
-		const playClient = async (id, request) => {
-			const agent = new Agent({keepAlive: true, maxSockets: 1});
-			await send(vm, {
-				id: `lookup-${id}`,
-				method: 'GET',
-				path: '/stock/1',
-				deadlineMs: 1000,
-				agent,
+		const clients = [];
+		const outcomes = {};
+		const ask = async (id, parts) => {
+			sentAt.set(id, performance.now());
+			const answer = await send(deployment.vms[clients.length % 2], {
+				id,
+				path: '/check/1',
+				headers: {
+					'Cowslipspread-Model': 'm',
+					'Cowslipspread-Token-Counts': '350,16',
+					'Cowslipspread-Prompt-Prefix': parts,
+				},
+				deadlineMs: 6000,
 			});
-			record(`client sends ${id} to ${vm.name} on a kept channel`);
-			const answer = await send(vm, {id, ...request, agent});
-			agent.destroy();
-			record(
-				`${id}: status ${answer.status}, ${answer.ended ? 'complete' : `channel closed (${answer.error ?? 'in the answer'})`}`,
-			);
-			return {id, ...answer};
+			const kind = id.replace(/\d+$/, '');
+			const key = `${kind} ${answer.status}${answer.ended ? '' : ' cut'}`;
+			outcomes[key] = (outcomes[key] ?? 0) + 1;
+			if (kind === 'bad') {
+				record(`${id}: status ${answer.status}${answer.ended ? '' : ', cut'}`);
+			}
 		};
 
-		const clients = [
-			...Array.from({length: reportCount}, async (_, index) =>
-				playClient(`report-${index}`, {
-					path: '/report/1',
-					headers: generationHeaders(`${index}a`),
-					deadlineMs: 39_000,
-				}),
-			),
-			...Array.from({length: bookingCount}, async (_, index) =>
-				playClient(`book-${index}`, {path: '/book/1', deadlineMs: 1000}),
-			),
-		];
-		await sleep(150);
-		record(`SIGTERM to ${vm.name}`);
-		vm.child.kill('SIGTERM');
-		await sleep(secondSignalMs);
-		if (hasTrouble) {
-			record(`SIGTERM to ${vm.name} again`);
-			vm.child.kill('SIGTERM');
+		const untilMs = performance.now() + playMs;
+		let count = 0;
+		let nextBadMs = performance.now();
+		while (performance.now() < untilMs) {
+			count++;
+			clients.push(
+				ask(`sound${count}`, `5c1e07a2:79,91bd${count % 20}f:200,a${count}:71`),
+			);
+			if (performance.now() >= nextBadMs) {
+				nextBadMs += badIntervalMs;
+				clients.push(
+					ask(`bad${count}`, `5c1e07a2:79,${badPart}:200,b${count}:71`),
+				);
+			}
+
+			await sleep(soundIntervalMs);
 		}
 
-		const answers = await Promise.all(clients);
-		const lost = answers.filter(({id, ended}) => runIds.has(id) && !ended);
+		await Promise.all(clients);
+		record(`outcomes: ${JSON.stringify(outcomes)}`);
 		record(
-			`${lost.length} of ${answers.length} channels closed without a complete answer`,
+			`engines ended: ${crashes.length}; requests with the part that reached engines, sent later than contact_ms after the fifth: ${late.length}`,
 		);
-		return lost.length > 0
-			? `LOST: ${lost.length} of ${answers.length} requests that targets run have no complete answer, ${secondSignalMs} ms after the first SIGTERM`
+		return late.length > 3
+			? `BUDGET: ${late.length} requests with the part reached engines after that; ${crashes.length} engines ended`
 			: undefined;
 	} finally {
 		await deployment.stop();
