--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -17,8 +17,8 @@
 
 const folder = path.dirname(fileURLToPath(import.meta.url));
 const vmCount = 2;
-const streamsPerVm = 12;
-const waitingPerVm = 10;
+const streamsPerVm = 15;
+const waitingPerVm = 18;
 const eventCount = 50;
 const eventIntervalMs = 100;
 /** Time until the first event of the requests whose prompts are still being read; the aim is 1800 ms. */
