--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -380,6 +380,17 @@
 		},
 	});
 
+	// A script that is cut off by a signal ends its daemons too.
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, () => {
+			for (const {child} of vms) {
+				child.kill('SIGKILL');
+			}
+
+			process.kill(process.pid, 'SIGKILL');
+		});
+	}
+
 	const startVm = (vm) => {
 		vm.exit = undefined;
 		vm.output = '';
