Bound what the answers of targets cost a VM in objects and time, not in bytes alone

Cause: limits counted bytes, while heap and event loop are spent on objects. Each comment was an event, each event a write of the response with several queue entries, and each piece of a chunked body an object that kept the whole buffer it was cut from. Nothing slowed a target down whose caller had not read yet.

Pausing undici's parser was ruled out: it fails an assertion if the peer resets a connection whose parser is paused. A response that is broken off is logged with its defect, counted in defective_responses, and recorded against the target.

unexpected-errors.test.ts names the changed lines in which it plants its errors; its checks are the same.

--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -7,9 +6,11 @@
 } from 'node:http';
 import {
 	type CallerLimits,
+	createByteAccumulator,
 	type HeaderPair,
 	headerPairs,
 	ProblemError,
+	type Timers,
 	toProblem,
 } from '../../common/index.js';
 import {
@@ -37,6 +38,9 @@
 	readonly bufferBudget: BufferBudget;
 	/** Response bytes that may be buffered for a caller that does not read. */
 	readonly maxUnreadBytes: number;
+	/** Time in which a caller must read what waits for it, in milliseconds. */
+	readonly maxUnreadMs: number;
+	readonly timers: Timers;
 	/** Time within which a caller must have sent a whole request, in milliseconds. */
 	readonly maxReceiveMs: number;
 	/** Concurrent connections of callers. */
@@ -87,7 +91,7 @@
 
 /**
  * Reads a whole request body.
- * @param usage - memory that the body takes; its limit is `maxBytes`
+ * @param usage - memory that the body takes
  * @returns undefined for an empty body
  * @throws ProblemError `too-large`, or `not-run` if this VM has no memory for it
  */
@@ -96,24 +100,23 @@
 	maxBytes: number,
 	usage: BufferUsage,
 ): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const body = createByteAccumulator();
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		const problem = usage.set(size);
-		if (problem) {
-			throw problem === 'too large'
-				? new ProblemError(
-						'too-large',
-						`the body is larger than ${maxBytes} bytes`,
-					)
-				: new ProblemError('not-run', problem);
+		if (body.lengthBytes + chunk.length > maxBytes) {
+			throw new ProblemError(
+				'too-large',
+				`the body is larger than ${maxBytes} bytes`,
+			);
 		}
 
-		chunks.push(chunk);
+		body.append(chunk);
+		const problem = usage.set(body.capacityBytes);
+		if (problem) {
+			throw new ProblemError('not-run', problem);
+		}
 	}
 
-	return size === 0 ? undefined : Buffer.concat(chunks, size);
+	return body.lengthBytes === 0 ? undefined : body.take();
 }
 
 /** Creates the HTTP server for callers; the owner makes it listen. */
@@ -123,18 +126,19 @@
 	let openRequestCount = 0;
 
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
-		const callerResponse = createCallerResponse(
-			response,
-			options.bufferBudget.track(options.maxUnreadBytes),
-			(unreadBytes) => {
+		const callerResponse = createCallerResponse(response, {
+			unreadUsage: options.bufferBudget.track(options.maxUnreadBytes),
+			maxUnreadMs: options.maxUnreadMs,
+			timers: options.timers,
+			onStalled(unreadBytes) {
 				options.onProblem(
 					new ProblemError(
 						'too-large',
-						`closed the connection of a caller with ${unreadBytes} unread response bytes: over the limit, or no memory for them`,
+						`closed the connection of a caller with ${unreadBytes} unread response bytes: over the limit, unread for too long, or no memory for them`,
 					),
 				);
 			},
-		);
+		});
 		const limits = options.limits();
 		if (headerBytes(request) > limits.maxHeaderBytes) {
 			response.shouldKeepAlive = false;
@@ -146,7 +150,7 @@
 		}
 
 		let body: Uint8Array | undefined;
-		const bodyUsage = options.bufferBudget.track(limits.maxBodyBytes);
+		const bodyUsage = options.bufferBudget.track(Infinity);
 		response.once('close', () => {
 			bodyUsage.dispose();
 		});
--- a/src/adapters/front/caller-response.ts
+++ b/src/adapters/front/caller-response.ts
@@ -1,6 +1,12 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {ResponseHead, HeaderPair} from '../../common/index.js';
+import {
+	createEmitter,
+	type Disposable,
+	type ResponseHead,
+	type HeaderPair,
+	type Timers,
+} from '../../common/index.js';
 import type {
 	CallerResponse,
 	BufferUsage,
@@ -12,35 +18,75 @@
 	return headers.filter(([name]) => name.toLowerCase() !== 'content-length');
 }
 
-/**
- * Creates the response writer for one request of a caller.
- * @param unreadUsage - memory of the response bytes that the caller has not read
- * @param onStalled - called if these bytes exceed their limit or the VM has no memory for them; the
- * connection is then closed
- */
+/** Memory of the queue entries that one write takes until the caller has read it, in bytes. */
+const writeOverheadBytes = 512;
+
+export type CallerResponseOptions = {
+	/** Memory of what the caller has not read. */
+	readonly unreadUsage: BufferUsage;
+	/** Time in which a caller must read what waits for it, in milliseconds. */
+	readonly maxUnreadMs: number;
+	readonly timers: Timers;
+	/**
+	 * Called if unread bytes exceed their limit, wait too long, or the VM has no memory for them; the
+	 * connection is then closed.
+	 */
+	readonly onStalled: (unreadBytes: number) => void;
+};
+
+/** Creates the response writer for one request of a caller. */
 export function createCallerResponse(
 	response: ServerResponse,
-	unreadUsage: BufferUsage,
-	onStalled: (unreadBytes: number) => void,
+	{unreadUsage, maxUnreadMs, timers, onStalled}: CallerResponseOptions,
 ): CallerResponse {
+	const drained = createEmitter<void>();
+	let unreadWriteCount = 0;
+	let unreadTimeout: Disposable | undefined;
+
 	const writeHead = (status: number, headers: readonly HeaderPair[]) => {
 		response.writeHead(status, headers.flat());
 	};
 
-	const updateUnreadUsage = () => {
-		if (unreadUsage.set(response.writableLength)) {
-			onStalled(response.writableLength);
-			response.destroy();
+	const closeStalled = () => {
+		onStalled(response.writableLength);
+		response.destroy();
+	};
+
+	/** @returns true if a limit is exceeded */
+	const updateUnreadUsage = () =>
+		unreadUsage.set(
+			response.writableLength + unreadWriteCount * writeOverheadBytes,
+		) !== undefined;
+
+	const writeCompleted = () => {
+		unreadWriteCount--;
+		if (!response.destroyed) {
+			updateUnreadUsage();
 		}
 	};
 
+	const stopTimeout = () => {
+		unreadTimeout?.dispose();
+		unreadTimeout = undefined;
+	};
+
+	response.on('drain', () => {
+		stopTimeout();
+		drained.fire();
+	});
 	response.once('close', () => {
+		stopTimeout();
 		unreadUsage.dispose();
+		drained.dispose();
 	});
 	return {
 		get isHeadSent() {
 			return response.headersSent;
 		},
+		get isCongested() {
+			return response.writableNeedDrain;
+		},
+		onDrained: drained.event,
 		startStream(head: ResponseHead) {
 			writeHead(head.status, withoutLength(head.headers));
 		},
@@ -49,10 +95,16 @@
 				return;
 			}
 
-			response.write(bytes);
-			updateUnreadUsage();
+			unreadWriteCount++;
+			response.write(bytes, writeCompleted);
+			if (updateUnreadUsage()) {
+				closeStalled();
+			} else if (response.writableNeedDrain) {
+				unreadTimeout ??= timers.after(maxUnreadMs, closeStalled);
+			}
 		},
 		end() {
+			stopTimeout();
 			response.end();
 		},
 		sendResponse(head, body) {
@@ -63,7 +115,9 @@
 
 			writeHead(head.status, headers);
 			response.end(body);
-			updateUnreadUsage();
+			if (updateUnreadUsage()) {
+				closeStalled();
+			}
 		},
 		sendLocalResponse(status, message, headers = []) {
 			const body = `${JSON.stringify({status, detail: message})}\n`;
--- a/src/adapters/targets/index.ts
+++ b/src/adapters/targets/index.ts
@@ -1,3 +1,4 @@
 export * from './http-engine.js';
 export * from './http-plain-service.js';
 export * from './reset-aware-client.js';
+export * from './piece-collector.js';
--- a/src/adapters/targets/reset-aware-client.ts
+++ b/src/adapters/targets/reset-aware-client.ts
@@ -2,6 +2,7 @@
 import type {Client as UndiciClient} from 'undici';
 import {ProblemError} from '../../common/index.js';
 import {buildConnector, Client} from '../http-client/index.js';
+import {paceReads, type PacedReads} from './paced-reads.js';
 
 export type ResetAwareClientOptions = {
 	readonly connectTimeoutMs: number;
@@ -19,6 +20,14 @@
 	 * @param request - options with which the request was dispatched
 	 */
 	readonly maxResponseBytes: (request: object) => number;
+	/**
+	 * Called when a request is dispatched.
+	 * @param reads - controls how fast its response is read, until the next request is dispatched
+	 */
+	readonly onDispatch: (
+		request: object,
+		reads: Pick<PacedReads, 'pause' | 'resume'>,
+	) => void;
 };
 
 /** Errors of a socket whose connection is gone, as opposed to those that this process raises. */
@@ -45,6 +54,7 @@
 	});
 	let latestRequest: object | undefined;
 	let currentSocket: Socket | undefined;
+	let currentReads: PacedReads | undefined;
 	/** Bytes that the socket had received when the latest request was dispatched. */
 	let bytesReadBefore = 0;
 
@@ -93,6 +103,7 @@
 					checkResponseSize(socket);
 				});
 				currentSocket = socket;
+				currentReads = paceReads(socket);
 				bytesReadBefore = 0;
 				callback(null, socket);
 			});
@@ -103,6 +114,19 @@
 		// A pool dispatches the next request to a client only after the previous one has ended.
 		latestRequest = request;
 		bytesReadBefore = currentSocket?.bytesRead ?? 0;
+		currentReads?.resume();
+		options.onDispatch(request, {
+			pause() {
+				if (latestRequest === request) {
+					currentReads?.pause();
+				}
+			},
+			resume() {
+				if (latestRequest === request) {
+					currentReads?.resume();
+				}
+			},
+		});
 		return dispatch(request, handler);
 	};
 
--- a/src/common/base/index.ts
+++ b/src/common/base/index.ts
@@ -1,3 +1,5 @@
+export type * from './byte-accumulator.js';
+export {createByteAccumulator} from './byte-accumulator.js';
 export * from './clock.js';
 export type * from './disposable.js';
 export {createDisposableStore} from './disposable.js';
--- a/src/common/requests/target-client.ts
+++ b/src/common/requests/target-client.ts
@@ -1,10 +1,10 @@
-import type {Disposable} from '../base/index.js';
 import type {TargetEntry} from '../deployment/index.js';
 import type {
 	ResponseListener,
 	CallerRequest,
 	CopyResult,
 	EngineReport,
+	SendHandle,
 	SendOptions,
 	TargetLiveness,
 } from './types.js';
@@ -15,14 +15,13 @@
 	 * Sends a request once, without retries. Exactly one of `onEnd` and `onFailure` is called, unless
 	 * disposed before.
 	 * @param address - `address:port` of the target
-	 * @returns disposable that aborts the request and closes its connection
 	 */
 	abstract send(
 		address: string,
 		request: CallerRequest,
 		options: SendOptions,
 		listener: ResponseListener,
-	): Disposable;
+	): SendHandle;
 
 	/**
 	 * Copies the KV cache of a run to another engine, while the run continues. Later calls for the same
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -1,3 +1,5 @@
+import type {Disposable} from '../base/index.js';
+
 /** A header as on the wire, with the original case of its name. */
 export type HeaderPair = readonly [name: string, value: string];
 
@@ -106,6 +108,15 @@
 	readonly backOff: StatedBackOff;
 };
 
+/** What is wrong with a response that was broken off. */
+export type ResponseDefect =
+	/** The response, or a part of it, is over its size limit. */
+	| 'too-large'
+	/** The VM has no memory for the response. */
+	| 'no-memory'
+	/** The response belongs to another request. */
+	| 'foreign';
+
 /** Why a request got no complete response. */
 export type SendFailure = {
 	/** True if certainly no byte of the request has reached the target. */
@@ -113,6 +124,15 @@
 	/** True if the target, or the network, ended the connection before the response was complete. */
 	readonly connectionEnded: boolean;
 	readonly reason: string;
+	/** What is wrong with the response itself; undefined if it only did not arrive completely. */
+	readonly defect?: ResponseDefect;
+};
+
+/** A send in progress. Disposing it aborts the request and closes its connection. */
+export type SendHandle = Disposable & {
+	/** Stops reading the response, so that the target is slowed down. */
+	pause(): void;
+	resume(): void;
 };
 
 /** Receives the response of a target. */
--- a/src/decisions/serving/buffer-budget.ts
+++ b/src/decisions/serving/buffer-budget.ts
@@ -1,4 +1,4 @@
-import type {Disposable} from '../../common/index.js';
+import type {Disposable, ResponseDefect} from '../../common/index.js';
 
 /** Limits on the memory that the requests of a VM use for buffers, in bytes. */
 export type BufferBudgetLimits = {
@@ -11,6 +11,10 @@
 /** Limit that was exceeded: the one of the owner or the one of the VM. */
 export type BufferLimitReason = 'too large' | 'the memory of the VM is used up';
 
+/** The defect of a response that exceeds a limit. */
+export const defectOf = (reason: BufferLimitReason): ResponseDefect =>
+	reason === 'too large' ? 'too-large' : 'no-memory';
+
 /** Buffered bytes of one response, request or connection. Disposing it gives them back. */
 export type BufferUsage = Disposable & {
 	readonly bytes: number;
--- a/src/decisions/serving/call-attempt.ts
+++ b/src/decisions/serving/call-attempt.ts
@@ -1,11 +1,12 @@
-import type {
-	ResponseHead,
-	SendFailure,
-	TargetEntry,
-	Disposable,
+import {
+	createByteAccumulator,
+	type ResponseHead,
+	type SendFailure,
+	type TargetEntry,
+	type Disposable,
 } from '../../common/index.js';
 import type {CallSessionOptions} from './call-session-types.js';
-import {concatBytes} from './concat-bytes.js';
+import {defectOf} from './buffer-budget.js';
 import type {AdmittedRequest} from './session-types.js';
 
 /** One send of a call to a target. */
@@ -37,9 +38,9 @@
 	const {targetClient} = options;
 	const {maxResponseBytes} = options.responseLimits;
 	const startedMs = options.clock.nowMs();
-	const bufferUsage = options.bufferBudget.track(maxResponseBytes);
+	const bufferUsage = options.bufferBudget.track(Infinity);
 	const openCall = options.trackCall(target);
-	const chunks: Uint8Array[] = [];
+	const body = createByteAccumulator();
 	let head: ResponseHead | undefined;
 	let send: Disposable | undefined;
 	let isOver = false;
@@ -62,12 +63,20 @@
 			return;
 		}
 
-		chunks.push(chunk);
-		const limitReason = bufferUsage.set(bufferUsage.bytes + chunk.length);
+		body.append(chunk);
+		const limitReason =
+			body.lengthBytes > maxResponseBytes
+				? 'too large'
+				: bufferUsage.set(body.capacityBytes);
 		if (limitReason) {
-			const reason = `response of ${bufferUsage.bytes} bytes: ${limitReason}`;
+			const reason = `response of ${body.lengthBytes} bytes: ${limitReason}`;
 			send?.dispose();
-			fail({unsent: false, connectionEnded: false, reason});
+			fail({
+				unsent: false,
+				connectionEnded: false,
+				reason,
+				defect: defectOf(limitReason),
+			});
 		}
 	};
 
@@ -78,7 +87,7 @@
 
 		if (head.requestId === request.id) {
 			close();
-			listener.onResponse(attempt, head, concatBytes(chunks));
+			listener.onResponse(attempt, head, body.take());
 			return;
 		}
 
@@ -86,6 +95,7 @@
 			unsent: false,
 			connectionEnded: false,
 			reason: 'answer of another request',
+			defect: 'foreign',
 		});
 		targetClient.closeConnections(target.address);
 	};
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -198,7 +198,12 @@
 			target: target.id,
 			unsent: failure.unsent,
 			reason: failure.reason,
+			defect: failure.defect,
 		});
+		if (failure.defect) {
+			options.onDefectiveResponse(target, failure.defect);
+		}
+
 		if (failure.unsent) {
 			sendCount--;
 			options.onUnreachable(target);
--- a/src/decisions/serving/event-splitter.test.ts
+++ b/src/decisions/serving/event-splitter.test.ts
@@ -43,3 +43,14 @@
 	// Processor time, in microseconds: quadratic work takes several seconds.
 	assert.ok(user + system < 500_000, `took ${user + system} µs`);
 });
+
+test('comments and blank lines are no events: they come with the next one, and fill the memory of one event', () => {
+	const splitter = createEventSplitter();
+	const filler = ':\n\n\n: wait\r\n\r\n';
+	assert.equal(splitter.push(encode(filler.repeat(1000))).length, 0);
+	assert.equal(splitter.pendingBytes, 1000 * filler.length);
+	assert.ok(splitter.memoryBytes < 4 * splitter.pendingBytes);
+	const [event] = splitter.push(encode('id: 3\ndata: a\n\n'));
+	assert.equal(event.id, 3);
+	assert.equal(splitter.pendingBytes, 0);
+});
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -24,4 +24,3 @@
 export type * from './call-session-types.js';
 export type * from './stream-session-types.js';
 export * from './run-copies.js';
-export * from './concat-bytes.js';
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -1,4 +1,6 @@
 import type {
+	Event,
+	ResponseDefect,
 	ResponseHead,
 	CallerRequest,
 	Clock,
@@ -32,6 +34,10 @@
 export type CallerResponse = {
 	/** True once the status and headers have been sent. */
 	readonly isHeadSent: boolean;
+	/** True while the caller has not taken what was written; nothing more should be written then. */
+	readonly isCongested: boolean;
+	/** Fires when the caller has taken what was written. */
+	readonly onDrained: Event<void>;
 	/** Sends the status and headers of a target's response; `write` sends its body. */
 	startStream(head: ResponseHead): void;
 	write(bytes: Uint8Array): void;
@@ -109,6 +115,11 @@
 	 * they have said of themselves; undefined if there are none.
 	 */
 	readonly restrictedTargets: (service: string) => string | undefined;
+	/** Called when a response was broken off because of a defect. */
+	readonly onDefectiveResponse: (
+		target: TargetEntry,
+		defect: ResponseDefect,
+	) => void;
 	/** Called when the target's address accepts no connection. */
 	readonly onUnreachable: (target: TargetEntry) => void;
 	/** Called when a different target responds at the address. */
--- a/src/decisions/serving/stream-answer.ts
+++ b/src/decisions/serving/stream-answer.ts
@@ -1,11 +1,8 @@
-import type {ResponseHead} from '../../common/index.js';
+import {createByteAccumulator, type ResponseHead} from '../../common/index.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {CallerResponse} from './session-types.js';
 import {createStreamTiming, type StreamTiming} from './stream-timing.js';
 
-/** Whether an event was sent, was skipped since the caller has it, or is preceded by missing events. */
-export type EventOutcome = 'forwarded' | 'repeated' | 'gap';
-
 /** The streamed response to the caller: each event is sent once and in order, from whichever run it comes. */
 export type StreamResponse = {
 	/** Number of events that the caller has received. */
@@ -13,10 +10,32 @@
 	/** Id of the last event that the caller has received. */
 	readonly lastEventId: number | undefined;
 	readonly eventTiming: StreamTiming;
-	/** Sends an event, and before the first one the head, unless it is repeated or follows a gap. */
-	forward(event: StreamEvent, head: ResponseHead, nowMs: number): EventOutcome;
+	/**
+	 * Sends events in one piece, and before the first one the head. Events that the caller has are skipped.
+	 * @returns the first event that is preceded by missing events; neither it nor those after it are sent
+	 */
+	forward(
+		events: readonly StreamEvent[],
+		head: ResponseHead,
+		nowMs: number,
+	): StreamEvent | undefined;
 };
 
+/** One write of many small events costs a fraction of as many writes. */
+function joinBytes(events: readonly StreamEvent[]): Uint8Array {
+	const [first, ...others] = events;
+	if (others.length === 0) {
+		return first.bytes;
+	}
+
+	const joined = createByteAccumulator();
+	for (const {bytes} of events) {
+		joined.append(bytes);
+	}
+
+	return joined.take();
+}
+
 /**
  * Creates a response without events.
  * @param arrivedMs - monotonic time at which the request arrived, in milliseconds
@@ -28,6 +47,30 @@
 	const eventTiming = createStreamTiming(arrivedMs);
 	let eventCount = 0;
 	let lastEventId: number | undefined;
+
+	/** Selects the events that the caller does not have, up to a gap. */
+	const takeFresh = (events: readonly StreamEvent[]) => {
+		const fresh: StreamEvent[] = [];
+		let lastId = lastEventId;
+		for (const event of events) {
+			const {id} = event;
+			if (id !== undefined && lastId !== undefined) {
+				if (id > lastId + 1) {
+					return {fresh, gapBefore: event};
+				}
+
+				if (id <= lastId) {
+					continue;
+				}
+			}
+
+			lastId = id ?? lastId;
+			fresh.push(event);
+		}
+
+		return {fresh, gapBefore: undefined};
+	};
+
 	return {
 		get eventCount() {
 			return eventCount;
@@ -36,26 +79,23 @@
 			return lastEventId;
 		},
 		eventTiming,
-		forward({id, bytes}, head, nowMs) {
-			if (id !== undefined && lastEventId !== undefined) {
-				if (id <= lastEventId) {
-					return 'repeated';
+		forward(events, head, nowMs) {
+			const {fresh, gapBefore} = takeFresh(events);
+			if (fresh.length > 0) {
+				if (!callerResponse.isHeadSent) {
+					callerResponse.startStream(head);
 				}
 
-				if (id > lastEventId + 1) {
-					return 'gap';
+				for (const {id} of fresh) {
+					lastEventId = id ?? lastEventId;
+					eventCount++;
+					eventTiming.recordEvent(nowMs);
 				}
-			}
 
-			lastEventId = id ?? lastEventId;
-			if (!callerResponse.isHeadSent) {
-				callerResponse.startStream(head);
+				callerResponse.write(joinBytes(fresh));
 			}
 
-			eventCount++;
-			eventTiming.recordEvent(nowMs);
-			callerResponse.write(bytes);
-			return 'forwarded';
+			return gapBefore;
 		},
 	};
 }
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -1,9 +1,9 @@
 import {
-	type Disposable,
 	type KvCacheCopy,
 	promptPartIds,
 	type ResponseHead,
 	type SendFailure,
+	type SendHandle,
 } from '../../common/index.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {RunCopy} from './run-copies.js';
@@ -34,6 +34,9 @@
 	readonly copies: RunCopy[];
 	/** Sends the request; the listener may be called before this returns. */
 	start(): void;
+	/** Stops reading the response, so that the engine is slowed down. */
+	pause(): void;
+	resume(): void;
 	/** Cancels the send; the listener is not called any more. */
 	close(): void;
 };
@@ -53,7 +56,11 @@
 
 /** Receives the events of a send until it is closed. */
 export type StreamAttemptListener = {
-	onEvent(attempt: StreamAttempt, event: StreamEvent, head: ResponseHead): void;
+	onEvents(
+		attempt: StreamAttempt,
+		events: readonly StreamEvent[],
+		head: ResponseHead,
+	): void;
 	/** The stream ended after a complete event. */
 	onEnd(attempt: StreamAttempt, head: ResponseHead): void;
 	/** The response is not an unencoded 200 with the stamp of a target. */
@@ -93,7 +100,7 @@
 		backup,
 		eventCount: response.eventCount,
 	});
-	let sendHandle: Disposable | undefined;
+	let sendHandle: SendHandle | undefined;
 	let isOver = false;
 	let failedStatus: number | undefined;
 	const attempt: StreamAttempt = {
@@ -143,8 +150,8 @@
 					},
 				},
 				{
-					onEvent(event, head) {
-						listener.onEvent(attempt, event, head);
+					onEvents(events, head) {
+						listener.onEvents(attempt, events, head);
 					},
 					onEnd(head) {
 						listener.onEnd(attempt, head);
@@ -159,6 +166,12 @@
 				},
 			);
 		},
+		pause() {
+			sendHandle?.pause();
+		},
+		resume() {
+			sendHandle?.resume();
+		},
 		close() {
 			if (!isOver) {
 				isOver = true;
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -1,21 +1,26 @@
-import type {
-	ResponseHead,
-	CallerRequest,
-	Clock,
-	Disposable,
-	SendFailure,
-	SendOptions,
-	TargetEntry,
-	TargetClient,
+import {
+	createByteAccumulator,
+	type ResponseHead,
+	type CallerRequest,
+	type Clock,
+	type SendFailure,
+	type SendHandle,
+	type SendOptions,
+	type TargetEntry,
+	type TargetClient,
 } from '../../common/index.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import type {BufferBudget, BufferUsage} from './buffer-budget.js';
-import {concatBytes} from './concat-bytes.js';
+import {
+	type BufferBudget,
+	type BufferUsage,
+	defectOf,
+} from './buffer-budget.js';
 import type {ResponseLimits, SessionServices} from './session-types.js';
 
 /** Receives the events of one send of a stream. */
 export type StreamSendListener = {
-	onEvent(event: StreamEvent, head: ResponseHead): void;
+	/** @param events - events that are complete now, at least one */
+	onEvents(events: readonly StreamEvent[], head: ResponseHead): void;
 	/** The stream ended after a complete event. */
 	onEnd(head: ResponseHead): void;
 	/** The response is not an unencoded 200 with the stamp of a target. */
@@ -51,23 +56,22 @@
 /**
  * Sends a request for a stream once and splits the response into complete events. The listener is not
  * called any more after the first of `onEnd`, `onOtherResponse` and `onFailure`, or once disposed.
- * @returns disposing it cancels the send
  */
 export function sendStream(
 	options: StreamSendOptions,
 	{target, request, sendOptions}: StreamSendRequest,
 	listener: StreamSendListener,
-): Disposable {
+): SendHandle {
 	const {targetClient, responseLimits, bufferBudget} = options;
 	const sentMs = options.clock.nowMs();
 	const splitter = createEventSplitter();
-	const bodyChunks: Uint8Array[] = [];
+	const body = createByteAccumulator();
 	let head: ResponseHead | undefined;
 	let hasEvents = false;
 	let isOver = false;
 
-	const eventBufferUsage = bufferBudget.track(responseLimits.maxEventBytes);
-	const bodyBufferUsage = bufferBudget.track(responseLimits.maxResponseBytes);
+	const eventBufferUsage = bufferBudget.track(Infinity);
+	const bodyBufferUsage = bufferBudget.track(Infinity);
 	const finish = () => {
 		isOver = true;
 		eventBufferUsage.dispose();
@@ -91,50 +95,61 @@
 				unsent: false,
 				connectionEnded: false,
 				reason: 'answer of another request',
+				defect: 'foreign',
 			});
 		}
 
 		return isForeign;
 	};
 
-	/** Sets the buffered size, and cancels the send if it exceeds the limits. */
-	const chargeBuffer = (usage: BufferUsage, bytes: number) => {
-		const limitReason = usage.set(bytes);
+	/** Records the buffered bytes and their memory, and cancels the send if they exceed the limits. */
+	const chargeBuffer = (
+		usage: BufferUsage,
+		{bytes, memoryBytes}: {bytes: number; memoryBytes: number},
+		maxBytes: number,
+	) => {
+		const limitReason = bytes > maxBytes ? 'too large' : usage.set(memoryBytes);
 		if (limitReason) {
 			handle.dispose();
 			fail({
 				unsent: false,
 				connectionEnded: false,
 				reason: `${bytes} bytes buffered: ${limitReason}`,
+				defect: defectOf(limitReason),
 			});
 		}
 	};
 
 	const handleData = (responseHead: ResponseHead, chunk: Uint8Array) => {
 		if (!isUsableStreamHead(responseHead)) {
-			bodyChunks.push(chunk);
-			chargeBuffer(bodyBufferUsage, bodyBufferUsage.bytes + chunk.length);
+			body.append(chunk);
+			chargeBuffer(
+				bodyBufferUsage,
+				{bytes: body.lengthBytes, memoryBytes: body.capacityBytes},
+				responseLimits.maxResponseBytes,
+			);
 			return;
 		}
 
-		for (const event of splitter.push(chunk)) {
-			if (isOver) {
-				return;
-			}
-
+		const events = splitter.push(chunk);
+		if (events.length > 0) {
 			hasEvents = true;
-			listener.onEvent(event, responseHead);
+			listener.onEvents(events, responseHead);
 		}
 
 		if (!isOver) {
-			chargeBuffer(eventBufferUsage, splitter.pendingBytes);
+			chargeBuffer(
+				eventBufferUsage,
+				{bytes: splitter.pendingBytes, memoryBytes: splitter.memoryBytes},
+				responseLimits.maxEventBytes,
+			);
 		}
 	};
 
 	const handleEnd = (responseHead: ResponseHead) => {
 		if (!isUsableStreamHead(responseHead)) {
 			finish();
-			listener.onOtherResponse(responseHead, concatBytes(bodyChunks));
+			listener.onOtherResponse(responseHead, body.take());
 		} else if (splitter.pendingBytes > 0 || !hasEvents) {
 			fail({
 				unsent: false,
@@ -180,6 +195,12 @@
 		},
 	);
 	return {
+		pause() {
+			handle.pause();
+		},
+		resume() {
+			handle.resume();
+		},
 		dispose() {
 			finish();
 			handle.dispose();
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -390,3 +390,41 @@
 	assert.equal(response.status, 503);
 	assert.equal(targetClient.sends.length, 1);
 });
+
+test('reads a stream only as fast as its caller takes it, and does not take the pause for a stall', async () => {
+	const {time, targetClient, session, response} = startTestStream({
+		backup: secondEngine,
+	});
+	respondWithEvents(targetClient.sends[0], 1);
+	assert.equal(targetClient.sends[0].isPaused, false);
+	response.setCongested(true);
+	respondWithEvents(targetClient.sends[0], 2);
+	assert.equal(targetClient.sends[0].isPaused, true);
+	for (let atMs = 1000; atMs <= 8000; atMs += 250) {
+		await time.runUntil(atMs);
+		session.tick();
+	}
+
+	response.setCongested(false);
+	assert.equal(targetClient.sends[0].isPaused, false);
+	session.tick();
+	respondWithEvents(targetClient.sends[0], 3);
+	targetClient.sends[0].listener.onEnd();
+	assert.equal(targetClient.sends.length, 1);
+	assert.deepEqual(
+		[response.ending, response.text],
+		['whole', eventsText(1, 2, 3)],
+	);
+});
+
+test('events that arrive together are written in one piece', () => {
+	const {targetClient, response} = startTestStream();
+	respondWithEvents(targetClient.sends[0], 1);
+	targetClient.sends[0].listener.onData(
+		new TextEncoder().encode(eventsText(2, 3, 4)),
+	);
+	assert.deepEqual(
+		[response.writeCount, response.text],
+		[2, eventsText(1, 2, 3, 4)],
+	);
+});
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -65,6 +65,7 @@
 			continuationRetries.dispose();
 			continuation.dispose();
 			const target = send?.placement.target.id;
+			callerSubscription.dispose();
 			closeSend();
 			return {
 				target,
@@ -121,7 +122,7 @@
 				reason,
 			},
 			options,
-			{onEvent, onEnd, onOtherResponse, onFailure},
+			{onEvents, onEnd, onOtherResponse, onFailure},
 		);
 		send = attempt;
 		attempt.start();
@@ -159,36 +160,42 @@
 			? latePriority
 			: admitted.priority;
 
-	const onEvent = (
+	const onEvents = (
 		current: StreamAttempt,
-		event: StreamEvent,
+		events: readonly StreamEvent[],
 		head: ResponseHead,
 	) => {
 		const nowMs = clock.nowMs();
 		mayHaveRunEarlier = true;
-		if (event.id !== undefined) {
-			// Events without an id, such as comments, show that the connection is alive, but no progress.
-			stallDetector.progressed();
+		stallDetector.progressed();
+		const countBefore = response.eventCount;
+		const gapBefore = response.forward(events, head, nowMs);
+		if (response.eventCount > countBefore) {
+			current.tracker.progressed(response.eventCount);
+			if (countBefore === 0) {
+				const {target} = current.placement;
+				options.onSendResult(target, true, nowMs - current.startedMs);
+				options.onFirstEvent(request);
+			}
 		}
 
-		const isFirst = response.eventCount === 0;
-		const outcome = response.forward(event, head, nowMs);
-		if (outcome === 'gap') {
+		if (gapBefore) {
 			onFailure(current, {
 				unsent: false,
 				connectionEnded: false,
-				reason: `event ${event.id} follows event ${response.lastEventId}`,
+				reason: `event ${gapBefore.id} follows event ${response.lastEventId}`,
 			});
-		} else if (outcome === 'forwarded') {
-			current.tracker.progressed(response.eventCount);
-			if (isFirst) {
-				const {target} = current.placement;
-				options.onSendResult(target, true, nowMs - current.startedMs);
-				options.onFirstEvent(request);
-			}
+		} else if (callerResponse.isCongested) {
+			current.pause();
 		}
 	};
 
+	/** The caller takes bytes again; until then its run counts neither as stalled nor as silent. */
+	const callerSubscription = callerResponse.onDrained(() => {
+		stallDetector.progressed();
+		send?.resume();
+	});
+
 	/** @param isGranted - true if the retry budget has already been charged for continuing the run */
 	const onFailure = (
 		current: StreamAttempt,
@@ -209,7 +216,12 @@
 			status: current.failedStatus,
 			events: response.eventCount,
 			silentMs: Math.round(stallDetector.silentMs),
+			defect: failure.defect,
 		});
+		if (failure.defect) {
+			options.onDefectiveResponse(target, failure.defect);
+		}
+
 		options.onSendResult(target, false, clock.nowMs() - current.startedMs);
 		avoid.add(target.id);
 		closeSend();
@@ -327,7 +339,7 @@
 			}
 		},
 		tick() {
-			if (send && !send.isOver) {
+			if (send && !send.isOver && !callerResponse.isCongested) {
 				stalledRunCheck.check(send);
 			}
 		},
--- a/src/experiments/fakes/fake-caller-response.ts
+++ b/src/experiments/fakes/fake-caller-response.ts
@@ -1,4 +1,4 @@
-import type {ResponseHead} from '../../common/index.js';
+import {createEmitter, type ResponseHead} from '../../common/index.js';
 import type {CallerResponse} from '../../decisions/serving/index.js';
 
 /** Records the response that a session sends to its caller. */
@@ -13,6 +13,10 @@
 	readonly ending: 'whole' | 'own' | 'aborted' | undefined;
 	/** Value of the `Retry-After` header, in seconds. */
 	readonly retryAfterS: number | undefined;
+	/** Number of writes. */
+	readonly writeCount: number;
+	/** Makes the caller stop reading, or read again. */
+	setCongested(isCongested: boolean): void;
 };
 
 export function createFakeCallerResponse(): FakeCallerResponse {
@@ -21,6 +25,9 @@
 	let text = '';
 	let ending: FakeCallerResponse['ending'];
 	let retryAfterS: number | undefined;
+	let writeCount = 0;
+	let isCongested = false;
+	const drained = createEmitter<void>();
 	const startStream = (head: ResponseHead) => {
 		status = head.status;
 	};
@@ -41,8 +48,22 @@
 		get isHeadSent() {
 			return status !== undefined;
 		},
+		get writeCount() {
+			return writeCount;
+		},
+		get isCongested() {
+			return isCongested;
+		},
+		onDrained: drained.event,
+		setCongested(isCongestedNow) {
+			isCongested = isCongestedNow;
+			if (!isCongested) {
+				drained.fire();
+			}
+		},
 		startStream,
 		write(bytes) {
+			writeCount++;
 			text += decoder.decode(bytes);
 		},
 		end() {
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -58,6 +58,7 @@
 		onResponseHead: ignore,
 		mayUse: () => true,
 		restrictedTargets: () => undefined,
+		onDefectiveResponse: ignore,
 		onUnreachable: ignore,
 		onMisdirected: ignore,
 	};
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -3,8 +3,8 @@
 	type ResponseListener,
 	type CallerRequest,
 	type CopyResult,
-	type Disposable,
 	type EngineReport,
+	type SendHandle,
 	type SendOptions,
 	TargetClient,
 	type TargetLiveness,
@@ -18,6 +18,8 @@
 	readonly listener: ResponseListener;
 	/** True once the session aborted the request. */
 	isDisposed: boolean;
+	/** True while the session does not read the response. */
+	isPaused: boolean;
 };
 
 /** Creates the head of a response with status 200 that a target sent. */
@@ -62,16 +64,23 @@
 		request: CallerRequest,
 		options: SendOptions,
 		listener: ResponseListener,
-	): Disposable {
+	): SendHandle {
 		const send: FakeSend = {
 			address,
 			request,
 			options,
 			listener,
 			isDisposed: false,
+			isPaused: false,
 		};
 		this.sends.push(send);
 		return {
+			pause() {
+				send.isPaused = true;
+			},
+			resume() {
+				send.isPaused = false;
+			},
 			dispose() {
 				send.isDisposed = true;
 			},
--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -12,6 +12,8 @@
 	readonly program: string;
 	/** Path of the boot file, passed in the environment. */
 	readonly bootFilePath: string;
+	/** Flags besides those of every run. */
+	readonly flags?: readonly string[];
 	/** Called after each spawn, restarts included. */
 	readonly onStart: () => void;
 	/** Called when the process has exited. */
@@ -32,6 +34,8 @@
 
 /** A front daemon that runs as a child process and is restarted after unexpected exits. */
 export type FrontProcess = {
+	/** Undefined while the process is not running. */
+	readonly pid: number | undefined;
 	/** Last lines of its standard output and standard error, each with its time, oldest first. */
 	readonly lines: readonly string[];
 	/** Starts the process if it is not running, and restarts it after every unexpected exit. */
@@ -83,7 +87,14 @@
 
 		const started = spawn(
 			process.execPath,
-			['--max-old-space-size=96', options.program, '--metrics-port', '0'],
+			[
+				'--max-old-space-size=96',
+				'--max-semi-space-size=2',
+				options.program,
+				'--metrics-port',
+				'0',
+				...(options.flags ?? []),
+			],
 			{
 				env: {...process.env, [bootFileVariable]: options.bootFilePath},
 				stdio: ['ignore', 'pipe', 'pipe'],
@@ -110,6 +121,9 @@
 	};
 
 	return {
+		get pid() {
+			return child?.pid;
+		},
 		lines,
 		start,
 		signal(name) {
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -1,7 +1,6 @@
-import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {request} from '../adapters/http-client/index.js';
-import {ProblemError} from '../common/index.js';
+import {createByteAccumulator, ProblemError} from '../common/index.js';
 
 /** An HTTP call with a JSON body or none. */
 export type HttpCall = {
@@ -16,6 +15,8 @@
 	readonly maxResponseBytes: number;
 };
 
+const utf8 = new TextDecoder('utf8', {ignoreBOM: true});
+
 export type HttpCallResponse = {readonly status: number; readonly text: string};
 
 /**
@@ -40,11 +41,9 @@
 		// response to a later call.
 		reset: true,
 	});
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const received = createByteAccumulator();
 	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxResponseBytes) {
+		if (received.lengthBytes + chunk.length > maxResponseBytes) {
 			// Leaving the loop destroys the body and thereby closes the connection.
 			throw new ProblemError(
 				'too-large',
@@ -52,9 +51,9 @@
 			);
 		}
 
-		chunks.push(chunk);
+		received.append(chunk);
 	}
 
-	const text = Buffer.concat(chunks, size).toString('utf8');
+	const text = utf8.decode(received.take());
 	return {status: response.statusCode, text};
 }
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -3,9 +3,9 @@
 import * as z from 'zod';
 import {
 	type ResponseListener,
+	type SendHandle,
 	type CallerRequest,
 	type CopyResult,
-	type Disposable,
 	type EngineReport,
 	headerPairs,
 	ProblemError,
@@ -15,7 +15,10 @@
 	type TargetLiveness,
 } from '../common/index.js';
 import {Pool} from '../adapters/http-client/index.js';
-import {createResetAwareClient} from '../adapters/targets/index.js';
+import {
+	createPieceCollector,
+	createResetAwareClient,
+} from '../adapters/targets/index.js';
 import {decodeResponseHead} from './response-head.js';
 import {decode, parseJson} from './decode.js';
 import {makeHttpCall} from './http-call.js';
@@ -30,6 +33,12 @@
 /** Size limit of responses to control calls. A load report lists every run of its engine; the largest is far smaller. */
 const maxControlResponseBytes = 1_048_576;
 
+const firstFinalStatus = 200;
+const maxInterimResponses = 32;
+
+const isTooLarge = (error: Error) =>
+	error instanceof ProblemError && error.type === 'too-large';
+
 const reportSchema = z.object({
 	queued: z.number(),
 	running: z.number(),
@@ -101,15 +110,21 @@
 	private readonly maxConnections = new Map<string, number>();
 	/** Response size limits of requests, by dispatch options. */
 	private readonly maxResponseBytes = new WeakMap<object, number>();
+	/** Control of the connections that carry requests, by dispatch options. */
+	private readonly reads = new WeakMap<
+		object,
+		Pick<SendHandle, 'pause' | 'resume'>
+	>();
 
 	override send(
 		address: string,
 		request: CallerRequest,
 		options: SendOptions,
 		listener: ResponseListener,
-	): Disposable {
+	): SendHandle {
 		let settled = false;
 		let started = false;
+		let interimCount = 0;
 		let abort: ((reason: Error) => void) | undefined;
 		const settle = (run: () => void) => {
 			if (!settled) {
@@ -122,6 +137,27 @@
 			abort?.(new ProblemError('target-failed', 'the request was aborted'));
 		};
 
+		const body = createPieceCollector((bytes) => {
+			if (settled) {
+				return;
+			}
+
+			try {
+				listener.onData(bytes);
+			} catch (error) {
+				// The collector delivers outside undici's callbacks, in which undici fails the request itself.
+				const {message} = error as Error;
+				settle(() => {
+					abortSend();
+					listener.onFailure({
+						unsent: false,
+						connectionEnded: false,
+						reason: message,
+					});
+				});
+			}
+		});
+
 		const dispatchOptions: Dispatcher.DispatchOptions = {
 			path: request.path,
 			method: request.method,
@@ -133,7 +169,7 @@
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		};
-		const {resetRequests, endedRequests} = this;
+		const {resetRequests, endedRequests, reads} = this;
 		this.maxResponseBytes.set(dispatchOptions, options.maxAnswerBytes);
 		this.poolFor(address).dispatch(dispatchOptions, {
 			onRequestStart(controller) {
@@ -153,18 +189,32 @@
 				};
 			},
 			onResponseStart(controller, status, headers) {
-				if (!settled && status >= 200) {
+				if (settled) {
+					return;
+				}
+
+				if (status >= firstFinalStatus) {
 					listener.onHead(
 						decodeResponseHead(status, rawHeaderPairs(controller, headers)),
 					);
+					return;
+				}
+
+				interimCount++;
+				if (interimCount > maxInterimResponses) {
+					controller.abort(
+						new ProblemError(
+							'too-large',
+							`more than ${maxInterimResponses} interim responses`,
+						),
+					);
 				}
 			},
 			onResponseData(_controller, chunk) {
-				if (!settled) {
-					listener.onData(chunk);
-				}
+				body.push(chunk);
 			},
 			onResponseEnd() {
+				body.flush();
 				settle(() => {
 					if (resetRequests.has(dispatchOptions)) {
 						listener.onFailure({
@@ -178,16 +228,26 @@
 				});
 			},
 			onResponseError(_controller, error) {
+				body.flush();
 				settle(() => {
 					listener.onFailure({
 						unsent: !started,
 						connectionEnded: endedRequests.has(dispatchOptions),
 						reason: error.message,
+						defect: isTooLarge(error) ? 'too-large' : undefined,
 					});
 				});
 			},
 		});
 		return {
+			pause() {
+				if (!settled) {
+					reads.get(dispatchOptions)?.pause();
+				}
+			},
+			resume() {
+				reads.get(dispatchOptions)?.resume();
+			},
 			dispose() {
 				settle(abortSend);
 			},
@@ -315,6 +375,9 @@
 								this.resetRequests.add(request);
 							}
 						},
+						onDispatch: (request, control) => {
+							this.reads.set(request, control);
+						},
 						maxResponseBytes: (request) =>
 							this.maxResponseBytes.get(request) ?? maxControlResponseBytes,
 					}),
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -172,6 +172,8 @@
 		isStopping: () => gracefulStop.times !== undefined,
 		bufferBudget,
 		maxUnreadBytes: settings.maxUnreadBytes,
+		maxUnreadMs: settings.maxUnreadMs,
+		timers,
 		maxReceiveMs: settings.maxReceiveMs,
 		maxConnections: Math.floor(
 			vm.limits.maxDescriptors * callerDescriptorFraction,
--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -22,6 +22,8 @@
 	readonly responseLimits: ResponseLimits;
 	/** Response bytes that may be buffered for a caller that does not read. */
 	readonly maxUnreadBytes: number;
+	/** Time in which a caller must read what waits for it, in milliseconds. */
+	readonly maxUnreadMs: number;
 	/** Time within which a caller must have sent a whole request, in milliseconds. */
 	readonly maxReceiveMs: number;
 	/** Percentage of the VM's memory that requests may hold before new ones are refused. */
@@ -108,6 +110,12 @@
 				describe:
 					'bytes that may wait for a caller that does not read (16384 to 67108864)',
 			},
+			'max-unread-ms': {
+				type: 'number',
+				default: 10_000,
+				describe:
+					'time in which a caller must read what waits for it, in ms (500 to 600000)',
+			},
 			'max-receive-ms': {
 				type: 'number',
 				default: 30_000,
@@ -186,6 +194,12 @@
 			16_384,
 			67_108_864,
 		),
+		maxUnreadMs: checkInteger(
+			'max-unread-ms',
+			flags['max-unread-ms'],
+			500,
+			600_000,
+		),
 		maxReceiveMs: checkInteger(
 			'max-receive-ms',
 			flags['max-receive-ms'],
--- a/src/programs/front/metered-response.ts
+++ b/src/programs/front/metered-response.ts
@@ -39,6 +39,10 @@
 		write(bytes) {
 			response.write(bytes);
 		},
+		get isCongested() {
+			return response.isCongested;
+		},
+		onDrained: response.onDrained,
 		end() {
 			count('answered');
 			metrics.histogram('duration', labels).recordValue(sinceArrivalMs());
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -2,6 +2,7 @@
 import {
 	type Clock,
 	promptPartIds,
+	type ResponseDefect,
 	type ResponseHead,
 	type TargetClient,
 	type TargetEntry,
@@ -101,6 +102,9 @@
 		},
 		mayUse,
 		restrictedTargets: options.standings.description,
+		onDefectiveResponse(_target: TargetEntry, defect: ResponseDefect) {
+			options.metrics.count('defective_responses', {service, defect});
+		},
 		onUnreachable(target: TargetEntry) {
 			// A send that was withheld says nothing of the target's address.
 			if (mayUse(target)) {
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -199,6 +199,7 @@
 			maxStreamBytes: 16_777_216,
 		},
 		maxUnreadBytes: 1_048_576,
+		maxUnreadMs: 1000,
 		maxReceiveMs: 30_000,
 		requestMemoryPercent: 15,
 		logLevel: 'error',
--- a/src/programs/front/unexpected-errors.test.ts
+++ b/src/programs/front/unexpected-errors.test.ts
@@ -43,7 +43,7 @@
 		'platform/http-target-client.js',
 		'listener.onHead(decodeResponseHead(',
 	],
-	['target data', 'platform/http-target-client.js', 'listener.onData(chunk);'],
+	['target data', 'platform/http-target-client.js', 'listener.onData(bytes);'],
 	[
 		'store row',
 		'programs/front/store-watch.js',
@@ -55,7 +55,7 @@
 	[
 		'stream',
 		'decisions/serving/stream-session.js',
-		'if (send && !send.isOver) {',
+		'if (send && !send.isOver && !callerResponse.isCongested) {',
 	],
 ] as const;
 
