Decode the events of a stream strictly, and forward only what is counted

Cause: what lay between two blank lines was forwarded whether or not it had an id, while the run continued elsewhere behind the last id that could be read.

Change: an event needs one id, data and known fields only; the ids of a response follow each other, and the first response of a run begins with the first id. Otherwise the response is broken off as malformed, with the line in the log, and the run continues behind the last event that the caller has, or its connection closes. A response that ends behind its last event or before the last event of the caller is not complete.

--- a/src/common/requests/target-client.ts
+++ b/src/common/requests/target-client.ts
@@ -11,6 +11,9 @@
 
 /** Sends requests to targets and owns the connections to them. */
 export abstract class TargetClient {
+	/** Names of the fields that events of targets may have besides those of server-sent events. */
+	readonly extraEventFields: ReadonlySet<string> = new Set();
+
 	/**
 	 * Sends a request once, without retries. Exactly one of `onEnd` and `onFailure` is called, unless
 	 * disposed before.
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -114,6 +114,8 @@
 	| 'too-large'
 	/** The VM has no memory for the response. */
 	| 'no-memory'
+	/** An event of the response is damaged, or out of order. */
+	| 'malformed'
 	/** The response belongs to another request. */
 	| 'foreign';
 
--- a/src/decisions/serving/event-splitter.test.ts
+++ b/src/decisions/serving/event-splitter.test.ts
@@ -10,20 +10,21 @@
 	const [first, ...others] = splitter.push(
 		encode('id: 1\ndata: a\n\nid: 2\nda'),
 	);
-	assert.equal(first.id, 1);
-	assert.equal(new TextDecoder().decode(first.bytes), 'id: 1\ndata: a\n\n');
+	assert.equal(new TextDecoder().decode(first), 'id: 1\ndata: a\n\n');
 	assert.equal(others.length, 0);
 	assert.equal(splitter.pendingBytes, 'id: 2\nda'.length);
 });
 
 test('finds events that arrive byte by byte', () => {
 	const splitter = createEventSplitter();
-	const ids: Array<number | undefined> = [];
+	const events: string[] = [];
 	for (const byte of encode('id: 1\r\ndata: a\r\n\r\nid: 12\ndata: b\n\n')) {
-		ids.push(...splitter.push(Uint8Array.of(byte)).map(({id}) => id));
+		for (const event of splitter.push(Uint8Array.of(byte))) {
+			events.push(new TextDecoder().decode(event));
+		}
 	}
 
-	assert.deepEqual(ids, [1, 12]);
+	assert.deepEqual(events, ['id: 1\r\ndata: a\r\n\r\n', 'id: 12\ndata: b\n\n']);
 	assert.equal(splitter.pendingBytes, 0);
 });
 
@@ -39,7 +40,7 @@
 
 	const [event] = splitter.push(encode('\n\n'));
 	const {user, system} = process.cpuUsage(before);
-	assert.ok(event.bytes.length >= eventBytes);
+	assert.ok(event.length >= eventBytes);
 	// Processor time, in microseconds: quadratic work takes several seconds.
 	assert.ok(user + system < 500_000, `took ${user + system} µs`);
 });
@@ -51,6 +52,6 @@
 	assert.equal(splitter.pendingBytes, 1000 * filler.length);
 	assert.ok(splitter.memoryBytes < 4 * splitter.pendingBytes);
 	const [event] = splitter.push(encode('id: 3\ndata: a\n\n'));
-	assert.equal(event.id, 3);
+	assert.ok(new TextDecoder().decode(event).endsWith('id: 3\ndata: a\n\n'));
 	assert.equal(splitter.pendingBytes, 0);
 });
--- a/src/decisions/serving/event-splitter.ts
+++ b/src/decisions/serving/event-splitter.ts
@@ -1,31 +1,18 @@
 import {createByteAccumulator} from '../../common/index.js';
 
-/** One server-sent event, with its bytes as received, and the comments and blank lines before it. */
-export type StreamEvent = {
-	/** Number in the `id` field; undefined if there is none or it is not a number. */
-	readonly id: number | undefined;
-	readonly bytes: Uint8Array;
-};
-
-/** Splits a stream of bytes into complete events. */
+/** Splits a stream of bytes into complete events, without decoding them. */
 export type EventSplitter = {
 	/** Size of the input after the last complete event, in bytes. */
 	readonly pendingBytes: number;
 	/** Memory that this part of the input takes, in bytes. */
 	readonly memoryBytes: number;
-	/** Adds bytes and returns the events that are complete now. */
-	push(chunk: Uint8Array): readonly StreamEvent[];
+	/** Adds bytes and returns the events that are complete now, each with the comments and blank lines before it. */
+	push(chunk: Uint8Array): readonly Uint8Array[];
 };
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const colon = 0x3a;
-const latin1 = new TextDecoder('latin1');
-
-function idOf(bytes: Uint8Array): number | undefined {
-	const match = /^id: ?(\d+)\r?$/m.exec(latin1.decode(bytes));
-	return match ? Number(match[1]) : undefined;
-}
 
 /** Finds the ends of events in a stream of chunks; each byte is scanned once. */
 function createEventEndSearch() {
@@ -83,14 +70,13 @@
 	const eventEnds = createEventEndSearch();
 	const pending = createByteAccumulator();
 
-	const takeEvent = (lastPart: Uint8Array): StreamEvent => {
+	const takeEvent = (lastPart: Uint8Array): Uint8Array => {
 		if (pending.lengthBytes === 0) {
-			return {id: idOf(lastPart), bytes: lastPart};
+			return lastPart;
 		}
 
 		pending.append(lastPart);
-		const bytes = pending.take();
-		return {id: idOf(bytes), bytes};
+		return pending.take();
 	};
 
 	return {
@@ -101,7 +87,7 @@
 			return pending.capacityBytes;
 		},
 		push(chunk) {
-			const events: StreamEvent[] = [];
+			const events: Uint8Array[] = [];
 			let start = 0;
 			for (;;) {
 				const end = eventEnds.next(chunk, start);
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -6,6 +6,7 @@
 export * from './call-target-search.js';
 export * from './configuration-state.js';
 export * from './continuation-turn.js';
+export * from './event-decoder.js';
 export * from './event-splitter.js';
 export * from './refusals.js';
 export * from './retry-share.js';
--- a/src/decisions/serving/stream-answer.ts
+++ b/src/decisions/serving/stream-answer.ts
@@ -1,5 +1,5 @@
 import {createByteAccumulator, type ResponseHead} from '../../common/index.js';
-import type {StreamEvent} from './event-splitter.js';
+import type {StreamEvent} from './event-decoder.js';
 import type {CallerResponse} from './session-types.js';
 import {createStreamTiming, type StreamTiming} from './stream-timing.js';
 
@@ -39,10 +39,13 @@
 /**
  * Creates a response without events.
  * @param arrivedMs - monotonic time at which the request arrived, in milliseconds
+ * @param callerEventId - id of the last event that the caller has from an earlier request, 0 for none; undefined if
+ *   the first event may have any id
  */
 export function createStreamResponse(
 	callerResponse: CallerResponse,
 	arrivedMs: number,
+	callerEventId: number | undefined,
 ): StreamResponse {
 	const eventTiming = createStreamTiming(arrivedMs);
 	let eventCount = 0;
@@ -51,21 +54,16 @@
 	/** Selects the events that the caller does not have, up to a gap. */
 	const takeFresh = (events: readonly StreamEvent[]) => {
 		const fresh: StreamEvent[] = [];
-		let lastId = lastEventId;
+		let lastId = lastEventId ?? callerEventId;
 		for (const event of events) {
-			const {id} = event;
-			if (id !== undefined && lastId !== undefined) {
-				if (id > lastId + 1) {
-					return {fresh, gapBefore: event};
-				}
-
-				if (id <= lastId) {
-					continue;
-				}
+			if (lastId !== undefined && event.id > lastId + 1) {
+				return {fresh, gapBefore: event};
 			}
 
-			lastId = id ?? lastId;
-			fresh.push(event);
+			if (lastId === undefined || event.id > lastId) {
+				lastId = event.id;
+				fresh.push(event);
+			}
 		}
 
 		return {fresh, gapBefore: undefined};
@@ -87,7 +85,7 @@
 				}
 
 				for (const {id} of fresh) {
-					lastEventId = id ?? lastEventId;
+					lastEventId = id;
 					eventCount++;
 					eventTiming.recordEvent(nowMs);
 				}
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -5,7 +5,7 @@
 	type SendFailure,
 	type SendHandle,
 } from '../../common/index.js';
-import type {StreamEvent} from './event-splitter.js';
+import type {StreamEvent} from './event-decoder.js';
 import type {RunCopy} from './run-copies.js';
 import type {AdmittedRequest} from './session-types.js';
 import type {StreamResponse} from './stream-answer.js';
@@ -61,8 +61,11 @@
 		events: readonly StreamEvent[],
 		head: ResponseHead,
 	): void;
-	/** The stream ended after a complete event. */
-	onEnd(attempt: StreamAttempt, head: ResponseHead): void;
+	/**
+	 * The stream ended after a complete event.
+	 * @param lastEventId - id of the last event that the engine has sent
+	 */
+	onEnd(attempt: StreamAttempt, head: ResponseHead, lastEventId: number): void;
 	/** The response is not an unencoded 200 with the stamp of a target. */
 	onOtherResponse(
 		attempt: StreamAttempt,
@@ -153,8 +156,8 @@
 					onEvents(events, head) {
 						listener.onEvents(attempt, events, head);
 					},
-					onEnd(head) {
-						listener.onEnd(attempt, head);
+					onEnd(head, lastEventId) {
+						listener.onEnd(attempt, head, lastEventId);
 					},
 					onOtherResponse(head, body) {
 						listener.onOtherResponse(attempt, head, body);
--- a/src/decisions/serving/stream-send.ts
+++ b/src/decisions/serving/stream-send.ts
@@ -1,5 +1,6 @@
 import {
 	createByteAccumulator,
+	type ResponseDefect,
 	type ResponseHead,
 	type CallerRequest,
 	type Clock,
@@ -9,7 +10,8 @@
 	type TargetEntry,
 	type TargetClient,
 } from '../../common/index.js';
-import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {createEventDecoder, type StreamEvent} from './event-decoder.js';
+import {createEventSplitter} from './event-splitter.js';
 import {
 	type BufferBudget,
 	type BufferUsage,
@@ -19,10 +21,13 @@
 
 /** Receives the events of one send of a stream. */
 export type StreamSendListener = {
-	/** @param events - events that are complete now, at least one */
+	/** @param events - events that are complete now, at least one, with successive ids */
 	onEvents(events: readonly StreamEvent[], head: ResponseHead): void;
-	/** The stream ended after a complete event. */
-	onEnd(head: ResponseHead): void;
+	/**
+	 * The stream ended after a complete event.
+	 * @param lastEventId - id of that event
+	 */
+	onEnd(head: ResponseHead, lastEventId: number): void;
 	/** The response is not an unencoded 200 with the stamp of a target. */
 	onOtherResponse(head: ResponseHead, body: Uint8Array): void;
 	/**
@@ -65,9 +70,9 @@
 	const {targetClient, responseLimits, bufferBudget} = options;
 	const sentMs = options.clock.nowMs();
 	const splitter = createEventSplitter();
+	const decoder = createEventDecoder(targetClient.extraEventFields);
 	const body = createByteAccumulator();
 	let head: ResponseHead | undefined;
-	let hasEvents = false;
 	let isOver = false;
 
 	const eventBufferUsage = bufferBudget.track(Infinity);
@@ -83,6 +88,12 @@
 		listener.onFailure(failure, head?.status);
 	};
 
+	/** Cancels the send because of what the response holds. */
+	const breakOff = (reason: string, defect: ResponseDefect) => {
+		handle.dispose();
+		fail({unsent: false, connectionEnded: false, reason, defect});
+	};
+
 	/**
 	 * Fails the send if the response belongs to another request.
 	 * @returns true if it does
@@ -110,16 +121,28 @@
 	) => {
 		const limitReason = bytes > maxBytes ? 'too large' : usage.set(memoryBytes);
 		if (limitReason) {
-			handle.dispose();
-			fail({
-				unsent: false,
-				connectionEnded: false,
-				reason: `${bytes} bytes buffered: ${limitReason}`,
-				defect: defectOf(limitReason),
-			});
+			breakOff(
+				`${bytes} bytes buffered: ${limitReason}`,
+				defectOf(limitReason),
+			);
 		}
 	};
 
+	/** Decodes events up to the first that is malformed. */
+	const decodeAll = (parts: readonly Uint8Array[]) => {
+		const events: StreamEvent[] = [];
+		for (const part of parts) {
+			const {event, problem} = decoder.decode(part);
+			if (!event) {
+				return {events, problem};
+			}
+
+			events.push(event);
+		}
+
+		return {events, problem: undefined};
+	};
+
 	const handleData = (responseHead: ResponseHead, chunk: Uint8Array) => {
 		if (!isUsableStreamHead(responseHead)) {
 			body.append(chunk);
@@ -131,18 +154,23 @@
 			return;
 		}
 
-		const events = splitter.push(chunk);
+		const {events, problem} = decodeAll(splitter.push(chunk));
 		if (events.length > 0) {
-			hasEvents = true;
 			listener.onEvents(events, responseHead);
 		}
 
-		if (!isOver) {
+		if (isOver) {
+			return;
+		}
+
+		if (problem === undefined) {
 			chargeBuffer(
 				eventBufferUsage,
 				{bytes: splitter.pendingBytes, memoryBytes: splitter.memoryBytes},
 				responseLimits.maxEventBytes,
 			);
+		} else {
+			breakOff(problem, 'malformed');
 		}
 	};
 
@@ -150,7 +178,7 @@
 		if (!isUsableStreamHead(responseHead)) {
 			finish();
 			listener.onOtherResponse(responseHead, body.take());
-		} else if (splitter.pendingBytes > 0 || !hasEvents) {
+		} else if (splitter.pendingBytes > 0 || decoder.lastId === undefined) {
 			fail({
 				unsent: false,
 				connectionEnded: true,
@@ -158,7 +186,7 @@
 			});
 		} else {
 			finish();
-			listener.onEnd(responseHead);
+			listener.onEnd(responseHead, decoder.lastId);
 		}
 	};
 
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -5,7 +5,7 @@
 	type SendFailure,
 } from '../../common/index.js';
 import {createEngineSearch} from './engine-search.js';
-import type {StreamEvent} from './event-splitter.js';
+import type {StreamEvent} from './event-decoder.js';
 import {promisesNotRun} from './refusals.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
@@ -28,6 +28,19 @@
 /** Priority of a late generation; less urgent than the engines' default, which is 5. */
 const latePriority = 7;
 
+/** Id of the last event that the caller has from an earlier request; 0 for none, undefined if it names none that is a number. */
+function callerEventIdOf({
+	route,
+	request,
+}: AdmittedRequest): number | undefined {
+	const {lastEventId} = request;
+	if (!route.resumable || lastEventId === undefined) {
+		return 0;
+	}
+
+	return /^\d+$/.test(lastEventId) ? Number(lastEventId) : undefined;
+}
+
 /**
  * Serves one stream. A generation that may have started is never started again. It continues at
  * another engine only from a copy of its KV cache, after the previous send was cancelled, and events
@@ -43,7 +56,11 @@
 	const avoid = new Set<string>();
 	let send: StreamAttempt | undefined;
 	let mayHaveRunEarlier = false;
-	const response = createStreamResponse(callerResponse, admitted.arrivedMs);
+	const response = createStreamResponse(
+		callerResponse,
+		admitted.arrivedMs,
+		callerEventIdOf(admitted),
+	);
 	const stallDetector = createStallDetector(clock, response);
 	const continuationRetries = createContinuationRetries(admitted, options);
 
@@ -184,6 +201,7 @@
 				unsent: false,
 				connectionEnded: false,
 				reason: `event ${gapBefore.id} follows event ${response.lastEventId}`,
+				defect: 'malformed',
 			});
 		} else if (callerResponse.isCongested) {
 			current.pause();
@@ -242,7 +260,21 @@
 		lostRunRecovery.recover(current, failure, isGranted);
 	};
 
-	const onEnd = (current: StreamAttempt, head: ResponseHead) => {
+	const onEnd = (
+		current: StreamAttempt,
+		head: ResponseHead,
+		lastEventId: number,
+	) => {
+		if (lastEventId < (response.lastEventId ?? 0)) {
+			onFailure(current, {
+				unsent: false,
+				connectionEnded: false,
+				reason: `ended at event ${lastEventId} of ${response.lastEventId}`,
+				defect: 'malformed',
+			});
+			return;
+		}
+
 		options.onFinished(admitted, response.eventCount);
 		copies.releaseCopies(current);
 		completion.endStream(head.status);
--- a/src/experiments/fuzz/decoder-properties.ts
+++ b/src/experiments/fuzz/decoder-properties.ts
@@ -104,7 +104,7 @@
 				const splitter = createEventSplitter();
 				const events = chunks.flatMap((chunk) => [...splitter.push(chunk)]);
 				const all = Buffer.concat(chunks);
-				const decoded = Buffer.concat(events.map(({bytes}) => bytes));
+				const decoded = Buffer.concat(events);
 				return (
 					decoded.equals(all.subarray(0, decoded.length)) &&
 					decoded.length + splitter.pendingBytes === all.length
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -22,7 +22,7 @@
 import {decodeResponseHead} from './response-head.js';
 import {decode, parseJson} from './decode.js';
 import {makeHttpCall} from './http-call.js';
-import {targetPaths} from './wire-names.js';
+import {extraEventFields, targetPaths} from './wire-names.js';
 import {encodeRequestHeaders} from './request-headers.js';
 
 const connectTimeoutMs = 800;
@@ -102,6 +102,7 @@
 
 /** Target client for HTTP/1.1. Each connection carries one request at a time. */
 export class HttpTargetClient extends TargetClient {
+	override readonly extraEventFields = extraEventFields;
 	private readonly pools = new Map<string, UndiciPool>();
 	/** Dispatch options of the requests whose connection was reset. */
 	private readonly resetRequests = new WeakSet();
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -24,6 +24,11 @@
 	retryAfter: 'Retry-After',
 } as const;
 
+/** Fields that events may have besides those of server-sent events: the version of the weights, where it changes. */
+export const extraEventFields: ReadonlySet<string> = new Set([
+	'cowslipspread-weight-versions',
+]);
+
 /** Headers of callers' requests that are not forwarded, in lower case; some are set anew for the target. */
 export const unforwardedHeaders: ReadonlySet<string> = new Set(
 	[
