--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -111,7 +111,7 @@
 		edits: [
 			{
 				file: `${serving}/stream-answer.js`,
-				original: 'id > lastEventId + 1',
+				original: 'event.id > lastId + 1',
 				replacement: 'false',
 			},
 			{
