Start only what is certain to end late in a planned stop

Cause: from 2.5 s after the signal on, a stream was started if four times its expected length fitted into the time left, and a call with 1.5 s left; neither is a bound.

Change: from then on a request is started only if its own time limit ends before the VM does; others are refused at once, not run. Responses written during a stop close their connection, and a connection with unsent bytes is not idle.

--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -61,6 +61,8 @@
 	readonly server: Server;
 	/** Requests whose response is not complete. */
 	readonly openRequestCount: number;
+	/** Closes the connections on which no request is open and all responses are sent. */
+	closeIdleConnections(): void;
 	/** Applies the limits that concern connections. */
 	applyLimits(limits: CallerLimits): void;
 };
@@ -123,10 +125,11 @@
 export function createCallerListener(
 	options: CallerListenerOptions,
 ): CallerListener {
-	let openRequestCount = 0;
+	const openResponses = new Set<ServerResponse>();
 
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
 		const callerResponse = createCallerResponse(response, {
+			isStopping: options.isStopping,
 			unreadUsage: options.bufferBudget.track(options.maxUnreadBytes),
 			maxUnreadMs: options.maxUnreadMs,
 			timers: options.timers,
@@ -201,14 +204,10 @@
 			keepAliveInitialDelay: 5000,
 		},
 		(request, response) => {
-			openRequestCount++;
+			openResponses.add(response);
 			response.once('close', () => {
-				openRequestCount--;
+				openResponses.delete(response);
 			});
-			if (options.isStopping()) {
-				response.shouldKeepAlive = false;
-			}
-
 			handle(request, response).catch((error: unknown) => {
 				options.onProblem(toProblem(error));
 				response.destroy();
@@ -220,7 +219,16 @@
 	return {
 		server,
 		get openRequestCount() {
-			return openRequestCount;
+			return openResponses.size;
+		},
+		closeIdleConnections() {
+			// Node takes a connection for idle once its response is complete, although bytes of it may wait to be sent.
+			const hasUnsent = [...openResponses].some(
+				(response) => response.writableEnded && !response.writableFinished,
+			);
+			if (!hasUnsent) {
+				server.closeIdleConnections();
+			}
 		},
 		applyLimits(limits) {
 			server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
--- a/src/adapters/front/caller-response.ts
+++ b/src/adapters/front/caller-response.ts
@@ -22,6 +22,8 @@
 const writeOverheadBytes = 512;
 
 export type CallerResponseOptions = {
+	/** True while this VM stops; the connection is then closed after the response. */
+	readonly isStopping: () => boolean;
 	/** Memory of what the caller has not read. */
 	readonly unreadUsage: BufferUsage;
 	/** Time in which a caller must read what waits for it, in milliseconds. */
@@ -37,13 +39,23 @@
 /** Creates the response writer for one request of a caller. */
 export function createCallerResponse(
 	response: ServerResponse,
-	{unreadUsage, maxUnreadMs, timers, onStalled}: CallerResponseOptions,
+	{
+		isStopping,
+		unreadUsage,
+		maxUnreadMs,
+		timers,
+		onStalled,
+	}: CallerResponseOptions,
 ): CallerResponse {
 	const drained = createEmitter<void>();
 	let unreadWriteCount = 0;
 	let unreadTimeout: Disposable | undefined;
 
 	const writeHead = (status: number, headers: readonly HeaderPair[]) => {
+		if (isStopping()) {
+			response.shouldKeepAlive = false;
+		}
+
 		response.writeHead(status, headers.flat());
 	};
 
--- a/src/decisions/serving/stopping.ts
+++ b/src/decisions/serving/stopping.ts
@@ -7,8 +7,6 @@
 const stillRoutedMs = 2500;
 /** Three of four generations stay below this multiple of their expected length. */
 const likelyLengthFactor = 2;
-/** Generations rarely exceed this multiple of their expected length. */
-const worstLengthFactor = 4;
 
 /** Timing of a planned stop, in milliseconds. */
 export type StopTimes = {
@@ -26,35 +24,42 @@
 	readonly maxTokens: number;
 };
 
-/**
- * Decides whether a stopping VM starts a generation. When VMs are stopped one after the other under
- * load, a generation that outlasts the grace period is cut off, although another VM could serve it
- * completely. Until load balancers notice the stop, a generation is started if it is likely to end in
- * time, since a retry of its caller might reach another stopping VM. After that it is started only if
- * it ends in time even when it gets unusually long.
- */
-export function mayStartGenerationWhileStopping(
-	{expectedTokens, maxTokens}: NewGeneration,
-	{sinceSignalMs, leftMs}: StopTimes,
-): boolean {
-	const factor =
-		sinceSignalMs < stillRoutedMs ? likelyLengthFactor : worstLengthFactor;
-	const longestTokens = Math.min(factor * expectedTokens, maxTokens);
-	return longPromptFirstTokenMs + longestTokens * tokenMs <= leftMs;
-}
-
 /** Time in which a call normally ends, in milliseconds. */
 const usualCallMs = 1500;
 
+/** A request that a stopping VM may start. */
+export type NewRequest = {
+	/** Time until the request ends in any case, in milliseconds. */
+	readonly timeLeftMs: number;
+	/** Undefined for a call to a plain service. */
+	readonly generation: NewGeneration | undefined;
+};
+
+function isLikelyToEnd(
+	{timeLeftMs, generation}: NewRequest,
+	leftMs: number,
+): boolean {
+	if (!generation) {
+		return Math.min(timeLeftMs, usualCallMs) <= leftMs;
+	}
+
+	const {expectedTokens, maxTokens} = generation;
+	const likelyTokens = Math.min(likelyLengthFactor * expectedTokens, maxTokens);
+	return longPromptFirstTokenMs + likelyTokens * tokenMs <= leftMs;
+}
+
 /**
- * Decides whether a stopping VM starts a call to a plain service. Load balancers and callers with open
- * connections reach a VM until it exits, and a call that is in progress then is cut off.
- * @param timeoutMs - time limit of the call, in milliseconds
- * @param leftMs - time until this VM exits, in milliseconds
+ * Decides whether a stopping VM starts a request. A request that outlasts the grace period is cut off, although
+ * another VM could serve it completely. Until load balancers notice the stop, a request is started if it is
+ * likely to end in time, since a retry of its caller might reach another stopping VM. After that only callers
+ * with open connections send requests, and one is started only if it is certain to end in time, by its own
+ * time limit: neither the length of a generation nor the load of its target has another bound.
  */
-export function mayStartCallWhileStopping(
-	timeoutMs: number,
-	leftMs: number,
+export function mayStartWhileStopping(
+	request: NewRequest,
+	{sinceSignalMs, leftMs}: StopTimes,
 ): boolean {
-	return leftMs >= Math.min(timeoutMs, usualCallMs);
+	return sinceSignalMs < stillRoutedMs
+		? isLikelyToEnd(request, leftMs)
+		: request.timeLeftMs <= leftMs;
 }
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -7,8 +7,7 @@
 	type CallerResponse,
 	type DecisionLog,
 	type FreshnessGate,
-	mayStartCallWhileStopping,
-	mayStartGenerationWhileStopping,
+	mayStartWhileStopping,
 	localResponseStatus,
 	refuseNotRun,
 	type RouteTable,
@@ -100,17 +99,17 @@
 			return false;
 		}
 
-		const {route, request} = admitted;
+		const {route, request, deadlineMs} = admitted;
 		const maxTokens = request.generation?.maxOutputTokens ?? 0;
-		return route.kind === 'stream'
-			? !mayStartGenerationWhileStopping(
-					{
+		const generation =
+			route.kind === 'stream'
+				? {
 						expectedTokens: engineSelector.expectedOutputTokens(admitted),
 						maxTokens: maxTokens > 0 ? maxTokens : Infinity,
-					},
-					stop,
-				)
-			: !mayStartCallWhileStopping(route.timeoutMs, stop.leftMs);
+					}
+				: undefined;
+		const timeLeftMs = deadlineMs - clock.nowMs();
+		return !mayStartWhileStopping({timeLeftMs, generation}, stop);
 	};
 
 	/** Refuses requests that no target has received yet and that would outlast the stop of this VM. */
@@ -122,6 +121,17 @@
 		}
 	};
 
+	/** For the log: how long the VM and the request have left while the VM stops. */
+	const stopFields = ({deadlineMs}: AdmittedRequest) => {
+		const stop = options.stopTimes();
+		return (
+			stop && {
+				stopLeftMs: Math.round(stop.leftMs),
+				requestLeftMs: Math.round(deadlineMs - clock.nowMs()),
+			}
+		);
+	};
+
 	const refuse = (
 		admitted: AdmittedRequest,
 		response: CallerResponse,
@@ -132,6 +142,7 @@
 			request: admitted.request.id,
 			status: localResponseStatus.notRun,
 			reason,
+			...stopFields(admitted),
 		});
 		refuseNotRun(response, reason, retryAfterMs);
 	};
--- a/src/programs/front/wait-for-requests.test.ts
+++ b/src/programs/front/wait-for-requests.test.ts
@@ -7,10 +7,8 @@
 	const time = new VirtualTime();
 	const listener = {
 		openRequestCount,
-		server: {
-			closeIdleConnections() {
-				// No connection is idle here.
-			},
+		closeIdleConnections() {
+			// No connection is idle here.
 		},
 	};
 	const seen = {endedMs: 0, givenUpMs: 0};
--- a/src/programs/front/wait-for-requests.ts
+++ b/src/programs/front/wait-for-requests.ts
@@ -4,9 +4,10 @@
 export type WaitForRequestsOptions = {
 	readonly clock: Clock;
 	readonly timers: Timers;
-	readonly listener: Pick<CallerListener, 'openRequestCount'> & {
-		readonly server: Pick<CallerListener['server'], 'closeIdleConnections'>;
-	};
+	readonly listener: Pick<
+		CallerListener,
+		'closeIdleConnections' | 'openRequestCount'
+	>;
 	/** Monotonic time at which the wait ends in any case, in milliseconds. */
 	readonly deadlineMs: number;
 	/** Called at the deadline; sends the final response to every admitted request without one. */
@@ -37,7 +38,7 @@
 		const nowMs = clock.nowMs();
 		const mayEnd = nowMs - startedMs > minStopMs;
 		if (mayEnd) {
-			listener.server.closeIdleConnections();
+			listener.closeIdleConnections();
 		}
 
 		if (mayEnd && listener.openRequestCount === 0) {
