Keep the handlers of stop signals installed

Cause: the handlers were installed with process.once; without a listener the signal has its default action.

Change: the handlers stay, and a further signal is logged. Two member accesses of late-requests.test.ts are put as the linter wants them.

--- a/src/programs/front/graceful-stop.ts
+++ b/src/programs/front/graceful-stop.ts
@@ -72,6 +72,12 @@
 					};
 		},
 		async run(steps) {
+			if (stopped) {
+				logger.info('stop requested again', {
+					openRequests: steps.listener.openRequestCount,
+				});
+			}
+
 			stopped ??= stop(steps);
 			return stopped;
 		},
--- a/src/programs/front/late-requests.test.ts
+++ b/src/programs/front/late-requests.test.ts
@@ -151,7 +151,8 @@
 	});
 	// The VM learns that generations of this route are short.
 	for (let index = 0; index < 20; index++) {
-		assert.equal((await first.send('/report/short')).status, 200);
+		const learned = await first.send('/report/short');
+		assert.equal(learned.status, 200);
 	}
 
 	// Without a request in progress the VM ends before.
@@ -168,7 +169,8 @@
 		callers[2].send('/book/3', shortTimeoutMs),
 	]);
 	await stopped;
-	assert.equal((await inProgress).isWhole, true);
+	const finished = await inProgress;
+	assert.equal(finished.isWhole, true);
 	for (const refused of [long, book]) {
 		assert.deepEqual([refused.status, refused.isWhole], [503, true]);
 		assert.ok(Number(refused.retryAfter) >= 0);
--- a/src/programs/front/run-front.ts
+++ b/src/programs/front/run-front.ts
@@ -21,7 +21,8 @@
 	};
 
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
+		// Stays installed: without a listener a second signal would end the process and cut off its requests.
+		process.on(signal, () => {
 			void stop();
 		});
 	}
