Send no booking on whose caller has left

Cause: a send that waits for a connection counted as one that a target may run; when it failed, or a target had not run the request, the session went on as for a caller that waits.

Change: the session remembers that the caller has left, holds back a send that still waits for a connection, and tries no further target. A send that was held back no longer says anything of its target's address.

--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -123,6 +123,8 @@
 export type SendFailure = {
 	/** True if certainly no byte of the request has reached the target. */
 	readonly unsent: boolean;
+	/** True if the request was held back, since it was no longer wanted once a connection was free. */
+	readonly withheld?: boolean;
 	/** True if the target, or the network, ended the connection before the response was complete. */
 	readonly connectionEnded: boolean;
 	readonly reason: string;
--- a/src/decisions/serving/call-attempt.ts
+++ b/src/decisions/serving/call-attempt.ts
@@ -20,8 +20,10 @@
 	cancel(): void;
 };
 
-/** Receives the outcome of an attempt; exactly one method is called, unless the attempt is cancelled. */
+/** Receives the outcome of an attempt; exactly one `on` method is called, unless the attempt is cancelled. */
 export type CallAttemptListener = {
+	/** @returns false once the request must not be sent any more, if it still waits for a connection */
+	isWanted(): boolean;
 	/** The target has responded to the request completely. */
 	onResponse(attempt: CallAttempt, head: ResponseHead, body: Uint8Array): void;
 	/** The send failed, the response was cut off or too large, or it belongs to another request. */
@@ -115,7 +117,7 @@
 					backupAddress: undefined,
 					continueFrom: undefined,
 					lastEventId: undefined,
-					mayStart: () => options.mayUse(target),
+					mayStart: () => options.mayUse(target) && listener.isWanted(),
 					maxAnswerBytes: maxResponseBytes,
 				},
 				{
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -261,3 +261,50 @@
 	targetClient.sends[0].listener.onEnd();
 	assert.equal(response.status, 502);
 });
+
+const leavingFailures = {
+	'its connection failed': {
+		unsent: true,
+		connectionEnded: false,
+		reason: 'connect timeout',
+	},
+	'it was held back': {
+		unsent: true,
+		withheld: true,
+		connectionEnded: false,
+		reason: 'not wanted',
+	},
+} as const;
+
+for (const [name, failure] of Object.entries(leavingFailures)) {
+	test(`a booking whose caller has left is not sent on after ${name} (review case 5)`, () => {
+		const {targetClient, response, session, log} = start(unsafe);
+		const [send] = targetClient.sends;
+		assert.equal(send.options.mayStart(), true);
+		session.callerDisconnected();
+		assert.equal(send.options.mayStart(), false);
+		send.listener.onFailure(failure);
+		assert.equal(targetClient.sends.length, 1);
+		assert.equal(session.isDone, true);
+		assert.equal(response.ending, 'aborted');
+		assert.match(log.at(-1) ?? '', /^call ended caller left/);
+	});
+}
+
+test('a booking whose caller has left is not sent on after a target refused it (review case 5)', () => {
+	const {targetClient, session} = start(unsafe);
+	session.callerDisconnected();
+	const [{listener}] = targetClient.sends;
+	listener.onHead(fakeResponseHead('q1', {status: 503, notExecuted: true}));
+	listener.onEnd();
+	assert.equal(targetClient.sends.length, 1);
+	assert.equal(session.isDone, true);
+});
+
+test('a booking that a target already has is not cancelled when its caller leaves', () => {
+	const {targetClient, session, respond} = start(unsafe);
+	session.callerDisconnected();
+	assert.equal(targetClient.sends[0].isDisposed, false);
+	respond(0, 200, 'slot 7');
+	assert.equal(session.isDone, true);
+});
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -52,6 +52,7 @@
 	let hedge: Disposable | undefined;
 	let search: Disposable | undefined;
 	let isSearching = false;
+	let hasCallerLeft = false;
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
 
@@ -124,6 +125,7 @@
 			}),
 		});
 		const attempt = createCallAttempt(admitted, target, options, {
+			isWanted: () => !hasCallerLeft,
 			onResponse: handleResponse,
 			onFailure: handleFailure,
 		});
@@ -182,7 +184,9 @@
 			return;
 		}
 
-		if (maySendAgain()) {
+		if (hasCallerLeft) {
+			completion.abort('caller left');
+		} else if (maySendAgain()) {
 			sendToNextTarget(reason, maxTurnWaitMs());
 		} else {
 			giveUp(reason);
@@ -206,7 +210,9 @@
 
 		if (failure.unsent) {
 			sendCount--;
-			options.onUnreachable(target);
+			if (!failure.withheld) {
+				options.onUnreachable(target);
+			}
 		} else {
 			mayHaveRunCount++;
 		}
@@ -290,6 +296,7 @@
 			return mayHaveRun();
 		},
 		callerDisconnected() {
+			hasCallerLeft = true;
 			if (isIdempotent || attempts.size === 0) {
 				completion.abort('caller left');
 			}
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -248,7 +248,10 @@
 		avoid.add(target.id);
 		closeSend();
 		if (failure.unsent) {
-			options.onUnreachable(target);
+			if (!failure.withheld) {
+				options.onUnreachable(target);
+			}
+
 			if (current.isContinuation) {
 				continuation.start('copy unreachable', () => {
 					giveUp('the copy of the run is lost');
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -125,6 +125,7 @@
 	): SendHandle {
 		let settled = false;
 		let started = false;
+		let withheld = false;
 		let interimCount = 0;
 		let abort: ((reason: Error) => void) | undefined;
 		const settle = (run: () => void) => {
@@ -180,7 +181,8 @@
 				}
 
 				if (!options.mayStart()) {
-					controller.abort(new Error('the target wants no requests any more'));
+					withheld = true;
+					controller.abort(new Error('the request is not wanted any more'));
 					return;
 				}
 
@@ -233,6 +235,7 @@
 				settle(() => {
 					listener.onFailure({
 						unsent: !started,
+						withheld,
 						connectionEnded: endedRequests.has(dispatchOptions),
 						reason: error.message,
 						defect: isTooLarge(error) ? 'too-large' : undefined,
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -113,10 +113,7 @@
 			options.metrics.count('defective_responses', {service, defect});
 		},
 		onUnreachable(target: TargetEntry) {
-			// A send that was withheld says nothing of the target's address.
-			if (mayUse(target)) {
-				directory.markUnreachable(target.id);
-			}
+			directory.markUnreachable(target.id);
 		},
 		onMisdirected(target: {readonly id: string}) {
 			directory.markReplaced(target.id);
