Inject spoiled streams, late crashes and repeated stop signals in the fault soak

Engines of the soak can damage the framing of their events, answer with small units without end, and end under a prompt part after some events; a planned stop can get its signal twice. The steps are drawn apart, so that the others of a seed stay as they were.

--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -27,6 +27,8 @@
 	{readonly type: Type}
 >;
 
+/** Time after a stop signal at which it is repeated, in milliseconds. */
+const secondSignalDelayMs = 600;
 /** Delay after which the entry of a crashed target is removed, in milliseconds. */
 const entryRemovalDelayMs = 1200;
 /** Time for which leaving targets keep serving beyond the drain time, in milliseconds. */
@@ -162,6 +164,16 @@
 			case 'stop': {
 				return endAndRestart(vm, 'SIGTERM', forMs);
 			}
+
+			case 'stop-twice': {
+				const signalAgain = async () => {
+					await sleep(secondSignalDelayMs);
+					vm.process.signal('SIGTERM');
+				};
+
+				await Promise.all([endAndRestart(vm, 'SIGTERM', forMs), signalAgain()]);
+				return;
+			}
 		}
 	};
 
@@ -301,7 +313,16 @@
 			}
 
 			case 'crashing-part': {
-				return targetFaults.applyCrashingPart(step.forMs);
+				const {eventsBefore = 0} = action;
+				return targetFaults.applyCrashingPart(step.forMs, eventsBefore);
+			}
+
+			case 'stream': {
+				return targetFaults.applyStreamFault(
+					action.fault,
+					step.selector,
+					step.forMs,
+				);
 			}
 
 			case 'odd-entries': {
--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -190,6 +190,55 @@
 		steps: [step(500, 12_000, {type: 'crashing-part'})],
 		violates: 'crashing-part',
 	},
+	{
+		name: 'requests with a prompt part under which engines end after some events',
+		edits: [
+			{
+				file: 'programs/front/session-starter.js',
+				original: 'if (run.connectionEnded && isPresent(run.target.id)) {',
+				replacement: 'if (false) {',
+			},
+		],
+		vmCount: 3,
+		steps: [step(500, 12_000, {type: 'crashing-part', eventsBefore: 3})],
+		violates: 'crashing-part',
+	},
+	{
+		name: 'events that are forwarded although they are damaged',
+		edits: [
+			{
+				file: `${serving}/event-decoder.js`,
+				original: 'if (!decoded.event) {',
+				replacement:
+					'if (!decoded.event) { return {event: {id: (lastId = (lastId ?? 0) + 1), bytes}};',
+			},
+		],
+		vmCount: 2,
+		steps: [0, 1, 2].map((selector) =>
+			step(1000, 6000, {type: 'stream', fault: 'damaged'}, selector),
+		),
+		violates: 'event-order',
+	},
+	{
+		name: 'a daemon that ends at the second stop signal',
+		edits: [
+			{
+				file: 'programs/front/run-front.js',
+				original: 'process.on(signal,',
+				replacement: 'process.once(signal,',
+			},
+		],
+		vmCount: 2,
+		steps: [0, 1, 2, 3].map((selector) =>
+			step(
+				2500 + selector * 900,
+				300,
+				{type: 'vm', action: 'stop-twice'},
+				selector,
+			),
+		),
+		violates: 'calm-service',
+	},
 	{
 		name: 'requests to a target that says in its responses that it leaves',
 		edits: [
--- a/src/experiments/fault-soak/soak-plan.ts
+++ b/src/experiments/fault-soak/soak-plan.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import type {StreamFault} from '../../platform/testing/index.js';
 import type {LinkFault} from './proxied-connection.js';
 
 /** Links that pass through a proxy: of callers to a VM, a VM to the store, VMs to a target. */
@@ -13,7 +14,8 @@
 	  }
 	| {
 			readonly type: 'vm';
-			readonly action: 'kill' | 'kill-all' | 'pause' | 'reload' | 'stop';
+			readonly action:
+				'kill' | 'kill-all' | 'pause' | 'reload' | 'stop' | 'stop-twice';
 	  }
 	| {readonly type: 'store'; readonly action: 'forget' | 'refuse'}
 	| {
@@ -26,8 +28,10 @@
 	| {readonly type: 'rate-limit'; readonly requestsPerSecond: number}
 	/** A target says in its responses that it leaves, or turns requests away for a time. */
 	| {readonly type: 'statement'; readonly statement: 'back-off' | 'leaving'}
-	/** Engines end under a part of some prompts. */
-	| {readonly type: 'crashing-part'}
+	/** Engines end under a part of some prompts, after some events; before the first by default. */
+	| {readonly type: 'crashing-part'; readonly eventsBefore?: number}
+	/** The streams of an engine are damaged, or do not end. */
+	| {readonly type: 'stream'; readonly fault: StreamFault}
 	/** Another writer leaves entries among those of the targets that name none. */
 	| {readonly type: 'odd-entries'};
 
@@ -172,6 +176,27 @@
 	{maxLength: 2},
 );
 
+/** Generates the steps in which streams are spoiled, engines end after some events, or stop signals are repeated. */
+const answerSteps: fc.Arbitrary<readonly SoakStep[]> = fc.array(
+	fc.record({
+		atMs: fc.integer({min: 500, max: 5000}),
+		forMs: fc.integer({min: 500, max: 3000}),
+		selector: fc.nat({max: maxSelector}),
+		action: fc.oneof(
+			fc.record({
+				type: fc.constant('stream' as const),
+				fault: fc.constantFrom('damaged' as const, 'endless' as const),
+			}),
+			fc.record({
+				type: fc.constant('crashing-part' as const),
+				eventsBefore: fc.integer({min: 1, max: 6}),
+			}),
+			fc.constant({type: 'vm' as const, action: 'stop-twice' as const}),
+		),
+	}),
+	{maxLength: 2},
+);
+
 /**
  * Derives the plan of a run from its seed. The kinds of steps that were added later are drawn apart, so that
  * the other steps of a seed remain as they were.
@@ -180,5 +205,6 @@
 	const [plan] = fc.sample(soakPlans, {seed, numRuns: 1});
 	const [limits] = fc.sample(rateLimitSteps, {seed, numRuns: 1});
 	const [others] = fc.sample(targetSteps, {seed, numRuns: 1});
-	return {...plan, steps: [...plan.steps, ...limits, ...others]};
+	const [answers] = fc.sample(answerSteps, {seed, numRuns: 1});
+	return {...plan, steps: [...plan.steps, ...limits, ...others, ...answers]};
 }
--- a/src/experiments/fault-soak/soak-targets.ts
+++ b/src/experiments/fault-soak/soak-targets.ts
@@ -9,6 +9,7 @@
 	type ServiceMode,
 	type ServiceStandin,
 	type StoreStandin,
+	type StreamFault,
 	type TargetObserver,
 	type TargetStatement,
 	targetRow,
@@ -30,6 +31,8 @@
 	setRateLimit(requestsPerSecond: number | undefined): void;
 	/** Sets what the target says of itself in its responses; undefined for nothing. */
 	setStatement(statement: TargetStatement | undefined): void;
+	/** Sets what is wrong with the streams of an engine; plain services have none. */
+	setStreamFault(fault: StreamFault | undefined): void;
 	/** Removes the target's entry from the store. */
 	removeEntry(): void;
 };
@@ -47,10 +50,12 @@
 	/**
 	 * Sets the prompt part under which all engines end, those added later included.
 	 * @param onCrash - called with the engine, which goes on until it is closed
+	 * @param eventsBefore - events that a run with the part sends before
 	 */
 	setCrashingPart(
 		partId: string | undefined,
 		onCrash: (target: SoakTarget) => void,
+		eventsBefore: number,
 	): void;
 	/** Sets the mode of the plain services among some targets. */
 	setMode(targets: readonly SoakTarget[], mode: ServiceMode): void;
@@ -90,11 +95,16 @@
 	let nextNumber = 1;
 	let crashingPart: string | undefined;
 	let onCrashingPart: ((target: SoakTarget) => void) | undefined;
+	let eventsBeforeCrash = 0;
 
 	const applyCrashingPart = (target: SoakTarget, standin: EngineStandin) => {
-		standin.setCrashingPart(crashingPart, () => {
-			onCrashingPart?.(target);
-		});
+		standin.setCrashingPart(
+			crashingPart,
+			() => {
+				onCrashingPart?.(target);
+			},
+			eventsBeforeCrash,
+		);
 	};
 
 	const register = (
@@ -133,6 +143,11 @@
 			},
 			setRateLimit: standin.setRateLimit,
 			setStatement: standin.setStatement,
+			setStreamFault(fault) {
+				if ('setStreamFault' in standin) {
+					standin.setStreamFault(fault);
+				}
+			},
 			removeEntry() {
 				put(undefined);
 			},
@@ -175,9 +190,10 @@
 			const port = await listen(standin);
 			register(id, service, standin, await createLoopbackProxy(port));
 		},
-		setCrashingPart(partId, onCrash) {
+		setCrashingPart(partId, onCrash, eventsBefore) {
 			crashingPart = partId;
 			onCrashingPart = onCrash;
+			eventsBeforeCrash = eventsBefore;
 			for (const [target, standin] of engines) {
 				applyCrashingPart(target, standin);
 			}
--- a/src/experiments/fault-soak/target-faults.ts
+++ b/src/experiments/fault-soak/target-faults.ts
@@ -1,6 +1,7 @@
 import {tableNames} from '../../platform/index.js';
 import {
 	type StoreStandin,
+	type StreamFault,
 	targetRow,
 	type TargetStatement,
 } from '../../platform/testing/index.js';
@@ -31,7 +32,14 @@
 		selector: number,
 		forMs: number,
 	): Promise<void>;
-	applyCrashingPart(forMs: number): Promise<void>;
+	/** @param eventsBefore - events that a run with the part sends before its engine ends */
+	applyCrashingPart(forMs: number, eventsBefore: number): Promise<void>;
+	/** Spoils the streams of one engine. */
+	applyStreamFault(
+		fault: StreamFault,
+		selector: number,
+		forMs: number,
+	): Promise<void>;
 	addOddEntries(): void;
 };
 
@@ -78,20 +86,31 @@
 					: turnAway(target, forMs));
 			}
 		},
-		async applyCrashingPart(forMs) {
+		async applyCrashingPart(forMs, eventsBefore) {
 			const part = `crashing-${partCount++}`;
 			observations.crashingPart = part;
-			targets.setCrashingPart(part, (target) => {
+			const onCrash = (target: SoakTarget) => {
 				if (targets.active.includes(target)) {
 					observations.partCrashes.push({part, atMs: performance.now()});
 					void options.crash(target, crashedMs);
 				}
-			});
+			};
+
+			targets.setCrashingPart(part, onCrash, eventsBefore);
 			await sleep(forMs);
 			if (observations.crashingPart === part) {
 				observations.crashingPart = undefined;
 			}
 		},
+		async applyStreamFault(fault, selector, forMs) {
+			const engines = targets.active.filter(
+				({service}) => service === soakServices.engines,
+			);
+			const engine = engines.at(selector % engines.length);
+			engine?.setStreamFault(fault);
+			await sleep(forMs);
+			engine?.setStreamFault(undefined);
+		},
 		addOddEntries() {
 			for (const [index, address] of oddAddresses.entries()) {
 				const row = targetRow(soakServices.plain, address, 'ready', 500);
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -33,6 +33,9 @@
 	readonly observer: TargetObserver;
 };
 
+/** What is wrong with the streams of an engine: damaged bytes in some events, or small units without end. */
+export type StreamFault = 'damaged' | 'endless';
+
 /** Simulated engine that streams events, copies the KV cache of runs and continues runs from copies. */
 export type EngineStandin = TargetServer & {
 	/** Stores a copy of a run's KV cache. @returns false if the engine has crashed */
@@ -41,9 +44,16 @@
 	crash(): void;
 	/**
 	 * Sets the prompt part under which this engine ends.
-	 * @param onCrash - called in place of the first event of a run with the part
+	 * @param onCrash - called in place of the next event of a run with the part
+	 * @param eventsBefore - events that such a run sends before; 0 by default
 	 */
-	setCrashingPart(partId: string | undefined, onCrash: () => void): void;
+	setCrashingPart(
+		partId: string | undefined,
+		onCrash: () => void,
+		eventsBefore?: number,
+	): void;
+	/** Sets what is wrong with the engine's streams; undefined for nothing. */
+	setStreamFault(fault: StreamFault | undefined): void;
 	/** Makes the load reports state that the engine is draining. */
 	setLeaving(): void;
 };
@@ -70,6 +80,42 @@
 	return `id: ${id}\ndata: ${requestId} ${id}\n\n`;
 }
 
+/** One event in so many is damaged. */
+const damagedInterval = 7;
+/** Damages to the framing of an event: its id, its data field, its end. */
+const damages: ReadonlyArray<readonly [RegExp, string]> = [
+	[/^id/, 'i~'],
+	[/^id: \d/, 'id: 0'],
+	[/^data/m, ':ata'],
+	[/\n\n$/, '\n~'],
+	[/\n\n$/, '~\n'],
+];
+
+function damageEvent(text: string, event: number): string {
+	if (event % damagedInterval !== 0) {
+		return text;
+	}
+
+	const [pattern, replacement] =
+		damages[(event / damagedInterval) % damages.length];
+	return text.replace(pattern, replacement);
+}
+
+const smallUnits = ':\n\ndata:\n\n'.repeat(2000);
+
+/** Writes until the connection is closed. */
+function writeWithoutEnd(response: ServerResponse) {
+	const write = () => {
+		if (!response.destroyed && !response.writableNeedDrain) {
+			response.write(smallUnits);
+			setImmediate(write);
+		}
+	};
+
+	response.on('drain', write);
+	write();
+}
+
 /** Creates an idle engine. The caller makes the server listen. */
 export function createEngineStandin(
 	options: EngineStandinOptions,
@@ -90,6 +136,8 @@
 	let isLeaving = false;
 	let crashingPart: string | undefined;
 	let onCrashingPart: (() => void) | undefined;
+	let eventsBeforeCrash = 0;
+	let streamFault: StreamFault | undefined;
 
 	const hasCrashingPart = ({arrival: {request}}: Run) =>
 		request.generation?.promptParts.some(({id}) => id === crashingPart) ??
@@ -105,6 +153,17 @@
 		return run.firstEvent - 1 + producedEvents;
 	};
 
+	const writeEvent = ({id, response}: Run, event: number) => {
+		const text = eventText(id, event);
+		if (streamFault === 'endless') {
+			writeWithoutEnd(response);
+		} else {
+			response.write(
+				streamFault === 'damaged' ? damageEvent(text, event) : text,
+			);
+		}
+	};
+
 	const endRun = (run: Run, isFinished: boolean) => {
 		if (runs.get(run.id) === run) {
 			runs.delete(run.id);
@@ -115,7 +174,12 @@
 	const step = () => {
 		stepTimer = undefined;
 		const {durationMs, produced, finished} = simulation.step();
-		if (produced.some(({generation}) => hasCrashingPart(generation))) {
+		const crashes = produced.some(
+			({generation, producedTokens}) =>
+				hasCrashingPart(generation) &&
+				producedTokens > eventsBeforeCrash * tokensPerEvent,
+		);
+		if (crashes) {
 			onCrashingPart?.();
 			return;
 		}
@@ -124,7 +188,7 @@
 			if (producedTokens % tokensPerEvent === 0) {
 				const event =
 					generation.firstEvent - 1 + producedTokens / tokensPerEvent;
-				generation.response.write(eventText(generation.id, event));
+				writeEvent(generation, event);
 			}
 		}
 
@@ -274,9 +338,13 @@
 
 			server.resetConnections();
 		},
-		setCrashingPart(partId, onCrash) {
+		setCrashingPart(partId, onCrash, eventsBefore = 0) {
 			crashingPart = partId;
 			onCrashingPart = onCrash;
+			eventsBeforeCrash = eventsBefore;
+		},
+		setStreamFault(fault) {
+			streamFault = fault;
 		},
 		setLeaving() {
 			isLeaving = true;
