Share the bytes that targets may make a VM read in one turn of the event loop

Cause: each connection had 8 KB a turn, so that eight connections with small units took a turn of 30 ms or more, and a sound request beside them needs several turns.

Change: all connections share 4 KB a turn; each has 1 KB besides, so that small responses never wait for a flood.

--- a/src/adapters/targets/paced-reads.ts
+++ b/src/adapters/targets/paced-reads.ts
@@ -1,5 +1,11 @@
 import type {Socket} from 'node:net';
 
+/** Bytes that the readers of several sockets may get together in one turn of the event loop. */
+export type ReadBudget = {
+	/** @returns how many of the wanted bytes may be read now */
+	take(wantedBytes: number): number;
+};
+
 /** Controls how fast the bytes of a socket reach their reader. */
 export type PacedReads = {
 	/** Stops the delivery of bytes; the peer is slowed down once the buffers are full. */
@@ -8,19 +14,42 @@
 };
 
 /**
- * Bytes that a reader gets before other connections have their turn. Responses may consist of units of a few
- * bytes each, such as events, chunks or interim responses, and each unit takes time to parse.
+ * Bytes for all readers in one turn. Responses may consist of units of a few bytes each, such as events, chunks or
+ * interim responses, and each unit takes time to parse.
  */
-const maxBytesPerTurn = 8192;
+const maxSharedBytesPerTurn = 4096;
+/** Bytes that each reader gets besides, so that a flood does not hold up small responses. */
+const ownBytesPerTurn = 1024;
+
+/** Creates a budget for the sockets of a client. */
+export function createReadBudget(): ReadBudget {
+	let leftBytes = maxSharedBytesPerTurn;
+	let isTurnScheduled = false;
+	return {
+		take(wantedBytes) {
+			if (!isTurnScheduled) {
+				isTurnScheduled = true;
+				setImmediate(() => {
+					isTurnScheduled = false;
+					leftBytes = maxSharedBytesPerTurn;
+				});
+			}
+
+			const takenBytes = Math.min(wantedBytes, leftBytes);
+			leftBytes -= takenBytes;
+			return takenBytes;
+		},
+	};
+}
 
 /**
  * Limits the bytes that a reader gets from a socket in one turn of the event loop. The reader must use
  * `readable` events and `read()`, as undici does. Its own way of pausing is not used: undici fails an
  * assertion if the peer resets a connection whose parser is paused.
  */
-export function paceReads(socket: Socket): PacedReads {
+export function paceReads(socket: Socket, budget: ReadBudget): PacedReads {
 	const read = socket.read.bind(socket);
-	let leftBytes = maxBytesPerTurn;
+	let ownLeftBytes = ownBytesPerTurn;
 	let isPaused = false;
 	let isTurnScheduled = false;
 
@@ -35,12 +64,19 @@
 			isTurnScheduled = true;
 			setImmediate(() => {
 				isTurnScheduled = false;
-				leftBytes = maxBytesPerTurn;
+				ownLeftBytes = ownBytesPerTurn;
 				announceBytes();
 			});
 		}
 	};
 
+	/** Takes bytes from the reader's own share first, then from the budget. */
+	const take = (wantedBytes: number): number => {
+		const ownBytes = Math.min(wantedBytes, ownLeftBytes);
+		ownLeftBytes -= ownBytes;
+		return ownBytes + budget.take(wantedBytes - ownBytes);
+	};
+
 	socket.read = (sizeBytes?: number): unknown => {
 		const availableBytes = sizeBytes ?? socket.readableLength;
 		if (availableBytes === 0) {
@@ -49,13 +85,8 @@
 		}
 
 		scheduleTurn();
-		if (isPaused || leftBytes === 0) {
-			return null;
-		}
-
-		const chunk: unknown = read(Math.min(availableBytes, leftBytes));
-		leftBytes -= chunk instanceof Uint8Array ? chunk.length : 0;
-		return chunk;
+		const grantedBytes = isPaused ? 0 : take(availableBytes);
+		return grantedBytes === 0 ? null : read(grantedBytes);
 	};
 
 	return {
--- a/src/adapters/targets/reset-aware-client.ts
+++ b/src/adapters/targets/reset-aware-client.ts
@@ -2,10 +2,12 @@
 import type {Client as UndiciClient} from 'undici';
 import {ProblemError} from '../../common/index.js';
 import {buildConnector, Client} from '../http-client/index.js';
-import {paceReads, type PacedReads} from './paced-reads.js';
+import {paceReads, type PacedReads, type ReadBudget} from './paced-reads.js';
 
 export type ResetAwareClientOptions = {
 	readonly connectTimeoutMs: number;
+	/** What the connections of all clients may read in one turn. */
+	readonly readBudget: ReadBudget;
 	/** Time after which an idle connection is closed, in milliseconds. */
 	readonly idleTimeoutMs: number;
 	/**
@@ -103,7 +105,7 @@
 					checkResponseSize(socket);
 				});
 				currentSocket = socket;
-				currentReads = paceReads(socket);
+				currentReads = paceReads(socket, options.readBudget);
 				bytesReadBefore = 0;
 				callback(null, socket);
 			});
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -17,6 +17,7 @@
 import {Pool} from '../adapters/http-client/index.js';
 import {
 	createPieceCollector,
+	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
 import {decodeResponseHead} from './response-head.js';
@@ -104,6 +105,7 @@
 export class HttpTargetClient extends TargetClient {
 	override readonly extraEventFields = extraEventFields;
 	private readonly pools = new Map<string, UndiciPool>();
+	private readonly readBudget = createReadBudget();
 	/** Dispatch options of the requests whose connection was reset. */
 	private readonly resetRequests = new WeakSet();
 	/** Dispatch options of the requests whose connection was ended from outside, by a reset or not. */
@@ -372,6 +374,7 @@
 				factory: (origin) =>
 					createResetAwareClient(origin, {
 						connectTimeoutMs,
+						readBudget: this.readBudget,
 						idleTimeoutMs,
 						onConnectionEnd: (request, wasReset) => {
 							this.endedRequests.add(request);
