--- a/src/decisions/serving/event-decoder.ts
+++ b/src/decisions/serving/event-decoder.ts
@@ -74,7 +74,7 @@
 
 			const {name, value} = splitField(line);
 			if (name === '') {
-				return hasFields ? `a comment among its fields` : undefined;
+				return hasFields ? 'a comment among its fields' : undefined;
 			}
 
 			hasFields = true;
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -4,6 +4,11 @@
 	type SimulatedGeneration,
 } from '../../standins/engine/engine-simulation.js';
 import {targetPaths} from '../wire-names.js';
+import {
+	damageEvent,
+	type StreamFault,
+	writeWithoutEnd,
+} from './stream-fault.js';
 import {
 	beginResponse,
 	createTargetServer,
@@ -33,9 +38,6 @@
 	readonly observer: TargetObserver;
 };
 
-/** What is wrong with the streams of an engine: damaged bytes in some events, or small units without end. */
-export type StreamFault = 'damaged' | 'endless';
-
 /** Simulated engine that streams events, copies the KV cache of runs and continues runs from copies. */
 export type EngineStandin = TargetServer & {
 	/** Stores a copy of a run's KV cache. @returns false if the engine has crashed */
@@ -80,42 +82,6 @@
 	return `id: ${id}\ndata: ${requestId} ${id}\n\n`;
 }
 
-/** One event in so many is damaged. */
-const damagedInterval = 7;
-/** Damages to the framing of an event: its id, its data field, its end. */
-const damages: ReadonlyArray<readonly [RegExp, string]> = [
-	[/^id/, 'i~'],
-	[/^id: \d/, 'id: 0'],
-	[/^data/m, ':ata'],
-	[/\n\n$/, '\n~'],
-	[/\n\n$/, '~\n'],
-];
-
-function damageEvent(text: string, event: number): string {
-	if (event % damagedInterval !== 0) {
-		return text;
-	}
-
-	const [pattern, replacement] =
-		damages[(event / damagedInterval) % damages.length];
-	return text.replace(pattern, replacement);
-}
-
-const smallUnits = ':\n\ndata:\n\n'.repeat(2000);
-
-/** Writes until the connection is closed. */
-function writeWithoutEnd(response: ServerResponse) {
-	const write = () => {
-		if (!response.destroyed && !response.writableNeedDrain) {
-			response.write(smallUnits);
-			setImmediate(write);
-		}
-	};
-
-	response.on('drain', write);
-	write();
-}
-
 /** Creates an idle engine. The caller makes the server listen. */
 export function createEngineStandin(
 	options: EngineStandinOptions,
--- a/src/platform/testing/index.ts
+++ b/src/platform/testing/index.ts
@@ -1,5 +1,6 @@
 export * from './boot-file.js';
 export * from './engine-standin.js';
+export type {StreamFault} from './stream-fault.js';
 export * from './store-rows.js';
 export * from './reset-socket.js';
 export * from './service-standin.js';
--- a/src/programs/front/testing/crashing-engines.ts
+++ b/src/programs/front/testing/crashing-engines.ts
@@ -46,9 +46,8 @@
 		setTimeout(resolve, delayMs);
 	});
 
-const eventOf = (id: number) => chunkOf(`id: ${id}\ndata: token\n\n`);
-
 const chunkOf = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const eventOf = (id: number) => chunkOf(`id: ${id}\ndata: token\n\n`);
 
 /** Starts the engines and registers them in the store. */
 export async function startCrashingEngines(
