--- a/src/experiments/fault-soak/fault-injector.ts
+++ b/src/experiments/fault-soak/fault-injector.ts
@@ -166,9 +166,13 @@
 			}
 
 			case 'stop-twice': {
+				const {pid} = vm.process;
 				const signalAgain = async () => {
 					await sleep(secondSignalDelayMs);
-					vm.process.signal('SIGTERM');
+					// Another step may have ended and restarted the daemon meanwhile.
+					if (vm.process.pid === pid) {
+						vm.process.signal('SIGTERM');
+					}
 				};
 
 				await Promise.all([endAndRestart(vm, 'SIGTERM', forMs), signalAgain()]);
