Let the test of a caller that does not read send well-formed events again

Cause: its events had no ids, and are refused as malformed since events are decoded strictly, so that the connection closed for another reason than the one that the test guards.

Change: the events have successive ids, more of them than the daemon reads. The checks are the same.

--- a/src/programs/front/endless-answers.test.ts
+++ b/src/programs/front/endless-answers.test.ts
@@ -170,7 +170,8 @@
 test('closes the connection of a caller that does not read its stream, before the buffered events fill the memory', async (context) => {
 	let sentBytes = 0;
 	let isClosed = false;
-	const event = chunk(`id: 1\ndata: ${'x'.repeat(1000)}\n\n`);
+	const eventOf = (id: number) =>
+		chunk(`id: ${id}\ndata: ${'x'.repeat(1000)}\n\n`);
 	const {store, front, entry, isReady} = await startFixture(
 		context,
 		(request, socket) => {
@@ -189,8 +190,10 @@
 					'Transfer-Encoding: chunked',
 				),
 			);
-			// An event without an id counts as new, so that each one is forwarded.
-			const block = event.replace('id: 1', 'xx: 1').repeat(50);
+			// Successive ids, so that each event is forwarded; the block holds more than the daemon reads.
+			const block = Array.from({length: 15_000}, (_, index) =>
+				eventOf(index + 1),
+			).join('');
 			writeFlood(socket, {head: () => '', block}, (bytes) => {
 				sentBytes += bytes;
 			});
