--- /dev/null
+++ b/src/decisions/target-eligibility/index.ts
@@ -0,0 +1,5 @@
+export {
+	createEvacuatedZones,
+	type EvacuatedZones,
+	type ZoneEvacuationChange,
+} from './evacuated-zones.js';
