--- a/src/adapters/front/peer-tables-client.test.ts
+++ b/src/adapters/front/peer-tables-client.test.ts
@@ -56,6 +56,7 @@
 		configurationVersion: 9,
 		targets: [],
 		targetsVersion: 7,
+		evacuations: {version: 6, zones: ['zone-1']},
 	};
 	const server = createPeerTablesServer(() => tables);
 	await new Promise<void>((resolve) => {
--- a/src/decisions/serving/relayed-configuration.ts
+++ b/src/decisions/serving/relayed-configuration.ts
@@ -1,9 +1,12 @@
 import * as z from 'zod';
+import {evacuationListSchema} from './relayed-evacuations.js';
+import type {EvacuationList} from './zone-evacuations.js';
 
 const configurationSchema = z.object({
 	after: z.number(),
 	version: z.number(),
 	packed: z.string(),
+	evacuations: evacuationListSchema.optional(),
 });
 
 /**
@@ -17,6 +20,11 @@
 	readonly version: number;
 	/** Compressed text of the row. */
 	readonly packed: string;
+	/**
+	 * The evacuated zones, which are in the same table: a receiver that counts the changes up to `version` as
+	 * known must have these too. Undefined from a VM that does not read them.
+	 */
+	readonly evacuations: EvacuationList | undefined;
 };
 
 /** Larger rows are read from the store, since a datagram with many fragments is often lost. */
@@ -26,9 +34,9 @@
 export function encodeRelayedConfiguration(
 	change: RelayedConfiguration,
 ): string | undefined {
-	const {afterVersion: after, version, packed} = change;
+	const {afterVersion: after, version, packed, evacuations} = change;
 	return packed.length <= maxPackedLength
-		? JSON.stringify({after, version, packed})
+		? JSON.stringify({after, version, packed, evacuations})
 		: undefined;
 }
 
@@ -42,6 +50,7 @@
 				afterVersion: data.after,
 				version: data.version,
 				packed: data.packed,
+				evacuations: data.evacuations,
 			}
 		: undefined;
 }
--- a/src/decisions/serving/relayed-tables.test.ts
+++ b/src/decisions/serving/relayed-tables.test.ts
@@ -32,6 +32,7 @@
 		configurationVersion: 9,
 		targets: [{targetId: 't1', version: 7, entry: fakeTargetEntry('t1')}],
 		targetsVersion: 7,
+		evacuations: {version: 6, zones: ['zone-1']},
 	};
 	const text = JSON.stringify(encodeRelayedTables(tables));
 	const received: unknown = JSON.parse(text);
--- a/src/decisions/serving/relayed-tables.ts
+++ b/src/decisions/serving/relayed-tables.ts
@@ -1,11 +1,13 @@
 import * as z from 'zod';
 import {ProblemError} from '../../common/index.js';
+import {evacuationListSchema} from './relayed-evacuations.js';
 import {
 	decodeRelayedRow,
 	encodeRelayedRow,
 	type RelayedRow,
 	relayedRowSchema,
 } from './relayed-rows.js';
+import type {EvacuationList} from './zone-evacuations.js';
 
 /** The tables that a VM has read from the store, for a peer that can't reach it. */
 export type RelayedTables = {
@@ -16,6 +18,8 @@
 	readonly targets: readonly RelayedRow[];
 	/** Version of the targets table. */
 	readonly targetsVersion: number;
+	/** Undefined from a VM that does not read evacuations. */
+	readonly evacuations: EvacuationList | undefined;
 };
 
 const tablesSchema = z.object({
@@ -23,6 +27,7 @@
 	configurationVersion: z.number(),
 	targets: z.array(relayedRowSchema),
 	targetsVersion: z.number(),
+	evacuations: evacuationListSchema.optional(),
 });
 
 /** Encodes tables for transmission. */
@@ -45,7 +50,11 @@
 		);
 	}
 
-	return {...data, targets: data.targets.map((row) => decodeRelayedRow(row))};
+	return {
+		...data,
+		evacuations: data.evacuations,
+		targets: data.targets.map((row) => decodeRelayedRow(row)),
+	};
 }
 
 /** State by which `shouldReadFromPeer` decides. */
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -4,6 +4,7 @@
 export * from './fake-order-target.js';
 export * from './fake-plain-service.js';
 export * from './fake-process.js';
+export * from './fake-row-store.js';
 export * from './known-failure.js';
 export * from './fake-stream-engine.js';
 export * from './fake-table-service.js';
--- a/src/experiments/fuzz/decoder-properties.ts
+++ b/src/experiments/fuzz/decoder-properties.ts
@@ -4,6 +4,7 @@
 import {decodeFleetMessage} from '../../decisions/fleet/index.js';
 import {
 	createEventSplitter,
+	decodeRelayedEvacuations,
 	decodeRelayedRows,
 	decodeRelayedTables,
 } from '../../decisions/serving/index.js';
@@ -88,6 +89,11 @@
 		decodeTargetEntry('t', text),
 	),
 	toleratesInput('message between VMs', fc.jsonValue(), decodeFleetMessage),
+	toleratesInput(
+		'relayed evacuations',
+		fc.jsonValue(),
+		decodeRelayedEvacuations,
+	),
 	toleratesInput('relayed rows', fc.jsonValue(), decodeRelayedRows),
 	toleratesInput('relayed tables', fc.jsonValue(), decodeRelayedTables),
 	toleratesInput('request head', headerPairs, (headers) =>
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,5 +1,6 @@
 export * from './boot-file.js';
 export * from './configuration.js';
+export * from './evacuation-row.js';
 export * from './http-target-client.js';
 export * from './wire-names.js';
 export * from './request-headers.js';
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -65,10 +65,12 @@
 /** Path of the readiness check. */
 export const readyPath = '/-/readyz';
 
-/** Names of the operator's and the targets' tables, and key of the configuration row in the former. */
+/** Names of the operator's and the targets' tables, and keys of rows in the former. */
 export const tableNames = {
 	operator: 'op',
 	configurationKey: 'config',
+	/** Followed by the availability zone to evacuate. */
+	evacuationKeyPrefix: 'evacuate/',
 	targets: 'servers',
 } as const;
 
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -36,6 +36,10 @@
 	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import {
+	createEvacuatedZones,
+	type EvacuatedZones,
+} from '../../decisions/target-eligibility/index.js';
 import {
 	createTargetStatements,
 	type TargetStatements,
@@ -46,7 +50,7 @@
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
 import {createTableRecovery} from './table-recovery.js';
-import {watchStore} from './store-watch.js';
+import {startStoreWatch} from './start-store-watch.js';
 import type {StoreWatch} from './store-watch-types.js';
 
 export type DeploymentStateOptions = {
@@ -78,6 +82,7 @@
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
+	readonly evacuatedZones: EvacuatedZones;
 	/** Largest number of VMs that may be serving, this one included. */
 	vmCount(): number;
 	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
@@ -125,6 +130,10 @@
 		timeoutMs: settings.storeTimeoutMs,
 	});
 	const configuration = createConfigurationState();
+	const evacuatedZones = owned.add(createEvacuatedZones());
+	evacuatedZones.onChanged(({availabilityZone, change}) => {
+		logger.info(`zone evacuation ${change}`, {zone: availabilityZone});
+	});
 	const directory = createTargetDirectory({
 		clock,
 		lapseGraceMs,
@@ -197,6 +206,9 @@
 			onPeerConfiguration(change) {
 				late.storeWatch?.applyPeerConfiguration(change);
 			},
+			onPeerEvacuations(list) {
+				late.storeWatch?.applyPeerEvacuations(list);
+			},
 			logger,
 		}),
 	);
@@ -241,35 +253,18 @@
 			fleetExchange.retryClient.request(service, onAnswer),
 	});
 	const storeWatch = owned.add(
-		watchStore({
+		startStoreWatch({
 			store,
 			clock,
 			timers,
 			random,
 			waitMs,
 			maxAgeMs: () => options.bounds().drainMs * maxAgeFraction,
-			isStoreReader: (readState) =>
-				fleetExchange.members.isStoreReader(readState),
-			haveReadersLostStore: (readState) =>
-				fleetExchange.members.haveReadersLostStore(readState),
-			onStoreLost() {
-				fleetExchange.announceStoreLost();
-			},
-			onTargetRows(changes) {
-				if (storeWatch.readState === 'reading') {
-					fleetExchange.relay.broadcastRows(changes);
-				}
-			},
+			fleetExchange,
 			onTableRead: options.onTableRead,
-			onConfigurationChange(change) {
-				if (change && storeWatch.readState === 'reading') {
-					fleetExchange.relay.broadcastConfiguration(change);
-				}
-
-				fleetExchange.broadcastSyncState();
-			},
 			configuration,
 			directory,
+			evacuatedZones,
 			logger,
 		}),
 	);
@@ -289,6 +284,7 @@
 		callTargets,
 		requestContinuationTurn,
 		storeWatch,
+		evacuatedZones,
 		resumedMs: () => fleetExchange.resumedMs(),
 		dispose() {
 			owned.dispose();
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -18,7 +18,10 @@
 import type {CrashEvidence} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
-import type {RelayedRows} from '../../decisions/serving/index.js';
+import type {
+	EvacuationList,
+	RelayedRows,
+} from '../../decisions/serving/index.js';
 import type {PeerSyncStateListener} from './membership-protocol.js';
 import type {RunReporter} from './run-reporter.js';
 import type {ConfigurationChange} from './store-watch-types.js';
@@ -54,6 +57,8 @@
 	readonly onPeerRows: (changes: RelayedRows) => void;
 	/** Called with a configuration that another VM has read from the store. */
 	readonly onPeerConfiguration: (change: ConfigurationChange) => void;
+	/** Called with the evacuated zones that another VM has read from the store. */
+	readonly onPeerEvacuations: (list: EvacuationList) => void;
 	readonly logger: Logger;
 };
 
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -12,12 +12,14 @@
 } from '../../decisions/fleet/index.js';
 import type {
 	ConfigurationState,
+	EvacuationList,
 	ReadReason,
 	RelayedConfiguration,
 	RelayedRows,
 	RelayedTables,
 	TargetDirectory,
 } from '../../decisions/serving/index.js';
+import type {EvacuatedZones} from '../../decisions/target-eligibility/index.js';
 
 export type StoreWatchOptions = {
 	/** The platform's table store. */
@@ -51,10 +53,14 @@
 	readonly onConfigurationChange: (
 		change: ConfigurationChange | undefined,
 	) => void;
+	/** Called when the evacuated zones have changed by a read of this VM, before `onConfigurationChange`. */
+	readonly onEvacuationsChange: (list: EvacuationList) => void;
 	/** Called after each read of a table from the store. */
 	readonly onTableRead: (table: string, reason: ReadReason) => void;
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
+	/** Filled with the evacuated zones. */
+	readonly evacuatedZones: EvacuatedZones;
 	readonly logger: Logger;
 };
 
@@ -85,14 +91,16 @@
 	/** Newest content of both tables, for peers that cannot read them; undefined while one is missing. */
 	tables(): RelayedTables | undefined;
 	/**
-	 * Applies the configuration of a peer unless this VM has a newer one, and its targets if this VM
-	 * also cannot read that table.
+	 * Applies the configuration and the evacuated zones of a peer unless this VM has newer ones, and its
+	 * targets if this VM also cannot read that table.
 	 */
 	applyPeerTables(tables: RelayedTables): void;
 	/** Applies changes of the targets that a peer has read; reads the table if earlier ones are missing. */
 	applyPeerRows(changes: RelayedRows): void;
 	/** Applies a configuration that a peer has read; reads the table if earlier changes are missing. */
 	applyPeerConfiguration(change: ConfigurationChange): void;
+	/** Applies the evacuated zones that a peer has read, unless this VM has newer ones. */
+	applyPeerEvacuations(list: EvacuationList): void;
 	/**
 	 * Reads the operator's table soon.
 	 * @param respondedMs - monotonic time at which the store reported a newer version to another VM
