--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -149,10 +149,10 @@
 			timers,
 			isFresh: () =>
 				storeWatch.isStoreLost ||
-				storeWatch.targetsSync.ageMs <= clock.nowMs() - deployment.resumedMs(),
-			onConfirmed: storeWatch.targetsSync.onConfirmed,
+				storeWatch.confirmedAgeMs <= clock.nowMs() - deployment.resumedMs(),
+			onConfirmed: storeWatch.onConfirmed,
 			refresh() {
-				storeWatch.refreshTargets();
+				storeWatch.refreshAll();
 			},
 		}),
 		isConfigurationCurrent: () =>
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -2,6 +2,7 @@
 import type {
 	Clock,
 	Disposable,
+	Event,
 	RandomSource,
 	RowStore,
 	Timers,
@@ -86,6 +87,13 @@
 	 * milliseconds; Infinity if none is lost.
 	 */
 	readonly lastAttemptMs: number;
+	/**
+	 * Time since the state of both tables was confirmed, in milliseconds; Infinity before both were. After a
+	 * pause of this VM, requests wait until it is shorter than the time since the pause.
+	 */
+	readonly confirmedAgeMs: number;
+	/** Fires when the state of a table is confirmed. */
+	readonly onConfirmed: Event<void>;
 	readonly configurationSync: TableSyncTracker;
 	readonly targetsSync: TableSyncTracker;
 	/** Newest content of both tables, for peers that cannot read them; undefined while one is missing. */
@@ -106,12 +114,10 @@
 	 * @param respondedMs - monotonic time at which the store reported a newer version to another VM
 	 */
 	refreshConfiguration(respondedMs: number): void;
-	/**
-	 * Reads the targets' table soon.
-	 * @param respondedMs - monotonic time at which the store reported a newer version to another VM;
-	 * omitted if none did
-	 */
-	refreshTargets(respondedMs?: number): void;
+	/** Reads the targets' table soon, as `refreshConfiguration` does for the operator's. */
+	refreshTargets(respondedMs: number): void;
+	/** Reads both tables soon to confirm their state. */
+	refreshAll(): void;
 };
 
 /** A change of the configuration, as an uncompressed text. */
--- a/src/programs/front/store-watch.test.ts
+++ b/src/programs/front/store-watch.test.ts
@@ -183,3 +183,22 @@
 	await time.runUntil(1600);
 	assert.equal(started.watch.isLoaded, true);
 });
+
+test('after a pause, requests wait for the operator table too, so that a zone evacuated meanwhile gets none', async () => {
+	const {time, content, follower} = await startPair(() => true);
+	// The targets alone are confirmed after the pause.
+	await time.runUntil(1500);
+	const resumedMs = 1000;
+	follower.watch.targetsSync.recordRead(1, 1);
+	assert.ok(follower.watch.confirmedAgeMs > time.nowMs() - resumedMs);
+	let confirmations = 0;
+	follower.watch.onConfirmed(() => {
+		confirmations++;
+	});
+	content.put('op', 'evacuate/zone-2', {});
+	follower.watch.refreshAll();
+	await time.runUntil(1700);
+	assert.ok(confirmations > 0);
+	assert.ok(follower.watch.confirmedAgeMs <= time.nowMs() - resumedMs);
+	assert.deepEqual(follower.evacuatedZones.zones, ['zone-2']);
+});
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -1,3 +1,4 @@
+import {createEmitter} from '../../common/index.js';
 import {
 	createTableStatuses,
 	isAnyTableLost,
@@ -18,6 +19,10 @@
 	};
 	const operator = watchOperatorTable(tableOptions);
 	const targets = watchTargetsTable(tableOptions);
+	const confirmed = createEmitter<void>();
+	for (const {sync} of [operator, targets]) {
+		sync.onConfirmed(confirmed.fire);
+	}
 
 	return {
 		get isLoaded() {
@@ -46,6 +51,10 @@
 				: options.maxAgeMs();
 			return statuses.targets === 'read' && targets.sync.ageMs <= limitMs;
 		},
+		get confirmedAgeMs() {
+			return Math.max(operator.sync.ageMs, targets.sync.ageMs);
+		},
+		onConfirmed: confirmed.event,
 		configurationSync: operator.sync,
 		targetsSync: targets.sync,
 		tables() {
@@ -76,12 +85,17 @@
 		refreshConfiguration(respondedMs) {
 			operator.refresh(respondedMs);
 		},
-		refreshTargets(respondedMs = -Infinity) {
+		refreshTargets(respondedMs) {
 			targets.refresh(respondedMs);
 		},
+		refreshAll() {
+			operator.refresh(-Infinity);
+			targets.refresh(-Infinity);
+		},
 		dispose() {
 			operator.dispose();
 			targets.dispose();
+			confirmed.dispose();
 		},
 	};
 }
