--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,12 +1,5 @@
-import {
-	misdirectedStatus,
-	type ResponseHead,
-	type KvCacheCopy,
-	type SendFailure,
-} from '../../common/index.js';
+import type {KvCacheCopy} from '../../common/index.js';
 import {createEngineSearch} from './engine-search.js';
-import type {StreamEvent} from './event-decoder.js';
-import {promisesNotRun} from './refusals.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import {createStreamResponse} from './stream-answer.js';
@@ -17,6 +10,8 @@
 import {createStallDetector} from './stall-detector.js';
 import {createContinuationRetries} from './continuation-retries.js';
 import {createStreamCopies} from './stream-copies.js';
+import {createStreamDelivery} from './stream-delivery.js';
+import {createStreamFailures} from './stream-failures.js';
 import type {
 	StreamPlacement,
 	StreamSession,
@@ -139,7 +134,7 @@
 				reason,
 			},
 			options,
-			{onEvents, onEnd, onOtherResponse, onFailure},
+			{...delivery, ...failures},
 		);
 		send = attempt;
 		attempt.start();
@@ -167,7 +162,7 @@
 		copies,
 		isCurrent: (attempt) => send === attempt,
 		onGranted(attempt, failure) {
-			onFailure(attempt, failure, true);
+			failures.onFailure(attempt, failure, true);
 		},
 	});
 
@@ -177,167 +172,43 @@
 			? latePriority
 			: admitted.priority;
 
-	const onEvents = (
-		current: StreamAttempt,
-		events: readonly StreamEvent[],
-		head: ResponseHead,
-	) => {
-		const nowMs = clock.nowMs();
+	const recordMayHaveRun = () => {
 		mayHaveRunEarlier = true;
-		stallDetector.progressed();
-		const countBefore = response.eventCount;
-		const gapBefore = response.forward(events, head, nowMs);
-		if (response.eventCount > countBefore) {
-			current.tracker.progressed(response.eventCount);
-			options.onProgress(
-				request,
-				countBefore - current.eventCountBefore,
-				response.eventCount - current.eventCountBefore,
-			);
-			if (countBefore === 0) {
-				const {target} = current.placement;
-				options.onSendResult(target, true, nowMs - current.startedMs);
-			}
-		}
-
-		if (gapBefore) {
-			onFailure(current, {
-				unsent: false,
-				connectionEnded: false,
-				reason: `event ${gapBefore.id} follows event ${response.lastEventId}`,
-				defect: 'malformed',
-			});
-		} else if (callerResponse.isCongested) {
-			current.pause();
-		}
 	};
 
+	const failures = createStreamFailures({
+		admitted,
+		callerResponse,
+		session: options,
+		response,
+		avoid,
+		completion,
+		stallDetector,
+		engineSearch,
+		continuation,
+		lostRunRecovery,
+		closeSend,
+		recordMayHaveRun,
+		giveUp,
+	});
+	const delivery = createStreamDelivery({
+		admitted,
+		callerResponse,
+		session: options,
+		response,
+		completion,
+		stallDetector,
+		copies,
+		recordMayHaveRun,
+		onFailure: failures.onFailure,
+	});
+
 	/** The caller takes bytes again; until then its run counts neither as stalled nor as silent. */
 	const callerSubscription = callerResponse.onDrained(() => {
 		stallDetector.progressed();
 		send?.resume();
 	});
 
-	/** @param isGranted - true if the retry budget has already been charged for continuing the run */
-	const onFailure = (
-		current: StreamAttempt,
-		failure: SendFailure,
-		isGranted = false,
-	) => {
-		if (current.isOver || completion.isDone) {
-			return;
-		}
-
-		const {target} = current.placement;
-		log('stream attempt failed', {
-			request: request.id,
-			target: target.id,
-			unsent: failure.unsent,
-			connectionEnded: failure.connectionEnded,
-			reason: failure.reason,
-			status: current.failedStatus,
-			events: response.eventCount,
-			silentMs: Math.round(stallDetector.silentMs),
-			defect: failure.defect,
-		});
-		if (failure.defect) {
-			options.onDefectiveResponse(target, failure.defect);
-		}
-
-		options.onSendResult(target, false, clock.nowMs() - current.startedMs);
-		avoid.add(target.id);
-		closeSend();
-		if (failure.unsent) {
-			if (!failure.withheld) {
-				options.onUnreachable(target);
-			}
-
-			if (current.isContinuation) {
-				continuation.start('copy unreachable', () => {
-					giveUp('the copy of the run is lost');
-				});
-			} else {
-				engineSearch.start('target unreachable', false);
-			}
-
-			return;
-		}
-
-		mayHaveRunEarlier = true;
-		lostRunRecovery.recover(current, failure, isGranted);
-	};
-
-	const onEnd = (
-		current: StreamAttempt,
-		head: ResponseHead,
-		lastEventId: number,
-	) => {
-		if (lastEventId < (response.lastEventId ?? 0)) {
-			onFailure(current, {
-				unsent: false,
-				connectionEnded: false,
-				reason: `ended at event ${lastEventId} of ${response.lastEventId}`,
-				defect: 'malformed',
-			});
-			return;
-		}
-
-		options.onFinished(admitted, response.eventCount);
-		copies.releaseCopies(current);
-		completion.endStream(head.status);
-	};
-
-	const onOtherResponse = (
-		current: StreamAttempt,
-		head: ResponseHead,
-		body: Uint8Array,
-	) => {
-		const {target} = current.placement;
-		const isRefused = head.notExecuted || head.status === misdirectedStatus;
-		options.onSendResult(target, isRefused, clock.nowMs() - current.startedMs);
-		avoid.add(target.id);
-		log('stream not served', {
-			request: request.id,
-			target: target.id,
-			status: head.status,
-			notExecuted: isRefused,
-			continuesAt: current.isContinuation ? response.lastEventId : undefined,
-		});
-		closeSend();
-		if (head.status === misdirectedStatus) {
-			options.onMisdirected(target);
-		}
-
-		if (isRefused && !current.isContinuation) {
-			engineSearch.start('engine refused', true);
-			return;
-		}
-
-		const endHere = () => {
-			endWithoutContinuation(head, body);
-		};
-
-		if (isRefused) {
-			continuation.start('copy refused', endHere);
-		} else {
-			endHere();
-		}
-	};
-
-	const endWithoutContinuation = (head: ResponseHead, body: Uint8Array) => {
-		mayHaveRunEarlier = true;
-		if (
-			callerResponse.isHeadSent ||
-			!head.isFromTarget ||
-			promisesNotRun(head.status)
-		) {
-			giveUp('the run could not be continued');
-			return;
-		}
-
-		completion.sendResponse(head, body, 'target failed');
-	};
-
 	const handleTimeout = () => {
 		if (mayHaveRun()) {
 			completion.sendTimeout();
