--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -36,6 +36,7 @@
 	objectiveMs: 1800,
 	remainingMs: 38_990,
 	priority: 0,
+	isPrecaution: true,
 } as const;
 
 const messages: readonly FleetMessage[] = [
@@ -132,6 +133,16 @@
 	});
 }
 
+test('decodes a placement request of an older build, which does not name precautions', () => {
+	const text = encodeFleetMessage({kind: 'place', request});
+	const [kind, fields] = JSON.parse(text) as [string, unknown[]];
+	const decoded = decodeFleetMessage([kind, fields.slice(0, -1)]);
+	assert.deepEqual(decoded, {
+		kind: 'place',
+		request: {...request, isPrecaution: false},
+	});
+});
+
 test('rejects malformed messages with peer-protocol, so that a datagram cannot crash a VM', () => {
 	fc.assert(
 		fc.property(
--- a/src/decisions/fleet/placement-messages.ts
+++ b/src/decisions/fleet/placement-messages.ts
@@ -42,6 +42,7 @@
 	Math.round(request.objectiveMs),
 	Math.round(request.remainingMs),
 	request.priority,
+	request.isPrecaution ? 1 : 0,
 ];
 
 export function decodeRequest(fields: FieldReader): PlacementRequest {
@@ -59,6 +60,7 @@
 		objectiveMs: fields.number(),
 		remainingMs: fields.number(),
 		priority: fields.number(),
+		isPrecaution: fields.numberOr(0) !== 0,
 	};
 }
 
--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -166,6 +166,20 @@
 	assert.equal(copy('c2'), 'refused');
 });
 
+test('a copy made as a precaution takes no more than the free memory of an engine, unlike one of a leaving engine', () => {
+	const copyTo = (isPrecaution: boolean) => {
+		const {place} = start([engine('e1', {capacityTokens: 20_000})]);
+		const request = {purpose: 'copy', expectedTokens: 500} as const;
+		for (let index = 0; index < 5; index++) {
+			place(longRequest(`c${index}`, {...request, isPrecaution: true}));
+		}
+
+		return targetOf(place(longRequest('c9', {...request, isPrecaution})));
+	};
+
+	assert.deepEqual([copyTo(true), copyTo(false)], ['refused', 'e1']);
+});
+
 test('gives long runs a copy from the start while there is memory to spare', () => {
 	const {place} = start(
 		['e1', 'e2', 'e3'].map((id) => engine(id, {capacityTokens: 21_000})),
--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -48,7 +48,7 @@
 		targetId: string,
 	): string | undefined;
 	/**
-	 * Chooses the engine that holds the copy of a run whose engine is leaving.
+	 * Chooses the engine that holds the copy of a run whose engine is leaving, or may be lost.
 	 * @returns undefined if none has room
 	 */
 	chooseEvacuationEngine(
@@ -88,6 +88,11 @@
  * preemption is no worse than losing the run.
  */
 const evacuationMemoryFraction = 1.2;
+/**
+ * Fraction of an engine's memory that the peak may reach with the copy of a run that goes on where it is, for
+ * which no other run may be preempted.
+ */
+const precautionMemoryFraction = 1;
 /**
  * Fraction of the memory of all engines up to which generations are started. The rest is kept free since
  * engines leave at any time.
@@ -254,7 +259,9 @@
 			chooseEngine(
 				notExcluded(request),
 				request,
-				evacuationMemoryFraction,
+				request.isPrecaution
+					? precautionMemoryFraction
+					: evacuationMemoryFraction,
 				random,
 			),
 		remainingWaitMs,
--- a/src/decisions/scheduling/types.ts
+++ b/src/decisions/scheduling/types.ts
@@ -41,6 +41,8 @@
 	readonly remainingMs: number;
 	/** Engine priority; 0 is the most urgent. */
 	readonly priority: number;
+	/** True for a copy of a run whose engine is not certain to be lost; it gets free memory only. */
+	readonly isPrecaution: boolean;
 };
 
 /** Engine that was chosen for a generation. */
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -8,6 +8,10 @@
 } from '../../experiments/fakes/index.js';
 import {createOutlierDetector} from '../retries/index.js';
 import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
+import {
+	createEvacuatedZones,
+	createTargetEligibility,
+} from '../target-eligibility/index.js';
 import {createTargetStatements} from '../target-statements/index.js';
 import {createCallTargetSearch} from './call-target-search.js';
 import {createServiceStandings} from './service-standings.js';
@@ -30,6 +34,8 @@
 		clock: time,
 		lastResortMs: () => 1000,
 	});
+	const evacuatedZones = createEvacuatedZones();
+	const eligibility = createTargetEligibility({statements, evacuatedZones});
 	await time.runUntil(1);
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
 		directory.set(id, fakeTargetEntry(id), 1);
@@ -63,8 +69,8 @@
 				// No target fails in these tests.
 			},
 		}),
-		statements,
-		standings: createServiceStandings({directory, statements, random}),
+		eligibility,
+		standings: createServiceStandings({directory, eligibility, random}),
 		requestPermit(request, onDecision) {
 			permitRequests.push(request);
 			onDecision(decide(request), 'vm-1');
@@ -87,7 +93,15 @@
 				},
 			},
 		);
-	return {time, directory, statements, permitRequests, outcomes, find};
+	return {
+		time,
+		directory,
+		statements,
+		evacuatedZones,
+		permitRequests,
+		outcomes,
+		find,
+	};
 }
 
 const grant =
@@ -246,3 +260,18 @@
 	await time.runUntil(200);
 	assert.deepEqual(outcomes, ['no target of the service is usable, undefined']);
 });
+
+test('a target in an evacuated zone gets no call, also not with a turn that was granted before', async () => {
+	const limits = {t1: 4};
+	const {time, evacuatedZones, find, outcomes} = await start(limits, grant(80));
+	find();
+	evacuatedZones.replace(['zone-1']);
+	await time.runUntil(500);
+	assert.deepEqual(outcomes, ['all targets are evacuated, undefined']);
+	find();
+	assert.equal(outcomes.length, 2);
+	evacuatedZones.replace([]);
+	find();
+	await time.runUntil(1000);
+	assert.match(outcomes.at(-1) ?? '', /^t1 after/);
+});
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -12,7 +12,8 @@
 	PermitDecision,
 	PermitRequest,
 } from '../rate-limits/index.js';
-import type {TargetStatements, TargetUse} from '../target-statements/index.js';
+import type {TargetEligibility} from '../target-eligibility/index.js';
+import type {TargetUse} from '../target-statements/index.js';
 import {chooseServiceTarget} from './service-placement.js';
 import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
@@ -72,7 +73,7 @@
 	readonly random: RandomSource;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
-	readonly statements: Pick<TargetStatements, 'standingOf'>;
+	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
 	readonly standings: ServiceStandings;
 	readonly requestPermit: (
 		request: PermitRequest,
@@ -96,7 +97,7 @@
 	options: CallTargetSearchOptions,
 ): CallTargetSearch {
 	const {clock, timers, random, directory, detector} = options;
-	const {statements, standings} = options;
+	const {eligibility, standings} = options;
 	const openCalls = new Map<string, number>();
 	/** Monotonic times before which limited targets have no turn for this VM, in milliseconds. */
 	const nextTurnMs = new Map<string, number>();
@@ -135,7 +136,7 @@
 			const {targetId} = chosen;
 			const entry = entryOf(targetId);
 			const requestsPerSecond =
-				entry && statements.standingOf(entry).requestsPerSecond;
+				entry && eligibility.standingOf(entry).requestsPerSecond;
 			if (requestsPerSecond === undefined) {
 				return {limited, unlimited: entry};
 			}
@@ -234,14 +235,14 @@
 		const handleGrant = (targetId: string, decidedBy: string) => {
 			const target = entryOf(targetId);
 			const waitMs = clock.nowMs() - startedMs;
-			const standing = target && statements.standingOf(target);
+			const standing = target && eligibility.standingOf(target);
 			if (target && standing && standing.use !== 'none') {
 				const {requestsPerSecond} = standing;
 				listener.onFound(target, {requestsPerSecond, waitMs, decidedBy});
 				return;
 			}
 
-			// The target has left meanwhile, or wants no requests any more.
+			// The target has left meanwhile, wants no requests any more, or its zone is evacuated.
 			const remainingQuery = {
 				...query,
 				avoid: new Set([...query.avoid, targetId]),
--- a/src/decisions/serving/continuation-turn.ts
+++ b/src/decisions/serving/continuation-turn.ts
@@ -5,10 +5,11 @@
 	type Timers,
 } from '../../common/index.js';
 import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
-import type {TargetStatements} from '../target-statements/index.js';
+import type {TargetEligibility} from '../target-eligibility/index.js';
+import type {RestrictionCause} from '../target-statements/index.js';
 
 /** Why a run does not continue at an engine. */
-export type ContinuationDenial = 'back-off' | 'leaving' | 'rate limit';
+export type ContinuationDenial = RestrictionCause | 'rate limit';
 
 /**
  * Waits for the turn of a run that is to continue at an engine.
@@ -22,7 +23,7 @@
 
 export type ContinuationTurnOptions = {
 	readonly timers: Timers;
-	readonly statements: Pick<TargetStatements, 'standingOf'>;
+	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
 	readonly requestPermit: (
 		request: PermitRequest,
 		onDecision: (decision: PermitDecision) => void,
@@ -35,7 +36,7 @@
 /** Runs that continue go ahead of new requests: what their callers have received would be lost. */
 export function createContinuationTurns({
 	timers,
-	statements,
+	eligibility,
 	requestPermit,
 }: ContinuationTurnOptions): RequestContinuationTurn {
 	return (target, onDecision) => {
@@ -43,7 +44,7 @@
 
 		/** Decides by what the engine says now. */
 		const decide = (mayWait: boolean) => {
-			const {use, cause, waitMs} = statements.standingOf(target);
+			const {use, cause, waitMs} = eligibility.standingOf(target);
 			if (use !== 'none') {
 				onDecision(undefined);
 			} else if (mayWait && waitMs <= maxWaitMs) {
@@ -61,7 +62,7 @@
 			);
 		};
 
-		const {use, requestsPerSecond} = statements.standingOf(target);
+		const {use, requestsPerSecond} = eligibility.standingOf(target);
 		if (use === 'none' || requestsPerSecond === undefined) {
 			decide(true);
 			return owned;
--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -46,10 +46,15 @@
 	readonly chooseTarget: (
 		refused: ReadonlySet<string>,
 	) => Promise<TargetEntry | undefined>;
+	/** False while nothing may be sent to the engine. */
+	readonly mayHold: (target: TargetEntry) => boolean;
 	/** Called when a copy has been made or updated. */
 	readonly onCopy: (copy: RunCopy) => void;
 };
 
+/** Why copying a run has ended. */
+export type CopyingEnd = 'attempts used up' | 'no room' | 'run over';
+
 /** Dependencies of `maintainCopy`. */
 export type RunCopiesOptions = {
 	readonly targetClient: TargetClient;
@@ -100,17 +105,23 @@
  * room, or the attempts are used up. This handles engines that leave at two seconds' notice with many
  * runs. All runs of the engine share one network link; if a run were paused to copy its last part, it
  * would wait for the copies of the others, so runs are never paused.
+ * @returns why copying has ended
  */
 export async function maintainCopy(
 	run: RunToCopy,
 	options: RunCopiesOptions,
-): Promise<void> {
+): Promise<CopyingEnd> {
 	const refused = new Set([run.source.id]);
 	let holder: TargetEntry | undefined;
 	for (let attempt = 1; attempt <= maxCopyAttempts; attempt++) {
+		if (holder && !run.mayHold(holder)) {
+			refused.add(holder.id);
+			holder = undefined;
+		}
+
 		const destination = holder ?? (await run.chooseTarget(refused));
 		if (run.isOver()) {
-			return;
+			return 'run over';
 		}
 
 		if (!destination) {
@@ -118,12 +129,12 @@
 				request: run.requestId,
 				target: run.source.id,
 			});
-			return;
+			return 'no room';
 		}
 
 		const result = await copyOnce(run, destination, options);
 		if (run.isOver()) {
-			return;
+			return 'run over';
 		}
 
 		if (result.outcome === 'copied') {
@@ -139,7 +150,9 @@
 		}
 
 		if (run.isOver()) {
-			return;
+			return 'run over';
 		}
 	}
+
+	return 'attempts used up';
 }
--- a/src/decisions/serving/service-standings.ts
+++ b/src/decisions/serving/service-standings.ts
@@ -3,18 +3,18 @@
 	type ClosedRefusal,
 	closedRefusal,
 	type TargetStanding,
-	type TargetStatements,
 	type TargetUse,
 } from '../target-statements/index.js';
+import type {TargetEligibility} from '../target-eligibility/index.js';
 import type {TargetDirectory} from './target-directory.js';
 
 export type ServiceStandingsOptions = {
 	readonly directory: Pick<TargetDirectory, 'usable'>;
-	readonly statements: Pick<TargetStatements, 'standingOf'>;
+	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
 	readonly random: RandomSource;
 };
 
-/** How the targets of a service may be used, by what they have said of themselves. */
+/** How the targets of a service may be used now. */
 export type ServiceStandings = {
 	/** Targets with a certain use. */
 	withUse(service: string, use: TargetUse): readonly TargetEntry[];
@@ -33,13 +33,13 @@
 
 export function createServiceStandings({
 	directory,
-	statements,
+	eligibility,
 	random,
 }: ServiceStandingsOptions): ServiceStandings {
 	const standingsOf = (service: string): TargetAndStanding[] =>
 		directory.usable(service).map(({entry}) => ({
 			target: entry,
-			standing: statements.standingOf(entry),
+			standing: eligibility.standingOf(entry),
 		}));
 
 	return {
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -108,11 +108,11 @@
 		head: ResponseHead,
 		sentMs: number,
 	) => void;
-	/** True while the target may get requests, by what it has said of itself. */
+	/** True while the target may get requests; asked again when a connection is free. */
 	readonly mayUse: (target: TargetEntry) => boolean;
 	/**
-	 * Describes for the log which targets of a service are left out, or used as the last resort, because of what
-	 * they have said of themselves; undefined if there are none.
+	 * Describes for the log which targets of a service are left out, or used as the last resort, and why;
+	 * undefined if there are none.
 	 */
 	readonly restrictedTargets: (service: string) => string | undefined;
 	/** Called when a response was broken off because of a defect. */
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -30,7 +30,7 @@
 	readonly failedStatus: number | undefined;
 	/** Number of events that the caller had when the attempt was created. */
 	readonly eventCountBefore: number;
-	/** True once copying the run's KV cache has been started; it is started only once. */
+	/** True once copying the run's KV cache has been started; it is started again only after it found no room. */
 	hasStartedCopying: boolean;
 	/** Copies of the run's KV cache besides the backup, newest first. */
 	readonly copies: RunCopy[];
@@ -152,7 +152,10 @@
 						backupAddress: backup?.address,
 						continueFrom,
 						lastEventId: lastEventIdOf(parameters),
-						mayStart: () => options.mayUse(target),
+						// The engine would copy the KV cache to the backup.
+						mayStart: () =>
+							options.mayUse(target) &&
+							(backup === undefined || !options.isEvacuated(backup)),
 					},
 				},
 				{
--- a/src/decisions/serving/stream-copies.ts
+++ b/src/decisions/serving/stream-copies.ts
@@ -6,14 +6,19 @@
 } from './run-copies.js';
 import type {AdmittedRequest} from './session-types.js';
 import type {StreamAttempt} from './stream-attempt.js';
-import type {StreamSessionOptions} from './stream-session-types.js';
+import type {
+	StreamPlacement,
+	StreamSessionOptions,
+} from './stream-session-types.js';
 
 /** Manages the copies of the KV cache of one stream's run. */
 export type StreamCopies = {
-	/** True if the run can continue from a copy. */
+	/** True if the run can continue from a copy; one in an evacuated availability zone does not count. */
 	hasUsableCopy(attempt: StreamAttempt): boolean;
 	/** Starts to copy the run's KV cache if the run is at risk and has no reachable backup. */
 	ensureCopy(attempt: StreamAttempt): void;
+	/** Looks for room again for a run in an evacuated availability zone; called at regular intervals. */
+	tick(attempt: StreamAttempt): void;
 	/** Called when the run is lost; queues its copies for `nextCopy`, reachable engines first. */
 	runLost(attempt: StreamAttempt): void;
 	/** @returns the next copy from which to continue the lost run; undefined once all were tried */
@@ -32,6 +37,9 @@
 	);
 }
 
+/** Time after which room for a copy is looked for again while a zone is evacuated, in milliseconds. */
+const noRoomRetryMs = 2500;
+
 /** Progress of a stream towards the caller. */
 export type StreamProgress = {
 	/** Number of events that the caller has received. */
@@ -50,60 +58,88 @@
 	avoid: ReadonlySet<string>,
 	progress: StreamProgress,
 ): StreamCopies {
-	const {targetClient, timers, log} = options;
+	const {clock, targetClient, timers, log} = options;
 	const requestId = admitted.request.id;
 	let untried: RunCopy[] = [];
+	/** Monotonic time at which room is looked for again, in milliseconds; undefined if it is not. */
+	let retryAtMs: number | undefined;
 
 	const isReachable = (target: TargetEntry | undefined) =>
 		target !== undefined && options.isReachable(target.id);
 
-	return {
-		hasUsableCopy: ({copies, placement}) =>
-			copies.length > 0 || isReachable(placement.backup),
-		ensureCopy(attempt) {
-			if (attempt.isOver || attempt.hasStartedCopying || progress.isDone) {
-				return;
-			}
+	/** True if the run goes on where it is, but its availability zone or that of its backup is evacuated. */
+	const isEvacuated = ({target, backup}: StreamPlacement) =>
+		options.isPresent(target.id) &&
+		(options.isEvacuated(target) ||
+			(backup !== undefined && options.isEvacuated(backup)));
 
-			const {target, backup} = attempt.placement;
-			// While its engine is present, a run is copied only if it has lost its backup and departures may
-			// not be reported in time. Otherwise the report that the engine is leaving comes early enough.
-			const isPresent = options.isPresent(target.id);
-			const canWait = isPresent && (!backup || options.areDeparturesReported());
-			if (isReachable(backup) || canWait) {
-				return;
-			}
+	const startCopying = async (attempt: StreamAttempt) => {
+		const {target, backup} = attempt.placement;
+		const end = await maintainCopy(
+			{
+				requestId,
+				source: target,
+				refreshIntervalMs: options.isPresent(target.id)
+					? copyRefreshIntervalMs.running
+					: copyRefreshIntervalMs.leaving,
+				isOver: () => attempt.isOver || progress.isDone,
+				chooseTarget: async (refused) =>
+					options.placeCopy(
+						{
+							placementId: attempt.placement.id,
+							admitted,
+							target,
+							backup,
+							eventCount: progress.eventCount,
+						},
+						new Set([...avoid, ...refused]),
+					),
+				mayHold: (holder) => !options.isEvacuated(holder),
+				onCopy(copy) {
+					const others = attempt.copies.filter(
+						({target: holder}) => holder.id !== copy.target.id,
+					);
+					attempt.copies.splice(0, Infinity, copy, ...others);
+					attempt.tracker.copied(copy.target);
+				},
+			},
+			{targetClient, timers, log},
+		);
+		if (end === 'no room' && isEvacuated(attempt.placement)) {
+			attempt.hasStartedCopying = false;
+			retryAtMs = clock.nowMs() + noRoomRetryMs;
+		}
+	};
+
+	const ensureCopy = (attempt: StreamAttempt) => {
+		if (attempt.isOver || attempt.hasStartedCopying || progress.isDone) {
+			return;
+		}
 
+		const {target, backup} = attempt.placement;
+		// While its engine is present, a run is copied only if it is evacuated, or has lost its backup and
+		// departures may not be reported in time. Otherwise the report that the engine is leaving comes early
+		// enough.
+		const canWait =
+			options.isPresent(target.id) &&
+			!isEvacuated(attempt.placement) &&
+			(!backup || options.areDeparturesReported());
+		if (!isReachable(backup) && !canWait) {
 			attempt.hasStartedCopying = true;
-			void maintainCopy(
-				{
-					requestId,
-					source: target,
-					refreshIntervalMs: isPresent
-						? copyRefreshIntervalMs.running
-						: copyRefreshIntervalMs.leaving,
-					isOver: () => attempt.isOver || progress.isDone,
-					chooseTarget: async (refused) =>
-						options.placeCopy(
-							{
-								placementId: attempt.placement.id,
-								admitted,
-								target,
-								backup,
-								eventCount: progress.eventCount,
-							},
-							new Set([...avoid, ...refused]),
-						),
-					onCopy(copy) {
-						const others = attempt.copies.filter(
-							({target: holder}) => holder.id !== copy.target.id,
-						);
-						attempt.copies.splice(0, Infinity, copy, ...others);
-						attempt.tracker.copied(copy.target);
-					},
-				},
-				{targetClient, timers, log},
-			);
+			void startCopying(attempt);
+		}
+	};
+
+	return {
+		hasUsableCopy: ({copies, placement}) =>
+			copies.some(({target}) => !options.isEvacuated(target)) ||
+			isReachable(placement.backup),
+		ensureCopy,
+		tick(attempt) {
+			if (retryAtMs !== undefined && clock.nowMs() >= retryAtMs) {
+				retryAtMs = undefined;
+				ensureCopy(attempt);
+			}
 		},
 		runLost({copies, placement}) {
 			const backup = backupOf(placement.backup, requestId);
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -98,6 +98,8 @@
 	readonly isPresent: (targetId: string) => boolean;
 	/** True while the target is present and its last connection attempt did not fail. */
 	readonly isReachable: (targetId: string) => boolean;
+	/** True while nothing may be sent to the engine since its availability zone is evacuated. */
+	readonly isEvacuated: (target: TargetEntry) => boolean;
 	/** True while the store can be read, so that leaving targets are reported in time. */
 	readonly areDeparturesReported: () => boolean;
 	/** Starts to count the load of a run. */
@@ -126,7 +128,7 @@
 	readonly isDone: boolean;
 	/** Undefined while no engine has the request. */
 	readonly run: StreamRun | undefined;
-	/** Called when an engine is leaving or refuses connections; starts a copy of the run if needed. */
+	/** Called when an engine is leaving, is evacuated or refuses connections; starts a copy of the run if needed. */
 	engineUnusable(targetId: string): void;
 	/** Checks for a stalled run; called at regular intervals. */
 	tick(): void;
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -253,7 +253,12 @@
 			}
 		},
 		tick() {
-			if (send && !send.isOver && mayLeaveStalled()) {
+			if (!send || send.isOver) {
+				return;
+			}
+
+			copies.tick(send);
+			if (mayLeaveStalled()) {
 				stalledRunCheck.check(send);
 			}
 		},
--- a/src/decisions/target-eligibility/index.ts
+++ b/src/decisions/target-eligibility/index.ts
@@ -3,3 +3,8 @@
 	type EvacuatedZones,
 	type ZoneEvacuationChange,
 } from './evacuated-zones.js';
+export {
+	createTargetEligibility,
+	type TargetEligibility,
+	type TargetEligibilityOptions,
+} from './target-eligibility.js';
--- /dev/null
+++ b/src/decisions/target-eligibility/target-eligibility.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {suite, test} from 'node:test';
+import {SeededRandomSource} from '../../common/index.js';
+import {
+	fakeResponseHead,
+	fakeTargetEntry,
+	VirtualTime,
+} from '../../experiments/fakes/index.js';
+import {
+	closedRefusal,
+	createTargetStatements,
+} from '../target-statements/index.js';
+import {createEvacuatedZones} from './evacuated-zones.js';
+import {createTargetEligibility} from './target-eligibility.js';
+
+const here = fakeTargetEntry('t1');
+const elsewhere = fakeTargetEntry('t2', {availabilityZone: 'zone-2'});
+
+function createEligibility() {
+	const time = new VirtualTime();
+	const statements = createTargetStatements({
+		clock: time,
+		lastResortMs: () => 1000,
+	});
+	const evacuatedZones = createEvacuatedZones();
+	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const refusalReason = () =>
+		closedRefusal(
+			[here, elsewhere].map((target) => eligibility.standingOf(target)),
+			new SeededRandomSource(1),
+		)?.reason;
+	return {time, statements, evacuatedZones, eligibility, refusalReason};
+}
+
+suite('target eligibility', () => {
+	test('a target in an evacuated zone gets nothing until the evacuation ends, others are used', () => {
+		const {evacuatedZones, eligibility} = createEligibility();
+		evacuatedZones.replace(['zone-1']);
+		assert.deepEqual(eligibility.standingOf(here), {
+			use: 'none',
+			cause: 'evacuated',
+			waitMs: Infinity,
+			requestsPerSecond: undefined,
+		});
+		assert.equal(eligibility.standingOf(elsewhere).use, 'normal');
+		evacuatedZones.replace([]);
+		assert.equal(eligibility.standingOf(here).use, 'normal');
+	});
+
+	test('a leaving target in an evacuated zone is not even the last resort', () => {
+		const {statements, evacuatedZones, eligibility} = createEligibility();
+		const leaving = fakeResponseHead('q1', {leaving: {state: 'leaving'}});
+		statements.recordResponse(here, leaving, 0);
+		assert.equal(eligibility.standingOf(here).use, 'last-resort');
+		evacuatedZones.replace(['zone-1']);
+		assert.equal(eligibility.standingOf(here).use, 'none');
+	});
+
+	test('a service is refused with the reason that excludes all of its targets', async () => {
+		const {time, statements, evacuatedZones, refusalReason} =
+			createEligibility();
+		evacuatedZones.replace(['zone-1']);
+		assert.equal(refusalReason(), undefined);
+		evacuatedZones.replace(['zone-1', 'zone-2']);
+		assert.equal(refusalReason(), 'all targets are evacuated');
+		evacuatedZones.replace(['zone-1']);
+		statements.recordLeavingReport(elsewhere);
+		await time.runUntil(2000);
+		assert.equal(refusalReason(), 'all targets are evacuated or leave');
+		evacuatedZones.replace([]);
+		statements.recordLeavingReport(here);
+		await time.runUntil(4000);
+		assert.equal(refusalReason(), 'all targets leave');
+	});
+});
--- a/src/decisions/target-statements/closed-refusal.ts
+++ b/src/decisions/target-statements/closed-refusal.ts
@@ -4,6 +4,18 @@
 /** Range of the time over which callers are spread that return after a back-off, in milliseconds. */
 const returnSpreadMs = {least: 300, most: 2000} as const;
 
+/** Why no target is known to take requests again. */
+function endlessReason(standings: readonly TargetStanding[]): string {
+	const evacuated = standings.filter(({cause}) => cause === 'evacuated');
+	if (evacuated.length === 0) {
+		return 'all targets leave';
+	}
+
+	return evacuated.length === standings.length
+		? 'all targets are evacuated'
+		: 'all targets are evacuated or leave';
+}
+
 /**
  * Refusal of a request if every target of its service says that it takes none.
  * @param standings - those of all targets of the service
@@ -20,7 +32,7 @@
 
 	const waitMs = Math.min(...standings.map((standing) => standing.waitMs));
 	if (waitMs === Infinity) {
-		return {reason: 'all targets leave', retryAfterMs: undefined};
+		return {reason: endlessReason(standings), retryAfterMs: undefined};
 	}
 
 	const {least, most} = returnSpreadMs;
--- a/src/decisions/target-statements/types.ts
+++ b/src/decisions/target-statements/types.ts
@@ -7,11 +7,14 @@
  */
 export type TargetUse = 'last-resort' | 'none' | 'normal';
 
+/** What restricts the use of a target: a statement of its own, or the evacuation of its availability zone. */
+export type RestrictionCause = StatementKind | 'evacuated';
+
 /** How a target may be used now. */
 export type TargetStanding = {
 	readonly use: TargetUse;
 	/** What restricts the use; undefined if nothing does. */
-	readonly cause: StatementKind | undefined;
+	readonly cause: RestrictionCause | undefined;
 	/** Time until the target may be used again, in milliseconds; Infinity if it is not known. */
 	readonly waitMs: number;
 	/** Requests per second that the target accepts from all VMs together; undefined without a limit. */
--- a/src/experiments/capacity/prompt-part-slopes.ts
+++ b/src/experiments/capacity/prompt-part-slopes.ts
@@ -10,6 +10,10 @@
 	type PartReport,
 } from '../../decisions/quarantine/index.js';
 import {createServiceStandings} from '../../decisions/serving/index.js';
+import {
+	createEvacuatedZones,
+	createTargetEligibility,
+} from '../../decisions/target-eligibility/index.js';
 import {createTargetStatements} from '../../decisions/target-statements/index.js';
 import {fakeTargetEntry} from '../fakes/index.js';
 import {measureMicros, SteppedClock} from './measure-micros.js';
@@ -108,7 +112,10 @@
 	}));
 	const standings = createServiceStandings({
 		directory: {usable: () => targets},
-		statements: createTargetStatements({clock, lastResortMs: () => 1000}),
+		eligibility: createTargetEligibility({
+			statements: createTargetStatements({clock, lastResortMs: () => 1000}),
+			evacuatedZones: createEvacuatedZones(),
+		}),
 		random: new SeededRandomSource(1),
 	});
 	return {
--- a/src/experiments/fakes/fake-scheduler.ts
+++ b/src/experiments/fakes/fake-scheduler.ts
@@ -40,6 +40,7 @@
 	objectiveMs: 5000,
 	remainingMs: 39_000,
 	priority: 0,
+	isPrecaution: false,
 	...changes,
 });
 
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -79,6 +79,7 @@
 	const lostRuns: LostRun[] = [];
 	const leavingIds = new Set<string>();
 	const unreachableIds = new Set<string>();
+	const evacuatedIds = new Set<string>();
 	const {promptTokens = 3000} = options;
 	const session = startStreamSession(
 		fakeAdmittedRequest(
@@ -103,6 +104,7 @@
 				},
 				options.askPool,
 			),
+			mayUse: ({id}) => !evacuatedIds.has(id),
 			onUnreachable() {
 				options.onUnreachable?.();
 			},
@@ -135,11 +137,12 @@
 			},
 			placeCopy: async (_run, avoid) =>
 				[thirdEngine, secondEngine].find(
-					({id}) => !avoid.has(id) && !leavingIds.has(id),
+					({id}) =>
+						!avoid.has(id) && !leavingIds.has(id) && !evacuatedIds.has(id),
 				),
 			requestContinuationTurn: createContinuationTurns({
 				timers: time,
-				statements: {
+				eligibility: {
 					standingOf: ({id}) => ({
 						...openStanding,
 						...options.standings?.get(id),
@@ -159,7 +162,9 @@
 				},
 			}),
 			isPresent: (id) => !leavingIds.has(id),
-			isReachable: (id) => !leavingIds.has(id) && !unreachableIds.has(id),
+			isReachable: (id) =>
+				[leavingIds, unreachableIds, evacuatedIds].every((ids) => !ids.has(id)),
+			isEvacuated: ({id}) => evacuatedIds.has(id),
 			areDeparturesReported: () => options.areDeparturesReported ?? true,
 			trackRun: () => ({
 				progressed() {
@@ -198,6 +203,19 @@
 		session.engineUnusable(id);
 	};
 
+	/** Sets the engines that are evacuated; the session learns of those that were not before. */
+	const evacuate = (...ids: string[]) => {
+		const added = ids.filter((id) => !evacuatedIds.has(id));
+		evacuatedIds.clear();
+		for (const id of ids) {
+			evacuatedIds.add(id);
+		}
+
+		for (const id of added) {
+			session.engineUnusable(id);
+		}
+	};
+
 	/** Makes all later KV cache copies succeed with this handle. */
 	const acceptCopies = (handle: string) => {
 		targetClient.copyResult = () => ({
@@ -219,6 +237,7 @@
 		session,
 		markLeaving,
 		markUnreachable,
+		evacuate,
 		acceptCopies,
 		copyAddresses,
 	};
--- a/src/programs/front/capacity-reader.ts
+++ b/src/programs/front/capacity-reader.ts
@@ -24,6 +24,8 @@
 	readonly targetClient: TargetClient;
 	readonly timers: Timers;
 	readonly isEngineService: (service: string) => boolean;
+	/** False while nothing may be sent to the target. */
+	readonly mayRead: (target: TargetEntry) => boolean;
 	readonly onCapacity: (service: string, capacityTokens: number) => void;
 	readonly logger: Logger;
 };
@@ -63,7 +65,8 @@
 			if (
 				isDisposed ||
 				requestedServices.has(entry.service) ||
-				!isEngineService(entry.service)
+				!isEngineService(entry.service) ||
+				!options.mayRead(entry)
 			) {
 				return;
 			}
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -34,6 +34,7 @@
 import {openFrontServers} from './front-servers.js';
 import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
 import {logTargetStatements} from './target-statement-log.js';
+import {logZoneEvacuations} from './zone-evacuation-log.js';
 import {openOrClose} from './open-or-close.js';
 import {createRequestMemory} from './request-memory.js';
 import {createRequestServer} from './request-server.js';
@@ -98,12 +99,15 @@
 		directory,
 		detector,
 		statements,
+		evacuatedZones,
+		eligibility,
 		callTargets,
 		engineSelector,
 		storeWatch,
 	} = deployment;
 	owned.add(logRateLimitChanges(statements.rateLimits, logger, metrics));
 	owned.add(logTargetStatements(statements, logger, metrics));
+	owned.add(logZoneEvacuations(evacuatedZones, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const bufferBudget = createRequestMemory(settings);
 	let routeTable: RouteTable | undefined;
@@ -133,6 +137,7 @@
 		detector,
 		retryShare: deployment.retryShare,
 		statements,
+		eligibility,
 		standings: deployment.standings,
 		crashEvidence: deployment.crashEvidence,
 		crashObserver,
@@ -198,6 +203,7 @@
 			targetClient,
 			timers,
 			isEngineService,
+			mayRead: (target) => !eligibility.isEvacuated(target),
 			onCapacity(service, tokens) {
 				engineSelector.setCapacity(service, tokens);
 			},
@@ -209,6 +215,7 @@
 			timers,
 			targetClient,
 			statements,
+			eligibility,
 			areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 			enginesInUse: () => requests.enginesInUse(),
 			logger,
@@ -221,6 +228,7 @@
 			detector,
 			capacityReader,
 			statements,
+			evacuatedZones,
 			crashObserver,
 			requests,
 			logger,
@@ -281,6 +289,7 @@
 	});
 
 	return {
+		evacuatedZones,
 		reportUnexpected,
 		reload() {
 			liveSettings.reload();
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -36,6 +36,12 @@
 	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import {
+	createEvacuatedZones,
+	createTargetEligibility,
+	type EvacuatedZones,
+	type TargetEligibility,
+} from '../../decisions/target-eligibility/index.js';
 import {
 	createTargetStatements,
 	type TargetStatements,
@@ -73,6 +79,8 @@
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly statements: TargetStatements;
+	readonly evacuatedZones: EvacuatedZones;
+	readonly eligibility: TargetEligibility;
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
@@ -153,7 +161,9 @@
 		}),
 	);
 	const {rateLimits} = statements;
-	const standings = createServiceStandings({directory, statements, random});
+	const evacuatedZones = owned.add(createEvacuatedZones());
+	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const standings = createServiceStandings({directory, eligibility, random});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -206,6 +216,7 @@
 		directory,
 		detector,
 		statements,
+		eligibility,
 		standings,
 		statistics: createLengthStatistics(),
 		placementClient: () => fleetExchange.placementClient,
@@ -219,7 +230,7 @@
 		});
 	const requestContinuationTurn = createContinuationTurns({
 		timers,
-		statements,
+		eligibility,
 		requestPermit,
 	});
 	const callTargets = createCallTargetSearch({
@@ -229,7 +240,7 @@
 		random,
 		directory,
 		detector,
-		statements,
+		eligibility,
 		standings,
 		requestPermit,
 	});
@@ -283,6 +294,8 @@
 		engineSelector,
 		retryShare,
 		statements,
+		evacuatedZones,
+		eligibility,
 		standings,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
--- a/src/programs/front/engine-polling.ts
+++ b/src/programs/front/engine-polling.ts
@@ -7,16 +7,15 @@
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
+import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 
 export type EnginePollingOptions = {
 	readonly timers: Timers;
 	readonly targetClient: TargetClient;
-	readonly statements: Pick<
-		TargetStatements,
-		'recordLeavingReport' | 'standingOf'
-	>;
+	readonly statements: Pick<TargetStatements, 'recordLeavingReport'>;
+	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
 	/** True while this VM learns of leaving engines from the store in time. */
 	readonly areTargetsCurrent: () => boolean;
 	/** Engines that run generations of this VM or hold their KV cache copies. */
@@ -38,7 +37,7 @@
  * since each poll delays the engine's work.
  */
 export function startEnginePolling(options: EnginePollingOptions): Disposable {
-	const {timers, targetClient, statements, logger} = options;
+	const {timers, targetClient, statements, eligibility, logger} = options;
 
 	const poll = async (engine: TargetEntry) => {
 		const {id, address} = engine;
@@ -61,7 +60,7 @@
 		run() {
 			if (!options.areTargetsCurrent()) {
 				for (const engine of options.enginesInUse()) {
-					if (statements.standingOf(engine).use === 'normal') {
+					if (eligibility.standingOf(engine).use === 'normal') {
 						void poll(engine);
 					}
 				}
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -14,11 +14,13 @@
 import type {LengthStatistics} from '../../decisions/routing/index.js';
 import type {
 	EngineEntry,
+	Placement,
 	PlacementDecision,
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
 import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
+import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
 import type {
 	ClosedRefusal,
 	TargetStatements,
@@ -33,7 +35,10 @@
 export type EngineSelector = {
 	/** Sets the KV cache capacity of the engines of a service, in tokens. */
 	setCapacity(service: string, capacityTokens: number): void;
-	/** Engines of a service that accept requests now, those that leave only if there is no other. */
+	/**
+	 * Engines of a service that accept requests now, those that leave only if there is no other, and none in an
+	 * evacuated availability zone.
+	 */
 	engines(service: string): readonly EngineEntry[];
 	/** Refusal of a request if every engine of the service says that it takes none. */
 	closedRefusal(service: string): ClosedRefusal | undefined;
@@ -67,7 +72,8 @@
 	readonly clock: Clock;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
-	readonly statements: Pick<TargetStatements, 'isLeaving' | 'standingOf'>;
+	readonly statements: Pick<TargetStatements, 'isLeaving'>;
+	readonly eligibility: Pick<TargetEligibility, 'isEvacuated' | 'standingOf'>;
 	readonly standings: ServiceStandings;
 	readonly statistics: LengthStatistics;
 	readonly placementClient: () => PlacementClient;
@@ -92,7 +98,7 @@
 	options: EngineSelectorOptions,
 ): EngineSelector {
 	const {directory, detector, availabilityZone, clock} = options;
-	const {statements, standings} = options;
+	const {statements, eligibility, standings} = options;
 	const forecast = createOutputForecast(options.statistics);
 	const capacities = new Map<string, number>();
 	let nextRequestNumber = 1;
@@ -126,9 +132,26 @@
 			objectiveMs: route.objectiveMs,
 			remainingMs: deadlineMs - nowMs,
 			priority: admitted.priority,
+			isPrecaution: false,
 		};
 	};
 
+	/** Engine of the placement that is to hold a copy, unless it has been evacuated meanwhile. */
+	const backupOf = ({copyTargetId}: Placement) => {
+		const backup = entryOf(copyTargetId);
+		return backup && !eligibility.isEvacuated(backup) ? backup : undefined;
+	};
+
+	/** True if the run goes on where it is, so that its copy must not take memory from other runs. */
+	const isPrecaution = ({target, backup}: StreamRun) => {
+		const isStaying =
+			entryOf(target.id) !== undefined && !statements.isLeaving(target);
+		const isAtRisk =
+			eligibility.isEvacuated(target) ||
+			(backup !== undefined && eligibility.isEvacuated(backup));
+		return isStaying && isAtRisk;
+	};
+
 	return {
 		expectedOutputTokens: (admitted) => forecast.expectedRemaining(admitted, 0),
 		closedRefusal: standings.refusal,
@@ -138,7 +161,9 @@
 		engines(service) {
 			const excluded = detector.excluded(service);
 			const capacityTokens = capacities.get(service) ?? defaultCapacityTokens;
-			const usable = directory.usable(service);
+			const usable = directory
+				.usable(service)
+				.filter(({entry}) => !eligibility.isEvacuated(entry));
 			const staying = usable.filter(({entry}) => !statements.isLeaving(entry));
 			return (staying.length > 0 ? staying : usable).map(({entry}) => ({
 				targetId: entry.id,
@@ -186,8 +211,8 @@
 
 				const {placement} = decision;
 				const target = entryOf(placement.targetId);
-				if (target && statements.standingOf(target).use !== 'none') {
-					const backup = entryOf(placement.copyTargetId);
+				if (target && eligibility.standingOf(target).use !== 'none') {
+					const backup = backupOf(placement);
 					listener.onPlaced({...placement, id, target, backup, decidedBy});
 					return;
 				}
@@ -196,7 +221,8 @@
 				if (closed) {
 					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
-					// By the state of this VM the engine has left, has not arrived yet, or wants no requests.
+					// By the state of this VM the engine has left, has not arrived yet, wants no requests, or is
+					// evacuated.
 					requestPlacement(new Set([...avoidedTargets, placement.targetId]));
 				}
 			};
@@ -208,7 +234,8 @@
 				},
 			};
 		},
-		async placeCopy({admitted, eventCount, placementId}, avoid) {
+		async placeCopy(run, avoid) {
+			const {admitted, eventCount, placementId} = run;
 			const doneTokens = eventCount * tokensPerEvent;
 			const placementRequest: PlacementRequest = {
 				...placementRequestFor(admitted, avoid),
@@ -216,14 +243,17 @@
 				purpose: 'copy',
 				expectedTokens: forecast.expectedRemaining(admitted, doneTokens),
 				doneTokens,
+				isPrecaution: isPrecaution(run),
 			};
 			return new Promise((resolve) => {
 				options.placementClient().request(placementRequest, {
 					onDecision(decision) {
-						resolve(
+						const target =
 							decision.outcome === 'placed'
 								? entryOf(decision.placement.targetId)
-								: undefined,
+								: undefined;
+						resolve(
+							target && eligibility.isEvacuated(target) ? undefined : target,
 						);
 					},
 				});
--- a/src/programs/front/front-daemon.ts
+++ b/src/programs/front/front-daemon.ts
@@ -1,5 +1,8 @@
+import type {EvacuatedZones} from '../../decisions/target-eligibility/index.js';
+
 /** A running front daemon. */
 export type FrontDaemon = {
+	readonly evacuatedZones: EvacuatedZones;
 	/** Reads the boot file again. */
 	reload(): void;
 	/** Logs an unhandled error; the process goes on. */
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -7,11 +7,12 @@
 import type {CrashObserver} from '../../decisions/quarantine/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
+import type {EvacuatedZones} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {CapacityReader} from './capacity-reader.js';
 import type {RequestServer} from './request-server.js';
 
-/** The components that are updated when targets arrive, leave or become unreachable. */
+/** The components that are updated when targets arrive, leave, become unreachable or are evacuated. */
 export type TargetEventOptions = {
 	readonly directory: TargetDirectory;
 	readonly targetClient: TargetClient;
@@ -21,6 +22,7 @@
 		TargetStatements,
 		'onChanged' | 'recordArrival' | 'recordDeparture'
 	>;
+	readonly evacuatedZones: Pick<EvacuatedZones, 'onChanged'>;
 	readonly crashObserver: Pick<CrashObserver, 'engineGone'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
@@ -29,8 +31,8 @@
 const maxConnectionsPerTarget = 24;
 
 /**
- * Updates connection limits, outlier detection, capacities and open requests when targets arrive, leave
- * or become unreachable.
+ * Updates connection limits, outlier detection, capacities and open requests when targets arrive, leave,
+ * become unreachable or are evacuated.
  */
 export function handleTargetEvents(options: TargetEventOptions): Disposable {
 	const {directory, targetClient, detector, requests, logger} = options;
@@ -90,5 +92,19 @@
 			}
 		}),
 	);
+	owned.add(
+		options.evacuatedZones.onChanged(({availabilityZone, change}) => {
+			const entries = [...directory.all()]
+				.map(({entry}) => entry)
+				.filter((entry) => entry.availabilityZone === availabilityZone);
+			for (const entry of entries) {
+				if (change === 'begins') {
+					requests.targetUnusable(entry.id);
+				} else {
+					capacityReader.readIfMissing(entry);
+				}
+			}
+		}),
+	);
 	return owned;
 }
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -32,6 +32,7 @@
 	type StreamSession,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
+import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {EngineSelector} from './engine-selector.js';
 
@@ -45,7 +46,8 @@
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
-	readonly statements: TargetStatements;
+	readonly statements: Pick<TargetStatements, 'isLeaving' | 'recordResponse'>;
+	readonly eligibility: TargetEligibility;
 	readonly standings: Pick<ServiceStandings, 'description'>;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
@@ -78,13 +80,13 @@
 	options: SessionStarterOptions,
 ): SessionStarter {
 	const {clock, directory, engineSelector, detector, logger} = options;
-	const {statements} = options;
+	const {statements, eligibility} = options;
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
 
 	const mayUse = (target: TargetEntry) =>
-		statements.standingOf(target).use !== 'none';
+		eligibility.standingOf(target).use !== 'none';
 
 	const sessionServices = (service: string) => ({
 		clock,
@@ -130,7 +132,7 @@
 		return (
 			entry !== undefined &&
 			!directory.isUnreachable(targetId) &&
-			statements.standingOf(entry).use === 'normal'
+			eligibility.standingOf(entry).use === 'normal'
 		);
 	};
 
@@ -160,6 +162,7 @@
 			heldReason: options.heldReason,
 			isPresent,
 			isReachable,
+			isEvacuated: eligibility.isEvacuated,
 			areDeparturesReported: options.areTargetsCurrent,
 			trackRun: (run) => engineSelector.trackRun(run),
 			onProgress(request, before, now) {
--- a/src/programs/front/testing/stating-targets.ts
+++ b/src/programs/front/testing/stating-targets.ts
@@ -43,6 +43,8 @@
 	readonly kind: 'call' | 'stream';
 	/** True if a second target of the service serves everything. */
 	readonly hasFreeTarget: boolean;
+	/** Availability zone of the free target; that of the other one and of the VMs by default. */
+	readonly freeZone?: string;
 };
 
 /** A caller's request and its response. */
@@ -93,6 +95,7 @@
 	vmIps,
 	kind,
 	hasFreeTarget,
+	freeZone = 'zone-1',
 }: StatingTargetsOptions) {
 	const store = createStoreStandin();
 	const arrivals: Arrival[] = [];
@@ -130,7 +133,10 @@
 	for (const [index, isStating] of [true, false].entries()) {
 		if (isStating || hasFreeTarget) {
 			const port = await listenOn(context, createTarget(isStating).server);
-			const row = targetRow(service, `127.0.0.1:${port}`);
+			const row = {
+				...targetRow(service, `127.0.0.1:${port}`),
+				zone: isStating ? 'zone-1' : freeZone,
+			};
 			store.put('servers', `t${index + 1}`, row);
 		}
 	}
@@ -175,6 +181,16 @@
 		state(next: Statement | undefined) {
 			statement = next;
 		},
+		/** Asks all VMs to send nothing to the targets of some availability zones, and of no others. */
+		evacuate(...zones: string[]) {
+			for (const zone of zones) {
+				store.put('op', `evacuate/${zone}`, {});
+			}
+
+			for (const {daemon} of daemons) {
+				daemon.evacuatedZones.replace(zones);
+			}
+		},
 		/** Sends requests to all VMs in turn for some time. */
 		async sendFor(durationMs: number): Promise<SentRequest[]> {
 			const requests: Array<Promise<SentRequest>> = [];
