--- a/src/programs/front/metered-response.ts
+++ b/src/programs/front/metered-response.ts
@@ -1,8 +1,9 @@
 import type {Metrics} from '../../adapters/system/index.js';
 import type {Clock} from '../../common/index.js';
-import type {
-	AdmittedRequest,
-	CallerResponse,
+import {
+	type AdmittedRequest,
+	type CallerResponse,
+	localResponseStatus,
 } from '../../decisions/serving/index.js';
 
 export type MeteredResponseOptions = {
@@ -10,6 +11,17 @@
 	readonly metrics: Metrics;
 };
 
+/** Counts a request that was refused without having run, by the reason that its caller is told. */
+export function countRefusal(
+	metrics: Metrics,
+	status: number,
+	reason: string,
+): void {
+	if (status === localResponseStatus.notRun) {
+		metrics.count('refusals', {reason});
+	}
+}
+
 /**
  * Wraps the response to a caller: counts its outcome and, for responses of targets, measures the time
  * to the first event and to the end, by account and route.
@@ -55,6 +67,7 @@
 		},
 		sendLocalResponse(status, message, headers) {
 			count(`own-${status}`);
+			countRefusal(metrics, status, message);
 			response.sendLocalResponse(status, message, headers);
 		},
 		abort() {
--- a/src/programs/front/request-server.ts
+++ b/src/programs/front/request-server.ts
@@ -20,7 +20,7 @@
 import type {PromptQuarantine} from '../../decisions/quarantine/index.js';
 import {decodeRequest} from '../../platform/index.js';
 import type {UnexpectedErrorLog} from '../unexpected-errors.js';
-import {createMeteredResponse} from './metered-response.js';
+import {countRefusal, createMeteredResponse} from './metered-response.js';
 import {createQuarantineGate} from './quarantine-gate.js';
 import {
 	createSessionStarter,
@@ -212,6 +212,7 @@
 				const {status, reason, retryAfterMs} = admission;
 				log('request refused', {request: request.id, status, reason});
 				metrics.count('requests', {outcome: `own-${status}`});
+				countRefusal(metrics, status, reason);
 				response.sendLocalResponse(
 					status,
 					reason,
