--- a/src/common/base/emitter.ts
+++ b/src/common/base/emitter.ts
@@ -9,6 +9,20 @@
 	fire(value: T): void;
 };
 
+/** Combines two events; listeners get the values of both. */
+export const eitherEvent =
+	<T>(first: Event<T>, second: Event<T>): Event<T> =>
+	(listener) => {
+		const registrations = [first(listener), second(listener)];
+		return {
+			dispose() {
+				for (const registration of registrations) {
+					registration.dispose();
+				}
+			},
+		};
+	};
+
 export function createEmitter<T>(): Emitter<T> {
 	const listeners = new Set<(value: T) => void>();
 	return {
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -12,6 +12,7 @@
 import {
 	createDisposableStore,
 	defaultCallerLimits,
+	eitherEvent,
 	repeat,
 	SeededRandomSource,
 } from '../../common/index.js';
@@ -154,10 +155,19 @@
 			timers,
 			isFresh: () =>
 				storeWatch.isStoreLost ||
-				storeWatch.targetsSync.ageMs <= clock.nowMs() - deployment.resumedMs(),
-			onConfirmed: storeWatch.targetsSync.onConfirmed,
+				Math.max(
+					storeWatch.targetsSync.ageMs,
+					storeWatch.configurationSync.ageMs,
+				) <=
+					clock.nowMs() - deployment.resumedMs(),
+			onConfirmed: eitherEvent(
+				storeWatch.targetsSync.onConfirmed,
+				storeWatch.configurationSync.onConfirmed,
+			),
 			refresh() {
 				storeWatch.refreshTargets();
+				// The operator's table names the evacuated availability zones.
+				storeWatch.refreshConfiguration(-Infinity);
 			},
 		}),
 		isConfigurationCurrent: () =>
