--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -38,7 +38,9 @@
 } from '../../decisions/serving/index.js';
 import {
 	createEvacuatedZones,
+	createTargetEligibility,
 	type EvacuatedZones,
+	type TargetEligibility,
 } from '../../decisions/target-eligibility/index.js';
 import {
 	createTargetStatements,
@@ -77,12 +79,13 @@
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly statements: TargetStatements;
+	readonly evacuatedZones: EvacuatedZones;
+	readonly eligibility: TargetEligibility;
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
-	readonly evacuatedZones: EvacuatedZones;
 	/** Largest number of VMs that may be serving, this one included. */
 	vmCount(): number;
 	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
@@ -130,10 +133,6 @@
 		timeoutMs: settings.storeTimeoutMs,
 	});
 	const configuration = createConfigurationState();
-	const evacuatedZones = owned.add(createEvacuatedZones());
-	evacuatedZones.onChanged(({availabilityZone, change}) => {
-		logger.info(`zone evacuation ${change}`, {zone: availabilityZone});
-	});
 	const directory = createTargetDirectory({
 		clock,
 		lapseGraceMs,
@@ -162,7 +161,9 @@
 		}),
 	);
 	const {rateLimits} = statements;
-	const standings = createServiceStandings({directory, statements, random});
+	const evacuatedZones = owned.add(createEvacuatedZones());
+	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const standings = createServiceStandings({directory, eligibility, random});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -218,6 +219,7 @@
 		directory,
 		detector,
 		statements,
+		eligibility,
 		standings,
 		statistics: createLengthStatistics(),
 		placementClient: () => fleetExchange.placementClient,
@@ -231,7 +233,7 @@
 		});
 	const requestContinuationTurn = createContinuationTurns({
 		timers,
-		statements,
+		eligibility,
 		requestPermit,
 	});
 	const callTargets = createCallTargetSearch({
@@ -241,7 +243,7 @@
 		random,
 		directory,
 		detector,
-		statements,
+		eligibility,
 		standings,
 		requestPermit,
 	});
@@ -278,13 +280,14 @@
 		engineSelector,
 		retryShare,
 		statements,
+		evacuatedZones,
+		eligibility,
 		standings,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
 		requestContinuationTurn,
 		storeWatch,
-		evacuatedZones,
 		resumedMs: () => fleetExchange.resumedMs(),
 		dispose() {
 			owned.dispose();
