--- a/src/adapters/front/peer-tables-client.test.ts
+++ b/src/adapters/front/peer-tables-client.test.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
+import {storeRevision} from '../../common/index.js';
 import {fetchPeerTables} from './peer-tables-client.js';
 import {createPeerTablesServer} from './peer-tables-server.js';
 
@@ -53,10 +54,16 @@
 test('fetches the tables from a peer server unchanged', async (context) => {
 	const tables = {
 		configuration: '{"version":3}',
-		configurationVersion: 9,
+		configurationRevision: storeRevision(9),
 		targets: [],
-		targetsVersion: 7,
-		evacuations: {version: 6, zones: ['zone-1']},
+		targetsRevision: storeRevision(7, 1),
+		evacuations: {
+			revision: storeRevision(6),
+			zones: ['zone-1'],
+			held: [],
+			removed: [],
+		},
+		departures: [],
 	};
 	const server = createPeerTablesServer(() => tables);
 	await new Promise<void>((resolve) => {
--- a/src/common/deployment/row-store.ts
+++ b/src/common/deployment/row-store.ts
@@ -1,38 +1,43 @@
+import type {StoreRevision} from './store-revision.js';
+
 /** A row of the platform's store. */
 export type StoredRow = {
 	readonly key: string;
 	readonly value: Uint8Array;
-	/** Value of the store's global transaction counter at the last write of the row. */
-	readonly version: number;
+	/** Revision of the last write of the row, with the era of the read that returned it. */
+	readonly revision: StoreRevision;
 };
 
 /** A change of a row: a write, or a removal if `value` is undefined. */
 export type RowChange = {
 	readonly key: string;
 	readonly value: Uint8Array | undefined;
-	readonly version: number;
+	readonly revision: StoreRevision;
 };
 
-/** All rows of a table. Some may be newer than `version`, so the changes from there may repeat them. */
+/** All rows of a table. Some may be newer than `revision`, so the changes from there may repeat them. */
 export type TableSnapshot = {
 	readonly rows: readonly StoredRow[];
-	/** Version to pass to `changes` to follow the table from this snapshot. */
-	readonly version: number;
+	/** Revision from which to follow the table. */
+	readonly revision: StoreRevision;
 };
 
 /** Changes of a table, in the order of their versions. */
 export type TableChanges = {
 	readonly changes: readonly RowChange[];
-	/** Version to pass to the next call of `changes`. */
-	readonly version: number;
+	/**
+	 * Revision from which to follow the table. If its era is newer than that of the previous one, the store
+	 * was restored in between and changes are missing.
+	 */
+	readonly revision: StoreRevision;
 };
 
 /**
  * Client of the platform's store, which the front daemon reads. A table is read as a snapshot, then
  * followed by its changes. The entry daemon uses `TableService` instead.
  *
- * Failures are `ProblemError`s: `table-unavailable`, or `table-history-lost` if the store has dropped
- * the changes since the given version, so that a new snapshot must be read.
+ * Failures are `ProblemError`s: `table-unavailable`, or `table-history-lost` if the store cannot return
+ * the changes since the given version or a snapshot of one era, so that a new snapshot must be read.
  */
 export abstract class RowStore {
 	/** Reads a whole table. */
--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -9,18 +9,16 @@
 	RateLimitReport,
 } from '../rate-limits/index.js';
 import type {PartReport} from '../quarantine/index.js';
-import type {MemberInfo, TableSyncState} from './types.js';
+import type {MemberInfo, PeerTableStates} from './types.js';
 
 /**
  * Sent regularly by each VM to the coordinator and its standby, and to seeds while it looks for other VMs.
  */
-export type Heartbeat = {
+export type Heartbeat = PeerTableStates & {
 	readonly kind: 'heartbeat';
 	readonly sender: MemberInfo;
 	/** Increases with each heartbeat or beacon of an instance; receivers drop older ones. */
 	readonly sequence: number;
-	readonly configuration: TableSyncState;
-	readonly targets: TableSyncState;
 	/** All runs of the sender. */
 	readonly runs: readonly RunState[];
 };
@@ -29,7 +27,7 @@
  * Broadcast by the coordinator to all VMs. Any VM also sends it in response to the first heartbeat of
  * another one, and to a heartbeat that should have gone elsewhere.
  */
-export type Beacon = {
+export type Beacon = PeerTableStates & {
 	readonly kind: 'beacon';
 	readonly sender: MemberInfo;
 	/** Shares its numbering with the heartbeats of the sender. */
@@ -38,8 +36,6 @@
 	readonly vmCount: number;
 	/** Highest-ranked members, each with the time since its last direct message, in milliseconds. */
 	readonly members: ReadonlyArray<readonly [MemberInfo, number]>;
-	readonly configuration: TableSyncState;
-	readonly targets: TableSyncState;
 };
 
 /** Urgent changes to the runs of the sender, sent between heartbeats. */
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -21,7 +21,11 @@
 	remainingTokens: 600,
 	priority: 1,
 };
-const table = {version: 40, changeVersion: 31, ageMs: 200};
+const table = {
+	revision: {era: 2, version: 40},
+	changeVersion: 31,
+	ageMs: 200,
+};
 const request = {
 	id: 'q2.1',
 	service: 'model',
@@ -46,6 +50,7 @@
 		configuration: table,
 		targets: table,
 		runs: [run, {...run, id: 'q3.1', copyTargetId: 'e2'}],
+		operatorVersion: 12,
 	},
 	{
 		kind: 'beacon',
@@ -57,6 +62,7 @@
 		],
 		configuration: table,
 		targets: table,
+		operatorVersion: 12,
 	},
 	{kind: 'run-update', set: [run], ended: ['q9.1']},
 	{kind: 'place', request},
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -36,6 +36,7 @@
 				encodeTableState(message.configuration),
 				encodeTableState(message.targets),
 				message.runs.map((run) => encodeRun(run)),
+				message.operatorVersion,
 			]);
 		}
 
@@ -51,6 +52,7 @@
 				]),
 				encodeTableState(message.configuration),
 				encodeTableState(message.targets),
+				message.operatorVersion,
 			]);
 		}
 
@@ -135,6 +137,7 @@
 				configuration: decodeTableState(FieldReader.of(fields.value())),
 				targets: decodeTableState(FieldReader.of(fields.value())),
 				runs: fields.list(decodeRun),
+				operatorVersion: fields.numberOr(0),
 			};
 		}
 
@@ -149,6 +152,7 @@
 				),
 				configuration: decodeTableState(FieldReader.of(fields.value())),
 				targets: decodeTableState(FieldReader.of(fields.value())),
+				operatorVersion: fields.numberOr(0),
 			};
 		}
 
--- a/src/decisions/fleet/membership-messages.ts
+++ b/src/decisions/fleet/membership-messages.ts
@@ -23,22 +23,24 @@
 }
 
 export const encodeTableState = ({
-	version,
+	revision,
 	changeVersion,
 	ageMs,
 }: TableSyncState) => [
-	version,
+	revision.version,
 	changeVersion,
 	Math.round(Math.min(ageMs, maxAgeMs)),
+	revision.era,
 ];
 
 /** Sent for larger ages, since JSON cannot hold Infinity. */
 const maxAgeMs = 1e9;
 
+/** Decodes a state; one without an era, from an older build, is of era 0. */
 export function decodeTableState(fields: FieldReader): TableSyncState {
-	return {
-		version: fields.number(),
-		changeVersion: fields.number(),
-		ageMs: fields.number(),
-	};
+	const version = fields.number();
+	const changeVersion = fields.number();
+	const ageMs = fields.number();
+	const era = fields.numberOr(0);
+	return {revision: {era, version}, changeVersion, ageMs};
 }
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
+import {
+	createDisposableStore,
+	SeededRandomSource,
+	storeRevision,
+} from '../../common/index.js';
 import {
 	fakeResponseHead,
 	fakeTargetEntry,
@@ -32,7 +36,7 @@
 	});
 	await time.runUntil(1);
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
-		directory.set(id, fakeTargetEntry(id), 1);
+		directory.set(id, fakeTargetEntry(id), storeRevision(1));
 		if (requestsPerSecond !== undefined) {
 			const rateLimit = {state: 'limited', requestsPerSecond} as const;
 			statements.recordResponse(
@@ -172,7 +176,7 @@
 	);
 	find();
 	const [{targets}] = permitRequests;
-	directory.set(targets[0].targetId, undefined, 2);
+	directory.set(targets[0].targetId, undefined, storeRevision(2));
 	await time.runUntil(500);
 	assert.deepEqual(outcomes, [`${targets[1].targetId} after 80`]);
 	assert.equal(permitRequests[1].maxWaitMs, 20);
--- a/src/decisions/serving/freshness-gate.test.ts
+++ b/src/decisions/serving/freshness-gate.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {storeRevision} from '../../common/index.js';
 import {VirtualTime} from '../../experiments/fakes/index.js';
 import {createTableSyncTracker} from '../fleet/index.js';
 import {createFreshnessGate} from './freshness-gate.js';
@@ -29,7 +30,7 @@
 for (const pausedMs of [1000, 3000, 8000]) {
 	test(`after a pause of ${pausedMs} ms, no request goes to a target that may have left during the pause`, async () => {
 		const {time, syncTracker, wait, passedMs, refreshCount} = start();
-		syncTracker.recordRead(5, 5);
+		syncTracker.recordSnapshot(storeRevision(5));
 		await time.runUntil(pausedMs);
 		wait();
 		if (pausedMs <= maxAgeMs) {
@@ -40,7 +41,7 @@
 		assert.deepEqual(passedMs, []);
 		assert.equal(refreshCount(), 1);
 		await time.runUntil(pausedMs + 20);
-		syncTracker.recordRead(9, 9);
+		syncTracker.recordSnapshot(storeRevision(9));
 		assert.deepEqual(passedMs, [pausedMs + 20]);
 		await time.runUntil(pausedMs + 1000);
 		assert.equal(passedMs.length, 1);
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -17,6 +17,7 @@
 export * from './stream-session.js';
 export * from './table-follower.js';
 export * from './target-directory.js';
+export type {HeldDeparture} from './target-row-history.js';
 export * from './admission.js';
 export * from './relayed-configuration.js';
 export * from './relayed-evacuations.js';
--- a/src/decisions/serving/relayed-configuration.test.ts
+++ b/src/decisions/serving/relayed-configuration.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {storeRevision} from '../../common/index.js';
 import {
 	decodeRelayedConfiguration,
 	encodeRelayedConfiguration,
@@ -7,10 +8,15 @@
 
 test('decodes what was encoded, and rejects other messages', () => {
 	const change = {
-		afterVersion: 4,
-		version: 9,
+		after: storeRevision(4, 2),
+		revision: storeRevision(9, 2),
 		packed: 'q1YqSy0qzszPAwA=',
-		evacuations: {version: 9, zones: ['zone-1']},
+		evacuations: {
+			revision: storeRevision(9, 2),
+			zones: ['zone-1'],
+			held: ['zone-2'],
+			removed: ['zone-3'],
+		},
 	};
 	const text = encodeRelayedConfiguration(change);
 	assert.ok(text);
@@ -24,8 +30,8 @@
 test('does not relay a configuration that would need a datagram of many fragments, which is often lost', () => {
 	const packed = 'x'.repeat(40_000);
 	const change = {
-		afterVersion: 4,
-		version: 9,
+		after: storeRevision(4, 2),
+		revision: storeRevision(9, 2),
 		packed,
 		evacuations: undefined,
 	};
--- a/src/decisions/serving/relayed-configuration.ts
+++ b/src/decisions/serving/relayed-configuration.ts
@@ -1,27 +1,34 @@
 import * as z from 'zod';
-import {evacuationListSchema} from './relayed-evacuations.js';
+import type {StoreRevision} from '../../common/index.js';
+import {
+	decodeEvacuationList,
+	encodeEvacuationList,
+	evacuationListSchema,
+} from './relayed-evacuations.js';
 import type {EvacuationList} from './zone-evacuations.js';
 
 const configurationSchema = z.object({
 	after: z.number(),
+	afterEra: z.number().default(0),
 	version: z.number(),
+	era: z.number().default(0),
 	packed: z.string(),
 	evacuations: evacuationListSchema.optional(),
 });
 
 /**
  * The operator's row, which holds the configuration, as a reader of the store relays it to the other
- * VMs. The versions are those of the operator's table.
+ * VMs. The revisions are those of the operator's table.
  */
 export type RelayedConfiguration = {
-	/** Version up to which the receiver must already know every change. */
-	readonly afterVersion: number;
-	/** Version up to which the receiver knows every change after applying the row. */
-	readonly version: number;
+	/** Revision up to which the receiver must already know every change. */
+	readonly after: StoreRevision;
+	/** Revision up to which the receiver knows every change after applying the row. */
+	readonly revision: StoreRevision;
 	/** Compressed text of the row. */
 	readonly packed: string;
 	/**
-	 * The evacuated zones, which are in the same table: a receiver that counts the changes up to `version` as
+	 * The evacuated zones, which are in the same table: a receiver that counts the changes up to `revision` as
 	 * known must have these too. Undefined from a VM that does not read them.
 	 */
 	readonly evacuations: EvacuationList | undefined;
@@ -34,9 +41,16 @@
 export function encodeRelayedConfiguration(
 	change: RelayedConfiguration,
 ): string | undefined {
-	const {afterVersion: after, version, packed, evacuations} = change;
+	const {after, revision, packed, evacuations} = change;
 	return packed.length <= maxPackedLength
-		? JSON.stringify({after, version, packed, evacuations})
+		? JSON.stringify({
+				after: after.version,
+				afterEra: after.era,
+				version: revision.version,
+				era: revision.era,
+				packed,
+				evacuations: evacuations && encodeEvacuationList(evacuations),
+			})
 		: undefined;
 }
 
@@ -47,10 +61,10 @@
 	const {success, data} = configurationSchema.safeParse(value);
 	return success
 		? {
-				afterVersion: data.after,
-				version: data.version,
+				after: {era: data.afterEra, version: data.after},
+				revision: {era: data.era, version: data.version},
 				packed: data.packed,
-				evacuations: data.evacuations,
+				evacuations: data.evacuations && decodeEvacuationList(data.evacuations),
 			}
 		: undefined;
 }
--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -1,11 +1,15 @@
 import * as z from 'zod';
-import {isSocketAddress, type TargetEntry} from '../../common/index.js';
+import {
+	isSocketAddress,
+	type StoreRevision,
+	type TargetEntry,
+} from '../../common/index.js';
 
 /** A row of the targets table as another VM read it from the store. */
 export type RelayedRow = {
 	readonly targetId: string;
-	/** Version of the table at which the row had this state: that of its last change, or of the whole table. */
-	readonly version: number;
+	/** Revision of the last write of the row, as far as known. */
+	readonly revision: StoreRevision;
 	/** Undefined if the row was removed or could not be decoded. */
 	readonly entry: TargetEntry | undefined;
 };
@@ -28,16 +32,19 @@
 ]);
 const rowsSchema = z.object({
 	after: z.number(),
+	afterEra: z.number().default(0),
 	version: z.number(),
+	/** Also the era of the rows. */
+	era: z.number().default(0),
 	rows: z.array(relayedRowSchema),
 });
 
 /** Changes of the targets table, as a reader of the store relays them to the other VMs. */
 export type RelayedRows = {
-	/** Version up to which the receiver must already know every change. */
-	readonly afterVersion: number;
-	/** Version up to which the receiver knows every change after applying the rows. */
-	readonly version: number;
+	/** Revision up to which the receiver must already know every change. */
+	readonly after: StoreRevision;
+	/** Revision up to which the receiver knows every change after applying the rows, all of the same era. */
+	readonly revision: StoreRevision;
 	readonly rows: readonly RelayedRow[];
 };
 
@@ -47,19 +54,23 @@
 /** Encodes a row for transmission. */
 export function encodeRelayedRow({
 	targetId,
-	version,
+	revision,
 	entry,
 }: RelayedRow): z.infer<typeof relayedRowSchema> {
-	return [targetId, version, entry ?? null];
+	return [targetId, revision.version, entry ?? null];
 }
 
-/** Decodes a received row. */
-export function decodeRelayedRow([targetId, version, entry]: z.infer<
-	typeof relayedRowSchema
->): RelayedRow {
+/**
+ * Decodes a received row.
+ * @param era - era of the message
+ */
+export function decodeRelayedRow(
+	[targetId, version, entry]: z.infer<typeof relayedRowSchema>,
+	era: number,
+): RelayedRow {
 	return {
 		targetId,
-		version,
+		revision: {era, version},
 		entry:
 			entry && isSocketAddress(entry.address)
 				? {...entry, bornMs: entry.bornMs}
@@ -69,21 +80,23 @@
 
 /** Encodes changes for datagrams. The rows must be in the order of their versions. */
 export function encodeRelayedRows(changes: RelayedRows): string[] {
-	const {rows} = changes;
+	const {rows, revision} = changes;
 	const messages: string[] = [];
-	let after = changes.afterVersion;
+	let {after} = changes;
 	for (let start = 0; start < rows.length; start += maxRowsPerMessage) {
 		const chunk = rows.slice(start, start + maxRowsPerMessage);
 		const isLast = start + maxRowsPerMessage >= rows.length;
-		const version = isLast ? changes.version : (chunk.at(-1)?.version ?? after);
+		const upTo = isLast ? revision : (chunk.at(-1)?.revision ?? after);
 		messages.push(
 			JSON.stringify({
-				after,
-				version,
+				after: after.version,
+				afterEra: after.era,
+				version: upTo.version,
+				era: upTo.era,
 				rows: chunk.map((row) => encodeRelayedRow(row)),
 			}),
 		);
-		after = version;
+		after = upTo;
 	}
 
 	return messages;
@@ -94,9 +107,9 @@
 	const {success, data} = rowsSchema.safeParse(value);
 	return success
 		? {
-				afterVersion: data.after,
-				version: data.version,
-				rows: data.rows.map((row) => decodeRelayedRow(row)),
+				after: {era: data.afterEra, version: data.after},
+				revision: {era: data.era, version: data.version},
+				rows: data.rows.map((row) => decodeRelayedRow(row, data.era)),
 			}
 		: undefined;
 }
--- a/src/decisions/serving/table-follower.test.ts
+++ b/src/decisions/serving/table-follower.test.ts
@@ -1,124 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {ProblemError, storeRevision} from '../../common/index.js';
 import {
-	ProblemError,
-	RowStore,
-	SeededRandomSource,
-	type TableChanges,
-	type TableSnapshot,
-} from '../../common/index.js';
-import {VirtualTime} from '../../experiments/fakes/index.js';
-import {createTableSyncTracker} from '../fleet/index.js';
-import {followTable} from './table-follower.js';
-
-class ScriptedStore extends RowStore {
-	snapshots: Array<TableSnapshot | ProblemError> = [];
-	changeReads: Array<TableChanges | ProblemError> = [];
-	readonly readsAfter: number[] = [];
-
-	override async snapshot(): Promise<TableSnapshot> {
-		return this.next(this.snapshots);
-	}
-
-	override async changes(
-		_table: string,
-		afterVersion: number,
-	): Promise<TableChanges> {
-		this.readsAfter.push(afterVersion);
-		return this.next(this.changeReads);
-	}
-
-	override async put(): Promise<void> {
-		throw new Error('not used');
-	}
-
-	private async next<T>(script: Array<T | ProblemError>): Promise<T> {
-		const step = script.shift();
-		if (step === undefined) {
-			return new Promise(() => {
-				// Never resolves, as a read without changes.
-			});
-		}
-
-		if (step instanceof ProblemError) {
-			throw step;
-		}
-
-		return step;
-	}
-}
-
-type Callback = 'changes' | 'regained' | 'snapshot';
-
-/** @param failingCallbacks - callbacks that throw, once for each entry */
-function follow(store: RowStore, failingCallbacks: Callback[] = []) {
-	const failIfRequested = (callback: Callback) => {
-		const index = failingCallbacks.indexOf(callback);
-		if (index !== -1) {
-			failingCallbacks.splice(index, 1);
-			throw new Error(`planted in ${callback}`);
-		}
-	};
-
-	const time = new VirtualTime();
-	const role = {isReader: true};
-	const events: string[] = [];
-	const reasons: string[] = [];
-	const syncTracker = createTableSyncTracker(time);
-	const follower = followTable(
-		{
-			store,
-			clock: time,
-			timers: time,
-			random: new SeededRandomSource(1),
-			table: 'op',
-			syncTracker,
-			isReader: () => role.isReader,
-			waitMs: () => 1000,
-			maxAgeMs: () => 1400,
-			minIntervalMs: 10,
-			onUnexpected(error) {
-				events.push(`unexpected ${(error as Error).message}`);
-			},
-		},
-		{
-			onSnapshot({version}) {
-				events.push(`snapshot ${version}`);
-				failIfRequested('snapshot');
-			},
-			onChanges(changes) {
-				events.push(`changes ${changes.map(({key}) => key).join(' ')}`);
-				failIfRequested('changes');
-			},
-			onRead(reason) {
-				reasons.push(reason);
-			},
-			onLost({type}) {
-				events.push(`lost ${type}`);
-			},
-			onRegained() {
-				events.push('regained');
-				failIfRequested('regained');
-			},
-		},
-	);
-	return {time, events, reasons, follower, syncTracker, role};
-}
-
-const row = (key: string, version: number) => ({
-	key,
-	version,
-	value: new Uint8Array(),
-});
+	followInTest as follow,
+	row,
+	ScriptedStore,
+} from './testing/follow-in-test.js';
 
 test('reads the whole table when the store has dropped its history', async () => {
 	const store = new ScriptedStore();
 	store.snapshots = [
-		{rows: [], version: 5},
-		{rows: [row('a', 9)], version: 9},
+		{rows: [], revision: storeRevision(5)},
+		{rows: [row('a', 9)], revision: storeRevision(9)},
 	];
 	store.changeReads = [
-		{changes: [row('a', 6)], version: 6},
+		{changes: [row('a', 6)], revision: storeRevision(6)},
 		new ProblemError('table-history-lost', 'gone'),
 	];
 	const {time, events} = follow(store);
@@ -130,9 +26,9 @@
 test('ignores a stale snapshot', async () => {
 	const store = new ScriptedStore();
 	store.snapshots = [
-		{rows: [], version: 5},
-		{rows: [], version: 4},
-		{rows: [], version: 7},
+		{rows: [], revision: storeRevision(5)},
+		{rows: [], revision: storeRevision(4)},
+		{rows: [], revision: storeRevision(7)},
 	];
 	store.changeReads = [new ProblemError('table-history-lost', 'gone')];
 	const {time, events} = follow(store);
@@ -143,8 +39,8 @@
 test('reports an outage once and its end', async () => {
 	const away = new ProblemError('table-unavailable', 'away');
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
-	store.changeReads = [away, away, {changes: [], version: 6}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
+	store.changeReads = [away, away, {changes: [], revision: storeRevision(6)}];
 	const {time, events} = follow(store);
 	await time.runUntil(5000);
 	assert.deepEqual(events, [
@@ -157,13 +53,13 @@
 
 test('a VM that is not a reader does not read what other VMs confirm', async () => {
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
 	const {time, syncTracker, role, events} = follow(store);
 	role.isReader = false;
 	for (let atMs = 500; atMs <= 5000; atMs += 500) {
 		await time.runUntil(atMs);
 		syncTracker.recordPeerState({
-			version: 5 + atMs,
+			revision: storeRevision(5 + atMs),
 			changeVersion: 5,
 			ageMs: 300,
 		});
@@ -175,8 +71,8 @@
 
 test('a VM that is not a reader reads the store itself when the readers stop reporting', async () => {
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
-	store.changeReads = [{changes: [row('a', 8)], version: 8}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
+	store.changeReads = [{changes: [row('a', 8)], revision: storeRevision(8)}];
 	const {time, role, events, reasons} = follow(store);
 	role.isReader = false;
 	await time.runUntil(1300);
@@ -189,8 +85,8 @@
 
 test('does not read changes that the first snapshot already includes', async () => {
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
-	store.changeReads = [{changes: [], version: 5}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
+	store.changeReads = [{changes: [], revision: storeRevision(5)}];
 	const {time, role, follower, reasons} = follow(store);
 	role.isReader = false;
 	follower.refresh(-Infinity);
@@ -204,13 +100,17 @@
 test('during an outage of 20 s, VMs that are not readers retry rarely and learn of its end from readers', async () => {
 	const away = new ProblemError('table-unavailable', 'busy');
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
 	store.changeReads = Array.from({length: 100}, () => away);
 	const {time, syncTracker, role, events} = follow(store);
 	role.isReader = false;
 	await time.runUntil(20_000);
 	assert.ok(store.readsAfter.length <= 9, `${store.readsAfter.length} calls`);
-	syncTracker.recordPeerState({version: 6, changeVersion: 5, ageMs: 0});
+	syncTracker.recordPeerState({
+		revision: storeRevision(6),
+		changeVersion: 5,
+		ageMs: 0,
+	});
 	await time.runUntil(21_100);
 	assert.equal(events.at(-1), 'regained');
 
@@ -224,11 +124,11 @@
 test('a change or snapshot is not lost for good when the listener throws', async () => {
 	const store = new ScriptedStore();
 	store.snapshots = [
-		{rows: [], version: 5},
-		{rows: [row('a', 6)], version: 6},
-		{rows: [row('a', 6)], version: 6},
+		{rows: [], revision: storeRevision(5)},
+		{rows: [row('a', 6)], revision: storeRevision(6)},
+		{rows: [row('a', 6)], revision: storeRevision(6)},
 	];
-	store.changeReads = [{changes: [row('a', 6)], version: 6}];
+	store.changeReads = [{changes: [row('a', 6)], revision: storeRevision(6)}];
 	const {time, events} = follow(store, ['snapshot', 'changes']);
 	await time.runUntil(3000);
 	assert.deepEqual(
@@ -240,13 +140,16 @@
 test('a listener that throws does not leave a table that is followed no more', async () => {
 	const away = new ProblemError('table-unavailable', 'away');
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
-	store.changeReads = [away, {changes: [row('a', 6)], version: 6}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
+	store.changeReads = [
+		away,
+		{changes: [row('a', 6)], revision: storeRevision(6)},
+	];
 	const {time, events, role, syncTracker} = follow(store, ['regained']);
 	await time.runUntil(10);
 	role.isReader = false;
 	// Another VM reports that the store is available again.
-	syncTracker.adoptVersion(5);
+	syncTracker.adoptRevision(storeRevision(5));
 	await time.runUntil(500);
 	role.isReader = true;
 	await time.runUntil(4000);
@@ -260,7 +163,7 @@
 test('when the store is back, a VM that learns of a newer version skips its backoff (andamio-grown, trouble-3, seed 75150400995)', async () => {
 	const away = new ProblemError('table-unavailable', 'away');
 	const store = new ScriptedStore();
-	store.snapshots = [{rows: [], version: 5}];
+	store.snapshots = [{rows: [], revision: storeRevision(5)}];
 	store.changeReads = Array.from({length: 100}, () => away);
 	const {time, follower, role, events} = follow(store);
 	role.isReader = false;
@@ -271,7 +174,7 @@
 	}
 
 	assert.ok(store.readsAfter.length <= 9, `${store.readsAfter.length} calls`);
-	store.changeReads = [{changes: [row('a', 8)], version: 8}];
+	store.changeReads = [{changes: [row('a', 8)], revision: storeRevision(8)}];
 	follower.refresh(19_900);
 	await time.runUntil(20_300);
 	assert.equal(events.at(-1), 'changes a');
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -1,56 +1,17 @@
 import {
-	type Clock,
-	type Disposable,
-	type RandomSource,
-	type RowChange,
-	type RowStore,
-	type TableSnapshot,
-	type Timers,
+	compareRevisions,
+	ProblemError,
+	type StoreRevision,
 	toProblem,
-	type ProblemError,
 } from '../../common/index.js';
-import type {TableSyncTracker} from '../fleet/index.js';
-
-/**
- * Why a table was read: its state is older than allowed, changes are missing, this VM is a reader, or
- * the whole table is needed.
- */
-export type ReadReason = 'age' | 'missing' | 'reader' | 'snapshot';
-
-/** Receives a table and its changes. */
-export type TableListener = {
-	/** Called with the whole table, at the start and whenever changes may have been missed. */
-	onSnapshot(snapshot: TableSnapshot): void;
-	/** @param previousChangeVersion - version of the newest change that was known before */
-	onChanges(changes: readonly RowChange[], previousChangeVersion: number): void;
-	/** Called after each successful read. */
-	onRead(reason: ReadReason): void;
-	/** Called on the first of a series of failed reads. */
-	onLost(problem: ProblemError): void;
-	/** Called when the table is known to be readable again, by an own read or a report of another VM. */
-	onRegained(): void;
-};
-
-/** Options of a table follower. */
-export type TableFollowerOptions = {
-	readonly store: RowStore;
-	readonly clock: Clock;
-	readonly timers: Timers;
-	readonly random: RandomSource;
-	readonly table: string;
-	/** Up to which version the table is known, by own reads and from other VMs. */
-	readonly syncTracker: TableSyncTracker;
-	/** True while this VM reads the store for the other VMs; otherwise it reads only what they do not relay. */
-	readonly isReader: () => boolean;
-	/** Longest time for which the store holds the read of a reader until there are changes, in milliseconds. */
-	readonly waitMs: () => number;
-	/** Age of the known state above which a VM that is not a reader reads the table, in milliseconds. */
-	readonly maxAgeMs: () => number;
-	/** Shortest time between the starts of two reads, in milliseconds. */
-	readonly minIntervalMs: number;
-	/** Called with an unexpected error, such as one thrown by a listener; the table is still followed. */
-	readonly onUnexpected: (error: unknown) => void;
-};
+import type {
+	ReadReason,
+	TableFollower,
+	TableFollowerOptions,
+	TableListener,
+} from './table-follower-types.js';
+
+export type * from './table-follower-types.js';
 
 /** Backoff after a failed read. Readers retry sooner: they detect the end of an outage for all VMs. */
 const readerBackoff = {minMs: 150, maxMs: 1000} as const;
@@ -60,20 +21,6 @@
 /** Shortest time between two such checks while no read is due, in milliseconds. */
 const minPauseMs = 50;
 
-/** Keeps a listener up to date with a table until disposed. */
-export type TableFollower = Disposable & {
-	/** Monotonic time at which the last read ended, in milliseconds; -Infinity before the first. */
-	readonly lastAttemptMs: number;
-	/**
-	 * Reads soon, to get a newer version or to confirm the known one. A backoff ends early if another VM
-	 * has read the store since the last attempt.
-	 * @param reportedReadMs - monotonic time of that read, in milliseconds; -Infinity if none is known
-	 */
-	refresh(reportedReadMs: number): void;
-	/** Makes the next read return the whole table. */
-	reset(): void;
-};
-
 /** Starts to follow a table. */
 export function followTable(
 	options: TableFollowerOptions,
@@ -110,42 +57,71 @@
 		}
 	};
 
+	/** @param known - revision that was known when the read started */
+	const requireCurrentEra = (read: StoreRevision, known: StoreRevision) => {
+		if (read.era < known.era) {
+			throw new ProblemError(
+				'table-unavailable',
+				`the store responded with era ${read.era}, older than the known ${known.era}`,
+			);
+		}
+	};
+
 	const readAll = async () => {
+		const known = syncTracker.revision;
 		const snapshot = await store.snapshot(table);
 		if (isDisposed) {
 			return;
 		}
 
+		requireCurrentEra(snapshot.revision, known);
 		handleSuccess();
-		if (snapshot.version < syncTracker.version) {
-			// The read is stale: a newer version is already known.
+		if (compareRevisions(snapshot.revision, syncTracker.revision) < 0) {
+			// The read is stale: a newer revision is already known.
 			return;
 		}
 
 		needsSnapshot = false;
-		syncTracker.recordRead(snapshot.version, snapshot.version);
+		syncTracker.recordSnapshot(snapshot.revision);
 		deliver(() => {
 			listener.onSnapshot(snapshot);
 		});
 	};
 
 	const readChanges = async (waitMs: number) => {
-		const afterVersion = syncTracker.version;
-		const previousChangeVersion = syncTracker.state.changeVersion;
-		const {changes, version} = await store.changes(table, afterVersion, waitMs);
+		const after = syncTracker.revision;
+		const {changeVersion} = syncTracker.state;
+		const {changes, revision} = await store.changes(
+			table,
+			after.version,
+			waitMs,
+		);
 		if (isDisposed) {
 			return;
 		}
 
+		requireCurrentEra(revision, after);
 		handleSuccess();
+		if (revision.era > after.era) {
+			// The store was restored from an older copy, and versions were issued again: the response does not
+			// hold all that has changed since `after`.
+			needsSnapshot = true;
+			return;
+		}
+
+		if (revision.era < syncTracker.revision.era) {
+			// The read is stale: the table of a newer era has arrived from a peer meanwhile.
+			return;
+		}
+
 		const newestVersion = Math.max(
 			0,
-			...changes.map((change) => change.version),
+			...changes.map((change) => change.revision.version),
 		);
-		syncTracker.recordRead(Math.max(afterVersion, version), newestVersion);
+		syncTracker.recordChanges(revision, newestVersion);
 		if (changes.length > 0) {
 			deliver(() => {
-				listener.onChanges(changes, previousChangeVersion);
+				listener.onChanges(changes, {era: after.era, version: changeVersion});
 			});
 		}
 	};
@@ -260,6 +236,13 @@
 		}
 	};
 
+	/** Earliest start of a read that all VMs get a reason for at the same time. */
+	const spreadMs = () =>
+		Math.max(
+			clock.nowMs() + random.nextUnit() * readerBackoff.minMs,
+			lastAttemptMs + options.minIntervalMs,
+		);
+
 	void run();
 	return {
 		get lastAttemptMs() {
@@ -267,12 +250,8 @@
 		},
 		refresh(reportedReadMs) {
 			if (reportedReadMs > lastAttemptMs) {
-				// The store is available again; the random delay keeps the VMs from reading it all at once.
-				const earliestMs = Math.max(
-					clock.nowMs() + random.nextUnit() * readerBackoff.minMs,
-					lastAttemptMs + options.minIntervalMs,
-				);
-				nextAttemptMs = Math.min(nextAttemptMs, earliestMs);
+				// The store is available again.
+				nextAttemptMs = Math.min(nextAttemptMs, spreadMs());
 			}
 
 			// No read of changes is needed while the whole table is due. If that read still lacks the changes,
@@ -280,7 +259,15 @@
 			isReadRequested ||= !needsSnapshot;
 			wake?.();
 		},
-		reset() {
+		restart(reportedReadMs) {
+			const hasFailed = failures > 0;
+			if (hasFailed ? reportedReadMs > lastAttemptMs : !needsSnapshot) {
+				const earliestMs = spreadMs();
+				nextAttemptMs = hasFailed
+					? Math.min(nextAttemptMs, earliestMs)
+					: earliestMs;
+			}
+
 			needsSnapshot = true;
 			wake?.();
 		},
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -1,76 +1,24 @@
 import {
+	compareRevisions,
 	createEmitter,
-	type Clock,
-	type Event,
+	isNewerRevision,
+	type StoreRevision,
 	type TargetEntry,
 } from '../../common/index.js';
+import type {
+	Departure,
+	DepartureReason,
+	KnownTarget,
+	TargetDirectory,
+	TargetDirectoryOptions,
+	TargetRow,
+} from './target-directory-types.js';
+import {
+	createTargetRowHistory,
+	type HeldDeparture,
+} from './target-row-history.js';
 
-/** A target that may receive requests. */
-export type KnownTarget = {
-	readonly entry: TargetEntry;
-	/** Monotonic time at which this VM learned of the target, in milliseconds. */
-	readonly firstSeenMs: number;
-};
-
-/** Why a target receives no more requests. */
-export type DepartureReason =
-	'draining' | 'removed' | 'restarted' | 'lapsed' | 'misdirected';
-
-/** A target that receives no more requests, and why. */
-export type Departure = {
-	readonly entry: TargetEntry;
-	readonly reason: DepartureReason;
-};
-
-/** The targets of all services as listed in the store, corrected by what requests reveal about them. */
-export type TargetDirectory = {
-	/** Fires when a target may receive requests from now on. */
-	readonly onArrived: Event<TargetEntry>;
-	/** Fires when a target receives no more requests. */
-	readonly onDeparted: Event<Departure>;
-	/** Fires when a present target refuses a connection. */
-	readonly onUnreachable: Event<TargetEntry>;
-	/** Returns the targets of a service that may receive requests now. */
-	usable(service: string): readonly KnownTarget[];
-	/** Returns a target that has not left, even if it is unreachable. */
-	get(targetId: string): KnownTarget | undefined;
-	/** Returns the targets of all services that have not left. */
-	all(): Iterable<KnownTarget>;
-	/** Returns the addresses of all targets, including those that left less than `lingerMs` ago. */
-	addresses(): ReadonlySet<string>;
-	/**
-	 * Applies one row of the table, unless its version is not newer than that of the known row.
-	 * @param entry - undefined if the row was removed or could not be decoded
-	 */
-	set(targetId: string, entry: TargetEntry | undefined, version: number): void;
-	/** Applies a snapshot of the table; rows with a newer known version are kept. */
-	reset(rows: ReadonlyMap<string, TargetEntry>, version: number): void;
-	/** Called when this VM can't reach the store; lapsed entries are kept from now on. */
-	storeLost(): void;
-	/** Called when the store can be reached again. */
-	storeRegained(): void;
-	/** Called when the target refused a connection; it is not used for `unreachableMs`. */
-	markUnreachable(targetId: string): void;
-	/** Called when the target has responded. */
-	markReachable(targetId: string): void;
-	/** True if the target refused the last connection attempt. */
-	isUnreachable(targetId: string): boolean;
-	/** Called when a different target responds at the target's address. */
-	markReplaced(targetId: string): void;
-	/** Removes expired targets and addresses of targets that left; called at regular intervals. */
-	tick(): void;
-};
-
-/** Options of a target directory. */
-export type TargetDirectoryOptions = {
-	readonly clock: Clock;
-	/** Time after the store is regained in which targets can renew their lapsed entries, in milliseconds. */
-	readonly lapseGraceMs: number;
-	/** Time for which a target is not used after it refused a connection, in milliseconds. */
-	readonly unreachableMs: number;
-	/** Time for which connections to a target that left are kept open, in milliseconds. */
-	readonly lingerMs: number;
-};
+export type * from './target-directory-types.js';
 
 /** Creates a directory without targets. */
 export function createTargetDirectory(
@@ -81,8 +29,9 @@
 	const departed = createEmitter<Departure>();
 	const becameUnreachable = createEmitter<TargetEntry>();
 	const targets = new Map<string, KnownTarget>();
-	/** Version of the newest row that was applied for each target. */
-	const versions = new Map<string, number>();
+	const history = createTargetRowHistory(clock);
+	/** Era of the newest snapshot. */
+	let era = -1;
 	/** Monotonic times until which targets with a lapsed entry are kept; Infinity while the store is lost. */
 	const lapsedUntilMs = new Map<string, number>();
 	/** Monotonic times until which targets that refused the last connection attempt are not used. */
@@ -98,6 +47,7 @@
 		lapsedUntilMs.delete(targetId);
 		if (known) {
 			targets.delete(targetId);
+			history.recordDeparture(targetId, known.entry.bornMs);
 			unreachableUntilMs.delete(targetId);
 			byService = undefined;
 			lingeringUntilMs.set(known.entry.address, clock.nowMs() + lingerMs);
@@ -105,6 +55,14 @@
 		}
 	};
 
+	/** Keeps a target without an entry for the time in which it can write the entry again. */
+	const lapse = (targetId: string) => {
+		lapsedUntilMs.set(
+			targetId,
+			isStoreLost ? Infinity : clock.nowMs() + lapseGraceMs,
+		);
+	};
+
 	const handleRemoval = (targetId: string) => {
 		const nowMs = clock.nowMs();
 		if (!targets.has(targetId)) {
@@ -113,7 +71,7 @@
 
 		// Heartbeats can't reach an unavailable store, so that entries lapse although their targets are alive.
 		if (isStoreLost) {
-			lapsedUntilMs.set(targetId, Infinity);
+			lapse(targetId);
 		} else if (nowMs < storeRegainedMs + lapseGraceMs) {
 			lapsedUntilMs.set(targetId, storeRegainedMs + lapseGraceMs);
 		} else {
@@ -133,9 +91,11 @@
 		lapsedUntilMs.delete(entry.id);
 		if (entry.state === 'draining') {
 			depart(entry.id, 'draining');
+			history.recordDeparture(entry.id, entry.bornMs);
 			return;
 		}
 
+		history.recordArrival(entry.id);
 		byService = undefined;
 		targets.set(entry.id, {
 			entry,
@@ -149,17 +109,87 @@
 	const set = (
 		targetId: string,
 		entry: TargetEntry | undefined,
-		version: number,
+		revision: StoreRevision,
 	) => {
-		if ((versions.get(targetId) ?? -1) >= version) {
+		if (!isNewerRevision(revision, history.knownAt(targetId))) {
 			return;
 		}
 
-		versions.set(targetId, version);
-		if (entry) {
-			arrive(entry);
-		} else {
+		history.record(targetId, revision, revision);
+		if (!entry) {
 			handleRemoval(targetId);
+		} else if (history.mayReturn(entry, revision)) {
+			arrive(entry);
+		}
+	};
+
+	const handleMissing = (
+		targetId: string,
+		revision: StoreRevision,
+		isNewEra: boolean,
+	) => {
+		if (!isNewEra) {
+			set(targetId, undefined, revision);
+		} else if (isNewerRevision(revision, history.knownAt(targetId))) {
+			history.record(targetId, revision, history.writtenAt(targetId));
+			lapse(targetId);
+		}
+	};
+
+	const isEarlierIncarnation = ({id, bornMs = 0}: TargetEntry) =>
+		bornMs < (targets.get(id)?.entry.bornMs ?? 0);
+
+	const reset = (
+		rows: ReadonlyMap<string, TargetRow>,
+		revision: StoreRevision,
+	) => {
+		const isNewEra = era >= 0 && revision.era > era;
+		era = Math.max(era, revision.era);
+		if (isNewEra) {
+			history.startEra(revision);
+		}
+
+		for (const targetId of targets.keys()) {
+			if (!rows.has(targetId)) {
+				handleMissing(targetId, revision, isNewEra);
+			}
+		}
+
+		for (const [targetId, row] of rows) {
+			// A row relayed by another VM may be newer than this snapshot.
+			if (compareRevisions(history.knownAt(targetId), revision) > 0) {
+				continue;
+			}
+
+			if (isNewEra && isEarlierIncarnation(row.entry)) {
+				handleMissing(targetId, revision, isNewEra);
+				history.hold({
+					targetId,
+					bornMs: row.entry.bornMs,
+					returnAfter: revision,
+				});
+				continue;
+			}
+
+			if (history.mayReturn(row.entry, row.revision)) {
+				arrive(row.entry);
+			}
+
+			history.record(targetId, revision, row.revision);
+		}
+	};
+
+	const applyDeparture = (departure: HeldDeparture) => {
+		const {targetId, returnAfter} = departure;
+		if (isNewerRevision(history.writtenAt(targetId), returnAfter)) {
+			return;
+		}
+
+		history.hold(departure);
+		const known = targets.get(targetId);
+		if (known && !history.mayReturn(known.entry, history.writtenAt(targetId))) {
+			depart(targetId, 'removed');
+			history.hold(departure);
 		}
 	};
 
@@ -193,6 +223,12 @@
 		all() {
 			return targets.values();
 		},
+		rows() {
+			return [...targets.values()].map(({entry}) => ({
+				entry,
+				revision: history.writtenAt(entry.id),
+			}));
+		},
 		addresses() {
 			return new Set([
 				...[...targets.values()].map((known) => known.entry.address),
@@ -200,19 +236,11 @@
 			]);
 		},
 		set,
-		reset(rows, version) {
-			for (const targetId of targets.keys()) {
-				if (!rows.has(targetId)) {
-					set(targetId, undefined, version);
-				}
-			}
-
-			for (const [targetId, entry] of rows) {
-				// A row relayed by another VM may be newer than this snapshot.
-				if ((versions.get(targetId) ?? -1) <= version) {
-					arrive(entry);
-					versions.set(targetId, version);
-				}
+		reset,
+		heldDepartures: history.heldDepartures,
+		applyDepartures(departures) {
+			for (const departure of departures) {
+				applyDeparture(departure);
 			}
 		},
 		storeLost() {
@@ -256,6 +284,8 @@
 					lingeringUntilMs.delete(address);
 				}
 			}
+
+			history.sweep((targetId) => targets.has(targetId));
 		},
 	};
 }
--- a/src/experiments/fakes/fake-row-store.ts
+++ b/src/experiments/fakes/fake-row-store.ts
@@ -9,7 +9,16 @@
 	type Timers,
 } from '../../common/index.js';
 
-type Change = RowChange & {readonly table: string};
+type Change = Omit<RowChange, 'revision'> & {
+	readonly table: string;
+	readonly version: number;
+};
+
+/** Content of a store at some moment. */
+export type FakeStoreCopy = {
+	readonly changes: readonly Change[];
+	readonly version: number;
+};
 
 /** Content of a store in memory, which any number of clients read. */
 export class FakeStoreContent {
@@ -18,6 +27,7 @@
 	private readonly written = createEmitter<void>();
 	private changes: readonly Change[] = [];
 	private version = 0;
+	private era = 0;
 
 	constructor() {
 		this.onWritten = this.written.event;
@@ -47,17 +57,41 @@
 			}
 		}
 
+		const {era, version: newestVersion} = this;
 		const rows = [...newest.values()].flatMap(({key, value, version}) =>
-			value ? {key, value, version} : [],
+			value ? {key, value, revision: {era, version}} : [],
 		);
-		return {rows, version: this.version};
+		return {rows, revision: {era, version: newestVersion}};
 	}
 
 	changesAfter(table: string, afterVersion: number): TableChanges {
-		const changes = this.changes.filter(
-			(change) => change.table === table && change.version > afterVersion,
-		);
-		return {changes, version: this.version};
+		const {era, version: newestVersion} = this;
+		if (afterVersion > newestVersion) {
+			throw new ProblemError('table-history-lost', 'no such version');
+		}
+
+		const changes = this.changes
+			.filter(
+				(change) => change.table === table && change.version > afterVersion,
+			)
+			.map(({key, value, version}) => ({
+				key,
+				value,
+				revision: {era, version},
+			}));
+		return {changes, revision: {era, version: newestVersion}};
+	}
+
+	/** Takes a copy, to be restored later. */
+	copy(): FakeStoreCopy {
+		return {changes: this.changes, version: this.version};
+	}
+
+	/** Returns to a copy: raises the era by one, and issues the versions after that of the copy again. */
+	restore({changes, version}: FakeStoreCopy): void {
+		this.changes = changes;
+		this.version = version;
+		this.era++;
 	}
 }
 
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -33,6 +33,7 @@
 });
 
 /** Schema of the configuration except for its routes, which are validated one by one. */
+const versionSchema = z.object({version: z.number()});
 const configurationSchema = z.object({
 	version: z.number(),
 	routes: z.array(z.unknown()),
@@ -90,6 +91,15 @@
 /** Number of routes decoded per slice; small enough that streams served meanwhile do not stall. */
 const routesPerSlice = 40;
 
+/**
+ * Reads the operator's version from a configuration, before the rest is decoded.
+ * @throws ProblemError `invalid-configuration` if the text is not JSON or has no version
+ */
+export function readConfigurationVersion(text: string): number {
+	const value = parseJson(text, label, problemType);
+	return decode(versionSchema, value, label, problemType).version;
+}
+
 /**
  * Decodes a version of the operator's configuration in slices, between which the caller can return to
  * the event loop. Decoding a thousand routes without a pause would block a small VM for longer than the
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -11,15 +11,19 @@
 		store.server.listen(0, '127.0.0.1', resolve);
 	});
 	const {port} = store.server.address() as AddressInfo;
+	const malformedEras: string[] = [];
 	const client = new StoreClient({
 		address: `127.0.0.1:${port}`,
 		timeoutMs: 500,
+		onMalformedEra(value) {
+			malformedEras.push(value);
+		},
 	});
 	context.after(async () => {
 		await client.close();
 		store.server.close();
 	});
-	return {store, client};
+	return {store, client, malformedEras};
 }
 
 const isProblem = (type: string) => (error: unknown) =>
@@ -35,7 +39,11 @@
 	);
 	store.put('servers', 'a', undefined);
 	store.put('servers', 'b', {n: 2});
-	const {changes} = await client.changes('servers', snapshot.version, 1000);
+	const {changes} = await client.changes(
+		'servers',
+		snapshot.revision.version,
+		1000,
+	);
 	assert.deepEqual(
 		changes.map(({key, value}) => [key, value === undefined]),
 		[
@@ -47,10 +55,10 @@
 
 test('a write that may have taken effect is not reported as refused, nor dropped history as an unavailable store', async (context) => {
 	const {store, client} = await startStore(context);
-	const {version} = await client.snapshot('op');
+	const {revision} = await client.snapshot('op');
 	store.dropHistory();
 	await assert.rejects(
-		client.changes('op', version, 10),
+		client.changes('op', revision.version, 10),
 		isProblem('table-history-lost'),
 	);
 	store.respondWith(503);
@@ -128,8 +136,62 @@
 		await client.close();
 		server.close();
 	});
-	const {version} = await client.changes('op', 3, 0);
-	assert.equal(version, 90);
+	const {revision} = await client.changes('op', 3, 0);
+	assert.equal(revision.version, 90);
 	const next = await client.changes('servers', 5, 0);
-	assert.equal(next.version, 7);
+	assert.equal(next.revision.version, 7);
+});
+
+test('what was read after the return to an older copy is told apart by its era', async (context) => {
+	const {store, client} = await startStore(context);
+	store.put('op', 'config', {n: 1});
+	const copy = store.copy();
+	store.put('op', 'config', {n: 2});
+	const {revision: before} = await client.snapshot('op');
+	store.restore(copy);
+	await assert.rejects(
+		client.changes('op', before.version, 10),
+		isProblem('table-history-lost'),
+	);
+	store.put('op', 'config', {n: 3});
+	const {rows, revision} = await client.snapshot('op');
+	assert.deepEqual(revision, {era: 1, version: before.version});
+	assert.deepEqual(rows[0].revision, revision);
+	const {changes} = await client.changes('op', copy.version, 10);
+	assert.deepEqual(
+		changes.map((change) => change.revision),
+		[revision],
+	);
+});
+
+test('a malformed era counts as absent and is reported once', async (context) => {
+	const {store, client, malformedEras} = await startStore(context);
+	for (const text of ['two', '', '-1', '1.5', '99999999999999999999']) {
+		store.sendEra(text);
+		const {revision} = await client.snapshot('op');
+		assert.equal(revision.era, 0, text);
+	}
+
+	assert.deepEqual(malformedEras, ['two']);
+	store.sendEra('7');
+	const {revision} = await client.snapshot('op');
+	assert.equal(revision.era, 7);
+});
+
+test('pages of a table from before and after the return to an older copy are not joined', async (context) => {
+	const {store, client} = await startStore(context);
+	store.server.removeAllListeners('request');
+	let pageCount = 0;
+	store.server.on('request', (_request, response) => {
+		pageCount++;
+		response.setHeader('Store-Era', String(pageCount - 1));
+		response.end(
+			JSON.stringify({
+				rows: [{key: `k${pageCount}`, value: 'e30=', ver: 4}],
+				ver: 5,
+				more_pages: pageCount === 1,
+			}),
+		);
+	});
+	await assert.rejects(client.snapshot('op'), isProblem('table-history-lost'));
 });
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -5,19 +5,22 @@
 import {
 	ProblemError,
 	RowStore,
+	type StoredRow,
 	type RowChange,
 	type TableChanges,
 	type TableSnapshot,
 } from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 import {type HttpCallResponse, makeHttpCall} from './http-call.js';
-import {storePaths} from './wire-names.js';
+import {headerNames, storePaths} from './wire-names.js';
 
 export type StoreClientOptions = {
 	/** `address:port`. */
 	readonly address: string;
 	/** Response timeout, in addition to the wait time of long polling, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Called with the first value of the era header that is not an integer; such values count as absent. */
+	readonly onMalformedEra?: (value: string) => void;
 };
 
 const rowSchema = z.object({
@@ -41,6 +44,9 @@
 	403, 412, 429, 503, 507,
 ]);
 
+const eraHeader = headerNames.storeEra.toLowerCase();
+const eraPattern = /^\d{1,15}$/;
+
 function decodeValue(row: z.infer<typeof rowSchema>): Uint8Array | undefined {
 	return row.tombstone === true || row.value === undefined
 		? undefined
@@ -50,6 +56,7 @@
 /** Client of the platform's store over HTTP. */
 export class StoreClient extends RowStore {
 	private readonly agent: UndiciAgent;
+	private hasReportedEra = false;
 
 	constructor(private readonly options: StoreClientOptions) {
 		super();
@@ -61,26 +68,39 @@
 	}
 
 	override async snapshot(table: string): Promise<TableSnapshot> {
-		const rows: Array<{key: string; value: Uint8Array; version: number}> = [];
-		let version = 0;
+		const rows: StoredRow[] = [];
+		let firstEra: number | undefined;
+		let version = Infinity;
 		let fromQuery = '';
 		for (;;) {
 			// `part` is left empty; `fromQuery` adds the parameter that follows it.
 			const query = `table=${encodeURIComponent(table)}&part=${fromQuery}`;
-			const page = await this.read(`${storePaths.read}?${query}`, 0);
+			const {era, ...page} = await this.read(`${storePaths.read}?${query}`, 0);
+			firstEra ??= era;
+			if (era !== firstEra) {
+				throw new ProblemError(
+					'table-history-lost',
+					'the store was restored from a copy between two pages of a table',
+				);
+			}
+
 			// Pages may have different versions. The lowest is kept, so that no change between two pages is
 			// missed when the table is followed from it.
-			version = version === 0 ? page.ver : Math.min(version, page.ver);
+			version = Math.min(version, page.ver);
 			for (const row of page.rows) {
 				const value = decodeValue(row);
 				if (value) {
-					rows.push({key: row.key, value, version: row.ver});
+					rows.push({
+						key: row.key,
+						value,
+						revision: {era, version: row.ver},
+					});
 				}
 			}
 
 			const last = page.rows.at(-1);
 			if (!page.more_pages || !last) {
-				return {rows, version};
+				return {rows, revision: {era, version}};
 			}
 
 			// The smallest key greater than the last one.
@@ -94,13 +114,16 @@
 		waitMs: number,
 	): Promise<TableChanges> {
 		const query = `table=${encodeURIComponent(table)}&after_rev=${afterVersion}&wait_ms=${waitMs}`;
-		const response = await this.read(`${storePaths.follow}?${query}`, waitMs);
-		const changes = response.rows.map((row): RowChange => ({
+		const {era, rows, ver} = await this.read(
+			`${storePaths.follow}?${query}`,
+			waitMs,
+		);
+		const changes = rows.map((row): RowChange => ({
 			key: row.key,
 			value: decodeValue(row),
-			version: row.ver,
+			revision: {era, version: row.ver},
 		}));
-		return {changes, version: response.ver};
+		return {changes, revision: {era, version: ver}};
 	}
 
 	override async put(
@@ -132,7 +155,12 @@
 	}
 
 	private async read(path: string, waitMs: number) {
-		const {status, text} = await this.call('GET', path, undefined, waitMs);
+		const {status, headers, text} = await this.call(
+			'GET',
+			path,
+			undefined,
+			waitMs,
+		);
 		if (status === goneStatus) {
 			throw new ProblemError(
 				'table-history-lost',
@@ -149,12 +177,32 @@
 
 		const label = 'the response of the store';
 		const problemType = 'table-unavailable';
-		return decode(
+		const response = decode(
 			responseSchema,
 			parseJson(text, label, problemType),
 			label,
 			problemType,
 		);
+		return {...response, era: this.decodeEra(headers[eraHeader])};
+	}
+
+	/** @returns 0 if the header is absent or malformed */
+	private decodeEra(header: string | string[] | undefined): number {
+		if (header === undefined) {
+			return 0;
+		}
+
+		const text = String(header);
+		if (eraPattern.test(text)) {
+			return Number(text);
+		}
+
+		if (!this.hasReportedEra) {
+			this.hasReportedEra = true;
+			this.options.onMalformedEra?.(text);
+		}
+
+		return 0;
 	}
 
 	private async call(
--- a/src/platform/testing/store-standin.ts
+++ b/src/platform/testing/store-standin.ts
@@ -14,6 +14,20 @@
 	respondWith(status: number | undefined): void;
 	/** Drops all changes, so that clients must read a new snapshot. */
 	dropHistory(): void;
+	/** Takes a copy of all rows, to be restored later. */
+	copy(): StoreCopy;
+	/** Returns to a copy: raises the era by one, and issues the versions after that of the copy again. */
+	restore(copy: StoreCopy): void;
+	/** Sends this text as the era of all responses until it is reset to undefined. */
+	sendEra(text: string | undefined): void;
+};
+
+/** Content of the store at some moment. */
+export type StoreCopy = {
+	readonly changes: readonly Change[];
+	readonly latest: ReadonlyMap<string, Change>;
+	readonly version: number;
+	readonly oldestVersion: number;
 };
 
 type Change = {
@@ -43,6 +57,8 @@
 	let version = 1;
 	let oldestVersion = 0;
 	let forcedStatus: number | undefined;
+	let era = 0;
+	let forcedEra: string | undefined;
 
 	const record = (table: string, key: string, value: string | undefined) => {
 		version++;
@@ -57,7 +73,12 @@
 		}
 	};
 
+	const setEra = (response: ServerResponse) => {
+		response.setHeader('Store-Era', forcedEra ?? String(era));
+	};
+
 	const respond = (response: ServerResponse, rows: readonly Change[]) => {
+		setEra(response);
 		response.end(
 			JSON.stringify({
 				rows: rows.map((row) => toWireRow(row)),
@@ -74,7 +95,8 @@
 		untilMs: number,
 	) => {
 		const after = Number(query.get('after_rev'));
-		if (after < oldestVersion) {
+		if (after < oldestVersion || after > version) {
+			setEra(response);
 			response.writeHead(410).end('{}');
 			return;
 		}
@@ -123,6 +145,7 @@
 				follow(response, searchParams, performance.now() + waitMs);
 			} else {
 				transact(body);
+				setEra(response);
 				response.end(JSON.stringify({ver: version, now_ms: 0}));
 			}
 		});
@@ -146,5 +169,27 @@
 			oldestVersion = version + 1;
 			version += 2;
 		},
+		copy: () => ({
+			changes: [...changes],
+			latest: new Map(latestByKey),
+			version,
+			oldestVersion,
+		}),
+		restore(copy) {
+			era++;
+			({version, oldestVersion} = copy);
+			changes = [...copy.changes];
+			latestByKey.clear();
+			values.clear();
+			for (const [key, change] of copy.latest) {
+				latestByKey.set(key, change);
+				if (change.value !== undefined) {
+					values.set(key, change.value);
+				}
+			}
+		},
+		sendEra(text) {
+			forcedEra = text;
+		},
 	};
 }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -22,6 +22,8 @@
 	leaving: 'Server-Leaving',
 	/** Seconds for which a target that turns a request away wants no others from this VM. */
 	retryAfter: 'Retry-After',
+	/** In responses of the store: how often it has been restored from an older copy. */
+	storeEra: 'Store-Era',
 } as const;
 
 /** Fields that events may have besides those of server-sent events: the version of the weights, where it changes. */
--- a/src/programs/front/configuration-loader.ts
+++ b/src/programs/front/configuration-loader.ts
@@ -2,11 +2,15 @@
 import {
 	type DeploymentConfiguration,
 	type Disposable,
+	type StoreRevision,
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
 import type {ConfigurationState} from '../../decisions/serving/index.js';
-import {decodeConfigurationInSlices} from '../../platform/index.js';
+import {
+	decodeConfigurationInSlices,
+	readConfigurationVersion,
+} from '../../platform/index.js';
 
 /** Where a configuration came from. */
 export type ConfigurationSource = 'peer' | 'store';
@@ -16,15 +20,24 @@
  * force.
  */
 export type ConfigurationLoader = Disposable & {
-	/** Text of the newest configuration received, in force or not; undefined before the first. */
+	/**
+	 * Text of the configuration with the highest operator's version of those received and not refused;
+	 * undefined before the first.
+	 */
 	readonly newestText: string | undefined;
+	/** Operator's version of `newestText`; 0 before the first. */
+	readonly newestVersion: number;
 	/**
 	 * Decodes a configuration. If one is being decoded, that one is finished first; of those that arrive
-	 * meanwhile only the last is decoded.
-	 * @param rowVersion - version of the row in the store or, from a peer, of the table; a configuration
-	 * older than the newest received one is ignored
+	 * meanwhile only the last is decoded. One with a lower operator's version than a known one is ignored, in
+	 * whichever revision of the store it is: a store restored from an older copy lists it again.
+	 * @param rowRevision - revision of the row in the store or, from a peer, of the table
 	 */
-	load(text: string, rowVersion: number, source: ConfigurationSource): void;
+	load(
+		text: string,
+		rowRevision: StoreRevision,
+		source: ConfigurationSource,
+	): void;
 };
 
 export type ConfigurationLoaderOptions = {
@@ -35,7 +48,9 @@
 
 type ReceivedConfiguration = {
 	readonly text: string;
-	readonly rowVersion: number;
+	/** Set by the operator. */
+	readonly version: number;
+	readonly rowRevision: StoreRevision;
 	readonly source: ConfigurationSource;
 };
 
@@ -44,38 +59,65 @@
 ): ConfigurationLoader {
 	const {timers, configuration, logger} = options;
 	let newest: ReceivedConfiguration | undefined;
+	let inForce: ReceivedConfiguration | undefined;
 	let pending: ReceivedConfiguration | undefined;
 	let isLoading = false;
 	let nextSliceTimer: Disposable | undefined;
 
 	const accept = (
-		{rowVersion, source}: ReceivedConfiguration,
+		received: ReceivedConfiguration,
 		decoded: DeploymentConfiguration | undefined,
 	) => {
 		const accepted = decoded !== undefined && configuration.accept(decoded);
+		if (accepted) {
+			inForce = received;
+		}
+
+		const {rowRevision, source} = received;
 		logger.info('configuration read', {
 			version: decoded?.version ?? configuration.current?.version,
-			rowVersion,
+			rowVersion: rowRevision.version,
+			era: rowRevision.era,
 			source,
 			accepted,
 			routes: decoded?.routes.length,
 		});
 	};
 
-	const refuse = (
-		{rowVersion, source}: ReceivedConfiguration,
+	const logRefusal = (
 		error: unknown,
+		rowRevision: StoreRevision,
+		source: ConfigurationSource,
 	) => {
 		const {type, detail, field} = toProblem(error);
 		logger.warn('configuration refused', {
 			type,
 			detail,
 			field,
-			rowVersion,
+			rowVersion: rowRevision.version,
+			era: rowRevision.era,
 			source,
 		});
 	};
 
+	const refuse = (received: ReceivedConfiguration, error: unknown) => {
+		if (newest === received) {
+			newest = inForce;
+		}
+
+		logRefusal(error, received.rowRevision, received.source);
+	};
+
+	const ignore = (received: ReceivedConfiguration, newestVersion: number) => {
+		logger.info('configuration ignored', {
+			version: received.version,
+			newestVersion,
+			rowVersion: received.rowRevision.version,
+			era: received.rowRevision.era,
+			source: received.source,
+		});
+	};
+
 	const loadNext = () => {
 		const received = pending;
 		pending = undefined;
@@ -106,19 +148,32 @@
 		step();
 	};
 
+	const receive = (received: ReceivedConfiguration) => {
+		if (newest && received.version < newest.version) {
+			ignore(received, newest.version);
+			return;
+		}
+
+		newest = received;
+		pending = received;
+		if (!isLoading) {
+			loadNext();
+		}
+	};
+
 	return {
 		get newestText() {
 			return newest?.text;
 		},
-		load(text, rowVersion, source) {
-			if (newest && rowVersion < newest.rowVersion) {
-				return;
-			}
-
-			newest = {text, rowVersion, source};
-			pending = newest;
-			if (!isLoading) {
-				loadNext();
+		get newestVersion() {
+			return newest?.version ?? 0;
+		},
+		load(text, rowRevision, source) {
+			try {
+				const version = readConfigurationVersion(text);
+				receive({text, version, rowRevision, source});
+			} catch (error) {
+				logRefusal(error, rowRevision, source);
 			}
 		},
 		dispose() {
--- a/src/programs/front/coordinator-registry.ts
+++ b/src/programs/front/coordinator-registry.ts
@@ -14,6 +14,8 @@
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly store: RowStore;
+	/** Newest era of the store that this VM knows: an older copy, to which the store returns, may lack the row. */
+	readonly storeEra: () => number;
 	/** Key of this VM's row. */
 	readonly vmName: string;
 	/** `address:port` for traffic between VMs. */
@@ -57,18 +59,24 @@
 	options: CoordinatorRegistryOptions,
 ): Disposable {
 	const {clock, timers, store, logger, address} = options;
-	let isRowWritten = false;
+	/** Newest era that was known before the row was last written; -1 before that. */
+	let writtenEra = -1;
+	let readEra = 0;
 	let nextUpdateMs = -Infinity;
 	let isUpdating = false;
 
+	const knownEra = () => Math.max(readEra, options.storeEra());
+
 	const update = async () => {
-		if (!isRowWritten) {
+		const era = knownEra();
+		if (writtenEra < era) {
 			const row = new TextEncoder().encode(JSON.stringify({address}));
 			await store.put(table, options.vmName, row);
-			isRowWritten = true;
+			writtenEra = era;
 		}
 
-		const {rows} = await store.snapshot(table);
+		const {rows, revision} = await store.snapshot(table);
+		readEra = Math.max(readEra, revision.era);
 		for (const row of rows) {
 			const found = decodeAddress(row.value);
 			if (found !== undefined && found !== address) {
@@ -90,11 +98,14 @@
 		}
 	};
 
+	/** True if the store has returned from an older copy since the row was written. */
+	const isRowOutdated = () => writtenEra >= 0 && writtenEra < knownEra();
+
 	const check = () => {
 		if (
 			!isUpdating &&
 			options.isCoordinator() &&
-			clock.nowMs() >= nextUpdateMs
+			(clock.nowMs() >= nextUpdateMs || isRowOutdated())
 		) {
 			const intervalMs = options.isAlone() ? aloneIntervalMs : usualIntervalMs;
 			nextUpdateMs = clock.nowMs() + intervalMs;
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -5,6 +5,7 @@
 	type Disposable,
 	type RandomSource,
 	type ServingBounds,
+	storeRevision,
 	type Timers,
 } from '../../common/index.js';
 import {
@@ -111,7 +112,7 @@
 const lingerMs = 30_000;
 
 const unsyncedTable: TableSyncState = {
-	version: 0,
+	revision: storeRevision(0),
 	changeVersion: 0,
 	ageMs: Infinity,
 };
@@ -128,6 +129,9 @@
 	const store = new StoreClient({
 		address: vm.storeAddress,
 		timeoutMs: settings.storeTimeoutMs,
+		onMalformedEra(value) {
+			logger.warn('era of the store ignored', {value});
+		},
 	});
 	const configuration = createConfigurationState();
 	const evacuatedZones = owned.add(createEvacuatedZones());
@@ -189,16 +193,14 @@
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
 			storeReadState: () => late.storeWatch?.readState ?? 'idle',
-			configurationSyncState: () =>
-				late.storeWatch?.configurationSync.state ?? unsyncedTable,
-			targetsSyncState: () =>
-				late.storeWatch?.targetsSync.state ?? unsyncedTable,
-			onPeerSyncState(from, configurationSyncState, targetsSyncState) {
-				tableRecovery.handlePeerSyncState(
-					from,
-					configurationSyncState,
-					targetsSyncState,
-				);
+			tableStates: () => ({
+				configuration:
+					late.storeWatch?.configurationSync.state ?? unsyncedTable,
+				targets: late.storeWatch?.targetsSync.state ?? unsyncedTable,
+				operatorVersion: configuration.current?.version ?? 0,
+			}),
+			onPeerTableStates(from, states) {
+				tableRecovery.handlePeerTableStates(from, states);
 			},
 			onPeerRows(changes) {
 				late.storeWatch?.applyPeerRows(changes);
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -9,11 +9,11 @@
 } from '../../common/index.js';
 import type {
 	MemberList,
+	PeerTableStates,
 	PermitClient,
 	PlacementClient,
 	RetryClient,
 	StoreReadState,
-	TableSyncState,
 } from '../../decisions/fleet/index.js';
 import type {CrashEvidence} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
@@ -22,7 +22,7 @@
 	EvacuationList,
 	RelayedRows,
 } from '../../decisions/serving/index.js';
-import type {PeerSyncStateListener} from './membership-protocol.js';
+import type {PeerTableStatesListener} from './membership-protocol.js';
 import type {RunReporter} from './run-reporter.js';
 import type {ConfigurationChange} from './store-watch-types.js';
 import type {StoreRelay} from './store-relay.js';
@@ -49,10 +49,9 @@
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
 	readonly storeReadState: () => StoreReadState;
-	readonly configurationSyncState: () => TableSyncState;
-	readonly targetsSyncState: () => TableSyncState;
-	/** Called with the table state in each heartbeat or beacon of another VM. */
-	readonly onPeerSyncState: PeerSyncStateListener;
+	readonly tableStates: () => PeerTableStates;
+	/** Called with the table states in each heartbeat or beacon of another VM. */
+	readonly onPeerTableStates: PeerTableStatesListener;
 	/** Called with changes of the targets that another VM has read from the store. */
 	readonly onPeerRows: (changes: RelayedRows) => void;
 	/** Called with a configuration that another VM has read from the store. */
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -244,6 +244,10 @@
 			clock,
 			timers,
 			store: options.store,
+			storeEra() {
+				const {configuration, targets} = options.tableStates();
+				return Math.max(configuration.revision.era, targets.revision.era);
+			},
 			vmName: vm.name,
 			address,
 			isCoordinator: () => members.isCoordinator,
--- a/src/programs/front/membership-protocol.test.ts
+++ b/src/programs/front/membership-protocol.test.ts
@@ -21,7 +21,16 @@
 	cpuMsPerSecond: 324,
 	storeReadState,
 });
-const tableState = {version: 4, changeVersion: 4, ageMs: 0};
+const tableState = {
+	revision: {era: 0, version: 4},
+	changeVersion: 4,
+	ageMs: 0,
+};
+const tableStates = {
+	configuration: tableState,
+	targets: tableState,
+	operatorVersion: 2,
+};
 
 test('a coordinator broadcasts at once when the last reader loses the store, so that VMs poll leaving engines in time', async () => {
 	const time = new VirtualTime();
@@ -36,9 +45,8 @@
 		runRegistry: createRunRegistry(time),
 		runs: () => [],
 		ownInfo: () => memberInfo('a', own.reading),
-		configurationSyncState: () => tableState,
-		targetsSyncState: () => tableState,
-		onPeerSyncState() {
+		tableStates: () => tableStates,
+		onPeerTableStates() {
 			// Irrelevant here.
 		},
 		onMemberArrived() {
@@ -58,8 +66,7 @@
 			kind: 'heartbeat',
 			sender: memberInfo(address, reading),
 			sequence,
-			configuration: tableState,
-			targets: tableState,
+			...tableStates,
 			runs: [],
 		};
 		exchange.handleHeartbeat(address, message);
--- a/src/programs/front/membership-protocol.ts
+++ b/src/programs/front/membership-protocol.ts
@@ -5,15 +5,14 @@
 	type Heartbeat,
 	type MemberList,
 	type MemberInfo,
-	type TableSyncState,
+	type PeerTableStates,
 } from '../../decisions/fleet/index.js';
 import type {RunRegistry, RunState} from '../../decisions/scheduling/index.js';
 
-/** Receives the sync state of another VM's tables. */
-export type PeerSyncStateListener = (
+/** Receives what another VM knows of the store's tables. */
+export type PeerTableStatesListener = (
 	from: string,
-	configurationSyncState: TableSyncState,
-	targetsSyncState: TableSyncState,
+	states: PeerTableStates,
 ) => void;
 
 export type MembershipProtocolOptions = {
@@ -27,10 +26,9 @@
 	/** Runs of this VM. */
 	readonly runs: () => readonly RunState[];
 	readonly ownInfo: () => MemberInfo;
-	readonly configurationSyncState: () => TableSyncState;
-	readonly targetsSyncState: () => TableSyncState;
-	/** Called with the table state in each heartbeat or beacon of another VM. */
-	readonly onPeerSyncState: PeerSyncStateListener;
+	readonly tableStates: () => PeerTableStates;
+	/** Called with the table states in each heartbeat or beacon of another VM. */
+	readonly onPeerTableStates: PeerTableStatesListener;
 	/** Called after the first heartbeat of a VM that this one did not know. */
 	readonly onMemberArrived: (from: string) => void;
 	readonly sendText: (to: string, text: string) => void;
@@ -78,8 +76,7 @@
 				.slice(0, maxListedMembers)
 				.filter((member) => member.address !== address)
 				.map((member) => [member, members.silentMs(member.address)] as const),
-			configuration: options.configurationSyncState(),
-			targets: options.targetsSyncState(),
+			...options.tableStates(),
 		};
 	};
 
@@ -93,8 +90,7 @@
 			kind: 'heartbeat',
 			sender: ownInfo(),
 			sequence,
-			configuration: options.configurationSyncState(),
-			targets: options.targetsSyncState(),
+			...options.tableStates(),
 			runs: options.runs(),
 		};
 		runRegistry.replaceRuns(address, message.runs);
@@ -158,7 +154,7 @@
 		const wereLost = haveReadersLostStore();
 		members.recordSeen({...message.sender, address: from}, 0);
 		runRegistry.replaceRuns(from, message.runs);
-		options.onPeerSyncState(from, message.configuration, message.targets);
+		options.onPeerTableStates(from, message);
 		const isCoordinatorOrStandby = members
 			.coordinatorAndStandby()
 			.some((member) => member.address === address);
@@ -188,7 +184,7 @@
 		}
 
 		members.recordVmCount(message.vmCount);
-		options.onPeerSyncState(from, message.configuration, message.targets);
+		options.onPeerTableStates(from, message);
 	};
 
 	const sweep = () => {
--- a/src/programs/front/store-watch-operator.ts
+++ b/src/programs/front/store-watch-operator.ts
@@ -1,6 +1,11 @@
-import type {Disposable} from '../../common/index.js';
+import {
+	type Disposable,
+	isNewerRevision,
+	type StoreRevision,
+} from '../../common/index.js';
 import {
 	createTableSyncTracker,
+	newestRevisionOf,
 	type TableSyncTracker,
 } from '../../decisions/fleet/index.js';
 import {
@@ -35,6 +40,10 @@
 	readonly lastAttemptMs: number;
 	/** Text of the newest configuration received; undefined before the first. */
 	readonly configurationText: string | undefined;
+	/** Operator's version of that configuration; 0 before the first. */
+	readonly configurationVersion: number;
+	/** True if the store had been restored from an older copy before this VM first read it. */
+	readonly hasStartedFromCopy: boolean;
 	/** The newest list of evacuated zones; undefined before the first. */
 	readonly evacuations: EvacuationList | undefined;
 	/** Applies the part of a peer's tables that belongs to this table. */
@@ -43,6 +52,8 @@
 	applyPeerEvacuations(list: EvacuationList): void;
 	/** Reads the table soon, see `TableFollower`. */
 	refresh(respondedMs: number): void;
+	/** Reads the whole table soon, see `TableFollower`. */
+	restart(respondedMs: number): void;
 };
 
 /** Starts to follow the operator's table. */
@@ -57,26 +68,45 @@
 		configuration,
 		logger,
 	});
-	const evacuations = createZoneEvacuations(evacuatedZones);
+	const evacuations = createZoneEvacuations({clock, evacuatedZones});
+	let expiryTimer: Disposable | undefined;
+	/** Undefined before the first read from the store. */
+	let firstEra: number | undefined;
 	const tableLog = createTableLog(logger, options.onTableRead);
 
+	/** Applies a change of the evacuations, and ends those that are held when it is time. */
+	const updateEvacuations = (apply: () => void) => {
+		apply();
+		expiryTimer?.dispose();
+		const {expiryMs} = evacuations;
+		if (expiryMs < Infinity) {
+			expiryTimer = options.timers.after(expiryMs - clock.nowMs(), () => {
+				updateEvacuations(evacuations.expire);
+			});
+		}
+	};
+
 	/** Relays the zones if this read has changed them. */
-	const applyEvacuations = (apply: () => void) => {
+	const readEvacuations = (apply: () => void) => {
 		const before = evacuatedZones.zones.join(' ');
-		apply();
+		updateEvacuations(apply);
 		if (evacuations.list && evacuatedZones.zones.join(' ') !== before) {
 			options.onEvacuationsChange(evacuations.list);
 		}
 	};
 
 	const newestChange = (
-		afterVersion: number,
+		after: StoreRevision,
 	): ConfigurationChange | undefined => {
-		const {changeVersion: version} = sync.state;
 		const {newestText: text} = loader;
 		return text === undefined
 			? undefined
-			: {afterVersion, version, text, evacuations: evacuations.list};
+			: {
+					after,
+					revision: newestRevisionOf(sync.state),
+					text,
+					evacuations: evacuations.list,
+				};
 	};
 
 	const follower = followTable(
@@ -89,37 +119,41 @@
 		},
 		{
 			...tableLog.readListener(tableLabel, sync),
-			onSnapshot({rows, version}) {
+			onSnapshot({rows, revision}) {
 				statuses.operator = 'read';
+				firstEra ??= revision.era;
 				const zones = rows.flatMap(({key}) => decodeEvacuationKey(key) ?? []);
-				applyEvacuations(() => {
-					evacuations.applyList({zones, version});
+				readEvacuations(() => {
+					evacuations.applyList({revision, zones, held: [], removed: []});
 				});
 				for (const row of rows) {
 					if (row.key === tableNames.configurationKey) {
-						loader.load(decoder.decode(row.value), row.version, 'store');
+						loader.load(decoder.decode(row.value), row.revision, 'store');
 					}
 				}
 
 				options.onConfigurationChange(undefined);
 			},
-			onChanges(changes, afterVersion) {
-				const evacuationChanges = changes.flatMap(({key, value, version}) => {
+			onChanges(changes, after) {
+				const evacuationChanges = changes.flatMap(({key, value, revision}) => {
 					const availabilityZone = decodeEvacuationKey(key);
 					return availabilityZone === undefined
 						? []
-						: {availabilityZone, isEvacuated: value !== undefined, version};
+						: {availabilityZone, isEvacuated: value !== undefined, revision};
 				});
-				applyEvacuations(() => {
-					evacuations.applyChanges(evacuationChanges, sync.state.changeVersion);
+				readEvacuations(() => {
+					evacuations.applyChanges(
+						evacuationChanges,
+						newestRevisionOf(sync.state),
+					);
 				});
-				for (const {key, value, version} of changes) {
+				for (const {key, value, revision} of changes) {
 					if (key === tableNames.configurationKey && value) {
-						loader.load(decoder.decode(value), version, 'store');
+						loader.load(decoder.decode(value), revision, 'store');
 					}
 				}
 
-				options.onConfigurationChange(newestChange(afterVersion));
+				options.onConfigurationChange(newestChange(after));
 			},
 			onLost(problem) {
 				statuses.operator = 'lost';
@@ -133,6 +167,23 @@
 		},
 	);
 
+	const applyPeerList = (list: EvacuationList | undefined) => {
+		if (list) {
+			updateEvacuations(() => {
+				evacuations.applyList(list);
+			});
+		}
+	};
+
+	/** Reads what a peer has just relayed, and the whole table if that is of a newer era. */
+	const refreshFor = ({era}: StoreRevision) => {
+		if (era > sync.revision.era) {
+			follower.restart(clock.nowMs());
+		} else {
+			follower.refresh(clock.nowMs());
+		}
+	};
+
 	return {
 		sync,
 		get lastAttemptMs() {
@@ -144,40 +195,42 @@
 		get evacuations() {
 			return evacuations.list;
 		},
-		applyPeerTables(tables) {
-			if (tables.evacuations) {
-				evacuations.applyList(tables.evacuations);
-			}
-
-			const {configurationVersion} = tables;
-			if (configurationVersion >= sync.version) {
-				loader.load(tables.configuration, configurationVersion, 'peer');
-				sync.adoptVersion(configurationVersion);
-			}
+		get configurationVersion() {
+			return loader.newestVersion;
+		},
+		get hasStartedFromCopy() {
+			return firstEra !== undefined && firstEra > 0;
+		},
+		applyPeerTables({configuration: text, configurationRevision, ...tables}) {
+			applyPeerList(tables.evacuations);
+			loader.load(text, configurationRevision, 'peer');
+			sync.adoptRevision(configurationRevision);
 		},
 		applyPeerConfiguration(change) {
-			const {afterVersion, version, text} = change;
+			const {after, revision, text} = change;
 			if (!change.evacuations) {
-				// The sender does not read evacuations, so that the changes up to `version` are not all known.
+				// The sender does not read evacuations, so that the changes up to `revision` are not all known.
 				follower.refresh(clock.nowMs());
 				return;
 			}
 
-			evacuations.applyList(change.evacuations);
-			const isNew = version > sync.version;
-			if (!sync.recordRelayedChanges(afterVersion, version)) {
-				follower.refresh(clock.nowMs());
+			applyPeerList(change.evacuations);
+			const isNew = isNewerRevision(revision, sync.revision);
+			if (!sync.recordRelayedChanges(after, revision)) {
+				refreshFor(revision);
 			} else if (isNew) {
-				loader.load(text, version, 'peer');
+				loader.load(text, revision, 'peer');
 			}
 		},
-		applyPeerEvacuations(list) {
-			evacuations.applyList(list);
+		applyPeerEvacuations: applyPeerList,
+		restart(respondedMs) {
+			follower.restart(respondedMs);
 		},
 		refresh(respondedMs) {
 			follower.refresh(respondedMs);
 		},
 		dispose() {
+			expiryTimer?.dispose();
 			loader.dispose();
 			follower.dispose();
 		},
--- a/src/programs/front/store-watch-targets.ts
+++ b/src/programs/front/store-watch-targets.ts
@@ -1,11 +1,13 @@
 import {
 	type Disposable,
-	type StoredRow,
+	isNewerRevision,
+	type TableSnapshot,
 	type TargetEntry,
 	toProblem,
 } from '../../common/index.js';
 import {
 	createTableSyncTracker,
+	newestRevisionOf,
 	type TableSyncTracker,
 } from '../../decisions/fleet/index.js';
 import {
@@ -13,6 +15,7 @@
 	type RelayedRow,
 	type RelayedRows,
 	type RelayedTables,
+	type TargetRow,
 } from '../../decisions/serving/index.js';
 import {decodeTargetEntry, tableNames} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
@@ -44,6 +47,8 @@
 	applyPeerRows(changes: RelayedRows): void;
 	/** Reads the table soon, see `TableFollower`. */
 	refresh(respondedMs: number): void;
+	/** Reads the whole table soon, see `TableFollower`. */
+	restart(respondedMs: number): void;
 };
 
 /** Starts to follow the targets' table. */
@@ -67,16 +72,16 @@
 		}
 	};
 
-	const applySnapshot = (rows: readonly StoredRow[], version: number) => {
-		const entries = new Map<string, TargetEntry>();
+	const applySnapshot = ({rows, revision}: TableSnapshot) => {
+		const targetRows = new Map<string, TargetRow>();
 		for (const row of rows) {
 			const entry = decodeEntry(row.key, row.value);
 			if (entry) {
-				entries.set(row.key, entry);
+				targetRows.set(row.key, {entry, revision: row.revision});
 			}
 		}
 
-		directory.reset(entries, version);
+		directory.reset(targetRows, revision);
 	};
 
 	const follower = followTable(
@@ -89,24 +94,27 @@
 		},
 		{
 			...tableLog.readListener(tableLabel, sync),
-			onSnapshot({rows, version}) {
+			onSnapshot(snapshot) {
 				hasTargets = true;
 				statuses.targets = 'read';
-				applySnapshot(rows, version);
+				applySnapshot(snapshot);
 			},
-			onChanges(changes, afterVersion) {
-				const rows = changes.map(({key, value, version}) => ({
+			onChanges(changes, after) {
+				const rows = changes.map(({key, value, revision}) => ({
 					targetId: key,
-					version,
+					revision,
 					// A malformed entry counts as absent.
 					entry: value && decodeEntry(key, value),
 				}));
-				for (const {targetId, entry, version} of rows) {
-					directory.set(targetId, entry, version);
+				for (const {targetId, entry, revision} of rows) {
+					directory.set(targetId, entry, revision);
 				}
 
-				const {changeVersion} = sync.state;
-				options.onTargetRows({afterVersion, version: changeVersion, rows});
+				options.onTargetRows({
+					after,
+					revision: newestRevisionOf(sync.state),
+					rows,
+				});
 			},
 			onLost(problem) {
 				statuses.targets = 'lost';
@@ -131,38 +139,50 @@
 			return follower.lastAttemptMs;
 		},
 		rows() {
-			const {version} = sync;
-			return [...directory.all()].map(({entry}) => ({
+			return directory.rows().map(({entry, revision}) => ({
 				targetId: entry.id,
-				version,
+				revision,
 				entry,
 			}));
 		},
-		applyPeerTables({targets, targetsVersion}) {
-			if (statuses.targets === 'read' || targetsVersion < sync.version) {
+		applyPeerTables({targets, targetsRevision, departures}) {
+			directory.applyDepartures(departures);
+			if (
+				statuses.targets === 'read' ||
+				isNewerRevision(sync.revision, targetsRevision)
+			) {
 				return;
 			}
 
-			const entries = new Map<string, TargetEntry>();
-			for (const {targetId, entry} of targets) {
+			const rows = new Map<string, TargetRow>();
+			for (const {targetId, entry, revision} of targets) {
 				if (entry) {
-					entries.set(targetId, entry);
+					rows.set(targetId, {entry, revision});
 				}
 			}
 
-			directory.reset(entries, targetsVersion);
-			sync.adoptVersion(targetsVersion);
+			directory.reset(rows, targetsRevision);
+			sync.adoptRevision(targetsRevision);
 			hasTargets = true;
 		},
-		applyPeerRows({rows, afterVersion, version}) {
+		applyPeerRows({rows, after, revision}) {
 			for (const row of rows) {
-				directory.set(row.targetId, row.entry, row.version);
+				directory.set(row.targetId, row.entry, row.revision);
 			}
 
-			if (!sync.recordRelayedChanges(afterVersion, version)) {
+			if (sync.recordRelayedChanges(after, revision)) {
+				return;
+			}
+
+			if (revision.era > sync.revision.era) {
+				follower.restart(clock.nowMs());
+			} else {
 				follower.refresh(clock.nowMs());
 			}
 		},
+		restart(respondedMs) {
+			follower.restart(respondedMs);
+		},
 		refresh(respondedMs) {
 			follower.refresh(respondedMs);
 		},
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -70,7 +70,10 @@
  * what peers relay.
  */
 export type StoreWatch = Disposable & {
-	/** True once a configuration is in force and the targets are known, from the store or from a peer. */
+	/**
+	 * True once a configuration is in force and the targets are known, from the store or from a peer, and
+	 * `needsPeerComparison` is false.
+	 */
 	readonly isLoaded: boolean;
 	readonly readState: StoreReadState;
 	/**
@@ -94,13 +97,20 @@
 	readonly confirmedAgeMs: number;
 	/** Fires when the state of a table is confirmed. */
 	readonly onConfirmed: Event<void>;
+	/**
+	 * True while this VM has started from a store that has been restored from an older copy, and no peer has
+	 * told yet what the copy lacks.
+	 */
+	readonly needsPeerComparison: boolean;
+	/** Highest operator's version of a configuration received; 0 before the first. */
+	readonly configurationVersion: number;
 	readonly configurationSync: TableSyncTracker;
 	readonly targetsSync: TableSyncTracker;
 	/** Newest content of both tables, for peers that cannot read them; undefined while one is missing. */
 	tables(): RelayedTables | undefined;
 	/**
-	 * Applies the configuration and the evacuated zones of a peer unless this VM has newer ones, and its
-	 * targets if this VM also cannot read that table.
+	 * Applies the configuration, the evacuated zones and the departures of a peer unless this VM has newer
+	 * ones, and its targets if this VM also cannot read that table.
 	 */
 	applyPeerTables(tables: RelayedTables): void;
 	/** Applies changes of the targets that a peer has read; reads the table if earlier ones are missing. */
@@ -116,6 +126,11 @@
 	refreshConfiguration(respondedMs: number): void;
 	/** Reads the targets' table soon, as `refreshConfiguration` does for the operator's. */
 	refreshTargets(respondedMs: number): void;
+	/**
+	 * Reads both tables as a whole soon, since the store has been restored.
+	 * @param respondedMs - as for `refreshConfiguration`
+	 */
+	restart(respondedMs: number): void;
 	/** Reads both tables soon to confirm their state. */
 	refreshAll(): void;
 };
--- a/src/programs/front/store-watch.test.ts
+++ b/src/programs/front/store-watch.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createLogger} from '../../adapters/system/index.js';
-import {SeededRandomSource} from '../../common/index.js';
+import {SeededRandomSource, storeRevision} from '../../common/index.js';
 import {
 	createConfigurationState,
 	createTargetDirectory,
@@ -131,7 +131,7 @@
 	follower.store.isReachable = false;
 	content.put('op', 'evacuate/zone-2', {});
 	await time.runUntil(700);
-	assert.equal(follower.watch.configurationSync.version, 2);
+	assert.equal(follower.watch.configurationSync.revision.version, 2);
 	assert.deepEqual(follower.evacuatedZones.zones, ['zone-2']);
 });
 
@@ -139,12 +139,12 @@
 	const {time, content, follower} = await startPair(() => true);
 	content.put('op', 'evacuate/zone-2', {});
 	follower.watch.applyPeerConfiguration({
-		afterVersion: 1,
-		version: 2,
+		after: storeRevision(1),
+		revision: storeRevision(2),
 		text: '{}',
 		evacuations: undefined,
 	});
-	assert.equal(follower.watch.configurationSync.version, 1);
+	assert.equal(follower.watch.configurationSync.revision.version, 1);
 	await time.runUntil(800);
 	assert.deepEqual(follower.evacuatedZones.zones, ['zone-2']);
 });
@@ -189,7 +189,7 @@
 	// The targets alone are confirmed after the pause.
 	await time.runUntil(1500);
 	const resumedMs = 1000;
-	follower.watch.targetsSync.recordRead(1, 1);
+	follower.watch.targetsSync.recordSnapshot(storeRevision(1));
 	assert.ok(follower.watch.confirmedAgeMs > time.nowMs() - resumedMs);
 	let confirmations = 0;
 	follower.watch.onConfirmed(() => {
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -8,6 +8,12 @@
 import {watchTargetsTable} from './store-watch-targets.js';
 import type {StoreWatch, StoreWatchOptions} from './store-watch-types.js';
 
+/**
+ * Time for which a VM that starts from an older copy of the store waits for the tables of a peer before it is
+ * ready, in milliseconds. Where no other VM has tables, as after a restart of all, nothing more is known.
+ */
+const maxComparisonMs = 2000;
+
 /** Starts to follow the operator's table and the targets' table. */
 export function watchStore(options: StoreWatchOptions): StoreWatch {
 	const statuses = createTableStatuses();
@@ -19,6 +25,12 @@
 	};
 	const operator = watchOperatorTable(tableOptions);
 	const targets = watchTargetsTable(tableOptions);
+	let isAwaitingPeer = true;
+	const comparisonEndMs = options.clock.nowMs() + maxComparisonMs;
+	const needsPeerComparison = () =>
+		isAwaitingPeer &&
+		operator.hasStartedFromCopy &&
+		options.clock.nowMs() < comparisonEndMs;
 	const confirmed = createEmitter<void>();
 	for (const {sync} of [operator, targets]) {
 		sync.onConfirmed(confirmed.fire);
@@ -26,7 +38,11 @@
 
 	return {
 		get isLoaded() {
-			return targets.hasTargets && options.configuration.current !== undefined;
+			return (
+				targets.hasTargets &&
+				options.configuration.current !== undefined &&
+				!needsPeerComparison()
+			);
 		},
 		get readState() {
 			return readState();
@@ -59,17 +75,27 @@
 		targetsSync: targets.sync,
 		tables() {
 			const {configurationText, evacuations} = operator;
-			return targets.hasTargets && configurationText !== undefined
+			return targets.hasTargets &&
+				configurationText !== undefined &&
+				!needsPeerComparison()
 				? {
 						configuration: configurationText,
-						configurationVersion: operator.sync.version,
+						configurationRevision: operator.sync.revision,
 						targets: targets.rows(),
-						targetsVersion: targets.sync.version,
+						targetsRevision: targets.sync.revision,
 						evacuations,
+						departures: options.directory.heldDepartures(),
 					}
 				: undefined;
 		},
+		get needsPeerComparison() {
+			return needsPeerComparison();
+		},
+		get configurationVersion() {
+			return operator.configurationVersion;
+		},
 		applyPeerTables(tables) {
+			isAwaitingPeer = false;
 			operator.applyPeerTables(tables);
 			targets.applyPeerTables(tables);
 		},
@@ -88,6 +114,10 @@
 		refreshTargets(respondedMs) {
 			targets.refresh(respondedMs);
 		},
+		restart(respondedMs) {
+			operator.restart(respondedMs);
+			targets.restart(respondedMs);
+		},
 		refreshAll() {
 			operator.refresh(-Infinity);
 			targets.refresh(-Infinity);
--- a/src/programs/front/table-log.ts
+++ b/src/programs/front/table-log.ts
@@ -23,10 +23,11 @@
 		logLost(dependency, {type, message}) {
 			logger.warn('dependency lost', {dependency, type, detail: message});
 		},
-		logRegained(dependency, {version, ageMs}) {
+		logRegained(dependency, {revision, ageMs}) {
 			logger.info('dependency regained', {
 				dependency,
-				version,
+				version: revision.version,
+				era: revision.era,
 				ageMs: Math.round(ageMs),
 			});
 		},
@@ -38,7 +39,8 @@
 					logger.info('table read', {
 						table,
 						reason,
-						version: syncTracker.version,
+						version: syncTracker.revision.version,
+						era: syncTracker.revision.era,
 					});
 				}
 			},
--- a/src/programs/front/table-recovery.ts
+++ b/src/programs/front/table-recovery.ts
@@ -1,7 +1,10 @@
 import {fetchPeerTables} from '../../adapters/front/index.js';
 import type {Logger} from '../../adapters/system/index.js';
-import {type Clock, toProblem} from '../../common/index.js';
-import type {TableSyncState} from '../../decisions/fleet/index.js';
+import {type Clock, isNewerRevision, toProblem} from '../../common/index.js';
+import {
+	newestRevisionOf,
+	type PeerTableStates,
+} from '../../decisions/fleet/index.js';
 import {shouldReadFromPeer} from '../../decisions/serving/index.js';
 import type {StoreWatch} from './store-watch-types.js';
 
@@ -13,12 +16,8 @@
 
 /** Makes up for missed changes of the store: reads them there, or fetches the tables from a peer. */
 export type TableRecovery = {
-	/** Handles the table state that another VM has sent: catches up if this VM is behind. */
-	handlePeerSyncState(
-		address: string,
-		configurationSyncState: TableSyncState,
-		targetsSyncState: TableSyncState,
-	): void;
+	/** Handles the table states that another VM has sent: catches up if this VM is behind. */
+	handlePeerTableStates(address: string, states: PeerTableStates): void;
 };
 
 const requestTimeoutMs = 800;
@@ -44,7 +43,8 @@
 			logger.info('tables read from a peer', {
 				peer: address,
 				targets: tables?.targets.length,
-				targetsVersion: tables?.targetsVersion,
+				targetsVersion: tables?.targetsRevision.version,
+				era: tables?.targetsRevision.era,
 			});
 		} catch (error) {
 			const problem = toProblem(error, 'peer-unavailable');
@@ -56,33 +56,61 @@
 		}
 	};
 
-	return {
-		handlePeerSyncState(address, configurationSyncState, targetsSyncState) {
-			if (
-				!storeWatch.configurationSync.recordPeerState(configurationSyncState)
-			) {
-				storeWatch.refreshConfiguration(
-					clock.nowMs() - configurationSyncState.ageMs,
-				);
-			}
+	/** Reads both tables if a peer knows of a newer era, and otherwise what this VM lacks of each. */
+	const refreshBehind = ({configuration, targets}: PeerTableStates) => {
+		const {configurationSync, targetsSync} = storeWatch;
+		const isConfigurationKnown =
+			configurationSync.recordPeerState(configuration);
+		const areTargetsKnown = targetsSync.recordPeerState(targets);
+		const newestState =
+			targets.revision.era > configuration.revision.era
+				? targets
+				: configuration;
+		const {era} = newestState.revision;
+		if (
+			era > Math.min(configurationSync.revision.era, targetsSync.revision.era)
+		) {
+			storeWatch.restart(clock.nowMs() - newestState.ageMs);
+			return;
+		}
 
-			if (!storeWatch.targetsSync.recordPeerState(targetsSyncState)) {
-				storeWatch.refreshTargets(clock.nowMs() - targetsSyncState.ageMs);
-			}
+		if (!isConfigurationKnown) {
+			storeWatch.refreshConfiguration(clock.nowMs() - configuration.ageMs);
+		}
 
-			const isBehind =
-				configurationSyncState.changeVersion >
-				storeWatch.configurationSync.version;
+		if (!areTargetsKnown) {
+			storeWatch.refreshTargets(clock.nowMs() - targets.ageMs);
+		}
+	};
+
+	/** True if the peer knows what the restored store may lack. */
+	const isStoreIncomplete = (
+		{operatorVersion, configuration}: PeerTableStates,
+		isBehind: boolean,
+	) =>
+		configuration.revision.version > 0 &&
+		(storeWatch.needsPeerComparison ||
+			(storeWatch.configurationSync.revision.era > 0 &&
+				!isBehind &&
+				operatorVersion > storeWatch.configurationVersion));
+
+	return {
+		handlePeerTableStates(address, states) {
+			refreshBehind(states);
+			const peerChangeRevision = newestRevisionOf(states.configuration);
+			const ownTableRevision = storeWatch.configurationSync.revision;
+			const isBehind = isNewerRevision(peerChangeRevision, ownTableRevision);
 			behindSinceMs = isBehind ? (behindSinceMs ?? clock.nowMs()) : undefined;
 			const isDue = shouldReadFromPeer({
 				isStoreLost: storeWatch.isStoreLost,
 				hasTargets: storeWatch.hasTargets,
-				ownTableVersion: storeWatch.configurationSync.version,
-				peerChangeVersion: configurationSyncState.changeVersion,
+				ownTableRevision,
+				peerChangeRevision,
 				hasTriedStore:
 					!storeWatch.hasTargets ||
 					(behindSinceMs !== undefined &&
 						storeWatch.lastAttemptMs > behindSinceMs),
+				isStoreIncomplete: isStoreIncomplete(states, isBehind),
 				sinceLastRequestMs: clock.nowMs() - requestedMs,
 			});
 			if (isDue) {
