--- a/src/decisions/serving/table-follower-types.ts
+++ b/src/decisions/serving/table-follower-types.ts
@@ -68,4 +68,6 @@
 	 * @param reportedReadMs - as for `refresh`
 	 */
 	restart(reportedReadMs: number): void;
+	/** Called when the whole table has arrived from a peer: it is followed from there, and not read as a whole. */
+	adopt(): void;
 };
--- a/src/decisions/serving/table-follower.ts
+++ b/src/decisions/serving/table-follower.ts
@@ -271,6 +271,10 @@
 			needsSnapshot = true;
 			wake?.();
 		},
+		adopt() {
+			needsSnapshot = false;
+			wake?.();
+		},
 		dispose() {
 			isDisposed = true;
 			wake?.();
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -143,8 +143,12 @@
 		rows: ReadonlyMap<string, TargetRow>,
 		revision: StoreRevision,
 	) => {
+		if (revision.era < era) {
+			return;
+		}
+
 		const isNewEra = era >= 0 && revision.era > era;
-		era = Math.max(era, revision.era);
+		era = revision.era;
 		if (isNewEra) {
 			history.startEra(revision);
 		}
--- a/src/programs/front/configuration-loader.test.ts
+++ b/src/programs/front/configuration-loader.test.ts
@@ -48,7 +48,7 @@
 	loader.load(textOf(8), storeRevision(20), 'peer');
 	await time.runUntil(1000);
 	assert.equal(loader.newestText, textOf(8));
-	assert.equal(loader.newestVersion, 8);
+	assert.equal(loader.seenVersion, 8);
 	assert.equal(configuration.current?.version, 8);
 });
 
--- a/src/programs/front/configuration-loader.ts
+++ b/src/programs/front/configuration-loader.ts
@@ -25,8 +25,8 @@
 	 * undefined before the first.
 	 */
 	readonly newestText: string | undefined;
-	/** Operator's version of `newestText`; 0 before the first. */
-	readonly newestVersion: number;
+	/** Highest operator's version received, also of a refused configuration; 0 before the first. */
+	readonly seenVersion: number;
 	/**
 	 * Decodes a configuration. If one is being decoded, that one is finished first; of those that arrive
 	 * meanwhile only the last is decoded. One with a lower operator's version than a known one is ignored, in
@@ -61,6 +61,7 @@
 	let newest: ReceivedConfiguration | undefined;
 	let inForce: ReceivedConfiguration | undefined;
 	let pending: ReceivedConfiguration | undefined;
+	let seenVersion = 0;
 	let isLoading = false;
 	let nextSliceTimer: Disposable | undefined;
 
@@ -165,12 +166,13 @@
 		get newestText() {
 			return newest?.text;
 		},
-		get newestVersion() {
-			return newest?.version ?? 0;
+		get seenVersion() {
+			return seenVersion;
 		},
 		load(text, rowRevision, source) {
 			try {
 				const version = readConfigurationVersion(text);
+				seenVersion = Math.max(seenVersion, version);
 				receive({text, version, rowRevision, source});
 			} catch (error) {
 				logRefusal(error, rowRevision, source);
--- a/src/programs/front/store-watch-operator.ts
+++ b/src/programs/front/store-watch-operator.ts
@@ -40,10 +40,13 @@
 	readonly lastAttemptMs: number;
 	/** Text of the newest configuration received; undefined before the first. */
 	readonly configurationText: string | undefined;
-	/** Operator's version of that configuration; 0 before the first. */
+	/** Highest operator's version received, also of a refused configuration; 0 before the first. */
 	readonly configurationVersion: number;
-	/** True if the store had been restored from an older copy before this VM first read it. */
-	readonly hasStartedFromCopy: boolean;
+	/**
+	 * Monotonic time at which this VM first read the table, in milliseconds; undefined unless the store had
+	 * been restored from an older copy before.
+	 */
+	readonly startedFromCopyMs: number | undefined;
 	/** The newest list of evacuated zones; undefined before the first. */
 	readonly evacuations: EvacuationList | undefined;
 	/** Applies the part of a peer's tables that belongs to this table. */
@@ -70,8 +73,8 @@
 	});
 	const evacuations = createZoneEvacuations({clock, evacuatedZones});
 	let expiryTimer: Disposable | undefined;
-	/** Undefined before the first read from the store. */
-	let firstEra: number | undefined;
+	let hasRead = false;
+	let startedFromCopyMs: number | undefined;
 	const tableLog = createTableLog(logger, options.onTableRead);
 
 	/** Applies a change of the evacuations, and ends those that are held when it is time. */
@@ -121,7 +124,11 @@
 			...tableLog.readListener(tableLabel, sync),
 			onSnapshot({rows, revision}) {
 				statuses.operator = 'read';
-				firstEra ??= revision.era;
+				if (!hasRead && revision.era > 0) {
+					startedFromCopyMs = clock.nowMs();
+				}
+
+				hasRead = true;
 				const zones = rows.flatMap(({key}) => decodeEvacuationKey(key) ?? []);
 				readEvacuations(() => {
 					evacuations.applyList({revision, zones, held: [], removed: []});
@@ -196,15 +203,21 @@
 			return evacuations.list;
 		},
 		get configurationVersion() {
-			return loader.newestVersion;
+			return loader.seenVersion;
 		},
-		get hasStartedFromCopy() {
-			return firstEra !== undefined && firstEra > 0;
+		get startedFromCopyMs() {
+			return startedFromCopyMs;
 		},
 		applyPeerTables({configuration: text, configurationRevision, ...tables}) {
-			applyPeerList(tables.evacuations);
 			loader.load(text, configurationRevision, 'peer');
-			sync.adoptRevision(configurationRevision);
+			// Without the evacuations, the changes up to the revision are not all known.
+			if (tables.evacuations) {
+				applyPeerList(tables.evacuations);
+				if (!isNewerRevision(sync.revision, configurationRevision)) {
+					sync.adoptRevision(configurationRevision);
+					follower.adopt();
+				}
+			}
 		},
 		applyPeerConfiguration(change) {
 			const {after, revision, text} = change;
--- a/src/programs/front/store-watch-targets.ts
+++ b/src/programs/front/store-watch-targets.ts
@@ -163,6 +163,7 @@
 
 			directory.reset(rows, targetsRevision);
 			sync.adoptRevision(targetsRevision);
+			follower.adopt();
 			hasTargets = true;
 		},
 		applyPeerRows({rows, after, revision}) {
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -102,7 +102,7 @@
 	 * told yet what the copy lacks.
 	 */
 	readonly needsPeerComparison: boolean;
-	/** Highest operator's version of a configuration received; 0 before the first. */
+	/** Highest operator's version received, also of a refused configuration; 0 before the first. */
 	readonly configurationVersion: number;
 	readonly configurationSync: TableSyncTracker;
 	readonly targetsSync: TableSyncTracker;
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -26,11 +26,14 @@
 	const operator = watchOperatorTable(tableOptions);
 	const targets = watchTargetsTable(tableOptions);
 	let isAwaitingPeer = true;
-	const comparisonEndMs = options.clock.nowMs() + maxComparisonMs;
-	const needsPeerComparison = () =>
-		isAwaitingPeer &&
-		operator.hasStartedFromCopy &&
-		options.clock.nowMs() < comparisonEndMs;
+	const needsPeerComparison = () => {
+		const {startedFromCopyMs = -Infinity} = operator;
+		return (
+			isAwaitingPeer &&
+			options.clock.nowMs() < startedFromCopyMs + maxComparisonMs
+		);
+	};
+
 	const confirmed = createEmitter<void>();
 	for (const {sync} of [operator, targets]) {
 		sync.onConfirmed(confirmed.fire);
--- a/src/programs/front/table-recovery.ts
+++ b/src/programs/front/table-recovery.ts
@@ -12,6 +12,8 @@
 	readonly clock: Clock;
 	readonly storeWatch: StoreWatch;
 	readonly logger: Logger;
+	/** Replaced in tests without a network. */
+	readonly fetchTables?: typeof fetchPeerTables;
 };
 
 /** Makes up for missed changes of the store: reads them there, or fetches the tables from a peer. */
@@ -25,7 +27,7 @@
 export function createTableRecovery(
 	options: TableRecoveryOptions,
 ): TableRecovery {
-	const {clock, logger, storeWatch} = options;
+	const {clock, logger, storeWatch, fetchTables = fetchPeerTables} = options;
 	let requestedMs = -Infinity;
 	/**
 	 * Monotonic time of the first message in a row that reports a newer configuration than that of this
@@ -35,7 +37,7 @@
 
 	const requestTables = async (address: string) => {
 		try {
-			const tables = await fetchPeerTables(address, requestTimeoutMs);
+			const tables = await fetchTables(address, requestTimeoutMs);
 			if (tables) {
 				storeWatch.applyPeerTables(tables);
 			}
--- a/src/programs/front/testing/index.ts
+++ b/src/programs/front/testing/index.ts
@@ -2,3 +2,4 @@
 export * from './front-fixture.js';
 export * from './statement-checks.js';
 export * from './stating-targets.js';
+export * from './store-side.js';
