--- a/src/decisions/fleet/permit-client.ts
+++ b/src/decisions/fleet/permit-client.ts
@@ -78,6 +78,11 @@
 const maxOwnDenialMs = 1000;
 /** Number of VMs that share a target's rate, as assumed by a VM that has not had the time to discover the others. */
 const assumedVmCount = 32;
+/**
+ * Fraction of the VMs below which this coordinator may be one of many, as in a network that has broken into parts.
+ * There are at most two parts of this size.
+ */
+const minWholeFraction = 0.5;
 /** Turns that the fleet's pool lets requests use ahead of their time. */
 const fleetAheadTurns = {usual: 1, urgent: 3} as const;
 /** A VM's own share has none, since all VMs may have been idle and begin at the same time. */
@@ -120,6 +125,7 @@
 		rateFraction: () => members.liveFraction,
 		startedMs: options.coordinatorSinceMs,
 		aheadTurns: fleetAheadTurns,
+		isOneOfMany: () => members.liveFraction < minWholeFraction,
 	});
 	const ownPool = createPermitPool({
 		clock,
@@ -130,6 +136,7 @@
 			return ownShareSinceMs;
 		},
 		aheadTurns: ownAheadTurns,
+		isOneOfMany: () => true,
 	});
 
 	const localPool = () => {
--- a/src/decisions/rate-limits/permit-pool.test.ts
+++ b/src/decisions/rate-limits/permit-pool.test.ts
@@ -15,6 +15,7 @@
 		rateFraction: () => 1,
 		startedMs: () => -60_000,
 		aheadTurns: {usual: 1, urgent: 3},
+		isOneOfMany: () => false,
 		...changes,
 	});
 	/** Counts the permits granted until a time, with a request every 10 ms. */
@@ -107,3 +108,19 @@
 	const targets = [{targetId: 't0', requestsPerSecond: 0}];
 	assert.equal(await countGranted(16_000, {...newRequest, targets}), 4 + 1);
 });
+
+test('one pool of many first waits for a part of its interval and uses no turn ahead, as all may begin at the same moment', async () => {
+	const {time, pool} = createPool({
+		rateFraction: () => 1 / 90,
+		isOneOfMany: () => true,
+	});
+	await time.runUntil(60_000);
+	const waitMs = pool.waitMs(target);
+	assert.ok(waitMs > 0 && waitMs <= pool.intervalMs(target), `${waitMs}`);
+	await time.runUntil(60_000 + waitMs);
+	const urgent = {...newRequest, isUrgent: true};
+	assert.deepEqual(
+		[pool.take(newRequest).outcome, pool.take(urgent).outcome],
+		['granted', 'denied'],
+	);
+});
--- a/src/decisions/rate-limits/permit-pool.ts
+++ b/src/decisions/rate-limits/permit-pool.ts
@@ -25,6 +25,11 @@
 	readonly startedMs: () => number;
 	/** Number of turns that may be used ahead of their time: by new requests after a pause, and by urgent ones. */
 	readonly aheadTurns: {readonly usual: number; readonly urgent: number};
+	/**
+	 * True while the pools of many other VMs may hand out their fractions too. All of them may begin with a target
+	 * at the same moment, so that each first waits for a random part of its interval and uses no turn ahead.
+	 */
+	readonly isOneOfMany: () => boolean;
 };
 
 /**
@@ -65,9 +70,12 @@
 	/** Starts a target's turns at a random part of an interval, so that several pools do not coincide. */
 	const startTurns = (target: LimitedTarget): TargetTurns => {
 		const startedMs = options.startedMs();
-		const firstTurnMs =
-			startedMs +
-			intervalMs(target) * (aheadTurns.usual + 0.5 + random.nextUnit());
+		const spread = random.nextUnit();
+		const afterStartMs =
+			startedMs + intervalMs(target) * (aheadTurns.usual + 0.5 + spread);
+		const firstTurnMs = options.isOneOfMany()
+			? Math.max(afterStartMs, clock.nowMs() + intervalMs(target) * spread)
+			: afterStartMs;
 		const turns: TargetTurns = {
 			nextTurnMs: firstTurnMs,
 			returnsUntilMs: -Infinity,
@@ -84,6 +92,9 @@
 			: startTurns(target);
 	};
 
+	const aheadOf = (kind: 'urgent' | 'usual') =>
+		options.isOneOfMany() ? 0 : aheadTurns[kind];
+
 	const waitMsOf = (target: LimitedTarget, ahead: number) =>
 		Math.max(
 			0,
@@ -91,7 +102,7 @@
 		);
 
 	const firstTurn = ({targets, isUrgent}: PermitRequest): Turn | undefined => {
-		const ahead = isUrgent ? aheadTurns.urgent : aheadTurns.usual;
+		const ahead = aheadOf(isUrgent ? 'urgent' : 'usual');
 		let first: Turn | undefined;
 		for (const target of targets) {
 			const waitMs = waitMsOf(target, ahead);
@@ -131,7 +142,7 @@
 
 			return turn.waitMs <= request.maxWaitMs ? grant(turn) : deny(turn);
 		},
-		waitMs: (target) => waitMsOf(target, aheadTurns.usual),
+		waitMs: (target) => waitMsOf(target, aheadOf('usual')),
 		intervalMs,
 		sweep() {
 			const nowMs = clock.nowMs();
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -2,6 +2,7 @@
 export * from './fake-generation.js';
 export * from './fake-object-store.js';
 export * from './fake-order-target.js';
+export * from './fake-permit-fleet.js';
 export * from './fake-plain-service.js';
 export * from './fake-process.js';
 export * from './known-failure.js';
