--- a/src/common/deployment/types.ts
+++ b/src/common/deployment/types.ts
@@ -47,6 +47,10 @@
 	readonly name: string;
 	/** Largest number of connections that one target of the service accepts from all VMs together. */
 	readonly maxConnections: number | undefined;
+	/** Time for which a target is cold after its start or return, in milliseconds; 0 if it never is. */
+	readonly coldMs: number;
+	/** Requests per second that a cold target may get from all VMs together; 0 without such a limit. */
+	readonly coldRequestsPerSecond: number;
 };
 
 /** Size and time limits for callers' requests and connections. */
@@ -110,6 +114,12 @@
 	readonly retryWindowMs: number;
 	/** Time after which the address of an ended target may be assigned to another, in milliseconds. */
 	readonly addressReuseMs: number;
+	/** Time after which the targets of an evacuated availability zone must get no requests, in milliseconds. */
+	readonly evacuateMs: number | undefined;
+	/** Factor by which a cold target's rate may be exceeded in a second; undefined if it is not limited. */
+	readonly coldOverage: number | undefined;
+	/** Further requests that a cold target may get in a second; undefined if they are not limited. */
+	readonly coldSlack: number | undefined;
 };
 
 /** Settings of a VM, from its boot file. */
@@ -117,6 +127,8 @@
 	readonly name: string;
 	readonly availabilityZone: string;
 	readonly region: string;
+	/** Regions of the availability zones, as far as they are known, by the name of the zone. */
+	readonly regions: ReadonlyMap<string, string>;
 	/** `address:port` on which callers are served. */
 	readonly callerAddress: string;
 	/** `address:port` of the readiness check. */
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -91,6 +91,13 @@
 	/** The duration could not be read; `detail` says why. */
 	| {readonly state: 'malformed'; readonly detail: string};
 
+/** For how long a target is still cold, as its response says. */
+export type StatedCold =
+	| {readonly state: 'stated'; readonly coldMs: number}
+	| {readonly state: 'not-stated'}
+	/** The time could not be read; `detail` says why. */
+	| {readonly state: 'malformed'; readonly detail: string};
+
 /** Status and headers of a target's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -106,6 +113,7 @@
 	readonly rateLimit: StatedRateLimit;
 	readonly leaving: StatedLeaving;
 	readonly backOff: StatedBackOff;
+	readonly cold: StatedCold;
 };
 
 /** What is wrong with a response that was broken off. */
@@ -172,6 +180,8 @@
 	readonly capacityTokens: number;
 	/** True if the engine is draining or has announced when it stops; it gets no new requests. */
 	readonly leaving: boolean;
+	/** Time for which the engine is still cold, in milliseconds; 0 if it is not, or does not say it. */
+	readonly coldMs: number;
 	/** Unix time of the engine's start in milliseconds, if the report has it. */
 	readonly bornMs: number | undefined;
 };
--- a/src/decisions/scheduling/engine-placement.ts
+++ b/src/decisions/scheduling/engine-placement.ts
@@ -9,6 +9,8 @@
 	readonly waitMs: number;
 	/** Time between two turns, in milliseconds. */
 	readonly intervalMs: number;
+	/** True if the engine is only cold, so that the limit ends before a copy is needed. */
+	readonly isCold: boolean;
 };
 
 /** An engine that may run a generation. Memory is the KV cache, counted in tokens. */
@@ -186,7 +188,8 @@
 	let bestFraction = maxMemoryFraction;
 	for (const candidate of candidates) {
 		// A run may have to wait for its turn at an engine that limits its request rate.
-		const isUnsuitable = candidate.isOutlier || candidate.turns !== undefined;
+		const isLimited = candidate.turns !== undefined && !candidate.turns.isCold;
+		const isUnsuitable = candidate.isOutlier || isLimited;
 		if (candidate.targetId === source.targetId || isUnsuitable) {
 			continue;
 		}
--- a/src/decisions/scheduling/generation-turns.test.ts
+++ b/src/decisions/scheduling/generation-turns.test.ts
@@ -9,7 +9,7 @@
 } from '../../experiments/fakes/index.js';
 
 const limitedEngine = (id: string, waitMs: number, intervalMs = 1000) =>
-	engine(id, {turns: {waitMs, intervalMs}});
+	engine(id, {turns: {waitMs, intervalMs, isCold: false}});
 
 test('places no run at an engine whose rate limit leaves no turn now, and takes the turn of one that it places', () => {
 	const taken: string[] = [];
@@ -59,7 +59,7 @@
 		engine('e1', {capacityTokens: 40_000}),
 		engine('e2', {
 			capacityTokens: 60_000,
-			turns: {waitMs: 0, intervalMs: 1000},
+			turns: {waitMs: 0, intervalMs: 1000, isCold: false},
 		}),
 		engine('e3', {capacityTokens: 40_000}),
 	]);
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -35,7 +35,11 @@
 		lastResortMs: () => 1000,
 	});
 	const evacuatedZones = createEvacuatedZones();
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const eligibility = createTargetEligibility({
+		statements,
+		evacuatedZones,
+		coldTargets: {limitOf: () => undefined},
+	});
 	await time.runUntil(1);
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
 		directory.set(id, fakeTargetEntry(id), 1);
--- a/src/decisions/target-eligibility/index.ts
+++ b/src/decisions/target-eligibility/index.ts
@@ -1,3 +1,10 @@
+export {coldRuleOf} from './cold-rule.js';
+export {
+	type ColdChange,
+	type ColdRule,
+	type ColdTargets,
+	createColdTargets,
+} from './cold-targets.js';
 export {
 	createEvacuatedZones,
 	type EvacuatedZones,
--- a/src/decisions/target-eligibility/target-eligibility.test.ts
+++ b/src/decisions/target-eligibility/target-eligibility.test.ts
@@ -23,13 +23,25 @@
 		lastResortMs: () => 1000,
 	});
 	const evacuatedZones = createEvacuatedZones();
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const coldLimits = new Map<string, number>();
+	const eligibility = createTargetEligibility({
+		statements,
+		evacuatedZones,
+		coldTargets: {limitOf: (targetId) => coldLimits.get(targetId)},
+	});
 	const refusalReason = () =>
 		closedRefusal(
 			[here, elsewhere].map((target) => eligibility.standingOf(target)),
 			new SeededRandomSource(1),
 		)?.reason;
-	return {time, statements, evacuatedZones, eligibility, refusalReason};
+	return {
+		time,
+		statements,
+		evacuatedZones,
+		coldLimits,
+		eligibility,
+		refusalReason,
+	};
 }
 
 suite('target eligibility', () => {
@@ -72,4 +84,28 @@
 		await time.runUntil(4000);
 		assert.equal(refusalReason(), 'all targets leave');
 	});
+
+	test('the lower of the limit that a target states and that of a cold target holds', async () => {
+		const {time, statements, coldLimits, eligibility} = createEligibility();
+		const limits = () => [
+			eligibility.limitOf('t1'),
+			eligibility.standingOf(here).requestsPerSecond,
+			eligibility.isOnlyCold('t1'),
+		];
+		assert.deepEqual(limits(), [undefined, undefined, false]);
+		coldLimits.set('t1', 28);
+		assert.deepEqual(limits(), [28, 28, true]);
+		await time.runUntil(10);
+		const stated = (requestsPerSecond: number) =>
+			fakeResponseHead('q1', {
+				rateLimit: {state: 'limited', requestsPerSecond},
+			});
+		statements.recordResponse(here, stated(4), 5);
+		assert.deepEqual(limits(), [4, 4, false]);
+		await time.runUntil(20);
+		statements.recordResponse(here, stated(40), 15);
+		assert.deepEqual(limits(), [28, 28, false]);
+		coldLimits.clear();
+		assert.deepEqual(limits(), [40, 40, false]);
+	});
 });
--- a/src/decisions/target-eligibility/target-eligibility.ts
+++ b/src/decisions/target-eligibility/target-eligibility.ts
@@ -3,6 +3,7 @@
 	TargetStanding,
 	TargetStatements,
 } from '../target-statements/index.js';
+import type {ColdTargets} from './cold-targets.js';
 import type {EvacuatedZones} from './evacuated-zones.js';
 
 /**
@@ -10,27 +11,51 @@
  * what the operator has asked. Everything that chooses a target or sends to one asks here.
  */
 export type TargetEligibility = {
+	/** `requestsPerSecond` is the lower of the limit that the target has stated and that of a cold target. */
 	standingOf(target: TargetEntry): TargetStanding;
+	/** Requests per second that the target may get from all VMs together; undefined without a limit. */
+	limitOf(targetId: string): number | undefined;
+	/** True if the limit is that of a cold target, which ends soon, and the target has stated none. */
+	isOnlyCold(targetId: string): boolean;
 	/** True if nothing may be sent to the target since its availability zone is evacuated. */
 	isEvacuated(target: TargetEntry): boolean;
 };
 
 export type TargetEligibilityOptions = {
-	readonly statements: Pick<TargetStatements, 'standingOf'>;
+	readonly statements: Pick<TargetStatements, 'rateLimits' | 'standingOf'>;
 	readonly evacuatedZones: Pick<EvacuatedZones, 'isEvacuated'>;
+	readonly coldTargets: Pick<ColdTargets, 'limitOf'>;
 };
 
 export function createTargetEligibility({
 	statements,
 	evacuatedZones,
+	coldTargets,
 }: TargetEligibilityOptions): TargetEligibility {
 	const isEvacuated = ({availabilityZone}: TargetEntry) =>
 		evacuatedZones.isEvacuated(availabilityZone);
 
+	const statedLimitOf = (targetId: string) =>
+		statements.rateLimits.limitOf(targetId);
+	const limitOf = (targetId: string) => {
+		const statedLimit = statedLimitOf(targetId);
+		const coldLimit = coldTargets.limitOf(targetId);
+		return statedLimit === undefined || coldLimit === undefined
+			? (statedLimit ?? coldLimit)
+			: Math.min(statedLimit, coldLimit);
+	};
+
 	return {
 		isEvacuated,
+		limitOf,
+		isOnlyCold: (targetId) =>
+			statedLimitOf(targetId) === undefined &&
+			coldTargets.limitOf(targetId) !== undefined,
 		standingOf(target) {
-			const standing = statements.standingOf(target);
+			const standing = {
+				...statements.standingOf(target),
+				requestsPerSecond: limitOf(target.id),
+			};
 			return isEvacuated(target)
 				? {...standing, use: 'none', cause: 'evacuated', waitMs: Infinity}
 				: standing;
--- a/src/decisions/target-statements/target-statements.test.ts
+++ b/src/decisions/target-statements/target-statements.test.ts
@@ -149,6 +149,7 @@
 		leaving: {state, detail: 'leaving'},
 		backOff: {state, detail: 'back-off'},
 		rateLimit: {state, detail: 'limit'},
+		cold: {state, detail: 'cold'},
 	});
 	for (let index = 0; index < 5; index++) {
 		respond(odd);
@@ -159,9 +160,11 @@
 	assert.deepEqual(changes, []);
 	assert.deepEqual(details, [
 		't1: limit',
+		't1: cold',
 		't1: leaving',
 		't1: back-off',
 		't2: limit',
+		't2: cold',
 		't2: leaving',
 		't2: back-off',
 	]);
--- a/src/decisions/target-statements/target-statements.ts
+++ b/src/decisions/target-statements/target-statements.ts
@@ -199,6 +199,10 @@
 				reportMalformed(target, 'rate-limit', rateLimit.detail);
 			}
 
+			if (head.cold.state === 'malformed') {
+				reportMalformed(target, 'cold', head.cold.detail);
+			}
+
 			rateLimits.recordResponse(target.id, head, sentMs);
 			recordLeaving(target, head, sentMs);
 			recordBackOff(target, head, sentMs);
--- a/src/experiments/capacity/prompt-part-slopes.ts
+++ b/src/experiments/capacity/prompt-part-slopes.ts
@@ -115,6 +115,7 @@
 		eligibility: createTargetEligibility({
 			statements: createTargetStatements({clock, lastResortMs: () => 1000}),
 			evacuatedZones: createEvacuatedZones(),
+			coldTargets: {limitOf: () => undefined},
 		}),
 		random: new SeededRandomSource(1),
 	});
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -37,6 +37,7 @@
 		rateLimit: {state: 'unlimited'},
 		leaving: {state: 'staying'},
 		backOff: {state: 'none'},
+		cold: {state: 'not-stated'},
 		...changes,
 	};
 }
@@ -107,6 +108,7 @@
 			usedTokens: 0,
 			capacityTokens: 34_000,
 			leaving: false,
+			coldMs: 0,
 			bornMs: undefined,
 		};
 	}
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -15,6 +15,7 @@
 	ip: z.string().min(1),
 	zone: z.string().min(1),
 	region: z.string(),
+	zones: z.record(z.string(), z.string()).optional(),
 	listen: z.object({front: address, ready: address}),
 	port_range: z.tuple([port, port]),
 	heartbeat_ms: positive,
@@ -33,6 +34,9 @@
 		retry_budget_extra: notNegative,
 		budget_window_s: positive,
 		reuse_after_s: notNegative,
+		evacuate_ms: positive.optional(),
+		cold_overage: notNegative.optional(),
+		cold_slack: notNegative.optional(),
 	}),
 	platform: z.object({address}),
 });
@@ -55,6 +59,7 @@
 		name: boot.node,
 		availabilityZone: boot.zone,
 		region: boot.region,
+		regions: new Map(Object.entries(boot.zones ?? {})),
 		callerAddress: boot.listen.front,
 		readyAddress: boot.listen.ready,
 		ip: boot.ip,
@@ -78,6 +83,9 @@
 			retryExtra: bounds.retry_budget_extra,
 			retryWindowMs: bounds.budget_window_s * millisecondsPerSecond,
 			addressReuseMs: bounds.reuse_after_s * millisecondsPerSecond,
+			evacuateMs: bounds.evacuate_ms,
+			coldOverage: bounds.cold_overage,
+			coldSlack: bounds.cold_slack,
 		},
 	};
 }
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -30,6 +30,8 @@
 const serviceSchema = z.object({
 	name: z.string(),
 	max_conns: z.number().positive().optional(),
+	cold_s: z.number().nonnegative().optional(),
+	cold_per_s: z.number().nonnegative().optional(),
 });
 
 /** Schema of the configuration except for its routes, which are validated one by one. */
@@ -85,6 +87,7 @@
 	};
 }
 
+const millisecondsPerSecond = 1000;
 const label = 'the configuration';
 const problemType = 'invalid-configuration';
 /** Number of routes decoded per slice; small enough that streams served meanwhile do not stall. */
@@ -142,6 +145,8 @@
 	const services = (raw.services ?? []).map((service): ServiceRule => ({
 		name: service.name,
 		maxConnections: service.max_conns,
+		coldMs: (service.cold_s ?? 0) * millisecondsPerSecond,
+		coldRequestsPerSecond: service.cold_per_s ?? 0,
 	}));
 	return {
 		version: raw.version,
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -35,6 +35,44 @@
 	assert.equal(decodeBootFile(JSON.stringify(more)).name, settings.name);
 });
 
+test('the bounds for evacuations and cold targets and the regions of zones may be absent from the boot file', () => {
+	const {bounds, regions} = decodeBootFile(JSON.stringify(bootFile()));
+	assert.deepEqual(
+		[bounds.evacuateMs, bounds.coldOverage, bounds.coldSlack, regions.size],
+		[undefined, undefined, undefined, 0],
+	);
+	const full = {
+		...bootFile(undefined, {
+			bounds: {evacuate_ms: 5000, cold_overage: 1.5, cold_slack: 5},
+		}),
+		zones: {'zone-1': 'region-1', 'zone-2': 'region-2'},
+	};
+	const settings = decodeBootFile(JSON.stringify(full));
+	assert.equal(settings.bounds.evacuateMs, 5000);
+	assert.equal(settings.bounds.coldOverage, 1.5);
+	assert.equal(settings.bounds.coldSlack, 5);
+	assert.equal(settings.regions.get('zone-2'), 'region-2');
+	assertProblem(
+		() => decodeBootFile(JSON.stringify({...full, zones: {'zone-1': 1}})),
+		'invalid-setting',
+		'zones.zone-1',
+	);
+});
+
+test('the cold time and rate of a service are 0 if the configuration does not name them', () => {
+	const {services} = decodeConfiguration(
+		JSON.stringify({
+			version: 1,
+			routes: [],
+			services: [{name: 'model', cold_s: 1, cold_per_s: 28}, {name: 'desk'}],
+		}),
+	);
+	const model = services.get('model');
+	const desk = services.get('desk');
+	assert.deepEqual([model?.coldMs, model?.coldRequestsPerSecond], [1000, 28]);
+	assert.deepEqual([desk?.coldMs, desk?.coldRequestsPerSecond], [0, 0]);
+});
+
 test('a configuration with many routes is decoded in small slices, so that streams do not stall, and an outdated one is not decoded', () => {
 	const text = JSON.stringify({
 		version: 4,
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -17,7 +17,12 @@
 
 const utf8 = new TextDecoder('utf8', {ignoreBOM: true});
 
-export type HttpCallResponse = {readonly status: number; readonly text: string};
+export type HttpCallResponse = {
+	readonly status: number;
+	/** By their names in lower case. */
+	readonly headers: Readonly<Record<string, string[] | string | undefined>>;
+	readonly text: string;
+};
 
 /**
  * Makes a call and reads the complete response.
@@ -55,5 +60,5 @@
 	}
 
 	const text = utf8.decode(received.take());
-	return {status: response.statusCode, text};
+	return {status: response.statusCode, headers: response.headers, text};
 }
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -20,10 +20,10 @@
 	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
-import {decodeResponseHead} from './response-head.js';
+import {decodeCold, decodeResponseHead} from './response-head.js';
 import {decode, parseJson} from './decode.js';
 import {makeHttpCall} from './http-call.js';
-import {extraEventFields, targetPaths} from './wire-names.js';
+import {extraEventFields, headerNames, targetPaths} from './wire-names.js';
 import {encodeRequestHeaders} from './request-headers.js';
 
 const connectTimeoutMs = 800;
@@ -49,6 +49,12 @@
 	leaves_ms: z.number().nullish(),
 	born: z.number().nullish(),
 });
+/** An unreadable value counts as none, since the target's row states the time too. */
+function statedColdMs(value: string[] | string | undefined): number {
+	const cold = decodeCold(typeof value === 'string' ? value : undefined);
+	return cold.state === 'stated' ? cold.coldMs : 0;
+}
+
 const copyResponseSchema = z.object({handle: z.string()});
 
 function decodeCopyResult(
@@ -296,7 +302,7 @@
 		address: string,
 		timeoutMs: number,
 	): Promise<EngineReport> {
-		const {status, text} = await makeHttpCall(this.poolFor(address), {
+		const {status, headers, text} = await makeHttpCall(this.poolFor(address), {
 			method: 'GET',
 			path: targetPaths.report,
 			timeoutMs,
@@ -322,6 +328,7 @@
 			runningCount: raw.running,
 			usedTokens: raw.kv_used,
 			capacityTokens: raw.kv_total,
+			coldMs: statedColdMs(headers[headerNames.coldMs.toLowerCase()]),
 			leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
 			bornMs: raw.born ?? undefined,
 		};
--- a/src/platform/response-head.test.ts
+++ b/src/platform/response-head.test.ts
@@ -67,3 +67,14 @@
 		);
 	}
 });
+
+test('reads for how long a target stays cold', () => {
+	const coldOf = (value: string) =>
+		decodeResponseHead(200, [['cowslipspread-cold-ms', value]]).cold;
+	assert.deepEqual(decodeResponseHead(200, []).cold, {state: 'not-stated'});
+	assert.deepEqual(coldOf('850'), {state: 'stated', coldMs: 850});
+	assert.deepEqual(coldOf('0'), {state: 'stated', coldMs: 0});
+	for (const text of ['', '-1', '1e3', 'soon', '86400001', '5, 5']) {
+		assert.equal(coldOf(text).state, 'malformed', text);
+	}
+});
--- a/src/platform/response-head.ts
+++ b/src/platform/response-head.ts
@@ -2,6 +2,7 @@
 	HeaderPair,
 	ResponseHead,
 	StatedBackOff,
+	StatedCold,
 	StatedLeaving,
 	StatedRateLimit,
 } from '../common/index.js';
@@ -15,6 +16,8 @@
 const turnedAwayStatuses: ReadonlySet<number> = new Set([429, 503]);
 /** Longest back-off that a target may ask for, in seconds; longer ones are taken for mistakes. */
 const maxBackOffS = 600;
+/** Longest time for which a target may say that it is cold, in milliseconds: one day. */
+const maxColdMs = 86_400_000;
 const millisecondsPerSecond = 1000;
 
 /** @returns undefined if the text is no decimal number without a sign */
@@ -83,6 +86,21 @@
 		: {state: 'backing-off', durationMs: durationS * millisecondsPerSecond};
 }
 
+/** Decodes the header that says for how long a target is still cold. */
+export function decodeCold(text: string | undefined): StatedCold {
+	if (text === undefined) {
+		return {state: 'not-stated'};
+	}
+
+	const coldMs = parseDecimal(text);
+	if (coldMs === undefined || coldMs > maxColdMs) {
+		const allowed = `a decimal number of milliseconds up to ${maxColdMs}`;
+		return malformed(headerNames.coldMs, text, allowed);
+	}
+
+	return {state: 'stated', coldMs};
+}
+
 /** Decodes the status and headers of a target's response. */
 export function decodeResponseHead(
 	status: number,
@@ -101,5 +119,6 @@
 		rateLimit: decodeRateLimit(valueOf(headerNames.rateLimit)),
 		leaving: decodeLeaving(valueOf(headerNames.leaving)),
 		backOff: decodeBackOff(status, valueOf(headerNames.retryAfter)),
+		cold: decodeCold(valueOf(headerNames.coldMs)),
 	};
 }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -20,6 +20,8 @@
 	rateLimit: 'Server-Limit',
 	/** `1` in all responses of a target that leaves. */
 	leaving: 'Server-Leaving',
+	/** Milliseconds for which the responding target stays cold; 0 if it is not. */
+	coldMs: 'Cowslipspread-Cold-Ms',
 	/** Seconds for which a target that turns a request away wants no others from this VM. */
 	retryAfter: 'Retry-After',
 } as const;
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -12,12 +12,10 @@
 import {
 	createDisposableStore,
 	defaultCallerLimits,
-	eitherEvent,
 	repeat,
 	SeededRandomSource,
 } from '../../common/index.js';
 import {
-	createFreshnessGate,
 	createRouteTable,
 	type RouteTable,
 } from '../../decisions/serving/index.js';
@@ -33,9 +31,9 @@
 import {createGracefulStop} from './graceful-stop.js';
 import {createFrontPages} from './front-pages.js';
 import {openFrontServers} from './front-servers.js';
-import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
-import {logTargetStatements} from './target-statement-log.js';
-import {logZoneEvacuations} from './zone-evacuation-log.js';
+import {countPermitDecision} from './rate-limit-log.js';
+import {createTableFreshnessGate} from './table-freshness.js';
+import {logTargetState} from './target-state-log.js';
 import {openOrClose} from './open-or-close.js';
 import {createRequestMemory} from './request-memory.js';
 import {createRequestServer} from './request-server.js';
@@ -102,13 +100,12 @@
 		statements,
 		evacuatedZones,
 		eligibility,
+		coldTargets,
 		callTargets,
 		engineSelector,
 		storeWatch,
 	} = deployment;
-	owned.add(logRateLimitChanges(statements.rateLimits, logger, metrics));
-	owned.add(logTargetStatements(statements, logger, metrics));
-	owned.add(logZoneEvacuations(evacuatedZones, logger, metrics));
+	owned.add(logTargetState(deployment, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const bufferBudget = createRequestMemory(settings);
 	let routeTable: RouteTable | undefined;
@@ -139,6 +136,7 @@
 		retryShare: deployment.retryShare,
 		statements,
 		eligibility,
+		coldTargets,
 		standings: deployment.standings,
 		crashEvidence: deployment.crashEvidence,
 		crashObserver,
@@ -151,24 +149,11 @@
 		stopTimes: () => gracefulStop.times,
 		areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 		onUnexpected: reportUnexpected,
-		freshnessGate: createFreshnessGate({
+		freshnessGate: createTableFreshnessGate({
+			clock,
 			timers,
-			isFresh: () =>
-				storeWatch.isStoreLost ||
-				Math.max(
-					storeWatch.targetsSync.ageMs,
-					storeWatch.configurationSync.ageMs,
-				) <=
-					clock.nowMs() - deployment.resumedMs(),
-			onConfirmed: eitherEvent(
-				storeWatch.targetsSync.onConfirmed,
-				storeWatch.configurationSync.onConfirmed,
-			),
-			refresh() {
-				storeWatch.refreshTargets();
-				// The operator's table names the evacuated availability zones.
-				storeWatch.refreshConfiguration(-Infinity);
-			},
+			storeWatch,
+			resumedMs: deployment.resumedMs,
 		}),
 		isConfigurationCurrent: () =>
 			storeWatch.configurationSync.ageMs <=
@@ -226,6 +211,7 @@
 			targetClient,
 			statements,
 			eligibility,
+			coldTargets,
 			areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 			enginesInUse: () => requests.enginesInUse(),
 			logger,
@@ -239,6 +225,7 @@
 			capacityReader,
 			statements,
 			evacuatedZones,
+			coldTargets,
 			crashObserver,
 			requests,
 			logger,
@@ -262,6 +249,7 @@
 			run() {
 				directory.tick();
 				statements.sweep();
+				coldTargets.tick();
 				requests.tick();
 				targetClient.retainOnly(directory.addresses());
 			},
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -2,15 +2,11 @@
 import {
 	type Clock,
 	createDisposableStore,
-	type Disposable,
 	type RandomSource,
 	type ServingBounds,
 	type Timers,
 } from '../../common/index.js';
-import {
-	createOutlierDetector,
-	type OutlierDetector,
-} from '../../decisions/retries/index.js';
+import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {
 	PermitClient,
 	TableSyncState,
@@ -36,18 +32,17 @@
 	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import {
-	createEvacuatedZones,
-	createTargetEligibility,
-	type EvacuatedZones,
-	type TargetEligibility,
-} from '../../decisions/target-eligibility/index.js';
 import {
 	createTargetStatements,
 	type TargetStatements,
 } from '../../decisions/target-statements/index.js';
 import {StoreClient} from '../../platform/index.js';
 import {createEngineSelector, type EngineSelector} from './engine-selector.js';
+import {createFrontDetector} from './front-detector.js';
+import {
+	createFrontEligibility,
+	type FrontEligibility,
+} from './front-eligibility.js';
 import type {FrontSettings} from './front-settings.js';
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
@@ -72,15 +67,13 @@
 };
 
 /** State of the deployment as this VM knows it: from the store, from its peers and by its own requests. */
-export type DeploymentState = Disposable & {
+export type DeploymentState = FrontEligibility & {
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly statements: TargetStatements;
-	readonly evacuatedZones: EvacuatedZones;
-	readonly eligibility: TargetEligibility;
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
@@ -139,21 +132,7 @@
 		unreachableMs,
 		lingerMs,
 	});
-	const detector = createOutlierDetector({
-		clock,
-		maxFailures: 2,
-		slowFactor: 4,
-		slowMinMs: 250,
-		ejectionMs: 800,
-		maxEjectionMs: 4000,
-		maxEjectedFraction: 0.6,
-		onEjected(targetId, untilMs) {
-			logger.warn('target ejected', {
-				target: targetId,
-				forMs: Math.round(untilMs - clock.nowMs()),
-			});
-		},
-	});
+	const detector = createFrontDetector(clock, logger);
 	const statements = owned.add(
 		createTargetStatements({
 			clock,
@@ -161,8 +140,16 @@
 		}),
 	);
 	const {rateLimits} = statements;
-	const evacuatedZones = owned.add(createEvacuatedZones());
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const {evacuatedZones, coldTargets, eligibility} = owned.add(
+		createFrontEligibility({
+			clock,
+			statements,
+			directory,
+			configuration,
+			bounds: options.bounds,
+			heartbeatMs: vm.heartbeatMs,
+		}),
+	);
 	const standings = createServiceStandings({directory, eligibility, random});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
@@ -186,6 +173,7 @@
 			store,
 			retryBounds,
 			rateLimits,
+			limitOf: eligibility.limitOf,
 			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
@@ -296,6 +284,7 @@
 		statements,
 		evacuatedZones,
 		eligibility,
+		coldTargets,
 		standings,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
--- a/src/programs/front/engine-polling.ts
+++ b/src/programs/front/engine-polling.ts
@@ -7,7 +7,10 @@
 	type Timers,
 	toProblem,
 } from '../../common/index.js';
-import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
+import type {
+	ColdTargets,
+	TargetEligibility,
+} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 
@@ -16,6 +19,7 @@
 	readonly targetClient: TargetClient;
 	readonly statements: Pick<TargetStatements, 'recordLeavingReport'>;
 	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
+	readonly coldTargets: Pick<ColdTargets, 'recordResponse'>;
 	/** True while this VM learns of leaving engines from the store in time. */
 	readonly areTargetsCurrent: () => boolean;
 	/** Engines that run generations of this VM or hold their KV cache copies. */
@@ -43,6 +47,7 @@
 		const {id, address} = engine;
 		try {
 			const report = await targetClient.report(address, pollTimeoutMs);
+			options.coldTargets.recordResponse(engine, report.coldMs);
 			if (report.leaving) {
 				statements.recordLeavingReport(engine);
 			}
--- a/src/programs/front/engine-selector.test.ts
+++ b/src/programs/front/engine-selector.test.ts
@@ -62,7 +62,11 @@
 		lastResortMs: () => 1000,
 	});
 	const evacuatedZones = createEvacuatedZones();
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const eligibility = createTargetEligibility({
+		statements,
+		evacuatedZones,
+		coldTargets: {limitOf: () => undefined},
+	});
 	const asked: Array<{
 		request: PlacementRequest;
 		listener: PlacementDecisionListener;
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -25,6 +25,7 @@
 	ClosedRefusal,
 	TargetStatements,
 } from '../../decisions/target-statements/index.js';
+import {createAvoidedTargets} from './avoided-targets.js';
 import {createOutputForecast} from './output-forecast.js';
 import type {RunReporter} from './run-reporter.js';
 
@@ -73,7 +74,10 @@
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly statements: Pick<TargetStatements, 'isLeaving'>;
-	readonly eligibility: Pick<TargetEligibility, 'isEvacuated' | 'standingOf'>;
+	readonly eligibility: Pick<
+		TargetEligibility,
+		'isEvacuated' | 'isOnlyCold' | 'standingOf'
+	>;
 	readonly standings: ServiceStandings;
 	readonly statistics: LengthStatistics;
 	readonly placementClient: () => PlacementClient;
@@ -88,12 +92,6 @@
 const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, according to the data sheets of the engines. */
 const tokensPerEvent = 4;
-/**
- * Largest fraction of a service's engines that are avoided because the outlier detector excludes them.
- * The detector sees only the requests of this VM; if it excludes more engines, none is avoided.
- */
-const maxExcludedFraction = 0.5;
-
 export function createEngineSelector(
 	options: EngineSelectorOptions,
 ): EngineSelector {
@@ -106,14 +104,7 @@
 	const entryOf = (targetId: string | undefined) =>
 		targetId === undefined ? undefined : directory.get(targetId)?.entry;
 
-	const targetsToAvoid = (service: string): readonly string[] => {
-		const usable = directory.usable(service);
-		const excluded = detector.excluded(service);
-		const leftOutIds = standings.leftOutIds(service);
-		return excluded.size > usable.length * maxExcludedFraction
-			? leftOutIds
-			: [...excluded, ...leftOutIds];
-	};
+	const targetsToAvoid = createAvoidedTargets(options);
 
 	const placementRequestFor = (
 		admitted: AdmittedRequest,
@@ -136,6 +127,11 @@
 		};
 	};
 
+	const turnsOf = (targetId: string) => {
+		const turns = options.permitClient().turnsOf(targetId);
+		return turns && {...turns, isCold: eligibility.isOnlyCold(targetId)};
+	};
+
 	/** Engine of the placement that is to hold a copy, unless it has been evacuated meanwhile. */
 	const backupOf = ({copyTargetId}: Placement) => {
 		const backup = entryOf(copyTargetId);
@@ -171,7 +167,7 @@
 				slotCount: entry.slotCount,
 				capacityTokens,
 				isOutlier: excluded.has(entry.id),
-				turns: options.permitClient().turnsOf(entry.id),
+				turns: turnsOf(entry.id),
 			}));
 		},
 		placeRun(admitted, avoid, listener) {
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -41,6 +41,8 @@
 	readonly beaconIntervalMs: () => number;
 	/** Rate limits of targets, exchanged with the other VMs. */
 	readonly rateLimits: RateLimitTable;
+	/** Requests per second that a target may get from all VMs together; undefined without a limit. */
+	readonly limitOf: (targetId: string) => number | undefined;
 	/** Crashes of engines under prompt parts, exchanged with the other VMs. */
 	readonly crashEvidence: CrashEvidence;
 	/** Engines of a service that take requests now. */
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -84,6 +84,7 @@
 			members,
 			coordinatorSinceMs: settledSinceMs,
 			table: options.rateLimits,
+			limitOf: options.limitOf,
 			send,
 		}),
 	);
--- a/src/programs/front/handle-target-events.test.ts
+++ b/src/programs/front/handle-target-events.test.ts
@@ -31,6 +31,7 @@
 	const evacuatedZones = createEvacuatedZones();
 	const unusable: string[] = [];
 	const capacitiesRead: string[] = [];
+	const returnedZones: string[] = [];
 	handleTargetEvents({
 		directory,
 		targetClient: new FakeTargetClient(),
@@ -54,6 +55,12 @@
 		},
 		statements: createTargetStatements({clock, lastResortMs: () => 1000}),
 		evacuatedZones,
+		coldTargets: {
+			recordRefusal: () => undefined,
+			recordZoneReturn(zone) {
+				returnedZones.push(zone);
+			},
+		},
 		crashObserver: {engineGone: () => undefined},
 		requests: {
 			targetUnusable(id) {
@@ -64,6 +71,8 @@
 	});
 	evacuatedZones.replace(['zone-1']);
 	assert.deepEqual([unusable, capacitiesRead], [['e1', 'e3'], []]);
+	assert.deepEqual(returnedZones, []);
 	evacuatedZones.replace([]);
 	assert.deepEqual([unusable.length, capacitiesRead], [2, ['e1', 'e3']]);
+	assert.deepEqual(returnedZones, ['zone-1']);
 });
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -7,7 +7,10 @@
 import type {CrashObserver} from '../../decisions/quarantine/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {TargetDirectory} from '../../decisions/serving/index.js';
-import type {EvacuatedZones} from '../../decisions/target-eligibility/index.js';
+import type {
+	ColdTargets,
+	EvacuatedZones,
+} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {CapacityReader} from './capacity-reader.js';
 import type {RequestServer} from './request-server.js';
@@ -23,6 +26,7 @@
 		'onChanged' | 'recordArrival' | 'recordDeparture'
 	>;
 	readonly evacuatedZones: Pick<EvacuatedZones, 'onChanged'>;
+	readonly coldTargets: Pick<ColdTargets, 'recordRefusal' | 'recordZoneReturn'>;
 	readonly crashObserver: Pick<CrashObserver, 'engineGone'>;
 	readonly requests: Pick<RequestServer, 'targetUnusable'>;
 	readonly logger: Logger;
@@ -36,7 +40,7 @@
  */
 export function handleTargetEvents(options: TargetEventOptions): Disposable {
 	const {directory, targetClient, detector, requests, logger} = options;
-	const {capacityReader, statements, crashObserver} = options;
+	const {capacityReader, statements, coldTargets, crashObserver} = options;
 	const owned = createDisposableStore();
 	const updateDetector = (service: string) => {
 		detector.setTargets(
@@ -81,6 +85,7 @@
 				target: entry.id,
 				service: entry.service,
 			});
+			coldTargets.recordRefusal(entry);
 			crashObserver.engineGone(entry.id);
 			requests.targetUnusable(entry.id);
 		}),
@@ -94,6 +99,10 @@
 	);
 	owned.add(
 		options.evacuatedZones.onChanged(({availabilityZone, change}) => {
+			if (change === 'ends') {
+				coldTargets.recordZoneReturn(availabilityZone);
+			}
+
 			const entries = [...directory.all()]
 				.map(({entry}) => entry)
 				.filter((entry) => entry.availabilityZone === availabilityZone);
--- a/src/programs/front/rate-limit-handler.ts
+++ b/src/programs/front/rate-limit-handler.ts
@@ -29,6 +29,8 @@
 	/** Monotonic time at which this VM became coordinator, in milliseconds; Infinity if it is not. */
 	readonly coordinatorSinceMs: () => number;
 	readonly table: RateLimitTable;
+	/** Lower of the limit that a target has stated and that of a cold target, in requests per second. */
+	readonly limitOf: (targetId: string) => number | undefined;
 	readonly send: (to: string, message: FleetMessage) => void;
 };
 
@@ -64,7 +66,6 @@
 	const permitClient = createPermitClient({
 		...options,
 		ownAddress: address,
-		limitOf: table.limitOf,
 	});
 
 	const sendReports = (
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -32,7 +32,10 @@
 	type StreamSession,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
+import type {
+	ColdTargets,
+	TargetEligibility,
+} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
 import type {EngineSelector} from './engine-selector.js';
 
@@ -48,6 +51,7 @@
 	readonly retryShare: RetryShare;
 	readonly statements: Pick<TargetStatements, 'isLeaving' | 'recordResponse'>;
 	readonly eligibility: TargetEligibility;
+	readonly coldTargets: Pick<ColdTargets, 'recordResponse'>;
 	readonly standings: Pick<ServiceStandings, 'description'>;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
@@ -88,6 +92,14 @@
 	const mayUse = (target: TargetEntry) =>
 		eligibility.standingOf(target).use !== 'none';
 
+	const recordColdness = (target: TargetEntry, head: ResponseHead) => {
+		if (head.isFromTarget || head.notExecuted) {
+			const {cold} = head;
+			const coldMs = cold.state === 'stated' ? cold.coldMs : 0;
+			options.coldTargets.recordResponse(target, coldMs);
+		}
+	};
+
 	const sessionServices = (service: string) => ({
 		clock,
 		timers: options.timers,
@@ -108,6 +120,7 @@
 		},
 		onResponseHead(target: TargetEntry, head: ResponseHead, sentMs: number) {
 			statements.recordResponse(target, head, sentMs);
+			recordColdness(target, head);
 		},
 		mayUse,
 		restrictedTargets: options.standings.description,
--- /dev/null
+++ b/src/programs/front/table-freshness.ts
@@ -0,0 +1,52 @@
+import {type Clock, eitherEvent, type Timers} from '../../common/index.js';
+import {
+	createFreshnessGate,
+	type FreshnessGate,
+} from '../../decisions/serving/index.js';
+import type {StoreWatch} from './store-watch-types.js';
+
+export type TableFreshnessOptions = {
+	readonly clock: Clock;
+	readonly timers: Timers;
+	readonly storeWatch: Pick<
+		StoreWatch,
+		| 'configurationSync'
+		| 'isStoreLost'
+		| 'refreshConfiguration'
+		| 'refreshTargets'
+		| 'targetsSync'
+	>;
+	/** Monotonic time at which this VM resumed after its last pause, in milliseconds; -Infinity before. */
+	readonly resumedMs: () => number;
+};
+
+/**
+ * Creates the gate that holds requests after a pause of this VM until the targets and the operator's table,
+ * which names the evacuated availability zones, are confirmed.
+ */
+export function createTableFreshnessGate({
+	clock,
+	timers,
+	storeWatch,
+	resumedMs,
+}: TableFreshnessOptions): FreshnessGate {
+	const {targetsSync, configurationSync} = storeWatch;
+	return createFreshnessGate({
+		timers,
+		isFresh() {
+			const sinceResumedMs = clock.nowMs() - resumedMs();
+			return (
+				storeWatch.isStoreLost ||
+				Math.max(targetsSync.ageMs, configurationSync.ageMs) <= sinceResumedMs
+			);
+		},
+		onConfirmed: eitherEvent(
+			targetsSync.onConfirmed,
+			configurationSync.onConfirmed,
+		),
+		refresh() {
+			storeWatch.refreshTargets();
+			storeWatch.refreshConfiguration(-Infinity);
+		},
+	});
+}
