--- a/src/common/deployment/types.ts
+++ b/src/common/deployment/types.ts
@@ -32,6 +32,8 @@
 	/** True if the requests are for a generation of a model. */
 	readonly generation: boolean;
 	readonly shares: readonly ServiceShare[];
+	/** Regions whose targets may get the requests; empty for all. */
+	readonly allowedRegions: readonly string[];
 };
 
 /** Configuration of a client account. */
@@ -40,6 +42,8 @@
 	readonly apiKeys: readonly string[];
 	/** Overrides the priority of the route, if set. */
 	readonly priority: number | undefined;
+	/** Regions whose targets may get the requests of the account; empty for all. */
+	readonly allowedRegions: readonly string[];
 };
 
 /** Configuration of a service: a group of targets, plain services or engines, that serve the same requests. */
--- a/src/decisions/serving/admission.test.ts
+++ b/src/decisions/serving/admission.test.ts
@@ -17,7 +17,9 @@
 		fakeRoute({name: 'r-2', pathPrefix: '/stock/deep/', timeoutMs: 400}),
 	],
 	services: new Map(),
-	accounts: [{name: 'finishers', apiKeys: ['key-1'], priority: 0}],
+	accounts: [
+		{name: 'finishers', apiKeys: ['key-1'], priority: 0, allowedRegions: []},
+	],
 	limits: {
 		maxHeaderBytes: 1,
 		maxBodyBytes: 1,
--- a/src/decisions/serving/admission.ts
+++ b/src/decisions/serving/admission.ts
@@ -3,6 +3,7 @@
 	RandomSource,
 	RouteRule,
 } from '../../common/index.js';
+import {allowedRegionsOf} from '../target-eligibility/index.js';
 import type {PreviousWaitEstimator} from './previous-wait-estimator.js';
 import {localResponseStatus} from './refusals.js';
 import type {RouteTable} from './route-table.js';
@@ -96,6 +97,7 @@
 			route,
 			service: drawService(route, random),
 			account: account?.name,
+			allowedRegions: allowedRegionsOf(route, account),
 			priority: account?.priority ?? route.priority,
 			arrivedMs: nowMs,
 			previousWaitMs: previousWaitEstimator.estimateMs(
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -142,7 +142,12 @@
 
 		isSearching = true;
 		search = options.findTarget(
-			{service, avoid: tried, maxWaitMs},
+			{
+				service,
+				allowedRegions: admitted.allowedRegions,
+				avoid: tried,
+				maxWaitMs,
+			},
 			{
 				onFound(target, permit) {
 					isSearching = false;
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -9,6 +9,7 @@
 import {createOutlierDetector} from '../retries/index.js';
 import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
 import {
+	type AllowedRegions,
 	createEvacuatedZones,
 	createTargetEligibility,
 } from '../target-eligibility/index.js';
@@ -39,6 +40,10 @@
 		statements,
 		evacuatedZones,
 		coldTargets: {limitOf: () => undefined},
+		regions: new Map([
+			['zone-1', 'region-1'],
+			['zone-2', 'region-2'],
+		]),
 	});
 	await time.runUntil(1);
 	for (const [id, requestsPerSecond] of Object.entries(limits)) {
@@ -81,9 +86,13 @@
 			return createDisposableStore();
 		},
 	});
-	const find = (maxWaitMs = 100, avoid: readonly string[] = []) =>
+	const find = (
+		maxWaitMs = 100,
+		avoid: readonly string[] = [],
+		allowedRegions: AllowedRegions = undefined,
+	) =>
 		search.find(
-			{service: 'desk', avoid: new Set(avoid), maxWaitMs},
+			{service: 'desk', allowedRegions, avoid: new Set(avoid), maxWaitMs},
 			{
 				onFound(target, permit) {
 					const waitText = permit ? ` after ${permit.waitMs}` : '';
@@ -279,3 +288,23 @@
 	await time.runUntil(1000);
 	assert.match(outcomes.at(-1) ?? '', /^t1 after/);
 });
+
+test('a call goes only to targets in its allowed regions, and is refused at once if there are none', async () => {
+	const limits = {t1: undefined, t2: undefined};
+	const {directory, statements, find, outcomes} = await start(limits, grant(0));
+	const elsewhere = fakeTargetEntry('t2', {availabilityZone: 'zone-2'});
+	directory.set('t2', elsewhere, 2);
+	for (let index = 0; index < 10; index++) {
+		find(100, [], new Set(['region-2']));
+	}
+
+	assert.deepEqual(new Set(outcomes), new Set(['t2']));
+	find(100, [], new Set(['region-3']));
+	assert.equal(outcomes.at(-1), 'no target is in an allowed region, undefined');
+	statements.recordResponse(elsewhere, backOffHead(3000), 0);
+	find(100, [], new Set(['region-2']));
+	assert.match(
+		outcomes.at(-1) ?? '',
+		/^all targets want no requests for a time, /,
+	);
+});
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -12,11 +12,15 @@
 	PermitDecision,
 	PermitRequest,
 } from '../rate-limits/index.js';
-import type {TargetEligibility} from '../target-eligibility/index.js';
+import type {
+	AllowedRegions,
+	TargetEligibility,
+} from '../target-eligibility/index.js';
 import type {TargetUse} from '../target-statements/index.js';
 import {chooseServiceTarget} from './service-placement.js';
 import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
+import {createTurnDenials} from './turn-denials.js';
 
 /** Permit under which a request is sent to a target with a rate limit. */
 export type TargetPermit = {
@@ -49,6 +53,7 @@
 /** What a call needs of its target. */
 export type CallTargetQuery = {
 	readonly service: string;
+	readonly allowedRegions: AllowedRegions;
 	/** Ids of targets that were already tried. */
 	readonly avoid: ReadonlySet<string>;
 	/** Longest time that the call may wait for its turn at a target, in milliseconds. */
@@ -99,14 +104,16 @@
 	const {clock, timers, random, directory, detector} = options;
 	const {eligibility, standings} = options;
 	const openCalls = new Map<string, number>();
-	/** Monotonic times before which limited targets have no turn for this VM, in milliseconds. */
-	const nextTurnMs = new Map<string, number>();
+	const denials = createTurnDenials(clock);
 
 	const entryOf = (targetId: string) => directory.get(targetId)?.entry;
 
-	const candidatesOf = (service: string, use: TargetUse) => {
+	const candidatesOf = (
+		{service, allowedRegions}: CallTargetQuery,
+		use: TargetUse,
+	) => {
 		const excluded = detector.excluded(service);
-		return standings.withUse(service, use).map((entry) => ({
+		return standings.withUse(service, use, allowedRegions).map((entry) => ({
 			targetId: entry.id,
 			availabilityZone: entry.availabilityZone,
 			slotCount: entry.slotCount,
@@ -115,12 +122,9 @@
 		}));
 	};
 
-	const chooseAmong = (
-		{service, avoid}: CallTargetQuery,
-		use: TargetUse,
-	): Choice => {
-		const candidates = candidatesOf(service, use);
-		const passed = new Set(avoid);
+	const chooseAmong = (query: CallTargetQuery, use: TargetUse): Choice => {
+		const candidates = candidatesOf(query, use);
+		const passed = new Set(query.avoid);
 		const limited: LimitedTarget[] = [];
 		for (;;) {
 			const chosen = chooseServiceTarget(
@@ -154,9 +158,6 @@
 		return isEmpty ? chooseAmong(query, 'last-resort') : choice;
 	};
 
-	const waitMsOf = ({targetId}: LimitedTarget) =>
-		Math.max(0, (nextTurnMs.get(targetId) ?? -Infinity) - clock.nowMs());
-
 	const refuse = (listener: CallTargetListener, retryAfterMs: number) => {
 		listener.onNone(limitReason, Math.max(minRetryAfterMs, retryAfterMs));
 	};
@@ -168,30 +169,18 @@
 		limited: readonly LimitedTarget[],
 		listener: CallTargetListener,
 	) => {
-		const waitMs = Math.min(...limited.map((target) => waitMsOf(target)));
+		const waitMs = Math.min(
+			...limited.map((target) => denials.waitMsOf(target)),
+		);
 		listener.onPermitDenied(limited, waitMs, undefined);
 		refuse(listener, waitMs * (1 + random.nextUnit()));
 	};
 
-	/** Records that targets have no turn for this VM before a time. */
-	const recordDenial = (targets: readonly LimitedTarget[], waitMs: number) => {
-		const nowMs = clock.nowMs();
-		for (const [targetId, turnMs] of nextTurnMs) {
-			if (turnMs <= nowMs) {
-				nextTurnMs.delete(targetId);
-			}
-		}
-
-		for (const {targetId} of targets) {
-			nextTurnMs.set(targetId, nowMs + waitMs);
-		}
-	};
-
 	const refuseWithoutTarget = (
-		service: string,
+		{service, allowedRegions}: CallTargetQuery,
 		listener: CallTargetListener,
 	) => {
-		const closed = standings.refusal(service);
+		const closed = standings.refusal(service, allowedRegions);
 		listener.onNone(
 			closed?.reason ?? 'no target of the service is usable',
 			closed?.retryAfterMs,
@@ -201,7 +190,7 @@
 	/** Uses the best target without a limit; if there is none, the caller is refused. */
 	const useUnlimited = (
 		{unlimited, limited}: Choice,
-		service: string,
+		query: CallTargetQuery,
 		listener: CallTargetListener,
 		refuseLimited: () => void,
 	) => {
@@ -210,7 +199,7 @@
 		} else if (limited.length > 0) {
 			refuseLimited();
 		} else {
-			refuseWithoutTarget(service, listener);
+			refuseWithoutTarget(query, listener);
 		}
 	};
 
@@ -223,10 +212,10 @@
 		const choice = choose(query);
 		const maxWaitMs = choice.unlimited ? 0 : query.maxWaitMs;
 		const targets = choice.limited.filter(
-			(target) => waitMsOf(target) <= maxWaitMs,
+			(target) => denials.waitMsOf(target) <= maxWaitMs,
 		);
 		if (targets.length === 0) {
-			useUnlimited(choice, query.service, listener, () => {
+			useUnlimited(choice, query, listener, () => {
 				refuseByEarlierDenial(choice.limited, listener);
 			});
 			return owned;
@@ -256,9 +245,9 @@
 			options.requestPermit(request, (decision, decidedBy) => {
 				const {waitMs} = decision;
 				if (decision.outcome === 'denied') {
-					recordDenial(targets, waitMs);
+					denials.record(targets, waitMs);
 					listener.onPermitDenied(targets, waitMs, decidedBy);
-					useUnlimited(choice, query.service, listener, () => {
+					useUnlimited(choice, query, listener, () => {
 						refuse(listener, decision.retryAfterMs);
 					});
 				} else if (waitMs > 0) {
--- a/src/decisions/serving/service-standings.ts
+++ b/src/decisions/serving/service-standings.ts
@@ -5,23 +5,42 @@
 	type TargetStanding,
 	type TargetUse,
 } from '../target-statements/index.js';
-import type {TargetEligibility} from '../target-eligibility/index.js';
+import type {
+	AllowedRegions,
+	TargetEligibility,
+} from '../target-eligibility/index.js';
 import type {TargetDirectory} from './target-directory.js';
 
 export type ServiceStandingsOptions = {
 	readonly directory: Pick<TargetDirectory, 'usable'>;
-	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
+	readonly eligibility: Pick<
+		TargetEligibility,
+		'isInAllowedRegion' | 'standingOf'
+	>;
 	readonly random: RandomSource;
 };
 
-/** How the targets of a service may be used now. */
+/**
+ * How the targets of a service may be used now. Where allowed regions are given, targets elsewhere are not used
+ * at all.
+ */
 export type ServiceStandings = {
 	/** Targets with a certain use. */
-	withUse(service: string, use: TargetUse): readonly TargetEntry[];
+	withUse(
+		service: string,
+		use: TargetUse,
+		allowedRegions: AllowedRegions,
+	): readonly TargetEntry[];
 	/** Ids of the targets that get nothing now; those that leave are used if the service has no other. */
-	leftOutIds(service: string): readonly string[];
-	/** Refusal of a request if every target says that it takes none. */
-	refusal(service: string): ClosedRefusal | undefined;
+	leftOutIds(
+		service: string,
+		allowedRegions: AllowedRegions,
+	): readonly string[];
+	/** Refusal of a request if every target says that it takes none, or none may be used. */
+	refusal(
+		service: string,
+		allowedRegions: AllowedRegions,
+	): ClosedRefusal | undefined;
 	/** Describes for the log the targets that are not used like others; undefined if there are none. */
 	description(service: string): string | undefined;
 };
@@ -36,36 +55,59 @@
 	eligibility,
 	random,
 }: ServiceStandingsOptions): ServiceStandings {
-	const standingsOf = (service: string): TargetAndStanding[] =>
-		directory.usable(service).map(({entry}) => ({
-			target: entry,
-			standing: eligibility.standingOf(entry),
-		}));
+	const usableEntries = (service: string) =>
+		directory.usable(service).map(({entry}) => entry);
+
+	const standingsOf = (
+		service: string,
+		allowedRegions: AllowedRegions,
+	): TargetAndStanding[] =>
+		usableEntries(service)
+			.filter((target) => eligibility.isInAllowedRegion(target, allowedRegions))
+			.map((target) => ({target, standing: eligibility.standingOf(target)}));
+
+	const idsElsewhere = (service: string, allowedRegions: AllowedRegions) =>
+		allowedRegions === undefined
+			? []
+			: usableEntries(service)
+					.filter(
+						(target) => !eligibility.isInAllowedRegion(target, allowedRegions),
+					)
+					.map(({id}) => id);
 
 	return {
-		withUse: (service, use) =>
-			standingsOf(service)
+		withUse: (service, use, allowedRegions) =>
+			standingsOf(service, allowedRegions)
 				.filter(({standing}) => standing.use === use)
 				.map(({target}) => target),
-		leftOutIds(service) {
-			const standings = standingsOf(service);
+		leftOutIds(service, allowedRegions) {
+			const standings = standingsOf(service, allowedRegions);
 			const hasNormal = standings.some(
 				({standing}) => standing.use === 'normal',
 			);
-			return standings
+			const leftOut = standings
 				.filter(
 					({standing: {use}}) =>
 						use === 'none' || (use === 'last-resort' && hasNormal),
 				)
 				.map(({target}) => target.id);
+			return [...leftOut, ...idsElsewhere(service, allowedRegions)];
+		},
+		refusal(service, allowedRegions) {
+			const standings = standingsOf(service, allowedRegions);
+			return standings.length === 0 &&
+				idsElsewhere(service, allowedRegions).length > 0
+				? {
+						reason: 'no target is in an allowed region',
+						retryAfterMs: undefined,
+					}
+				: closedRefusal(
+						standings.map(({standing}) => standing),
+						random,
+					);
 		},
-		refusal: (service) =>
-			closedRefusal(
-				standingsOf(service).map(({standing}) => standing),
-				random,
-			),
 		description(service) {
-			const restricted = standingsOf(service)
+			const restricted = standingsOf(service, undefined)
 				.filter(({standing}) => standing.use !== 'normal')
 				.map(({target, standing}) => `${target.id}: ${standing.cause}`);
 			return restricted.length > 0 ? restricted.join(', ') : undefined;
--- a/src/decisions/serving/session-types.ts
+++ b/src/decisions/serving/session-types.ts
@@ -10,6 +10,7 @@
 	TargetClient,
 	Timers,
 } from '../../common/index.js';
+import type {AllowedRegions} from '../target-eligibility/index.js';
 import type {BufferBudget} from './buffer-budget.js';
 import type {RetryShare} from './retry-share.js';
 
@@ -20,6 +21,7 @@
 	/** Service that was drawn from the weighted shares of the route. */
 	readonly service: string;
 	readonly account: string | undefined;
+	readonly allowedRegions: AllowedRegions;
 	/** Priority of the client account or the route; 0 is the most urgent. */
 	readonly priority: number;
 	/** Monotonic time at which the request arrived, in milliseconds. */
--- a/src/decisions/target-eligibility/index.ts
+++ b/src/decisions/target-eligibility/index.ts
@@ -1,3 +1,4 @@
+export {type AllowedRegions, allowedRegionsOf} from './allowed-regions.js';
 export {coldRuleOf} from './cold-rule.js';
 export {
 	type ColdChange,
--- a/src/decisions/target-eligibility/target-eligibility.test.ts
+++ b/src/decisions/target-eligibility/target-eligibility.test.ts
@@ -28,6 +28,10 @@
 		statements,
 		evacuatedZones,
 		coldTargets: {limitOf: (targetId) => coldLimits.get(targetId)},
+		regions: new Map([
+			['zone-1', 'region-1'],
+			['zone-2', 'region-2'],
+		]),
 	});
 	const refusalReason = () =>
 		closedRefusal(
@@ -108,4 +112,18 @@
 		coldLimits.clear();
 		assert.deepEqual(limits(), [40, 40, false]);
 	});
+
+	test('a restricted request goes only to zones whose region is known and allowed', () => {
+		const {eligibility} = createEligibility();
+		const unknown = fakeTargetEntry('t3', {availabilityZone: 'zone-3'});
+		const usable = (allowedRegions: ReadonlySet<string> | undefined) =>
+			[here, elsewhere, unknown]
+				.filter((target) =>
+					eligibility.isInAllowedRegion(target, allowedRegions),
+				)
+				.map(({id}) => id);
+		assert.deepEqual(usable(undefined), ['t1', 't2', 't3']);
+		assert.deepEqual(usable(new Set(['region-2', 'region-9'])), ['t2']);
+		assert.deepEqual(usable(new Set()), []);
+	});
 });
--- a/src/decisions/target-eligibility/target-eligibility.ts
+++ b/src/decisions/target-eligibility/target-eligibility.ts
@@ -3,6 +3,7 @@
 	TargetStanding,
 	TargetStatements,
 } from '../target-statements/index.js';
+import type {AllowedRegions} from './allowed-regions.js';
 import type {ColdTargets} from './cold-targets.js';
 import type {EvacuatedZones} from './evacuated-zones.js';
 
@@ -17,6 +18,14 @@
 	limitOf(targetId: string): number | undefined;
 	/** True if the limit is that of a cold target, which ends soon, and the target has stated none. */
 	isOnlyCold(targetId: string): boolean;
+	/**
+	 * True if the target is in an allowed region; for a restricted request, the region of its availability zone has
+	 * to be known.
+	 */
+	isInAllowedRegion(
+		target: TargetEntry,
+		allowedRegions: AllowedRegions,
+	): boolean;
 	/** True if nothing may be sent to the target since its availability zone is evacuated. */
 	isEvacuated(target: TargetEntry): boolean;
 };
@@ -25,12 +34,15 @@
 	readonly statements: Pick<TargetStatements, 'rateLimits' | 'standingOf'>;
 	readonly evacuatedZones: Pick<EvacuatedZones, 'isEvacuated'>;
 	readonly coldTargets: Pick<ColdTargets, 'limitOf'>;
+	/** Regions of the availability zones, by the name of the zone. */
+	readonly regions: ReadonlyMap<string, string>;
 };
 
 export function createTargetEligibility({
 	statements,
 	evacuatedZones,
 	coldTargets,
+	regions,
 }: TargetEligibilityOptions): TargetEligibility {
 	const isEvacuated = ({availabilityZone}: TargetEntry) =>
 		evacuatedZones.isEvacuated(availabilityZone);
@@ -47,6 +59,13 @@
 
 	return {
 		isEvacuated,
+		isInAllowedRegion({availabilityZone}, allowedRegions) {
+			const region = regions.get(availabilityZone);
+			return (
+				allowedRegions === undefined ||
+				(region !== undefined && allowedRegions.has(region))
+			);
+		},
 		limitOf,
 		isOnlyCold: (targetId) =>
 			statedLimitOf(targetId) === undefined &&
--- a/src/experiments/capacity/prompt-part-slopes.ts
+++ b/src/experiments/capacity/prompt-part-slopes.ts
@@ -116,13 +116,17 @@
 			statements: createTargetStatements({clock, lastResortMs: () => 1000}),
 			evacuatedZones: createEvacuatedZones(),
 			coldTargets: {limitOf: () => undefined},
+			regions: new Map([
+				['zone-1', 'region-1'],
+				['zone-2', 'region-2'],
+			]),
 		}),
 		random: new SeededRandomSource(1),
 	});
 	return {
 		name: `targets left out, asked for one of ${targetCount} targets`,
 		value: measureMicros(() => {
-			standings.leftOutIds('model');
+			standings.leftOutIds('model', undefined);
 		}),
 		unit: 'µs of processor time',
 	};
--- a/src/experiments/fakes/admitted-request.ts
+++ b/src/experiments/fakes/admitted-request.ts
@@ -21,6 +21,7 @@
 		resumable: false,
 		generation: false,
 		shares: [{service: 'desk', weight: 1}],
+		allowedRegions: [],
 		...changes,
 	};
 }
@@ -58,6 +59,7 @@
 		route,
 		service: 'desk',
 		account: 'finishers',
+		allowedRegions: undefined,
 		priority: route.priority,
 		arrivedMs: 0,
 		previousWaitMs: 0,
--- a/src/platform/boot-file.ts
+++ b/src/platform/boot-file.ts
@@ -59,7 +59,11 @@
 		name: boot.node,
 		availabilityZone: boot.zone,
 		region: boot.region,
-		regions: new Map(Object.entries(boot.zones ?? {})),
+		// The region of the own zone is known even without the list.
+		regions: new Map([
+			[boot.zone, boot.region],
+			...Object.entries(boot.zones ?? {}),
+		]),
 		callerAddress: boot.listen.front,
 		readyAddress: boot.listen.ready,
 		ip: boot.ip,
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -22,6 +22,7 @@
 	sticky: z.boolean().optional(),
 	resumable: z.boolean().optional(),
 	service: z.string().optional(),
+	allowed_regions: z.array(z.string()).optional(),
 	traffic_split: z
 		.array(z.object({service: z.string(), weight: z.number().nonnegative()}))
 		.optional(),
@@ -45,6 +46,7 @@
 				name: z.string(),
 				api_keys: z.array(z.string()),
 				priority: z.number().optional(),
+				allowed_regions: z.array(z.string()).optional(),
 			}),
 		)
 		.optional(),
@@ -84,6 +86,7 @@
 		// All streams of the platform are generations.
 		generation: route.kind === 'stream',
 		shares,
+		allowedRegions: route.allowed_regions ?? [],
 	};
 }
 
@@ -156,6 +159,7 @@
 			name: account.name,
 			apiKeys: account.api_keys,
 			priority: account.priority,
+			allowedRegions: account.allowed_regions ?? [],
 		})),
 		limits: {
 			maxHeaderBytes:
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -38,8 +38,8 @@
 test('the bounds for evacuations and cold targets and the regions of zones may be absent from the boot file', () => {
 	const {bounds, regions} = decodeBootFile(JSON.stringify(bootFile()));
 	assert.deepEqual(
-		[bounds.evacuateMs, bounds.coldOverage, bounds.coldSlack, regions.size],
-		[undefined, undefined, undefined, 0],
+		[bounds.evacuateMs, bounds.coldOverage, bounds.coldSlack, [...regions]],
+		[undefined, undefined, undefined, [['zone-1', 'region-1']]],
 	);
 	const full = {
 		...bootFile(undefined, {
@@ -99,7 +99,7 @@
 	assert.deepEqual(outdated.next(), {done: true, value: undefined});
 });
 
-test('a route of unknown kind is not sent twice; shares, hosts and API keys are decoded, and an error names the invalid field', () => {
+test('a route of unknown kind is not sent twice; shares, hosts, API keys and allowed regions are decoded, and an error names the invalid field', () => {
 	const route = {
 		name: 'r',
 		hostname: 'A.example',
@@ -110,7 +110,12 @@
 		JSON.stringify({
 			version: 4,
 			routes: [
-				{...route, kind: 'strange', service: 's'},
+				{
+					...route,
+					kind: 'strange',
+					service: 's',
+					allowed_regions: ['region-2'],
+				},
 				{
 					...route,
 					kind: 'idempotent',
@@ -121,7 +126,7 @@
 					],
 				},
 			],
-			tenants: [{name: 'n', api_keys: ['k']}],
+			tenants: [{name: 'n', api_keys: ['k'], allowed_regions: ['region-1']}],
 		}),
 	);
 	assert.equal(routes[0].kind, 'non-idempotent');
@@ -132,6 +137,11 @@
 		[9, 1],
 	);
 	assert.deepEqual(accounts?.[0].apiKeys, ['k']);
+	assert.deepEqual(accounts[0].allowedRegions, ['region-1']);
+	assert.deepEqual(
+		routes.map(({allowedRegions}) => allowedRegions),
+		[['region-2'], []],
+	);
 	assertProblem(
 		() => decodeConfiguration('{"version":1,"routes":[{}]}'),
 		'invalid-configuration',
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -21,9 +21,7 @@
 } from '../../decisions/serving/index.js';
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
-import {createCapacityReader} from './capacity-reader.js';
 import {startCrashGuard} from './crash-guard.js';
-import {startEnginePolling} from './engine-polling.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
 import {watchBootFile} from './live-settings.js';
@@ -34,10 +32,10 @@
 import {countPermitDecision} from './rate-limit-log.js';
 import {createTableFreshnessGate} from './table-freshness.js';
 import {logTargetState} from './target-state-log.js';
+import {watchTargets} from './watch-targets.js';
 import {openOrClose} from './open-or-close.js';
 import {createRequestMemory} from './request-memory.js';
 import {createRequestServer} from './request-server.js';
-import {handleTargetEvents} from './handle-target-events.js';
 
 /** Interval at which streams are checked for stalls and lapsed targets are removed, in milliseconds. */
 const tickMs = 250;
@@ -193,39 +191,12 @@
 				route.generation &&
 				route.shares.some((share) => share.service === service),
 		) ?? false;
-	const capacityReader = owned.add(
-		createCapacityReader({
-			targetClient,
-			timers,
-			isEngineService,
-			mayRead: (target) => !eligibility.isEvacuated(target),
-			onCapacity(service, tokens) {
-				engineSelector.setCapacity(service, tokens);
-			},
-			logger,
-		}),
-	);
-	owned.add(
-		startEnginePolling({
+	const {capacityReader} = owned.add(
+		watchTargets({
 			timers,
 			targetClient,
-			statements,
-			eligibility,
-			coldTargets,
-			areTargetsCurrent: () => storeWatch.areTargetsCurrent,
-			enginesInUse: () => requests.enginesInUse(),
-			logger,
-		}),
-	);
-	owned.add(
-		handleTargetEvents({
-			directory,
-			targetClient,
-			detector,
-			capacityReader,
-			statements,
-			evacuatedZones,
-			coldTargets,
+			deployment,
+			isEngineService,
 			crashObserver,
 			requests,
 			logger,
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -32,12 +32,9 @@
 	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import {
-	createTargetStatements,
-	type TargetStatements,
-} from '../../decisions/target-statements/index.js';
 import {StoreClient} from '../../platform/index.js';
-import {createEngineSelector, type EngineSelector} from './engine-selector.js';
+import {createEngineSelector} from './engine-selector.js';
+import type {EngineSelector} from './engine-selector-types.js';
 import {createFrontDetector} from './front-detector.js';
 import {
 	createFrontEligibility,
@@ -73,7 +70,6 @@
 	readonly detector: OutlierDetector;
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
-	readonly statements: TargetStatements;
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
@@ -98,11 +94,6 @@
 const waitFraction = 0.25;
 /** Time for which a target that refused a connection gets no requests, in milliseconds. */
 const unreachableMs = 1000;
-/**
- * Time for which a target that says that it leaves is still used if its service has no other, as a fraction of
- * `drainMs`; the rest covers requests that have waited.
- */
-const lastResortFraction = 0.5;
 /** Time for which the connections to a target that has left are kept, in milliseconds. */
 const lingerMs = 30_000;
 
@@ -133,21 +124,13 @@
 		lingerMs,
 	});
 	const detector = createFrontDetector(clock, logger);
-	const statements = owned.add(
-		createTargetStatements({
-			clock,
-			lastResortMs: () => options.bounds().drainMs * lastResortFraction,
-		}),
-	);
-	const {rateLimits} = statements;
-	const {evacuatedZones, coldTargets, eligibility} = owned.add(
+	const {statements, evacuatedZones, coldTargets, eligibility} = owned.add(
 		createFrontEligibility({
 			clock,
-			statements,
 			directory,
 			configuration,
 			bounds: options.bounds,
-			heartbeatMs: vm.heartbeatMs,
+			vm,
 		}),
 	);
 	const standings = createServiceStandings({directory, eligibility, random});
@@ -172,7 +155,7 @@
 			random,
 			store,
 			retryBounds,
-			rateLimits,
+			rateLimits: statements.rateLimits,
 			limitOf: eligibility.limitOf,
 			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
--- a/src/programs/front/engine-selector.test.ts
+++ b/src/programs/front/engine-selector.test.ts
@@ -66,6 +66,10 @@
 		statements,
 		evacuatedZones,
 		coldTargets: {limitOf: () => undefined},
+		regions: new Map([
+			['zone-1', 'region-1'],
+			['zone-2', 'region-2'],
+		]),
 	});
 	const asked: Array<{
 		request: PlacementRequest;
@@ -109,8 +113,8 @@
 		},
 	});
 	const outcomes: string[] = [];
-	const placeRun = () =>
-		selector.placeRun(generation, new Set(), {
+	const placeRun = (allowedRegions?: ReadonlySet<string>) =>
+		selector.placeRun({...generation, allowedRegions}, new Set(), {
 			onPlaced({target, backup}) {
 				outcomes.push(`${target.id} ${backup?.id}`);
 			},
@@ -192,3 +196,23 @@
 		assert.equal(holder?.id, 'e2');
 	});
 });
+
+suite('engine selector and allowed regions', () => {
+	test('a generation is placed only in its allowed regions, by the request to the coordinator and by a check of its decision', () => {
+		const {asked, outcomes, placeRun, decide} = createSelector();
+		placeRun(new Set(['region-2']));
+		assert.deepEqual(asked[0].request.excludedTargetIds, ['e1', 'e3']);
+		decide(placedAt('e1'));
+		assert.deepEqual(outcomes, []);
+		decide(placedAt('e2', 'e1'));
+		assert.deepEqual(outcomes, ['e2 undefined']);
+	});
+
+	test('a generation without an engine in its allowed regions is refused at once', () => {
+		const {selector} = createSelector();
+		const refusal = (...regions: string[]) =>
+			selector.closedRefusal('desk', new Set(regions))?.reason;
+		assert.equal(refusal('region-9'), 'no target is in an allowed region');
+		assert.equal(refusal('region-2', 'region-9'), undefined);
+	});
+});
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -1,89 +1,19 @@
-import {
-	type AdmittedRequest,
-	type PlacementListener,
-	type RunTracker,
-	type ServiceStandings,
-	type StreamRun,
-	type TargetDirectory,
-} from '../../decisions/serving/index.js';
-import type {
-	PermitClient,
-	PlacementClient,
-} from '../../decisions/fleet/index.js';
-import type {OutlierDetector} from '../../decisions/retries/index.js';
-import type {LengthStatistics} from '../../decisions/routing/index.js';
+import type {Disposable, TargetEntry} from '../../common/index.js';
 import type {
-	EngineEntry,
-	Placement,
 	PlacementDecision,
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
-import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
-import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
 import type {
-	ClosedRefusal,
-	TargetStatements,
-} from '../../decisions/target-statements/index.js';
+	AdmittedRequest,
+	StreamRun,
+} from '../../decisions/serving/index.js';
 import {createAvoidedTargets} from './avoided-targets.js';
+import type {
+	EngineSelector,
+	EngineSelectorOptions,
+} from './engine-selector-types.js';
 import {createOutputForecast} from './output-forecast.js';
-import type {RunReporter} from './run-reporter.js';
-
-/**
- * Requests engines for generations from the coordinator, and tracks the requests sent to them. A run is a
- * generation on its engine.
- */
-export type EngineSelector = {
-	/** Sets the KV cache capacity of the engines of a service, in tokens. */
-	setCapacity(service: string, capacityTokens: number): void;
-	/**
-	 * Engines of a service that accept requests now, those that leave only if there is no other, and none in an
-	 * evacuated availability zone.
-	 */
-	engines(service: string): readonly EngineEntry[];
-	/** Refusal of a request if every engine of the service says that it takes none. */
-	closedRefusal(service: string): ClosedRefusal | undefined;
-	/**
-	 * Requests an engine for a generation.
-	 * @returns disposing it cancels the request
-	 */
-	placeRun(
-		admitted: AdmittedRequest,
-		avoid: ReadonlySet<string>,
-		listener: PlacementListener,
-	): Disposable;
-	/**
-	 * Requests an engine for a copy of a run's KV cache.
-	 * @returns undefined if no engine has room
-	 */
-	placeCopy(
-		run: StreamRun,
-		avoid: ReadonlySet<string>,
-	): Promise<TargetEntry | undefined>;
-	/** Reports a run to the coordinator until disposed. */
-	trackRun(run: StreamRun): RunTracker;
-	/** Adds the length of a complete response to the length statistics. */
-	recordOutputLength(admitted: AdmittedRequest, eventCount: number): void;
-	/** Expected length of the response, in tokens. */
-	expectedOutputTokens(admitted: AdmittedRequest): number;
-};
-
-export type EngineSelectorOptions = {
-	readonly availabilityZone: string;
-	readonly clock: Clock;
-	readonly directory: TargetDirectory;
-	readonly detector: OutlierDetector;
-	readonly statements: Pick<TargetStatements, 'isLeaving'>;
-	readonly eligibility: Pick<
-		TargetEligibility,
-		'isEvacuated' | 'isOnlyCold' | 'standingOf'
-	>;
-	readonly standings: ServiceStandings;
-	readonly statistics: LengthStatistics;
-	readonly placementClient: () => PlacementClient;
-	readonly permitClient: () => Pick<PermitClient, 'turnsOf'>;
-	readonly runReporter: () => RunReporter;
-};
 
 /**
  * KV cache capacity that is assumed for the engines of a service until one of them has reported its
@@ -117,7 +47,12 @@
 			service,
 			promptTokens: request.generation?.promptTokens ?? 0,
 			preferredZone: availabilityZone,
-			excludedTargetIds: [...new Set([...avoid, ...targetsToAvoid(service)])],
+			excludedTargetIds: [
+				...new Set([
+					...avoid,
+					...targetsToAvoid(service, admitted.allowedRegions),
+				]),
+			],
 			previousWaitMs: admitted.previousWaitMs,
 			waitedMs: nowMs - arrivedMs,
 			objectiveMs: route.objectiveMs,
@@ -132,12 +67,23 @@
 		return turns && {...turns, isCold: eligibility.isOnlyCold(targetId)};
 	};
 
-	/** Engine of the placement that is to hold a copy, unless it has been evacuated meanwhile. */
-	const backupOf = ({copyTargetId}: Placement) => {
-		const backup = entryOf(copyTargetId);
-		return backup && !eligibility.isEvacuated(backup) ? backup : undefined;
+	/** The engine, unless a copy of the request's KV cache must not go there. */
+	const copyHolderOf = (
+		{allowedRegions}: AdmittedRequest,
+		targetId: string | undefined,
+	) => {
+		const target = entryOf(targetId);
+		const mayHold =
+			target &&
+			!eligibility.isEvacuated(target) &&
+			eligibility.isInAllowedRegion(target, allowedRegions);
+		return mayHold ? target : undefined;
 	};
 
+	const mayRun = ({allowedRegions}: AdmittedRequest, target: TargetEntry) =>
+		eligibility.standingOf(target).use !== 'none' &&
+		eligibility.isInAllowedRegion(target, allowedRegions);
+
 	/** True if the run goes on where it is, so that its copy must not take memory from other runs. */
 	const isPrecaution = ({target, backup}: StreamRun) => {
 		const isStaying =
@@ -207,18 +153,21 @@
 
 				const {placement} = decision;
 				const target = entryOf(placement.targetId);
-				if (target && eligibility.standingOf(target).use !== 'none') {
-					const backup = backupOf(placement);
+				if (target && mayRun(admitted, target)) {
+					const backup = copyHolderOf(admitted, placement.copyTargetId);
 					listener.onPlaced({...placement, id, target, backup, decidedBy});
 					return;
 				}
 
-				const closed = standings.refusal(admitted.service);
+				const closed = standings.refusal(
+					admitted.service,
+					admitted.allowedRegions,
+				);
 				if (closed) {
 					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
-					// By the state of this VM the engine has left, has not arrived yet, wants no requests, or is
-					// evacuated.
+					// By the state of this VM the engine has left, has not arrived yet, wants no requests, is
+					// evacuated, or is in a region that is not allowed.
 					requestPlacement(new Set([...avoidedTargets, placement.targetId]));
 				}
 			};
@@ -244,12 +193,10 @@
 			return new Promise((resolve) => {
 				options.placementClient().request(placementRequest, {
 					onDecision(decision) {
-						const target =
-							decision.outcome === 'placed'
-								? entryOf(decision.placement.targetId)
-								: undefined;
 						resolve(
-							target && eligibility.isEvacuated(target) ? undefined : target,
+							decision.outcome === 'placed'
+								? copyHolderOf(admitted, decision.placement.targetId)
+								: undefined,
 						);
 					},
 				});
--- a/src/programs/front/front-eligibility.ts
+++ b/src/programs/front/front-eligibility.ts
@@ -3,6 +3,7 @@
 	createDisposableStore,
 	type Disposable,
 	type ServingBounds,
+	type VmSettings,
 } from '../../common/index.js';
 import type {
 	ConfigurationState,
@@ -17,39 +18,51 @@
 	type EvacuatedZones,
 	type TargetEligibility,
 } from '../../decisions/target-eligibility/index.js';
-import type {TargetStatements} from '../../decisions/target-statements/index.js';
+import {
+	createTargetStatements,
+	type TargetStatements,
+} from '../../decisions/target-statements/index.js';
 
 export type FrontEligibilityOptions = {
 	readonly clock: Clock;
-	readonly statements: TargetStatements;
 	readonly directory: Pick<TargetDirectory, 'all' | 'get'>;
 	readonly configuration: Pick<ConfigurationState, 'current'>;
 	/** Bounds in force; they change when the boot file is reloaded. */
 	readonly bounds: () => ServingBounds;
-	/** Interval at which targets renew their rows, in milliseconds. */
-	readonly heartbeatMs: number;
+	readonly vm: Pick<VmSettings, 'heartbeatMs' | 'regions'>;
 };
 
 /** What decides to which targets this VM may send requests. */
 export type FrontEligibility = Disposable & {
+	readonly statements: TargetStatements;
 	readonly evacuatedZones: EvacuatedZones;
 	readonly coldTargets: ColdTargets;
 	readonly eligibility: TargetEligibility;
 };
 
+/**
+ * Time for which a target that says that it leaves is still used if its service has no other, as a fraction of
+ * `drainMs`; the rest covers requests that have waited.
+ */
+const lastResortFraction = 0.5;
 /** Time after which a row that a target has written is known to all VMs, in milliseconds. */
 const rowPropagationMs = 800;
 
 /** Creates the eligibility of targets from the state of the deployment. */
 export function createFrontEligibility({
 	clock,
-	statements,
 	directory,
 	configuration,
 	bounds,
-	heartbeatMs,
+	vm,
 }: FrontEligibilityOptions): FrontEligibility {
 	const owned = createDisposableStore();
+	const statements = owned.add(
+		createTargetStatements({
+			clock,
+			lastResortMs: () => bounds().drainMs * lastResortFraction,
+		}),
+	);
 	const evacuatedZones = owned.add(createEvacuatedZones());
 	const coldTargets = owned.add(
 		createColdTargets({
@@ -62,15 +75,17 @@
 			entryOf: (targetId) => directory.get(targetId)?.entry,
 			ruleOf: (service) =>
 				coldRuleOf(configuration.current?.services.get(service), bounds()),
-			rowDelayMs: heartbeatMs + rowPropagationMs,
+			rowDelayMs: vm.heartbeatMs + rowPropagationMs,
 		}),
 	);
 	const eligibility = createTargetEligibility({
 		statements,
 		evacuatedZones,
 		coldTargets,
+		regions: vm.regions,
 	});
 	return {
+		statements,
 		evacuatedZones,
 		coldTargets,
 		eligibility,
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -37,7 +37,7 @@
 	TargetEligibility,
 } from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
-import type {EngineSelector} from './engine-selector.js';
+import type {EngineSelector} from './engine-selector-types.js';
 
 export type SessionStarterOptions = {
 	readonly clock: Clock;
@@ -89,9 +89,6 @@
 		logger.info(event, record);
 	};
 
-	const mayUse = (target: TargetEntry) =>
-		eligibility.standingOf(target).use !== 'none';
-
 	const recordColdness = (target: TargetEntry, head: ResponseHead) => {
 		if (head.isFromTarget || head.notExecuted) {
 			const {cold} = head;
@@ -100,7 +97,7 @@
 		}
 	};
 
-	const sessionServices = (service: string) => ({
+	const sessionServices = ({service, allowedRegions}: AdmittedRequest) => ({
 		clock,
 		timers: options.timers,
 		targetClient: options.targetClient,
@@ -122,7 +119,9 @@
 			statements.recordResponse(target, head, sentMs);
 			recordColdness(target, head);
 		},
-		mayUse,
+		mayUse: (target: TargetEntry) =>
+			eligibility.standingOf(target).use !== 'none' &&
+			eligibility.isInAllowedRegion(target, allowedRegions),
 		restrictedTargets: options.standings.description,
 		onDefectiveResponse(_target: TargetEntry, defect: ResponseDefect) {
 			options.metrics.count('defective_responses', {service, defect});
@@ -166,8 +165,9 @@
 
 	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startStreamSession(admitted, response, {
-			...sessionServices(admitted.service),
-			closedRefusal: engineSelector.closedRefusal,
+			...sessionServices(admitted),
+			closedRefusal: (service) =>
+				engineSelector.closedRefusal(service, admitted.allowedRegions),
 			place: (request, avoid, listener) =>
 				engineSelector.placeRun(request, avoid, listener),
 			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
@@ -201,7 +201,7 @@
 
 	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startCallSession(admitted, response, {
-			...sessionServices(admitted.service),
+			...sessionServices(admitted),
 			findTarget: options.callTargets.find,
 			trackCall: options.callTargets.track,
 		});
