--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -253,12 +253,11 @@
 			}
 		},
 		tick() {
-			if (!send || send.isOver) {
-				return;
+			if (send && !send.isOver) {
+				copies.tick(send);
 			}
 
-			copies.tick(send);
-			if (mayLeaveStalled()) {
+			if (send && !send.isOver && mayLeaveStalled()) {
 				stalledRunCheck.check(send);
 			}
 		},
