--- a/src/common/deployment/types.ts
+++ b/src/common/deployment/types.ts
@@ -32,6 +32,8 @@
 	/** True if the requests are for a generation of a model. */
 	readonly generation: boolean;
 	readonly shares: readonly ServiceShare[];
+	/** Regions whose targets may get the requests; empty for all. */
+	readonly allowedRegions: readonly string[];
 };
 
 /** Configuration of a client account. */
@@ -40,6 +42,8 @@
 	readonly apiKeys: readonly string[];
 	/** Overrides the priority of the route, if set. */
 	readonly priority: number | undefined;
+	/** Regions whose targets may get the requests of the account; empty for all. */
+	readonly allowedRegions: readonly string[];
 };
 
 /** Configuration of a service: a group of targets, plain services or engines, that serve the same requests. */
@@ -47,6 +51,10 @@
 	readonly name: string;
 	/** Largest number of connections that one target of the service accepts from all VMs together. */
 	readonly maxConnections: number | undefined;
+	/** Time for which a target is cold after its start or return, in milliseconds; 0 if it never is. */
+	readonly coldMs: number;
+	/** Requests per second that a cold target may get from all VMs together; 0 without such a limit. */
+	readonly coldRequestsPerSecond: number;
 };
 
 /** Size and time limits for callers' requests and connections. */
@@ -110,6 +118,12 @@
 	readonly retryWindowMs: number;
 	/** Time after which the address of an ended target may be assigned to another, in milliseconds. */
 	readonly addressReuseMs: number;
+	/** Time after which the targets of an evacuated availability zone must get no requests, in milliseconds. */
+	readonly evacuateMs: number | undefined;
+	/** Factor by which a cold target's rate may be exceeded in a second; undefined if it is not limited. */
+	readonly coldOverage: number | undefined;
+	/** Further requests that a cold target may get in a second; undefined if they are not limited. */
+	readonly coldSlack: number | undefined;
 };
 
 /** Settings of a VM, from its boot file. */
@@ -117,6 +131,8 @@
 	readonly name: string;
 	readonly availabilityZone: string;
 	readonly region: string;
+	/** Regions of the availability zones, as far as they are known, by the name of the zone. */
+	readonly regions: ReadonlyMap<string, string>;
 	/** `address:port` on which callers are served. */
 	readonly callerAddress: string;
 	/** `address:port` of the readiness check. */
--- a/src/decisions/target-eligibility/index.ts
+++ b/src/decisions/target-eligibility/index.ts
@@ -1,3 +1,11 @@
+export {type AllowedRegions, allowedRegionsOf} from './allowed-regions.js';
+export {coldRuleOf} from './cold-rule.js';
+export {
+	type ColdChange,
+	type ColdRule,
+	type ColdTargets,
+	createColdTargets,
+} from './cold-targets.js';
 export {
 	createEvacuatedZones,
 	type EvacuatedZones,
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -22,6 +22,7 @@
 	sticky: z.boolean().optional(),
 	resumable: z.boolean().optional(),
 	service: z.string().optional(),
+	allowed_regions: z.array(z.string()).optional(),
 	traffic_split: z
 		.array(z.object({service: z.string(), weight: z.number().nonnegative()}))
 		.optional(),
@@ -30,6 +31,8 @@
 const serviceSchema = z.object({
 	name: z.string(),
 	max_conns: z.number().positive().optional(),
+	cold_s: z.number().nonnegative().optional(),
+	cold_per_s: z.number().nonnegative().optional(),
 });
 
 /** Schema of the configuration except for its routes, which are validated one by one. */
@@ -44,6 +47,7 @@
 				name: z.string(),
 				api_keys: z.array(z.string()),
 				priority: z.number().optional(),
+				allowed_regions: z.array(z.string()).optional(),
 			}),
 		)
 		.optional(),
@@ -83,9 +87,11 @@
 		// All streams of the platform are generations.
 		generation: route.kind === 'stream',
 		shares,
+		allowedRegions: route.allowed_regions ?? [],
 	};
 }
 
+const millisecondsPerSecond = 1000;
 const label = 'the configuration';
 const problemType = 'invalid-configuration';
 /** Number of routes decoded per slice; small enough that streams served meanwhile do not stall. */
@@ -152,6 +158,8 @@
 	const services = (raw.services ?? []).map((service): ServiceRule => ({
 		name: service.name,
 		maxConnections: service.max_conns,
+		coldMs: (service.cold_s ?? 0) * millisecondsPerSecond,
+		coldRequestsPerSecond: service.cold_per_s ?? 0,
 	}));
 	return {
 		version: raw.version,
@@ -161,6 +169,7 @@
 			name: account.name,
 			apiKeys: account.api_keys,
 			priority: account.priority,
+			allowedRegions: account.allowed_regions ?? [],
 		})),
 		limits: {
 			maxHeaderBytes:
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -35,6 +35,44 @@
 	assert.equal(decodeBootFile(JSON.stringify(more)).name, settings.name);
 });
 
+test('the bounds for evacuations and cold targets and the regions of zones may be absent from the boot file', () => {
+	const {bounds, regions} = decodeBootFile(JSON.stringify(bootFile()));
+	assert.deepEqual(
+		[bounds.evacuateMs, bounds.coldOverage, bounds.coldSlack, [...regions]],
+		[undefined, undefined, undefined, [['zone-1', 'region-1']]],
+	);
+	const full = {
+		...bootFile(undefined, {
+			bounds: {evacuate_ms: 5000, cold_overage: 1.5, cold_slack: 5},
+		}),
+		zones: {'zone-1': 'region-1', 'zone-2': 'region-2'},
+	};
+	const settings = decodeBootFile(JSON.stringify(full));
+	assert.equal(settings.bounds.evacuateMs, 5000);
+	assert.equal(settings.bounds.coldOverage, 1.5);
+	assert.equal(settings.bounds.coldSlack, 5);
+	assert.equal(settings.regions.get('zone-2'), 'region-2');
+	assertProblem(
+		() => decodeBootFile(JSON.stringify({...full, zones: {'zone-1': 1}})),
+		'invalid-setting',
+		'zones.zone-1',
+	);
+});
+
+test('the cold time and rate of a service are 0 if the configuration does not name them', () => {
+	const {services} = decodeConfiguration(
+		JSON.stringify({
+			version: 1,
+			routes: [],
+			services: [{name: 'model', cold_s: 1, cold_per_s: 28}, {name: 'desk'}],
+		}),
+	);
+	const model = services.get('model');
+	const desk = services.get('desk');
+	assert.deepEqual([model?.coldMs, model?.coldRequestsPerSecond], [1000, 28]);
+	assert.deepEqual([desk?.coldMs, desk?.coldRequestsPerSecond], [0, 0]);
+});
+
 test('a configuration with many routes is decoded in small slices, so that streams do not stall, and an outdated one is not decoded', () => {
 	const text = JSON.stringify({
 		version: 4,
@@ -61,7 +99,7 @@
 	assert.deepEqual(outdated.next(), {done: true, value: undefined});
 });
 
-test('a route of unknown kind is not sent twice; shares, hosts and API keys are decoded, and an error names the invalid field', () => {
+test('a route of unknown kind is not sent twice; shares, hosts, API keys and allowed regions are decoded, and an error names the invalid field', () => {
 	const route = {
 		name: 'r',
 		hostname: 'A.example',
@@ -72,7 +110,12 @@
 		JSON.stringify({
 			version: 4,
 			routes: [
-				{...route, kind: 'strange', service: 's'},
+				{
+					...route,
+					kind: 'strange',
+					service: 's',
+					allowed_regions: ['region-2'],
+				},
 				{
 					...route,
 					kind: 'idempotent',
@@ -83,7 +126,7 @@
 					],
 				},
 			],
-			tenants: [{name: 'n', api_keys: ['k']}],
+			tenants: [{name: 'n', api_keys: ['k'], allowed_regions: ['region-1']}],
 		}),
 	);
 	assert.equal(routes[0].kind, 'non-idempotent');
@@ -94,6 +137,11 @@
 		[9, 1],
 	);
 	assert.deepEqual(accounts?.[0].apiKeys, ['k']);
+	assert.deepEqual(accounts[0].allowedRegions, ['region-1']);
+	assert.deepEqual(
+		routes.map(({allowedRegions}) => allowedRegions),
+		[['region-2'], []],
+	);
 	assertProblem(
 		() => decodeConfiguration('{"version":1,"routes":[{}]}'),
 		'invalid-configuration',
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -16,15 +16,12 @@
 	SeededRandomSource,
 } from '../../common/index.js';
 import {
-	createFreshnessGate,
 	createRouteTable,
 	type RouteTable,
 } from '../../decisions/serving/index.js';
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
-import {createCapacityReader} from './capacity-reader.js';
 import {startCrashGuard} from './crash-guard.js';
-import {startEnginePolling} from './engine-polling.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
 import {watchBootFile} from './live-settings.js';
@@ -32,13 +29,13 @@
 import {createGracefulStop} from './graceful-stop.js';
 import {createFrontPages} from './front-pages.js';
 import {openFrontServers} from './front-servers.js';
-import {countPermitDecision, logRateLimitChanges} from './rate-limit-log.js';
-import {logTargetStatements} from './target-statement-log.js';
-import {logZoneEvacuations} from './zone-evacuation-log.js';
+import {countPermitDecision} from './rate-limit-log.js';
+import {createTableFreshnessGate} from './table-freshness.js';
+import {logTargetState} from './target-state-log.js';
+import {watchTargets} from './watch-targets.js';
 import {openOrClose} from './open-or-close.js';
 import {createRequestMemory} from './request-memory.js';
 import {createRequestServer} from './request-server.js';
-import {handleTargetEvents} from './handle-target-events.js';
 
 /** Interval at which streams are checked for stalls and lapsed targets are removed, in milliseconds. */
 const tickMs = 250;
@@ -101,13 +98,12 @@
 		statements,
 		evacuatedZones,
 		eligibility,
+		coldTargets,
 		callTargets,
 		engineSelector,
 		storeWatch,
 	} = deployment;
-	owned.add(logRateLimitChanges(statements.rateLimits, logger, metrics));
-	owned.add(logTargetStatements(statements, logger, metrics));
-	owned.add(logZoneEvacuations(evacuatedZones, logger, metrics));
+	owned.add(logTargetState(deployment, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const bufferBudget = createRequestMemory(settings);
 	let routeTable: RouteTable | undefined;
@@ -138,6 +134,7 @@
 		retryShare: deployment.retryShare,
 		statements,
 		eligibility,
+		coldTargets,
 		standings: deployment.standings,
 		crashEvidence: deployment.crashEvidence,
 		crashObserver,
@@ -150,15 +147,11 @@
 		stopTimes: () => gracefulStop.times,
 		areTargetsCurrent: () => storeWatch.areTargetsCurrent,
 		onUnexpected: reportUnexpected,
-		freshnessGate: createFreshnessGate({
+		freshnessGate: createTableFreshnessGate({
+			clock,
 			timers,
-			isFresh: () =>
-				storeWatch.isStoreLost ||
-				storeWatch.confirmedAgeMs <= clock.nowMs() - deployment.resumedMs(),
-			onConfirmed: storeWatch.onConfirmed,
-			refresh() {
-				storeWatch.refreshAll();
-			},
+			storeWatch,
+			resumedMs: deployment.resumedMs,
 		}),
 		isConfigurationCurrent: () =>
 			storeWatch.configurationSync.ageMs <=
@@ -198,37 +191,12 @@
 				route.generation &&
 				route.shares.some((share) => share.service === service),
 		) ?? false;
-	const capacityReader = owned.add(
-		createCapacityReader({
-			targetClient,
+	const {capacityReader} = owned.add(
+		watchTargets({
 			timers,
-			isEngineService,
-			mayRead: (target) => !eligibility.isEvacuated(target),
-			onCapacity(service, tokens) {
-				engineSelector.setCapacity(service, tokens);
-			},
-			logger,
-		}),
-	);
-	owned.add(
-		startEnginePolling({
-			timers,
-			targetClient,
-			statements,
-			eligibility,
-			areTargetsCurrent: () => storeWatch.areTargetsCurrent,
-			enginesInUse: () => requests.enginesInUse(),
-			logger,
-		}),
-	);
-	owned.add(
-		handleTargetEvents({
-			directory,
 			targetClient,
-			detector,
-			capacityReader,
-			statements,
-			evacuatedZones,
+			deployment,
+			isEngineService,
 			crashObserver,
 			requests,
 			logger,
@@ -252,6 +220,7 @@
 			run() {
 				directory.tick();
 				statements.sweep();
+				coldTargets.tick();
 				requests.tick();
 				targetClient.retainOnly(directory.addresses());
 			},
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -2,16 +2,12 @@
 import {
 	type Clock,
 	createDisposableStore,
-	type Disposable,
 	type RandomSource,
 	type ServingBounds,
 	storeRevision,
 	type Timers,
 } from '../../common/index.js';
-import {
-	createOutlierDetector,
-	type OutlierDetector,
-} from '../../decisions/retries/index.js';
+import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {
 	PermitClient,
 	TableSyncState,
@@ -37,18 +33,14 @@
 	type ServiceStandings,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import {
-	createEvacuatedZones,
-	createTargetEligibility,
-	type EvacuatedZones,
-	type TargetEligibility,
-} from '../../decisions/target-eligibility/index.js';
-import {
-	createTargetStatements,
-	type TargetStatements,
-} from '../../decisions/target-statements/index.js';
 import {StoreClient} from '../../platform/index.js';
-import {createEngineSelector, type EngineSelector} from './engine-selector.js';
+import {createEngineSelector} from './engine-selector.js';
+import type {EngineSelector} from './engine-selector-types.js';
+import {createFrontDetector} from './front-detector.js';
+import {
+	createFrontEligibility,
+	type FrontEligibility,
+} from './front-eligibility.js';
 import type {FrontSettings} from './front-settings.js';
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
@@ -73,15 +65,12 @@
 };
 
 /** State of the deployment as this VM knows it: from the store, from its peers and by its own requests. */
-export type DeploymentState = Disposable & {
+export type DeploymentState = FrontEligibility & {
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
-	readonly statements: TargetStatements;
-	readonly evacuatedZones: EvacuatedZones;
-	readonly eligibility: TargetEligibility;
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
@@ -106,11 +95,6 @@
 const waitFraction = 0.25;
 /** Time for which a target that refused a connection gets no requests, in milliseconds. */
 const unreachableMs = 1000;
-/**
- * Time for which a target that says that it leaves is still used if its service has no other, as a fraction of
- * `drainMs`; the rest covers requests that have waited.
- */
-const lastResortFraction = 0.5;
 /** Time for which the connections to a target that has left are kept, in milliseconds. */
 const lingerMs = 30_000;
 
@@ -143,30 +127,16 @@
 		unreachableMs,
 		lingerMs,
 	});
-	const detector = createOutlierDetector({
-		clock,
-		maxFailures: 2,
-		slowFactor: 4,
-		slowMinMs: 250,
-		ejectionMs: 800,
-		maxEjectionMs: 4000,
-		maxEjectedFraction: 0.6,
-		onEjected(targetId, untilMs) {
-			logger.warn('target ejected', {
-				target: targetId,
-				forMs: Math.round(untilMs - clock.nowMs()),
-			});
-		},
-	});
-	const statements = owned.add(
-		createTargetStatements({
+	const detector = createFrontDetector(clock, logger);
+	const {statements, evacuatedZones, coldTargets, eligibility} = owned.add(
+		createFrontEligibility({
 			clock,
-			lastResortMs: () => options.bounds().drainMs * lastResortFraction,
+			directory,
+			configuration,
+			bounds: options.bounds,
+			vm,
 		}),
 	);
-	const {rateLimits} = statements;
-	const evacuatedZones = owned.add(createEvacuatedZones());
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
 	const standings = createServiceStandings({directory, eligibility, random});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
@@ -189,7 +159,8 @@
 			random,
 			store,
 			retryBounds,
-			rateLimits,
+			rateLimits: statements.rateLimits,
+			limitOf: eligibility.limitOf,
 			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
@@ -284,6 +255,7 @@
 		statements,
 		evacuatedZones,
 		eligibility,
+		coldTargets,
 		standings,
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
--- a/src/programs/front/engine-selector.test.ts
+++ b/src/programs/front/engine-selector.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {suite, test} from 'node:test';
-import {createDisposableStore, SeededRandomSource} from '../../common/index.js';
+import {
+	createDisposableStore,
+	SeededRandomSource,
+	storeRevision,
+} from '../../common/index.js';
 import type {PlacementDecisionListener} from '../../decisions/fleet/index.js';
 import {createOutlierDetector} from '../../decisions/retries/index.js';
 import {createLengthStatistics} from '../../decisions/routing/index.js';
@@ -54,7 +58,7 @@
 		lingerMs: 30_000,
 	});
 	for (const entry of entries) {
-		directory.set(entry.id, entry, 1);
+		directory.set(entry.id, entry, storeRevision(1));
 	}
 
 	const statements = createTargetStatements({
@@ -62,7 +66,15 @@
 		lastResortMs: () => 1000,
 	});
 	const evacuatedZones = createEvacuatedZones();
-	const eligibility = createTargetEligibility({statements, evacuatedZones});
+	const eligibility = createTargetEligibility({
+		statements,
+		evacuatedZones,
+		coldTargets: {limitOf: () => undefined},
+		regions: new Map([
+			['zone-1', 'region-1'],
+			['zone-2', 'region-2'],
+		]),
+	});
 	const asked: Array<{
 		request: PlacementRequest;
 		listener: PlacementDecisionListener;
@@ -105,8 +117,8 @@
 		},
 	});
 	const outcomes: string[] = [];
-	const placeRun = () =>
-		selector.placeRun(generation, new Set(), {
+	const placeRun = (allowedRegions?: ReadonlySet<string>) =>
+		selector.placeRun({...generation, allowedRegions}, new Set(), {
 			onPlaced({target, backup}) {
 				outcomes.push(`${target.id} ${backup?.id}`);
 			},
@@ -188,3 +200,23 @@
 		assert.equal(holder?.id, 'e2');
 	});
 });
+
+suite('engine selector and allowed regions', () => {
+	test('a generation is placed only in its allowed regions, by the request to the coordinator and by a check of its decision', () => {
+		const {asked, outcomes, placeRun, decide} = createSelector();
+		placeRun(new Set(['region-2']));
+		assert.deepEqual(asked[0].request.excludedTargetIds, ['e1', 'e3']);
+		decide(placedAt('e1'));
+		assert.deepEqual(outcomes, []);
+		decide(placedAt('e2', 'e1'));
+		assert.deepEqual(outcomes, ['e2 undefined']);
+	});
+
+	test('a generation without an engine in its allowed regions is refused at once', () => {
+		const {selector} = createSelector();
+		const refusal = (...regions: string[]) =>
+			selector.closedRefusal('desk', new Set(regions))?.reason;
+		assert.equal(refusal('region-9'), 'no target is in an allowed region');
+		assert.equal(refusal('region-2', 'region-9'), undefined);
+	});
+});
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -1,85 +1,19 @@
-import {
-	type AdmittedRequest,
-	type PlacementListener,
-	type RunTracker,
-	type ServiceStandings,
-	type StreamRun,
-	type TargetDirectory,
-} from '../../decisions/serving/index.js';
-import type {
-	PermitClient,
-	PlacementClient,
-} from '../../decisions/fleet/index.js';
-import type {OutlierDetector} from '../../decisions/retries/index.js';
-import type {LengthStatistics} from '../../decisions/routing/index.js';
+import type {Disposable, TargetEntry} from '../../common/index.js';
 import type {
-	EngineEntry,
-	Placement,
 	PlacementDecision,
 	PlacementRequest,
 	RunState,
 } from '../../decisions/scheduling/index.js';
-import type {Clock, Disposable, TargetEntry} from '../../common/index.js';
-import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
 import type {
-	ClosedRefusal,
-	TargetStatements,
-} from '../../decisions/target-statements/index.js';
+	AdmittedRequest,
+	StreamRun,
+} from '../../decisions/serving/index.js';
+import {createAvoidedTargets} from './avoided-targets.js';
+import type {
+	EngineSelector,
+	EngineSelectorOptions,
+} from './engine-selector-types.js';
 import {createOutputForecast} from './output-forecast.js';
-import type {RunReporter} from './run-reporter.js';
-
-/**
- * Requests engines for generations from the coordinator, and tracks the requests sent to them. A run is a
- * generation on its engine.
- */
-export type EngineSelector = {
-	/** Sets the KV cache capacity of the engines of a service, in tokens. */
-	setCapacity(service: string, capacityTokens: number): void;
-	/**
-	 * Engines of a service that accept requests now, those that leave only if there is no other, and none in an
-	 * evacuated availability zone.
-	 */
-	engines(service: string): readonly EngineEntry[];
-	/** Refusal of a request if every engine of the service says that it takes none. */
-	closedRefusal(service: string): ClosedRefusal | undefined;
-	/**
-	 * Requests an engine for a generation.
-	 * @returns disposing it cancels the request
-	 */
-	placeRun(
-		admitted: AdmittedRequest,
-		avoid: ReadonlySet<string>,
-		listener: PlacementListener,
-	): Disposable;
-	/**
-	 * Requests an engine for a copy of a run's KV cache.
-	 * @returns undefined if no engine has room
-	 */
-	placeCopy(
-		run: StreamRun,
-		avoid: ReadonlySet<string>,
-	): Promise<TargetEntry | undefined>;
-	/** Reports a run to the coordinator until disposed. */
-	trackRun(run: StreamRun): RunTracker;
-	/** Adds the length of a complete response to the length statistics. */
-	recordOutputLength(admitted: AdmittedRequest, eventCount: number): void;
-	/** Expected length of the response, in tokens. */
-	expectedOutputTokens(admitted: AdmittedRequest): number;
-};
-
-export type EngineSelectorOptions = {
-	readonly availabilityZone: string;
-	readonly clock: Clock;
-	readonly directory: TargetDirectory;
-	readonly detector: OutlierDetector;
-	readonly statements: Pick<TargetStatements, 'isLeaving'>;
-	readonly eligibility: Pick<TargetEligibility, 'isEvacuated' | 'standingOf'>;
-	readonly standings: ServiceStandings;
-	readonly statistics: LengthStatistics;
-	readonly placementClient: () => PlacementClient;
-	readonly permitClient: () => Pick<PermitClient, 'turnsOf'>;
-	readonly runReporter: () => RunReporter;
-};
 
 /**
  * KV cache capacity that is assumed for the engines of a service until one of them has reported its
@@ -88,12 +22,6 @@
 const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, according to the data sheets of the engines. */
 const tokensPerEvent = 4;
-/**
- * Largest fraction of a service's engines that are avoided because the outlier detector excludes them.
- * The detector sees only the requests of this VM; if it excludes more engines, none is avoided.
- */
-const maxExcludedFraction = 0.5;
-
 export function createEngineSelector(
 	options: EngineSelectorOptions,
 ): EngineSelector {
@@ -106,14 +34,7 @@
 	const entryOf = (targetId: string | undefined) =>
 		targetId === undefined ? undefined : directory.get(targetId)?.entry;
 
-	const targetsToAvoid = (service: string): readonly string[] => {
-		const usable = directory.usable(service);
-		const excluded = detector.excluded(service);
-		const leftOutIds = standings.leftOutIds(service);
-		return excluded.size > usable.length * maxExcludedFraction
-			? leftOutIds
-			: [...excluded, ...leftOutIds];
-	};
+	const targetsToAvoid = createAvoidedTargets(options);
 
 	const placementRequestFor = (
 		admitted: AdmittedRequest,
@@ -126,7 +47,12 @@
 			service,
 			promptTokens: request.generation?.promptTokens ?? 0,
 			preferredZone: availabilityZone,
-			excludedTargetIds: [...new Set([...avoid, ...targetsToAvoid(service)])],
+			excludedTargetIds: [
+				...new Set([
+					...avoid,
+					...targetsToAvoid(service, admitted.allowedRegions),
+				]),
+			],
 			previousWaitMs: admitted.previousWaitMs,
 			waitedMs: nowMs - arrivedMs,
 			objectiveMs: route.objectiveMs,
@@ -136,12 +62,28 @@
 		};
 	};
 
-	/** Engine of the placement that is to hold a copy, unless it has been evacuated meanwhile. */
-	const backupOf = ({copyTargetId}: Placement) => {
-		const backup = entryOf(copyTargetId);
-		return backup && !eligibility.isEvacuated(backup) ? backup : undefined;
+	const turnsOf = (targetId: string) => {
+		const turns = options.permitClient().turnsOf(targetId);
+		return turns && {...turns, isCold: eligibility.isOnlyCold(targetId)};
 	};
 
+	/** The engine, unless a copy of the request's KV cache must not go there. */
+	const copyHolderOf = (
+		{allowedRegions}: AdmittedRequest,
+		targetId: string | undefined,
+	) => {
+		const target = entryOf(targetId);
+		const mayHold =
+			target &&
+			!eligibility.isEvacuated(target) &&
+			eligibility.isInAllowedRegion(target, allowedRegions);
+		return mayHold ? target : undefined;
+	};
+
+	const mayRun = ({allowedRegions}: AdmittedRequest, target: TargetEntry) =>
+		eligibility.standingOf(target).use !== 'none' &&
+		eligibility.isInAllowedRegion(target, allowedRegions);
+
 	/** True if the run goes on where it is, so that its copy must not take memory from other runs. */
 	const isPrecaution = ({target, backup}: StreamRun) => {
 		const isStaying =
@@ -171,7 +113,7 @@
 				slotCount: entry.slotCount,
 				capacityTokens,
 				isOutlier: excluded.has(entry.id),
-				turns: options.permitClient().turnsOf(entry.id),
+				turns: turnsOf(entry.id),
 			}));
 		},
 		placeRun(admitted, avoid, listener) {
@@ -211,18 +153,21 @@
 
 				const {placement} = decision;
 				const target = entryOf(placement.targetId);
-				if (target && eligibility.standingOf(target).use !== 'none') {
-					const backup = backupOf(placement);
+				if (target && mayRun(admitted, target)) {
+					const backup = copyHolderOf(admitted, placement.copyTargetId);
 					listener.onPlaced({...placement, id, target, backup, decidedBy});
 					return;
 				}
 
-				const closed = standings.refusal(admitted.service);
+				const closed = standings.refusal(
+					admitted.service,
+					admitted.allowedRegions,
+				);
 				if (closed) {
 					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
-					// By the state of this VM the engine has left, has not arrived yet, wants no requests, or is
-					// evacuated.
+					// By the state of this VM the engine has left, has not arrived yet, wants no requests, is
+					// evacuated, or is in a region that is not allowed.
 					requestPlacement(new Set([...avoidedTargets, placement.targetId]));
 				}
 			};
@@ -248,12 +193,10 @@
 			return new Promise((resolve) => {
 				options.placementClient().request(placementRequest, {
 					onDecision(decision) {
-						const target =
-							decision.outcome === 'placed'
-								? entryOf(decision.placement.targetId)
-								: undefined;
 						resolve(
-							target && eligibility.isEvacuated(target) ? undefined : target,
+							decision.outcome === 'placed'
+								? copyHolderOf(admitted, decision.placement.targetId)
+								: undefined,
 						);
 					},
 				});
--- a/src/programs/front/handle-target-events.test.ts
+++ b/src/programs/front/handle-target-events.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createLogger} from '../../adapters/system/index.js';
+import {storeRevision} from '../../common/index.js';
 import {createOutlierDetector} from '../../decisions/retries/index.js';
 import {createTargetDirectory} from '../../decisions/serving/index.js';
 import {createEvacuatedZones} from '../../decisions/target-eligibility/index.js';
@@ -25,12 +26,17 @@
 		['e2', 'zone-2'],
 		['e3', 'zone-1'],
 	]) {
-		directory.set(id, fakeTargetEntry(id, {availabilityZone}), 1);
+		directory.set(
+			id,
+			fakeTargetEntry(id, {availabilityZone}),
+			storeRevision(1),
+		);
 	}
 
 	const evacuatedZones = createEvacuatedZones();
 	const unusable: string[] = [];
 	const capacitiesRead: string[] = [];
+	const returnedZones: string[] = [];
 	handleTargetEvents({
 		directory,
 		targetClient: new FakeTargetClient(),
@@ -54,6 +60,12 @@
 		},
 		statements: createTargetStatements({clock, lastResortMs: () => 1000}),
 		evacuatedZones,
+		coldTargets: {
+			recordRefusal: () => undefined,
+			recordZoneReturn(zone) {
+				returnedZones.push(zone);
+			},
+		},
 		crashObserver: {engineGone: () => undefined},
 		requests: {
 			targetUnusable(id) {
@@ -64,6 +76,8 @@
 	});
 	evacuatedZones.replace(['zone-1']);
 	assert.deepEqual([unusable, capacitiesRead], [['e1', 'e3'], []]);
+	assert.deepEqual(returnedZones, []);
 	evacuatedZones.replace([]);
 	assert.deepEqual([unusable.length, capacitiesRead], [2, ['e1', 'e3']]);
+	assert.deepEqual(returnedZones, ['zone-1']);
 });
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -32,9 +32,12 @@
 	type StreamSession,
 	type TargetDirectory,
 } from '../../decisions/serving/index.js';
-import type {TargetEligibility} from '../../decisions/target-eligibility/index.js';
+import type {
+	ColdTargets,
+	TargetEligibility,
+} from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
-import type {EngineSelector} from './engine-selector.js';
+import type {EngineSelector} from './engine-selector-types.js';
 
 export type SessionStarterOptions = {
 	readonly clock: Clock;
@@ -48,6 +51,7 @@
 	readonly retryShare: RetryShare;
 	readonly statements: Pick<TargetStatements, 'isLeaving' | 'recordResponse'>;
 	readonly eligibility: TargetEligibility;
+	readonly coldTargets: Pick<ColdTargets, 'recordResponse'>;
 	readonly standings: Pick<ServiceStandings, 'description'>;
 	readonly responseLimits: ResponseLimits;
 	readonly bufferBudget: BufferBudget;
@@ -85,10 +89,15 @@
 		logger.info(event, record);
 	};
 
-	const mayUse = (target: TargetEntry) =>
-		eligibility.standingOf(target).use !== 'none';
+	const recordColdness = (target: TargetEntry, head: ResponseHead) => {
+		if (head.isFromTarget || head.notExecuted) {
+			const {cold} = head;
+			const coldMs = cold.state === 'stated' ? cold.coldMs : 0;
+			options.coldTargets.recordResponse(target, coldMs);
+		}
+	};
 
-	const sessionServices = (service: string) => ({
+	const sessionServices = ({service, allowedRegions}: AdmittedRequest) => ({
 		clock,
 		timers: options.timers,
 		targetClient: options.targetClient,
@@ -108,8 +117,11 @@
 		},
 		onResponseHead(target: TargetEntry, head: ResponseHead, sentMs: number) {
 			statements.recordResponse(target, head, sentMs);
+			recordColdness(target, head);
 		},
-		mayUse,
+		mayUse: (target: TargetEntry) =>
+			eligibility.standingOf(target).use !== 'none' &&
+			eligibility.isInAllowedRegion(target, allowedRegions),
 		restrictedTargets: options.standings.description,
 		onDefectiveResponse(_target: TargetEntry, defect: ResponseDefect) {
 			options.metrics.count('defective_responses', {service, defect});
@@ -153,8 +165,9 @@
 
 	const startStream = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startStreamSession(admitted, response, {
-			...sessionServices(admitted.service),
-			closedRefusal: engineSelector.closedRefusal,
+			...sessionServices(admitted),
+			closedRefusal: (service) =>
+				engineSelector.closedRefusal(service, admitted.allowedRegions),
 			place: (request, avoid, listener) =>
 				engineSelector.placeRun(request, avoid, listener),
 			placeCopy: async (run, avoid) => engineSelector.placeCopy(run, avoid),
@@ -188,7 +201,7 @@
 
 	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
 		startCallSession(admitted, response, {
-			...sessionServices(admitted.service),
+			...sessionServices(admitted),
 			findTarget: options.callTargets.find,
 			trackCall: options.callTargets.track,
 		});
