--- a/src/decisions/scheduling/generation-queue.ts
+++ b/src/decisions/scheduling/generation-queue.ts
@@ -74,30 +74,57 @@
 const agedFraction = 0.35;
 /** Factor on the cost of an aged generation. */
 const agedFactor = 0.25;
-/** Larger than the cost of any generation. */
-const lateRank = 1e12;
+/** Fraction of the time for which a generation may wait on time after which it is at risk of starvation. */
+const atRiskFraction = 0.6;
+
+/** Position of a generation in the queue; compared with `compareRanks`. */
+export type QueueRank = {
+	/** True if it has waited long but can still be on time. */
+	readonly isAtRisk: boolean;
+	/** Urgency; 0 is the most urgent. */
+	readonly priority: number;
+	readonly isLate: boolean;
+	/** Memory times duration, less for an aged generation. */
+	readonly cost: number;
+};
 
 /**
- * Rank in the queue; the smallest goes first.
+ * Rank of a generation in the queue now.
  *
- * Shortest job first, where the size of a job is memory times duration: while memory is short, this serves
- * the most callers with it. Aging reduces the cost of a generation that has waited for a good part of its
- * objective, so that short ones do not starve it. Late generations come last, since they have lost most of
- * their value.
+ * Generations at risk of starvation go first, then the more urgent ones, and within one urgency those that can
+ * be on time, since late ones have lost most of their value. What remains equal goes by the shortest job first,
+ * where the size of a job is memory times duration: while memory is short, this serves the most callers with
+ * it. Aging reduces the cost of a generation that has waited for a good part of its objective.
  */
 export function queueRank(
 	generation: PendingGeneration,
 	nowMs: number,
-): number {
+): QueueRank {
 	const {request} = generation;
+	const waitMs = currentWaitMs(generation, nowMs);
+	const leftMs = slackMs(generation, nowMs);
+	const isLate = leftMs <= 0;
+	const isAged = !isLate && waitMs > agedFraction * request.objectiveMs;
 	const cost =
 		(request.promptTokens + request.expectedTokens / 2) *
 		(usualTokens + request.expectedTokens);
-	if (slackMs(generation, nowMs) <= 0) {
-		return lateRank + cost;
-	}
+	return {
+		isAtRisk: !isLate && waitMs > atRiskFraction * (waitMs + leftMs),
+		priority: request.priority,
+		isLate,
+		cost: cost * (isAged ? agedFactor : 1),
+	};
+}
 
-	const isAged =
-		currentWaitMs(generation, nowMs) > agedFraction * request.objectiveMs;
-	return cost * (isAged ? agedFactor : 1);
+/**
+ * Compares two ranks.
+ * @returns a negative number if `a` goes first, a positive one if `b` does
+ */
+export function compareRanks(a: QueueRank, b: QueueRank): number {
+	return (
+		Number(b.isAtRisk) - Number(a.isAtRisk) ||
+		a.priority - b.priority ||
+		Number(a.isLate) - Number(b.isLate) ||
+		a.cost - b.cost
+	);
 }
--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -88,6 +88,33 @@
 	assert.equal(timely.outcome, 'placed');
 });
 
+test('starts a late short generation in memory that late long ones have to leave free, since serving it late still counts', () => {
+	const {place} = start([engine('e1'), engine('e2')]);
+	for (let index = 0; index < 8; index++) {
+		place(longRequest(`q${index}`, {promptTokens: 3650, expectedTokens: 50}));
+	}
+
+	const late = {waitedMs: 4500, promptTokens: 2550};
+	assert.equal(place(mediumRequest('long', late)).outcome, 'waiting');
+	const short = place(longRequest('short', {...late, expectedTokens: 8}));
+	assert.ok(short.outcome === 'placed' && short.placement.isLate);
+});
+
+test('serves a more urgent generation before a less urgent one that needs less memory, though it is late', async () => {
+	const {place, advanceTo, decisions} = start([small]);
+	for (let index = 0; index < 5; index++) {
+		place(mediumRequest(`q${index}`));
+	}
+
+	place(mediumRequest('calm', {priority: 2, promptTokens: 2900}));
+	place(mediumRequest('urgent', {priority: 0, waitedMs: 4500}));
+	await advanceTo(100, ['q0']);
+	assert.deepEqual(
+		decisions.map(({id}) => id),
+		['urgent'],
+	);
+});
+
 test('refuses a queued generation before its caller gives up, with a retry time within the time of the caller', async () => {
 	const {place, advanceTo, decisions} = start([small]);
 	for (let index = 0; index < 5; index++) {
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -1,5 +1,6 @@
 import type {Clock, RandomSource} from '../../common/index.js';
 import {
+	compareRanks,
 	neededTokens,
 	type PendingGeneration,
 	queueRank,
@@ -149,7 +150,7 @@
 			if (
 				other.request.service === generation.request.service &&
 				other.request.id !== generation.request.id &&
-				queueRank(other, nowMs) < rank
+				compareRanks(queueRank(other, nowMs), rank) < 0
 			) {
 				tokens += neededTokens(other.request);
 				count++;
@@ -216,7 +217,7 @@
 		return [...queue.values()].every(
 			(other) =>
 				other.request.service !== generation.request.service ||
-				rank <= queueRank(other, nowMs),
+				compareRanks(rank, queueRank(other, nowMs)) <= 0,
 		);
 	};
 
@@ -244,7 +245,7 @@
 				generation,
 				rank: queueRank(generation, nowMs),
 			}))
-			.sort((a, b) => a.rank - b.rank);
+			.sort((a, b) => compareRanks(a.rank, b.rank));
 	};
 
 	const removeOldPlacements = () => {
--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -35,7 +35,7 @@
 	infeasibleReason(request: PlacementRequest): string | undefined;
 	/**
 	 * Chooses an engine for a run.
-	 * @returns undefined if none has room now; late runs get only spare memory
+	 * @returns undefined if none has room now; long runs that are late get only spare memory
 	 */
 	chooseForRun(generation: PendingGeneration): EngineSelection | undefined;
 	/**
@@ -103,7 +103,10 @@
  * not wait for long ones to end.
  */
 const shortServiceMemoryFraction = 0.97;
-/** Fraction of the memory of all engines up to which late generations are started. */
+/**
+ * Fraction of the memory of all engines up to which late generations are started, unless they are short: those
+ * cost next to nothing, and are served to their callers all the same.
+ */
 const lateServiceMemoryFraction = 0.65;
 /** Fraction of the memory of all engines up to which runs get a copy from the start. */
 const copyServiceMemoryFraction = 0.78;
@@ -236,7 +239,8 @@
 			const isLate =
 				slackMs(generation, nowMs) <= 0 ||
 				callerFirstTokenMs > onTimeFraction * request.objectiveMs;
-			return isLate && !fits(lateServiceMemoryFraction)
+			const isSpareOnly = isLate && !isShort(request);
+			return isSpareOnly && !fits(lateServiceMemoryFraction)
 				? undefined
 				: {engine, isLate};
 		},
