--- a/src/decisions/scheduling/generation-queue.ts
+++ b/src/decisions/scheduling/generation-queue.ts
@@ -39,11 +39,36 @@
 	);
 }
 
+/** Inter-token latency of an engine with a few runs, in milliseconds. */
+const usualInterTokenMs = 9;
+/** Time that a generation holds memory if it starts now, in milliseconds. */
+export function expectedHoldMs(
+	{promptTokens, expectedTokens}: PlacementRequest,
+	interTokenMs = usualInterTokenMs,
+): number {
+	return promptTokens * prefillMsPerToken + expectedTokens * interTokenMs;
+}
+
+/** Callers give up at this multiple of the objective, but not before `leastPatienceMs`. */
+const patienceFactor = 4;
+/** Shortest time after which callers give up, in milliseconds. */
+const leastPatienceMs = 2000;
 /**
- * Multiple of the objective after which a waiting generation is refused. Callers give up at about 4 times
- * the objective.
+ * Fraction of the time until the caller gives up for which a long generation waits at first. Once refused, it
+ * can still come back when memory may be free.
  */
-const waitFactor = 2;
+const firstWaitFraction = 0.5;
+/**
+ * The same for a short generation, which has no time to come back, and for one whose caller has come back and
+ * will not do so again.
+ */
+const lastWaitFraction = 0.75;
+/** Generations with fewer tokens are short; they end before a copy would be of use. */
+export const shortTokens = 100;
+
+/** True for a generation with few output tokens, which frees its memory soon. */
+export const isShort = ({expectedTokens}: PlacementRequest): boolean =>
+	expectedTokens < shortTokens;
 
 /**
  * Longest wait of a generation, in milliseconds, counted as `waitedMs` is. After it the caller would soon
@@ -54,12 +79,16 @@
 	request: PlacementRequest,
 	interTokenMs: number,
 ): number {
-	const runMs =
-		request.promptTokens * prefillMsPerToken +
-		request.expectedTokens * interTokenMs;
+	const limitMs = request.waitedMs + request.remainingMs;
+	const patienceMs = Math.max(
+		leastPatienceMs,
+		patienceFactor * request.objectiveMs,
+	);
+	const isLast = isShort(request) || request.previousWaitMs > 0;
 	return Math.min(
-		waitFactor * request.objectiveMs,
-		request.waitedMs + request.remainingMs - runMs,
+		patienceMs * (isLast ? lastWaitFraction : firstWaitFraction),
+		limitMs * lastWaitFraction,
+		limitMs - expectedHoldMs(request, interTokenMs),
 	);
 }
 
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -1,18 +1,16 @@
 import type {Clock, RandomSource} from '../../common/index.js';
-import {
-	compareRanks,
-	neededTokens,
-	type PendingGeneration,
-	queueRank,
-} from './generation-queue.js';
+import {neededTokens, type PendingGeneration} from './generation-queue.js';
+import {createRecentPlacements} from './recent-placements.js';
 import type {RunRegistry} from './run-registry.js';
-import {
-	createServiceMemory,
-	type EngineEntry,
-	type EngineSelection,
-	type ServiceMemory,
-} from './service-memory.js';
+import type {
+	EngineEntry,
+	EngineSelection,
+	ServiceMemory,
+} from './service-memory-types.js';
+import {createServiceMemory} from './service-memory.js';
 import type {Placement, PlacementDecision, PlacementRequest} from './types.js';
+import {createUrgentDemandEstimator} from './urgent-demand.js';
+import {createWaitingGenerations} from './waiting-generations.js';
 
 export type GenerationSchedulerOptions = {
 	readonly clock: Clock;
@@ -51,8 +49,10 @@
 const minRetryAfterMs = 300;
 /** Range of the time after which a shortage of memory may be over; callers are spread over it. */
 const shortageMs = {least: 1500, most: 8000} as const;
-/** Time for which a placement is repeated to a VM that sends its request again, in milliseconds. */
-const placementRetentionMs = 1500;
+/** Least probability of being served with which a new generation is queued. */
+const minNewChance = 0.7;
+/** Probability of being served below which a queued generation is refused. */
+const minWaitingChance = 0.25;
 /** Largest fraction of its remaining time after which a caller may try again; it ignores longer advice. */
 const retryAfterFraction = 0.33;
 
@@ -64,12 +64,9 @@
 	options: GenerationSchedulerOptions,
 ): GenerationScheduler {
 	const {clock, random, registry} = options;
-	const queue = new Map<string, PendingGeneration>();
-	/** Recent placements, in the order of time, for VMs that did not get the decision. */
-	const recentPlacements = new Map<
-		string,
-		{decision: PlacementDecision; atMs: number}
-	>();
+	const queue = createWaitingGenerations(clock);
+	const recentPlacements = createRecentPlacements(clock);
+	const demand = createUrgentDemandEstimator(clock);
 	const keyOf = (vm: string, requestId: string) => `${vm} ${requestId}`;
 
 	const memoryOf = (service: string) =>
@@ -78,6 +75,7 @@
 			random,
 			registry,
 			engines: options.engines(service),
+			moreUrgentThan: (priority) => demand.moreUrgentThan(service, priority),
 		});
 
 	const place = (
@@ -110,10 +108,7 @@
 			isLate,
 		};
 		const decision: PlacementDecision = {outcome: 'placed', placement};
-		recentPlacements.set(keyOf(vm, request.id), {
-			decision,
-			atMs: clock.nowMs(),
-		});
+		recentPlacements.add(keyOf(vm, request.id), decision);
 		return decision;
 	};
 
@@ -140,48 +135,31 @@
 		);
 	};
 
-	/** Queued generations of the same service that precede a new one: their number and the memory they need. */
-	const aheadOf = (generation: PendingGeneration) => {
-		const nowMs = clock.nowMs();
-		const rank = queueRank(generation, nowMs);
-		let tokens = 0;
-		let count = 0;
-		for (const other of queue.values()) {
-			if (
-				other.request.service === generation.request.service &&
-				other.request.id !== generation.request.id &&
-				compareRanks(queueRank(other, nowMs), rank) < 0
-			) {
-				tokens += neededTokens(other.request);
-				count++;
-			}
-		}
-
-		return {tokens, count};
-	};
-
 	/** Queues a new generation, or refuses one that would find no engine before its longest wait is over. */
 	const waitOrRefuse = (
 		generation: PendingGeneration,
 		memory: ServiceMemory,
 	): PlacementDecision => {
 		const {request} = generation;
-		const ahead = aheadOf(generation);
+		const ahead = queue.aheadOf(generation);
 		const turnDelayMs = memory.turnDelayMs(request, ahead.count);
 		if (turnDelayMs > memory.remainingWaitMs(generation)) {
 			return refused('the engines limit their request rate', turnDelayMs);
 		}
 
-		return memory.fitsInTime(generation, ahead.tokens)
+		return memory.serviceChance(generation, ahead.tokens) >= minNewChance
 			? {outcome: 'waiting', waitingCount: queue.size}
 			: refused('no engine has memory in time', shortageRetryAfterMs(request));
 	};
 
-	/** Decides without regard to the order of the queue, which the callers keep. */
+	/**
+	 * Decides without regard to the order of the queue, which the callers keep.
+	 * @param wait - decides on a generation for which no engine has room now
+	 */
 	const decide = (
 		generation: PendingGeneration,
 		memory: ServiceMemory,
-		isNew: boolean,
+		wait: () => PlacementDecision,
 	): PlacementDecision => {
 		const {request} = generation;
 		const reason = memory.infeasibleReason(request);
@@ -197,29 +175,12 @@
 		}
 
 		const selection = memory.chooseForRun(generation);
-		if (selection) {
-			return place(generation, memory, selection);
-		}
-
-		if (isNew) {
-			return waitOrRefuse(generation, memory);
-		}
-
-		return memory.remainingWaitMs(generation) > 0
-			? {outcome: 'waiting', waitingCount: queue.size}
-			: refused('no engine has memory in time', shortageRetryAfterMs(request));
+		return selection ? place(generation, memory, selection) : wait();
 	};
 
 	/** True if no queued generation of the same service precedes this one. */
-	const isNext = (generation: PendingGeneration): boolean => {
-		const nowMs = clock.nowMs();
-		const rank = queueRank(generation, nowMs);
-		return [...queue.values()].every(
-			(other) =>
-				other.request.service !== generation.request.service ||
-				compareRanks(rank, queueRank(other, nowMs)) <= 0,
-		);
-	};
+	const isNext = (generation: PendingGeneration): boolean =>
+		queue.aheadOf(generation).count === 0;
 
 	/** Decides on a request that has just been received; it does not overtake queued generations. */
 	const admit = (
@@ -228,57 +189,58 @@
 	): PlacementDecision => {
 		const {request} = generation;
 		const memory = memoryOf(request.service);
+		const wait = (): PlacementDecision =>
+			isNew
+				? waitOrRefuse(generation, memory)
+				: {outcome: 'waiting', waitingCount: queue.size};
 		if (request.purpose === 'copy' || isNext(generation)) {
-			return decide(generation, memory, isNew);
+			return decide(generation, memory, wait);
 		}
 
-		return isNew
-			? waitOrRefuse(generation, memory)
-			: {outcome: 'waiting', waitingCount: queue.size};
-	};
-
-	const queueByRank = () => {
-		const nowMs = clock.nowMs();
-		return [...queue]
-			.map(([key, generation]) => ({
-				key,
-				generation,
-				rank: queueRank(generation, nowMs),
-			}))
-			.sort((a, b) => compareRanks(a.rank, b.rank));
+		return wait();
 	};
 
-	const removeOldPlacements = () => {
-		const nowMs = clock.nowMs();
-		for (const [key, {atMs}] of recentPlacements) {
-			if (nowMs - atMs < placementRetentionMs) {
-				return;
-			}
-
-			recentPlacements.delete(key);
-		}
-	};
+	/** Refuses a queued generation that is not likely any more to find memory before its longest wait is over. */
+	const waitOn = (
+		generation: PendingGeneration,
+		memory: ServiceMemory,
+		aheadTokens: number,
+	): PlacementDecision =>
+		memory.remainingWaitMs(generation) > 0 &&
+		memory.serviceChance(generation, aheadTokens) >= minWaitingChance
+			? {outcome: 'waiting', waitingCount: queue.size}
+			: refused(
+					'no engine has memory in time',
+					shortageRetryAfterMs(generation.request),
+				);
 
 	const tick = () => {
-		removeOldPlacements();
+		recentPlacements.removeOld();
 		if (queue.size === 0) {
 			return;
 		}
 
 		const memories = new Map<string, ServiceMemory>();
-		for (const {key, generation} of queueByRank()) {
+		const tokensAhead = new Map<string, number>();
+		for (const {key, generation} of queue.inOrder()) {
 			const {request, vm} = generation;
-			const memory = memories.get(request.service) ?? memoryOf(request.service);
-			memories.set(request.service, memory);
-			const decision = decide(generation, memory, false);
-			if (decision.outcome !== 'waiting') {
-				queue.delete(key);
-				options.onDecision(vm, request, decision);
+			const {service} = request;
+			const memory = memories.get(service) ?? memoryOf(service);
+			memories.set(service, memory);
+			const aheadTokens = tokensAhead.get(service) ?? 0;
+			const decision = decide(generation, memory, () =>
+				waitOn(generation, memory, aheadTokens),
+			);
+			if (decision.outcome === 'waiting') {
+				tokensAhead.set(service, aheadTokens + neededTokens(request));
+				continue;
 			}
 
+			queue.delete(key);
+			options.onDecision(vm, request, decision);
 			// A placement makes the snapshot out of date.
 			if (decision.outcome === 'placed') {
-				memories.delete(request.service);
+				memories.delete(service);
 			}
 		}
 	};
@@ -296,12 +258,17 @@
 			const key = keyOf(vm, request.id);
 			const previous = recentPlacements.get(key);
 			if (previous) {
-				return previous.decision;
+				return previous;
+			}
+
+			const queued = queue.get(key);
+			if (!queued && request.purpose === 'run') {
+				demand.record(request);
 			}
 
-			const decision = admit(generation, !queue.has(key));
+			const decision = admit(generation, !queued);
 			if (decision.outcome === 'waiting') {
-				queue.set(key, queue.get(key) ?? generation);
+				queue.set(key, queued ?? generation);
 			}
 
 			return decision;
--- a/src/decisions/scheduling/memory-forecast.ts
+++ b/src/decisions/scheduling/memory-forecast.ts
@@ -34,18 +34,72 @@
 	return peak;
 }
 
+/** Growth of a run, in tokens, until a short generation that starts now has ended. */
+const shortTermTokens = 100;
+
+/** Forecast peaks of the memory of an engine, in tokens. */
+export type Peaks = {
+	readonly peak: number;
+	/** Peak until a short generation that starts now has ended. */
+	readonly shortTermPeak: number;
+};
+
+/** Cache of forecasts; the registry returns the same object until the usage changes or expires. */
+const peaksByUsage = new WeakMap<object, Peaks>();
+
+/** Peaks of an engine, computed once for each usage. */
+export function peaksOf(usage: {readonly held: readonly HeldMemory[]}): Peaks {
+	let peaks = peaksByUsage.get(usage);
+	if (!peaks) {
+		peaks = {
+			peak: peakTokens(usage.held),
+			shortTermPeak: peakTokens(usage.held, shortTermTokens),
+		};
+		peaksByUsage.set(usage, peaks);
+	}
+
+	return peaks;
+}
+
+/** Mean and variance of an amount of memory, in tokens. */
+export type MemoryDistribution = {
+	readonly mean: number;
+	readonly variance: number;
+};
+
+/** Runs end between these fractions of their forecast length: forecasts are off by a fifth, lengths vary twofold. */
+const endFractions = {first: 0.6, last: 1.4} as const;
+
 /**
- * Memory that is freed by runs that end within a horizon, in tokens.
+ * Distribution of the memory that is freed by runs that end within a horizon.
  * @param withinTokens - horizon, as growth of each run in tokens
  */
 export function freedTokens(
 	held: readonly HeldMemory[],
 	withinTokens: number,
-): number {
-	let freed = 0;
+): MemoryDistribution {
+	let mean = 0;
+	let variance = 0;
 	for (const {tokens, remainingTokens} of held) {
-		freed += remainingTokens <= withinTokens ? tokens + remainingTokens : 0;
+		const {first, last} = endFractions;
+		const fraction = withinTokens / Math.max(1, remainingTokens);
+		const chance = Math.min(
+			1,
+			Math.max(0, (fraction - first) / (last - first)),
+		);
+		const freed = tokens + remainingTokens;
+		mean += chance * freed;
+		variance += chance * (1 - chance) * freed * freed;
 	}
 
-	return freed;
+	return {mean, variance};
+}
+
+/** Probability that an amount exceeds what is needed, by the logistic approximation of the normal distribution. */
+export function exceedanceChance(
+	{mean, variance}: MemoryDistribution,
+	needed: number,
+): number {
+	const deviations = (mean - needed) / Math.sqrt(Math.max(1, variance));
+	return 1 / (1 + Math.exp(-1.7 * deviations));
 }
--- a/src/decisions/scheduling/run-registry.ts
+++ b/src/decisions/scheduling/run-registry.ts
@@ -8,6 +8,8 @@
 	readonly held: readonly HeldMemory[];
 	/** Number of runs, without copies. */
 	readonly runCount: number;
+	/** Priorities of the runs, without copies; 0 is the most urgent. */
+	readonly runPriorities: readonly number[];
 	/** Prompts of runs without a first token, in tokens. */
 	readonly pendingPromptTokens: number;
 };
@@ -159,20 +161,21 @@
 
 	const computeUsage = (targetId: string): EngineUsage => {
 		const held: HeldMemory[] = [];
-		let runCount = 0;
+		const runPriorities: number[] = [];
 		let pendingPromptTokens = 0;
 		for (const entry of entriesByTarget.get(targetId)?.values() ?? []) {
 			held.push(extrapolateMemory(entry));
 			const {run} = entry;
 			if (run.targetId === targetId) {
-				runCount++;
+				runPriorities.push(run.priority);
 				pendingPromptTokens += run.doneTokens === 0 ? run.promptTokens : 0;
 			}
 		}
 
 		// Forecasts sort by remaining tokens again, which costs little if the order is right already.
 		held.sort((a, b) => a.remainingTokens - b.remainingTokens);
-		return {held, runCount, pendingPromptTokens};
+		const runCount = runPriorities.length;
+		return {held, runCount, runPriorities, pendingPromptTokens};
 	};
 
 	return {
--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -1,80 +1,28 @@
-import type {Clock, RandomSource} from '../../common/index.js';
 import {
 	chooseCopyEngine,
 	chooseEngine,
 	type EngineCandidate,
-	type EngineEvaluation,
 } from './engine-placement.js';
 import {
+	isShort,
 	neededTokens,
 	type PendingGeneration,
 	slackMs,
 	currentWaitMs,
 	waitLimitMs,
 } from './generation-queue.js';
-import {freedTokens, peakTokens} from './memory-forecast.js';
-import type {EngineUsage, RunRegistry} from './run-registry.js';
+import {
+	exceedanceChance,
+	freedTokens,
+	type MemoryDistribution,
+	peaksOf,
+} from './memory-forecast.js';
+import type {
+	ServiceMemory,
+	ServiceMemoryOptions,
+} from './service-memory-types.js';
 import type {PlacementRequest} from './types.js';
-
-/** An engine as it is listed, without its load. */
-export type EngineEntry = Omit<EngineCandidate, 'interTokenMs' | 'usage'>;
-
-/** Engine that was chosen for a run. */
-export type EngineSelection = {
-	readonly engine: EngineEvaluation;
-	/** True if the first token is expected to miss the objective. */
-	readonly isLate: boolean;
-};
-
-/**
- * KV cache memory of all engines of one service: a snapshot of its usage, with a forecast. Needs to be
- * created again after a placement.
- */
-export type ServiceMemory = {
-	/** @returns why no engine could serve the request even with all memory free; undefined if one could */
-	infeasibleReason(request: PlacementRequest): string | undefined;
-	/**
-	 * Chooses an engine for a run.
-	 * @returns undefined if none has room now; long runs that are late get only spare memory
-	 */
-	chooseForRun(generation: PendingGeneration): EngineSelection | undefined;
-	/**
-	 * Chooses the engine that holds a copy of a run's KV cache from its start.
-	 * @param targetId - engine of the run
-	 * @returns undefined if there is no memory to spare
-	 */
-	chooseInitialCopyEngine(
-		request: PlacementRequest,
-		targetId: string,
-	): string | undefined;
-	/**
-	 * Chooses the engine that holds the copy of a run whose engine is leaving, or may be lost.
-	 * @returns undefined if none has room
-	 */
-	chooseEvacuationEngine(
-		request: PlacementRequest,
-	): EngineEvaluation | undefined;
-	/** Time for which a generation may still wait, in milliseconds; not positive once it is over. */
-	remainingWaitMs(generation: PendingGeneration): number;
-	/**
-	 * True if, by the forecast, enough memory is free before the generation's longest wait is over.
-	 * @param aheadTokens - memory that goes to generations ahead in the queue
-	 */
-	fitsInTime(generation: PendingGeneration, aheadTokens: number): boolean;
-	/**
-	 * Time until the engines' rate limits permit a generation, in milliseconds; 0 if one of them has no limit.
-	 * @param aheadCount - number of generations that precede it in the queue
-	 */
-	turnDelayMs(request: PlacementRequest, aheadCount: number): number;
-};
-
-export type ServiceMemoryOptions = {
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly registry: RunRegistry;
-	/** Engines of the service that take requests now. */
-	readonly engines: readonly EngineEntry[];
-};
+import {keepUrgentReserve} from './urgent-reserve.js';
 
 /**
  * Fraction of an engine's memory that the forecast peak may reach. It exceeds 1 since many runs end before
@@ -110,47 +58,23 @@
 const lateServiceMemoryFraction = 0.65;
 /** Fraction of the memory of all engines up to which runs get a copy from the start. */
 const copyServiceMemoryFraction = 0.78;
-/** Generations with fewer tokens are short; they end before a copy would be of use. */
-const shortTokens = 100;
 /** Fraction of the objective in which the first token must be expected to count as on time. */
 const onTimeFraction = 0.95;
+/** Horizons of the forecast are rounded up to a multiple of this time, in milliseconds. */
+const horizonStepMs = 250;
 /** Number of long generations that find no engine after which other long ones are not tried. */
 const maxMisses = 4;
 
-const isShort = ({expectedTokens}: PlacementRequest) =>
-	expectedTokens < shortTokens;
-
 const serviceFractionFor = (request: PlacementRequest) =>
 	isShort(request) ? shortServiceMemoryFraction : serviceMemoryFraction;
 
-type Peaks = {
-	readonly peak: number;
-	/** Peak until a short generation that starts now has ended. */
-	readonly shortTermPeak: number;
-};
-
-/** Cache of forecasts; the registry returns the same object until the usage changes or expires. */
-const peaksByUsage = new WeakMap<EngineUsage, Peaks>();
-
-function peaksOf(usage: EngineUsage): Peaks {
-	let peaks = peaksByUsage.get(usage);
-	if (!peaks) {
-		peaks = {
-			peak: peakTokens(usage.held),
-			shortTermPeak: peakTokens(usage.held, shortTokens),
-		};
-		peaksByUsage.set(usage, peaks);
-	}
-
-	return peaks;
-}
-
 /** Takes a snapshot of the memory of a service. */
 export function createServiceMemory({
 	clock,
 	random,
 	registry,
 	engines,
+	moreUrgentThan,
 }: ServiceMemoryOptions): ServiceMemory {
 	const candidates: readonly EngineCandidate[] = engines.map((entry) => ({
 		...entry,
@@ -183,6 +107,36 @@
 					({targetId}) => !excludedTargetIds.includes(targetId),
 				);
 
+	/** Engines that may be used without taking memory that more urgent generations are expected to need. */
+	const reserveFor = (request: PlacementRequest) =>
+		keepUrgentReserve(
+			notExcluded(request),
+			request,
+			moreUrgentThan(request.priority),
+		);
+
+	const freedByHorizon = new Map<number, MemoryDistribution>();
+
+	/** Memory of the service that is freed in a time, in tokens. */
+	const freedWithin = (withinMs: number): MemoryDistribution => {
+		const horizonMs = Math.ceil(withinMs / horizonStepMs) * horizonStepMs;
+		let freed = freedByHorizon.get(horizonMs);
+		if (!freed) {
+			let mean = 0;
+			let variance = 0;
+			for (const {usage, interTokenMs} of candidates) {
+				const one = freedTokens(usage.held, horizonMs / interTokenMs);
+				mean += one.mean;
+				variance += one.variance;
+			}
+
+			freed = {mean, variance};
+			freedByHorizon.set(horizonMs, freed);
+		}
+
+		return freed;
+	};
+
 	const remainingWaitMs = (generation: PendingGeneration) => {
 		const interTokenMs = Math.min(
 			...candidates.map((engine) => engine.interTokenMs),
@@ -207,11 +161,13 @@
 		},
 		chooseForRun(generation) {
 			const {request} = generation;
+			const reserve = reserveFor(request);
 			// Memory is kept free across engines to move runs when one leaves. A single engine has no other to
 			// move them to, so only its own limit applies.
 			const fits = (fraction: number) =>
 				candidates.length === 1 ||
-				freeFor(request, fraction) >= neededTokens(request);
+				freeFor(request, fraction) - reserve.keptTokens >=
+					neededTokens(request);
 			const engineFraction = isShort(request)
 				? shortEngineMemoryFraction
 				: engineMemoryFraction;
@@ -221,7 +177,7 @@
 			}
 
 			const engine = chooseEngine(
-				notExcluded(request),
+				reserve.engines,
 				request,
 				engineFraction,
 				random,
@@ -283,19 +239,34 @@
 
 			return firstMs + aheadCount / turnsPerMs;
 		},
-		fitsInTime(generation, aheadTokens) {
+		serviceChance(generation, aheadTokens) {
 			const {request} = generation;
 			const withinMs = remainingWaitMs(generation);
 			if (withinMs <= 0) {
-				return false;
+				return 0;
 			}
 
-			let free = freeFor(request, serviceFractionFor(request)) - aheadTokens;
-			for (const {usage, interTokenMs} of candidates) {
-				free += freedTokens(usage.held, withinMs / interTokenMs);
+			const {keptTokens} = reserveFor(request);
+			const chanceWithin = (fraction: number, horizonMs: number) => {
+				const {mean, variance} = freedWithin(horizonMs);
+				const usable = candidates.length === 1 ? 1 : fraction;
+				const free = freeFor(request, usable) - aheadTokens - keptTokens;
+				return exceedanceChance(
+					{mean: free + mean, variance},
+					neededTokens(request),
+				);
+			};
+
+			if (isShort(request)) {
+				return chanceWithin(shortServiceMemoryFraction, withinMs);
 			}
 
-			return neededTokens(request) <= free;
+			// Once late, a long generation gets only spare memory.
+			const onTimeMs = Math.min(withinMs, slackMs(generation, clock.nowMs()));
+			return Math.max(
+				onTimeMs > 0 ? chanceWithin(serviceMemoryFraction, onTimeMs) : 0,
+				chanceWithin(lateServiceMemoryFraction, withinMs),
+			);
 		},
 	};
 }
--- a/src/experiments/fakes/index.ts
+++ b/src/experiments/fakes/index.ts
@@ -15,5 +15,8 @@
 export * from './fake-target-client.js';
 export * from './find-free-ports.js';
 export * from './fake-scheduler.js';
+export * from './generation-replay.js';
+export * from './replay-report.js';
+export type * from './replay-types.js';
 export * from './fake-session-services.js';
 export * from './fake-stream.js';
