--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -6,6 +6,7 @@
 	type TargetEntry,
 } from '../../common/index.js';
 import {createCallAttempt, type CallAttempt} from './call-attempt.js';
+import {createCallSearch} from './call-search.js';
 import type {CallSessionOptions} from './call-session-types.js';
 import type {TargetPermit} from './call-target-search.js';
 import {promisesNotRun} from './refusals.js';
@@ -50,8 +51,6 @@
 	/** Last 5xx response of a target; forwarded if the request is not sent again. */
 	let lastErrorResponse: {head: ResponseHead; body: Uint8Array} | undefined;
 	let hedge: Disposable | undefined;
-	let search: Disposable | undefined;
-	let isSearching = false;
 	let hasCallerLeft = false;
 
 	const leftMs = () => admitted.deadlineMs - clock.nowMs();
@@ -66,7 +65,7 @@
 		retryAfterMs,
 		release() {
 			hedge?.dispose();
-			search?.dispose();
+			search.dispose();
 			for (const attempt of attempts) {
 				attempt.cancel();
 			}
@@ -133,54 +132,34 @@
 		attempt.start();
 	};
 
+	const search = createCallSearch(admitted, options, tried, {
+		maySend: () => maySendAgain() && leftMs() >= minSendMs,
+		isRetry: () => sendCount > 0,
+		onFound: send,
+		onNotAllowed(reason) {
+			giveUpIfIdle(reason);
+		},
+		onNone(searchReason, reason, afterMs) {
+			const isLimited = afterMs !== undefined;
+			const isFirst = tried.size === 0;
+			giveUpIfIdle(isLimited || isFirst ? searchReason : reason, afterMs);
+		},
+	});
+
 	/** Sends the request to a target that has not received it yet, at once or when its turn comes. */
 	const sendToNextTarget = (reason: string, maxWaitMs: number) => {
 		if (leftMs() < minSendMs) {
 			giveUpIfIdle(reason);
-			return;
+		} else {
+			search.start(reason, maxWaitMs);
 		}
-
-		isSearching = true;
-		search = options.findTarget(
-			{service, avoid: tried, maxWaitMs},
-			{
-				onFound(target, permit) {
-					isSearching = false;
-					if (completion.isDone) {
-						return;
-					}
-
-					const isRetry = sendCount > 0;
-					if (maySendAgain() && (!isRetry || retryShare.tryTake(service))) {
-						send(target, permit, reason);
-					} else {
-						giveUpIfIdle(reason);
-					}
-				},
-				onNone(searchReason, afterMs) {
-					isSearching = false;
-					const isLimited = afterMs !== undefined;
-					const isFirst = tried.size === 0;
-					giveUpIfIdle(isLimited || isFirst ? searchReason : reason, afterMs);
-				},
-				onPermitDenied(targets, waitMs, decidedBy) {
-					log('permit denied', {
-						request: request.id,
-						target: targets.map(({targetId}) => targetId).join(' '),
-						limitPerSecond: targets[0].requestsPerSecond,
-						turnWaitMs: Math.round(waitMs),
-						permitBy: decidedBy,
-					});
-				},
-			},
-		);
 	};
 
 	const maxTurnWaitMs = () =>
 		Math.min(route.objectiveMs, leftMs()) * turnWaitFraction;
 
 	const retryOrGiveUp = (reason: string) => {
-		if (completion.isDone || attempts.size > 0 || isSearching) {
+		if (completion.isDone || attempts.size > 0 || search.isActive) {
 			return;
 		}
 
@@ -279,7 +258,7 @@
 	if (isIdempotent && route.maxAttempts > 1) {
 		hedge = timers.after(hedgeAfterMs, () => {
 			const isHedgeable = attempts.size === 1 && mayHaveRunCount === 0;
-			if (!completion.isDone && !isSearching && isHedgeable) {
+			if (!completion.isDone && !search.isActive && isHedgeable) {
 				sendToNextTarget('first target is slow', 0);
 			}
 		});
