--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -9,6 +9,7 @@
 	RateLimitReport,
 } from '../rate-limits/index.js';
 import type {PartReport} from '../quarantine/index.js';
+import type {RetryCredit} from './retry-pool.js';
 import type {MemberInfo, TableSyncState} from './types.js';
 
 /**
@@ -85,6 +86,14 @@
 	readonly isGranted: boolean;
 };
 
+/** Cedes retries of the sender's own share to the pool of the coordinator. */
+export type RetryCreditsMessage = {
+	readonly kind: 'retry-credits';
+	/** Differs from that of the sender's message before; a message that arrives twice counts once. */
+	readonly sequence: number;
+	readonly credits: readonly RetryCredit[];
+};
+
 /** Rate limits of targets that the sender knows. */
 export type RateLimitsMessage = {
 	readonly kind: 'rate-limits';
@@ -123,6 +132,7 @@
 	| PlacementRequestMessage
 	| PlacementCancelMessage
 	| PlacementDecisionMessage
+	| RetryCreditsMessage
 	| RetryRequestMessage
 	| RetryDecisionMessage
 	| RunUpdate;
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -40,6 +40,11 @@
 } as const;
 
 const messages: readonly FleetMessage[] = [
+	{
+		kind: 'retry-credits',
+		sequence: 7,
+		credits: [{service: 'desk', retries: 0.125}],
+	},
 	{
 		kind: 'heartbeat',
 		sender,
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -24,6 +24,7 @@
 	encodePermitRequest,
 	encodeRateLimitReport,
 } from './rate-limit-messages.js';
+import {decodeRetryCredit, encodeRetryCredit} from './retry-messages.js';
 
 /** Encodes a message as a JSON array of positional fields that starts with a one-letter kind. */
 export function encodeFleetMessage(message: FleetMessage): string {
@@ -86,6 +87,14 @@
 			return JSON.stringify(['g', message.id, Number(message.isGranted)]);
 		}
 
+		case 'retry-credits': {
+			return JSON.stringify([
+				'y',
+				message.sequence,
+				message.credits.map((credit) => encodeRetryCredit(credit)),
+			]);
+		}
+
 		case 'rate-limits': {
 			return JSON.stringify([
 				'l',
@@ -191,6 +200,14 @@
 			};
 		}
 
+		case 'y': {
+			return {
+				kind: 'retry-credits',
+				sequence: fields.number(),
+				credits: fields.list(decodeRetryCredit),
+			};
+		}
+
 		case 'l': {
 			return {
 				kind: 'rate-limits',
@@ -224,7 +241,7 @@
 		default: {
 			throw new ProblemError(
 				'peer-protocol',
-				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, l, m, d and e`,
+				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, y, l, m, d and e`,
 			);
 		}
 	}
--- a/src/decisions/fleet/retry-pool.test.ts
+++ b/src/decisions/fleet/retry-pool.test.ts
@@ -60,7 +60,12 @@
 		timers: time,
 		ownAddress: 'b',
 		members,
-		pool: {tryTake: () => true},
+		pool: {
+			tryTake: () => true,
+			addCredits() {
+				// No VM cedes retries here.
+			},
+		},
 		send(_to, message) {
 			sent.push(message);
 		},
--- a/src/decisions/serving/retry-share.ts
+++ b/src/decisions/serving/retry-share.ts
@@ -1,4 +1,5 @@
 import type {Clock, Disposable} from '../../common/index.js';
+import {creditLifetimeFraction, type RetryCredit} from '../fleet/index.js';
 
 /** Options of a VM's share of the retry budget. */
 export type RetryShareOptions = {
@@ -39,6 +40,12 @@
 		service: string,
 		onDecision: (isGranted: boolean) => void,
 	): Disposable | undefined;
+	/**
+	 * Takes what this VM can cede to the fleet's pool out of its share: at most half of what its requests
+	 * have earned, and nothing that it has used itself. It counts as used by this VM for as long as a retry
+	 * from it may lie in a window.
+	 */
+	takeUnused(): readonly RetryCredit[];
 };
 
 /**
@@ -49,12 +56,24 @@
 /** Fraction of the extra retries for the VMs; the rest is for the coordinator's pool and a margin. */
 const ownExtraFraction = 0.55;
 
+/** Largest fraction of what its requests have earned that a VM cedes. */
+const cededFraction = 0.5;
+/** Amount below which nothing is ceded, to save messages; in retries. */
+const minCededRetries = 0.1;
+
 /** Extra retries of one VM; none while the number of VMs that share them is unknown. */
 const ownExtra = (extra: number, vmCount: number | undefined) =>
 	vmCount === undefined ? 0 : (ownExtraFraction * extra) / Math.max(1, vmCount);
 
+/** What a VM has ceded at a monotonic time, in milliseconds. */
+type CededRetries = {readonly atMs: number; readonly retries: number};
+
 /** Monotonic times of the requests and retries to a service within the window, in milliseconds. */
-type ServiceHistory = {requests: number[]; retries: number[]};
+type ServiceHistory = {
+	requests: number[];
+	retries: number[];
+	ceded: CededRetries[];
+};
 
 function dropBefore(times: number[], startMs: number) {
 	let count = 0;
@@ -73,30 +92,55 @@
 	const historyOf = (service: string) => {
 		let history = histories.get(service);
 		if (!history) {
-			history = {requests: [], retries: []};
+			history = {requests: [], retries: [], ceded: []};
 			histories.set(service, history);
 		}
 
-		const startMs = clock.nowMs() - bounds().windowMs;
+		const {windowMs} = bounds();
+		const startMs = clock.nowMs() - windowMs;
+		const cededStartMs = startMs - windowMs * creditLifetimeFraction;
 		dropBefore(history.requests, startMs);
 		dropBefore(history.retries, startMs);
+		history.ceded = history.ceded.filter(({atMs}) => atMs >= cededStartMs);
 		return history;
 	};
 
+	const cededOf = ({ceded}: ServiceHistory) => {
+		let sum = 0;
+		for (const {retries} of ceded) {
+			sum += retries;
+		}
+
+		return sum;
+	};
+
+	const earnedOf = ({requests}: ServiceHistory) =>
+		safetyFraction * bounds().ratio * requests.length;
+
+	/** Retries that this VM may still make. */
+	const leftOf = (history: ServiceHistory) =>
+		earnedOf(history) +
+		ownExtra(bounds().extra, vmCount()) -
+		history.retries.length -
+		cededOf(history);
+
+	const cedableOf = (history: ServiceHistory) =>
+		Math.min(
+			leftOf(history),
+			earnedOf(history) * cededFraction - cededOf(history),
+		);
+
 	const share: RetryShare = {
 		recordRequest(service) {
 			historyOf(service).requests.push(clock.nowMs());
 		},
 		tryTake(service) {
-			const {ratio, extra} = bounds();
-			const {requests, retries} = historyOf(service);
-			const allowed =
-				safetyFraction * ratio * requests.length + ownExtra(extra, vmCount());
-			if (retries.length + 1 > allowed) {
+			const history = historyOf(service);
+			if (leftOf(history) < 1) {
 				return false;
 			}
 
-			retries.push(clock.nowMs());
+			history.retries.push(clock.nowMs());
 			return true;
 		},
 		take(service, onDecision) {
@@ -107,6 +151,19 @@
 
 			return options.askPool(service, onDecision);
 		},
+		takeUnused() {
+			const credits: RetryCredit[] = [];
+			for (const service of histories.keys()) {
+				const history = historyOf(service);
+				const retries = cedableOf(history);
+				if (retries >= minCededRetries) {
+					history.ceded.push({atMs: clock.nowMs(), retries});
+					credits.push({service, retries});
+				}
+			}
+
+			return credits;
+		},
 	};
 	return share;
 }
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -185,6 +185,7 @@
 			random,
 			store,
 			retryBounds,
+			takeUnusedRetries: () => retryShare.takeUnused(),
 			rateLimits,
 			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
@@ -247,7 +248,7 @@
 		standings,
 		requestPermit,
 	});
-	const retryShare = createRetryShare({
+	const retryShare: RetryShare = createRetryShare({
 		clock,
 		bounds: retryBounds,
 		vmCount: () => fleetExchange.members.settledVmCount,
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -12,6 +12,7 @@
 	PermitClient,
 	PlacementClient,
 	RetryClient,
+	RetryCredit,
 	StoreReadState,
 	TableSyncState,
 } from '../../decisions/fleet/index.js';
@@ -40,6 +41,8 @@
 		readonly extra: number;
 		readonly windowMs: number;
 	};
+	/** Takes what this VM cedes to the fleet's retry pool out of its own share. */
+	readonly takeUnusedRetries: () => readonly RetryCredit[];
 	/** Interval of the coordinator's beacons, in milliseconds. */
 	readonly beaconIntervalMs: () => number;
 	/** Rate limits of targets, exchanged with the other VMs. */
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -2,8 +2,6 @@
 import {createDisposableStore, repeat, toProblem} from '../../common/index.js';
 import {
 	createMemberList,
-	createRetryClient,
-	createRetryPool,
 	decodeFleetMessage,
 	encodeFleetMessage,
 	type FleetMessage,
@@ -20,6 +18,7 @@
 import {createPauseDetector} from './pause-detector.js';
 import {createPlacementHandler} from './placement-handler.js';
 import {createRateLimitHandler} from './rate-limit-handler.js';
+import {createRetryHandler} from './retry-handler.js';
 import {createStoreRelay} from './store-relay.js';
 
 /** Length to which instance ids are cut in messages; enough to distinguish restarts of one VM. */
@@ -63,16 +62,19 @@
 	/** After a pause this VM may not know yet that another one has become the coordinator. */
 	const settledSinceMs = () =>
 		members.isCoordinator ? coordinatorSinceMs : Infinity;
-	const retryPool = createRetryPool({
-		clock,
-		bounds: options.retryBounds,
-		coordinatorSinceMs: settledSinceMs,
+	const pauseDetector = createPauseDetector(clock, (pausedMs) => {
+		logger.warn('this VM did not run for a while', {pausedMs});
+		members.handlePause();
 	});
-	const retryClient = createRetryClient({
+	const retryHandler = createRetryHandler({
+		clock,
 		timers,
-		ownAddress: address,
+		address,
 		members,
-		pool: retryPool,
+		bounds: options.retryBounds,
+		coordinatorSinceMs: settledSinceMs,
+		resumedMs: () => pauseDetector.resumedMs,
+		takeUnusedRetries: options.takeUnusedRetries,
 		send,
 	});
 	const rateLimitHandler = owned.add(
@@ -148,14 +150,10 @@
 				break;
 			}
 
-			case 'retry': {
-				const isGranted = retryPool.tryTake(message.service);
-				send(from, {kind: 'retry-answer', id: message.id, isGranted});
-				break;
-			}
-
-			case 'retry-answer': {
-				retryClient.handleDecision(message.id, message.isGranted);
+			case 'retry':
+			case 'retry-answer':
+			case 'retry-credits': {
+				retryHandler.handle(from, message);
 				break;
 			}
 
@@ -173,11 +171,6 @@
 		}
 	};
 
-	const pauseDetector = createPauseDetector(clock, (pausedMs) => {
-		logger.warn('this VM did not run for a while', {pausedMs});
-		members.handlePause();
-	});
-
 	socket.onDatagram(({from, text}) => {
 		pauseDetector.check();
 		try {
@@ -230,6 +223,7 @@
 			updateCoordinatorRole();
 			runRegistry.removeExpired();
 			membership.sweep();
+			retryHandler.tick();
 			rateLimitHandler.tick();
 			evidenceExchange.tick();
 		},
@@ -259,7 +253,7 @@
 	return {
 		members,
 		placementClient,
-		retryClient,
+		retryClient: retryHandler.retryClient,
 		permitClient,
 		relay,
 		runReporter,
