--- a/src/decisions/scheduling/cold-engines.test.ts
+++ b/src/decisions/scheduling/cold-engines.test.ts
@@ -8,7 +8,7 @@
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
 import {createPermitPool} from '../rate-limits/index.js';
-import type {EngineEntry} from './service-memory.js';
+import type {EngineEntry} from './service-memory-types.js';
 import type {PlacementRequest} from './types.js';
 
 /** Engines and generations of the first deployment; the long ones arrive at 2.3 times their usual rate. */
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -159,6 +159,7 @@
 			random,
 			store,
 			retryBounds,
+			takeUnusedRetries: () => retryShare.takeUnused(),
 			rateLimits: statements.rateLimits,
 			limitOf: eligibility.limitOf,
 			crashEvidence,
@@ -220,7 +221,7 @@
 		standings,
 		requestPermit,
 	});
-	const retryShare = createRetryShare({
+	const retryShare: RetryShare = createRetryShare({
 		clock,
 		bounds: retryBounds,
 		vmCount: () => fleetExchange.members.settledVmCount,
