--- a/src/decisions/fleet/field-reader.ts
+++ b/src/decisions/fleet/field-reader.ts
@@ -73,6 +73,11 @@
 		return this.next < this.fields.length ? this.number() : defaultValue;
 	}
 
+	/** @returns the default after the last field, for fields that older builds do not send */
+	stringOr(defaultValue: string): string {
+		return this.next < this.fields.length ? this.string() : defaultValue;
+	}
+
 	/** @returns false for 0, true for any other number */
 	boolean(): boolean {
 		return this.number() !== 0;
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -20,6 +20,7 @@
 	doneTokens: 40,
 	remainingTokens: 600,
 	priority: 1,
+	account: 'acme',
 };
 const table = {version: 40, changeVersion: 31, ageMs: 200};
 const request = {
@@ -37,6 +38,7 @@
 	remainingMs: 38_990,
 	priority: 0,
 	isPrecaution: true,
+	account: 'acme',
 } as const;
 
 const messages: readonly FleetMessage[] = [
@@ -133,13 +135,13 @@
 	});
 }
 
-test('decodes a placement request of an older build, which does not name precautions', () => {
+test('decodes a placement request of an older build, which names neither precautions nor the account', () => {
 	const text = encodeFleetMessage({kind: 'place', request});
 	const [kind, fields] = JSON.parse(text) as [string, unknown[]];
-	const decoded = decodeFleetMessage([kind, fields.slice(0, -1)]);
+	const decoded = decodeFleetMessage([kind, fields.slice(0, -2)]);
 	assert.deepEqual(decoded, {
 		kind: 'place',
-		request: {...request, isPrecaution: false},
+		request: {...request, isPrecaution: false, account: ''},
 	});
 });
 
--- a/src/decisions/fleet/placement-messages.ts
+++ b/src/decisions/fleet/placement-messages.ts
@@ -14,6 +14,7 @@
 	Math.round(run.doneTokens),
 	Math.round(run.remainingTokens),
 	run.priority,
+	run.account,
 ];
 
 export function decodeRun(fields: FieldReader): RunState {
@@ -25,6 +26,7 @@
 		doneTokens: fields.number(),
 		remainingTokens: fields.number(),
 		priority: fields.number(),
+		account: fields.stringOr(''),
 	};
 }
 
@@ -43,6 +45,7 @@
 	Math.round(request.remainingMs),
 	request.priority,
 	request.isPrecaution ? 1 : 0,
+	request.account,
 ];
 
 export function decodeRequest(fields: FieldReader): PlacementRequest {
@@ -61,6 +64,7 @@
 		remainingMs: fields.number(),
 		priority: fields.number(),
 		isPrecaution: fields.numberOr(0) !== 0,
+		account: fields.stringOr(''),
 	};
 }
 
--- a/src/decisions/scheduling/generation-queue.ts
+++ b/src/decisions/scheduling/generation-queue.ts
@@ -1,3 +1,4 @@
+import type {AccountStanding} from './account-usage.js';
 import type {PlacementRequest} from './types.js';
 
 /** A received placement request without a final decision, in the queue or about to be decided on. */
@@ -108,11 +109,12 @@
 
 /** Position of a generation in the queue; compared with `compareRanks`. */
 export type QueueRank = {
-	/** True if it has waited long but can still be on time. */
+	/** True if it has waited long but can still be on time, and its account has no more than its share. */
 	readonly isAtRisk: boolean;
 	/** Urgency; 0 is the most urgent. */
 	readonly priority: number;
 	readonly isLate: boolean;
+	readonly standing: AccountStanding;
 	/** Memory times duration, less for an aged generation. */
 	readonly cost: number;
 };
@@ -121,13 +123,15 @@
  * Rank of a generation in the queue now.
  *
  * Generations at risk of starvation go first, then the more urgent ones, and within one urgency those that can
- * be on time, since late ones have lost most of their value. What remains equal goes by the shortest job first,
+ * be on time, since late ones have lost most of their value. Among those, an account below its equal share of
+ * the memory goes before one above it. What remains equal goes by the shortest job first,
  * where the size of a job is memory times duration: while memory is short, this serves the most callers with
  * it. Aging reduces the cost of a generation that has waited for a good part of its objective.
  */
 export function queueRank(
 	generation: PendingGeneration,
 	nowMs: number,
+	standing: AccountStanding = 'below',
 ): QueueRank {
 	const {request} = generation;
 	const waitMs = currentWaitMs(generation, nowMs);
@@ -138,13 +142,23 @@
 		(request.promptTokens + request.expectedTokens / 2) *
 		(usualTokens + request.expectedTokens);
 	return {
-		isAtRisk: !isLate && waitMs > atRiskFraction * (waitMs + leftMs),
+		isAtRisk:
+			!isLate &&
+			standing === 'below' &&
+			waitMs > atRiskFraction * (waitMs + leftMs),
 		priority: request.priority,
 		isLate,
+		standing,
 		cost: cost * (isAged ? agedFactor : 1),
 	};
 }
 
+const standingOrder: Readonly<Record<AccountStanding, number>> = {
+	below: 0,
+	above: 1,
+	'far above': 2,
+};
+
 /**
  * Compares two ranks.
  * @returns a negative number if `a` goes first, a positive one if `b` does
@@ -154,6 +168,7 @@
 		Number(b.isAtRisk) - Number(a.isAtRisk) ||
 		a.priority - b.priority ||
 		Number(a.isLate) - Number(b.isLate) ||
+		standingOrder[a.standing] - standingOrder[b.standing] ||
 		a.cost - b.cost
 	);
 }
--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -234,6 +234,7 @@
 		copyTargetId: undefined,
 		promptTokens: 100,
 		remainingTokens: 600,
+		account: '',
 		priority: 0,
 	};
 	for (const [atMs, doneTokens] of [
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -1,4 +1,5 @@
 import type {Clock, RandomSource} from '../../common/index.js';
+import {createAccountUsage} from './account-usage.js';
 import {neededTokens, type PendingGeneration} from './generation-queue.js';
 import {createRecentPlacements} from './recent-placements.js';
 import type {RunRegistry} from './run-registry.js';
@@ -64,19 +65,23 @@
 	options: GenerationSchedulerOptions,
 ): GenerationScheduler {
 	const {clock, random, registry} = options;
-	const queue = createWaitingGenerations(clock);
+	const accounts = createAccountUsage(clock);
+	const queue = createWaitingGenerations(clock, accounts);
 	const recentPlacements = createRecentPlacements(clock);
 	const demand = createUrgentDemandEstimator(clock);
 	const keyOf = (vm: string, requestId: string) => `${vm} ${requestId}`;
 
-	const memoryOf = (service: string) =>
-		createServiceMemory({
+	const memoryOf = (service: string) => {
+		const engines = options.engines(service);
+		accounts.update(service, () => registry.accountTokens(engines));
+		return createServiceMemory({
 			clock,
 			random,
 			registry,
-			engines: options.engines(service),
+			engines,
 			moreUrgentThan: (priority) => demand.moreUrgentThan(service, priority),
 		});
+	};
 
 	const place = (
 		{vm, request}: PendingGeneration,
@@ -95,6 +100,7 @@
 			doneTokens: request.doneTokens,
 			remainingTokens: request.expectedTokens,
 			priority: request.priority,
+			account: request.account,
 		});
 		if (request.purpose === 'run') {
 			options.takeTurn(engine.targetId);
@@ -264,6 +270,7 @@
 			const queued = queue.get(key);
 			if (!queued && request.purpose === 'run') {
 				demand.record(request);
+				accounts.recordRequest(request.service, request.account);
 			}
 
 			const decision = admit(generation, !queued);
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -1,3 +1,4 @@
+export * from './account-usage.js';
 export * from './engine-placement.js';
 export * from './generation-queue.js';
 export * from './generation-scheduler.js';
--- a/src/decisions/scheduling/overload.test.ts
+++ b/src/decisions/scheduling/overload.test.ts
@@ -5,25 +5,11 @@
 	type ReplayKind,
 	replayArrivals,
 	replayGenerations,
+	replayLong as long,
+	replayShort as short,
 	reportReplay,
 } from '../../experiments/fakes/index.js';
 
-const long: ReplayKind = {
-	name: 'long',
-	promptTokens: 3079,
-	outputTokens: 748,
-	objectiveMs: 4000,
-	limitMs: 39_000,
-	priority: 2,
-};
-const short: ReplayKind = {
-	name: 'short',
-	promptTokens: 2550,
-	outputTokens: 8,
-	objectiveMs: 1500,
-	limitMs: 6000,
-	priority: 0,
-};
 const accounts = ['a', 'b', 'c', 'd'];
 
 /** A burst of long generations, then one of short generations, beside usual traffic. */
--- a/src/decisions/scheduling/run-registry.test.ts
+++ b/src/decisions/scheduling/run-registry.test.ts
@@ -11,6 +11,7 @@
 	promptTokens: 3000,
 	doneTokens: 0,
 	remainingTokens: 600,
+	account: '',
 	priority: 0,
 	...changes,
 });
--- a/src/decisions/scheduling/run-registry.ts
+++ b/src/decisions/scheduling/run-registry.ts
@@ -10,6 +10,8 @@
 	readonly runCount: number;
 	/** Priorities of the runs, without copies; 0 is the most urgent. */
 	readonly runPriorities: readonly number[];
+	/** Memory of the runs of each client account, without copies, in tokens. */
+	readonly accountTokens: ReadonlyMap<string, number>;
 	/** Prompts of runs without a first token, in tokens. */
 	readonly pendingPromptTokens: number;
 };
@@ -29,6 +31,10 @@
 	reserve(vm: string, run: RunState): void;
 	/** Usage now; runs are extrapolated from their last report. */
 	usageOf(targetId: string): EngineUsage;
+	/** Memory that the runs of each client account hold on some engines, without copies, in tokens. */
+	accountTokens(
+		engines: ReadonlyArray<{readonly targetId: string}>,
+	): ReadonlyMap<string, number>;
 	/** Removes a reservation; a run that its VM has reported stays. */
 	release(vm: string, runId: string): void;
 	/** Inter-token latency measured on the runs of the engine, in milliseconds. */
@@ -162,12 +168,16 @@
 	const computeUsage = (targetId: string): EngineUsage => {
 		const held: HeldMemory[] = [];
 		const runPriorities: number[] = [];
+		const accountTokens = new Map<string, number>();
 		let pendingPromptTokens = 0;
 		for (const entry of entriesByTarget.get(targetId)?.values() ?? []) {
-			held.push(extrapolateMemory(entry));
+			const memory = extrapolateMemory(entry);
+			held.push(memory);
 			const {run} = entry;
 			if (run.targetId === targetId) {
 				runPriorities.push(run.priority);
+				const tokens = accountTokens.get(run.account) ?? 0;
+				accountTokens.set(run.account, tokens + memory.tokens);
 				pendingPromptTokens += run.doneTokens === 0 ? run.promptTokens : 0;
 			}
 		}
@@ -175,7 +185,25 @@
 		// Forecasts sort by remaining tokens again, which costs little if the order is right already.
 		held.sort((a, b) => a.remainingTokens - b.remainingTokens);
 		const runCount = runPriorities.length;
-		return {held, runCount, runPriorities, pendingPromptTokens};
+		return {
+			held,
+			runCount,
+			runPriorities,
+			accountTokens,
+			pendingPromptTokens,
+		};
+	};
+
+	const usageOf = (targetId: string) => {
+		const nowMs = clock.nowMs();
+		const cached = cachedUsages.get(targetId);
+		if (cached && nowMs - cached.atMs < usageCacheMs) {
+			return cached.usage;
+		}
+
+		const usage = computeUsage(targetId);
+		cachedUsages.set(targetId, {usage, atMs: nowMs});
+		return usage;
 	};
 
 	return {
@@ -204,16 +232,16 @@
 			vmOf(vm).lastReportMs = nowMs;
 			put(vm, {run, atMs: nowMs, reservedUntilMs: nowMs + reservationMs});
 		},
-		usageOf(targetId) {
-			const nowMs = clock.nowMs();
-			const cached = cachedUsages.get(targetId);
-			if (cached && nowMs - cached.atMs < usageCacheMs) {
-				return cached.usage;
+		usageOf,
+		accountTokens(engines) {
+			const sums = new Map<string, number>();
+			for (const {targetId} of engines) {
+				for (const [account, tokens] of usageOf(targetId).accountTokens) {
+					sums.set(account, (sums.get(account) ?? 0) + tokens);
+				}
 			}
 
-			const usage = computeUsage(targetId);
-			cachedUsages.set(targetId, {usage, atMs: nowMs});
-			return usage;
+			return sums;
 		},
 		release(vm, runId) {
 			const entry = vms.get(vm)?.entries.get(runId);
--- a/src/decisions/scheduling/types.ts
+++ b/src/decisions/scheduling/types.ts
@@ -13,6 +13,8 @@
 	readonly remainingTokens: number;
 	/** Engine priority; 0 is the most urgent. */
 	readonly priority: number;
+	/** Client account of the caller; '' without one. */
+	readonly account: string;
 };
 
 /** Request for an engine, to run a generation or to hold a copy of its KV cache. */
@@ -43,6 +45,8 @@
 	readonly priority: number;
 	/** True for a copy of a run whose engine is not certain to be lost; it gets free memory only. */
 	readonly isPrecaution: boolean;
+	/** Client account of the caller; '' without one. */
+	readonly account: string;
 };
 
 /** Engine that was chosen for a generation. */
--- a/src/decisions/scheduling/waiting-generations.ts
+++ b/src/decisions/scheduling/waiting-generations.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../common/index.js';
+import type {AccountUsage} from './account-usage.js';
 import {
 	compareRanks,
 	neededTokens,
@@ -25,8 +26,17 @@
 	inOrder(): ReadonlyArray<{key: string; generation: PendingGeneration}>;
 };
 
-export function createWaitingGenerations(clock: Clock): WaitingGenerations {
+export function createWaitingGenerations(
+	clock: Clock,
+	accounts: Pick<AccountUsage, 'standingOf'>,
+): WaitingGenerations {
 	const queue = new Map<string, PendingGeneration>();
+
+	const rankOf = (generation: PendingGeneration, nowMs: number) => {
+		const {service, account} = generation.request;
+		return queueRank(generation, nowMs, accounts.standingOf(service, account));
+	};
+
 	return {
 		get size() {
 			return queue.size;
@@ -38,16 +48,17 @@
 		delete(key) {
 			queue.delete(key);
 		},
-		aheadOf({request, ...generation}) {
+		aheadOf(generation) {
 			const nowMs = clock.nowMs();
-			const rank = queueRank({request, ...generation}, nowMs);
+			const {request} = generation;
+			const rank = rankOf(generation, nowMs);
 			let tokens = 0;
 			let count = 0;
 			for (const other of queue.values()) {
 				if (
 					other.request.service === request.service &&
 					other.request.id !== request.id &&
-					compareRanks(queueRank(other, nowMs), rank) < 0
+					compareRanks(rankOf(other, nowMs), rank) < 0
 				) {
 					tokens += neededTokens(other.request);
 					count++;
@@ -62,7 +73,7 @@
 				.map(([key, generation]) => ({
 					key,
 					generation,
-					rank: queueRank(generation, nowMs),
+					rank: rankOf(generation, nowMs),
 				}))
 				.sort((a, b) => compareRanks(a.rank, b.rank));
 		},
--- a/src/experiments/fakes/fake-scheduler.ts
+++ b/src/experiments/fakes/fake-scheduler.ts
@@ -41,6 +41,7 @@
 	remainingMs: 39_000,
 	priority: 0,
 	isPrecaution: false,
+	account: '',
 	...changes,
 });
 
@@ -113,7 +114,8 @@
 				promptTokens: request.promptTokens,
 				doneTokens: 0,
 				remainingTokens: request.expectedTokens,
-				priority: 0,
+				priority: request.priority,
+				account: request.account,
 			});
 		}
 
--- a/src/experiments/fakes/generation-replay.ts
+++ b/src/experiments/fakes/generation-replay.ts
@@ -52,9 +52,10 @@
 	const expectedLeft = ({request}: Attempt, doneTokens: number) =>
 		Math.max(0.1 * request.expectedTokens, request.expectedTokens - doneTokens);
 
-	const createCoordinator = () => {
-		const registry = createRunRegistry(time);
-		const scheduler = createGenerationScheduler({
+	/** Runs are reported to the coordinator and its standby, so that a new coordinator knows them. */
+	const registry = createRunRegistry(time);
+	const createCoordinator = () =>
+		createGenerationScheduler({
 			clock: time,
 			random,
 			registry,
@@ -65,10 +66,7 @@
 				handleDecision(id, decision);
 			},
 		});
-		return {registry, scheduler};
-	};
-
-	let {registry, scheduler} = createCoordinator();
+	let scheduler = createCoordinator();
 
 	const report = (id: string, attempt: Attempt, run: ReplayRun) => {
 		const state: RunState = {
@@ -91,7 +89,7 @@
 	};
 
 	const start = (result: ReplayResult) => {
-		const {kind, atMs} = result;
+		const {kind, account, atMs} = result;
 		const id = `q${nextId++}`;
 		const previousWaitMs = time.nowMs() - atMs;
 		const request = fakePlacementRequest(id, {
@@ -101,6 +99,7 @@
 			priority: kind.priority,
 			previousWaitMs,
 			remainingMs: kind.limitMs - previousWaitMs,
+			account,
 		});
 		const startedMs = time.nowMs();
 		const attempt: Attempt = {result, request, startedMs, run: undefined};
@@ -268,7 +267,7 @@
 		}
 
 		if (atMs === takeoverMs) {
-			({registry, scheduler} = createCoordinator());
+			scheduler = createCoordinator();
 			for (const [id, attempt] of attempts) {
 				if (!attempt.run) {
 					submit(id, attempt);
--- a/src/experiments/fakes/replay-report.ts
+++ b/src/experiments/fakes/replay-report.ts
@@ -60,3 +60,23 @@
 		heldInVainS: heldMs / 1000,
 	};
 }
+
+/** Long generations of the first deployment of docs/plan-hard-load.md. */
+export const replayLong: ReplayKind = {
+	name: 'long',
+	promptTokens: 3079,
+	outputTokens: 748,
+	objectiveMs: 4000,
+	limitMs: 39_000,
+	priority: 2,
+};
+
+/** Its short, urgent generations. */
+export const replayShort: ReplayKind = {
+	name: 'short',
+	promptTokens: 2550,
+	outputTokens: 8,
+	objectiveMs: 1500,
+	limitMs: 6000,
+	priority: 0,
+};
--- a/src/experiments/fakes/replay-types.ts
+++ b/src/experiments/fakes/replay-types.ts
@@ -32,7 +32,7 @@
 	readonly engineCount: number;
 	/** Time between two departures of 17% of the engines, in milliseconds; none by default. */
 	readonly leaveIntervalMs?: number;
-	/** Time at which another coordinator takes over without state, in milliseconds; never by default. */
+	/** Time at which another coordinator takes over, which knows the runs but not the queue, in milliseconds; never by default. */
 	readonly takeoverMs?: number;
 	readonly seed?: number;
 };
--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -81,10 +81,7 @@
 	readonly runReporter: () => RunReporter;
 };
 
-/**
- * KV cache capacity that is assumed for the engines of a service until one of them has reported its
- * own, in tokens; too low a value only loads them less.
- */
+/** KV cache capacity assumed until an engine has reported its own, in tokens; too low a value only loads them less. */
 const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, according to the data sheets of the engines. */
 const tokensPerEvent = 4;
@@ -133,6 +130,7 @@
 			remainingMs: deadlineMs - nowMs,
 			priority: admitted.priority,
 			isPrecaution: false,
+			account: admitted.account ?? '',
 		};
 	};
 
@@ -221,8 +219,7 @@
 				if (closed) {
 					listener.onRefused(closed.reason, closed.retryAfterMs);
 				} else {
-					// By the state of this VM the engine has left, has not arrived yet, wants no requests, or is
-					// evacuated.
+					// As far as this VM knows, the engine is absent or evacuated, or wants no requests.
 					requestPlacement(new Set([...avoidedTargets, placement.targetId]));
 				}
 			};
@@ -273,6 +270,7 @@
 					doneTokens,
 					remainingTokens: forecast.expectedRemaining(admitted, doneTokens),
 					priority: admitted.priority,
+					account: admitted.account ?? '',
 				};
 				runs.set(run, isUrgent);
 			};
