--- a/src/programs/front/engine-selector.ts
+++ b/src/programs/front/engine-selector.ts
@@ -15,10 +15,7 @@
 } from './engine-selector-types.js';
 import {createOutputForecast} from './output-forecast.js';
 
-/**
- * KV cache capacity that is assumed for the engines of a service until one of them has reported its
- * own, in tokens; too low a value only loads them less.
- */
+/** KV cache capacity assumed until an engine has reported its own, in tokens; too low a value only loads them less. */
 const defaultCapacityTokens = 20_000;
 /** Tokens in one event of a stream, according to the data sheets of the engines. */
 const tokensPerEvent = 4;
@@ -59,6 +56,7 @@
 			remainingMs: deadlineMs - nowMs,
 			priority: admitted.priority,
 			isPrecaution: false,
+			account: admitted.account ?? '',
 		};
 	};
 
@@ -216,6 +214,7 @@
 					doneTokens,
 					remainingTokens: forecast.expectedRemaining(admitted, doneTokens),
 					priority: admitted.priority,
+					account: admitted.account ?? '',
 				};
 				runs.set(run, isUrgent);
 			};
