--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -2,6 +2,7 @@
 import {createAccountUsage} from './account-usage.js';
 import {neededTokens, type PendingGeneration} from './generation-queue.js';
 import {createRecentPlacements} from './recent-placements.js';
+import {createRetryAdvice, minRetryAfterMs} from './retry-advice.js';
 import type {RunRegistry} from './run-registry.js';
 import type {
 	EngineEntry,
@@ -47,16 +48,10 @@
 	tick(): void;
 };
 
-const minRetryAfterMs = 300;
-/** Range of the time after which a shortage of memory may be over; callers are spread over it. */
-const shortageMs = {least: 1500, most: 8000} as const;
 /** Least probability of being served with which a new generation is queued. */
 const minNewChance = 0.7;
 /** Probability of being served below which a queued generation is refused. */
 const minWaitingChance = 0.25;
-/** Largest fraction of its remaining time after which a caller may try again; it ignores longer advice. */
-const retryAfterFraction = 0.33;
-
 /**
  * Creates a scheduler with an empty queue. The queue is shared by all VMs that send it requests, and each
  * placement reserves its memory at once, so that no two VMs get the same memory.
@@ -68,6 +63,7 @@
 	const accounts = createAccountUsage(clock);
 	const queue = createWaitingGenerations(clock, accounts);
 	const recentPlacements = createRecentPlacements(clock);
+	const advice = createRetryAdvice(clock, random);
 	const demand = createUrgentDemandEstimator(clock);
 	const keyOf = (vm: string, requestId: string) => `${vm} ${requestId}`;
 
@@ -127,17 +123,22 @@
 		retryAfterMs,
 	});
 
-	/** Time after which a caller that finds no memory now may try again, in milliseconds. */
-	const shortageRetryAfterMs = (request: PlacementRequest): number => {
-		const {least, most} = shortageMs;
-		const spreadMs = least + (most - least) * random.nextUnit();
-		const longestMs = retryAfterFraction * request.remainingMs;
-		// Callers with little time left are spread over the part of it that they may wait.
-		return Math.max(
-			minRetryAfterMs,
-			spreadMs > longestMs
-				? longestMs * (0.5 + random.nextUnit() / 2)
-				: spreadMs,
+	const refusedForMemory = (
+		{request, receivedMs}: PendingGeneration,
+		memory: ServiceMemory,
+		aheadTokens: number,
+	) => {
+		const {service, priority} = request;
+		const remainingMs = request.remainingMs - (clock.nowMs() - receivedMs);
+		const arriving = demand.arrivingTokensPerMs(service, priority);
+		return refused(
+			'no engine has memory in time',
+			advice.retryAfterMs(
+				{...request, remainingMs},
+				memory,
+				aheadTokens,
+				arriving,
+			),
 		);
 	};
 
@@ -155,7 +156,7 @@
 
 		return memory.serviceChance(generation, ahead.tokens) >= minNewChance
 			? {outcome: 'waiting', waitingCount: queue.size}
-			: refused('no engine has memory in time', shortageRetryAfterMs(request));
+			: refusedForMemory(generation, memory, ahead.tokens);
 	};
 
 	/**
@@ -215,10 +216,7 @@
 		memory.remainingWaitMs(generation) > 0 &&
 		memory.serviceChance(generation, aheadTokens) >= minWaitingChance
 			? {outcome: 'waiting', waitingCount: queue.size}
-			: refused(
-					'no engine has memory in time',
-					shortageRetryAfterMs(generation.request),
-				);
+			: refusedForMemory(generation, memory, aheadTokens);
 
 	const tick = () => {
 		recentPlacements.removeOld();
--- a/src/decisions/scheduling/index.ts
+++ b/src/decisions/scheduling/index.ts
@@ -4,6 +4,7 @@
 export * from './generation-scheduler.js';
 export * from './memory-forecast.js';
 export * from './recent-placements.js';
+export * from './retry-advice.js';
 export * from './run-registry.js';
 export type * from './service-memory-types.js';
 export * from './service-memory.js';
--- a/src/decisions/scheduling/service-memory-types.ts
+++ b/src/decisions/scheduling/service-memory-types.ts
@@ -50,6 +50,16 @@
 	 * @param aheadTokens - memory that goes to generations ahead in the queue
 	 */
 	serviceChance(generation: PendingGeneration, aheadTokens: number): number;
+	/**
+	 * Probability that a generation finds memory free after a time, late as it is then.
+	 * @param aheadTokens - memory that goes to generations ahead of it
+	 * @param withinMs - in milliseconds
+	 */
+	freeChance(
+		request: PlacementRequest,
+		aheadTokens: number,
+		withinMs: number,
+	): number;
 	/**
 	 * Time until the engines' rate limits permit a generation, in milliseconds; 0 if one of them has no limit.
 	 * @param aheadCount - number of generations that precede it in the queue
--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -148,7 +148,37 @@
 		);
 	};
 
+	/** Probability that a fraction of the memory has room for a generation after a time. */
+	const chanceWithin = (
+		request: PlacementRequest,
+		aheadTokens: number,
+		fraction: number,
+		withinMs: number,
+	) => {
+		const {mean, variance} = freedWithin(withinMs);
+		const usable = candidates.length === 1 ? 1 : fraction;
+		const free =
+			freeFor(request, usable) - aheadTokens - reserveFor(request).keptTokens;
+		return exceedanceChance(
+			{mean: free + mean, variance},
+			neededTokens(request),
+		);
+	};
+
+	const freeChance = (
+		request: PlacementRequest,
+		aheadTokens: number,
+		withinMs: number,
+	) =>
+		chanceWithin(
+			request,
+			aheadTokens,
+			isShort(request) ? shortServiceMemoryFraction : lateServiceMemoryFraction,
+			withinMs,
+		);
+
 	return {
+		freeChance,
 		infeasibleReason(request) {
 			if (notExcluded(request).length === 0) {
 				return 'no engine of the service is usable';
@@ -247,27 +277,17 @@
 				return 0;
 			}
 
-			const {keptTokens} = reserveFor(request);
-			const chanceWithin = (fraction: number, horizonMs: number) => {
-				const {mean, variance} = freedWithin(horizonMs);
-				const usable = candidates.length === 1 ? 1 : fraction;
-				const free = freeFor(request, usable) - aheadTokens - keptTokens;
-				return exceedanceChance(
-					{mean: free + mean, variance},
-					neededTokens(request),
-				);
-			};
-
 			if (isShort(request)) {
-				return chanceWithin(shortServiceMemoryFraction, withinMs);
+				return freeChance(request, aheadTokens, withinMs);
 			}
 
 			// Once late, a long generation gets only spare memory.
 			const onTimeMs = Math.min(withinMs, slackMs(generation, clock.nowMs()));
-			return Math.max(
-				onTimeMs > 0 ? chanceWithin(serviceMemoryFraction, onTimeMs) : 0,
-				chanceWithin(lateServiceMemoryFraction, withinMs),
-			);
+			const onTimeChance =
+				onTimeMs > 0
+					? chanceWithin(request, aheadTokens, serviceMemoryFraction, onTimeMs)
+					: 0;
+			return Math.max(onTimeChance, freeChance(request, aheadTokens, withinMs));
 		},
 	};
 }
--- a/src/decisions/scheduling/urgent-demand.ts
+++ b/src/decisions/scheduling/urgent-demand.ts
@@ -16,12 +16,15 @@
 	record(request: PlacementRequest): void;
 	/** Demand of the generations of a service that are more urgent than a priority. */
 	moreUrgentThan(service: string, priority: number): UrgentDemand;
+	/** Memory that generations of a service ask for that are at least as urgent, in tokens per millisecond. */
+	arrivingTokensPerMs(service: string, priority: number): number;
 };
 
 /** Exponentially decayed sums over the arrivals of one service and priority. */
 type Sums = {
 	readonly priority: number;
 	atMs: number;
+	tokens: number;
 	holdMs: number;
 	tokensMs: number;
 };
@@ -40,6 +43,7 @@
 		const nowMs = clock.nowMs();
 		const factor = Math.exp((sums.atMs - nowMs) / decayMs);
 		sums.atMs = nowMs;
+		sums.tokens *= factor;
 		sums.holdMs *= factor;
 		sums.tokensMs *= factor;
 	};
@@ -50,6 +54,7 @@
 		const sums = ofService.get(priority) ?? {
 			priority,
 			atMs: clock.nowMs(),
+			tokens: 0,
 			holdMs: 0,
 			tokensMs: 0,
 		};
@@ -62,9 +67,21 @@
 			const sums = sumsOf(request);
 			decay(sums);
 			const holdMs = expectedHoldMs(request);
+			sums.tokens += neededTokens(request);
 			sums.holdMs += holdMs;
 			sums.tokensMs += neededTokens(request) * holdMs;
 		},
+		arrivingTokensPerMs(service, priority) {
+			let tokens = 0;
+			for (const sums of sumsByService.get(service)?.values() ?? []) {
+				if (sums.priority <= priority) {
+					decay(sums);
+					tokens += sums.tokens;
+				}
+			}
+
+			return tokens / decayMs;
+		},
 		moreUrgentThan(service, priority) {
 			let holdMs = 0;
 			let tokensMs = 0;
