--- a/src/decisions/scheduling/account-shares.test.ts
+++ b/src/decisions/scheduling/account-shares.test.ts
@@ -47,3 +47,17 @@
 		}
 	});
 }
+
+test('names the standing of the account in the reason of a refusal, so that its burst can be told from a lack of engines', async () => {
+	const results = await replayGenerations({
+		arrivals: largeAccountBurst(3),
+		engineCount: 10,
+		seed: 3,
+	});
+	const reasonsOf = (isLarge: boolean) =>
+		results
+			.filter(({account}) => (account === 'large') === isLarge)
+			.flatMap(({refusalReasons}) => refusalReasons);
+	assert.ok(reasonsOf(true).some((reason) => reason.includes('far above')));
+	assert.ok(reasonsOf(false).every((reason) => !reason.includes('far above')));
+});
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -1,5 +1,5 @@
 import type {Clock, RandomSource} from '../../common/index.js';
-import {createAccountUsage} from './account-usage.js';
+import {type AccountStanding, createAccountUsage} from './account-usage.js';
 import {neededTokens, type PendingGeneration} from './generation-queue.js';
 import {createRecentPlacements} from './recent-placements.js';
 import {createRetryAdvice, minRetryAfterMs} from './retry-advice.js';
@@ -52,6 +52,13 @@
 const minNewChance = 0.7;
 /** Probability of being served below which a queued generation is refused. */
 const minWaitingChance = 0.25;
+/** Reason of a refusal for want of memory, by the standing of the client account. */
+const memoryReasons: Readonly<Record<AccountStanding, string>> = {
+	below: 'no engine has memory in time',
+	above: 'no engine has memory in time, account above its share',
+	'far above': 'no engine has memory in time, account far above its share',
+};
+
 /**
  * Creates a scheduler with an empty queue. The queue is shared by all VMs that send it requests, and each
  * placement reserves its memory at once, so that no two VMs get the same memory.
@@ -132,7 +139,7 @@
 		const remainingMs = request.remainingMs - (clock.nowMs() - receivedMs);
 		const arriving = demand.arrivingTokensPerMs(service, priority);
 		return refused(
-			'no engine has memory in time',
+			memoryReasons[accounts.standingOf(service, request.account)],
 			advice.retryAfterMs(
 				{...request, remainingMs},
 				memory,
