--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -9,6 +9,7 @@
 	RateLimitReport,
 } from '../rate-limits/index.js';
 import type {PartReport} from '../quarantine/index.js';
+import type {AvoidedTargetList, TargetReport} from '../fleet-health/index.js';
 import type {RetryCredit} from './retry-pool.js';
 import type {MemberInfo, PeerTableStates} from './types.js';
 
@@ -117,8 +118,21 @@
 	readonly reports: readonly PartReport[];
 };
 
+/** What the sender's calls have shown of the targets of plain services. */
+export type TargetReportMessage = {
+	readonly kind: 'target-report';
+	readonly report: TargetReport;
+};
+
+/** Targets of plain services that get only part of their usual calls, by the evidence of all VMs. */
+export type AvoidedTargetsMessage = {
+	readonly kind: 'avoided-targets';
+	readonly list: AvoidedTargetList;
+};
+
 /** Messages between VMs about membership, runs, placements, retries, rate limits and crashes of engines. */
 export type FleetMessage =
+	| AvoidedTargetsMessage
 	| Beacon
 	| CrashEvidenceMessage
 	| Heartbeat
@@ -131,4 +145,5 @@
 	| RetryCreditsMessage
 	| RetryRequestMessage
 	| RetryDecisionMessage
-	| RunUpdate;
+	| RunUpdate
+	| TargetReportMessage;
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -46,6 +46,31 @@
 } as const;
 
 const messages: readonly FleetMessage[] = [
+	{
+		kind: 'target-report',
+		report: {
+			incarnation: 1_700_000_000_000,
+			sequence: 9,
+			totals: [
+				{
+					targetId: 's1',
+					answers: 40,
+					failures: 3,
+					idempotentCalls: 17,
+					trialAnswers: 2,
+					trialFailures: 1,
+				},
+			],
+		},
+	},
+	{
+		kind: 'avoided-targets',
+		list: {
+			incarnation: 1_700_000_000_000,
+			sequence: 4,
+			targets: [{targetId: 's1', idempotentShare: 0.25, otherShare: 0}],
+		},
+	},
 	{
 		kind: 'retry-credits',
 		sequence: 7,
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -25,6 +25,12 @@
 	encodeRateLimitReport,
 } from './rate-limit-messages.js';
 import {decodeRetryCredit, encodeRetryCredit} from './retry-messages.js';
+import {
+	decodeAvoidedTarget,
+	decodeTargetTotals,
+	encodeAvoidedTarget,
+	encodeTargetTotals,
+} from './target-health-messages.js';
 
 /** Encodes a message as a JSON array of positional fields that starts with a one-letter kind. */
 export function encodeFleetMessage(message: FleetMessage): string {
@@ -120,6 +126,26 @@
 			]);
 		}
 
+		case 'target-report': {
+			const {incarnation, sequence, totals} = message.report;
+			return JSON.stringify([
+				'f',
+				incarnation,
+				sequence,
+				totals.map((target) => encodeTargetTotals(target)),
+			]);
+		}
+
+		case 'avoided-targets': {
+			const {incarnation, sequence, targets} = message.list;
+			return JSON.stringify([
+				'v',
+				incarnation,
+				sequence,
+				targets.map((target) => encodeAvoidedTarget(target)),
+			]);
+		}
+
 		case 'crash-evidence': {
 			return JSON.stringify([
 				'e',
@@ -235,6 +261,28 @@
 			};
 		}
 
+		case 'f': {
+			return {
+				kind: 'target-report',
+				report: {
+					incarnation: fields.number(),
+					sequence: fields.number(),
+					totals: fields.list(decodeTargetTotals),
+				},
+			};
+		}
+
+		case 'v': {
+			return {
+				kind: 'avoided-targets',
+				list: {
+					incarnation: fields.number(),
+					sequence: fields.number(),
+					targets: fields.list(decodeAvoidedTarget),
+				},
+			};
+		}
+
 		case 'e': {
 			return {
 				kind: 'crash-evidence',
@@ -245,7 +293,7 @@
 		default: {
 			throw new ProblemError(
 				'peer-protocol',
-				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, y, l, m, d and e`,
+				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, y, l, m, d, f, v and e`,
 			);
 		}
 	}
--- a/src/decisions/serving/call-attempt.ts
+++ b/src/decisions/serving/call-attempt.ts
@@ -16,6 +16,8 @@
 	readonly startedMs: number;
 	/** Sends the request; the listener may be called before this returns. */
 	start(): void;
+	/** Records what the outcome shows of the target. */
+	recordOutcome(isAnswered: boolean, latencyMs: number): void;
 	/** Aborts the send; the listener is not called any more. */
 	cancel(): void;
 };
@@ -32,7 +34,7 @@
 
 /** Creates the attempt to send a call to a target and to collect its response. */
 export function createCallAttempt(
-	{request, account, priority, deadlineMs}: AdmittedRequest,
+	{request, route, account, priority, deadlineMs}: AdmittedRequest,
 	target: TargetEntry,
 	options: CallSessionOptions,
 	listener: CallAttemptListener,
@@ -41,7 +43,7 @@
 	const {maxResponseBytes} = options.responseLimits;
 	const startedMs = options.clock.nowMs();
 	const bufferUsage = options.bufferBudget.track(Infinity);
-	const openCall = options.trackCall(target);
+	const openCall = options.trackCall(target, route.kind === 'idempotent');
 	const body = createByteAccumulator();
 	let head: ResponseHead | undefined;
 	let send: Disposable | undefined;
@@ -105,6 +107,7 @@
 	const attempt: CallAttempt = {
 		target,
 		startedMs,
+		recordOutcome: openCall.recordOutcome,
 		start() {
 			send = targetClient.send(
 				target.address,
--- a/src/decisions/serving/call-search.test.ts
+++ b/src/decisions/serving/call-search.test.ts
@@ -7,6 +7,7 @@
 	fakeResponseHead,
 	fakeSessionServices,
 	fakeTargetEntry,
+	fakeTrackedCall,
 	FakeTargetClient,
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
@@ -49,7 +50,7 @@
 
 			return createDisposableStore();
 		},
-		trackCall: () => createDisposableStore(),
+		trackCall: fakeTrackedCall,
 	});
 	const respond = (index: number, status: number, text: string) => {
 		const {listener} = targetClient.sends[index];
--- a/src/decisions/serving/call-search.ts
+++ b/src/decisions/serving/call-search.ts
@@ -41,7 +41,7 @@
  * @param tried - ids of the targets that have received the call
  */
 export function createCallSearch(
-	{request, service, allowedRegions}: AdmittedRequest,
+	{request, route, service, allowedRegions}: AdmittedRequest,
 	options: Pick<CallSessionOptions, 'findTarget' | 'log' | 'retryShare'>,
 	tried: ReadonlySet<string>,
 	listener: CallSearchListener,
@@ -69,6 +69,7 @@
 				service,
 				allowedRegions,
 				avoid: tried,
+				isIdempotent: route.kind === 'idempotent',
 				maxWaitMs,
 			},
 			{
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -11,6 +11,7 @@
 	fakeTargetEntry,
 	fakeResponseHead,
 	fakeSessionServices,
+	fakeTrackedCall,
 	FakeTargetClient,
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
@@ -55,11 +56,7 @@
 
 					return createDisposableStore();
 				}),
-			trackCall: () => ({
-				dispose() {
-					// Open calls are not counted here.
-				},
-			}),
+			trackCall: fakeTrackedCall,
 		},
 	);
 	const respond = (index: number, status: number, text: string) => {
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -172,10 +172,25 @@
 		}
 	};
 
+	const recordResult = (
+		attempt: CallAttempt,
+		isAnswered: boolean,
+		isEvidence = true,
+	) => {
+		const latencyMs = clock.nowMs() - attempt.startedMs;
+		options.onSendResult(attempt.target, isAnswered, latencyMs);
+		if (isEvidence) {
+			attempt.recordOutcome(isAnswered, latencyMs);
+		}
+	};
+
 	const handleFailure = (attempt: CallAttempt, failure: SendFailure) => {
 		const {target} = attempt;
 		attempts.delete(attempt);
-		options.onSendResult(target, false, clock.nowMs() - attempt.startedMs);
+		// A send that this VM itself has ended says nothing of the target to the other VMs.
+		const isOwnFault =
+			failure.withheld === true || failure.defect === 'no-memory';
+		recordResult(attempt, false, !isOwnFault);
 		log('call attempt failed', {
 			request: request.id,
 			target: target.id,
@@ -205,7 +220,6 @@
 		body: Uint8Array,
 	) => {
 		const {target} = attempt;
-		const latencyMs = clock.nowMs() - attempt.startedMs;
 		attempts.delete(attempt);
 		if (
 			head.notExecuted ||
@@ -215,11 +229,7 @@
 				options.onMisdirected(target);
 			}
 
-			options.onSendResult(
-				target,
-				head.status !== firstServerErrorStatus,
-				latencyMs,
-			);
+			recordResult(attempt, head.status !== firstServerErrorStatus);
 			log('call not executed', {
 				request: request.id,
 				target: target.id,
@@ -231,7 +241,7 @@
 
 		const isSuccess = head.status < firstServerErrorStatus;
 		const isTargetResponse = head.isFromTarget && !head.hasContentEncoding;
-		options.onSendResult(target, isSuccess && isTargetResponse, latencyMs);
+		recordResult(attempt, isSuccess && isTargetResponse);
 		mayHaveRunCount++;
 		if (!isTargetResponse || promisesNotRun(head.status)) {
 			retryOrGiveUp('answer without the mark of a target');
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -10,6 +10,7 @@
 	fakeTargetEntry,
 	VirtualTime,
 } from '../../experiments/fakes/index.js';
+import {createAvoidedTargets} from '../fleet-health/index.js';
 import {createOutlierDetector} from '../retries/index.js';
 import type {PermitDecision, PermitRequest} from '../rate-limits/index.js';
 import {
@@ -82,6 +83,7 @@
 				// No target fails in these tests.
 			},
 		}),
+		avoidedTargets: createAvoidedTargets(time, random),
 		eligibility,
 		standings: createServiceStandings({directory, eligibility, random}),
 		requestPermit(request, onDecision) {
@@ -96,7 +98,13 @@
 		allowedRegions: AllowedRegions = undefined,
 	) =>
 		search.find(
-			{service: 'desk', allowedRegions, avoid: new Set(avoid), maxWaitMs},
+			{
+				service: 'desk',
+				allowedRegions,
+				avoid: new Set(avoid),
+				isIdempotent: false,
+				maxWaitMs,
+			},
 			{
 				onFound(target, permit) {
 					const waitText = permit ? ` after ${permit.waitMs}` : '';
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -6,17 +6,16 @@
 	type TargetEntry,
 	type Timers,
 } from '../../common/index.js';
+import type {AvoidedTargets} from '../fleet-health/index.js';
 import type {OutlierDetector} from '../retries/index.js';
 import type {
 	LimitedTarget,
 	PermitDecision,
 	PermitRequest,
 } from '../rate-limits/index.js';
-import type {
-	AllowedRegions,
-	TargetEligibility,
-} from '../target-eligibility/index.js';
+import type {TargetEligibility} from '../target-eligibility/index.js';
 import type {TargetUse} from '../target-statements/index.js';
+import {type CandidateQuery, serviceCandidates} from './service-candidates.js';
 import {chooseServiceTarget} from './service-placement.js';
 import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
@@ -51,11 +50,7 @@
 };
 
 /** What a call needs of its target. */
-export type CallTargetQuery = {
-	readonly service: string;
-	readonly allowedRegions: AllowedRegions;
-	/** Ids of targets that were already tried. */
-	readonly avoid: ReadonlySet<string>;
+export type CallTargetQuery = CandidateQuery & {
 	/** Longest time that the call may wait for its turn at a target, in milliseconds. */
 	readonly maxWaitMs: number;
 };
@@ -78,6 +73,7 @@
 	readonly random: RandomSource;
 	readonly directory: TargetDirectory;
 	readonly detector: OutlierDetector;
+	readonly avoidedTargets: Pick<AvoidedTargets, 'draw' | 'isAvoided'>;
 	readonly eligibility: Pick<TargetEligibility, 'standingOf'>;
 	readonly standings: ServiceStandings;
 	readonly requestPermit: (
@@ -108,22 +104,11 @@
 
 	const entryOf = (targetId: string) => directory.get(targetId)?.entry;
 
-	const candidatesOf = (
-		{service, allowedRegions}: CallTargetQuery,
-		use: TargetUse,
-	) => {
-		const excluded = detector.excluded(service);
-		return standings.withUse(service, use, allowedRegions).map((entry) => ({
-			targetId: entry.id,
-			availabilityZone: entry.availabilityZone,
-			slotCount: entry.slotCount,
-			openCount: openCalls.get(entry.id) ?? 0,
-			isSuspect: excluded.has(entry.id),
-		}));
-	};
-
 	const chooseAmong = (query: CallTargetQuery, use: TargetUse): Choice => {
-		const candidates = candidatesOf(query, use);
+		const candidates = serviceCandidates(query, use, {
+			...options,
+			openCount: (targetId) => openCalls.get(targetId) ?? 0,
+		});
 		const passed = new Set(query.avoid);
 		const limited: LimitedTarget[] = [];
 		for (;;) {
--- a/src/decisions/serving/index.ts
+++ b/src/decisions/serving/index.ts
@@ -11,6 +11,7 @@
 export * from './refusals.js';
 export * from './retry-share.js';
 export * from './route-table.js';
+export * from './service-candidates.js';
 export * from './service-placement.js';
 export * from './service-standings.js';
 export type * from './session-types.js';
--- a/src/decisions/serving/service-placement.test.ts
+++ b/src/decisions/serving/service-placement.test.ts
@@ -10,6 +10,7 @@
 	slotCount: 6,
 	openCount,
 	isSuspect: false,
+	isAvoided: false,
 });
 const none: ReadonlySet<string> = new Set();
 
--- a/src/decisions/serving/service-placement.ts
+++ b/src/decisions/serving/service-placement.ts
@@ -9,6 +9,8 @@
 	readonly openCount: number;
 	/** True if the target has recently failed or been slow. */
 	readonly isSuspect: boolean;
+	/** True if the call should not use the target by the evidence of the fleet. */
+	readonly isAvoided: boolean;
 };
 
 /** Fraction of used slots below which a target in the VM's own availability zone is preferred. */
@@ -16,7 +18,7 @@
 
 /**
  * Chooses the target with the smallest fraction of its slots in use by this VM, with a penalty for
- * suspect targets. A target in the VM's own availability zone is preferred while less than half of its
+ * suspect targets and a larger one for those that the fleet avoids. A target in the VM's own availability zone is preferred while less than half of its
  * slots are in use, since traffic between zones is expensive.
  * @param avoid - ids of targets that were already tried
  */
@@ -39,6 +41,7 @@
 		const cost =
 			(isOwnZonePreferred ? utilization : 1 + utilization) +
 			(candidate.isSuspect ? 10 : 0) +
+			(candidate.isAvoided ? 20 : 0) +
 			random.nextUnit() * 0.1;
 		if (cost < bestCost) {
 			bestCost = cost;
--- a/src/experiments/fakes/fake-session-services.ts
+++ b/src/experiments/fakes/fake-session-services.ts
@@ -63,3 +63,13 @@
 		onMisdirected: ignore,
 	};
 }
+
+/** Open call whose outcome nobody records. */
+export const fakeTrackedCall = () => ({
+	recordOutcome() {
+		// The evidence of the fleet is not part of these tests.
+	},
+	dispose() {
+		// Open calls are not counted in these tests.
+	},
+});
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -21,6 +21,7 @@
 } from '../../decisions/serving/index.js';
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
+import {logAvoidedTargets} from './avoided-target-log.js';
 import {startCrashGuard} from './crash-guard.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
@@ -94,7 +95,7 @@
 	const {
 		configuration,
 		directory,
-		detector,
+		targetHealth,
 		statements,
 		evacuatedZones,
 		eligibility,
@@ -104,6 +105,8 @@
 		storeWatch,
 	} = deployment;
 	owned.add(logTargetState(deployment, logger, metrics));
+	const {detector, avoidedTargets} = targetHealth;
+	owned.add(logAvoidedTargets(avoidedTargets, logger, metrics));
 	const targetClient = new HttpTargetClient();
 	const bufferBudget = createRequestMemory(settings);
 	let routeTable: RouteTable | undefined;
@@ -131,6 +134,8 @@
 		callTargets,
 		requestContinuationTurn: deployment.requestContinuationTurn,
 		detector,
+		callObserver: targetHealth.observer,
+		avoidedTargets,
 		retryShare: deployment.retryShare,
 		statements,
 		eligibility,
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -7,7 +7,6 @@
 	storeRevision,
 	type Timers,
 } from '../../common/index.js';
-import type {OutlierDetector} from '../../decisions/retries/index.js';
 import type {
 	PermitClient,
 	TableSyncState,
@@ -36,7 +35,6 @@
 import {StoreClient} from '../../platform/index.js';
 import {createEngineSelector} from './engine-selector.js';
 import type {EngineSelector} from './engine-selector-types.js';
-import {createFrontDetector} from './front-detector.js';
 import {
 	createFrontEligibility,
 	type FrontEligibility,
@@ -45,6 +43,7 @@
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
 import {createTableRecovery} from './table-recovery.js';
+import {createTargetHealth, type TargetHealth} from './target-health.js';
 import {startStoreWatch} from './start-store-watch.js';
 import type {StoreWatch} from './store-watch-types.js';
 
@@ -68,7 +67,7 @@
 export type DeploymentState = FrontEligibility & {
 	readonly configuration: ConfigurationState;
 	readonly directory: TargetDirectory;
-	readonly detector: OutlierDetector;
+	readonly targetHealth: TargetHealth;
 	readonly engineSelector: EngineSelector;
 	readonly retryShare: RetryShare;
 	readonly standings: ServiceStandings;
@@ -127,7 +126,8 @@
 		unreachableMs,
 		lingerMs,
 	});
-	const detector = createFrontDetector(clock, logger);
+	const targetHealth = owned.add(createTargetHealth(clock, random, logger));
+	const {detector, observer, avoidedTargets} = targetHealth;
 	const {statements, evacuatedZones, coldTargets, eligibility} = owned.add(
 		createFrontEligibility({
 			clock,
@@ -162,6 +162,9 @@
 			takeUnusedRetries: () => retryShare.takeUnused(),
 			rateLimits: statements.rateLimits,
 			limitOf: eligibility.limitOf,
+			callObserver: observer,
+			avoidedTargets,
+			serviceOf: (targetId) => directory.get(targetId)?.entry.service,
 			crashEvidence,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
@@ -217,6 +220,7 @@
 		random,
 		directory,
 		detector,
+		avoidedTargets,
 		eligibility,
 		standings,
 		requestPermit,
@@ -250,7 +254,7 @@
 	return {
 		configuration,
 		directory,
-		detector,
+		targetHealth,
 		engineSelector,
 		retryShare,
 		statements,
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -17,6 +17,10 @@
 	StoreReadState,
 } from '../../decisions/fleet/index.js';
 import type {CrashEvidence} from '../../decisions/quarantine/index.js';
+import type {
+	AvoidedTargets,
+	CallObserver,
+} from '../../decisions/fleet-health/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
 import type {
@@ -49,6 +53,12 @@
 	readonly rateLimits: RateLimitTable;
 	/** Requests per second that a target may get from all VMs together; undefined without a limit. */
 	readonly limitOf: (targetId: string) => number | undefined;
+	/** Counts what this VM's calls show of the targets of plain services. */
+	readonly callObserver: CallObserver;
+	/** Targets that the coordinator says to avoid. */
+	readonly avoidedTargets: AvoidedTargets;
+	/** Service of a target; undefined if it is not known. */
+	readonly serviceOf: (targetId: string) => string | undefined;
 	/** Crashes of engines under prompt parts, exchanged with the other VMs. */
 	readonly crashEvidence: CrashEvidence;
 	/** Engines of a service that take requests now. */
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -20,6 +20,7 @@
 import {createRateLimitHandler} from './rate-limit-handler.js';
 import {createRetryHandler} from './retry-handler.js';
 import {createStoreRelay} from './store-relay.js';
+import {startTargetHealthExchange} from './target-health-exchange.js';
 
 /** Length to which instance ids are cut in messages; enough to distinguish restarts of one VM. */
 const instanceIdLength = 8;
@@ -101,6 +102,16 @@
 			send,
 		}),
 	);
+	const targetHealthExchange = owned.add(
+		startTargetHealthExchange({
+			...options,
+			address,
+			members,
+			observer: options.callObserver,
+			send,
+			onError: createUnexpectedErrorLog(logger),
+		}),
+	);
 	const placementHandler = owned.add(
 		createPlacementHandler({
 			clock,
@@ -165,6 +176,12 @@
 				break;
 			}
 
+			case 'target-report':
+			case 'avoided-targets': {
+				targetHealthExchange.handle(from, message);
+				break;
+			}
+
 			case 'crash-evidence': {
 				evidenceExchange.handle(message);
 				break;
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -14,6 +14,10 @@
 	type CrashObserver,
 	lastMilestone,
 } from '../../decisions/quarantine/index.js';
+import type {
+	AvoidedTargets,
+	CallObserver,
+} from '../../decisions/fleet-health/index.js';
 import type {OutlierDetector} from '../../decisions/retries/index.js';
 import {
 	type AdmittedRequest,
@@ -48,6 +52,8 @@
 	readonly callTargets: CallTargetSearch;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
+	readonly callObserver: CallObserver;
+	readonly avoidedTargets: Pick<AvoidedTargets, 'isAvoided'>;
 	readonly retryShare: RetryShare;
 	readonly statements: Pick<TargetStatements, 'isLeaving' | 'recordResponse'>;
 	readonly eligibility: TargetEligibility;
@@ -84,7 +90,7 @@
 	options: SessionStarterOptions,
 ): SessionStarter {
 	const {clock, directory, engineSelector, detector, logger} = options;
-	const {statements, eligibility} = options;
+	const {statements, eligibility, avoidedTargets} = options;
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
@@ -97,6 +103,17 @@
 		}
 	};
 
+	/** Describes the targets that are not used like others, those that the fleet avoids among them. */
+	const restrictedTargets = (service: string) => {
+		const avoided = directory
+			.usable(service)
+			.filter(({entry}) => avoidedTargets.isAvoided(entry.id))
+			.map(({entry}) => `${entry.id}: failing`);
+		const described = options.standings.description(service);
+		const parts = described === undefined ? avoided : [described, ...avoided];
+		return parts.length > 0 ? parts.join(', ') : undefined;
+	};
+
 	const sessionServices = ({service, allowedRegions}: AdmittedRequest) => ({
 		clock,
 		timers: options.timers,
@@ -122,7 +139,7 @@
 		mayUse: (target: TargetEntry) =>
 			eligibility.standingOf(target).use !== 'none' &&
 			eligibility.isInAllowedRegion(target, allowedRegions),
-		restrictedTargets: options.standings.description,
+		restrictedTargets,
 		onDefectiveResponse(_target: TargetEntry, defect: ResponseDefect) {
 			options.metrics.count('defective_responses', {service, defect});
 		},
@@ -203,7 +220,22 @@
 		startCallSession(admitted, response, {
 			...sessionServices(admitted),
 			findTarget: options.callTargets.find,
-			trackCall: options.callTargets.track,
+			trackCall(target, isIdempotent) {
+				const isTrial = avoidedTargets.isAvoided(target.id);
+				const observed = options.callObserver.observe(
+					target,
+					isIdempotent,
+					isTrial,
+				);
+				const open = options.callTargets.track(target);
+				return {
+					recordOutcome: observed.recordOutcome,
+					dispose() {
+						open.dispose();
+						observed.dispose();
+					},
+				};
+			},
 		});
 
 	return {startStream, startCall};
--- a/src/programs/front/watch-targets.ts
+++ b/src/programs/front/watch-targets.ts
@@ -33,7 +33,7 @@
 	requests,
 	...options
 }: TargetWatchOptions): TargetWatch {
-	const {engineSelector, eligibility, storeWatch} = deployment;
+	const {engineSelector, eligibility, storeWatch, targetHealth} = deployment;
 	const owned = createDisposableStore();
 	const capacityReader = owned.add(
 		createCapacityReader({
@@ -54,7 +54,13 @@
 		}),
 	);
 	owned.add(
-		handleTargetEvents({...deployment, ...options, capacityReader, requests}),
+		handleTargetEvents({
+			...deployment,
+			...options,
+			detector: targetHealth.detector,
+			capacityReader,
+			requests,
+		}),
 	);
 	return {
 		capacityReader,
