--- a/src/decisions/serving/call-search.test.ts
+++ b/src/decisions/serving/call-search.test.ts
@@ -139,3 +139,27 @@
 	assert.equal(targetClient.sends.length, 1);
 	assert.equal(session.isDone, true);
 });
+
+const refusedConnection = {
+	unsent: true,
+	connectionEnded: false,
+	reason: 'refused',
+};
+
+test('a call that no target has received goes on although the pool has denied the hedge that it asked for before', async () => {
+	const {time, response, poolRequests, targetClient, respond} = start();
+	await time.runUntil(260);
+	targetClient.sends[0].listener.onFailure(refusedConnection);
+	assert.deepEqual([poolRequests.length, targetClient.sends.length], [1, 1]);
+	poolRequests[0](false);
+	respond(1, 200, 'stock 4');
+	assert.deepEqual([response.status, response.text], [200, 'stock 4']);
+});
+
+test('refused connections cost no retry and lead to the last target that is left', () => {
+	const {response, poolRequests, targetClient, respond} = start();
+	targetClient.sends[0].listener.onFailure(refusedConnection);
+	targetClient.sends[1].listener.onFailure(refusedConnection);
+	respond(2, 200, 'stock 4');
+	assert.deepEqual([response.text, poolRequests.length], ['stock 4', 0]);
+});
--- a/src/decisions/serving/call-search.ts
+++ b/src/decisions/serving/call-search.ts
@@ -124,7 +124,9 @@
 	) => {
 		let isImmediate = true;
 		const poolRequest = options.retryShare.take(service, (isGranted) => {
-			if (!isGranted) {
+			// The send before may have failed unsent meanwhile; then no retry is needed.
+			const isAllowed = isGranted || !listener.isRetry();
+			if (!isAllowed) {
 				notAllowed(sendReason);
 			} else if (isImmediate) {
 				sendTo(target, permit, sendReason);
