--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,4 +32,8 @@
 	echo "Known failures, listed in KNOWN-RED.txt:"
 	cat KNOWN-RED.txt
 fi
-find dist -name '*.test.js' ! -path "$planted" -print0 | sort -z | xargs -0 node --test --test-timeout="$test_timeout_ms"
+find dist -name '*.test.js' ! -path "$planted" ! -name '*.serial.test.js' -print0 | sort -z |
+	xargs -0 node --test --test-timeout="$test_timeout_ms"
+# These tests press on a process with as much as the machine gives; nothing else runs beside them.
+find dist -name '*.serial.test.js' -print0 | sort -z |
+	xargs -0 node --test --test-concurrency=1 --test-timeout="$test_timeout_ms"
--- a/src/experiments/fault-soak/front-process.ts
+++ b/src/experiments/fault-soak/front-process.ts
@@ -14,6 +14,10 @@
 	readonly bootFilePath: string;
 	/** Flags besides those of every run. */
 	readonly flags?: readonly string[];
+	/** Limit of the heap, in megabytes; that of a deployed VM if absent. */
+	readonly maxHeapMb?: number;
+	/** Port of the metrics page; none if absent. */
+	readonly metricsPort?: number;
 	/** Called after each spawn, restarts included. */
 	readonly onStart: () => void;
 	/** Called when the process has exited. */
@@ -50,6 +54,7 @@
 };
 
 const maxLines = 4000;
+const deployedMaxHeapMb = 96;
 /** Delay of the restart after an unexpected exit, in place of the platform, in milliseconds. */
 const restartDelayMs = 300;
 
@@ -88,11 +93,11 @@
 		const started = spawn(
 			process.execPath,
 			[
-				'--max-old-space-size=96',
+				`--max-old-space-size=${options.maxHeapMb ?? deployedMaxHeapMb}`,
 				'--max-semi-space-size=2',
 				options.program,
 				'--metrics-port',
-				'0',
+				String(options.metricsPort ?? 0),
 				...(options.flags ?? []),
 			],
 			{
--- a/src/programs/front/testing/index.ts
+++ b/src/programs/front/testing/index.ts
@@ -1,4 +1,6 @@
 export * from './crashing-engines.js';
+export * from './crowd.js';
+export * from './crowded-daemon.js';
 export * from './front-fixture.js';
 export * from './statement-checks.js';
 export * from './stating-targets.js';
