--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -1,9 +1,4 @@
-import {
-	createServer,
-	type IncomingMessage,
-	type Server,
-	type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type CallerLimits,
 	createByteAccumulator,
@@ -20,6 +15,7 @@
 	refuseNotRun,
 	type ServingSession,
 } from '../../decisions/serving/index.js';
+import {createBoundedServer, type ServerBounds} from './bounded-server.js';
 import {createCallerResponse} from './caller-response.js';
 
 /** A request that was received whole. */
@@ -31,6 +27,7 @@
 };
 
 export type CallerListenerOptions = {
+	readonly bounds: ServerBounds;
 	/** Limits in force; read for each request. */
 	readonly limits: () => CallerLimits;
 	/** True while this VM stops; connections are then closed after their response. */
@@ -38,13 +35,9 @@
 	readonly bufferBudget: BufferBudget;
 	/** Response bytes that may be buffered for a caller that does not read. */
 	readonly maxUnreadBytes: number;
-	/** Time in which a caller must read what waits for it, in milliseconds. */
-	readonly maxUnreadMs: number;
 	readonly timers: Timers;
 	/** Time within which a caller must have sent a whole request, in milliseconds. */
 	readonly maxReceiveMs: number;
-	/** Concurrent connections of callers. */
-	readonly maxConnections: number;
 	/**
 	 * Serves a request that was received whole.
 	 * @returns undefined if the response was sent at once
@@ -77,6 +70,8 @@
 const idleSlackMs = 1000;
 const headerTooLargeStatus = 431;
 const bodyTooLargeStatus = 413;
+/** Memory of the objects of an open request besides its bytes, in bytes. */
+const requestOverheadBytes = 4096;
 /** The separators `: ` and CRLF. */
 const bytesPerHeaderLine = 4;
 /** `Retry-After` if this VM has no memory for a request body, in milliseconds; other VMs may have it. */
@@ -93,7 +88,7 @@
 
 /**
  * Reads a whole request body.
- * @param usage - memory that the body takes
+ * @param usage - memory that the request takes
  * @returns undefined for an empty body
  * @throws ProblemError `too-large`, or `not-run` if this VM has no memory for it
  */
@@ -103,6 +98,7 @@
 	usage: BufferUsage,
 ): Promise<Uint8Array | undefined> {
 	const body = createByteAccumulator();
+	const headUsageBytes = usage.bytes;
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
 		if (body.lengthBytes + chunk.length > maxBytes) {
 			throw new ProblemError(
@@ -112,7 +108,7 @@
 		}
 
 		body.append(chunk);
-		const problem = usage.set(body.capacityBytes);
+		const problem = usage.set(headUsageBytes + body.capacityBytes);
 		if (problem) {
 			throw new ProblemError('not-run', problem);
 		}
@@ -131,7 +127,7 @@
 		const callerResponse = createCallerResponse(response, {
 			isStopping: options.isStopping,
 			unreadUsage: options.bufferBudget.track(options.maxUnreadBytes),
-			maxUnreadMs: options.maxUnreadMs,
+			maxUnreadMs: options.bounds.maxUnreadMs,
 			timers: options.timers,
 			onStalled(unreadBytes) {
 				options.onProblem(
@@ -143,7 +139,8 @@
 			},
 		});
 		const limits = options.limits();
-		if (headerBytes(request) > limits.maxHeaderBytes) {
+		const headBytes = headerBytes(request);
+		if (headBytes > limits.maxHeaderBytes) {
 			response.shouldKeepAlive = false;
 			callerResponse.sendLocalResponse(
 				headerTooLargeStatus,
@@ -153,12 +150,13 @@
 		}
 
 		let body: Uint8Array | undefined;
-		const bodyUsage = options.bufferBudget.track(Infinity);
+		const usage = options.bufferBudget.track(Infinity);
 		response.once('close', () => {
-			bodyUsage.dispose();
+			usage.dispose();
 		});
 		try {
-			body = await readBody(request, limits.maxBodyBytes, bodyUsage);
+			usage.set(headBytes + requestOverheadBytes);
+			body = await readBody(request, limits.maxBodyBytes, usage);
 		} catch (error) {
 			const problem = toProblem(error);
 			if (problem.type === 'too-large') {
@@ -195,13 +193,16 @@
 		});
 	};
 
-	const server = createServer(
+	const server = createBoundedServer(
 		{
-			maxHeaderSize: maxParsedHeaderBytes,
-			connectionsCheckingInterval: checkIntervalMs,
-			noDelay: true,
-			keepAlive: true,
-			keepAliveInitialDelay: 5000,
+			...options.bounds,
+			http: {
+				maxHeaderSize: maxParsedHeaderBytes,
+				connectionsCheckingInterval: checkIntervalMs,
+				noDelay: true,
+				keepAlive: true,
+				keepAliveInitialDelay: 5000,
+			},
 		},
 		(request, response) => {
 			openResponses.add(response);
@@ -215,7 +216,6 @@
 		},
 	);
 	server.requestTimeout = options.maxReceiveMs;
-	server.maxConnections = options.maxConnections;
 	return {
 		server,
 		get openRequestCount() {
--- a/src/adapters/front/peer-tables-client.test.ts
+++ b/src/adapters/front/peer-tables-client.test.ts
@@ -4,6 +4,7 @@
 import {test} from 'node:test';
 import {fetchPeerTables} from './peer-tables-client.js';
 import {createPeerTablesServer} from './peer-tables-server.js';
+import {testBounds} from './testing/index.js';
 
 const timeoutMs = 2000;
 const maxBytes = 131_072;
@@ -57,7 +58,7 @@
 		targets: [],
 		targetsVersion: 7,
 	};
-	const server = createPeerTablesServer(() => tables);
+	const server = createPeerTablesServer(() => tables, testBounds());
 	await new Promise<void>((resolve) => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
--- a/src/adapters/front/peer-tables-server.ts
+++ b/src/adapters/front/peer-tables-server.ts
@@ -1,15 +1,18 @@
 import type {Server} from 'node:http';
 import {initTRPC} from '@trpc/server';
-import {createHTTPServer} from '@trpc/server/adapters/standalone';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {
 	encodeRelayedTables,
 	type RelayedTables,
 } from '../../decisions/serving/index.js';
+import {createBoundedServer, type ServerBounds} from './bounded-server.js';
 import {compressText} from './compressed-text.js';
 
 const t = initTRPC.create();
 /** Limit of a request body; the only procedure is a query without one. */
 const maxRequestBytes = 4096;
+/** Time in which a peer must have sent its request, in milliseconds. */
+const maxReceiveMs = 5000;
 
 function createPeerTablesRouter(readTables: () => RelayedTables | undefined) {
 	let newest: {readonly text: string; readonly compressed: string} | undefined;
@@ -43,12 +46,16 @@
  * Creates the server from which peers that cannot read the store fetch its tables; the owner makes it
  * listen.
  * @param readTables - returns the newest tables of this VM, or undefined before it has them
+ * @param bounds - limits of its connections
  */
 export function createPeerTablesServer(
 	readTables: () => RelayedTables | undefined,
+	bounds: ServerBounds,
 ): Server {
-	return createHTTPServer({
+	const handle = createHTTPHandler({
 		router: createPeerTablesRouter(readTables),
 		maxBodySize: maxRequestBytes,
 	});
+	const http = {headersTimeout: maxReceiveMs, requestTimeout: maxReceiveMs};
+	return createBoundedServer({...bounds, http}, handle);
 }
--- /dev/null
+++ b/src/adapters/front/testing/index.ts
@@ -0,0 +1,1 @@
+export * from './server-bounds.js';
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -22,6 +22,7 @@
 } from '../../decisions/serving/index.js';
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
+import {createConnectionBounds} from './connection-bounds.js';
 import {createCapacityReader} from './capacity-reader.js';
 import {startCrashGuard} from './crash-guard.js';
 import {startEnginePolling} from './engine-polling.js';
@@ -46,8 +47,6 @@
  * change must be in force.
  */
 const maxConfigurationAgeFraction = 0.8;
-/** Fraction of the file descriptors for callers' connections; targets and files need the rest. */
-const callerDescriptorFraction = 0.6;
 
 /** Creates the components of a front daemon, connects them and starts to listen. */
 export async function createFront(
@@ -167,17 +166,17 @@
 			}
 		}),
 	);
+	const connectionBounds = owned.add(
+		createConnectionBounds({settings, timers, logger, metrics}),
+	);
 	const listener = createCallerListener({
+		bounds: connectionBounds.of('callers'),
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
 		isStopping: () => gracefulStop.times !== undefined,
 		bufferBudget,
 		maxUnreadBytes: settings.maxUnreadBytes,
-		maxUnreadMs: settings.maxUnreadMs,
 		timers,
 		maxReceiveMs: settings.maxReceiveMs,
-		maxConnections: Math.floor(
-			vm.limits.maxDescriptors * callerDescriptorFraction,
-		),
 		serve: (received, response) => requests.serve(received, response),
 		onProblem(problem) {
 			logger.error('request of a caller failed', {
@@ -254,6 +253,10 @@
 	const pages = createFrontPages({
 		isReady: () => gracefulStop.times === undefined && storeWatch.isLoaded,
 		metricsText: () => metrics.text(),
+		bounds: {
+			ready: connectionBounds.of('ready'),
+			metrics: connectionBounds.of('metrics'),
+		},
 		onUnexpected: reportUnexpected,
 	});
 	const close = async () => {
@@ -267,7 +270,10 @@
 				callers: listener.server,
 				ready: pages.ready,
 				metrics: pages.metrics,
-				peerTables: createPeerTablesServer(() => storeWatch.tables()),
+				peerTables: createPeerTablesServer(
+					() => storeWatch.tables(),
+					connectionBounds.of('peers'),
+				),
 			},
 			settings,
 		),
--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -28,6 +28,12 @@
 	readonly maxReceiveMs: number;
 	/** Percentage of the VM's memory that requests may hold before new ones are refused. */
 	readonly requestMemoryPercent: number;
+	/** Percentage of a port's connections that one address may hold. */
+	readonly addressConnectionsPercent: number;
+	/** Percentage of the VM's descriptors for connections to each port other than that for callers. */
+	readonly pageConnectionsPercent: number;
+	/** Percentage of the VM's memory for requests that are not received whole. */
+	readonly receiveMemoryPercent: number;
 	readonly logLevel: LogLevel;
 	/** True to check the settings and exit. */
 	readonly checkOnly: boolean;
@@ -128,6 +134,24 @@
 				describe:
 					"part of the VM's memory that requests may hold before new ones are refused, in percent (1 to 50)",
 			},
+			'address-connections-percent': {
+				type: 'number',
+				default: 50,
+				describe:
+					"part of a port's connections that one address may hold, in percent (1 to 100)",
+			},
+			'page-connections-percent': {
+				type: 'number',
+				default: 3,
+				describe:
+					"part of the VM's descriptors for connections to each of the ports for readiness, metrics and peers, in percent (1 to 10)",
+			},
+			'receive-memory-percent': {
+				type: 'number',
+				default: 6,
+				describe:
+					"part of the VM's memory for requests that are not received whole, in percent (1 to 50)",
+			},
 			'log-level': {
 				choices: ['error', 'warn', 'info', 'debug'] as const,
 				default: 'info' as const,
@@ -212,6 +236,24 @@
 			1,
 			50,
 		),
+		addressConnectionsPercent: checkInteger(
+			'address-connections-percent',
+			flags['address-connections-percent'],
+			1,
+			100,
+		),
+		pageConnectionsPercent: checkInteger(
+			'page-connections-percent',
+			flags['page-connections-percent'],
+			1,
+			10,
+		),
+		receiveMemoryPercent: checkInteger(
+			'receive-memory-percent',
+			flags['receive-memory-percent'],
+			1,
+			50,
+		),
 		logLevel: flags['log-level'],
 		checkOnly: flags.check,
 	};
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -202,6 +202,9 @@
 		maxUnreadMs: 1000,
 		maxReceiveMs: 30_000,
 		requestMemoryPercent: 15,
+		addressConnectionsPercent: 50,
+		pageConnectionsPercent: 3,
+		receiveMemoryPercent: 6,
 		logLevel: 'error',
 		checkOnly: false,
 	});
