--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -1,13 +1,10 @@
-import {type Buffer} from 'node:buffer';
 import type {Dispatcher, Pool as UndiciPool} from 'undici';
-import * as z from 'zod';
 import {
 	type ResponseListener,
 	type SendHandle,
 	type CallerRequest,
 	type CopyResult,
 	type EngineReport,
-	headerPairs,
 	ProblemError,
 	type SendOptions,
 	TargetClient,
@@ -20,19 +17,21 @@
 	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
+import {rawHeaderPairs} from './raw-headers.js';
 import {decodeResponseHead} from './response-head.js';
-import {decode, parseJson} from './decode.js';
-import {makeHttpCall} from './http-call.js';
-import {extraEventFields, targetPaths} from './wire-names.js';
+import {
+	copyKvCache,
+	maxControlResponseBytes,
+	readReport,
+	releaseCopy,
+} from './target-control.js';
+import {extraEventFields} from './wire-names.js';
 import {encodeRequestHeaders} from './request-headers.js';
 
 const connectTimeoutMs = 800;
 /** Time after which an idle connection is closed; a keep-alive hint of the target may shorten it, in milliseconds. */
 const idleTimeoutMs = 4000;
 const defaultMaxConnections = 16;
-const releaseTimeoutMs = 1000;
-/** Size limit of responses to control calls. A load report lists every run of its engine; the largest is far smaller. */
-const maxControlResponseBytes = 1_048_576;
 
 const firstFinalStatus = 200;
 const maxInterimResponses = 32;
@@ -40,67 +39,6 @@
 const isTooLarge = (error: Error) =>
 	error instanceof ProblemError && error.type === 'too-large';
 
-const reportSchema = z.object({
-	queued: z.number(),
-	running: z.number(),
-	kv_used: z.number(),
-	kv_total: z.number(),
-	state: z.string().optional(),
-	leaves_ms: z.number().nullish(),
-	born: z.number().nullish(),
-});
-const copyResponseSchema = z.object({handle: z.string()});
-
-function decodeCopyResult(
-	address: string,
-	status: number,
-	text: string,
-): CopyResult {
-	switch (status) {
-		case 200: {
-			const label = 'the response to a KV cache copy';
-			const problemType = 'target-protocol';
-			const value = parseJson(text, label, problemType);
-			const {handle} = decode(copyResponseSchema, value, label, problemType);
-			return {outcome: 'copied', copy: {address, handle}};
-		}
-
-		case 404: {
-			return {outcome: 'unknown-run'};
-		}
-
-		case 409: {
-			return {outcome: 'busy'};
-		}
-
-		case 503: {
-			return {outcome: 'refused'};
-		}
-
-		default: {
-			return {outcome: 'failed', reason: `status ${status}`};
-		}
-	}
-}
-
-type RawHeaders = {readonly rawHeaders?: readonly Buffer[]};
-
-function rawHeaderPairs(
-	controller: unknown,
-	fallback: Record<string, unknown>,
-) {
-	const raw = (controller as RawHeaders).rawHeaders;
-	if (raw) {
-		return headerPairs(raw.map((part) => part.toString('latin1')));
-	}
-
-	return Object.entries(fallback).flatMap(([name, value]) =>
-		(Array.isArray(value) ? value : [value]).map(
-			(item) => [name, String(item)] as const,
-		),
-	);
-}
-
 /** Target client for HTTP/1.1. Each connection carries one request at a time. */
 export class HttpTargetClient extends TargetClient {
 	override readonly extraEventFields = extraEventFields;
@@ -266,65 +204,22 @@
 		toAddress: string,
 		timeoutMs: number,
 	): Promise<CopyResult> {
-		const body = JSON.stringify({id: requestId, to: toAddress, last: false});
-		try {
-			const {status, text} = await makeHttpCall(this.poolFor(address), {
-				method: 'POST',
-				path: targetPaths.copyKvCache,
-				body,
-				timeoutMs,
-				maxResponseBytes: maxControlResponseBytes,
-			});
-			return decodeCopyResult(address, status, text);
-		} catch (error) {
-			return {outcome: 'failed', reason: (error as Error).message};
-		}
+		return copyKvCache(
+			this.poolFor(address),
+			{address, requestId, toAddress},
+			timeoutMs,
+		);
 	}
 
 	override releaseCopy(address: string, handle: string): void {
-		makeHttpCall(this.poolFor(address), {
-			method: 'DELETE',
-			path: `${targetPaths.releaseCopy}/${handle}`,
-			timeoutMs: releaseTimeoutMs,
-			maxResponseBytes: maxControlResponseBytes,
-		}).catch(() => {
-			// The engine frees an unused copy by itself after some seconds.
-		});
+		releaseCopy(this.poolFor(address), handle);
 	}
 
 	override async report(
 		address: string,
 		timeoutMs: number,
 	): Promise<EngineReport> {
-		const {status, text} = await makeHttpCall(this.poolFor(address), {
-			method: 'GET',
-			path: targetPaths.report,
-			timeoutMs,
-			maxResponseBytes: maxControlResponseBytes,
-		});
-		const problemType = 'target-protocol';
-		const label = 'the load report of an engine';
-		if (status !== 200) {
-			throw new ProblemError(
-				problemType,
-				`the request for ${label} failed with status ${status} instead of 200`,
-			);
-		}
-
-		const raw = decode(
-			reportSchema,
-			parseJson(text, label, problemType),
-			label,
-			problemType,
-		);
-		return {
-			queuedCount: raw.queued,
-			runningCount: raw.running,
-			usedTokens: raw.kv_used,
-			capacityTokens: raw.kv_total,
-			leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
-			bornMs: raw.born ?? undefined,
-		};
+		return readReport(this.poolFor(address), timeoutMs);
 	}
 
 	override async checkLiveness(
--- /dev/null
+++ b/src/platform/target-control.ts
@@ -0,0 +1,141 @@
+import type {Dispatcher} from 'undici';
+import * as z from 'zod';
+import {
+	type CopyResult,
+	type EngineReport,
+	ProblemError,
+} from '../common/index.js';
+import {decode, parseJson} from './decode.js';
+import {makeHttpCall} from './http-call.js';
+import {targetPaths} from './wire-names.js';
+
+/** A run whose KV cache is to be copied. */
+export type CopyOrder = {
+	/** `address:port` of the engine that executes the run. */
+	readonly address: string;
+	readonly requestId: string;
+	/** `address:port` of the engine that is to get the copy. */
+	readonly toAddress: string;
+};
+
+const releaseTimeoutMs = 1000;
+/** Size limit of responses to control calls. A load report lists every run of its engine; the largest is far smaller. */
+export const maxControlResponseBytes = 1_048_576;
+
+const reportSchema = z.object({
+	queued: z.number(),
+	running: z.number(),
+	kv_used: z.number(),
+	kv_total: z.number(),
+	state: z.string().optional(),
+	leaves_ms: z.number().nullish(),
+	born: z.number().nullish(),
+});
+const copyResponseSchema = z.object({handle: z.string()});
+
+function decodeCopyResult(
+	address: string,
+	status: number,
+	text: string,
+): CopyResult {
+	switch (status) {
+		case 200: {
+			const label = 'the response to a KV cache copy';
+			const problemType = 'target-protocol';
+			const value = parseJson(text, label, problemType);
+			const {handle} = decode(copyResponseSchema, value, label, problemType);
+			return {outcome: 'copied', copy: {address, handle}};
+		}
+
+		case 404: {
+			return {outcome: 'unknown-run'};
+		}
+
+		case 409: {
+			return {outcome: 'busy'};
+		}
+
+		case 503: {
+			return {outcome: 'refused'};
+		}
+
+		default: {
+			return {outcome: 'failed', reason: `status ${status}`};
+		}
+	}
+}
+
+/**
+ * Orders a copy of the KV cache of a run; a failed call is a result too.
+ * @param engine - connections to the engine that executes the run
+ */
+export async function copyKvCache(
+	engine: Dispatcher,
+	{address, requestId, toAddress}: CopyOrder,
+	timeoutMs: number,
+): Promise<CopyResult> {
+	const body = JSON.stringify({id: requestId, to: toAddress, last: false});
+	try {
+		const {status, text} = await makeHttpCall(engine, {
+			method: 'POST',
+			path: targetPaths.copyKvCache,
+			body,
+			timeoutMs,
+			maxResponseBytes: maxControlResponseBytes,
+		});
+		return decodeCopyResult(address, status, text);
+	} catch (error) {
+		return {outcome: 'failed', reason: (error as Error).message};
+	}
+}
+
+/** Frees a copy at an engine, without waiting for its response. */
+export function releaseCopy(engine: Dispatcher, handle: string): void {
+	makeHttpCall(engine, {
+		method: 'DELETE',
+		path: `${targetPaths.releaseCopy}/${handle}`,
+		timeoutMs: releaseTimeoutMs,
+		maxResponseBytes: maxControlResponseBytes,
+	}).catch(() => {
+		// The engine frees an unused copy by itself after some seconds.
+	});
+}
+
+/**
+ * Requests the load report of an engine.
+ * @throws ProblemError `target-protocol` if the response is no load report; Error if the call fails
+ */
+export async function readReport(
+	engine: Dispatcher,
+	timeoutMs: number,
+): Promise<EngineReport> {
+	const {status, text} = await makeHttpCall(engine, {
+		method: 'GET',
+		path: targetPaths.report,
+		timeoutMs,
+		maxResponseBytes: maxControlResponseBytes,
+	});
+	const problemType = 'target-protocol';
+	const label = 'the load report of an engine';
+	if (status !== 200) {
+		throw new ProblemError(
+			problemType,
+			`the request for ${label} failed with status ${status} instead of 200`,
+		);
+	}
+
+	const raw = decode(
+		reportSchema,
+		parseJson(text, label, problemType),
+		label,
+		problemType,
+	);
+	return {
+		queuedCount: raw.queued,
+		runningCount: raw.running,
+		usedTokens: raw.kv_used,
+		capacityTokens: raw.kv_total,
+		leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
+		bornMs: raw.born ?? undefined,
+	};
+}
