--- a/src/adapters/system/bounded-output.test.ts
+++ b/src/adapters/system/bounded-output.test.ts
@@ -49,3 +49,28 @@
 	output.stream.write('b\n');
 	assert.equal(output.droppedCount, 1);
 });
+
+// Each logger of a process added one; the eleventh caused MaxListenersExceededWarning on standard output.
+test('many loggers add one error listener to the output that they share', async () => {
+	const reader = new Writable({
+		write(_chunk, _encoding, callback) {
+			callback(new Error('EPIPE'));
+		},
+	});
+	const outputs = Array.from({length: 12}, () =>
+		createBoundedOutput(reader, 100),
+	);
+	assert.equal(reader.listenerCount('error'), 1);
+	outputs[0].stream.write('a\n');
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+	for (const {stream} of outputs) {
+		stream.write('b\n');
+	}
+
+	assert.deepEqual(
+		outputs.map(({droppedCount}) => droppedCount),
+		outputs.map(() => 1),
+	);
+});
--- a/src/adapters/system/bounded-output.ts
+++ b/src/adapters/system/bounded-output.ts
@@ -7,6 +7,26 @@
 	readonly droppedCount: number;
 };
 
+/** What to do when an output fails, by output; loggers of one process share its standard output. */
+const failureListeners = new WeakMap<Writable, Array<() => void>>();
+
+/** Adds at most one listener to an output, however many loggers write to it. */
+function onFailure(output: Writable, listener: () => void) {
+	const listeners = failureListeners.get(output);
+	if (listeners) {
+		listeners.push(listener);
+		return;
+	}
+
+	const created = [listener];
+	failureListeners.set(output, created);
+	output.on('error', () => {
+		for (const each of created) {
+			each();
+		}
+	});
+}
+
 /**
  * Wraps an output so that writing never waits for its reader: while the backlog is over its limit, lines
  * are dropped. The first line that is written after that is preceded by one with the number of dropped lines.
@@ -20,7 +40,7 @@
 	let droppedCount = 0;
 	let unreportedCount = 0;
 	// An error means that the reader has closed the pipe; the process continues without its log.
-	output.on('error', () => {
+	onFailure(output, () => {
 		unreportedCount++;
 	});
 
