--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -117,7 +117,9 @@
 	/** An event of the response is damaged, or out of order. */
 	| 'malformed'
 	/** The response belongs to another request. */
-	| 'foreign';
+	| 'foreign'
+	/** HTTP does not define the status of the response. */
+	| 'undefined-status';
 
 /** Why a request got no complete response. */
 export type SendFailure = {
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -1,6 +1,7 @@
 import type {Dispatcher} from 'undici';
 import {request} from '../adapters/http-client/index.js';
 import {createByteAccumulator, ProblemError} from '../common/index.js';
+import {isDefinedStatus, UndefinedStatusError} from './defined-status.js';
 
 /** An HTTP call with a JSON body or none. */
 export type HttpCall = {
@@ -22,7 +23,7 @@
 /**
  * Makes a call and reads the complete response.
  * @throws Error if the complete response does not arrive in time; ProblemError `too-large` if its body
- *   is larger than `maxResponseBytes`
+ *   is larger than `maxResponseBytes`; UndefinedStatusError if HTTP does not define its status
  */
 export async function makeHttpCall(
 	dispatcher: Dispatcher,
@@ -54,6 +55,10 @@
 		received.append(chunk);
 	}
 
+	if (!isDefinedStatus(response.statusCode)) {
+		throw new UndefinedStatusError(response.statusCode);
+	}
+
 	const text = utf8.decode(received.take());
 	return {status: response.statusCode, text};
 }
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -303,3 +303,25 @@
 	const third = await send(client, address, 'q3');
 	assert.equal(third.isEnded, true);
 });
+
+// Callers got the status 999 of a target; the failure must be counted against the target.
+for (const status of ['000', '099', '600', '999']) {
+	test(`a response or control call with the undefined status ${status} fails`, async (context) => {
+		const {address} = await startTarget(context, (request, socket) => {
+			const text = `${responseHead(request, 'Content-Length: 2')}{}`;
+			socket.write(text.replace('200', status));
+		});
+		const client = new HttpTargetClient();
+		const {head, isEnded, failure} = await send(client, address);
+		assert.deepEqual([head, isEnded], [undefined, false]);
+		assert.deepEqual(
+			[failure?.unsent, failure?.connectionEnded, failure?.defect],
+			[false, false, 'undefined-status'],
+		);
+		const copy = await client.copyKvCache(address, 'q1', '127.0.0.1:1', 900);
+		assert.equal(copy.outcome, 'failed');
+		await assert.rejects(client.report(address, 900));
+		const target = {...fakeTargetEntry('e1'), address, bornMs: 1};
+		assert.equal(await client.checkLiveness(target, 900), 'unknown');
+	});
+}
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -17,6 +17,8 @@
 	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
+import {isDefinedStatus, UndefinedStatusError} from './defined-status.js';
+import {defectOf} from './response-defect.js';
 import {rawHeaderPairs} from './raw-headers.js';
 import {decodeResponseHead} from './response-head.js';
 import {
@@ -36,9 +38,6 @@
 const firstFinalStatus = 200;
 const maxInterimResponses = 32;
 
-const isTooLarge = (error: Error) =>
-	error instanceof ProblemError && error.type === 'too-large';
-
 /** Target client for HTTP/1.1. Each connection carries one request at a time. */
 export class HttpTargetClient extends TargetClient {
 	override readonly extraEventFields = extraEventFields;
@@ -136,6 +135,11 @@
 					return;
 				}
 
+				if (!isDefinedStatus(status)) {
+					controller.abort(new UndefinedStatusError(status));
+					return;
+				}
+
 				if (status >= firstFinalStatus) {
 					listener.onHead(
 						decodeResponseHead(status, rawHeaderPairs(controller, headers)),
@@ -178,7 +182,7 @@
 						withheld,
 						connectionEnded: endedRequests.has(dispatchOptions),
 						reason: error.message,
-						defect: isTooLarge(error) ? 'too-large' : undefined,
+						defect: defectOf(error),
 					});
 				});
 			},
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -133,3 +133,42 @@
 	const next = await client.changes('servers', 5, 0);
 	assert.equal(next.version, 7);
 });
+
+test('a status of the store that HTTP does not define is a failed call, not an answer', async (context) => {
+	const statusTexts = ['000', '099', '600', '999'];
+	let statusText = '';
+	const server = createServer((socket) => {
+		socket.on('error', () => {
+			// The client closes the connection.
+		});
+		socket.on('data', () => {
+			const body = '{"rows":[],"ver":1}';
+			socket.write(
+				`HTTP/1.1 ${statusText} X\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+			);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const client = new StoreClient({
+		address: `127.0.0.1:${port}`,
+		timeoutMs: 500,
+	});
+	context.after(async () => {
+		await client.close();
+		server.close();
+	});
+	for (statusText of statusTexts) {
+		await assert.rejects(client.snapshot('op'), isProblem('table-unavailable'));
+		await assert.rejects(
+			client.changes('op', 1, 0),
+			isProblem('table-unavailable'),
+		);
+		await assert.rejects(
+			client.put('op', 'a', new Uint8Array(1)),
+			isProblem('table-outcome-unknown'),
+		);
+	}
+});
--- a/src/programs/front/broken-answers.test.ts
+++ b/src/programs/front/broken-answers.test.ts
@@ -1,13 +1,16 @@
 import assert from 'node:assert/strict';
 import {suite, test, type TestContext} from 'node:test';
 import {
+	createScriptedTarget,
 	type ReceivedRequest,
 	responseHead,
+	targetRow,
 	type TargetScript,
 } from '../../platform/testing/index.js';
 import {
 	call,
 	fixtureConfiguration,
+	listenOn,
 	startFixture,
 	until,
 } from './testing/index.js';
@@ -64,6 +67,12 @@
 const headLines = (request: ReceivedRequest, ...lines: readonly string[]) =>
 	responseHead(request, ...lines).slice(0, -2);
 
+/** Statuses outside of 100 to 599. */
+const undefinedStatuses = ['000', '099', '600', '999'];
+
+const withStatus = (request: ReceivedRequest, status: string) =>
+	whole(request).replace('200', status);
+
 /** Starts of answers that end before their head is complete. */
 const brokenHeads: ReadonlyArray<(request: ReceivedRequest) => string> = [
 	() => 'HTTP/1.1 20',
@@ -128,4 +137,54 @@
 			);
 		});
 	}
+
+	// A status that HTTP does not define was passed on to callers.
+	for (const kind of ['call', 'booking', 'stream'] as const) {
+		test(`a status that HTTP does not define is not passed on to a ${kind}`, async (context) => {
+			let statusText = '999';
+			const {send} = await startOneTarget(context, (request, socket) => {
+				socket.write(withStatus(request, statusText));
+			});
+			const statuses: number[] = [];
+			for (statusText of undefinedStatuses) {
+				const response = await send(kind, `status-${statusText}`);
+				statuses.push(response.status);
+			}
+
+			assert.deepEqual(
+				statuses,
+				undefinedStatuses.map(() => 502),
+			);
+		});
+	}
+
+	test('a call whose target answers with an undefined status is sent to another target', async (context) => {
+		let undefinedCount = 0;
+		const {store, entry, front, isReady} = await startFixture(
+			context,
+			(request, socket) => {
+				undefinedCount++;
+				socket.write(withStatus(request, '999'));
+			},
+		);
+		const sound = createScriptedTarget((request, socket) => {
+			socket.write(whole(request));
+		});
+		const soundPort = await listenOn(context, sound.server);
+		store.put('op', 'config', fixtureConfiguration(3));
+		store.put('servers', 't1', entry('desk'));
+		store.put('servers', 't2', targetRow('desk', `127.0.0.1:${soundPort}`));
+		await until(isReady);
+		const statuses = new Set<number>();
+		let index = 0;
+		// A VM sends nothing again until it knows how many VMs share the retry budget.
+		await until(async () => {
+			const countBefore = undefinedCount;
+			const headers = {'Cowslipspread-Attempt-Id': `q${index++}`};
+			const {status} = await call(front, '/stock/1', headers);
+			statuses.add(status);
+			return undefinedCount > countBefore && status === 200;
+		});
+		assert.ok(!statuses.has(999));
+	});
 });
