--- a/src/programs/front/broken-answers.test.ts
+++ b/src/programs/front/broken-answers.test.ts
@@ -67,6 +67,8 @@
 const headLines = (request: ReceivedRequest, ...lines: readonly string[]) =>
 	responseHead(request, ...lines).slice(0, -2);
 
+/** More than the time after which an idempotent call is hedged. */
+const slowAnswerMs = 400;
 /** Statuses outside of 100 to 599. */
 const undefinedStatuses = ['000', '099', '600', '999'];
 
@@ -187,4 +189,39 @@
 		});
 		assert.ok(!statuses.has(999));
 	});
+
+	test('a hedge that is answered with an undefined status does not replace the answer of the first target', async (context) => {
+		const slow: string[] = [];
+		const hedged: string[] = [];
+		const {store, entry, front, isReady} = await startFixture(
+			context,
+			(request, socket) => {
+				slow.push(request.id);
+				setTimeout(() => {
+					socket.write(whole(request));
+				}, slowAnswerMs);
+			},
+		);
+		const faulty = createScriptedTarget((request, socket) => {
+			if (slow.includes(request.id)) {
+				hedged.push(request.id);
+			}
+
+			socket.write(withStatus(request, '999'));
+		});
+		const faultyPort = await listenOn(context, faulty.server);
+		store.put('op', 'config', fixtureConfiguration(3));
+		store.put('servers', 't1', entry('desk'));
+		store.put('servers', 't2', targetRow('desk', `127.0.0.1:${faultyPort}`));
+		await until(isReady);
+		let index = 0;
+		await until(async () => {
+			const id = `q${index++}`;
+			const headers = {'Cowslipspread-Attempt-Id': id};
+			const {status} = await call(front, '/stock/1', headers);
+			assert.notEqual(status, 999);
+			assert.equal(hedged.includes(id) && status !== 200, false);
+			return hedged.includes(id);
+		});
+	});
 });
