--- a/src/adapters/front/peer-tables-client.test.ts
+++ b/src/adapters/front/peer-tables-client.test.ts
@@ -5,6 +5,7 @@
 import {storeRevision} from '../../common/index.js';
 import {fetchPeerTables} from './peer-tables-client.js';
 import {createPeerTablesServer} from './peer-tables-server.js';
+import {testBounds} from './testing/index.js';
 
 const timeoutMs = 2000;
 const maxBytes = 131_072;
@@ -65,7 +66,7 @@
 		},
 		departures: [],
 	};
-	const server = createPeerTablesServer(() => tables);
+	const server = createPeerTablesServer(() => tables, testBounds());
 	await new Promise<void>((resolve) => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
