--- a/src/programs/front/store-return.test.ts
+++ b/src/programs/front/store-return.test.ts
@@ -139,3 +139,29 @@
 	assert.equal(started.configuration.current?.version, 8);
 	assert.equal(fetchCount, 1);
 });
+
+test('a table that is already known in the newer era is not read as a whole with each beacon while the other one is not', async () => {
+	const {reader, follower, content, time} = await startRestored();
+	await time.runUntil(4000);
+	// The reader has found the newer era by itself in both tables.
+	let snapshotCount = 0;
+	const {snapshot} = follower.store;
+	follower.store.snapshot = async (table) => {
+		snapshotCount += table === 'op' ? 1 : 0;
+		if (table === 'servers') {
+			throw new Error('this table cannot be read');
+		}
+
+		return snapshot.call(follower.store, table);
+	};
+
+	for (let count = 0; count < 20; count++) {
+		follower.handleBeacon(reader.tableStates());
+		await time.runUntil(time.nowMs() + 250);
+	}
+
+	assert.equal(follower.watch.configurationSync.revision.era, 1);
+	assert.equal(follower.watch.targetsSync.revision.era, 0);
+	assert.equal(snapshotCount, 1);
+	assert.equal(content.snapshot('op').revision.era, 1);
+});
--- a/src/programs/front/store-watch-types.ts
+++ b/src/programs/front/store-watch-types.ts
@@ -127,10 +127,11 @@
 	/** Reads the targets' table soon, as `refreshConfiguration` does for the operator's. */
 	refreshTargets(respondedMs: number): void;
 	/**
-	 * Reads both tables as a whole soon, since the store has been restored.
+	 * Reads the tables as a whole soon that are known in an older era, since the store has been restored.
+	 * @param era - era of the store as another VM knows it
 	 * @param respondedMs - as for `refreshConfiguration`
 	 */
-	restart(respondedMs: number): void;
+	restart(era: number, respondedMs: number): void;
 	/** Reads both tables soon to confirm their state. */
 	refreshAll(): void;
 };
--- a/src/programs/front/store-watch.ts
+++ b/src/programs/front/store-watch.ts
@@ -117,9 +117,12 @@
 		refreshTargets(respondedMs) {
 			targets.refresh(respondedMs);
 		},
-		restart(respondedMs) {
-			operator.restart(respondedMs);
-			targets.restart(respondedMs);
+		restart(era, respondedMs) {
+			for (const table of [operator, targets]) {
+				if (table.sync.revision.era < era) {
+					table.restart(respondedMs);
+				}
+			}
 		},
 		refreshAll() {
 			operator.refresh(-Infinity);
--- a/src/programs/front/table-recovery.ts
+++ b/src/programs/front/table-recovery.ts
@@ -72,7 +72,7 @@
 		if (
 			era > Math.min(configurationSync.revision.era, targetsSync.revision.era)
 		) {
-			storeWatch.restart(clock.nowMs() - newestState.ageMs);
+			storeWatch.restart(era, clock.nowMs() - newestState.ageMs);
 			return;
 		}
 
--- a/src/programs/front/testing/store-side.ts
+++ b/src/programs/front/testing/store-side.ts
@@ -1,5 +1,5 @@
-import {createLogger} from '../../../adapters/system/index.js';
-import {SeededRandomSource} from '../../../common/index.js';
+import {createLogger, type Logger} from '../../../adapters/system/index.js';
+import {type RowStore, SeededRandomSource} from '../../../common/index.js';
 import type {PeerTableStates} from '../../../decisions/fleet/index.js';
 import {
 	createConfigurationState,
@@ -19,30 +19,33 @@
 import {watchStore} from '../store-watch.js';
 import {fixtureConfiguration} from './front-fixture.js';
 
-/** A VM in virtual time, with a store in memory. */
+/** The store side of a VM in virtual time. */
 export type StoreSideOptions = {
 	readonly time: VirtualTime;
-	readonly content: FakeStoreContent;
+	readonly store: RowStore;
 	/** Whether the VM reads the store for the others. */
 	readonly isReader: boolean;
-	readonly isReachable?: boolean;
+	/** Age of a table at which the VM reads it although it is no reader, in milliseconds. */
+	readonly maxAgeMs?: number;
+	readonly logger?: Logger;
 	/** Delivers a datagram to the other VM. */
 	readonly send?: (text: string) => void;
 	/** Returns the tables that the other VM hands over. */
 	readonly peerTables?: () => RelayedTables | undefined;
 };
 
-/** Starts the store side of a VM. */
-export function startStoreSide({
+const testLogger = createLogger('test', 'error');
+
+/** Starts the store side of a VM with any store. */
+export function createStoreSide({
 	time,
-	content,
+	store,
 	isReader,
-	isReachable = true,
+	maxAgeMs = 3000,
+	logger = testLogger,
 	send,
 	peerTables,
 }: StoreSideOptions) {
-	const store = new FakeRowStore(content, time);
-	store.isReachable = isReachable;
 	const evacuatedZones = createEvacuatedZones();
 	const configuration = createConfigurationState();
 	const directory = createTargetDirectory({
@@ -57,7 +60,7 @@
 		timers: time,
 		random: new SeededRandomSource(1),
 		waitMs: () => 1000,
-		maxAgeMs: () => 3000,
+		maxAgeMs: () => maxAgeMs,
 		isStoreReader: () => isReader,
 		haveReadersLostStore: () => false,
 		onStoreLost() {
@@ -80,12 +83,12 @@
 		configuration,
 		evacuatedZones,
 		directory,
-		logger: createLogger('test', 'error'),
+		logger,
 	});
 	const recovery = createTableRecovery({
 		clock: time,
 		storeWatch: watch,
-		logger: createLogger('test', 'error'),
+		logger,
 		async fetchTables() {
 			const tables = peerTables?.();
 			if (!tables) {
@@ -116,7 +119,6 @@
 		},
 	});
 	return {
-		store,
 		watch,
 		relay,
 		evacuatedZones,
@@ -130,6 +132,23 @@
 	};
 }
 
+/** A VM in virtual time, with a store in memory. */
+export type FakeStoreSideOptions = Omit<StoreSideOptions, 'store'> & {
+	readonly content: FakeStoreContent;
+	readonly isReachable?: boolean;
+};
+
+/** Starts the store side of a VM with a store in memory. */
+export function startStoreSide({
+	content,
+	isReachable = true,
+	...options
+}: FakeStoreSideOptions) {
+	const store = new FakeRowStore(content, options.time);
+	store.isReachable = isReachable;
+	return {store, ...createStoreSide({...options, store})};
+}
+
 /** Starts a VM that reads the store, and one that gets its datagrams unless `isLost` says otherwise. */
 export async function startStorePair(
 	isLost: (text: string) => boolean = () => false,
