--- a/src/programs/front/unexpected-errors.test.ts
+++ b/src/programs/front/unexpected-errors.test.ts
@@ -46,8 +46,8 @@
 	['target data', 'platform/http-target-client.js', 'listener.onData(bytes);'],
 	[
 		'store row',
-		'programs/front/store-watch.js',
-		'options.onTargetRows({ afterVersion',
+		'programs/front/store-watch-targets.js',
+		'options.onTargetRows({',
 	],
 	['datagram', 'programs/front/fleet-exchange.js', 'relay.handle(value);'],
 	['heartbeat', 'programs/front/fleet-exchange.js', 'updateCoordinatorRole();'],
