--- a/src/decisions/scheduling/generation-scheduler.test.ts
+++ b/src/decisions/scheduling/generation-scheduler.test.ts
@@ -259,7 +259,7 @@
 });
 
 test('refuses a generation as soon as it can no longer end before the deadline of its caller', async () => {
-	const {place, advanceTo, decisions} = start([small]);
+	const {place, advanceTo, decisions, scheduler} = start([small]);
 	for (let index = 0; index < 5; index++) {
 		place(mediumRequest(`q${index}`));
 	}
@@ -269,6 +269,12 @@
 		place(mediumRequest('late', {remainingMs: 5000})).outcome,
 		'refused',
 	);
+	// One that another coordinator had queued before its loss is judged as a queued one.
+	assert.equal(
+		place(mediumRequest('queued', {remainingMs: 5000, waitedMs: 500})).outcome,
+		'waiting',
+	);
+	scheduler.cancel('vm-1', 'queued');
 	assert.equal(
 		place(mediumRequest('later', {remainingMs: 12_000})).outcome,
 		'waiting',
--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -52,6 +52,8 @@
 const minNewChance = 0.7;
 /** Probability of being served below which a queued generation is refused. */
 const minWaitingChance = 0.25;
+/** A request that has waited longer was queued by another coordinator before, in milliseconds. */
+const renewedMs = 350;
 /** Reason of a refusal for want of memory, by the standing of the client account. */
 const memoryReasons: Readonly<Record<AccountStanding, string>> = {
 	below: 'no engine has memory in time',
@@ -161,7 +163,9 @@
 			return refused('the engines limit their request rate', turnDelayMs);
 		}
 
-		return memory.serviceChance(generation, ahead.tokens) >= minNewChance
+		const isRenewed = request.waitedMs > renewedMs;
+		const leastChance = isRenewed ? minWaitingChance : minNewChance;
+		return memory.serviceChance(generation, ahead.tokens) >= leastChance
 			? {outcome: 'waiting', waitingCount: queue.size}
 			: refusedForMemory(generation, memory, ahead.tokens);
 	};
