--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -270,6 +270,7 @@
 
 	return {
 		evacuatedZones,
+		avoidedTargets,
 		reportUnexpected,
 		reload() {
 			liveSettings.reload();
--- a/src/programs/front/front-daemon.ts
+++ b/src/programs/front/front-daemon.ts
@@ -1,8 +1,10 @@
+import type {AvoidedTargets} from '../../decisions/fleet-health/index.js';
 import type {EvacuatedZones} from '../../decisions/target-eligibility/index.js';
 
 /** A running front daemon. */
 export type FrontDaemon = {
 	readonly evacuatedZones: EvacuatedZones;
+	readonly avoidedTargets: Pick<AvoidedTargets, 'isAvoided'>;
 	/** Reads the boot file again. */
 	reload(): void;
 	/** Logs an unhandled error; the process goes on. */
