--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -9,6 +9,7 @@
 	RateLimitReport,
 } from '../rate-limits/index.js';
 import type {PartReport} from '../quarantine/index.js';
+import type {CallReport, ServiceDemand} from '../zone-spillover/index.js';
 import type {RetryCredit} from './retry-pool.js';
 import type {MemberInfo, PeerTableStates} from './types.js';
 
@@ -117,9 +118,27 @@
 	readonly reports: readonly PartReport[];
 };
 
-/** Messages between VMs about membership, runs, placements, retries, rate limits and crashes of engines. */
+/** Calls to plain services that the sender has received since its last report. */
+export type CallRatesMessage = {
+	readonly kind: 'call-rates';
+	/** Zone of the sender. */
+	readonly availabilityZone: string;
+	readonly calls: readonly CallReport[];
+};
+
+/** Demand for plain services, as the coordinator has summed it. */
+export type ZoneDemandMessage = {
+	readonly kind: 'zone-demand';
+	readonly demands: readonly ServiceDemand[];
+};
+
+/**
+ * Messages between VMs about membership, runs, placements, retries, rate limits, crashes of engines and the
+ * demand for plain services.
+ */
 export type FleetMessage =
 	| Beacon
+	| CallRatesMessage
 	| CrashEvidenceMessage
 	| Heartbeat
 	| PermitRequestMessage
@@ -131,4 +150,5 @@
 	| RetryCreditsMessage
 	| RetryRequestMessage
 	| RetryDecisionMessage
-	| RunUpdate;
+	| RunUpdate
+	| ZoneDemandMessage;
--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -44,6 +44,20 @@
 } as const;
 
 const messages: readonly FleetMessage[] = [
+	{
+		kind: 'call-rates',
+		availabilityZone: 'zone-1',
+		calls: [
+			{service: 'desk', callsPerSecond: 1.5, serviceMs: 21.4},
+			{service: 'till', callsPerSecond: 0, serviceMs: undefined},
+		],
+	},
+	{
+		kind: 'zone-demand',
+		demands: [
+			{service: 'desk', serviceMs: 21.4, zones: new Map([['zone-1', 27.5]])},
+		],
+	},
 	{
 		kind: 'retry-credits',
 		sequence: 7,
--- a/src/decisions/fleet/fleet-messages.ts
+++ b/src/decisions/fleet/fleet-messages.ts
@@ -25,6 +25,12 @@
 	encodeRateLimitReport,
 } from './rate-limit-messages.js';
 import {decodeRetryCredit, encodeRetryCredit} from './retry-messages.js';
+import {
+	decodeCallReport,
+	decodeServiceDemand,
+	encodeCallReport,
+	encodeServiceDemand,
+} from './zone-demand-messages.js';
 
 /** Encodes a message as a JSON array of positional fields that starts with a one-letter kind. */
 export function encodeFleetMessage(message: FleetMessage): string {
@@ -126,6 +132,21 @@
 				message.reports.map((report) => encodePartReport(report)),
 			]);
 		}
+
+		case 'call-rates': {
+			return JSON.stringify([
+				'n',
+				message.availabilityZone,
+				message.calls.map((call) => encodeCallReport(call)),
+			]);
+		}
+
+		case 'zone-demand': {
+			return JSON.stringify([
+				'z',
+				message.demands.map((demand) => encodeServiceDemand(demand)),
+			]);
+		}
 	}
 }
 
@@ -242,10 +263,25 @@
 			};
 		}
 
+		case 'n': {
+			return {
+				kind: 'call-rates',
+				availabilityZone: fields.string(),
+				calls: fields.list(decodeCallReport),
+			};
+		}
+
+		case 'z': {
+			return {
+				kind: 'zone-demand',
+				demands: fields.list(decodeServiceDemand),
+			};
+		}
+
 		default: {
 			throw new ProblemError(
 				'peer-protocol',
-				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, y, l, m, d and e`,
+				`unknown kind "${kind}" of a message between VMs; allowed are h, b, u, p, a, c, t, g, y, l, m, d, e, n and z`,
 			);
 		}
 	}
--- a/src/decisions/serving/call-search.test.ts
+++ b/src/decisions/serving/call-search.test.ts
@@ -50,6 +50,7 @@
 			return createDisposableStore();
 		},
 		trackCall: () => createDisposableStore(),
+		leavingReason: () => undefined,
 	});
 	const respond = (index: number, status: number, text: string) => {
 		const {listener} = targetClient.sends[index];
--- a/src/decisions/serving/call-session-types.ts
+++ b/src/decisions/serving/call-session-types.ts
@@ -8,4 +8,6 @@
 	readonly findTarget: CallTargetSearch['find'];
 	/** Counts an open call to the target until the result is disposed. */
 	readonly trackCall: (target: TargetEntry) => Disposable;
+	/** Why a call to the target leaves the VM's availability zone; undefined if it stays there. */
+	readonly leavingReason: (target: TargetEntry) => string | undefined;
 };
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -55,6 +55,7 @@
 
 					return createDisposableStore();
 				}),
+			leavingReason: () => undefined,
 			trackCall: () => ({
 				dispose() {
 					// Open calls are not counted here.
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -116,6 +116,7 @@
 			target: target.id,
 			reason,
 			restricted: options.restrictedTargets(service),
+			leavesZone: options.leavingReason(target),
 			leftMs: Math.round(leftMs()),
 			...(permit && {
 				limitPerSecond: permit.requestsPerSecond,
--- a/src/decisions/serving/call-target-search.test.ts
+++ b/src/decisions/serving/call-target-search.test.ts
@@ -19,6 +19,7 @@
 } from '../target-eligibility/index.js';
 import {createTargetStatements} from '../target-statements/index.js';
 import {createCallTargetSearch} from './call-target-search.js';
+import type {ServiceCandidate} from './service-placement.js';
 import {createServiceStandings} from './service-standings.js';
 import {createTargetDirectory} from './target-directory.js';
 
@@ -26,6 +27,7 @@
 async function start(
 	limits: Readonly<Record<string, number | undefined>>,
 	decide: (request: PermitRequest) => PermitDecision,
+	drawZone?: (candidates: readonly ServiceCandidate[]) => string,
 ) {
 	const time = new VirtualTime();
 	const random = new SeededRandomSource(4);
@@ -66,6 +68,7 @@
 	const outcomes: string[] = [];
 	const search = createCallTargetSearch({
 		availabilityZone: 'zone-1',
+		drawZone: (_service, candidates) => drawZone?.(candidates),
 		clock: time,
 		timers: time,
 		random,
@@ -312,3 +315,24 @@
 		/^all targets want no requests for a time, /,
 	);
 });
+
+test('a call that is drawn for another zone leaves its own, but not for an evacuated zone or one outside its regions', async () => {
+	const limits = {t1: undefined, t2: undefined};
+	const drawn = () => 'zone-2';
+	const {directory, evacuatedZones, find, outcomes} = await start(
+		limits,
+		grant(0),
+		drawn,
+	);
+	const elsewhere = fakeTargetEntry('t2', {availabilityZone: 'zone-2'});
+	directory.set('t2', elsewhere, storeRevision(2));
+	find();
+	assert.equal(outcomes.at(-1), 't2');
+	find(100, ['t2']);
+	assert.equal(outcomes.at(-1), 't1');
+	find(100, [], new Set(['region-1']));
+	assert.equal(outcomes.at(-1), 't1');
+	evacuatedZones.replace(['zone-2']);
+	find();
+	assert.equal(outcomes.at(-1), 't1');
+});
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -17,7 +17,10 @@
 	TargetEligibility,
 } from '../target-eligibility/index.js';
 import type {TargetUse} from '../target-statements/index.js';
-import {chooseServiceTarget} from './service-placement.js';
+import {
+	chooseServiceTarget,
+	type ServiceCandidate,
+} from './service-placement.js';
 import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
 import {createTurnDenials} from './turn-denials.js';
@@ -73,6 +76,11 @@
 
 export type CallTargetSearchOptions = {
 	readonly availabilityZone: string;
+	/** Draws the preferred zone of a call to any region; undefined if the shares are not known. */
+	readonly drawZone: (
+		service: string,
+		candidates: readonly ServiceCandidate[],
+	) => string | undefined;
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly random: RandomSource;
@@ -124,12 +132,15 @@
 
 	const chooseAmong = (query: CallTargetQuery, use: TargetUse): Choice => {
 		const candidates = candidatesOf(query, use);
+		const drawnZone = query.allowedRegions
+			? undefined
+			: options.drawZone(query.service, candidates);
 		const passed = new Set(query.avoid);
 		const limited: LimitedTarget[] = [];
 		for (;;) {
 			const chosen = chooseServiceTarget(
 				candidates,
-				options.availabilityZone,
+				drawnZone ?? options.availabilityZone,
 				passed,
 				random,
 			);
--- a/src/decisions/serving/service-placement.ts
+++ b/src/decisions/serving/service-placement.ts
@@ -11,18 +11,19 @@
 	readonly isSuspect: boolean;
 };
 
-/** Fraction of used slots below which a target in the VM's own availability zone is preferred. */
-const ownZoneFraction = 0.5;
+/** Fraction of used slots below which a target in the preferred availability zone is chosen before others. */
+const preferredZoneFraction = 0.5;
 
 /**
  * Chooses the target with the smallest fraction of its slots in use by this VM, with a penalty for
- * suspect targets. A target in the VM's own availability zone is preferred while less than half of its
- * slots are in use, since traffic between zones is expensive.
+ * suspect targets. A target in the preferred zone goes first while less than half of its slots are in use.
+ * @param preferredZone - the VM's own availability zone, since traffic between zones is expensive, or the one
+ * to which this call goes by the shares of the zones
  * @param avoid - ids of targets that were already tried
  */
 export function chooseServiceTarget(
 	candidates: readonly ServiceCandidate[],
-	ownZone: string,
+	preferredZone: string,
 	avoid: ReadonlySet<string>,
 	random: RandomSource,
 ): ServiceCandidate | undefined {
@@ -34,10 +35,11 @@
 		}
 
 		const utilization = candidate.openCount / candidate.slotCount;
-		const isOwnZonePreferred =
-			candidate.availabilityZone === ownZone && utilization < ownZoneFraction;
+		const isPreferred =
+			candidate.availabilityZone === preferredZone &&
+			utilization < preferredZoneFraction;
 		const cost =
-			(isOwnZonePreferred ? utilization : 1 + utilization) +
+			(isPreferred ? utilization : 1 + utilization) +
 			(candidate.isSuspect ? 10 : 0) +
 			random.nextUnit() * 0.1;
 		if (cost < bestCost) {
--- a/src/decisions/zone-spillover/index.ts
+++ b/src/decisions/zone-spillover/index.ts
@@ -1,3 +1,4 @@
+export * from './call-meter.js';
 export * from './demand-sums.js';
 export * from './figure-weight.js';
 export type * from './types.js';
--- a/src/decisions/zone-spillover/testing/zone-replay.ts
+++ b/src/decisions/zone-spillover/testing/zone-replay.ts
@@ -1,6 +1,7 @@
 import {SeededRandomSource} from '../../../common/index.js';
 import {VirtualTime} from '../../../experiments/fakes/index.js';
 import {chooseServiceTarget} from '../../serving/service-placement.js';
+import {createCallMeter, type CallMeter} from '../call-meter.js';
 import {createDemandSums} from '../demand-sums.js';
 import {createZoneSpillover, type ZoneSpillover} from '../zone-spillover.js';
 
@@ -33,7 +34,7 @@
 	readonly spillover: ZoneSpillover;
 	/** Ends of open calls by target, in milliseconds. */
 	readonly open: Map<string, number[]>;
-	counted: number;
+	readonly meter: CallMeter;
 };
 
 /** Zones with one target each, of 6 slots and 21.4 ms per call. */
@@ -63,7 +64,7 @@
 	const vms = Array.from({length: vmCount}, (_, index): ReplayVm => {
 		const zone = replayZones[index % replayZones.length];
 		const spillover = createZoneSpillover({ownZone: zone, clock: time, random});
-		return {zone, spillover, open: new Map(), counted: 0};
+		return {zone, spillover, open: new Map(), meter: createCallMeter(time)};
 	});
 	const outcome: ZoneOutcome = {
 		calls: 0,
@@ -78,19 +79,18 @@
 		const loss = scenario.lossOf?.(nowMs / 1000) ?? 0;
 		for (const [index, vm] of vms.entries()) {
 			if (nowMs % 1000 === index * 12) {
+				const report = vm.meter.takeReport();
 				if (random.nextUnit() >= loss) {
-					sums.record(`vm-${index}`, vm.zone, new Map([[service, vm.counted]]));
+					sums.record(`vm-${index}`, vm.zone, report);
 				}
-
-				vm.counted = 0;
 			}
 		}
 
 		if (nowMs % 1000 === 990) {
-			const demand = sums.sums().get(service);
+			const demand = sums.sums().find((sum) => sum.service === service);
 			for (const {spillover} of vms) {
 				if (demand && random.nextUnit() >= loss) {
-					spillover.recordDemand(service, demand);
+					spillover.recordDemand(demand);
 				}
 			}
 		}
@@ -111,15 +111,7 @@
 				};
 			});
 		const drawn =
-			rule === 'shares'
-				? vm.spillover.draw(
-						service,
-						candidates.map((candidate) => ({
-							...candidate,
-							serviceMs: replayServiceMs,
-						})),
-					)
-				: undefined;
+			rule === 'shares' ? vm.spillover.draw(service, candidates) : undefined;
 		return chooseServiceTarget(candidates, drawn ?? vm.zone, new Set(), random)
 			?.targetId;
 	};
@@ -128,7 +120,7 @@
 		const serviceMs = replayServiceMs * (0.5 + load.nextUnit());
 		const inZone = vms.filter((vm) => vm.zone === zone);
 		const vm = inZone[Math.floor(load.nextUnit() * inZone.length)];
-		vm.counted++;
+		vm.meter.recordCall(service);
 		outcome.calls++;
 		const target = choose(vm, nowMs);
 		const ends = target === undefined ? undefined : slots.get(target);
@@ -140,6 +132,7 @@
 		const wayMs = target === zone ? 0 : pathMs;
 		const startMs = Math.max(nowMs + wayMs, Math.min(...ends));
 		const durationMs = startMs + serviceMs + wayMs - nowMs;
+		vm.meter.recordAnswer(service, durationMs);
 		ends[ends.indexOf(Math.min(...ends))] = startMs + serviceMs;
 		vm.open.get(target)?.push(nowMs + durationMs);
 		outcome.full += startMs > nowMs + wayMs ? 1 : 0;
--- a/src/decisions/zone-spillover/zone-spillover.test.ts
+++ b/src/decisions/zone-spillover/zone-spillover.test.ts
@@ -3,6 +3,7 @@
 import {SeededRandomSource} from '../../common/index.js';
 import {VirtualTime} from '../../experiments/fakes/index.js';
 import {createDemandSums} from './demand-sums.js';
+import {createCallMeter} from './call-meter.js';
 import type {UsableTarget} from './types.js';
 import {zoneShares} from './zone-shares.js';
 import {createZoneSpillover} from './zone-spillover.js';
@@ -75,6 +76,11 @@
 		const random = new SeededRandomSource(5);
 		const spillover = createZoneSpillover({ownZone: 'a', clock: time, random});
 		await time.runUntil(1);
+		const recordDemand = (a: number, b: number, c: number) => {
+			const zones = demandOf(a, b, c);
+			spillover.recordDemand({service: 'desk', zones, serviceMs: 50});
+		};
+
 		const leavingShare = () => {
 			let leaving = 0;
 			for (let index = 0; index < 2000; index++) {
@@ -84,7 +90,7 @@
 			return leaving / 2000;
 		};
 
-		return {time, spillover, leavingShare};
+		return {time, spillover, recordDemand, leavingShare};
 	};
 
 	const assertNear = (actual: number, expected: number) => {
@@ -92,8 +98,8 @@
 	};
 
 	test('a jump of the demand does not move more than half of the calls within a second', async () => {
-		const {time, spillover, leavingShare} = await start();
-		spillover.recordDemand('desk', demandOf(200, 0, 0));
+		const {time, recordDemand, leavingShare} = await start();
+		recordDemand(200, 0, 0);
 		await time.runUntil(501);
 		assertNear(leavingShare(), 0.25);
 		await time.runUntil(1001);
@@ -103,8 +109,8 @@
 	});
 
 	test('figures older than 3 s move half of the excess, and those older than 6 s none', async () => {
-		const {time, spillover, leavingShare} = await start();
-		spillover.recordDemand('desk', demandOf(140, 0, 0));
+		const {time, spillover, recordDemand, leavingShare} = await start();
+		recordDemand(140, 0, 0);
 		await time.runUntil(2900);
 		assertNear(leavingShare(), 0.5);
 		await time.runUntil(5000);
@@ -114,8 +120,8 @@
 	});
 
 	test('no call is drawn for a zone whose last target has gone since', async () => {
-		const {time, spillover} = await start();
-		spillover.recordDemand('desk', demandOf(50, 0, 0));
+		const {time, spillover, recordDemand} = await start();
+		recordDemand(50, 0, 0);
 		await time.runUntil(10);
 		for (let index = 0; index < 200; index++) {
 			assert.notEqual(spillover.draw('desk', targets.slice(1)), 'a');
@@ -126,11 +132,38 @@
 		const time = new VirtualTime();
 		const sums = createDemandSums(time);
 		await time.runUntil(1);
-		sums.record('vm-1', 'a', new Map([['desk', 8]]));
+		const zoneDemand = () => sums.sums()[0].zones.get('a');
+		const record = (vm: string, callsPerSecond: number) => {
+			sums.record(vm, 'a', [{service: 'desk', callsPerSecond, serviceMs: 50}]);
+		};
+
+		record('vm-1', 8);
 		await time.runUntil(3500);
-		sums.record('vm-2', 'a', new Map([['desk', 2]]));
-		assert.equal(sums.sums().get('desk')?.get('a'), 6);
+		record('vm-2', 2);
+		assert.equal(zoneDemand(), 6);
 		await time.runUntil(6500);
-		assert.equal(sums.sums().get('desk')?.get('a'), 2);
+		assert.equal(zoneDemand(), 2);
+	});
+
+	test('waits at the full targets of one zone do not count as service time', async () => {
+		const sums = createDemandSums(new VirtualTime());
+		for (const [index, serviceMs] of [500, 52, 50, 51, 480, 53].entries()) {
+			const call = {service: 'desk', callsPerSecond: 1, serviceMs};
+			sums.record(`vm-${index}`, 'a', [call]);
+		}
+
+		assert.equal(sums.sums()[0].serviceMs, 51);
+	});
+
+	test('a second without calls is reported, so that the demand falls', async () => {
+		const time = new VirtualTime();
+		const meter = createCallMeter(time);
+		meter.recordCall('desk');
+		meter.recordAnswer('desk', 40);
+		await time.runUntil(500);
+		const report = {service: 'desk', callsPerSecond: 2, serviceMs: 40};
+		assert.deepEqual(meter.takeReport(), [report]);
+		await time.runUntil(1500);
+		assert.deepEqual(meter.takeReport(), [{...report, callsPerSecond: 0}]);
 	});
 });
--- a/src/decisions/zone-spillover/zone-spillover.ts
+++ b/src/decisions/zone-spillover/zone-spillover.ts
@@ -1,7 +1,7 @@
 import type {Clock, RandomSource} from '../../common/index.js';
 import {figureWeight} from './figure-weight.js';
 import {stepShares} from './share-step.js';
-import type {UsableTarget, ZoneDemand, ZoneShares} from './types.js';
+import type {ServiceDemand, UsableTarget, ZoneShares} from './types.js';
 import {zoneShares} from './zone-shares.js';
 
 /**
@@ -20,17 +20,22 @@
 /** Decides which calls of this VM leave its availability zone. */
 export type ZoneSpillover = {
 	/** Takes the demand for a service, as the coordinator has summed it. */
-	recordDemand(service: string, demand: ZoneDemand): void;
+	recordDemand(demand: ServiceDemand): void;
 	/**
 	 * Draws the zone of the target for one call.
 	 * @param targets - all targets that this VM may use for the service now
 	 * @returns undefined if there are no recent figures
 	 */
-	draw(service: string, targets: readonly UsableTarget[]): string | undefined;
+	draw(
+		service: string,
+		targets: ReadonlyArray<Omit<UsableTarget, 'serviceMs'>>,
+	): string | undefined;
+	/** Share of the calls that stay in the own zone, in 0..1; undefined without recent figures. */
+	ownShare(service: string): number | undefined;
 };
 
 type ServiceState = {
-	demand: ZoneDemand;
+	demand: ServiceDemand;
 	receivedMs: number;
 	shares: ZoneShares;
 	steppedMs: number;
@@ -45,11 +50,15 @@
 
 	/** Shares by the figures; while these count half, only half of the excess leaves. */
 	const goalOf = (
-		demand: ZoneDemand,
-		targets: readonly UsableTarget[],
+		{zones, serviceMs}: ServiceDemand,
+		targets: ReadonlyArray<Omit<UsableTarget, 'serviceMs'>>,
 		weight: number,
 	): ZoneShares => {
-		const shares = zoneShares(ownZone, demand, targets);
+		const shares = zoneShares(
+			ownZone,
+			zones,
+			targets.map((target) => ({...target, serviceMs})),
+		);
 		const ownShare = shares.get(ownZone);
 		if (ownShare === undefined) {
 			return shares;
@@ -81,7 +90,8 @@
 	};
 
 	return {
-		recordDemand(service, demand) {
+		recordDemand(demand) {
+			const {service} = demand;
 			const nowMs = clock.nowMs();
 			const state = services.get(service);
 			if (state) {
@@ -113,5 +123,9 @@
 			state.steppedMs = nowMs;
 			return drawFrom(state.shares);
 		},
+		ownShare(service) {
+			const shares = services.get(service)?.shares;
+			return shares && (shares.get(ownZone) ?? 0);
+		},
 	};
 }
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -100,6 +100,7 @@
 		eligibility,
 		coldTargets,
 		callTargets,
+		zoneCalls,
 		engineSelector,
 		storeWatch,
 	} = deployment;
@@ -129,6 +130,7 @@
 		directory,
 		engineSelector,
 		callTargets,
+		zoneCalls,
 		requestContinuationTurn: deployment.requestContinuationTurn,
 		detector,
 		retryShare: deployment.retryShare,
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -45,6 +45,7 @@
 import {startFleetExchange} from './fleet-exchange.js';
 import type {FleetExchange} from './fleet-exchange-types.js';
 import {createTableRecovery} from './table-recovery.js';
+import {createZoneCalls, type ZoneCalls} from './zone-calls.js';
 import {startStoreWatch} from './start-store-watch.js';
 import type {StoreWatch} from './store-watch-types.js';
 
@@ -74,6 +75,7 @@
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
+	readonly zoneCalls: ZoneCalls;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
 	/** Largest number of VMs that may be serving, this one included. */
@@ -138,6 +140,13 @@
 		}),
 	);
 	const standings = createServiceStandings({directory, eligibility, random});
+	const zoneCalls = createZoneCalls({
+		availabilityZone: vm.availabilityZone,
+		clock,
+		random,
+		standings,
+		detector,
+	});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -163,6 +172,7 @@
 			rateLimits: statements.rateLimits,
 			limitOf: eligibility.limitOf,
 			crashEvidence,
+			zoneCalls,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
 			storeReadState: () => late.storeWatch?.readState ?? 'idle',
@@ -212,6 +222,7 @@
 	});
 	const callTargets = createCallTargetSearch({
 		availabilityZone: vm.availabilityZone,
+		drawZone: zoneCalls.drawZone,
 		clock,
 		timers,
 		random,
@@ -261,6 +272,7 @@
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
+		zoneCalls,
 		requestContinuationTurn,
 		storeWatch,
 		resumedMs: () => fleetExchange.resumedMs(),
--- a/src/programs/front/fleet-exchange-types.ts
+++ b/src/programs/front/fleet-exchange-types.ts
@@ -16,6 +16,10 @@
 	RetryCredit,
 	StoreReadState,
 } from '../../decisions/fleet/index.js';
+import type {
+	CallMeter,
+	ZoneSpillover,
+} from '../../decisions/zone-spillover/index.js';
 import type {CrashEvidence} from '../../decisions/quarantine/index.js';
 import type {RateLimitTable} from '../../decisions/rate-limits/index.js';
 import type {EngineEntry} from '../../decisions/scheduling/index.js';
@@ -51,6 +55,11 @@
 	readonly limitOf: (targetId: string) => number | undefined;
 	/** Crashes of engines under prompt parts, exchanged with the other VMs. */
 	readonly crashEvidence: CrashEvidence;
+	/** Calls of this VM, and the decision that gets their sum over all VMs. */
+	readonly zoneCalls: {
+		readonly meter: CallMeter;
+		readonly spillover: ZoneSpillover;
+	};
 	/** Engines of a service that take requests now. */
 	readonly engines: (service: string) => readonly EngineEntry[];
 	readonly storeReadState: () => StoreReadState;
--- a/src/programs/front/fleet-exchange.ts
+++ b/src/programs/front/fleet-exchange.ts
@@ -13,6 +13,7 @@
 	FleetExchange,
 	FleetExchangeOptions,
 } from './fleet-exchange-types.js';
+import {createCoordinatorRole} from './coordinator-role.js';
 import {createCrashEvidenceExchange} from './crash-evidence-exchange.js';
 import {createMembershipProtocol} from './membership-protocol.js';
 import {createPauseDetector} from './pause-detector.js';
@@ -20,6 +21,7 @@
 import {createRateLimitHandler} from './rate-limit-handler.js';
 import {createRetryHandler} from './retry-handler.js';
 import {createStoreRelay} from './store-relay.js';
+import {createZoneDemandExchange} from './zone-demand-exchange.js';
 
 /** Length to which instance ids are cut in messages; enough to distinguish restarts of one VM. */
 const instanceIdLength = 8;
@@ -58,10 +60,14 @@
 		socket.send(to, encodeFleetMessage(message));
 	};
 
-	let coordinatorSinceMs = Infinity;
-	/** After a pause this VM may not know yet that another one has become the coordinator. */
-	const settledSinceMs = () =>
-		members.isCoordinator ? coordinatorSinceMs : Infinity;
+	const coordinatorRole = createCoordinatorRole({
+		clock,
+		members,
+		onGained() {
+			membership.broadcastBeacon();
+		},
+		logger,
+	});
 	const pauseDetector = createPauseDetector(clock, (pausedMs) => {
 		logger.warn('this VM did not run for a while', {pausedMs});
 		members.handlePause();
@@ -72,7 +78,7 @@
 		address,
 		members,
 		bounds: options.retryBounds,
-		coordinatorSinceMs: settledSinceMs,
+		coordinatorSinceMs: coordinatorRole.sinceMs,
 		resumedMs: () => pauseDetector.resumedMs,
 		takeUnusedRetries: options.takeUnusedRetries,
 		send,
@@ -84,7 +90,7 @@
 			random: options.random,
 			address,
 			members,
-			coordinatorSinceMs: settledSinceMs,
+			coordinatorSinceMs: coordinatorRole.sinceMs,
 			table: options.rateLimits,
 			limitOf: options.limitOf,
 			send,
@@ -101,6 +107,15 @@
 			send,
 		}),
 	);
+	const zoneDemandExchange = createZoneDemandExchange({
+		...options.zoneCalls,
+		clock,
+		address,
+		availabilityZone: vm.availabilityZone,
+		members,
+		send,
+		sendToAll,
+	});
 	const placementHandler = owned.add(
 		createPlacementHandler({
 			clock,
@@ -169,6 +184,12 @@
 				evidenceExchange.handle(message);
 				break;
 			}
+
+			case 'call-rates':
+			case 'zone-demand': {
+				zoneDemandExchange.handle(from, message);
+				break;
+			}
 		}
 	};
 
@@ -197,23 +218,6 @@
 		owned.add(repeat(timers, {intervalMs, run, onError}));
 	};
 
-	let wasCoordinator = false;
-	const updateCoordinatorRole = () => {
-		const {isCoordinator} = members;
-		if (isCoordinator !== wasCoordinator) {
-			wasCoordinator = isCoordinator;
-			coordinatorSinceMs = isCoordinator ? clock.nowMs() : Infinity;
-			logger.info('coordinator changed', {
-				isCoordinator,
-				coordinator: members.coordinator.address,
-				vmCount: members.vmCount,
-			});
-			if (isCoordinator) {
-				membership.broadcastBeacon();
-			}
-		}
-	};
-
 	const isAlone = () => members.rankedMembers().length === 1;
 	membership.sendHeartbeat();
 	repeatUntilDisposed(
@@ -221,12 +225,13 @@
 		() => {
 			pauseDetector.check();
 			membership.sendHeartbeat();
-			updateCoordinatorRole();
+			coordinatorRole.update();
 			runRegistry.removeExpired();
 			membership.sweep();
 			retryHandler.tick();
 			rateLimitHandler.tick();
 			evidenceExchange.tick();
+			zoneDemandExchange.tick();
 		},
 	);
 	repeatUntilDisposed(options.beaconIntervalMs, () => {
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -37,6 +37,7 @@
 	TargetEligibility,
 } from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
+import type {ZoneCalls} from './zone-calls.js';
 import type {EngineSelector} from './engine-selector-types.js';
 
 export type SessionStarterOptions = {
@@ -46,6 +47,7 @@
 	readonly directory: TargetDirectory;
 	readonly engineSelector: EngineSelector;
 	readonly callTargets: CallTargetSearch;
+	readonly zoneCalls: ZoneCalls;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
 	readonly retryShare: RetryShare;
@@ -84,7 +86,7 @@
 	options: SessionStarterOptions,
 ): SessionStarter {
 	const {clock, directory, engineSelector, detector, logger} = options;
-	const {statements, eligibility} = options;
+	const {statements, eligibility, zoneCalls} = options;
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
@@ -199,12 +201,29 @@
 			},
 		});
 
-	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
-		startCallSession(admitted, response, {
-			...sessionServices(admitted),
+	const trackCall = (target: TargetEntry) => {
+		const zone = zoneCalls.isInOwnZone(target) ? 'own' : 'other';
+		options.metrics.count('calls_sent', {service: target.service, zone});
+		return options.callTargets.track(target);
+	};
+
+	const startCall = (admitted: AdmittedRequest, response: CallerResponse) => {
+		const {service} = admitted;
+		const services = sessionServices(admitted);
+		zoneCalls.meter.recordCall(service);
+		return startCallSession(admitted, response, {
+			...services,
+			onResponseHead(target, head, sentMs) {
+				services.onResponseHead(target, head, sentMs);
+				if (head.isFromTarget && !head.notExecuted) {
+					zoneCalls.meter.recordAnswer(service, clock.nowMs() - sentMs);
+				}
+			},
 			findTarget: options.callTargets.find,
-			trackCall: options.callTargets.track,
+			trackCall,
+			leavingReason: zoneCalls.leavingReason,
 		});
+	};
 
 	return {startStream, startCall};
 }
