--- a/src/decisions/fleet/fleet-message-types.ts
+++ b/src/decisions/fleet/fleet-message-types.ts
@@ -10,6 +10,7 @@
 } from '../rate-limits/index.js';
 import type {PartReport} from '../quarantine/index.js';
 import type {AvoidedTargetList, TargetReport} from '../fleet-health/index.js';
+import type {CallReport, ServiceDemand} from '../zone-spillover/index.js';
 import type {RetryCredit} from './retry-pool.js';
 import type {MemberInfo, PeerTableStates} from './types.js';
 
@@ -130,10 +131,28 @@
 	readonly list: AvoidedTargetList;
 };
 
-/** Messages between VMs about membership, runs, placements, retries, rate limits and crashes of engines. */
+/** Calls to plain services that the sender has received since its last report. */
+export type CallRatesMessage = {
+	readonly kind: 'call-rates';
+	/** Zone of the sender. */
+	readonly availabilityZone: string;
+	readonly calls: readonly CallReport[];
+};
+
+/** Demand for plain services, as the coordinator has summed it. */
+export type ZoneDemandMessage = {
+	readonly kind: 'zone-demand';
+	readonly demands: readonly ServiceDemand[];
+};
+
+/**
+ * Messages between VMs about membership, runs, placements, retries, rate limits, crashes of engines, the
+ * health of targets and the demand for plain services.
+ */
 export type FleetMessage =
 	| AvoidedTargetsMessage
 	| Beacon
+	| CallRatesMessage
 	| CrashEvidenceMessage
 	| Heartbeat
 	| PermitRequestMessage
@@ -146,4 +165,5 @@
 	| RetryRequestMessage
 	| RetryDecisionMessage
 	| RunUpdate
-	| TargetReportMessage;
+	| TargetReportMessage
+	| ZoneDemandMessage;
--- a/src/decisions/serving/call-search.test.ts
+++ b/src/decisions/serving/call-search.test.ts
@@ -51,6 +51,7 @@
 			return createDisposableStore();
 		},
 		trackCall: fakeTrackedCall,
+		leavingReason: () => undefined,
 	});
 	const respond = (index: number, status: number, text: string) => {
 		const {listener} = targetClient.sends[index];
--- a/src/decisions/serving/call-session-types.ts
+++ b/src/decisions/serving/call-session-types.ts
@@ -20,4 +20,6 @@
 		target: TargetEntry,
 		isIdempotent: boolean,
 	) => TrackedCall;
+	/** Why a call to the target leaves the VM's availability zone; undefined if it stays there. */
+	readonly leavingReason: (target: TargetEntry) => string | undefined;
 };
--- a/src/decisions/serving/call-session.test.ts
+++ b/src/decisions/serving/call-session.test.ts
@@ -56,6 +56,7 @@
 
 					return createDisposableStore();
 				}),
+			leavingReason: () => undefined,
 			trackCall: fakeTrackedCall,
 		},
 	);
--- a/src/decisions/serving/call-target-search.ts
+++ b/src/decisions/serving/call-target-search.ts
@@ -16,7 +16,10 @@
 import type {TargetEligibility} from '../target-eligibility/index.js';
 import type {TargetUse} from '../target-statements/index.js';
 import {type CandidateQuery, serviceCandidates} from './service-candidates.js';
-import {chooseServiceTarget} from './service-placement.js';
+import {
+	chooseServiceTarget,
+	type ServiceCandidate,
+} from './service-placement.js';
 import type {ServiceStandings} from './service-standings.js';
 import type {TargetDirectory} from './target-directory.js';
 import {createTurnDenials} from './turn-denials.js';
@@ -68,6 +71,11 @@
 
 export type CallTargetSearchOptions = {
 	readonly availabilityZone: string;
+	/** Draws the preferred zone of a call to any region; undefined if the shares are not known. */
+	readonly drawZone: (
+		service: string,
+		candidates: readonly ServiceCandidate[],
+	) => string | undefined;
 	readonly clock: Clock;
 	readonly timers: Timers;
 	readonly random: RandomSource;
@@ -109,12 +117,15 @@
 			...options,
 			openCount: (targetId) => openCalls.get(targetId) ?? 0,
 		});
+		const drawnZone = query.allowedRegions
+			? undefined
+			: options.drawZone(query.service, candidates);
 		const passed = new Set(query.avoid);
 		const limited: LimitedTarget[] = [];
 		for (;;) {
 			const chosen = chooseServiceTarget(
 				candidates,
-				options.availabilityZone,
+				drawnZone ?? options.availabilityZone,
 				passed,
 				random,
 			);
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -100,6 +100,7 @@
 		eligibility,
 		coldTargets,
 		callTargets,
+		zoneCalls,
 		engineSelector,
 		storeWatch,
 	} = deployment;
@@ -131,6 +132,7 @@
 		directory,
 		engineSelector,
 		callTargets,
+		zoneCalls,
 		requestContinuationTurn: deployment.requestContinuationTurn,
 		detector,
 		callObserver: targetHealth.observer,
--- a/src/programs/front/deployment-state.ts
+++ b/src/programs/front/deployment-state.ts
@@ -44,6 +44,7 @@
 import type {FleetExchange} from './fleet-exchange-types.js';
 import {createTableRecovery} from './table-recovery.js';
 import {createTargetHealth, type TargetHealth} from './target-health.js';
+import {createZoneCalls, type ZoneCalls} from './zone-calls.js';
 import {startStoreWatch} from './start-store-watch.js';
 import type {StoreWatch} from './store-watch-types.js';
 
@@ -73,6 +74,7 @@
 	readonly standings: ServiceStandings;
 	readonly crashEvidence: CrashEvidence;
 	readonly callTargets: CallTargetSearch;
+	readonly zoneCalls: ZoneCalls;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly storeWatch: StoreWatch;
 	/** Largest number of VMs that may be serving, this one included. */
@@ -138,6 +140,13 @@
 		}),
 	);
 	const standings = createServiceStandings({directory, eligibility, random});
+	const zoneCalls = createZoneCalls({
+		availabilityZone: vm.availabilityZone,
+		clock,
+		random,
+		standings,
+		detector,
+	});
 	const crashEvidence = owned.add(createCrashEvidence(clock));
 	const waitMs = () =>
 		Math.min(settings.storeWaitMs, options.bounds().drainMs * waitFraction);
@@ -166,6 +175,7 @@
 			avoidedTargets,
 			serviceOf: (targetId) => directory.get(targetId)?.entry.service,
 			crashEvidence,
+			zoneCalls,
 			beaconIntervalMs: () => options.bounds().drainMs * waitFraction,
 			engines: (service) => engineSelector.engines(service),
 			storeReadState: () => late.storeWatch?.readState ?? 'idle',
@@ -215,6 +225,7 @@
 	});
 	const callTargets = createCallTargetSearch({
 		availabilityZone: vm.availabilityZone,
+		drawZone: zoneCalls.drawZone,
 		clock,
 		timers,
 		random,
@@ -265,6 +276,7 @@
 		crashEvidence,
 		vmCount: () => fleetExchange.members.vmCount,
 		callTargets,
+		zoneCalls,
 		requestContinuationTurn,
 		storeWatch,
 		resumedMs: () => fleetExchange.resumedMs(),
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -23,6 +23,7 @@
 	type AdmittedRequest,
 	type BufferBudget,
 	type CallerResponse,
+	type CallSessionOptions,
 	type CallTargetSearch,
 	type DecisionLog,
 	type LostRun,
@@ -41,6 +42,7 @@
 	TargetEligibility,
 } from '../../decisions/target-eligibility/index.js';
 import type {TargetStatements} from '../../decisions/target-statements/index.js';
+import type {ZoneCalls} from './zone-calls.js';
 import type {EngineSelector} from './engine-selector-types.js';
 
 export type SessionStarterOptions = {
@@ -50,6 +52,7 @@
 	readonly directory: TargetDirectory;
 	readonly engineSelector: EngineSelector;
 	readonly callTargets: CallTargetSearch;
+	readonly zoneCalls: ZoneCalls;
 	readonly requestContinuationTurn: RequestContinuationTurn;
 	readonly detector: OutlierDetector;
 	readonly callObserver: CallObserver;
@@ -90,7 +93,7 @@
 	options: SessionStarterOptions,
 ): SessionStarter {
 	const {clock, directory, engineSelector, detector, logger} = options;
-	const {statements, eligibility, avoidedTargets} = options;
+	const {statements, eligibility, avoidedTargets, zoneCalls} = options;
 	const log: DecisionLog = (event, record) => {
 		logger.info(event, record);
 	};
@@ -216,27 +219,42 @@
 			},
 		});
 
-	const startCall = (admitted: AdmittedRequest, response: CallerResponse) =>
-		startCallSession(admitted, response, {
-			...sessionServices(admitted),
-			findTarget: options.callTargets.find,
-			trackCall(target, isIdempotent) {
-				const isTrial = avoidedTargets.isAvoided(target.id);
-				const observed = options.callObserver.observe(
-					target,
-					isIdempotent,
-					isTrial,
-				);
-				const open = options.callTargets.track(target);
-				return {
-					recordOutcome: observed.recordOutcome,
-					dispose() {
-						open.dispose();
-						observed.dispose();
-					},
-				};
+	const trackCall: CallSessionOptions['trackCall'] = (target, isIdempotent) => {
+		const zone = zoneCalls.isInOwnZone(target) ? 'own' : 'other';
+		options.metrics.count('calls_sent', {service: target.service, zone});
+		const isTrial = avoidedTargets.isAvoided(target.id);
+		const observed = options.callObserver.observe(
+			target,
+			isIdempotent,
+			isTrial,
+		);
+		const open = options.callTargets.track(target);
+		return {
+			recordOutcome: observed.recordOutcome,
+			dispose() {
+				open.dispose();
+				observed.dispose();
+			},
+		};
+	};
+
+	const startCall = (admitted: AdmittedRequest, response: CallerResponse) => {
+		const {service} = admitted;
+		const services = sessionServices(admitted);
+		zoneCalls.meter.recordCall(service);
+		return startCallSession(admitted, response, {
+			...services,
+			onResponseHead(target, head, sentMs) {
+				services.onResponseHead(target, head, sentMs);
+				if (head.isFromTarget && !head.notExecuted) {
+					zoneCalls.meter.recordAnswer(service, clock.nowMs() - sentMs);
+				}
 			},
+			findTarget: options.callTargets.find,
+			trackCall,
+			leavingReason: zoneCalls.leavingReason,
 		});
+	};
 
 	return {startStream, startCall};
 }
