--- a/src/decisions/scheduling/generation-scheduler.ts
+++ b/src/decisions/scheduling/generation-scheduler.ts
@@ -211,11 +211,11 @@
 			isNew
 				? waitOrRefuse(generation, memory)
 				: {outcome: 'waiting', waitingCount: queue.size};
-		if (request.purpose === 'copy' || isNext(generation)) {
-			return decide(generation, memory, wait);
-		}
-
-		return wait();
+		const isDecided =
+			request.purpose === 'copy' ||
+			memory.infeasibleReason(request) !== undefined ||
+			isNext(generation);
+		return isDecided ? decide(generation, memory, wait) : wait();
 	};
 
 	/** Refuses a queued generation that is not likely any more to find memory before its longest wait is over. */
@@ -265,11 +265,8 @@
 			return queue.size;
 		},
 		place(vm, request) {
-			const generation: PendingGeneration = {
-				request,
-				vm,
-				receivedMs: clock.nowMs(),
-			};
+			const receivedMs = clock.nowMs();
+			const generation: PendingGeneration = {request, vm, receivedMs};
 			const key = keyOf(vm, request.id);
 			const previous = recentPlacements.get(key);
 			if (previous) {
@@ -285,13 +282,16 @@
 			const decision = admit(generation, !queued);
 			if (decision.outcome === 'waiting') {
 				queue.set(key, queued ?? generation);
+			} else {
+				queue.delete(key);
 			}
 
 			return decision;
 		},
 		cancel(vm, requestId) {
-			queue.delete(keyOf(vm, requestId));
-			recentPlacements.delete(keyOf(vm, requestId));
+			const key = keyOf(vm, requestId);
+			queue.delete(key);
+			recentPlacements.delete(key);
 			registry.release(vm, requestId);
 		},
 		tick,
--- a/src/decisions/serving/call-search.ts
+++ b/src/decisions/serving/call-search.ts
@@ -121,6 +121,7 @@
 		target: TargetEntry,
 		permit: TargetPermit | undefined,
 		sendReason: string,
+		maxWaitMs: number,
 	) => {
 		let isImmediate = true;
 		const poolRequest = options.retryShare.take(service, (isGranted) => {
@@ -131,7 +132,7 @@
 			} else if (isImmediate) {
 				sendTo(target, permit, sendReason);
 			} else if (!isDisposed) {
-				find(sendReason, 0, (newTarget, newPermit) => {
+				find(sendReason, maxWaitMs, (newTarget, newPermit) => {
 					sendTo(newTarget, newPermit, sendReason);
 				});
 			}
@@ -156,7 +157,7 @@
 				if (!listener.maySend()) {
 					notAllowed(sendReason);
 				} else if (listener.isRetry()) {
-					takeRetry(target, permit, sendReason);
+					takeRetry(target, permit, sendReason, maxWaitMs);
 				} else {
 					sendTo(target, permit, sendReason);
 				}
