--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -52,10 +52,11 @@
  */
 const shortServiceMemoryFraction = 0.97;
 /**
- * Fraction of the memory of all engines up to which late generations are started, unless they are short: those
- * cost next to nothing, and are served to their callers all the same.
+ * Fraction of the memory of all engines up to which late long generations are started. The rest is left to those
+ * that can be on time. A lower one lets memory lie idle while late generations, which are served all the same,
+ * wait in vain.
  */
-const lateServiceMemoryFraction = 0.65;
+const lateServiceMemoryFraction = 0.9;
 /** Fraction of the memory of all engines up to which runs get a copy from the start. */
 const copyServiceMemoryFraction = 0.78;
 /** Fraction of the objective in which the first token must be expected to count as on time. */
