--- a/src/decisions/serving/evacuated-runs.test.ts
+++ b/src/decisions/serving/evacuated-runs.test.ts
@@ -85,4 +85,25 @@
 		assert.equal(options.mayStart(), true);
 		assert.equal(stream.targetClient.sends[0].address, firstEngine.address);
 	});
+
+	test('an engine does not count as failing because of a request that this VM has withheld', () => {
+		const failed: string[] = [];
+		const stream = startTestStream({
+			backup: secondEngine,
+			onSendResult({id}, succeeded) {
+				if (!succeeded) {
+					failed.push(id);
+				}
+			},
+		});
+		const [{listener}] = stream.targetClient.sends;
+		listener.onFailure({
+			unsent: true,
+			withheld: true,
+			connectionEnded: false,
+			reason: 'the request is not wanted any more',
+		});
+		assert.equal(stream.targetClient.sends.length, 2);
+		assert.deepEqual(failed, []);
+	});
 });
--- a/src/decisions/serving/stream-failures.ts
+++ b/src/decisions/serving/stream-failures.ts
@@ -94,7 +94,11 @@
 			options.onDefectiveResponse(target, failure.defect);
 		}
 
-		options.onSendResult(target, false, clock.nowMs() - current.startedMs);
+		// A send that this VM has held back says nothing of the engine.
+		if (!failure.withheld) {
+			options.onSendResult(target, false, clock.nowMs() - current.startedMs);
+		}
+
 		avoid.add(target.id);
 		closeSend();
 		if (failure.unsent) {
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -56,6 +56,8 @@
 	readonly closedRefusal?: () => ClosedRefusal | undefined;
 	/** Called when an engine accepts no connection. */
 	readonly onUnreachable?: () => void;
+	/** Called with what a send shows of its engine. */
+	readonly onSendResult?: (target: TargetEntry, succeeded: boolean) => void;
 	/** Why the run may not be sent to an engine again. */
 	readonly heldReason?: () => string | undefined;
 	/** Decides on the turns of continued runs; if given, all engines limit their request rate. */
@@ -108,6 +110,9 @@
 			onUnreachable() {
 				options.onUnreachable?.();
 			},
+			onSendResult(target, succeeded) {
+				options.onSendResult?.(target, succeeded);
+			},
 			closedRefusal: () => options.closedRefusal?.(),
 			place(_admitted, avoid, listener) {
 				const target = [firstEngine, secondEngine, thirdEngine].find(
--- a/src/programs/front/connection-bounds.ts
+++ b/src/programs/front/connection-bounds.ts
@@ -27,6 +27,11 @@
 const callerDescriptorPercent = 60;
 /** A load balancer and a few readers of metrics need no more. */
 const minPageConnections = 8;
+/**
+ * All VMs of a large fleet may fetch tables from the same peer at once; a VM with few descriptors keeps most of
+ * them for callers.
+ */
+const peerConnections = {most: 128, descriptorPercent: 20} as const;
 const bytesPerMegabyte = 1_048_576;
 /** Requests of the largest size that must fit while their bodies arrive. */
 const minLargestRequests = 2;
@@ -57,11 +62,19 @@
 	);
 	const {maxDescriptors} = settings.vm.limits;
 
+	const leastConnections = (port: PortUse) =>
+		port === 'peers'
+			? Math.min(
+					peerConnections.most,
+					percentOf(peerConnections.descriptorPercent, maxDescriptors),
+				)
+			: minPageConnections;
+
 	const maxConnections = (port: PortUse) =>
 		port === 'callers'
 			? percentOf(callerDescriptorPercent, maxDescriptors)
 			: Math.max(
-					minPageConnections,
+					leastConnections(port),
 					percentOf(settings.pageConnectionsPercent, maxDescriptors),
 				);
 
