--- a/src/decisions/quarantine/crash-evidence.ts
+++ b/src/decisions/quarantine/crash-evidence.ts
@@ -5,7 +5,14 @@
 	type Disposable,
 	type Event,
 } from '../../common/index.js';
-import {samePointLimit} from './response-point.js';
+import {
+	addCrash,
+	byTime,
+	clearCrashes,
+	isContradicted,
+	type PartRecord,
+	toPartReport,
+} from './part-record.js';
 import type {
 	EvidenceSource,
 	PartChange,
@@ -64,29 +71,8 @@
 /** Longer ids are ignored, since the state per part must be bounded. */
 const maxPartIdLength = 64;
 const maxPartCount = 2000;
-/** Only the newest crashes of a part are kept. */
-const maxCrashesPerPart = 32;
 /** Time for which a whole response is remembered, so that older reports of other VMs are recognized, in milliseconds. */
 const clearedRetentionMs = 10_000;
-/** Smaller differences between the reports of two VMs come from the transit times of messages, in milliseconds. */
-const transitToleranceMs = 50;
-
-type PartRecord = {
-	/** By engine. */
-	readonly crashes: Map<string, PartCrash>;
-	/** Monotonic time of the latest known whole response, in milliseconds. */
-	clearedMs: number;
-	/** Monotonic times of the latest news from any VM and from own requests, in milliseconds. */
-	readonly newsMs: {any: number; own: number};
-	/** Monotonic times at which own runs last got so far, in milliseconds, by the number of events. */
-	readonly progressMs: Map<number, number>;
-	/** Monotonic time of the latest record, news or not, in milliseconds. */
-	touchedMs: number;
-};
-
-const byTime = (first: PartCrash, second: PartCrash) =>
-	first.atMs - second.atMs;
-
 /** Creates evidence without crashes. */
 export function createCrashEvidence(clock: Clock): CrashEvidence {
 	const changed = createEmitter<PartChange>();
@@ -160,73 +146,6 @@
 		changed.fire({partId, cause, source, crashCount: record.crashes.size});
 	};
 
-	const dropOldestCrash = ({crashes}: PartRecord) => {
-		if (crashes.size > maxCrashesPerPart) {
-			const [oldest] = [...crashes.values()].sort(byTime);
-			crashes.delete(oldest.engine);
-		}
-	};
-
-	/** @returns true if this was news */
-	const addCrash = (record: PartRecord, crash: PartCrash): boolean => {
-		const known = record.crashes.get(crash.engine);
-		const isKnown =
-			known !== undefined &&
-			crash.sentMs <= known.sentMs + transitToleranceMs &&
-			crash.eventCount <= known.eventCount;
-		if (isKnown || crash.atMs <= record.clearedMs) {
-			return false;
-		}
-
-		record.crashes.set(crash.engine, {
-			engine: crash.engine,
-			atMs: known?.atMs ?? crash.atMs,
-			sentMs: Math.max(known?.sentMs ?? -Infinity, crash.sentMs),
-			eventCount: Math.max(known?.eventCount ?? 0, crash.eventCount),
-		});
-		dropOldestCrash(record);
-		return true;
-	};
-
-	/** @returns true if crashes were cleared */
-	const clear = (record: PartRecord, atMs: number): boolean => {
-		record.clearedMs = Math.max(record.clearedMs, atMs);
-		const sizeBefore = record.crashes.size;
-		for (const [engine, crash] of record.crashes) {
-			if (crash.atMs <= record.clearedMs) {
-				record.crashes.delete(engine);
-			}
-		}
-
-		return record.crashes.size < sizeBefore;
-	};
-
-	const isContradicted = (
-		{progressMs}: PartRecord,
-		{atMs, eventCount}: PartCrash,
-	): boolean =>
-		[...progressMs].some(
-			([reachedCount, reachedMs]) =>
-				reachedMs >= atMs && reachedCount > samePointLimit(eventCount),
-		);
-
-	const toReport = (partId: string, record: PartRecord): PartReport => {
-		const nowMs = clock.nowMs();
-		return {
-			partId,
-			crashes: [...record.crashes.values()].map(
-				({engine, atMs, sentMs, eventCount}) => ({
-					engine,
-					ageMs: nowMs - atMs,
-					sentAgeMs: nowMs - sentMs,
-					eventCount,
-				}),
-			),
-			clearedAgeMs:
-				record.clearedMs === -Infinity ? undefined : nowMs - record.clearedMs,
-		};
-	};
-
 	return {
 		onChanged: changed.event,
 		partIds: () =>
@@ -256,7 +175,7 @@
 			for (const partId of partIds) {
 				wholeResponsesMs.set(partId, nowMs);
 				const record = records.get(partId);
-				if (record && clear(record, nowMs)) {
+				if (record && clearCrashes(record, nowMs)) {
 					fireChange(partId, record, 'whole-response', 'own');
 				}
 			}
@@ -285,7 +204,7 @@
 
 			const isCleared =
 				clearedAgeMs !== undefined &&
-				clear(record, nowMs - Math.max(0, clearedAgeMs));
+				clearCrashes(record, nowMs - Math.max(0, clearedAgeMs));
 			if (isCleared) {
 				fireChange(partId, record, 'whole-response', 'peer');
 			}
@@ -304,9 +223,10 @@
 		},
 		reports(sinceMs, source) {
 			const newsKind = source === 'own' ? 'own' : 'any';
+			const nowMs = clock.nowMs();
 			return [...records]
 				.filter(([, {newsMs}]) => newsMs[newsKind] >= sinceMs)
-				.map(([partId, record]) => toReport(partId, record));
+				.map(([partId, record]) => toPartReport(partId, record, nowMs));
 		},
 		forget,
 		sweep() {
