--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -39,8 +39,8 @@
 		edits: [
 			{
 				file: `${serving}/retry-share.js`,
-				original: 'ownExtra(extra, vmCount())',
-				replacement: 'extra * 2',
+				original: 'ownExtra(bounds().extra, vmCount())',
+				replacement: 'bounds().extra * 2',
 			},
 		],
 		vmCount: 4,
