--- a/src/decisions/fleet/fleet-messages.test.ts
+++ b/src/decisions/fleet/fleet-messages.test.ts
@@ -2,7 +2,8 @@
 import {test} from 'node:test';
 import * as fc from 'fast-check';
 import {ProblemError} from '../../common/index.js';
-import {decodeFleetMessage, encodeFleetMessage} from './fleet-messages.js';
+import {decodeFleetMessage} from './decode-fleet-message.js';
+import {encodeFleetMessage} from './encode-fleet-message.js';
 import type {FleetMessage} from './fleet-message-types.js';
 
 const sender = {
--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,5 +1,6 @@
 export type * from './fleet-message-types.js';
-export * from './fleet-messages.js';
+export * from './encode-fleet-message.js';
+export * from './decode-fleet-message.js';
 export * from './member-list.js';
 export * from './permit-client.js';
 export * from './placement-client.js';
