--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -148,7 +148,7 @@
 			},
 			'receive-memory-percent': {
 				type: 'number',
-				default: 6,
+				default: 4,
 				describe:
 					"part of the VM's memory for requests that are not received whole, in percent (1 to 50)",
 			},
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -204,7 +204,7 @@
 		requestMemoryPercent: 15,
 		addressConnectionsPercent: 50,
 		pageConnectionsPercent: 3,
-		receiveMemoryPercent: 6,
+		receiveMemoryPercent: 4,
 		logLevel: 'error',
 		checkOnly: false,
 	});
