--- a/src/decisions/scheduling/service-memory.ts
+++ b/src/decisions/scheduling/service-memory.ts
@@ -56,7 +56,7 @@
  * that can be on time. A lower one lets memory lie idle while late generations, which are served all the same,
  * wait in vain.
  */
-const lateServiceMemoryFraction = 0.9;
+const lateServiceMemoryFraction = 0.65;
 /** Fraction of the memory of all engines up to which runs get a copy from the start. */
 const copyServiceMemoryFraction = 0.78;
 /** Fraction of the objective in which the first token must be expected to count as on time. */
