--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -370,11 +370,19 @@
 	/**
 	 * Starts a runner that registers itself in the store every 1.2 seconds.
 	 * @param serve - serves the requests that expect this runner
+	 * @param front - puts something before the runner, and returns the address to register
 	 */
 	const startRunner = async (
 		id,
 		service,
-		{serve, slots = 6, zone = 'zone-1', ip = `${net}.2`, control},
+		{
+			serve,
+			slots = 6,
+			zone = 'zone-1',
+			ip = `${net}.2`,
+			front = async (address) => address,
+			control,
+		},
 	) => {
 		const runner = {id, service, state: 'ready', arrivals: [], address: ''};
 		const server = http.createServer(async (request, response) => {
@@ -413,7 +421,7 @@
 			serve(arrival, response, request);
 		});
 		server.keepAliveTimeout = 15_000;
-		runner.address = await listen(server, ip);
+		runner.address = await front(await listen(server, ip));
 		runner.server = server;
 		servers.push(server);
 		let seq = 0;
