--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -8,7 +8,7 @@
 } from '../lib-2/engine.mjs';
 import {call, isDisrupted, runCase, sleep} from '../lib-2/world.mjs';
 
-const folder = fileURLToPath(new URL('.', import.meta.url));
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url));
 const contactMs = 3000;
 /** Time for which a run may go on at two runners. */
 const overlapMs = 400;
@@ -71,7 +71,7 @@
 	};
 }
 
-await runCase(folder, async (world) => {
+await runCase(recordFile, async (world) => {
 	const {agent, store, record, nowMs, startDaemon, waitUntilReady} = world;
 	const copies = createCopies();
 	const proxies = [];
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -7,7 +7,7 @@
 } from '../lib-2/engine.mjs';
 import {call, isDisrupted, runCase, sleep} from '../lib-2/world.mjs';
 
-const folder = fileURLToPath(new URL('.', import.meta.url));
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url));
 const graceMs = 8000;
 const engineCount = 4;
 const streamCount = 16;
@@ -17,7 +17,7 @@
 /** Runs that are preempted, once each. */
 const maxPreempted = 3;
 
-await runCase(folder, async (world) => {
+await runCase(recordFile, async (world) => {
 	const {agent, store, record, nowMs, startDaemon, waitUntilReady} = world;
 	const copies = createCopies();
 	const engines = [];
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -191,10 +191,9 @@
 
 /**
  * Creates a deployment without daemons or runners.
- * @param name - folder of the case, for the record
+ * @param recordFile - file to which what was sent, answered and run is written
  */
-export async function createWorld(folder) {
-	const recordFile = path.join(folder, 'record.txt');
+export async function createWorld(recordFile) {
 	writeFileSync(recordFile, '');
 	const startedMs = performance.now();
 	const nowMs = () => Math.round(performance.now() - startedMs);
@@ -540,10 +539,10 @@
  * Runs a case and sets the exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  * @param run - returns the breaks that were seen
  */
-export async function runCase(folder, run) {
+export async function runCase(recordFile, run) {
 	let world;
 	try {
-		world = await createWorld(folder);
+		world = await createWorld(recordFile);
 		const breaks = await run(world);
 		for (const text of breaks) {
 			world.record(`BROKEN: ${text}`);
