Ask engines about silent runs before they continue elsewhere

Callers saw nothing; engines ran streams twice.

Cause: the stall check took silence for the end of a run. It closed the connection, which an engine behind a failed connection never learns, and continued the run from its copy. A connection that timed out counted the same way.

Change: 400 ms before a run counts as stalled, its engine is asked for its report over a connection of its own. The run continues elsewhere if the engine can't be reached, has ended, or says that it has no such run. If the engine executes the run, it is told to stop it (kv-move with last) and the run continues from the memory kept or copied then; without a handle in the response the run counts as going on. In doubt the run stays. Connections that time out follow the same rules. Log lines 'silent run checked' and 'run stopped', and cowslip_silent_runs_total by finding, tell the cases apart.

Why this works: each second send now follows a statement of the first engine, or its silence over a new connection.

One existing test of the stall check lets time pass after a tick, since the question has an answer only later; its assertions are the same.

--- a/src/common/requests/target-client.ts
+++ b/src/common/requests/target-client.ts
@@ -2,10 +2,13 @@
 import type {
 	ResponseListener,
 	CallerRequest,
+	CopyOrder,
 	CopyResult,
 	EngineReport,
+	RunStatus,
 	SendHandle,
 	SendOptions,
+	StopRunResult,
 	TargetLiveness,
 } from './types.js';
 
@@ -29,17 +32,28 @@
 	/**
 	 * Copies the KV cache of a run to another engine, while the run continues. Later calls for the same
 	 * run copy only what was added since.
-	 * @param address - `address:port` of the engine that executes the run
-	 * @param requestId - id of the request that the run serves
-	 * @param toAddress - `address:port` of the engine that receives the copy
 	 */
 	abstract copyKvCache(
-		address: string,
-		requestId: string,
-		toAddress: string,
+		order: CopyOrder,
 		timeoutMs: number,
 	): Promise<CopyResult>;
 
+	/**
+	 * Stops a run and copies what another engine lacks of its KV cache. The order is sent over a new connection,
+	 * so that it arrives if the connection of the run does not work; never rejects.
+	 */
+	abstract stopRun(order: CopyOrder, timeoutMs: number): Promise<StopRunResult>;
+
+	/**
+	 * Asks an engine over a new connection whether it has a run; never rejects.
+	 * @param requestId - id of the request that the run serves
+	 */
+	abstract runStatus(
+		target: TargetEntry,
+		requestId: string,
+		timeoutMs: number,
+	): Promise<RunStatus>;
+
 	/**
 	 * Frees a KV cache copy that is no longer needed, at both engines.
 	 * @param address - `address:port` of the engine that issued the handle
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -137,6 +137,11 @@
 	readonly withheld?: boolean;
 	/** True if the target, or the network, ended the connection before the response was complete. */
 	readonly connectionEnded: boolean;
+	/**
+	 * True if the connection ended since nothing arrived on it any more. The target may not have noticed its
+	 * end, and may still work on the request.
+	 */
+	readonly timedOut?: boolean;
 	readonly reason: string;
 	/** What is wrong with the response itself; undefined if it only did not arrive completely. */
 	readonly defect?: ResponseDefect;
@@ -158,6 +163,16 @@
 	onFailure(failure: SendFailure): void;
 };
 
+/** A run whose KV cache is to be copied to another engine. */
+export type CopyOrder = {
+	/** `address:port` of the engine that executes the run. */
+	readonly address: string;
+	/** Id of the request that the run serves. */
+	readonly requestId: string;
+	/** `address:port` of the engine that receives the copy. */
+	readonly toAddress: string;
+};
+
 /** Result of copying the KV cache of a run. */
 export type CopyResult =
 	| {readonly outcome: 'copied'; readonly copy: KvCacheCopy}
@@ -169,6 +184,45 @@
 	| {readonly outcome: 'busy'}
 	| {readonly outcome: 'failed'; readonly reason: string};
 
+/** Result of stopping a run at its engine. */
+export type StopRunResult =
+	/**
+	 * The run has stopped and can continue from its KV cache. `holder` says where that is: at the engine that
+	 * was to receive a copy, or still at the engine of the run.
+	 */
+	| {
+			readonly outcome: 'stopped';
+			readonly holder: 'destination' | 'source';
+			readonly kvCache: KvCacheCopy;
+	  }
+	/** The engine executes no such run; the run may wait there. */
+	| {readonly outcome: 'unknown-run'}
+	/** A copy of the run is in progress. */
+	| {readonly outcome: 'busy'}
+	/** The run may go on. */
+	| {readonly outcome: 'failed'; readonly reason: string};
+
+/** A run as its engine reports it. */
+export type ReportedRun = {
+	/** Id of the request that the run serves. */
+	readonly requestId: string;
+	/** Number of events that the run has produced. */
+	readonly eventCount: number;
+};
+
+/** What is known of a run at an engine that was asked over a new connection. */
+export type RunStatus =
+	/** The engine executes the run. */
+	| {readonly state: 'running'; readonly eventCount: number}
+	/** The engine neither executes the run nor lets any request wait. */
+	| {readonly state: 'absent'}
+	/** The engine has ended since it registered. */
+	| {readonly state: 'engine-ended'}
+	/** The engine did not respond in time. */
+	| {readonly state: 'unreachable'; readonly reason: string}
+	/** The engine responds, but does not say whether it has the run. */
+	| {readonly state: 'unstated'; readonly reason: string};
+
 /**
  * Load report of an engine of the platform that the front daemon serves; some hundred milliseconds old.
  * `LoadReport` is that of the entry daemon's engines.
@@ -186,6 +240,8 @@
 	readonly coldMs: number;
 	/** Unix time of the engine's start in milliseconds, if the report has it. */
 	readonly bornMs: number | undefined;
+	/** Runs that the engine executes; undefined if the report does not list them. */
+	readonly runs: readonly ReportedRun[] | undefined;
 };
 
 /**
--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -85,9 +85,11 @@
 	{targetClient, log}: RunCopiesOptions,
 ) {
 	const result = await targetClient.copyKvCache(
-		run.source.address,
-		run.requestId,
-		destination.address,
+		{
+			address: run.source.address,
+			requestId: run.requestId,
+			toAddress: destination.address,
+		},
 		copyTimeoutMs,
 	);
 	log('memory copied', {
--- a/src/decisions/serving/stall-detector.ts
+++ b/src/decisions/serving/stall-detector.ts
@@ -5,8 +5,10 @@
 export type StallDetector = {
 	/** Time since the last progress, in milliseconds. */
 	readonly silentMs: number;
-	/** True once the run counts as stalled; it may then be continued from a copy at another engine. */
-	readonly isStalled: boolean;
+	/** Time after which the run counts as stalled, in milliseconds; negative once it does. */
+	readonly untilStallMs: number;
+	/** Number of times that the run has made progress; it tells whether two moments lie in the same pause. */
+	readonly progressCount: number;
 	/** Records that the run was started or has made progress. */
 	progressed(): void;
 };
@@ -24,13 +26,17 @@
 	response: Pick<StreamResponse, 'eventCount' | 'eventTiming'>,
 ): StallDetector {
 	let progressedMs = clock.nowMs();
+	let progressCount = 0;
 	const silentMs = () => clock.nowMs() - progressedMs;
 
 	return {
 		get silentMs() {
 			return silentMs();
 		},
-		get isStalled() {
+		get progressCount() {
+			return progressCount;
+		},
+		get untilStallMs() {
 			// A run that has resumed after a long pause may pause as long again.
 			const limitMs =
 				response.eventCount > 0
@@ -39,10 +45,11 @@
 							response.eventTiming.longestGapMs * pauseFactor,
 						)
 					: minFirstEventStallMs;
-			return silentMs() > limitMs;
+			return limitMs - silentMs();
 		},
 		progressed() {
 			progressedMs = clock.nowMs();
+			progressCount++;
 		},
 	};
 }
--- a/src/decisions/serving/stream-copies.ts
+++ b/src/decisions/serving/stream-copies.ts
@@ -15,6 +15,8 @@
 export type StreamCopies = {
 	/** True if the run can continue from a copy; one in an evacuated availability zone does not count. */
 	hasUsableCopy(attempt: StreamAttempt): boolean;
+	/** @returns an engine that may receive a copy of the run's KV cache; undefined if none has room */
+	chooseHolder(attempt: StreamAttempt): Promise<TargetEntry | undefined>;
 	/** Starts to copy the run's KV cache if the run is at risk and has no reachable backup. */
 	ensureCopy(attempt: StreamAttempt): void;
 	/** Looks for room again for a run in an evacuated availability zone; called at regular intervals. */
@@ -73,8 +75,23 @@
 		(options.isEvacuated(target) ||
 			(backup !== undefined && options.isEvacuated(backup)));
 
+	const chooseOther = async (
+		{placement: {id, target, backup}}: StreamAttempt,
+		refused: Iterable<string>,
+	) =>
+		options.placeCopy(
+			{
+				placementId: id,
+				admitted,
+				target,
+				backup,
+				eventCount: progress.eventCount,
+			},
+			new Set([...avoid, ...refused]),
+		);
+
 	const startCopying = async (attempt: StreamAttempt) => {
-		const {target, backup} = attempt.placement;
+		const {target} = attempt.placement;
 		const end = await maintainCopy(
 			{
 				requestId,
@@ -83,17 +100,7 @@
 					? copyRefreshIntervalMs.running
 					: copyRefreshIntervalMs.leaving,
 				isOver: () => attempt.isOver || progress.isDone,
-				chooseTarget: async (refused) =>
-					options.placeCopy(
-						{
-							placementId: attempt.placement.id,
-							admitted,
-							target,
-							backup,
-							eventCount: progress.eventCount,
-						},
-						new Set([...avoid, ...refused]),
-					),
+				chooseTarget: async (refused) => chooseOther(attempt, refused),
 				mayHold: (holder) => !options.isEvacuated(holder),
 				onCopy(copy) {
 					const others = attempt.copies.filter(
@@ -134,6 +141,17 @@
 		hasUsableCopy: ({copies, placement}) =>
 			copies.some(({target}) => !options.isEvacuated(target)) ||
 			isReachable(placement.backup),
+		async chooseHolder(attempt) {
+			const {copies, placement} = attempt;
+			const holders = [...copies.map(({target}) => target), placement.backup];
+			const holder = holders.find(
+				(target) =>
+					target?.id !== placement.target.id &&
+					isReachable(target) &&
+					!options.isEvacuated(target!),
+			);
+			return holder ?? chooseOther(attempt, [placement.target.id]);
+		},
 		ensureCopy,
 		tick(attempt) {
 			if (retryAtMs !== undefined && clock.nowMs() >= retryAtMs) {
--- a/src/decisions/serving/stream-failures.ts
+++ b/src/decisions/serving/stream-failures.ts
@@ -7,6 +7,7 @@
 import type {LostRunRecovery} from './lost-run-recovery.js';
 import {promisesNotRun} from './refusals.js';
 import type {RunContinuation} from './run-continuation.js';
+import type {RunStop} from './run-stop.js';
 import type {SessionCompletion} from './session-completion.js';
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import type {StallDetector} from './stall-detector.js';
@@ -16,8 +17,10 @@
 
 /** Decides how a stream goes on after a send without a complete response. */
 export type StreamFailures = {
+	/** The send failed, or its response did. The run may still be in progress. */
+	onSendFailed(attempt: StreamAttempt, failure: SendFailure): void;
 	/**
-	 * The send failed, or its response did.
+	 * The send failed, and its run has ended or was not started.
 	 * @param isGranted - true if the retry budget has already been charged for continuing the run
 	 */
 	onFailure(
@@ -45,6 +48,9 @@
 	readonly engineSearch: EngineSearch;
 	readonly continuation: RunContinuation;
 	readonly lostRunRecovery: LostRunRecovery;
+	readonly runStop: RunStop;
+	/** Called when the connection of a run has timed out; its engine may not have noticed it. */
+	readonly onTimedOut: (attempt: StreamAttempt, failure: SendFailure) => void;
 	readonly closeSend: () => void;
 	/** Records that an engine may have run the request. */
 	readonly recordMayHaveRun: () => void;
@@ -62,6 +68,8 @@
 	engineSearch,
 	continuation,
 	lostRunRecovery,
+	runStop,
+	onTimedOut,
 	closeSend,
 	recordMayHaveRun,
 	giveUp,
@@ -69,15 +77,27 @@
 	const {clock, log} = options;
 	const {request} = admitted;
 
+	const onSendFailed = (current: StreamAttempt, failure: SendFailure) => {
+		if (current.isOver || completion.isDone) {
+			return;
+		}
+
+		if (runStop.holdFailure(current, failure)) {
+			return;
+		}
+
+		if (failure.timedOut && !failure.unsent) {
+			onTimedOut(current, failure);
+		} else {
+			onFailure(current, failure);
+		}
+	};
+
 	const onFailure = (
 		current: StreamAttempt,
 		failure: SendFailure,
 		isGranted = false,
 	) => {
-		if (current.isOver || completion.isDone) {
-			return;
-		}
-
 		const {target} = current.placement;
 		log('stream attempt failed', {
 			request: request.id,
@@ -172,5 +192,5 @@
 		completion.sendResponse(head, body, 'target failed');
 	};
 
-	return {onFailure, onOtherResponse};
+	return {onSendFailed, onFailure, onOtherResponse};
 }
--- a/src/decisions/serving/stream-session-types.ts
+++ b/src/decisions/serving/stream-session-types.ts
@@ -4,6 +4,7 @@
 	TargetEntry,
 } from '../../common/index.js';
 import type {ClosedRefusal} from '../target-statements/index.js';
+import type {SilentRunFinding} from './silent-runs.js';
 import type {RequestContinuationTurn} from './continuation-turn.js';
 import type {
 	AdmittedRequest,
@@ -116,6 +117,8 @@
 		before: number,
 		now: number,
 	) => void;
+	/** Called when an engine was asked about a run whose connection is silent. */
+	readonly onSilentRun: (finding: SilentRunFinding) => void;
 	/** Called when a run is lost, before it continues elsewhere. */
 	readonly onRunLost: (run: LostRun) => void;
 	/** Called when a stream has ended normally. */
--- a/src/decisions/serving/stream-session.test.ts
+++ b/src/decisions/serving/stream-session.test.ts
@@ -204,13 +204,17 @@
 	await time.runUntil(1000);
 	session.tick();
 	session.tick();
+	await time.runUntil(1010);
 	assert.equal(pool.requests.length, 1);
 	pool.requests[0](false);
 	session.tick();
+	await time.runUntil(1020);
 	assert.deepEqual([response.ending, pool.requests.length], [undefined, 1]);
 	await time.runUntil(2100);
 	session.tick();
+	await time.runUntil(2110);
 	pool.requests[1](true);
+	await time.runUntil(2120);
 	assert.equal(targetClient.sends[0].isDisposed, true);
 	assert.equal(targetClient.sends[1].address, secondEngine.address);
 });
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -6,7 +6,8 @@
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
 import {createLostRunRecovery} from './lost-run-recovery.js';
 import {createRunContinuation} from './run-continuation.js';
-import {createStalledRunCheck} from './stalled-run-check.js';
+import {createRunStop} from './run-stop.js';
+import {createSilentRuns} from './silent-runs.js';
 import {createStallDetector} from './stall-detector.js';
 import {createContinuationRetries} from './continuation-retries.js';
 import {createStreamCopies} from './stream-copies.js';
@@ -134,7 +135,11 @@
 				reason,
 			},
 			options,
-			{...delivery, ...failures},
+			{
+				...delivery,
+				onOtherResponse: failures.onOtherResponse,
+				onFailure: failures.onSendFailed,
+			},
 		);
 		send = attempt;
 		attempt.start();
@@ -156,14 +161,29 @@
 		response,
 		giveUp,
 	});
-	const stalledRunCheck = createStalledRunCheck({
+	const isCurrent = (attempt: StreamAttempt) => send === attempt;
+	const runStop = createRunStop({
+		admitted,
+		session: options,
+		copies,
+		isCurrent,
+	});
+	const silentRuns = createSilentRuns({
+		admitted,
+		session: options,
 		stallDetector,
 		retries: continuationRetries,
 		copies,
-		isCurrent: (attempt) => send === attempt,
-		onGranted(attempt, failure) {
-			failures.onFailure(attempt, failure, true);
+		runStop,
+		passedEventId: () => response.lastEventId ?? callerEventIdOf(admitted) ?? 0,
+		isCurrent,
+		onLost(attempt, failure, isGranted) {
+			failures.onFailure(attempt, failure, isGranted);
+		},
+		onFailed(attempt, failure) {
+			failures.onSendFailed(attempt, failure);
 		},
+		giveUp,
 	});
 
 	/** Lowers the priority of a late generation, so that it does not delay those that can be on time. */
@@ -187,6 +207,10 @@
 		engineSearch,
 		continuation,
 		lostRunRecovery,
+		runStop,
+		onTimedOut(attempt, failure) {
+			silentRuns.connectionTimedOut(attempt, failure);
+		},
 		closeSend,
 		recordMayHaveRun,
 		giveUp,
@@ -200,7 +224,7 @@
 		stallDetector,
 		copies,
 		recordMayHaveRun,
-		onFailure: failures.onFailure,
+		onFailure: failures.onSendFailed,
 	});
 
 	/** The caller takes bytes again; until then its run counts neither as stalled nor as silent. */
@@ -218,7 +242,7 @@
 	};
 
 	/** False while the caller holds the run up, or it could not continue elsewhere. */
-	const mayLeaveStalled = () =>
+	const mayLeaveSilent = () =>
 		!callerResponse.isCongested && options.heldReason(request) === undefined;
 
 	retryShare.recordRequest(service);
@@ -257,8 +281,8 @@
 				copies.tick(send);
 			}
 
-			if (send && !send.isOver && mayLeaveStalled()) {
-				stalledRunCheck.check(send);
+			if (send && !send.isOver && mayLeaveSilent()) {
+				silentRuns.check(send);
 			}
 		},
 	};
--- a/src/experiments/fakes/fake-stream.ts
+++ b/src/experiments/fakes/fake-stream.ts
@@ -186,6 +186,9 @@
 			onProgress() {
 				// The evidence of crashes is not kept in these tests.
 			},
+			onSilentRun() {
+				// The log has the findings too.
+			},
 			onRunLost(run) {
 				lostRuns.push(run);
 			},
--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -2,11 +2,15 @@
 	type ResponseHead,
 	type ResponseListener,
 	type CallerRequest,
+	type CopyOrder,
 	type CopyResult,
 	type EngineReport,
+	type RunStatus,
 	type SendHandle,
 	type SendOptions,
+	type StopRunResult,
 	TargetClient,
+	type TargetEntry,
 	type TargetLiveness,
 } from '../../common/index.js';
 
@@ -55,6 +59,24 @@
 	readonly releasedHandles: string[] = [];
 	/** Targets to which connections were closed. */
 	readonly closedAddresses: string[] = [];
+	/** Orders to stop a run. */
+	readonly stops: Array<{
+		readonly address: string;
+		readonly toAddress: string;
+	}> = [];
+
+	/** Engines that were asked about a run, in order, with repetitions. */
+	readonly askedTargetIds: string[] = [];
+	/** Result of each order to stop a run, by the address of the engine that receives its copy. */
+	stopResult: (toAddress: string) => Promise<StopRunResult> | StopRunResult =
+		() => ({outcome: 'failed', reason: 'status 503'});
+
+	/** What engines say of the run that they are asked about. */
+	status: () => Promise<RunStatus> | RunStatus = () => ({
+		state: 'unreachable',
+		reason: 'no response in time',
+	});
+
 	/** Result of each copy, by the address of the engine that receives it. */
 	copyResult: (toAddress: string) => CopyResult = () => ({
 		outcome: 'unknown-run',
@@ -88,11 +110,10 @@
 		};
 	}
 
-	override async copyKvCache(
-		address: string,
-		_requestId: string,
-		toAddress: string,
-	): Promise<CopyResult> {
+	override async copyKvCache({
+		address,
+		toAddress,
+	}: CopyOrder): Promise<CopyResult> {
 		this.copies.push({address, toAddress});
 		return this.copyResult(toAddress);
 	}
@@ -110,9 +131,23 @@
 			leaving: false,
 			coldMs: 0,
 			bornMs: undefined,
+			runs: undefined,
 		};
 	}
 
+	override async stopRun({
+		address,
+		toAddress,
+	}: CopyOrder): Promise<StopRunResult> {
+		this.stops.push({address, toAddress});
+		return this.stopResult(toAddress);
+	}
+
+	override async runStatus(target: TargetEntry): Promise<RunStatus> {
+		this.askedTargetIds.push(target.id);
+		return this.status();
+	}
+
 	override async checkLiveness(): Promise<TargetLiveness> {
 		return 'unknown';
 	}
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -203,7 +203,10 @@
 	const client = new HttpTargetClient();
 	const outcomes: string[] = [];
 	for (let index = 0; index < 5; index++) {
-		const result = await client.copyKvCache(address, 'q1', '10.0.0.2:80', 1000);
+		const result = await client.copyKvCache(
+			{address, requestId: 'q1', toAddress: '10.0.0.2:80'},
+			1000,
+		);
 		outcomes.push(result.outcome);
 	}
 
@@ -237,7 +240,10 @@
 	const client = new HttpTargetClient();
 	client.setMaxConnections(address, 1);
 	await assert.rejects(client.report(address, 500), {type: 'target-protocol'});
-	const copied = await client.copyKvCache(address, 'q1', '10.0.0.9:80', 500);
+	const copied = await client.copyKvCache(
+		{address, requestId: 'q1', toAddress: '10.0.0.9:80'},
+		500,
+	);
 	assert.deepEqual(copied, {
 		outcome: 'copied',
 		copy: {address, handle: 'own'},
@@ -318,7 +324,10 @@
 			[failure?.unsent, failure?.connectionEnded, failure?.defect],
 			[false, false, 'undefined-status'],
 		);
-		const copy = await client.copyKvCache(address, 'q1', '127.0.0.1:1', 900);
+		const copy = await client.copyKvCache(
+			{address, requestId: 'q1', toAddress: '127.0.0.1:1'},
+			900,
+		);
 		assert.equal(copy.outcome, 'failed');
 		await assert.rejects(client.report(address, 900));
 		const target = {...fakeTargetEntry('e1'), address, bornMs: 1};
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -1,12 +1,19 @@
-import type {Dispatcher, Pool as UndiciPool} from 'undici';
+import type {
+	Client as UndiciClient,
+	Dispatcher,
+	Pool as UndiciPool,
+} from 'undici';
 import {
 	type ResponseListener,
 	type SendHandle,
 	type CallerRequest,
+	type CopyOrder,
 	type CopyResult,
 	type EngineReport,
 	ProblemError,
+	type RunStatus,
 	type SendOptions,
+	type StopRunResult,
 	TargetClient,
 	type TargetEntry,
 	type TargetLiveness,
@@ -18,10 +25,13 @@
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
 import {isDefinedStatus, UndefinedStatusError} from './defined-status.js';
-import {defectOf} from './response-defect.js';
+import {failureDetails} from './failure-details.js';
+import {createInterimLimit} from './interim-limit.js';
 import {rawHeaderPairs} from './raw-headers.js';
 import {decodeResponseHead} from './response-head.js';
+import {readRunStatus, stopRun} from './run-control.js';
 import {
+	checkLiveness,
 	copyKvCache,
 	maxControlResponseBytes,
 	readReport,
@@ -36,7 +46,8 @@
 const defaultMaxConnections = 16;
 
 const firstFinalStatus = 200;
-const maxInterimResponses = 32;
+
+type ReadControl = Pick<SendHandle, 'pause' | 'resume'>;
 
 /** Target client for HTTP/1.1. Each connection carries one request at a time. */
 export class HttpTargetClient extends TargetClient {
@@ -51,10 +62,7 @@
 	/** Response size limits of requests, by dispatch options. */
 	private readonly maxResponseBytes = new WeakMap<object, number>();
 	/** Control of the connections that carry requests, by dispatch options. */
-	private readonly reads = new WeakMap<
-		object,
-		Pick<SendHandle, 'pause' | 'resume'>
-	>();
+	private readonly reads = new WeakMap<object, ReadControl>();
 
 	override send(
 		address: string,
@@ -65,7 +73,7 @@
 		let settled = false;
 		let started = false;
 		let withheld = false;
-		let interimCount = 0;
+		const interimLimit = createInterimLimit();
 		let abort: ((reason: Error) => void) | undefined;
 		const settle = (run: () => void) => {
 			if (!settled) {
@@ -87,14 +95,10 @@
 				listener.onData(bytes);
 			} catch (error) {
 				// The collector delivers outside undici's callbacks, in which undici fails the request itself.
-				const {message} = error as Error;
+				const {message: reason} = error as Error;
 				settle(() => {
 					abortSend();
-					listener.onFailure({
-						unsent: false,
-						connectionEnded: false,
-						reason: message,
-					});
+					listener.onFailure({unsent: false, connectionEnded: false, reason});
 				});
 			}
 		});
@@ -126,9 +130,7 @@
 				}
 
 				started = true;
-				abort = (reason) => {
-					controller.abort(reason);
-				};
+				abort = controller.abort.bind(controller);
 			},
 			onResponseStart(controller, status, headers) {
 				if (settled) {
@@ -147,14 +149,9 @@
 					return;
 				}
 
-				interimCount++;
-				if (interimCount > maxInterimResponses) {
-					controller.abort(
-						new ProblemError(
-							'too-large',
-							`more than ${maxInterimResponses} interim responses`,
-						),
-					);
+				const error = interimLimit.record();
+				if (error) {
+					controller.abort(error);
 				}
 			},
 			onResponseData(_controller, chunk) {
@@ -164,11 +161,8 @@
 				body.flush();
 				settle(() => {
 					if (resetRequests.has(dispatchOptions)) {
-						listener.onFailure({
-							unsent: false,
-							connectionEnded: true,
-							reason: 'the connection was reset',
-						});
+						const reason = 'the connection was reset';
+						listener.onFailure({unsent: false, connectionEnded: true, reason});
 					} else {
 						listener.onEnd();
 					}
@@ -176,13 +170,13 @@
 			},
 			onResponseError(_controller, error) {
 				body.flush();
+				const connectionEnded = endedRequests.has(dispatchOptions);
 				settle(() => {
 					listener.onFailure({
 						unsent: !started,
 						withheld,
-						connectionEnded: endedRequests.has(dispatchOptions),
-						reason: error.message,
-						defect: defectOf(error),
+						connectionEnded,
+						...failureDetails(error),
 					});
 				});
 			},
@@ -203,14 +197,28 @@
 	}
 
 	override async copyKvCache(
-		address: string,
-		requestId: string,
-		toAddress: string,
+		order: CopyOrder,
 		timeoutMs: number,
 	): Promise<CopyResult> {
-		return copyKvCache(
-			this.poolFor(address),
-			{address, requestId, toAddress},
+		return copyKvCache(this.poolFor(order.address), order, timeoutMs);
+	}
+
+	override async stopRun(
+		order: CopyOrder,
+		timeoutMs: number,
+	): Promise<StopRunResult> {
+		return stopRun((origin) => this.createClient(origin), order, timeoutMs);
+	}
+
+	override async runStatus(
+		target: TargetEntry,
+		requestId: string,
+		timeoutMs: number,
+	): Promise<RunStatus> {
+		return readRunStatus(
+			(origin) => this.createClient(origin),
+			target,
+			requestId,
 			timeoutMs,
 		);
 	}
@@ -227,20 +235,10 @@
 	}
 
 	override async checkLiveness(
-		{address, bornMs}: TargetEntry,
+		target: TargetEntry,
 		timeoutMs: number,
 	): Promise<TargetLiveness> {
-		try {
-			const report = await this.report(address, timeoutMs);
-			const isOther =
-				bornMs !== undefined &&
-				report.bornMs !== undefined &&
-				report.bornMs !== bornMs;
-			return isOther ? 'ended' : 'alive';
-		} catch (error) {
-			const {code} = error as NodeJS.ErrnoException;
-			return code === 'ECONNREFUSED' ? 'ended' : 'unknown';
-		}
+		return checkLiveness(this.poolFor(target.address), target, timeoutMs);
 	}
 
 	override closeConnections(address: string): void {
@@ -270,27 +268,31 @@
 		if (!pool) {
 			pool = new Pool(`http://${address}`, {
 				connections: this.maxConnections.get(address) ?? defaultMaxConnections,
-				factory: (origin) =>
-					createResetAwareClient(origin, {
-						connectTimeoutMs,
-						readBudget: this.readBudget,
-						idleTimeoutMs,
-						onConnectionEnd: (request, wasReset) => {
-							this.endedRequests.add(request);
-							if (wasReset) {
-								this.resetRequests.add(request);
-							}
-						},
-						onDispatch: (request, control) => {
-							this.reads.set(request, control);
-						},
-						maxResponseBytes: (request) =>
-							this.maxResponseBytes.get(request) ?? maxControlResponseBytes,
-					}),
+				factory: (origin) => this.createClient(origin),
 			});
 			this.pools.set(address, pool);
 		}
 
 		return pool;
 	}
+
+	/** Creates a client with one connection. */
+	private createClient(origin: URL | string): UndiciClient {
+		return createResetAwareClient(origin, {
+			connectTimeoutMs,
+			readBudget: this.readBudget,
+			idleTimeoutMs,
+			onConnectionEnd: (request, wasReset) => {
+				this.endedRequests.add(request);
+				if (wasReset) {
+					this.resetRequests.add(request);
+				}
+			},
+			onDispatch: (request, control) => {
+				this.reads.set(request, control);
+			},
+			maxResponseBytes: (request) =>
+				this.maxResponseBytes.get(request) ?? maxControlResponseBytes,
+		});
+	}
 }
--- a/src/platform/target-control.ts
+++ b/src/platform/target-control.ts
@@ -1,28 +1,30 @@
 import type {Dispatcher} from 'undici';
 import * as z from 'zod';
 import {
+	type CopyOrder,
 	type CopyResult,
 	type EngineReport,
 	ProblemError,
+	type TargetEntry,
+	type TargetLiveness,
 } from '../common/index.js';
 import {decode, parseJson} from './decode.js';
 import {makeHttpCall} from './http-call.js';
 import {decodeCold} from './response-head.js';
 import {headerNames, targetPaths} from './wire-names.js';
 
-/** A run whose KV cache is to be copied. */
-export type CopyOrder = {
-	/** `address:port` of the engine that executes the run. */
-	readonly address: string;
-	readonly requestId: string;
-	/** `address:port` of the engine that is to get the copy. */
-	readonly toAddress: string;
-};
-
 const releaseTimeoutMs = 1000;
 /** Size limit of responses to control calls. A load report lists every run of its engine; the largest is far smaller. */
 export const maxControlResponseBytes = 1_048_576;
 
+/** Id of the request, tokens in memory, events made; the priority that follows is not read. */
+const runSchema = z
+	.tuple([z.string(), z.number(), z.number()])
+	.rest(z.unknown());
+
+/** A list that can't be read counts as none. */
+const runsSchema = z.array(runSchema).optional();
+
 const reportSchema = z.object({
 	queued: z.number(),
 	running: z.number(),
@@ -31,7 +33,9 @@
 	state: z.string().optional(),
 	leaves_ms: z.number().nullish(),
 	born: z.number().nullish(),
+	runs: runsSchema,
 });
+
 /** An unreadable value counts as none, since the target's row states the time too. */
 function statedColdMs(value: string[] | string | undefined): number {
 	const cold = decodeCold(typeof value === 'string' ? value : undefined);
@@ -145,5 +149,28 @@
 		coldMs: statedColdMs(headers[headerNames.coldMs.toLowerCase()]),
 		leaving: raw.state === 'draining' || typeof raw.leaves_ms === 'number',
 		bornMs: raw.born ?? undefined,
+		runs: raw.runs?.map(([requestId, , eventCount]) => ({
+			requestId,
+			eventCount,
+		})),
 	};
 }
+
+/** Finds out whether an engine has ended since it registered; never rejects. */
+export async function checkLiveness(
+	engine: Dispatcher,
+	{bornMs}: TargetEntry,
+	timeoutMs: number,
+): Promise<TargetLiveness> {
+	try {
+		const report = await readReport(engine, timeoutMs);
+		const isOther =
+			bornMs !== undefined &&
+			report.bornMs !== undefined &&
+			report.bornMs !== bornMs;
+		return isOther ? 'ended' : 'alive';
+	} catch (error) {
+		const {code} = error as NodeJS.ErrnoException;
+		return code === 'ECONNREFUSED' ? 'ended' : 'unknown';
+	}
+}
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -21,6 +21,14 @@
 /** Copy, stored by this engine, of the KV cache of another engine's run. */
 type StoredCopy = {readonly requestId: string; readonly eventCount: number};
 
+/** Body of an order to copy the KV cache of a run. */
+type CopyOrderBody = {
+	readonly id: string;
+	readonly to: string;
+	/** True if the run stops first. */
+	readonly last: boolean;
+};
+
 /** Engines by the addresses at which they reach each other for KV cache copies. */
 export type EnginesByAddress = Map<string, EngineStandin>;
 
@@ -225,23 +233,38 @@
 		}
 	};
 
+	/** Ends a run whose KV cache is kept, and closes its connection without the end of the stream. */
+	const stopRun = (run: Run) => {
+		simulation.cancel(run.id);
+		endRun(run, false);
+		run.response.destroy();
+	};
+
 	const copyKvCache = (body: string, response: ServerResponse) => {
-		const {id, to} = JSON.parse(body) as {id: string; to: string};
+		const {id, to, last} = JSON.parse(body) as CopyOrderBody;
 		setTimeout(() => {
 			const run = runs.get(id);
-			const handle = `m${nextHandle++}`;
-			const eventCount = run ? lastEventOf(run) : 0;
 			if (!run) {
 				response.writeHead(404).end('{}');
-			} else if (
-				enginesByAddress
-					.get(to)
-					?.storeKvCacheCopy(handle, {requestId: id, eventCount})
-			) {
-				response.end(JSON.stringify({handle, created: eventCount}));
-			} else {
-				response.writeHead(503).end(JSON.stringify({handle}));
+				return;
 			}
+
+			const handle = `m${nextHandle++}`;
+			const copy = {requestId: id, eventCount: lastEventOf(run)};
+			if (last) {
+				stopRun(run);
+			}
+
+			if (enginesByAddress.get(to)?.storeKvCacheCopy(handle, copy)) {
+				response.end(JSON.stringify({handle, created: copy.eventCount}));
+				return;
+			}
+
+			if (last) {
+				storedCopies.set(handle, copy);
+			}
+
+			response.writeHead(503).end(JSON.stringify({handle}));
 		}, copyMs);
 	};
 
@@ -252,6 +275,12 @@
 				running: simulation.runningCount,
 				kv_used: simulation.usedTokens,
 				kv_total: capacityTokens,
+				runs: simulation.running.map(({generation: run}) => [
+					run.id,
+					run.promptTokens,
+					lastEventOf(run),
+					run.priority,
+				]),
 				...(isLeaving ? {state: 'draining'} : {}),
 			}),
 		);
--- a/src/programs/front/session-starter.ts
+++ b/src/programs/front/session-starter.ts
@@ -207,6 +207,9 @@
 					);
 				}
 			},
+			onSilentRun(finding) {
+				options.metrics.count('silent_runs', {finding});
+			},
 			onRunLost(run) {
 				countLostRun(run);
 				observeCrash(run);
