Keep runs that their engine has paused

Callers saw answers cut during a planned stop.

Cause: the stall check left a sound run after 0.9 s without an event, on the ground that its backup could be reached. A backup that was chosen and can be reached may exist or not; here the engines were full and had made none, and the run was refused where it was to continue.

Change: a run that its engine lists without further events is kept. Events that a report names have 300 ms to arrive before the run counts as behind a failed connection.

Why this works: no decision to leave a run rests on silence or on a copy that may exist while its engine answers.

--- a/src/decisions/serving/run-continuation.ts
+++ b/src/decisions/serving/run-continuation.ts
@@ -1,4 +1,4 @@
-import type {Disposable, KvCacheCopy} from '../../common/index.js';
+import type {Disposable} from '../../common/index.js';
 import type {ContinuationRetries} from './continuation-retries.js';
 import {continuationPlacement, type RunCopy} from './run-copies.js';
 import type {AdmittedRequest} from './session-types.js';
@@ -29,7 +29,7 @@
 	/** Sends the request to the engine of the placement, to continue there from the copy. */
 	readonly dispatch: (
 		placement: StreamPlacement,
-		continueFrom: KvCacheCopy,
+		continueFrom: RunCopy,
 		reason: string,
 	) => void;
 };
@@ -58,11 +58,11 @@
 		return held !== undefined;
 	};
 
-	const send = ({target, kvCache}: RunCopy, reason: string) => {
+	const send = (copy: RunCopy, reason: string) => {
 		count++;
 		options.dispatch(
-			continuationPlacement(target, `${request.id}.m${count}`),
-			kvCache,
+			continuationPlacement(copy.target, `${request.id}.m${count}`),
+			copy,
 			reason,
 		);
 	};
--- a/src/decisions/serving/run-copies.ts
+++ b/src/decisions/serving/run-copies.ts
@@ -12,6 +12,8 @@
 	/** Engine that holds the copy. */
 	readonly target: TargetEntry;
 	readonly kvCache: KvCacheCopy;
+	/** True if an engine has said that the copy exists; false if it may exist. */
+	readonly isKnown: boolean;
 };
 
 /** Returns the placement for continuing a run at the engine that holds its copy; it has no forecast. */
@@ -141,7 +143,11 @@
 
 		if (result.outcome === 'copied') {
 			holder = destination;
-			run.onCopy({target: destination, kvCache: result.copy});
+			run.onCopy({
+				target: destination,
+				kvCache: result.copy,
+				isKnown: true,
+			});
 			await options.timers.sleep(run.refreshIntervalMs);
 		} else if (result.outcome === 'unknown-run' || result.outcome === 'busy') {
 			await options.timers.sleep(copyRetryMs);
--- a/src/decisions/serving/silent-runs.test.ts
+++ b/src/decisions/serving/silent-runs.test.ts
@@ -219,6 +219,59 @@
 	});
 });
 
+suite('runs that their engine has paused', () => {
+	test('a paused run is neither given up for a copy that may not exist nor stopped, however long it pauses (review case 9)', async () => {
+		for (const passedEvents of [0, 1]) {
+			const stream = startTestStream({backup: secondEngine});
+			const {targetClient, response, log} = stream;
+			respondWithEvents(
+				targetClient.sends[0],
+				...Array.from({length: passedEvents}, (_, index) => index + 1),
+			);
+			targetClient.status = runningAt(passedEvents);
+			await checkUntil(stream, 20_000);
+			assert.equal(targetClient.sends.length, 1);
+			assert.equal(targetClient.stops.length, 0);
+			const checked = log.find(({event}) => event === 'silent run checked');
+			assert.equal(checked?.record.finding, 'paused');
+			respondAndEnd(targetClient.sends[0], passedEvents + 1);
+			assert.equal(response.ending, 'whole');
+		}
+	});
+
+	test('an event that the engine has reported has time to arrive before its run is stopped', async () => {
+		const stream = startBegunStream();
+		const {targetClient, time} = stream;
+		targetClient.status = async () => {
+			await time.sleep(350);
+			return runningAt(2)();
+		};
+
+		await checkUntil(stream, 1100);
+		respondWithEvents(targetClient.sends[0], 2);
+		await checkUntil(stream, 1400);
+		assert.equal(targetClient.stops.length, 0);
+	});
+
+	test('a lost run does not wait for a copy that may not exist while another is known to exist', async () => {
+		const stream = startTestStream({
+			backup: secondEngine,
+			areDeparturesReported: false,
+		});
+		const {targetClient, log} = stream;
+		respondWithEvents(targetClient.sends[0], 1);
+		stream.acceptCopies('h1');
+		stream.markUnreachable(secondEngine.id);
+		await checkUntil(stream, 100);
+		failSend(targetClient.sends[0], 'crashed');
+		refuseSend(targetClient.sends[1]);
+		const copies = log
+			.filter(({event}) => event === 'stream sent')
+			.map(({record}) => record.copy);
+		assert.deepEqual(copies, [undefined, 'known', 'possible']);
+	});
+});
+
 suite('runs whose connection has timed out', () => {
 	test('a run is stopped at its engine, which has not noticed the end of the connection, before it goes on elsewhere', async () => {
 		const stream = startBegunStream();
--- a/src/decisions/serving/silent-runs.ts
+++ b/src/decisions/serving/silent-runs.ts
@@ -13,8 +13,10 @@
 	| 'ended'
 	/** The engine does not respond over a new connection either. */
 	| 'unreachable'
-	/** The engine executes the run. */
-	| 'running'
+	/** The engine has produced events that have not arrived. */
+	| 'unheard'
+	/** The engine has the run, and has produced no further events. */
+	| 'paused'
 	/** The engine does not say whether it has the run, which may wait there. */
 	| 'unknown';
 
@@ -48,9 +50,10 @@
 };
 
 /**
- * Decides on runs whose connection is silent. If the connection has failed, the engine may not notice that it is
- * closed, and works on. So the engine is asked over a new connection, and the run continues elsewhere only if it
- * has ended, was stopped, or its engine can't be reached.
+ * Decides on runs whose connection is silent. Silence does not end a run: its engine may have paused it, or the
+ * connection may have failed without the engine noticing it. So the engine is asked over a new connection, and
+ * the run continues elsewhere only if it has ended, was stopped, or its engine can't be reached. A paused run
+ * stays: to give it up costs the caller the response, for a copy that may not exist.
  */
 export type SilentRuns = {
 	/** Called at regular intervals. */
@@ -63,6 +66,8 @@
 const statusTimeoutMs = 400;
 /** Time after which an engine is asked again about a run that it keeps, in milliseconds; it doubles each time. */
 const askAgainMs = 1000;
+/** Time in which an event that the engine has reported arrives, in milliseconds. */
+const deliveryMs = 300;
 /** Delay by which a timer shows that this VM did not run for a while, in milliseconds. */
 const pausedTimerMs = 200;
 /** Questions about a run whose connection is lost. */
@@ -120,7 +125,7 @@
 	const findingOf = (status: RunStatus): SilentRunFinding => {
 		switch (status.state) {
 			case 'running': {
-				return 'running';
+				return status.eventCount > passedEventId() ? 'unheard' : 'paused';
 			}
 
 			case 'unstated': {
@@ -201,13 +206,16 @@
 		const finding = await find(attempt);
 		const isLost =
 			finding === 'ended'
-				? copies.hasUsableCopy(attempt) || askedAt.questions > 1
-				: finding === 'unreachable' && copies.hasUsableCopy(attempt);
-		if (!isLost && finding !== 'running') {
+				? copies.mayHaveCopy(attempt) || askedAt.questions > 1
+				: finding === 'unreachable' && copies.mayHaveCopy(attempt);
+		if (!isLost && finding !== 'unheard') {
 			return;
 		}
 
-		const hasSlept = await sleep(Math.max(0, stallDetector.untilStallMs + 1));
+		const arrivalMs = finding === 'unheard' ? deliveryMs : 0;
+		const hasSlept = await sleep(
+			Math.max(arrivalMs, stallDetector.untilStallMs + 1),
+		);
 		if (!hasSlept || !isSilentStill() || !(await requestRetry())) {
 			return;
 		}
--- a/src/decisions/serving/stream-attempt.ts
+++ b/src/decisions/serving/stream-attempt.ts
@@ -1,5 +1,4 @@
 import {
-	type KvCacheCopy,
 	promptPartIds,
 	type ResponseHead,
 	type SendFailure,
@@ -49,7 +48,7 @@
 	readonly placement: StreamPlacement;
 	readonly priority: number;
 	/** Copy of the KV cache from which the run continues. */
-	readonly continueFrom: KvCacheCopy | undefined;
+	readonly continueFrom: RunCopy | undefined;
 	/** Response as sent to the caller so far. */
 	readonly response: StreamResponse;
 	/** Why the request is sent, for the log. */
@@ -130,6 +129,7 @@
 				promptParts: promptPartIds(request).join(' '),
 				backup: backup?.id,
 				continuesAt: continueFrom ? response.lastEventId : undefined,
+				copy: continueFrom && (continueFrom.isKnown ? 'known' : 'possible'),
 				expectedFirstTokenMs: Math.round(placement.firstTokenMs),
 				expectedMemoryPart: Number(placement.memoryFraction.toFixed(2)),
 				isLate: placement.isLate,
@@ -150,7 +150,7 @@
 						timeoutMs: leftMs,
 						priority: parameters.priority,
 						backupAddress: backup?.address,
-						continueFrom,
+						continueFrom: continueFrom?.kvCache,
 						lastEventId: lastEventIdOf(parameters),
 						// The engine would copy the KV cache to the backup.
 						mayStart: () =>
--- a/src/decisions/serving/stream-copies.ts
+++ b/src/decisions/serving/stream-copies.ts
@@ -13,15 +13,22 @@
 
 /** Manages the copies of the KV cache of one stream's run. */
 export type StreamCopies = {
-	/** True if the run can continue from a copy; one in an evacuated availability zone does not count. */
-	hasUsableCopy(attempt: StreamAttempt): boolean;
+	/**
+	 * True if a copy of the run's KV cache is known to exist, or may exist: a backup is made as long as its engine
+	 * has room, and nothing says whether it has. That suffices only for a run that can't go on where it is. A copy
+	 * in an evacuated availability zone does not count.
+	 */
+	mayHaveCopy(attempt: StreamAttempt): boolean;
 	/** @returns an engine that may receive a copy of the run's KV cache; undefined if none has room */
 	chooseHolder(attempt: StreamAttempt): Promise<TargetEntry | undefined>;
 	/** Starts to copy the run's KV cache if the run is at risk and has no reachable backup. */
 	ensureCopy(attempt: StreamAttempt): void;
 	/** Looks for room again for a run in an evacuated availability zone; called at regular intervals. */
 	tick(attempt: StreamAttempt): void;
-	/** Called when the run is lost; queues its copies for `nextCopy`, reachable engines first. */
+	/**
+	 * Called when the run is lost; queues its copies for `nextCopy`: those at reachable engines first, and among
+	 * them those that are known to exist.
+	 */
 	runLost(attempt: StreamAttempt): void;
 	/** @returns the next copy from which to continue the lost run; undefined once all were tried */
 	nextCopy(): RunCopy | undefined;
@@ -29,13 +36,17 @@
 	releaseCopies(attempt: StreamAttempt): void;
 };
 
-/** Returns the copy at the backup of the placement, where the request id is the handle. */
+/** Returns the copy that may exist at the backup of the placement, where the request id is the handle. */
 function backupOf(
 	target: TargetEntry | undefined,
 	requestId: string,
 ): RunCopy | undefined {
 	return (
-		target && {target, kvCache: {address: target.address, handle: requestId}}
+		target && {
+			target,
+			kvCache: {address: target.address, handle: requestId},
+			isKnown: false,
+		}
 	);
 }
 
@@ -138,7 +149,7 @@
 	};
 
 	return {
-		hasUsableCopy: ({copies, placement}) =>
+		mayHaveCopy: ({copies, placement}) =>
 			copies.some(({target}) => !options.isEvacuated(target)) ||
 			isReachable(placement.backup),
 		async chooseHolder(attempt) {
--- a/src/decisions/serving/stream-session.ts
+++ b/src/decisions/serving/stream-session.ts
@@ -1,10 +1,10 @@
-import type {KvCacheCopy} from '../../common/index.js';
 import {createEngineSearch} from './engine-search.js';
 import {createSessionCompletion} from './session-completion.js';
 import type {AdmittedRequest, CallerResponse} from './session-types.js';
 import {createStreamResponse} from './stream-answer.js';
 import {createStreamAttempt, type StreamAttempt} from './stream-attempt.js';
 import {createLostRunRecovery} from './lost-run-recovery.js';
+import type {RunCopy} from './run-copies.js';
 import {createRunContinuation} from './run-continuation.js';
 import {createRunStop} from './run-stop.js';
 import {createSilentRuns} from './silent-runs.js';
@@ -116,7 +116,7 @@
 
 	const dispatch = (
 		placement: StreamPlacement,
-		continueFrom: KvCacheCopy | undefined,
+		continueFrom: RunCopy | undefined,
 		reason: string,
 	) => {
 		// A callback of the last send may have ended the session.
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -48,7 +48,7 @@
 
 /** Simulated engine that streams events, copies the KV cache of runs and continues runs from copies. */
 export type EngineStandin = TargetServer & {
-	/** Stores a copy of a run's KV cache. @returns false if the engine has crashed */
+	/** Stores a copy of a run's KV cache. @returns false if the engine has crashed or has no room */
 	storeKvCacheCopy(handle: string, copy: StoredCopy): boolean;
 	/** Simulates a crash: ends all runs, resets all connections and stores no further copies. */
 	crash(): void;
@@ -66,6 +66,10 @@
 	setStreamFault(fault: StreamFault | undefined): void;
 	/** Makes the load reports state that the engine is draining. */
 	setLeaving(): void;
+	/** Sets whether the engine stores copies of the KV cache of other engines' runs; true at the start. */
+	setRoomForCopies(hasRoom: boolean): void;
+	/** Makes no events for some time, in milliseconds; the runs and their connections stay. */
+	pause(durationMs: number): void;
 };
 
 type Run = SimulatedGeneration & {
@@ -107,6 +111,9 @@
 	let stepTimer: NodeJS.Timeout | undefined;
 	let nextHandle = 1;
 	let hasCrashed = false;
+	let hasRoomForCopies = true;
+	/** Monotonic time until which no events are made, in milliseconds. */
+	let pausedUntilMs = 0;
 	let isLeaving = false;
 	let crashingPart: string | undefined;
 	let onCrashingPart: (() => void) | undefined;
@@ -147,6 +154,12 @@
 
 	const step = () => {
 		stepTimer = undefined;
+		const pauseMs = pausedUntilMs - performance.now();
+		if (pauseMs > 0) {
+			schedule(pauseMs);
+			return;
+		}
+
 		const {durationMs, produced, finished} = simulation.step();
 		const crashes = produced.some(
 			({generation, producedTokens}) =>
@@ -317,7 +330,7 @@
 	return {
 		...server,
 		storeKvCacheCopy(handle, copy) {
-			if (hasCrashed) {
+			if (hasCrashed || !hasRoomForCopies) {
 				return false;
 			}
 
@@ -344,5 +357,11 @@
 		setLeaving() {
 			isLeaving = true;
 		},
+		setRoomForCopies(hasRoom) {
+			hasRoomForCopies = hasRoom;
+		},
+		pause(durationMs) {
+			pausedUntilMs = performance.now() + durationMs;
+		},
 	};
 }
--- a/src/programs/front/testing/index.ts
+++ b/src/programs/front/testing/index.ts
@@ -5,3 +5,4 @@
 export * from './statement-checks.js';
 export * from './stating-targets.js';
 export * from './store-side.js';
+export * from './engine-fleet.js';
