Reject response heads that can be read in two ways

Callers saw bookings made twice.

Cause: the end of one head and the start of the next were read as one. Of headers with one name the last was taken, and a status line inside a reason phrase or a header value went unnoticed.

Change: requireReadableHead checks status, reason phrase and headers before the meaning of a response is read. A status line in the wrong place, or a repeated header that decides, makes the head ambiguous: the connection is closed, the outcome is unknown, and nothing that may run once is sent again. It is the one place for responses of targets to requests and control calls, of the store and of peers, and takes over the check of undefined statuses.

--- a/src/adapters/front/peer-tables-client.ts
+++ b/src/adapters/front/peer-tables-client.ts
@@ -4,9 +4,12 @@
 	decodeRelayedTables,
 	type RelayedTables,
 } from '../../decisions/serving/index.js';
+import {requireReadableHead} from '../http-client/index.js';
 import {decompressText} from './compressed-text.js';
 import type {PeerTablesRouter} from './peer-tables-server.js';
 
+/** The body alone decides what a peer says. */
+const noDecidingHeaders: ReadonlySet<string> = new Set();
 /** The same limit as for a store response, since the peer relays one. */
 const maxResponseBytes = 16_777_216;
 
@@ -57,6 +60,14 @@
 				url: `http://${address}`,
 				async fetch(url, init) {
 					const response = await fetch(url as string | URL, init);
+					requireReadableHead(
+						{
+							status: response.status,
+							reason: response.statusText,
+							headers: [...response.headers],
+						},
+						noDecidingHeaders,
+					);
 					const text = await readLimited(response, maxBytes);
 					return new Response(text, {status: response.status});
 				},
--- a/src/adapters/http-client/index.ts
+++ b/src/adapters/http-client/index.ts
@@ -1,1 +1,2 @@
 export * from './undici-parts.js';
+export * from './readable-head.js';
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -127,7 +127,9 @@
 	/** The response belongs to another request. */
 	| 'foreign'
 	/** HTTP does not define the status of the response. */
-	| 'undefined-status';
+	| 'undefined-status'
+	/** The head of the response can be read in two ways. */
+	| 'ambiguous-head';
 
 /** Why a request got no complete response. */
 export type SendFailure = {
--- a/src/platform/failure-details.ts
+++ b/src/platform/failure-details.ts
@@ -1,16 +1,23 @@
+import {
+	AmbiguousHeadError,
+	UndefinedStatusError,
+} from '../adapters/http-client/index.js';
 import {
 	ProblemError,
 	type ResponseDefect,
 	type SendFailure,
 } from '../common/index.js';
 import {hasTimedOut} from './connection-timeout.js';
-import {UndefinedStatusError} from './defined-status.js';
 
 function defectOf(error: Error): ResponseDefect | undefined {
 	if (error instanceof UndefinedStatusError) {
 		return 'undefined-status';
 	}
 
+	if (error instanceof AmbiguousHeadError) {
+		return 'ambiguous-head';
+	}
+
 	return error instanceof ProblemError && error.type === 'too-large'
 		? 'too-large'
 		: undefined;
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -1,7 +1,8 @@
 import type {Dispatcher} from 'undici';
-import {request} from '../adapters/http-client/index.js';
+import {request, requireReadableHead} from '../adapters/http-client/index.js';
 import {createByteAccumulator, ProblemError} from '../common/index.js';
-import {isDefinedStatus, UndefinedStatusError} from './defined-status.js';
+import {headerEntries} from './raw-headers.js';
+import {decidingHeaders} from './wire-names.js';
 
 /** An HTTP call with a JSON body or none. */
 export type HttpCall = {
@@ -28,7 +29,8 @@
 /**
  * Makes a call and reads the complete response.
  * @throws Error if the complete response does not arrive in time; ProblemError `too-large` if its body
- *   is larger than `maxResponseBytes`; UndefinedStatusError if HTTP does not define its status
+ *   is larger than `maxResponseBytes`; UndefinedStatusError if HTTP does not define its status;
+ *   AmbiguousHeadError if its head can be read in two ways
  */
 export async function makeHttpCall(
 	dispatcher: Dispatcher,
@@ -60,10 +62,10 @@
 		received.append(chunk);
 	}
 
-	if (!isDefinedStatus(response.statusCode)) {
-		throw new UndefinedStatusError(response.statusCode);
-	}
-
-	const text = utf8.decode(received.take());
-	return {status: response.statusCode, headers: response.headers, text};
+	const {statusCode: status, statusText: reason, headers} = response;
+	requireReadableHead(
+		{status, reason, headers: headerEntries(headers)},
+		decidingHeaders,
+	);
+	return {status, headers, text: utf8.decode(received.take())};
 }
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -18,13 +18,12 @@
 	type TargetEntry,
 	type TargetLiveness,
 } from '../common/index.js';
-import {Pool} from '../adapters/http-client/index.js';
+import {Pool, requireReadableHead} from '../adapters/http-client/index.js';
 import {
 	createPieceCollector,
 	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
-import {isDefinedStatus, UndefinedStatusError} from './defined-status.js';
 import {failureDetails} from './failure-details.js';
 import {createInterimLimit} from './interim-limit.js';
 import {rawHeaderPairs} from './raw-headers.js';
@@ -37,7 +36,7 @@
 	readReport,
 	releaseCopy,
 } from './target-control.js';
-import {extraEventFields} from './wire-names.js';
+import {decidingHeaders, extraEventFields} from './wire-names.js';
 import {encodeRequestHeaders} from './request-headers.js';
 
 const connectTimeoutMs = 800;
@@ -132,26 +131,26 @@
 				started = true;
 				abort = controller.abort.bind(controller);
 			},
-			onResponseStart(controller, status, headers) {
+			onResponseStart(controller, status, headers, reason = '') {
 				if (settled) {
 					return;
 				}
 
-				if (!isDefinedStatus(status)) {
-					controller.abort(new UndefinedStatusError(status));
-					return;
-				}
-
-				if (status >= firstFinalStatus) {
-					listener.onHead(
-						decodeResponseHead(status, rawHeaderPairs(controller, headers)),
+				const pairs = rawHeaderPairs(controller, headers);
+				try {
+					requireReadableHead(
+						{status, reason, headers: pairs},
+						decidingHeaders,
 					);
+				} catch (error) {
+					controller.abort(error as Error);
 					return;
 				}
 
-				const error = interimLimit.record();
-				if (error) {
-					controller.abort(error);
+				if (status >= firstFinalStatus) {
+					listener.onHead(decodeResponseHead(status, pairs));
+				} else {
+					interimLimit.record(controller);
 				}
 			},
 			onResponseData(_controller, chunk) {
--- a/src/platform/interim-limit.ts
+++ b/src/platform/interim-limit.ts
@@ -2,8 +2,11 @@
 
 /** Limits the interim responses (status 1xx) that a target sends before its response to a request. */
 export type InterimLimit = {
-	/** Counts an interim response. @returns the error with which the request fails; undefined within the limit */
-	record(): ProblemError | undefined;
+	/**
+	 * Counts an interim response.
+	 * @param controller - aborts the request once there are too many
+	 */
+	record(controller: {abort(reason: Error): void}): void;
 };
 
 const maxInterimResponses = 32;
@@ -11,14 +14,16 @@
 export function createInterimLimit(): InterimLimit {
 	let count = 0;
 	return {
-		record() {
+		record(controller) {
 			count++;
-			return count > maxInterimResponses
-				? new ProblemError(
+			if (count > maxInterimResponses) {
+				controller.abort(
+					new ProblemError(
 						'too-large',
 						`more than ${maxInterimResponses} interim responses`,
-					)
-				: undefined;
+					),
+				);
+			}
 		},
 	};
 }
--- a/src/platform/raw-headers.ts
+++ b/src/platform/raw-headers.ts
@@ -17,9 +17,17 @@
 		return headerPairs(raw.map((part) => part.toString('latin1')));
 	}
 
-	return Object.entries(fallback).flatMap(([name, value]) =>
-		(Array.isArray(value) ? value : [value]).map(
-			(item) => [name, String(item)] as const,
-		),
+	return headerEntries(fallback);
+}
+
+/** @returns decoded headers as pairs; those with several values as several pairs */
+export function headerEntries(
+	headers: Readonly<Record<string, unknown>>,
+): HeaderPair[] {
+	return Object.entries(headers).flatMap(([name, value]) =>
+		(Array.isArray(value) ? value : [value]).map((item): HeaderPair => [
+			name,
+			String(item),
+		]),
 	);
 }
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -28,6 +28,22 @@
 	storeEra: 'Store-Era',
 } as const;
 
+/** Headers of responses, in lower case, that decide what a response means; none may be repeated. */
+export const decidingHeaders: ReadonlySet<string> = new Set(
+	[
+		headerNames.requestId,
+		headerNames.targetStamp,
+		headerNames.notExecuted,
+		headerNames.rateLimit,
+		headerNames.leaving,
+		headerNames.coldMs,
+		headerNames.retryAfter,
+		headerNames.storeEra,
+		'Content-Encoding',
+		'Content-Length',
+	].map((name) => name.toLowerCase()),
+);
+
 /** Fields that events may have besides those of server-sent events: the version of the weights, where it changes. */
 export const extraEventFields: ReadonlySet<string> = new Set([
 	'cowslipspread-weight-versions',
