Require all fields of entries and configurations

Callers got the answer of another service, and nothing was booked.

Cause: cold_left_ms, version and seq of entries were optional, and fields of configurations too, so that what was incomplete named targets and rules.

A row that can't be decoded ends the use of its target at once, also while entries lapse, and is relayed to other VMs as invalid rather than as removed. It does not count as the end of an engine.

Stand-ins and tests now write whole entries and configurations; their assertions are the same.

--- a/src/decisions/serving/relayed-rows.ts
+++ b/src/decisions/serving/relayed-rows.ts
@@ -10,8 +10,10 @@
 	readonly targetId: string;
 	/** Revision of the last write of the row, as far as known. */
 	readonly revision: StoreRevision;
-	/** Undefined if the row was removed or could not be decoded. */
+	/** Undefined if the row was removed, or is invalid. */
 	readonly entry: TargetEntry | undefined;
+	/** True for a row that could not be decoded. */
+	readonly isInvalid: boolean;
 };
 
 const entrySchema = z.object({
@@ -24,11 +26,11 @@
 	warmingMs: z.number(),
 	bornMs: z.number().optional(),
 });
-/** Encoded row: id, version, and the entry or null. */
+/** Encoded row: id, version, and the entry, null for a removed row, or false for an invalid one. */
 export const relayedRowSchema = z.tuple([
 	z.string(),
 	z.number(),
-	entrySchema.nullable(),
+	z.union([entrySchema, z.null(), z.literal(false)]),
 ]);
 const rowsSchema = z.object({
 	after: z.number(),
@@ -56,8 +58,9 @@
 	targetId,
 	revision,
 	entry,
+	isInvalid,
 }: RelayedRow): z.infer<typeof relayedRowSchema> {
-	return [targetId, revision.version, entry ?? null];
+	return [targetId, revision.version, isInvalid ? false : (entry ?? null)];
 }
 
 /**
@@ -68,13 +71,12 @@
 	[targetId, version, entry]: z.infer<typeof relayedRowSchema>,
 	era: number,
 ): RelayedRow {
+	const isValid = entry && isSocketAddress(entry.address);
 	return {
 		targetId,
 		revision: {era, version},
-		entry:
-			entry && isSocketAddress(entry.address)
-				? {...entry, bornMs: entry.bornMs}
-				: undefined,
+		entry: isValid ? {...entry, bornMs: entry.bornMs} : undefined,
+		isInvalid: entry !== null && !isValid,
 	};
 }
 
--- a/src/decisions/serving/target-directory-types.ts
+++ b/src/decisions/serving/target-directory-types.ts
@@ -15,14 +15,20 @@
 
 /** A row of the targets' table. */
 export type TargetRow = {
-	readonly entry: TargetEntry;
+	/** Undefined if the row can't be decoded; it then names no target. */
+	readonly entry: TargetEntry | undefined;
 	/** Revision of the last write of the row. */
 	readonly revision: StoreRevision;
 };
 
 /** Why a target receives no more requests. */
 export type DepartureReason =
-	'draining' | 'removed' | 'restarted' | 'lapsed' | 'misdirected';
+	| 'draining'
+	| 'invalid-row'
+	| 'removed'
+	| 'restarted'
+	| 'lapsed'
+	| 'misdirected';
 
 /** A target that receives no more requests, and why. */
 export type Departure = {
@@ -45,17 +51,18 @@
 	/** Returns the targets of all services that have not left. */
 	all(): Iterable<KnownTarget>;
 	/** Returns the rows of `all`, for other VMs. */
-	rows(): readonly TargetRow[];
+	rows(): ReadonlyArray<TargetRow & {readonly entry: TargetEntry}>;
 	/** Returns the addresses of all targets, including those that left less than `lingerMs` ago. */
 	addresses(): ReadonlySet<string>;
 	/**
 	 * Applies one row of the table, unless its revision is not newer than that of the known row.
-	 * @param entry - undefined if the row was removed or could not be decoded
+	 * @param entry - undefined if the row was removed, or is invalid
 	 */
 	set(
 		targetId: string,
 		entry: TargetEntry | undefined,
 		revision: StoreRevision,
+		isInvalid?: boolean,
 	): void;
 	/**
 	 * Applies a snapshot of the table; rows with a newer known revision are kept. The first snapshot of an era
--- a/src/decisions/serving/target-directory.test.ts
+++ b/src/decisions/serving/target-directory.test.ts
@@ -2,7 +2,11 @@
 import {test} from 'node:test';
 import {storeRevision} from '../../common/index.js';
 import {fakeTargetEntry, VirtualTime} from '../../experiments/fakes/index.js';
-import {createTargetDirectory, type Departure} from './target-directory.js';
+import {
+	createTargetDirectory,
+	type Departure,
+	type TargetRow,
+} from './target-directory.js';
 
 function create() {
 	const time = new VirtualTime();
@@ -28,7 +32,7 @@
 	era: number,
 	...versions: ReadonlyArray<readonly [string, number]>
 ) =>
-	new Map(
+	new Map<string, TargetRow>(
 		versions.map(([id, version]) => [
 			id,
 			{entry: fakeTargetEntry(id), revision: storeRevision(version, era)},
@@ -216,3 +220,26 @@
 	directory.tick();
 	assert.deepEqual(directory.heldDepartures(), []);
 });
+
+test('a newer row that is invalid does not keep a target in use under its older entry, also while entries lapse (review case 7)', () => {
+	for (const isStoreLost of [false, true]) {
+		const {directory, departures, usable} = create();
+		directory.reset(rows(['t1', 1], ['t2', 2]), storeRevision(2));
+		if (isStoreLost) {
+			directory.storeLost();
+		}
+
+		directory.set('t1', undefined, storeRevision(3), true);
+		assert.deepEqual(usable(), ['t2']);
+		const invalid = {entry: undefined, revision: storeRevision(4)};
+		directory.reset(
+			new Map([...rows(['t1', 5]), ['t2', invalid]]),
+			storeRevision(5),
+		);
+		assert.deepEqual(usable(), ['t1']);
+		assert.deepEqual(departures, [
+			['t1', 'invalid-row'],
+			['t2', 'invalid-row'],
+		]);
+	}
+});
--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -110,13 +110,17 @@
 		targetId: string,
 		entry: TargetEntry | undefined,
 		revision: StoreRevision,
+		isInvalid = false,
 	) => {
 		if (!isNewerRevision(revision, history.knownAt(targetId))) {
 			return;
 		}
 
 		history.record(targetId, revision, revision);
-		if (!entry) {
+		if (isInvalid) {
+			// The row was written by another writer, which says nothing of the store's disturbance.
+			depart(targetId, 'invalid-row');
+		} else if (!entry) {
 			handleRemoval(targetId);
 		} else if (history.mayReturn(entry, revision)) {
 			arrive(entry);
@@ -165,18 +169,24 @@
 				continue;
 			}
 
-			if (isNewEra && isEarlierIncarnation(row.entry)) {
+			const {entry} = row;
+			if (!entry) {
+				set(targetId, undefined, revision, true);
+				continue;
+			}
+
+			if (isNewEra && isEarlierIncarnation(entry)) {
 				handleMissing(targetId, revision, isNewEra);
 				history.hold({
 					targetId,
-					bornMs: row.entry.bornMs,
+					bornMs: entry.bornMs,
 					returnAfter: revision,
 				});
 				continue;
 			}
 
-			if (history.mayReturn(row.entry, row.revision)) {
-				arrive(row.entry);
+			if (history.mayReturn(entry, row.revision)) {
+				arrive(entry);
 			}
 
 			history.record(targetId, revision, row.revision);
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -1,6 +1,5 @@
 import * as z from 'zod';
 import {
-	defaultCallerLimits,
 	type DeploymentConfiguration,
 	type RouteKind,
 	type RouteRule,
@@ -14,10 +13,10 @@
 	prefix: z.string(),
 	kind: z.string(),
 	timeout_ms: z.number().positive(),
-	target_latency_ms: z.number().positive().optional(),
+	target_latency_ms: z.number().positive(),
 	target_gap_ms: z.number().positive().optional(),
-	priority: z.number().optional(),
-	max_attempts: z.number().optional(),
+	priority: z.number(),
+	max_attempts: z.number(),
 	allow_anonymous: z.boolean().optional(),
 	sticky: z.boolean().optional(),
 	resumable: z.boolean().optional(),
@@ -30,7 +29,8 @@
 
 const serviceSchema = z.object({
 	name: z.string(),
-	max_conns: z.number().positive().optional(),
+	health_path: z.string(),
+	max_conns: z.number().positive(),
 	cold_s: z.number().nonnegative().optional(),
 	cold_per_s: z.number().nonnegative().optional(),
 });
@@ -40,7 +40,7 @@
 const configurationSchema = z.object({
 	version: z.number(),
 	routes: z.array(z.unknown()),
-	services: z.array(serviceSchema).optional(),
+	services: z.array(serviceSchema),
 	tenants: z
 		.array(
 			z.object({
@@ -51,14 +51,12 @@
 			}),
 		)
 		.optional(),
-	limits: z
-		.object({
-			max_header_bytes: z.number().positive().optional(),
-			max_body_bytes: z.number().positive().optional(),
-			header_timeout_ms: z.number().positive().optional(),
-			idle_timeout_ms: z.number().positive().optional(),
-		})
-		.optional(),
+	limits: z.object({
+		max_header_bytes: z.number().positive(),
+		max_body_bytes: z.number().positive(),
+		header_timeout_ms: z.number().positive(),
+		idle_timeout_ms: z.number().positive(),
+	}),
 });
 
 const kinds: Readonly<Record<string, RouteKind>> = {
@@ -78,10 +76,10 @@
 		// Requests of an unknown kind must not be sent twice.
 		kind: kinds[route.kind] ?? 'non-idempotent',
 		timeoutMs: route.timeout_ms,
-		objectiveMs: route.target_latency_ms ?? route.timeout_ms,
+		objectiveMs: route.target_latency_ms,
 		maxEventGapMs: route.target_gap_ms,
-		maxAttempts: Math.max(1, route.max_attempts ?? 1),
-		priority: route.priority ?? 0,
+		maxAttempts: Math.max(1, route.max_attempts),
+		priority: route.priority,
 		anonymous: route.allow_anonymous ?? false,
 		resumable: route.resumable ?? false,
 		// All streams of the platform are generations.
@@ -155,7 +153,7 @@
 	raw: z.infer<typeof configurationSchema>,
 	routes: readonly RouteRule[],
 ): DeploymentConfiguration {
-	const services = (raw.services ?? []).map((service): ServiceRule => ({
+	const services = raw.services.map((service): ServiceRule => ({
 		name: service.name,
 		maxConnections: service.max_conns,
 		coldMs: (service.cold_s ?? 0) * millisecondsPerSecond,
@@ -172,14 +170,10 @@
 			allowedRegions: account.allowed_regions ?? [],
 		})),
 		limits: {
-			maxHeaderBytes:
-				raw.limits?.max_header_bytes ?? defaultCallerLimits.maxHeaderBytes,
-			maxBodyBytes:
-				raw.limits?.max_body_bytes ?? defaultCallerLimits.maxBodyBytes,
-			headerTimeoutMs:
-				raw.limits?.header_timeout_ms ?? defaultCallerLimits.headerTimeoutMs,
-			idleTimeoutMs:
-				raw.limits?.idle_timeout_ms ?? defaultCallerLimits.idleTimeoutMs,
+			maxHeaderBytes: raw.limits.max_header_bytes,
+			maxBodyBytes: raw.limits.max_body_bytes,
+			headerTimeoutMs: raw.limits.header_timeout_ms,
+			idleTimeoutMs: raw.limits.idle_timeout_ms,
 		},
 	};
 }
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -10,6 +10,29 @@
 import {decodeTargetEntry} from './target-entry.js';
 import {bootFile} from './testing/index.js';
 
+/** Fields of a configuration besides its routes. */
+const configurationFields = {
+	version: 4,
+	services: [{name: 's', health_path: '/healthz', max_conns: 10}],
+	limits: {
+		max_header_bytes: 1000,
+		max_body_bytes: 2000,
+		header_timeout_ms: 3000,
+		idle_timeout_ms: 4000,
+	},
+};
+
+/** Fields that each route has. */
+const routeFields = {
+	name: 'r',
+	hostname: 'A.example',
+	prefix: '/x/',
+	timeout_ms: 900,
+	target_latency_ms: 150,
+	priority: 2,
+	max_attempts: 1,
+};
+
 const assertProblem = (run: () => unknown, type: string, field?: string) => {
 	assert.throws(
 		run,
@@ -62,9 +85,14 @@
 test('the cold time and rate of a service are 0 if the configuration does not name them', () => {
 	const {services} = decodeConfiguration(
 		JSON.stringify({
-			version: 1,
+			...configurationFields,
 			routes: [],
-			services: [{name: 'model', cold_s: 1, cold_per_s: 28}, {name: 'desk'}],
+			services: [{cold_s: 1, cold_per_s: 28}, {}].map((cold, index) => ({
+				name: ['model', 'desk'][index],
+				health_path: '/healthz',
+				max_conns: 10,
+				...cold,
+			})),
 		}),
 	);
 	const model = services.get('model');
@@ -75,12 +103,11 @@
 
 test('a configuration with many routes is decoded in small slices, so that streams do not stall, and an outdated one is not decoded', () => {
 	const text = JSON.stringify({
-		version: 4,
+		...configurationFields,
 		routes: Array.from({length: 1500}, (_, index) => ({
+			...routeFields,
 			name: `r${index}`,
-			hostname: 'a.example',
 			prefix: `/x${index}/`,
-			timeout_ms: 900,
 			kind: 'idempotent',
 			service: 's',
 		})),
@@ -100,24 +127,18 @@
 });
 
 test('a route of unknown kind is not sent twice; shares, hosts, API keys and allowed regions are decoded, and an error names the invalid field', () => {
-	const route = {
-		name: 'r',
-		hostname: 'A.example',
-		prefix: '/x/',
-		timeout_ms: 900,
-	};
 	const {routes, accounts} = decodeConfiguration(
 		JSON.stringify({
-			version: 4,
+			...configurationFields,
 			routes: [
 				{
-					...route,
+					...routeFields,
 					kind: 'strange',
 					service: 's',
 					allowed_regions: ['region-2'],
 				},
 				{
-					...route,
+					...routeFields,
 					kind: 'idempotent',
 					max_attempts: 2,
 					traffic_split: [
@@ -143,23 +164,70 @@
 		[['region-2'], []],
 	);
 	assertProblem(
-		() => decodeConfiguration('{"version":1,"routes":[{}]}'),
+		() =>
+			decodeConfiguration(
+				JSON.stringify({...configurationFields, routes: [{}]}),
+			),
 		'invalid-configuration',
 		'routes.0.name',
 	);
 });
 
+test('a configuration that lacks a field is refused, and the error names the field', () => {
+	const whole = {
+		...configurationFields,
+		routes: [{...routeFields, kind: 'stream'}],
+	};
+	assert.equal(decodeConfiguration(JSON.stringify(whole)).routes.length, 1);
+	const parts = [
+		{part: whole, path: '', put: (part: object) => part},
+		{
+			part: whole.routes[0],
+			path: 'routes.0.',
+			put: (part: object) => ({...whole, routes: [part]}),
+		},
+		{
+			part: whole.services[0],
+			path: 'services.0.',
+			put: (part: object) => ({...whole, services: [part]}),
+		},
+		{
+			part: whole.limits,
+			path: 'limits.',
+			put: (part: object) => ({...whole, limits: part}),
+		},
+	];
+	for (const {part, path, put} of parts) {
+		for (const field of Object.keys(part)) {
+			const lacking = put({...part, [field]: undefined});
+			assertProblem(
+				() => decodeConfiguration(JSON.stringify(lacking)),
+				'invalid-configuration',
+				`${path}${field}`,
+			);
+		}
+	}
+});
+
 test('malformed target entries are rejected, so that no request goes to a malformed address', () => {
 	const entry = {
 		service: 's',
 		address: '10.0.0.1:80',
 		zone: 'z',
+		version: 'v1',
 		slots: 6,
 		state: 'ready',
-		born: 17,
+		cold_left_ms: 0,
+		seq: 4,
 	};
-	assert.equal(decodeTargetEntry('t', JSON.stringify(entry)).bornMs, 17);
+	const withBirth = JSON.stringify({...entry, born: 17});
+	assert.equal(decodeTargetEntry('t', withBirth).bornMs, 17);
+	const lacking = Object.keys(entry).map((field) => ({
+		...entry,
+		[field]: undefined,
+	}));
 	for (const bad of [
+		...lacking,
 		{...entry, state: 'odd'},
 		{...entry, slots: 'six'},
 		{...entry, address: undefined},
--- a/src/platform/target-entry.ts
+++ b/src/platform/target-entry.ts
@@ -9,16 +9,17 @@
 /** Ids become header values. */
 const idSchema = z.string().regex(/^[!-~]{1,200}$/);
 
+/** Targets write all of these fields but the last, so that an entry without one was not written by a target. */
 const entrySchema = z.object({
 	id: idSchema,
 	service: z.string().min(1),
 	address: z.string().refine(isSocketAddress, 'not an IPv4 address and port'),
 	zone: z.string(),
-	version: z.string().optional(),
+	version: z.string(),
 	slots: z.number().int().positive().max(maxSlotCount),
 	state: z.enum(['ready', 'draining']),
-	cold_left_ms: z.number().nonnegative().max(maxWarmingMs).optional(),
-	seq: z.number().nonnegative().optional(),
+	cold_left_ms: z.number().nonnegative().max(maxWarmingMs),
+	seq: z.number().nonnegative(),
 	born: z.number().int().nonnegative().optional(),
 });
 
@@ -44,7 +45,7 @@
 		availabilityZone: raw.zone,
 		slotCount: raw.slots,
 		state: raw.state,
-		warmingMs: raw.cold_left_ms ?? 0,
+		warmingMs: raw.cold_left_ms,
 		bornMs: raw.born,
 	};
 }
--- a/src/platform/testing/store-rows.ts
+++ b/src/platform/testing/store-rows.ts
@@ -20,6 +20,13 @@
 
 const defaultTimeoutMs = 2000;
 const defaultObjectiveMs = 500;
+/** Limits on what callers may send, as the operator writes them. */
+const callerLimits = {
+	max_header_bytes: 16_384,
+	max_body_bytes: 4_194_304,
+	header_timeout_ms: 5000,
+	idle_timeout_ms: 20_000,
+};
 
 /** @returns value of the store row with the operator's configuration */
 export function configurationRow({
@@ -44,7 +51,10 @@
 		})),
 		services: [...new Set(routes.map(({service}) => service))].map((name) => ({
 			name,
+			health_path: '/healthz',
+			max_conns: 100,
 		})),
+		limits: callerLimits,
 		tenants: [{name: account, api_keys: apiKeys}],
 	};
 }
@@ -56,5 +66,14 @@
 	state: 'draining' | 'ready' = 'ready',
 	slotCount = 6,
 ): Readonly<Record<string, unknown>> {
-	return {service, address, zone: 'zone-1', slots: slotCount, state};
+	return {
+		service,
+		address,
+		zone: 'zone-1',
+		version: 'v1',
+		slots: slotCount,
+		state,
+		cold_left_ms: 0,
+		seq: 1,
+	};
 }
--- a/src/programs/front/handle-target-events.ts
+++ b/src/programs/front/handle-target-events.ts
@@ -72,7 +72,8 @@
 			});
 			updateDetector(entry.service);
 			statements.recordDeparture(entry);
-			if (reason !== 'draining') {
+			// Neither shows that the engine has ended.
+			if (reason !== 'draining' && reason !== 'invalid-row') {
 				crashObserver.engineGone(entry.id);
 			}
 
--- a/src/programs/front/odd-entries.test.ts
+++ b/src/programs/front/odd-entries.test.ts
@@ -48,6 +48,10 @@
 	],
 	['nested', nested],
 	['unfinished', '['.repeat(nestingDepth)],
+	...Object.keys(plain).map((field): readonly [string, string] => [
+		`without-${field}`,
+		entryText({[field]: 'null'}).replace(`"${field}":null`, '"other":0'),
+	]),
 	['line\nbreak', entryText({})],
 	['', entryText({})],
 ];
@@ -93,3 +97,36 @@
 	await until(async () => (await statusOf(front, '/stock/1')) === 503);
 	assert.ok(target.requests.length >= requestCount);
 });
+
+test('an entry of another writer that lacks a field sends no request to a target of another service (review case 7)', async (context) => {
+	const arrivals: string[] = [];
+	const {store, front, entry, isReady} = await startFixture(
+		context,
+		(request, socket) => {
+			arrivals.push(request.head.split(' ')[1]);
+			socket.write(`${responseHead(request, 'Content-Length: 2')}ok`);
+		},
+	);
+	const routes = (['book', 'stock'] as const).map((name) => ({
+		name,
+		prefix: `/${name}/`,
+		kind: 'idempotent' as const,
+		service: name,
+	}));
+	store.put('op', 'config', fixtureConfiguration(3, ['key-1'], routes));
+	store.put('servers', 't1', entry('stock'));
+	await until(isReady);
+	await until(async () => (await statusOf(front, '/stock/1')) === 200);
+	for (const field of ['version', 'cold_left_ms', 'seq', 'zone', 'slots']) {
+		store.put('servers', 't1', {...entry('book'), [field]: undefined});
+		await until(async () => (await statusOf(front, '/stock/1')) === 503);
+		assert.equal(await statusOf(front, '/book/1'), 503);
+		store.put('servers', 't1', entry('stock'));
+		await until(async () => (await statusOf(front, '/stock/1')) === 200);
+	}
+
+	assert.deepEqual(
+		arrivals.filter((path) => path.startsWith('/book/')),
+		[],
+	);
+});
--- a/src/programs/front/store-watch-targets.ts
+++ b/src/programs/front/store-watch-targets.ts
@@ -76,9 +76,7 @@
 		const targetRows = new Map<string, TargetRow>();
 		for (const row of rows) {
 			const entry = decodeEntry(row.key, row.value);
-			if (entry) {
-				targetRows.set(row.key, {entry, revision: row.revision});
-			}
+			targetRows.set(row.key, {entry, revision: row.revision});
 		}
 
 		directory.reset(targetRows, revision);
@@ -100,14 +98,13 @@
 				applySnapshot(snapshot);
 			},
 			onChanges(changes, after) {
-				const rows = changes.map(({key, value, revision}) => ({
-					targetId: key,
-					revision,
-					// A malformed entry counts as absent.
-					entry: value && decodeEntry(key, value),
-				}));
-				for (const {targetId, entry, revision} of rows) {
-					directory.set(targetId, entry, revision);
+				const rows = changes.map(({key, value, revision}): RelayedRow => {
+					const entry = value && decodeEntry(key, value);
+					const isInvalid = value !== undefined && !entry;
+					return {targetId: key, revision, entry, isInvalid};
+				});
+				for (const {targetId, entry, revision, isInvalid} of rows) {
+					directory.set(targetId, entry, revision, isInvalid);
 				}
 
 				options.onTargetRows({
@@ -143,6 +140,7 @@
 				targetId: entry.id,
 				revision,
 				entry,
+				isInvalid: false,
 			}));
 		},
 		applyPeerTables({targets, targetsRevision, departures}) {
@@ -155,8 +153,8 @@
 			}
 
 			const rows = new Map<string, TargetRow>();
-			for (const {targetId, entry, revision} of targets) {
-				if (entry) {
+			for (const {targetId, entry, revision, isInvalid} of targets) {
+				if (entry ?? isInvalid) {
 					rows.set(targetId, {entry, revision});
 				}
 			}
@@ -168,7 +166,7 @@
 		},
 		applyPeerRows({rows, after, revision}) {
 			for (const row of rows) {
-				directory.set(row.targetId, row.entry, row.revision);
+				directory.set(row.targetId, row.entry, row.revision, row.isInvalid);
 			}
 
 			if (sync.recordRelayedChanges(after, revision)) {
