Refuse large requests at the memory limit instead of holding them back

Callers got no answer.

Cause: at the limit for half-sent requests, connections with 32 KB or more were not read, so that all waited for each other; each second the one nearest to its end was closed without an answer.

Change: nothing waits at the limit. Requests are refused with 503 and Retry-After until the rest fit, stalled ones first, then those that have received least, of the address that holds most. The rest of a refused body is read and dropped for up to a second, so that the answer is not lost to a reset. A request with two hosts gets 400 in place of making all targets of its service count as unreachable, and what the HTTP library refuses to send, or this VM holds back, is no evidence against a target.

Why this works: the request that has got furthest is refused only if it stalls, so that some always end and free memory.

--- a/src/adapters/front/bounded-connection.ts
+++ b/src/adapters/front/bounded-connection.ts
@@ -50,6 +50,8 @@
 	let use: ConnectionUse = 'new';
 	/** Bytes of the request that is not received whole. */
 	let partBytes = 0;
+	/** True once the request that is being received was refused; its rest takes no memory. */
+	let isRefused = false;
 
 	const turns = createRequestTurns({
 		isOpen: () => !stream.destroyed && !stream.writableEnded,
@@ -70,9 +72,11 @@
 	const paced = createPacedConnection(socket, {
 		mayDeliver: () => !turns.hasWholeRequest,
 		mayReceive: () => receiveMemory.mayReceive(receiver),
+		isReceivingBody: () => turns.isReceivingBody,
 		onProgress(heldBytes, deliveredBytes) {
 			partBytes = turns.hasWholeRequest ? 0 : partBytes + deliveredBytes;
-			receiveMemory.set(receiver, stream.destroyed ? 0 : heldBytes + partBytes);
+			const isFree = stream.destroyed || isRefused;
+			receiveMemory.set(receiver, isFree ? 0 : heldBytes + partBytes);
 		},
 	});
 	const {stream} = paced;
@@ -86,11 +90,13 @@
 
 	const receiver: Receiver = {
 		address,
-		resume() {
-			paced.update();
-		},
-		close() {
-			closeFor('receive-memory');
+		refuse() {
+			isRefused = true;
+			if (turns.refuse()) {
+				onClosed('receive-memory');
+			} else {
+				closeFor('receive-memory');
+			}
 		},
 	};
 	stream.once('close', () => {
--- a/src/adapters/front/bounded-server.ts
+++ b/src/adapters/front/bounded-server.ts
@@ -44,8 +44,15 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
-const lacksHost = (request: IncomingMessage) =>
-	request.httpVersion === '1.1' && request.headers.host === undefined;
+/** A request of HTTP/1.1 names one host; with several, it can't be said which it is for. */
+function hasWrongHost({httpVersion, rawHeaders}: IncomingMessage): boolean {
+	let hostCount = 0;
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		hostCount += rawHeaders[index].toLowerCase() === 'host' ? 1 : 0;
+	}
+
+	return hostCount > 1 || (httpVersion === '1.1' && hostCount === 0);
+}
 
 /** Answers a request whose bytes could not be read. */
 function endUnreadable(error: NodeJS.ErrnoException, stream: Duplex) {
@@ -103,12 +110,12 @@
 		connection?.addRequest(request, response, listener);
 	};
 
-	const serveChecked: TurnListener = (request, response) => {
-		if (lacksHost(request)) {
+	const serveChecked: TurnListener = (request, response, reception) => {
+		if (hasWrongHost(request)) {
 			response.shouldKeepAlive = false;
 			response.writeHead(badRequestStatus).end();
 		} else {
-			serve(request, response);
+			serve(request, response, reception);
 		}
 	};
 
@@ -116,9 +123,9 @@
 		takeTurn(request, response, serveChecked);
 	});
 	server.on('checkContinue', (request, response) => {
-		takeTurn(request, response, () => {
+		takeTurn(request, response, (_request, _response, reception) => {
 			response.writeContinue();
-			serveChecked(request, response);
+			serveChecked(request, response, reception);
 		});
 	});
 	server.on('checkExpectation', (request, response) => {
--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -1,7 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type CallerLimits,
-	createByteAccumulator,
 	type HeaderPair,
 	headerPairs,
 	ProblemError,
@@ -11,12 +10,13 @@
 import {
 	type CallerResponse,
 	type BufferBudget,
-	type BufferUsage,
 	refuseNotRun,
 	type ServingSession,
 } from '../../decisions/serving/index.js';
 import {createBoundedServer, type ServerBounds} from './bounded-server.js';
 import {createCallerResponse} from './caller-response.js';
+import {readBody} from './request-body.js';
+import type {RequestReception} from './request-turns.js';
 
 /** A request that was received whole. */
 export type ReceivedRequest = {
@@ -86,44 +86,17 @@
 	return size + (request.rawHeaders.length / 2) * bytesPerHeaderLine;
 }
 
-/**
- * Reads a whole request body.
- * @param usage - memory that the request takes
- * @returns undefined for an empty body
- * @throws ProblemError `too-large`, or `not-run` if this VM has no memory for it
- */
-async function readBody(
-	request: IncomingMessage,
-	maxBytes: number,
-	usage: BufferUsage,
-): Promise<Uint8Array | undefined> {
-	const body = createByteAccumulator();
-	const headUsageBytes = usage.bytes;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		if (body.lengthBytes + chunk.length > maxBytes) {
-			throw new ProblemError(
-				'too-large',
-				`the body is larger than ${maxBytes} bytes`,
-			);
-		}
-
-		body.append(chunk);
-		const problem = usage.set(headUsageBytes + body.capacityBytes);
-		if (problem) {
-			throw new ProblemError('not-run', problem);
-		}
-	}
-
-	return body.lengthBytes === 0 ? undefined : body.take();
-}
-
 /** Creates the HTTP server for callers; the owner makes it listen. */
 export function createCallerListener(
 	options: CallerListenerOptions,
 ): CallerListener {
 	const openResponses = new Set<ServerResponse>();
 
-	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+	const handle = async (
+		request: IncomingMessage,
+		response: ServerResponse,
+		reception: RequestReception,
+	) => {
 		const callerResponse = createCallerResponse(response, {
 			isStopping: options.isStopping,
 			unreadUsage: options.bufferBudget.track(options.maxUnreadBytes),
@@ -156,7 +129,11 @@
 		});
 		try {
 			usage.set(headBytes + requestOverheadBytes);
-			body = await readBody(request, limits.maxBodyBytes, usage);
+			body = await readBody(request, {
+				maxBytes: limits.maxBodyBytes,
+				usage,
+				reception,
+			});
 		} catch (error) {
 			const problem = toProblem(error);
 			if (problem.type === 'too-large') {
@@ -204,12 +181,12 @@
 				keepAliveInitialDelay: 5000,
 			},
 		},
-		(request, response) => {
+		(request, response, reception) => {
 			openResponses.add(response);
 			response.once('close', () => {
 				openResponses.delete(response);
 			});
-			handle(request, response).catch((error: unknown) => {
+			handle(request, response, reception).catch((error: unknown) => {
 				options.onProblem(toProblem(error));
 				response.destroy();
 			});
--- a/src/adapters/front/paced-connection.ts
+++ b/src/adapters/front/paced-connection.ts
@@ -5,8 +5,10 @@
 export type PacedConnectionOptions = {
 	/** False while an earlier request of this connection is not answered and read. */
 	readonly mayDeliver: () => boolean;
-	/** False while the VM has no memory for more bytes of this connection. */
+	/** False once the VM has no memory for more bytes of this connection. */
 	readonly mayReceive: () => boolean;
+	/** True while the caller still sends the body of a request. */
+	readonly isReceivingBody: () => boolean;
 	/**
 	 * Called when bytes have arrived or were delivered.
 	 * @param heldBytes - bytes received but not delivered
@@ -23,12 +25,17 @@
 	clearTimeout(): void;
 	/** Declares how many of the next bytes are the body of the request just delivered. */
 	expectBody(lengthBytes: number): void;
-	/** Delivers what may be delivered now; called when `mayDeliver` or `mayReceive` may have become true. */
+	/** Delivers what may be delivered now; called when `mayDeliver` may have become true. */
 	update(): void;
 	/** Closes the connection at once; what has not been delivered is dropped. */
 	close(): void;
 };
 
+/**
+ * Time for which the rest of a body is read and dropped after the response, in milliseconds. Closing a connection
+ * with unread bytes resets it, and the caller may then lose the response.
+ */
+const lingerMs = 1000;
 /** Largest piece delivered outside of a body of known length, in bytes; a head of usual size fits in. */
 const maxPieceBytes = 2048;
 /** The blank line at the end of a head or of a chunked body. */
@@ -60,12 +67,11 @@
 	socket.uncork();
 }
 
-/** The methods of a socket that an HTTP server uses besides those of a stream. */
-function addSocketMethods(stream: Duplex, socket: Socket) {
-	const destroy = () => {
-		stream.destroy();
-	};
-
+/**
+ * Adds the methods of a socket that an HTTP server uses besides those of a stream.
+ * @param close - closes the connection once all responses are sent
+ */
+function addSocketMethods(stream: Duplex, socket: Socket, close: () => void) {
 	Object.assign(stream, {
 		setTimeout(timeoutMs: number) {
 			socket.setTimeout(timeoutMs);
@@ -74,9 +80,9 @@
 		destroySoon() {
 			stream.end();
 			if (stream.writableFinished) {
-				destroy();
+				close();
 			} else {
-				stream.once('finish', destroy);
+				stream.once('finish', close);
 			}
 		},
 	});
@@ -93,12 +99,14 @@
  */
 export function createPacedConnection(
 	socket: Socket,
-	{mayDeliver, mayReceive, onProgress}: PacedConnectionOptions,
+	{mayDeliver, mayReceive, isReceivingBody, onProgress}: PacedConnectionOptions,
 ): PacedConnection {
 	let held: Buffer | undefined;
 	let bodyBytes = 0;
 	let hasEnded = false;
 	let isDelivering = false;
+	/** True once the last response is sent; the bytes that still arrive are dropped. */
+	let isLingering = false;
 
 	const stream = new Duplex({
 		read() {
@@ -164,13 +172,34 @@
 		}
 	};
 
-	addSocketMethods(stream, socket);
+	const close = () => {
+		if (!isReceivingBody() || stream.destroyed) {
+			stream.destroy();
+			return;
+		}
+
+		isLingering = true;
+		held = undefined;
+		const timeout = setTimeout(() => {
+			stream.destroy();
+		}, lingerMs);
+		stream.once('close', () => {
+			clearTimeout(timeout);
+		});
+		socket.resume();
+	};
+
+	addSocketMethods(stream, socket, close);
 	stream.on('resume', update);
 	stream.on('pause', () => {
 		socket.pause();
 	});
 	socket.pause();
 	socket.on('data', (bytes: Buffer) => {
+		if (isLingering) {
+			return;
+		}
+
 		socket.pause();
 		held = bytes;
 		onProgress(bytes.length, 0);
@@ -178,6 +207,10 @@
 	});
 	socket.on('end', () => {
 		hasEnded = true;
+		if (isLingering) {
+			stream.destroy();
+		}
+
 		update();
 	});
 	socket.on('error', (error) => {
--- a/src/adapters/front/receive-memory.ts
+++ b/src/adapters/front/receive-memory.ts
@@ -1,111 +1,115 @@
-import type {Disposable, Timers} from '../../common/index.js';
+import type {Clock} from '../../common/index.js';
 
 /** A connection that holds parts of requests. */
 export type Receiver = {
 	/** IP address of the caller. */
 	readonly address: string;
-	/** Goes on receiving if `mayReceive` allows it. */
-	resume(): void;
-	/** Closes the connection and frees what it holds. */
-	close(): void;
+	/** Refuses the request that is being received, or closes the connection, and frees what it holds. */
+	refuse(): void;
 };
 
 export type ReceiveMemoryOptions = {
-	/** Limit of all connections together, from which large requests wait. */
+	/** Limit of all connections together, from which requests larger than usual are refused. */
 	readonly maxBytes: number;
-	readonly timers: Timers;
+	readonly clock: Clock;
 };
 
 /**
- * Memory of requests that have not been received whole, on all connections of a VM. Above the limit,
- * connections that hold more than a request of usual size are not read, and one of them is closed
- * each second; far above, it closes connections at once. It closes the one that holds most, of the
- * address that holds most.
+ * Memory of requests that have not been received whole, on all connections of a VM. At the limit, requests are
+ * refused until those that remain fit. No connection is held back without being refused: the requests that have
+ * got furthest would otherwise wait for each other.
  */
-export type ReceiveMemory = Disposable & {
+export type ReceiveMemory = {
 	readonly totalBytes: number;
-	/** @returns false if the connection must wait; `resume` is then called when there is memory */
+	/**
+	 * Makes room for more bytes of a connection.
+	 * @returns false if the connection itself was refused
+	 */
 	mayReceive(receiver: Receiver): boolean;
 	/** Sets what a connection holds; 0 once its request is whole or the connection is closed. */
 	set(receiver: Receiver, bytes: number): void;
 };
 
-/** Bytes that a connection may hold although others have to wait: a request of usual size is smaller. */
+/** Bytes that a connection may hold although the limit is reached: a request of usual size is smaller. */
 const alwaysAllowedBytes = 32_768;
-/** Total above which connections are closed at once, as a multiple of the limit. */
+/** Total above which requests of any size are refused, as a multiple of the limit. */
 const hardLimitFactor = 1.5;
-/**
- * Time that large requests wait for memory before one of them is closed, in milliseconds. Closing at
- * once would let a crowd send again and again, faster than the garbage collector frees the buffers.
- */
-const closeIntervalMs = 1000;
-
-const byBytes = (
-	a: readonly [unknown, number],
-	b: readonly [unknown, number],
-) => b[1] - a[1];
-
-/** @returns the connection that holds most, of the address that holds most */
-function largestOf(held: ReadonlyMap<Receiver, number>): Receiver | undefined {
-	const ofAddress = new Map<string, number>();
-	for (const [{address}, bytes] of held) {
-		ofAddress.set(address, (ofAddress.get(address) ?? 0) + bytes);
+/** Time without a byte after which a request counts as stalled, in milliseconds. */
+const stalledMs = 1000;
+
+type Holding = {bytes: number; progressedMs: number};
+type Entry = readonly [Receiver, Holding];
+
+/** @returns the entry with the highest value, or undefined if there is none */
+function highest(
+	entries: readonly Entry[],
+	valueOf: (holding: Holding) => number,
+): Entry | undefined {
+	let best: Entry | undefined;
+	for (const entry of entries) {
+		if (!best || valueOf(entry[1]) > valueOf(best[1])) {
+			best = entry;
+		}
+	}
+
+	return best;
+}
+
+/** @returns the connections of the address that holds most */
+function ofLargestAddress(held: ReadonlyMap<Receiver, Holding>): Entry[] {
+	const totals = new Map<string, number>();
+	let largest = '';
+	for (const [{address}, {bytes}] of held) {
+		const total = (totals.get(address) ?? 0) + bytes;
+		totals.set(address, total);
+		if (total > (totals.get(largest) ?? 0)) {
+			largest = address;
+		}
 	}
 
-	const [address] = [...ofAddress].sort(byBytes).at(0) ?? [];
-	return [...held]
-		.filter(([receiver]) => receiver.address === address)
-		.sort(byBytes)
-		.at(0)?.[0];
+	return [...held].filter(([{address}]) => address === largest);
 }
 
 /** Creates an unused memory. */
 export function createReceiveMemory({
 	maxBytes,
-	timers,
+	clock,
 }: ReceiveMemoryOptions): ReceiveMemory {
-	const held = new Map<Receiver, number>();
-	const waiting = new Set<Receiver>();
+	const held = new Map<Receiver, Holding>();
 	let totalBytes = 0;
-	let closeTimeout: Disposable | undefined;
+
+	const isOver = (limitBytes: number) => totalBytes >= limitBytes;
 
 	const setBytes = (receiver: Receiver, bytes: number) => {
-		totalBytes += bytes - (held.get(receiver) ?? 0);
-		if (bytes > 0) {
-			held.set(receiver, bytes);
-		} else {
+		const before = held.get(receiver)?.bytes ?? 0;
+		totalBytes += bytes - before;
+		if (bytes === 0) {
 			held.delete(receiver);
-			waiting.delete(receiver);
+		} else if (bytes !== before) {
+			held.set(receiver, {bytes, progressedMs: clock.nowMs()});
 		}
 	};
 
-	const closeLargest = () => {
-		const largest = largestOf(held);
-		if (largest) {
-			setBytes(largest, 0);
-			largest.close();
-		}
+	const refuse = (receiver: Receiver) => {
+		setBytes(receiver, 0);
+		receiver.refuse();
 	};
 
-	const resumeWaiting = () => {
-		const receivers = totalBytes < maxBytes ? [...waiting] : [];
-		for (const receiver of receivers) {
-			waiting.delete(receiver);
-			receiver.resume();
-		}
-	};
-
-	const closeForWaiting = () => {
-		closeTimeout = undefined;
-		if (waiting.size === 0) {
-			return;
-		}
-
-		closeLargest();
-		resumeWaiting();
-		if (waiting.size > 0) {
-			closeTimeout ??= timers.after(closeIntervalMs, closeForWaiting);
-		}
+	/**
+	 * Chooses what is refused at the limit, of the address that holds most: the largest that has stalled, else the
+	 * request of more than usual size that has received least, so that those that have got furthest end.
+	 */
+	const chooseAtLimit = (): Receiver | undefined => {
+		const entries = ofLargestAddress(held);
+		const stalledSinceMs = clock.nowMs() - stalledMs;
+		const stalled = entries.filter(
+			([, {progressedMs}]) => progressedMs <= stalledSinceMs,
+		);
+		const large = entries.filter(([, {bytes}]) => bytes >= alwaysAllowedBytes);
+		const chosen =
+			highest(stalled, ({bytes}) => bytes) ??
+			highest(large, ({bytes}) => -bytes);
+		return chosen?.[0];
 	};
 
 	return {
@@ -113,35 +117,24 @@
 			return totalBytes;
 		},
 		mayReceive(receiver) {
-			if (
-				totalBytes < maxBytes ||
-				(held.get(receiver) ?? 0) < alwaysAllowedBytes
-			) {
-				return true;
+			const isLarge = () =>
+				(held.get(receiver)?.bytes ?? 0) >= alwaysAllowedBytes;
+			while (isOver(maxBytes) && isLarge()) {
+				const chosen = chooseAtLimit() ?? receiver;
+				refuse(chosen);
+				if (chosen === receiver) {
+					return false;
+				}
 			}
 
-			waiting.add(receiver);
-			closeTimeout ??= timers.after(closeIntervalMs, closeForWaiting);
-			return false;
+			return true;
 		},
 		set(receiver, bytes) {
-			const isLess = bytes < (held.get(receiver) ?? 0);
 			setBytes(receiver, bytes);
-			for (
-				let excess = totalBytes - maxBytes * hardLimitFactor;
-				excess > 0;
-				excess = totalBytes - maxBytes * hardLimitFactor
-			) {
-				closeLargest();
-			}
-
-			if (isLess) {
-				resumeWaiting();
+			while (isOver(maxBytes * hardLimitFactor)) {
+				const largest = highest(ofLargestAddress(held), (each) => each.bytes);
+				refuse(largest?.[0] ?? receiver);
 			}
 		},
-		dispose() {
-			closeTimeout?.dispose();
-			waiting.clear();
-		},
 	};
 }
--- a/src/adapters/front/request-turns.ts
+++ b/src/adapters/front/request-turns.ts
@@ -1,9 +1,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+/** What becomes of a request beside its bytes. */
+export type RequestReception = {
+	/** Sets the function that refuses the request while it is received; without one the connection is closed. */
+	onRefused: (() => void) | undefined;
+};
+
 /** Takes a request whose turn it is. */
 export type TurnListener = (
 	request: IncomingMessage,
 	response: ServerResponse,
+	reception: RequestReception,
 ) => void;
 
 export type RequestTurnsOptions = {
@@ -21,6 +28,13 @@
 	readonly openCount: number;
 	/** True while a request was received whole and its response is not sent and read. */
 	readonly hasWholeRequest: boolean;
+	/** True while the body of a request has not been received whole. */
+	readonly isReceivingBody: boolean;
+	/**
+	 * Refuses the request whose body is being received.
+	 * @returns false if there is none, or none that can be answered
+	 */
+	refuse(): boolean;
 	/** Serves a request at once, or after the earlier ones of the connection. */
 	add(
 		request: IncomingMessage,
@@ -37,6 +51,8 @@
 
 type Turn = {
 	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly reception: RequestReception;
 	readonly start: () => void;
 };
 
@@ -69,11 +85,26 @@
 		get hasWholeRequest() {
 			return turns.some(({request}) => request.complete);
 		},
+		get isReceivingBody() {
+			return turns.some(({request}) => !request.complete);
+		},
+		refuse() {
+			const turn = turns.at(0);
+			if (!turn?.reception.onRefused || turn.response.headersSent) {
+				return false;
+			}
+
+			turn.reception.onRefused();
+			return true;
+		},
 		add(request, response, serve) {
+			const reception: RequestReception = {onRefused: undefined};
 			const turn: Turn = {
 				request,
+				response,
+				reception,
 				start() {
-					serve(request, response);
+					serve(request, response, reception);
 				},
 			};
 			turns.push(turn);
--- a/src/adapters/front/testing/server-bounds.ts
+++ b/src/adapters/front/testing/server-bounds.ts
@@ -1,4 +1,4 @@
-import {SystemTimers} from '../../system/index.js';
+import {SystemClock} from '../../system/index.js';
 import type {ServerBounds} from '../bounded-server.js';
 import {createReceiveMemory} from '../receive-memory.js';
 
@@ -10,7 +10,7 @@
 		closesUnread: false,
 		receiveMemory: createReceiveMemory({
 			maxBytes: 16_777_216,
-			timers: new SystemTimers(),
+			clock: new SystemClock(),
 		}),
 		maxUnreadMs: 1000,
 		onClosed() {
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -135,7 +135,10 @@
 export type SendFailure = {
 	/** True if certainly no byte of the request has reached the target. */
 	readonly unsent: boolean;
-	/** True if the request was held back, since it was no longer wanted once a connection was free. */
+	/**
+	 * True if this VM has held the request back: it was no longer wanted once a connection was free, or it can't be
+	 * sent as it is. That says nothing of the target.
+	 */
 	readonly withheld?: boolean;
 	/** True if the target, or the network, ended the connection before the response was complete. */
 	readonly connectionEnded: boolean;
--- a/src/decisions/serving/call-session.ts
+++ b/src/decisions/serving/call-session.ts
@@ -173,25 +173,20 @@
 		}
 	};
 
-	const recordResult = (
-		attempt: CallAttempt,
-		isAnswered: boolean,
-		isEvidence = true,
-	) => {
+	const recordResult = (attempt: CallAttempt, isAnswered: boolean) => {
 		const latencyMs = clock.nowMs() - attempt.startedMs;
 		options.onSendResult(attempt.target, isAnswered, latencyMs);
-		if (isEvidence) {
-			attempt.recordOutcome(isAnswered, latencyMs);
-		}
+		attempt.recordOutcome(isAnswered, latencyMs);
 	};
 
 	const handleFailure = (attempt: CallAttempt, failure: SendFailure) => {
 		const {target} = attempt;
 		attempts.delete(attempt);
-		// A send that this VM itself has ended says nothing of the target to the other VMs.
-		const isOwnFault =
-			failure.withheld === true || failure.defect === 'no-memory';
-		recordResult(attempt, false, !isOwnFault);
+		// A send that this VM itself has ended says nothing of the target.
+		if (!failure.withheld && failure.defect !== 'no-memory') {
+			recordResult(attempt, false);
+		}
+
 		log('call attempt failed', {
 			request: request.id,
 			target: target.id,
--- a/src/platform/failure-details.ts
+++ b/src/platform/failure-details.ts
@@ -33,3 +33,13 @@
 		defect: defectOf(error),
 	};
 }
+
+/** Errors with which the HTTP library refuses a request before it opens a connection for it. */
+const unsendableCodes: ReadonlySet<string | undefined> = new Set([
+	'UND_ERR_INVALID_ARG',
+	'UND_ERR_NOT_SUPPORTED',
+]);
+
+/** @returns true if the HTTP library does not send the request, whatever the target */
+export const isUnsendable = (error: Error): boolean =>
+	unsendableCodes.has((error as NodeJS.ErrnoException).code);
--- a/src/platform/http-target-client.test.ts
+++ b/src/platform/http-target-client.test.ts
@@ -334,3 +334,46 @@
 		assert.equal(await client.checkLiveness(target, 900), 'unknown');
 	});
 }
+
+test('a request that the HTTP library refuses says nothing of its target', async (context) => {
+	const {target, address} = await startTarget(context, () => {
+		assert.fail('nothing is sent');
+	});
+	const failure = await new Promise<SendFailure>((resolve) => {
+		new HttpTargetClient().send(
+			address,
+			fakeCallerRequest({
+				id: 'q1',
+				headers: [
+					['Host', 'a'],
+					['Host', 'b'],
+				],
+			}),
+			{
+				expectedTargetId: 't1',
+				account: undefined,
+				timeoutMs: 900,
+				priority: undefined,
+				backupAddress: undefined,
+				continueFrom: undefined,
+				lastEventId: undefined,
+				mayStart: () => true,
+				maxAnswerBytes: 1000,
+			},
+			{
+				onHead() {
+					assert.fail('there is no response');
+				},
+				onData() {
+					assert.fail('there is no response');
+				},
+				onEnd() {
+					assert.fail('there is no response');
+				},
+				onFailure: resolve,
+			},
+		);
+	});
+	assert.deepEqual([failure.unsent, failure.withheld], [true, true]);
+	assert.equal(target.requests.length, 0);
+});
--- a/src/platform/http-target-client.ts
+++ b/src/platform/http-target-client.ts
@@ -24,7 +24,7 @@
 	createReadBudget,
 	createResetAwareClient,
 } from '../adapters/targets/index.js';
-import {failureDetails} from './failure-details.js';
+import {failureDetails, isUnsendable} from './failure-details.js';
 import {createInterimLimit} from './interim-limit.js';
 import {rawHeaderPairs} from './raw-headers.js';
 import {decodeResponseHead} from './response-head.js';
@@ -173,7 +173,7 @@
 				settle(() => {
 					listener.onFailure({
 						unsent: !started,
-						withheld,
+						withheld: withheld || isUnsendable(error),
 						connectionEnded,
 						...failureDetails(error),
 					});
--- a/src/programs/front/connection-bounds.ts
+++ b/src/programs/front/connection-bounds.ts
@@ -3,6 +3,7 @@
 	type ServerBounds,
 } from '../../adapters/front/index.js';
 import {
+	type Clock,
 	createDisposableStore,
 	type Disposable,
 	defaultCallerLimits,
@@ -16,6 +17,7 @@
 
 export type ConnectionBoundsOptions = ClosedConnectionsOptions & {
 	readonly settings: FrontSettings;
+	readonly clock: Clock;
 };
 
 /** Bounds of what callers make a VM hold before their requests are served. */
@@ -50,16 +52,15 @@
 /** Creates the bounds of all ports of a VM, which share the memory for requests that arrive. */
 export function createConnectionBounds({
 	settings,
+	clock,
 	...reporting
 }: ConnectionBoundsOptions): ConnectionBounds {
 	const owned = createDisposableStore();
 	const closed = owned.add(createClosedConnections(reporting));
-	const receiveMemory = owned.add(
-		createReceiveMemory({
-			maxBytes: receiveMemoryBytes(settings),
-			timers: reporting.timers,
-		}),
-	);
+	const receiveMemory = createReceiveMemory({
+		maxBytes: receiveMemoryBytes(settings),
+		clock,
+	});
 	const {maxDescriptors} = settings.vm.limits;
 
 	const leastConnections = (port: PortUse) =>
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -172,7 +172,7 @@
 		}),
 	);
 	const connectionBounds = owned.add(
-		createConnectionBounds({settings, timers, logger, metrics}),
+		createConnectionBounds({settings, clock, timers, logger, metrics}),
 	);
 	const listener = createCallerListener({
 		bounds: connectionBounds.of('callers'),
