--- a/src/decisions/serving/target-directory.ts
+++ b/src/decisions/serving/target-directory.ts
@@ -118,7 +118,7 @@
 
 		history.record(targetId, revision, revision);
 		if (isInvalid) {
-			// The row was written by another writer, which says nothing of the store's disturbance.
+			// Unlike a removal, this is no effect of a store that was unavailable.
 			depart(targetId, 'invalid-row');
 		} else if (!entry) {
 			handleRemoval(targetId);
@@ -172,24 +172,17 @@
 			const {entry} = row;
 			if (!entry) {
 				set(targetId, undefined, revision, true);
-				continue;
-			}
-
-			if (isNewEra && isEarlierIncarnation(entry)) {
+			} else if (isNewEra && isEarlierIncarnation(entry)) {
 				handleMissing(targetId, revision, isNewEra);
-				history.hold({
-					targetId,
-					bornMs: entry.bornMs,
-					returnAfter: revision,
-				});
-				continue;
-			}
+				const {bornMs} = entry;
+				history.hold({targetId, bornMs, returnAfter: revision});
+			} else {
+				if (history.mayReturn(entry, row.revision)) {
+					arrive(entry);
+				}
 
-			if (history.mayReturn(entry, row.revision)) {
-				arrive(entry);
+				history.record(targetId, revision, row.revision);
 			}
-
-			history.record(targetId, revision, row.revision);
 		}
 	};
 
--- a/src/platform/run-control.test.ts
+++ b/src/platform/run-control.test.ts
@@ -79,6 +79,14 @@
 	assert.equal(new Set(ports).size, cases.length, 'each on a new connection');
 });
 
+test('a load report whose list of runs can not be read still tells the load', async (context) => {
+	const {address} = await startEngine(context, [
+		{body: {...report, runs: [['q0', 'x']]}},
+	]);
+	const {capacityTokens, runs} = await client.report(address, timeoutMs);
+	assert.deepEqual([capacityTokens, runs], [9000, undefined]);
+});
+
 test('tells an engine that has ended from one that is busy, and does not wait longer than it may', async (context) => {
 	const silent = createTcpServer();
 	const silentAddress = await listen(context, silent as unknown as Server);
--- a/src/platform/target-control.ts
+++ b/src/platform/target-control.ts
@@ -22,8 +22,10 @@
 	.tuple([z.string(), z.number(), z.number()])
 	.rest(z.unknown());
 
-/** A list that can't be read counts as none. */
-const runsSchema = z.array(runSchema).optional();
+/** A list that can't be read counts as none, since the rest of the report stands by itself. */
+const runsSchema = z
+	.union([z.array(runSchema), z.unknown().transform(() => undefined)])
+	.optional();
 
 const reportSchema = z.object({
 	queued: z.number(),
