Let the request that has got furthest end at the memory limit

Change: an address counts as a crowd only if it has several such requests; among others the one that has received least is refused, the newest of equals, and the one that has got furthest of all only if it stalls. At 1.5 times the limit the order is the same, and one that takes up the whole limit goes first.

--- a/src/adapters/front/receive-memory.ts
+++ b/src/adapters/front/receive-memory.ts
@@ -40,34 +40,79 @@
 type Holding = {bytes: number; progressedMs: number};
 type Entry = readonly [Receiver, Holding];
 
-/** @returns the entry with the highest value, or undefined if there is none */
-function highest(
-	entries: readonly Entry[],
-	valueOf: (holding: Holding) => number,
-): Entry | undefined {
-	let best: Entry | undefined;
+/** @returns the entry that holds most, or undefined if there is none */
+function largestOf(entries: readonly Entry[]): Entry | undefined {
+	let largest: Entry | undefined;
 	for (const entry of entries) {
-		if (!best || valueOf(entry[1]) > valueOf(best[1])) {
-			best = entry;
+		if (!largest || entry[1].bytes > largest[1].bytes) {
+			largest = entry;
 		}
 	}
 
-	return best;
+	return largest;
 }
 
-/** @returns the connections of the address that holds most */
-function ofLargestAddress(held: ReadonlyMap<Receiver, Holding>): Entry[] {
-	const totals = new Map<string, number>();
-	let largest = '';
-	for (const [{address}, {bytes}] of held) {
-		const total = (totals.get(address) ?? 0) + bytes;
-		totals.set(address, total);
-		if (total > (totals.get(largest) ?? 0)) {
-			largest = address;
+/** @returns the entry that holds least, the newest of equals; undefined if there is none */
+function smallestOf(entries: readonly Entry[]): Entry | undefined {
+	let smallest: Entry | undefined;
+	for (const entry of entries) {
+		if (!smallest || entry[1].bytes <= smallest[1].bytes) {
+			smallest = entry;
 		}
 	}
 
-	return [...held].filter(([{address}]) => address === largest);
+	return smallest;
+}
+
+/** @returns the connections of each address that has several of these */
+function crowdsOf(entries: readonly Entry[]): Entry[][] {
+	const groups = new Map<string, Entry[]>();
+	for (const entry of entries) {
+		const group = groups.get(entry[0].address) ?? [];
+		group.push(entry);
+		groups.set(entry[0].address, group);
+	}
+
+	return [...groups.values()].filter(({length}) => length > 1);
+}
+
+function sumBytes(entries: readonly Entry[]): number {
+	let sum = 0;
+	for (const [, {bytes}] of entries) {
+		sum += bytes;
+	}
+
+	return sum;
+}
+
+/**
+ * Chooses which of some requests is refused: one from the address that holds most in several of them; any if no
+ * address has several.
+ * @param all - all requests; the one that has got furthest is not refused unless it has stalled, so that one ends
+ * @returns the largest that has stalled; else the one that has received least
+ */
+function chooseRefused(
+	entries: readonly Entry[],
+	all: readonly Entry[],
+	nowMs: number,
+): Receiver | undefined {
+	const hasStalled = ([, {progressedMs}]: Entry) =>
+		progressedMs <= nowMs - stalledMs;
+	const furthest = largestOf(all.filter((entry) => !hasStalled(entry)));
+	let group = entries;
+	let groupBytes = 0;
+	for (const crowd of crowdsOf(entries)) {
+		const crowdBytes = sumBytes(crowd);
+		if (crowdBytes > groupBytes) {
+			group = crowd;
+			groupBytes = crowdBytes;
+		}
+	}
+
+	const candidates = group.filter(([receiver]) => receiver !== furthest?.[0]);
+	const stalled = candidates.filter((entry) => hasStalled(entry));
+	const chosen = largestOf(stalled) ?? smallestOf(candidates);
+	return chosen?.[0];
 }
 
 /** Creates an unused memory. */
@@ -95,32 +140,25 @@
 		receiver.refuse();
 	};
 
-	/**
-	 * Chooses what is refused at the limit, of the address that holds most: the largest that has stalled, else the
-	 * request of more than usual size that has received least, so that those that have got furthest end.
-	 */
-	const chooseAtLimit = (): Receiver | undefined => {
-		const entries = ofLargestAddress(held);
-		const stalledSinceMs = clock.nowMs() - stalledMs;
-		const stalled = entries.filter(
-			([, {progressedMs}]) => progressedMs <= stalledSinceMs,
-		);
-		const large = entries.filter(([, {bytes}]) => bytes >= alwaysAllowedBytes);
-		const chosen =
-			highest(stalled, ({bytes}) => bytes) ??
-			highest(large, ({bytes}) => -bytes);
-		return chosen?.[0];
-	};
-
 	return {
 		get totalBytes() {
 			return totalBytes;
 		},
 		mayReceive(receiver) {
-			const isLarge = () =>
-				(held.get(receiver)?.bytes ?? 0) >= alwaysAllowedBytes;
-			while (isOver(maxBytes) && isLarge()) {
-				const chosen = chooseAtLimit() ?? receiver;
+			const isLarge = ({bytes}: Holding) => bytes >= alwaysAllowedBytes;
+			const needsRoom = () => {
+				const holding = held.get(receiver);
+				return isOver(maxBytes) && holding !== undefined && isLarge(holding);
+			};
+
+			while (needsRoom()) {
+				const all = [...held];
+				const large = all.filter(([, holding]) => isLarge(holding));
+				const chosen = chooseRefused(large, all, clock.nowMs());
+				if (!chosen) {
+					return true;
+				}
+
 				refuse(chosen);
 				if (chosen === receiver) {
 					return false;
@@ -132,8 +170,14 @@
 		set(receiver, bytes) {
 			setBytes(receiver, bytes);
 			while (isOver(maxBytes * hardLimitFactor)) {
-				const largest = highest(ofLargestAddress(held), (each) => each.bytes);
-				refuse(largest?.[0] ?? receiver);
+				const all = [...held];
+				const [largest, holding] = largestOf(all) ?? [receiver, undefined];
+				// One that takes up the whole limit would otherwise be refused after all others.
+				const isOversized = holding !== undefined && holding.bytes >= maxBytes;
+				const chosen = isOversized
+					? largest
+					: chooseRefused(all, all, clock.nowMs());
+				refuse(chosen ?? receiver);
 			}
 		},
 	};
