--- a/src/experiments/fakes/fake-target-client.ts
+++ b/src/experiments/fakes/fake-target-client.ts
@@ -46,6 +46,24 @@
 	};
 }
 
+/** Creates options for sending a call to target `t1`, apart from `changes`. */
+export function fakeSendOptions(
+	changes: Partial<SendOptions> = {},
+): SendOptions {
+	return {
+		expectedTargetId: 't1',
+		account: undefined,
+		timeoutMs: 900,
+		priority: undefined,
+		backupAddress: undefined,
+		continueFrom: undefined,
+		lastEventId: undefined,
+		mayStart: () => true,
+		maxAnswerBytes: 1_048_576,
+		...changes,
+	};
+}
+
 /** Target client that records what it sends and leaves the responses to the test. */
 export class FakeTargetClient extends TargetClient {
 	readonly sends: FakeSend[] = [];
