--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -29,8 +29,8 @@
 
 const serviceSchema = z.object({
 	name: z.string(),
-	health_path: z.string(),
-	max_conns: z.number().positive(),
+	health_path: z.string().optional(),
+	max_conns: z.number().positive().optional(),
 	cold_s: z.number().nonnegative().optional(),
 	cold_per_s: z.number().nonnegative().optional(),
 });
