--- a/src/programs/front/testing/engine-fleet.ts
+++ b/src/programs/front/testing/engine-fleet.ts
@@ -45,7 +45,7 @@
 const tokensPerEvent = 4;
 const stepMs = 8;
 /** Time in which the VMs of a fleet find each other; until then they have no retry budget, in milliseconds. */
-const fleetDiscoveryMs = 2500;
+export const fleetDiscoveryMs = 2500;
 const routes = [
 	{
 		name: 'report',
