--- a/src/experiments/fault-soak/planted-faults.test.ts
+++ b/src/experiments/fault-soak/planted-faults.test.ts
@@ -220,6 +220,19 @@
 		),
 		violates: 'event-order',
 	},
+	{
+		name: 'a run that continues from a backup that can not exist yet',
+		edits: [
+			{
+				file: `${serving}/stream-copies.js`,
+				original: 'progressMs !== undefined &&',
+				replacement: 'true ||',
+			},
+		],
+		vmCount: 2,
+		steps: [step(3000, 2000, {type: 'stream', fault: 'dropped'})],
+		violates: 'at-most-once',
+	},
 	{
 		name: 'a daemon that ends at the second stop signal',
 		edits: [
--- a/src/experiments/fault-soak/soak-plan.ts
+++ b/src/experiments/fault-soak/soak-plan.ts
@@ -30,7 +30,7 @@
 	| {readonly type: 'statement'; readonly statement: 'back-off' | 'leaving'}
 	/** Engines end under a part of some prompts, after some events; before the first by default. */
 	| {readonly type: 'crashing-part'; readonly eventsBefore?: number}
-	/** The streams of an engine are damaged, or do not end. */
+	/** The streams of an engine are damaged, or do not end; or all engines drop them. */
 	| {readonly type: 'stream'; readonly fault: StreamFault}
 	/** Another writer leaves entries among those of the targets that name none. */
 	| {readonly type: 'odd-entries'};
@@ -197,6 +197,17 @@
 	{maxLength: 2},
 );
 
+/** Generates the steps in which engines drop runs as they begin. */
+const dropSteps: fc.Arbitrary<readonly SoakStep[]> = fc.array(
+	fc.record({
+		atMs: fc.integer({min: 500, max: 5000}),
+		forMs: fc.integer({min: 300, max: 1500}),
+		selector: fc.constant(0),
+		action: fc.constant({type: 'stream', fault: 'dropped'} as const),
+	}),
+	{maxLength: 2},
+);
+
 /**
  * Derives the plan of a run from its seed. The kinds of steps that were added later are drawn apart, so that
  * the other steps of a seed remain as they were.
@@ -206,5 +217,7 @@
 	const [limits] = fc.sample(rateLimitSteps, {seed, numRuns: 1});
 	const [others] = fc.sample(targetSteps, {seed, numRuns: 1});
 	const [answers] = fc.sample(answerSteps, {seed, numRuns: 1});
-	return {...plan, steps: [...plan.steps, ...limits, ...others, ...answers]};
+	const [drops] = fc.sample(dropSteps, {seed, numRuns: 1});
+	const added = [...limits, ...others, ...answers, ...drops];
+	return {...plan, steps: [...plan.steps, ...added]};
 }
--- a/src/experiments/fault-soak/target-faults.ts
+++ b/src/experiments/fault-soak/target-faults.ts
@@ -34,7 +34,7 @@
 	): Promise<void>;
 	/** @param eventsBefore - events that a run with the part sends before its engine ends */
 	applyCrashingPart(forMs: number, eventsBefore: number): Promise<void>;
-	/** Spoils the streams of one engine. */
+	/** Spoils the streams of one engine; runs are dropped by all engines. */
 	applyStreamFault(
 		fault: StreamFault,
 		selector: number,
@@ -106,10 +106,18 @@
 			const engines = targets.active.filter(
 				({service}) => service === soakServices.engines,
 			);
-			const engine = engines.at(selector % engines.length);
-			engine?.setStreamFault(fault);
+			const chosen =
+				fault === 'dropped'
+					? engines
+					: engines.slice(selector % engines.length).slice(0, 1);
+			for (const engine of chosen) {
+				engine.setStreamFault(fault);
+			}
+
 			await sleep(forMs);
-			engine?.setStreamFault(undefined);
+			for (const engine of chosen) {
+				engine.setStreamFault(undefined);
+			}
 		},
 		addOddEntries() {
 			for (const [index, address] of oddAddresses.entries()) {
--- a/src/experiments/fault-soak/traffic.ts
+++ b/src/experiments/fault-soak/traffic.ts
@@ -23,6 +23,9 @@
 const promptTokens = 600;
 const minOutputTokens = 60;
 const outputSpreadTokens = 180;
+/** One request in so many is longer by `longOutputTokens`, so that its run can continue from a backup. */
+const longInterval = 4;
+const longOutputTokens = 500;
 /** Fraction of reports whose caller disconnects before the end. */
 const disconnectFraction = 0.1;
 const minDisconnectMs = 80;
@@ -62,9 +65,11 @@
 
 	const sendOne = async (caller: Caller, vm: number, kind: RequestKind) => {
 		const isReport = kind === 'report';
-		const outputTokens =
-			minOutputTokens + Math.floor(random.nextUnit() * outputSpreadTokens);
 		const number = nextId++;
+		const outputTokens =
+			minOutputTokens +
+			Math.floor(random.nextUnit() * outputSpreadTokens) +
+			(number % longInterval === 0 ? longOutputTokens : 0);
 		const hasCrashingPart = isReport && number % crashingInterval === 0;
 		const record: ObservedRequest = {
 			id: `${vm}-${number}`,
--- a/src/platform/testing/engine-standin.ts
+++ b/src/platform/testing/engine-standin.ts
@@ -5,6 +5,7 @@
 } from '../../standins/engine/engine-simulation.js';
 import {targetPaths} from '../wire-names.js';
 import {createEngineCopies, type StoredCopy} from './engine-copies.js';
+import {resetSocket} from './reset-socket.js';
 import {
 	damageEvent,
 	type StreamFault,
@@ -248,6 +249,15 @@
 		}
 	};
 
+	/** Begins a run, and loses it with its connection. */
+	const drop = (arrival: TargetArrival, {socket}: ServerResponse) => {
+		observer.started(arrival);
+		observer.stopped(arrival, false);
+		if (socket) {
+			resetSocket(socket);
+		}
+	};
+
 	const report = (response: ServerResponse) => {
 		response.end(
 			JSON.stringify({
@@ -273,7 +283,12 @@
 				const handle = arrival.continueFrom?.split('/')[1];
 				const copy = copies.stored(handle, arrival.request.id);
 				const lacksCopy = handle !== undefined && !copy;
-				if (lacksCopy || simulation.waitingCount > maxQueued) {
+				if (streamFault === 'dropped') {
+					drop(
+						copy ? arrival : {...arrival, continueFrom: undefined},
+						response,
+					);
+				} else if (lacksCopy || simulation.waitingCount > maxQueued) {
 					refuse(arrival, response);
 				} else {
 					copies.release(handle);
--- a/src/platform/testing/stream-fault.ts
+++ b/src/platform/testing/stream-fault.ts
@@ -1,7 +1,10 @@
 import type {ServerResponse} from 'node:http';
 
-/** What is wrong with the streams of an engine: damaged bytes in some events, or small units without end. */
-export type StreamFault = 'damaged' | 'endless';
+/**
+ * What is wrong with the streams of an engine: damaged bytes in some events, small units without end, or resets
+ * of their connections as soon as the runs begin, whether the engine has a copy to continue them from or not.
+ */
+export type StreamFault = 'damaged' | 'dropped' | 'endless';
 
 /** One event in so many is damaged. */
 const damagedInterval = 7;
