Add failing tests of crowds that end the process at its heap limit

A process with a small heap ends (SIGABRT, heap out of memory) when callers hold a few hundred connections with open requests: 800 connections with requests sent ahead behind one that its target does not answer, or with a valid key. The crowds so far had 40 connections with requests.

--- a/src/programs/front/caller-crowds.serial.test.ts
+++ b/src/programs/front/caller-crowds.serial.test.ts
@@ -1,16 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {knownFailure} from '../../experiments/fakes/index.js';
 import {
+	type CrowdedDaemonLimits,
 	type CrowdedPorts,
 	type CrowdOptions,
 	fixtureHost,
 	fixtureKey,
 	press,
 	startCrowdedDaemon,
+	unansweredPath,
 } from './testing/index.js';
 
 /** Limits of the VM in these tests, and bounds of what the process may use. */
-const limits = {maxHeapMb: 32, memoryMb: 178, maxDescriptors: 200};
+const usualLimits = {maxHeapMb: 32, memoryMb: 178, maxDescriptors: 200};
 const pipeliningMs = 3000;
 /** Long enough for a crowd to open all its connections. */
 const connectingMs = 1000;
@@ -19,6 +22,8 @@
 type Crowd = {
 	readonly port: keyof CrowdedPorts;
 	readonly connections: number;
+	/** Limits that differ from those of the other crowds. */
+	readonly limits?: Partial<CrowdedDaemonLimits>;
 	readonly durationMs?: number;
 	readonly nextBlock: CrowdOptions['nextBlock'];
 };
@@ -69,6 +74,15 @@
 		'Transfer-Encoding: chunked',
 	);
 
+const openRequest = (id: string) =>
+	lines(
+		`POST ${unansweredPath}1 HTTP/1.1`,
+		...usualHeaders(id, fixtureKey),
+		'Content-Length: 0',
+	);
+/** Descriptors for many connections; the heap is as small as in the other tests. */
+const manyConnections = {maxDescriptors: 3000};
+
 /** Each guards against a process that runs out of memory or descriptors, or no longer serves others. */
 const crowds: Readonly<Record<string, Crowd>> = {
 	'pipelined requests with the usual headers and a new key each': {
@@ -128,6 +142,23 @@
 		connections: 40,
 		nextBlock: unreadPage('/tables'),
 	},
+	'many connections, each with pipelined requests behind one that stays open': {
+		port: 'front',
+		connections: 800,
+		limits: manyConnections,
+		nextBlock: (connection, block) =>
+			block === 0
+				? openRequest(`${connection}`).repeat(requestsPerBlock)
+				: undefined,
+	},
+	'many connections with pipelined requests and a valid key': {
+		port: 'front',
+		connections: 800,
+		limits: manyConnections,
+		nextBlock: pipelined((id) =>
+			lines('GET /stock/1 HTTP/1.1', ...usualHeaders(id, fixtureKey)),
+		),
+	},
 	'half-sent heads': {
 		port: 'front',
 		connections: 400,
@@ -179,7 +210,9 @@
 const maxReconnects = 400;
 
 for (const [name, crowd] of Object.entries(crowds)) {
-	test(`a daemon lives on and serves others beside a crowd: ${name}`, async (context) => {
+	const title = `a daemon lives on and serves others beside a crowd: ${name}`;
+	test(title, knownFailure(title), async (context) => {
+		const limits = {...usualLimits, ...crowd.limits};
 		const daemon = await startCrowdedDaemon(context, limits);
 		const leave = await press({
 			...crowd,
--- a/src/programs/front/testing/crowded-daemon.ts
+++ b/src/programs/front/testing/crowded-daemon.ts
@@ -14,7 +14,9 @@
 } from '../../../platform/testing/index.js';
 import {
 	call,
+	defaultRoutes,
 	fixtureConfiguration,
+	fixtureKey,
 	listenOn,
 	statusOf,
 	until,
@@ -51,6 +53,14 @@
 	readinessCheck(): Promise<number>;
 };
 
+/** Path of requests that the target of another service never answers. */
+export const unansweredPath = '/mute/';
+const muteRoute = {
+	name: 'mute',
+	prefix: unansweredPath,
+	kind: 'non_idempotent',
+	service: 'mute',
+} as const;
 const program = fileURLToPath(new URL('../../front.js', import.meta.url));
 const sampleIntervalMs = 20;
 const kilobytesPerMegabyte = 1024;
@@ -102,9 +112,18 @@
 			socket.write(`${responseHead(request, 'Content-Length: 2')}ok`);
 		}
 	});
+	const mute = createScriptedTarget(() => {
+		// Its requests stay open until the daemon gives them up.
+	});
 	const storePort = await listenOn(context, store.server);
 	const address = `127.0.0.1:${await listenOn(context, target.server)}`;
-	store.put('op', 'config', fixtureConfiguration(3));
+	store.put(
+		'op',
+		'config',
+		fixtureConfiguration(3, [fixtureKey], [...defaultRoutes, muteRoute]),
+	);
+	const muteAddress = `127.0.0.1:${await listenOn(context, mute.server)}`;
+	store.put('servers', 'm1', targetRow('mute', muteAddress));
 	store.put('servers', 't1', targetRow('desk', address));
 	store.put('servers', 'e1', targetRow('model', address));
 	return storePort;
--- a/src/programs/front/testing/front-fixture.ts
+++ b/src/programs/front/testing/front-fixture.ts
@@ -125,7 +125,8 @@
 	].join('\r\n');
 }
 
-const defaultRoutes: readonly OperatorRoute[] = [
+/** Routes of the fixture's configuration, one of each kind. */
+export const defaultRoutes: readonly OperatorRoute[] = [
 	{name: 'stock', prefix: '/stock/', kind: 'idempotent', service: 'desk'},
 	{name: 'book', prefix: '/book/', kind: 'non_idempotent', service: 'desk'},
 	{name: 'report', prefix: '/report/', kind: 'stream', service: 'model'},
