Free the packet of which a few requests wait on a connection

Found on the way to the crowds that end a process, by reading: a connection is read in packets of up to 64 KB, of which one request is delivered at a time. What waits was a view of the packet, so a few waiting bytes kept all of it in memory, and only these bytes counted. With 2,460 connections that is up to 154 MB that no limit sees. Not seen to end a process.

What waits moves to a buffer of its own once it is less than half of the one it is in, and the size of the buffer counts. Each byte is copied twice at most, on connections that send ahead only.

--- a/src/adapters/front/paced-connection.ts
+++ b/src/adapters/front/paced-connection.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 
@@ -11,7 +11,7 @@
 	readonly isReceivingBody: () => boolean;
 	/**
 	 * Called when bytes have arrived or were delivered.
-	 * @param heldBytes - bytes received but not delivered
+	 * @param heldBytes - size of the buffer of the bytes that were received but not delivered
 	 * @param deliveredBytes - bytes delivered since the last call
 	 */
 	readonly onProgress: (heldBytes: number, deliveredBytes: number) => void;
@@ -38,6 +38,8 @@
 const lingerMs = 1000;
 /** Largest piece delivered outside of a body of known length, in bytes; a head of usual size fits in. */
 const maxPieceBytes = 2048;
+/** Size of the buffer of bytes that wait, at most, as a multiple of their number. */
+const maxBufferFactor = 2;
 /** The blank line at the end of a head or of a chunked body. */
 const headEnd = '\n\r\n';
 
@@ -52,6 +54,20 @@
 	return end === -1 ? piece.length : end + headEnd.length;
 }
 
+/**
+ * Moves bytes to a buffer of their own size if they keep a much larger one in memory: a socket is read in pieces
+ * of up to 64 KB, of which a few bytes may wait for long.
+ */
+function compact(bytes: Buffer): Buffer {
+	if (bytes.length * maxBufferFactor >= bytes.buffer.byteLength) {
+		return bytes;
+	}
+
+	const copy = Buffer.allocUnsafeSlow(bytes.length);
+	bytes.copy(copy);
+	return copy;
+}
+
 /** Writes several pieces at once, and calls back after the last of them. */
 function writeAll(
 	socket: Socket,
@@ -138,9 +154,12 @@
 	const deliverPiece = (bytes: Buffer) => {
 		const pieceBytes = nextPieceBytes(bytes, bodyBytes);
 		bodyBytes = Math.max(0, bodyBytes - pieceBytes);
-		held = pieceBytes < bytes.length ? bytes.subarray(pieceBytes) : undefined;
+		held =
+			pieceBytes < bytes.length
+				? compact(bytes.subarray(pieceBytes))
+				: undefined;
 		stream.push(bytes.subarray(0, pieceBytes));
-		onProgress(held?.length ?? 0, pieceBytes);
+		onProgress(held?.buffer.byteLength ?? 0, pieceBytes);
 	};
 
 	const deliver = () => {
@@ -202,7 +221,7 @@
 
 		socket.pause();
 		held = bytes;
-		onProgress(bytes.length, 0);
+		onProgress(bytes.buffer.byteLength, 0);
 		update();
 	});
 	socket.on('end', () => {
