Give copies of engine stand-ins handles that differ between engines

Two engines had copied runs to the same engine under the same handle (m1), so that one copy replaced the other and was refused.

--- a/src/platform/testing/engine-copies.ts
+++ b/src/platform/testing/engine-copies.ts
@@ -59,7 +59,8 @@
 			return;
 		}
 
-		const handle = `m${nextHandle++}`;
+		// Engines with copies for the same engine must not use the same handle.
+		const handle = `${id}-${nextHandle++}`;
 		const kvCache = {requestId: id, eventCount};
 		if (last) {
 			stopRun(id);
