Keep a run at an unreachable engine while no copy of it can exist

A run whose engine accepts no connection was left if the engine of its backup could be reached, also before the backup can exist.

Such a run is now kept until its engine leaves the store's table; it is asked about again meanwhile. Runs with a copy that may exist go on elsewhere as before. The new test fails without it (the response was aborted).

--- a/src/decisions/serving/silent-runs.test.ts
+++ b/src/decisions/serving/silent-runs.test.ts
@@ -266,6 +266,20 @@
 	});
 });
 
+// Guards against a response that is given up for a backup that can not exist, and against a caller that waits in vain.
+test('a run without a copy whose engine can not be reached is kept until its engine is not listed any more', async () => {
+	const stream = startTestStream({backup: secondEngine});
+	const {targetClient, response} = stream;
+	targetClient.backupDelayMs = 1000;
+	respondWithEvents(targetClient.sends[0], 1);
+	await checkUntil(stream, 10_000);
+	assert.equal(response.ending, undefined);
+	stream.markLeaving(firstEngine.id);
+	await checkUntil(stream, 20_000);
+	assert.equal(targetClient.sends.length, 1);
+	assert.equal(response.ending, 'aborted');
+});
+
 suite('runs whose connection has timed out', () => {
 	test('a run is stopped at its engine, which has not noticed the end of the connection, before it goes on elsewhere', async () => {
 		const stream = startBegunStream();
--- a/src/decisions/serving/silent-runs.ts
+++ b/src/decisions/serving/silent-runs.ts
@@ -24,7 +24,7 @@
 	readonly admitted: AdmittedRequest;
 	readonly session: Pick<
 		StreamSessionOptions,
-		'clock' | 'log' | 'onSilentRun' | 'targetClient' | 'timers'
+		'clock' | 'isPresent' | 'log' | 'onSilentRun' | 'targetClient' | 'timers'
 	>;
 	readonly stallDetector: StallDetector;
 	readonly retries: ContinuationRetries;
@@ -53,7 +53,8 @@
  * Decides on runs whose connection is silent. Silence does not end a run: its engine may have paused it, or the
  * connection may have failed without the engine noticing it. So the engine is asked over a new connection, and
  * the run continues elsewhere only if it has ended, was stopped, or its engine can't be reached. A paused run
- * stays: to give it up costs the caller the response, for a copy that may not exist.
+ * stays, and so does one at an engine that can't be reached, while no copy of it can exist and the engine is
+ * listed: to give it up costs the caller the response.
  */
 export type SilentRuns = {
 	/** Called at regular intervals. */
@@ -205,9 +206,11 @@
 			isCurrent(attempt);
 		const finding = await find(attempt);
 		const isLost =
-			finding === 'ended'
-				? copies.mayHaveCopy(attempt) || askedAt.questions > 1
-				: finding === 'unreachable' && copies.mayHaveCopy(attempt);
+			(finding === 'ended' && askedAt.questions > 1) ||
+			(finding === 'unreachable' &&
+				!session.isPresent(attempt.placement.target.id)) ||
+			((finding === 'ended' || finding === 'unreachable') &&
+				copies.mayHaveCopy(attempt));
 		if (!isLost && finding !== 'unheard') {
 			return;
 		}
--- a/src/decisions/serving/stream-copies.ts
+++ b/src/decisions/serving/stream-copies.ts
@@ -15,7 +15,7 @@
 /** Manages the copies of the KV cache of one stream's run. */
 export type StreamCopies = {
 	/**
-	 * True if a copy of the run's KV cache is known to exist, or the engine that was chosen for a backup can be
+	 * True if a copy of the run's KV cache is known to exist, or may exist as a backup at an engine that can be
 	 * reached. That suffices only to leave a run that can't go on where it is. A copy in an evacuated availability
 	 * zone does not count.
 	 */
@@ -28,8 +28,8 @@
 	tick(attempt: StreamAttempt): void;
 	/**
 	 * Called when the run is lost; queues its copies for `nextCopy`: those at reachable engines first, and among
-	 * them those that are known to exist. A backup is queued only if the run has made progress for long enough that
-	 * it may exist: nothing says whether it does, and an engine without it may run the request anew before it fails.
+	 * them those that are known to exist. A backup is queued only if it may exist: an engine without it may run
+	 * the request anew before it fails.
 	 * @returns the best certainty of the queued copies
 	 */
 	runLost(attempt: StreamAttempt): CopyCertainty | 'none';
@@ -89,7 +89,7 @@
 		(options.isEvacuated(target) ||
 			(backup !== undefined && options.isEvacuated(backup)));
 
-	/** True if the engine has had the time to start the backup of the run. */
+	/** True if the run has made progress for as long as engines take to start a backup; nothing says whether they have. */
 	const mayHaveBackup = ({progressMs}: StreamAttempt) =>
 		progressMs !== undefined && progressMs >= targetClient.backupDelayMs;
 
@@ -156,9 +156,9 @@
 	};
 
 	return {
-		mayHaveCopy: ({copies, placement}) =>
-			copies.some(({target}) => !options.isEvacuated(target)) ||
-			isReachable(placement.backup),
+		mayHaveCopy: (attempt) =>
+			attempt.copies.some(({target}) => !options.isEvacuated(target)) ||
+			(mayHaveBackup(attempt) && isReachable(attempt.placement.backup)),
 		async chooseHolder(attempt) {
 			const {copies, placement} = attempt;
 			const holders = [...copies.map(({target}) => target), placement.backup];
