Limit the number of open requests by the heap, and their bytes by the memory

The heap now limits the number of open requests, of all callers and of one address; bytes count against the VM's memory as before.

--- a/src/adapters/front/caller-listener.ts
+++ b/src/adapters/front/caller-listener.ts
@@ -15,7 +15,7 @@
 } from '../../decisions/serving/index.js';
 import {createBoundedServer, type ServerBounds} from './bounded-server.js';
 import {createCallerResponse} from './caller-response.js';
-import {createOpenRequests} from './open-requests.js';
+import {createOpenRequests, type OpenRequestLimits} from './open-requests.js';
 import {readBody} from './request-body.js';
 import type {RequestReception} from './request-turns.js';
 
@@ -34,8 +34,7 @@
 	/** True while this VM stops; connections are then closed after their response. */
 	readonly isStopping: () => boolean;
 	readonly bufferBudget: BufferBudget;
-	/** Memory that the open requests of one address may hold, in bytes. */
-	readonly maxAddressBytes: number;
+	readonly openRequestLimits: OpenRequestLimits;
 	/** Response bytes that may be buffered for a caller that does not read. */
 	readonly maxUnreadBytes: number;
 	readonly timers: Timers;
@@ -73,8 +72,8 @@
 const idleSlackMs = 1000;
 const headerTooLargeStatus = 431;
 const bodyTooLargeStatus = 413;
-/** Heap of the objects of an open request and its session, besides the bytes of the request. */
-const requestOverheadBytes = 32_768;
+/** Memory of the objects of an open request besides its bytes, in bytes. */
+const requestOverheadBytes = 4096;
 /** The separators `: ` and CRLF. */
 const bytesPerHeaderLine = 4;
 /** `Retry-After` if this VM has no memory for a request, in milliseconds; other VMs may have it. */
@@ -94,9 +93,7 @@
 	options: CallerListenerOptions,
 ): CallerListener {
 	const openResponses = new Set<ServerResponse>();
-	const openRequests = createOpenRequests(
-		Math.max(1, Math.floor(options.maxAddressBytes / requestOverheadBytes)),
-	);
+	const openRequests = createOpenRequests(options.openRequestLimits);
 
 	const handle = async (
 		request: IncomingMessage,
@@ -121,7 +118,7 @@
 			response.shouldKeepAlive = false;
 			refuseNotRun(
 				callerResponse,
-				'too many requests of this address are open',
+				'too many requests are open',
 				outOfMemoryRetryAfterMs,
 			);
 			return;
--- a/src/adapters/front/open-requests.test.ts
+++ b/src/adapters/front/open-requests.test.ts
@@ -9,13 +9,14 @@
 
 // Guards against one address that takes the memory of all, and against a limit that stays after its requests.
 test('an address with too many open requests gets no more until one is complete, and others do', () => {
-	const requests = createOpenRequests(2);
+	const requests = createOpenRequests({max: 4, maxPerAddress: 2});
 	const first = createResponse();
 	const refused = createResponse();
 	assert.equal(requests.add('a', first), true);
 	assert.equal(requests.add('a', createResponse()), true);
 	assert.equal(requests.add('a', refused), false);
 	assert.equal(requests.add('b', createResponse()), true);
+	assert.equal(requests.add('c', createResponse()), false);
 	refused.emit('close');
 	first.emit('close');
 	assert.equal(requests.add('a', createResponse()), true);
--- a/src/adapters/front/open-requests.ts
+++ b/src/adapters/front/open-requests.ts
@@ -1,19 +1,29 @@
 import type {ServerResponse} from 'node:http';
 
-/** The open requests of callers, by address, so that one address does not use up the memory for all. */
+/** Numbers of requests that may be open at a time. */
+export type OpenRequestLimits = {
+	/** Requests of all callers. */
+	readonly max: number;
+	/** Requests of one address, so that it does not use up those of all. */
+	readonly maxPerAddress: number;
+};
+
+/** The open requests of callers, by address. */
 export type OpenRequests = {
 	/**
 	 * Counts a request until its response is complete.
-	 * @returns false if the address had as many open requests as it may have; the request must then be refused
+	 * @returns false if as many were open as may be; the request must then be refused
 	 */
 	add(address: string, response: ServerResponse): boolean;
 };
 
-/** @param maxPerAddress - open requests that one address may have */
-export function createOpenRequests(maxPerAddress: number): OpenRequests {
+/** Creates counts without requests. */
+export function createOpenRequests(limits: OpenRequestLimits): OpenRequests {
 	const counts = new Map<string, number>();
+	let total = 0;
 
 	const remove = (address: string) => {
+		total--;
 		const count = (counts.get(address) ?? 0) - 1;
 		if (count > 0) {
 			counts.set(address, count);
@@ -26,10 +36,11 @@
 		add(address, response) {
 			const count = (counts.get(address) ?? 0) + 1;
 			counts.set(address, count);
+			total++;
 			response.once('close', () => {
 				remove(address);
 			});
-			return count <= maxPerAddress;
+			return total <= limits.max && count <= limits.maxPerAddress;
 		},
 	};
 }
--- a/src/programs/front/connection-bounds.ts
+++ b/src/programs/front/connection-bounds.ts
@@ -1,5 +1,6 @@
 import {
 	createReceiveMemory,
+	type OpenRequestLimits,
 	type ServerBounds,
 } from '../../adapters/front/index.js';
 import {
@@ -50,6 +51,18 @@
 	);
 }
 
+/** Returns how many requests of callers may be open, by the heap of the process. */
+export function openRequestLimits({
+	heapLimitBytes,
+	addressConnectionsPercent,
+}: FrontSettings): OpenRequestLimits {
+	const max = heapSharesOf(heapLimitBytes).requestCount;
+	return {
+		max,
+		maxPerAddress: Math.max(1, percentOf(addressConnectionsPercent, max)),
+	};
+}
+
 /** Creates the bounds of all ports of a VM, which share the memory for requests that arrive. */
 export function createConnectionBounds({
 	settings,
--- a/src/programs/front/create-front.ts
+++ b/src/programs/front/create-front.ts
@@ -22,7 +22,10 @@
 import {HttpTargetClient} from '../../platform/index.js';
 import {createUnexpectedErrorLog} from '../unexpected-errors.js';
 import {logAvoidedTargets} from './avoided-target-log.js';
-import {createConnectionBounds} from './connection-bounds.js';
+import {
+	createConnectionBounds,
+	openRequestLimits,
+} from './connection-bounds.js';
 import {startCrashGuard} from './crash-guard.js';
 import {startDeploymentState} from './deployment-state.js';
 import type {FrontSettings} from './front-settings.js';
@@ -108,8 +111,7 @@
 	const {detector, avoidedTargets} = targetHealth;
 	owned.add(logAvoidedTargets(avoidedTargets, logger, metrics));
 	const targetClient = new HttpTargetClient();
-	const requestMemory = createRequestMemory(settings);
-	const {bufferBudget} = requestMemory;
+	const bufferBudget = createRequestMemory(settings);
 	let routeTable: RouteTable | undefined;
 	const {quarantine, observer: crashObserver} = owned.add(
 		startCrashGuard({
@@ -180,7 +182,7 @@
 		limits: () => configuration.current?.limits ?? defaultCallerLimits,
 		isStopping: () => gracefulStop.times !== undefined,
 		bufferBudget,
-		maxAddressBytes: requestMemory.maxAddressBytes,
+		openRequestLimits: openRequestLimits(settings),
 		maxUnreadBytes: settings.maxUnreadBytes,
 		timers,
 		maxReceiveMs: settings.maxReceiveMs,
--- a/src/programs/front/front-settings.ts
+++ b/src/programs/front/front-settings.ts
@@ -33,7 +33,7 @@
 	readonly requestMemoryPercent: number;
 	/** Limit of the heap of this process, in bytes. */
 	readonly heapLimitBytes: number;
-	/** Percentage of a port's connections, and of the memory for open requests, that one address may hold. */
+	/** Percentage of a port's connections, and of the open requests, that one address may hold. */
 	readonly addressConnectionsPercent: number;
 	/** Percentage of the VM's descriptors for connections to each port other than that for callers. */
 	readonly pageConnectionsPercent: number;
@@ -143,7 +143,7 @@
 				type: 'number',
 				default: 50,
 				describe:
-					"part of a port's connections, and of the memory for open requests, that one address may hold, in percent (1 to 100)",
+					"part of a port's connections, and of the open requests, that one address may hold, in percent (1 to 100)",
 			},
 			'page-connections-percent': {
 				type: 'number',
--- a/src/programs/front/heap-shares.ts
+++ b/src/programs/front/heap-shares.ts
@@ -1,7 +1,7 @@
 /** Shares of the heap for what callers make a VM hold. */
 export type HeapShares = {
-	/** For the objects and bytes of open requests, in bytes. */
-	readonly requestBytes: number;
+	/** Open requests of callers whose objects fit. */
+	readonly requestCount: number;
 	/** Connections of callers whose objects fit. */
 	readonly connectionCount: number;
 };
@@ -10,6 +10,8 @@
 const ownBytes = 25_165_824;
 const requestFraction = 0.5;
 const connectionFraction = 0.35;
+/** Heap of the objects of an open request and its session, in bytes. */
+const requestBytes = 32_768;
 /** Heap of the socket, the parser and the bounds of a connection, in bytes. */
 const connectionBytes = 10_240;
 /** Fraction of the heap that is divided where the program itself takes up nearly all of it. */
@@ -22,7 +24,7 @@
 		heapLimitBytes * minSpareFraction,
 	);
 	return {
-		requestBytes: spareBytes * requestFraction,
+		requestCount: Math.floor((spareBytes * requestFraction) / requestBytes),
 		connectionCount: Math.floor(
 			(spareBytes * connectionFraction) / connectionBytes,
 		),
